Add the workspace and porthoist-core

Cause: the repository was empty; every later package needs one vocabulary for ids, deadlines and verdicts. Ruled out: plain strings and durations (they mix up roles and let late messages extend deadlines). Before: nothing.

--- /dev/null
+++ b/crates/porthoist-core/src/deadline.rs
@@ -0,0 +1,101 @@
+//! Points in time and the clock that gives them.
+//!
+//! Deadlines are stored as points in time, never as durations, so that a delayed message can't extend one.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::str::FromStr;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// A point in time in milliseconds since the Unix epoch.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct UnixMillis(pub u64);
+
+impl UnixMillis {
+    /// This point plus a number of milliseconds.
+    #[must_use]
+    pub fn plus(self, millis: u64) -> Self {
+        Self(self.0.saturating_add(millis))
+    }
+
+    /// Milliseconds from `earlier` to this point, 0 if it is not later.
+    pub fn since(self, earlier: Self) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+}
+
+/// The time by which an answer is due.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct UnixDeadline(pub UnixMillis);
+
+impl UnixDeadline {
+    /// The deadline that lies `millis` after `now`.
+    pub fn after(now: UnixMillis, millis: u64) -> Self {
+        Self(now.plus(millis))
+    }
+
+    /// Whether the deadline is reached at `now`.
+    pub fn passed(self, now: UnixMillis) -> bool {
+        now >= self.0
+    }
+
+    /// Time left at `now`.
+    pub fn remaining(self, now: UnixMillis) -> Duration {
+        Duration::from_millis(self.0.since(now))
+    }
+}
+
+impl fmt::Display for UnixDeadline {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0.0)
+    }
+}
+
+/// Error of parsing a deadline.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{0:?} is not a deadline: expected milliseconds since the Unix epoch")]
+pub struct DeadlineError(String);
+
+impl FromStr for UnixDeadline {
+    type Err = DeadlineError;
+
+    fn from_str(text: &str) -> Result<Self, DeadlineError> {
+        let millis = text.parse().map_err(|_parse| DeadlineError(text.chars().take(64).collect()))?;
+        Ok(Self(UnixMillis(millis)))
+    }
+}
+
+/// Where the time comes from.
+pub trait ClockSource: fmt::Debug + Send + Sync {
+    /// The present time.
+    fn now(&self) -> UnixMillis;
+}
+
+/// Wall time read once at construction and carried on by the monotonic clock.
+///
+/// A step of the host's wall clock can't move it back, so a used ticket is never forgotten before its deadline.
+#[derive(Debug)]
+pub struct AnchoredClock {
+    wall: UnixMillis,
+    start: Instant,
+}
+
+impl AnchoredClock {
+    /// Reads the wall clock.
+    pub fn new() -> Self {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { wall: UnixMillis(since_epoch.as_millis() as u64), start: Instant::now() }
+    }
+}
+
+impl Default for AnchoredClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl ClockSource for AnchoredClock {
+    fn now(&self) -> UnixMillis {
+        self.wall.plus(self.start.elapsed().as_millis() as u64)
+    }
+}
--- /dev/null
+++ b/crates/porthoist-core/src/lib.rs
@@ -0,0 +1,25 @@
+//! Vocabulary shared by every porthoist package.
+//!
+//! It holds identifiers, quantities, deadlines, tickets, and the verdict that says whether a request may have
+//! run. Nothing here performs network I/O.
+
+pub mod deadline;
+pub mod ids;
+pub mod offer;
+pub mod quantity;
+pub mod reason;
+pub mod ring;
+pub mod secret;
+pub mod ticket;
+pub mod verdict;
+
+pub use deadline::{AnchoredClock, ClockSource, UnixDeadline, UnixMillis};
+pub use ids::{AttemptId, HostName, IncarnationId, RequestId, ServiceName, TargetName, TeamName, ZoneName};
+pub use offer::{
+    AnswerFrame, AnswerHead, LoadReport, OfferOutcome, RepeatPolicy, RequestOffer, RequestPriority, ServiceKind,
+};
+pub use quantity::{ByteSize, RequestRate, TokenCount};
+pub use reason::{RefusalReason, RetryReason};
+pub use ring::{RingReceiver, RingSender, bounded_ring};
+pub use ticket::{TicketKey, TicketText};
+pub use verdict::RunVerdict;
--- /dev/null
+++ b/crates/porthoist-core/src/quantity.rs
@@ -0,0 +1,80 @@
+//! Sizes and rates as newtypes, so that bytes, tokens and requests are never mixed up.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::str::FromStr;
+
+/// Error of parsing a quantity.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{text:?} is not a {role}: expected {expected}")]
+pub struct QuantityError {
+    role: &'static str,
+    text: String,
+    expected: &'static str,
+}
+
+macro_rules! count_type {
+    ($(#[$doc:meta])* $name:ident, $role:literal, $unit:literal) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        pub struct $name(pub u64);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(formatter, "{}{}", self.0, $unit)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = QuantityError;
+
+            fn from_str(text: &str) -> Result<Self, QuantityError> {
+                let digits = text.strip_suffix($unit).unwrap_or(text);
+                let error = |_parse| QuantityError {
+                    role: $role,
+                    text: text.to_owned(),
+                    expected: concat!("a whole number, optionally followed by '", $unit, "'"),
+                };
+                digits.trim().parse().map(Self).map_err(error)
+            }
+        }
+    };
+}
+
+count_type!(
+    /// A size in bytes.
+    ByteSize,
+    "size in bytes",
+    "B"
+);
+count_type!(
+    /// A number of model tokens.
+    TokenCount,
+    "number of tokens",
+    "tok"
+);
+
+/// Requests a second.
+#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct RequestRate(pub f64);
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}/s", self.0)
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = QuantityError;
+
+    fn from_str(text: &str) -> Result<Self, QuantityError> {
+        let error = || QuantityError {
+            role: "rate",
+            text: text.to_owned(),
+            expected: "a finite number of requests a second that is not negative, optionally followed by '/s'",
+        };
+        let digits = text.strip_suffix("/s").unwrap_or(text).trim();
+        let rate: f64 = digits.parse().map_err(|_parse| error())?;
+        if rate.is_finite() && rate >= 0.0 { Ok(Self(rate)) } else { Err(error()) }
+    }
+}
--- /dev/null
+++ b/crates/porthoist-core/src/reason.rs
@@ -0,0 +1,171 @@
+//! Reasons of refusals and retries; each is a label of a counter.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::str::FromStr;
+
+/// Error of parsing a reason.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{0:?} is not a known reason")]
+pub struct ReasonError(String);
+
+macro_rules! reason_type {
+    ($(#[$doc:meta])* $name:ident { $($(#[$variant_doc:meta])* $variant:ident = $text:literal,)* }) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(rename_all = "snake_case")]
+        pub enum $name {
+            $($(#[$variant_doc])* $variant,)*
+        }
+
+        impl $name {
+            /// Every reason, in the order of declaration.
+            pub const ALL: &[Self] = &[$(Self::$variant,)*];
+
+            /// The reason as a metric label.
+            pub fn as_str(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $text,)*
+                }
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(self.as_str())
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ReasonError;
+
+            fn from_str(text: &str) -> Result<Self, ReasonError> {
+                match text {
+                    $($text => Ok(Self::$variant),)*
+                    other => Err(ReasonError(other.chars().take(64).collect())),
+                }
+            }
+        }
+    };
+}
+
+reason_type!(
+    /// Why a request was refused.
+    RefusalReason {
+        /// The request could not be read.
+        Malformed = "malformed",
+        /// Headers exceed the limit.
+        HeaderTooLong = "header_too_long",
+        /// The body exceeds the limit.
+        BodyTooLong = "body_too_long",
+        /// Team unknown or its token wrong.
+        Unauthorized = "unauthorized",
+        /// The service has no row.
+        UnknownService = "unknown_service",
+        /// The deadline passed before an answer was whole.
+        DeadlinePassed = "deadline_passed",
+        /// The predicted first token would miss the deadline.
+        DeadlineUnreachable = "deadline_unreachable",
+        /// The team's rate limit.
+        RateLimit = "rate_limit",
+        /// The team's concurrency limit.
+        ConcurrencyLimit = "concurrency_limit",
+        /// A bounded ring or queue was full.
+        Overloaded = "overloaded",
+        /// No target serves the service.
+        NoTarget = "no_target",
+        /// The target is leaving.
+        Draining = "draining",
+        /// The process is shutting down.
+        ShuttingDown = "shutting_down",
+        /// No configuration is adopted yet.
+        NotReady = "not_ready",
+        /// The target could not be reached; nothing was sent.
+        Unreachable = "unreachable",
+        /// The connection to the target broke after the request was sent.
+        ConnectionLost = "connection_lost",
+        /// The target's engine or service failed.
+        BackendFailed = "backend_failed",
+        /// The ticket was minted by another incarnation.
+        TicketForeign = "ticket_foreign",
+        /// The ticket was refused before and stays refused.
+        TicketSpent = "ticket_spent",
+        /// The ticket is forged, or was given to another team.
+        TicketInvalid = "ticket_invalid",
+        /// The key was used with another request.
+        KeyMismatch = "key_mismatch",
+        /// The key was closed without a run.
+        KeyClosed = "key_closed",
+        /// The kept answer is gone.
+        AnswerGone = "answer_gone",
+        /// The table could not be reached to claim the key.
+        ClaimUnavailable = "claim_unavailable",
+        /// The answer's count or digest was wrong.
+        AnswerCorrupt = "answer_corrupt",
+        /// The retry budget is spent.
+        RetryBudget = "retry_budget",
+    }
+);
+
+reason_type!(
+    /// Why a request was sent again.
+    RetryReason {
+        /// The target refused; the request did not run.
+        Refused = "refused",
+        /// The target could not be reached; nothing was sent.
+        Unreachable = "unreachable",
+        /// The connection broke; the request may be repeated.
+        ConnectionLost = "connection_lost",
+        /// The engine failed; the request may be repeated.
+        BackendFailed = "backend_failed",
+        /// A stream broke and is resumed after its last event.
+        StreamResumed = "stream_resumed",
+        /// The same ticket is offered again to fetch its kept answer.
+        TicketReplay = "ticket_replay",
+        /// A second attempt runs beside a slow first one.
+        Hedge = "hedge",
+    }
+);
+
+impl RefusalReason {
+    /// The HTTP status that goes with the reason.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::Malformed => 400,
+            Self::Unauthorized => 401,
+            Self::UnknownService => 404,
+            Self::KeyMismatch | Self::TicketInvalid => 422,
+            Self::HeaderTooLong => 431,
+            Self::BodyTooLong => 413,
+            Self::RateLimit | Self::ConcurrencyLimit => 429,
+            Self::ConnectionLost | Self::BackendFailed | Self::AnswerCorrupt => 502,
+            Self::DeadlinePassed | Self::DeadlineUnreachable => 504,
+            Self::TicketForeign | Self::TicketSpent | Self::KeyClosed | Self::AnswerGone => 409,
+            Self::Overloaded
+            | Self::NoTarget
+            | Self::Draining
+            | Self::ShuttingDown
+            | Self::NotReady
+            | Self::Unreachable
+            | Self::ClaimUnavailable
+            | Self::RetryBudget => 503,
+        }
+    }
+
+    /// Whether another target could accept what this one refused.
+    pub fn another_target_may_accept(self) -> bool {
+        matches!(
+            self,
+            Self::DeadlineUnreachable
+                | Self::Overloaded
+                | Self::NoTarget
+                | Self::Draining
+                | Self::ShuttingDown
+                | Self::NotReady
+                | Self::Unreachable
+                | Self::ConnectionLost
+                | Self::BackendFailed
+                | Self::AnswerCorrupt
+        )
+    }
+}
