--- /dev/null
+++ b/crates/porthoist-caller/src/keyed.rs
@@ -0,0 +1,171 @@
+//! Requests with an idempotency key: a ticket, or a key of the caller's own that is claimed in the table.
+
+use crate::course::{AttemptEnd, CourseEnd, RequestCourse};
+use crate::ports::{CallerRefusal, OfferFailure};
+use porthoist_core::offer::AnswerDigest;
+use porthoist_core::{RefusalReason, RetryReason, RunVerdict, TicketText, UnixDeadline};
+use porthoist_policy::claim::{ClaimAction, ClaimEvent, ClaimMachine, ClaimRules};
+use std::time::Duration;
+
+/// Pause before a ticket is offered again to a target that could not be reached.
+const REPLAY_PAUSE: Duration = Duration::from_millis(100);
+/// Offers of one ticket at most.
+const MAX_TICKET_OFFERS: u32 = 5;
+/// A ticket minted for a claimed key is remembered so long after the request's deadline, in milliseconds.
+const CLAIM_TICKET_MILLIS: u64 = 60 * 60 * 1000;
+
+impl RequestCourse {
+    /// Runs under a ticket: offered only to the incarnation that minted it, as often as answers are lost.
+    pub(crate) async fn with_ticket(&mut self, ticket: TicketText) -> CourseEnd {
+        if let Err(refusal) = self.admitted_for_key().await {
+            return CourseEnd::Refused(refusal);
+        }
+        loop {
+            let (failure, retry_at) = match self.offer_ticket(ticket.clone()).await {
+                AttemptEnd::Whole(head, body) => return CourseEnd::Whole(head, body),
+                AttemptEnd::Streamed => return CourseEnd::Streamed,
+                AttemptEnd::Gone => return CourseEnd::Gone,
+                AttemptEnd::Failed(failure, retry_at) => (failure, retry_at),
+            };
+            let silent = silent(failure);
+            if !silent || self.attempts >= MAX_TICKET_OFFERS {
+                let mut refusal = self.failure_refusal(failure, retry_at);
+                if silent {
+                    // This try did not run, but an earlier one under the same ticket may have.
+                    refusal.verdict = RunVerdict::MayHaveRun;
+                }
+                if failure.verdict == RunVerdict::NotRun && !silent {
+                    refusal.verdict = RunVerdict::NotRun;
+                }
+                return CourseEnd::Refused(refusal);
+            }
+            self.retried(RetryReason::TicketReplay);
+            tokio::time::sleep(REPLAY_PAUSE).await;
+        }
+    }
+
+    /// Runs under a key of the caller's own.
+    pub(crate) async fn with_own_key(&mut self, key: String) -> CourseEnd {
+        if let Err(refusal) = self.admitted_for_key().await {
+            return CourseEnd::Refused(refusal);
+        }
+        let claim_key = format!("{}/{key}", self.request.team);
+        let writer = rand::random::<u64>();
+        let fingerprint = self.key_fingerprint();
+        let (mut machine, mut action) = ClaimMachine::start(fingerprint, writer, ClaimRules::SOUND);
+        let mut answer = None;
+        loop {
+            let event = match action {
+                ClaimAction::Mint => self.mint_event().await,
+                ClaimAction::Write { expected, row } => {
+                    self.ports.claims.write(claim_key.clone(), expected, row).await
+                }
+                ClaimAction::Read => self.ports.claims.read(claim_key.clone()).await,
+                ClaimAction::Offer(ticket) => match self.offer_event(ticket).await {
+                    Ok((event, end)) => {
+                        answer = end;
+                        event
+                    }
+                    Err(end) => return end,
+                },
+                ClaimAction::Answer => return answer.unwrap_or(CourseEnd::Gone),
+                ClaimAction::Refuse(reason, verdict) => {
+                    return CourseEnd::Refused(key_refusal(reason, verdict));
+                }
+            };
+            action = if let Some(next) = machine.on(event) {
+                next
+            } else {
+                let refusal = key_refusal(RefusalReason::ClaimUnavailable, RunVerdict::MayHaveRun);
+                return CourseEnd::Refused(refusal);
+            };
+        }
+    }
+
+    /// Admission without an offer: the target is fixed by the ticket.
+    async fn admitted_for_key(&mut self) -> Result<(), CallerRefusal> {
+        match self.route(&[], false).await {
+            Ok(_told) => Ok(()),
+            Err(refusal) if refusal.reason == RefusalReason::NoTarget => Ok(()),
+            Err(mut refusal) => {
+                // Of this try it is known, but an earlier one with the same key may have run.
+                refusal.verdict = RunVerdict::MayHaveRun;
+                Err(refusal)
+            }
+        }
+    }
+
+    fn key_fingerprint(&self) -> u64 {
+        let request = &self.request;
+        let mut digest = AnswerDigest::default();
+        for part in [request.service.as_str(), &request.method, &request.path] {
+            digest.update(part.as_bytes());
+            digest.update(&[0]);
+        }
+        digest.update(&request.body);
+        digest.value()
+    }
+
+    async fn mint_event(&mut self) -> ClaimEvent<TicketText> {
+        let told = match self.route(&[], false).await {
+            Ok(told) => told,
+            Err(refusal) => return ClaimEvent::MintFailed(refusal.reason),
+        };
+        let team = self.request.team.clone();
+        let deadline = UnixDeadline(self.request.deadline.0.plus(CLAIM_TICKET_MILLIS));
+        match self
+            .ports
+            .offers
+            .mint(told.choice.target, team, 1, deadline)
+            .await
+        {
+            Ok(tickets) => match tickets.into_iter().next() {
+                Some(ticket) => ClaimEvent::Minted(ticket),
+                None => ClaimEvent::MintFailed(RefusalReason::Draining),
+            },
+            Err(failure) => ClaimEvent::MintFailed(failure.reason),
+        }
+    }
+
+    async fn offer_event(
+        &mut self,
+        ticket: TicketText,
+    ) -> Result<(ClaimEvent<TicketText>, Option<CourseEnd>), CourseEnd> {
+        let failure = match self.offer_ticket(ticket).await {
+            AttemptEnd::Whole(head, body) => {
+                return Ok((ClaimEvent::Answered, Some(CourseEnd::Whole(head, body))));
+            }
+            AttemptEnd::Streamed => return Ok((ClaimEvent::Answered, Some(CourseEnd::Streamed))),
+            AttemptEnd::Gone => return Err(CourseEnd::Gone),
+            AttemptEnd::Failed(failure, _retry_at) => failure,
+        };
+        if silent(failure) {
+            self.retried(RetryReason::TicketReplay);
+            tokio::time::sleep(REPLAY_PAUSE).await;
+            return Ok((ClaimEvent::OfferLost, None));
+        }
+        Ok((ClaimEvent::OfferRefused(failure.reason, failure.verdict), None))
+    }
+}
+
+/// Whether the target said nothing: what became of the ticket is unknown.
+fn silent(failure: OfferFailure) -> bool {
+    matches!(
+        failure.reason,
+        RefusalReason::Unreachable | RefusalReason::ConnectionLost | RefusalReason::AnswerCorrupt
+    )
+}
+
+fn key_refusal(reason: RefusalReason, verdict: RunVerdict) -> CallerRefusal {
+    let detail = match verdict {
+        RunVerdict::NotRun => "the key is closed: the request did not run and will not run under it",
+        RunVerdict::MayHaveRun => "what became of the key is not known",
+        RunVerdict::Ran => "the request ran; its answer is no longer kept",
+    };
+    CallerRefusal {
+        reason,
+        verdict,
+        retry_at: None,
+        detail: detail.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/porthoist-caller/src/lib.rs
@@ -0,0 +1,18 @@
+//! Callers as peers: their requests, answers and refusals over HTTP.
+//!
+//! The course of one request is driven here; routing, offers and claims are reached through the traits in
+//! [`ports`].
+
+pub mod attempt;
+pub mod course;
+pub mod delivery;
+pub mod keyed;
+pub mod ports;
+pub mod problem;
+pub mod request;
+pub mod server;
+
+pub use ports::{
+    CallerPorts, CallerRefusal, ClaimPort, ConfigPort, OfferFailure, OfferPort, RouteAsk, RoutingPort,
+};
+pub use server::{CallerServer, CallerSettings};
--- a/crates/porthoist-core/src/deadline.rs
+++ b/crates/porthoist-core/src/deadline.rs
@@ -46,8 +46,8 @@
 }
 
 impl fmt::Display for UnixDeadline {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}", self.0.0)
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0.0)
     }
 }
 
@@ -60,7 +60,9 @@
     type Err = DeadlineError;
 
     fn from_str(text: &str) -> Result<Self, DeadlineError> {
-        let millis = text.parse().map_err(|_parse| DeadlineError(text.chars().take(64).collect()))?;
+        let millis = text
+            .parse()
+            .map_err(|_parse| DeadlineError(text.chars().take(64).collect()))?;
         Ok(Self(UnixMillis(millis)))
     }
 }
@@ -84,7 +86,10 @@
     /// Reads the wall clock.
     pub fn new() -> Self {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { wall: UnixMillis(since_epoch.as_millis() as u64), start: Instant::now() }
+        Self {
+            wall: UnixMillis(since_epoch.as_millis() as u64),
+            start: Instant::now(),
+        }
     }
 }
 
--- a/crates/porthoist-core/src/ids.rs
+++ b/crates/porthoist-core/src/ids.rs
@@ -28,7 +28,11 @@
         return Ok(());
     }
     let text = text.chars().take(MAX_NAME_BYTES).collect();
-    Err(IdError { role, text, expected: NAME_RULE })
+    Err(IdError {
+        role,
+        text,
+        expected: NAME_RULE,
+    })
 }
 
 macro_rules! name_type {
@@ -46,8 +50,8 @@
         }
 
         impl fmt::Display for $name {
-            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-                formatter.write_str(&self.0)
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
             }
         }
 
@@ -109,8 +113,8 @@
         pub struct $name(pub u64);
 
         impl fmt::Display for $name {
-            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-                write!(formatter, "{:016x}", self.0)
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:016x}", self.0)
             }
         }
 
@@ -155,8 +159,8 @@
 }
 
 impl fmt::Display for AttemptId {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}-{}-{}", self.entry, self.request, self.attempt)
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}-{}", self.entry, self.request, self.attempt)
     }
 }
 
--- a/crates/porthoist-core/src/lib.rs
+++ b/crates/porthoist-core/src/lib.rs
@@ -16,7 +16,8 @@
 pub use deadline::{AnchoredClock, ClockSource, UnixDeadline, UnixMillis};
 pub use ids::{AttemptId, HostName, IncarnationId, RequestId, ServiceName, TargetName, TeamName, ZoneName};
 pub use offer::{
-    AnswerFrame, AnswerHead, LoadReport, OfferOutcome, RepeatPolicy, RequestOffer, RequestPriority, ServiceKind,
+    AnswerFrame, AnswerHead, LoadReport, OfferOutcome, RepeatPolicy, RequestOffer, RequestPriority,
+    ServiceKind,
 };
 pub use quantity::{ByteSize, RequestRate, TokenCount};
 pub use reason::{RefusalReason, RetryReason};
--- a/crates/porthoist-core/src/offer.rs
+++ b/crates/porthoist-core/src/offer.rs
@@ -42,8 +42,8 @@
 macro_rules! text_enum {
     ($name:ident, $expected:literal, $($variant:ident = $text:literal),*) => {
         impl fmt::Display for $name {
-            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-                formatter.write_str(match self { $(Self::$variant => $text,)* })
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(match self { $(Self::$variant => $text,)* })
             }
         }
 
@@ -82,8 +82,8 @@
 }
 
 impl fmt::Display for RequestPriority {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}", self.0)
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
     }
 }
 
@@ -91,9 +91,16 @@
     type Err = OfferParseError;
 
     fn from_str(text: &str) -> Result<Self, OfferParseError> {
-        let error = || OfferParseError { text: text.chars().take(64).collect(), expected: "0 to 9" };
+        let error = || OfferParseError {
+            text: text.chars().take(64).collect(),
+            expected: "0 to 9",
+        };
         let level = text.parse().map_err(|_parse| error())?;
-        if level <= Self::MAX.0 { Ok(Self(level)) } else { Err(error()) }
+        if level <= Self::MAX.0 {
+            Ok(Self(level))
+        } else {
+            Err(error())
+        }
     }
 }
 
@@ -138,7 +145,12 @@
     /// Fingerprint of everything that a repeat under the same key must share.
     pub fn fingerprint(&self) -> u64 {
         let mut hasher = Xxh3::new();
-        for part in [self.team.as_str(), self.service.as_str(), &self.method, &self.path] {
+        for part in [
+            self.team.as_str(),
+            self.service.as_str(),
+            &self.method,
+            &self.path,
+        ] {
             hasher.update(part.as_bytes());
             hasher.update(&[0]);
         }
@@ -158,8 +170,12 @@
     pub slots: u32,
     /// Prompt tokens that wait to be computed.
     pub queued_tokens: u64,
-    /// Duration of one decoding step in microseconds.
+    /// Duration of one decoding step in microseconds; a straggling rank raises it for its whole group.
     pub step_micros: u32,
+    /// Mean time between two slots coming free, in microseconds, while all are taken.
+    pub slot_micros: u32,
+    /// Prompt tokens computed a second.
+    pub prefill_rate: u32,
     /// When the load was read.
     pub at: UnixMillis,
     /// Whether the target is leaving.
@@ -236,8 +252,8 @@
 pub struct AnswerDigest(Xxh3);
 
 impl fmt::Debug for AnswerDigest {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "AnswerDigest({:016x})", self.0.digest())
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "AnswerDigest({:016x})", self.0.digest())
     }
 }
 
--- a/crates/porthoist-core/src/quantity.rs
+++ b/crates/porthoist-core/src/quantity.rs
@@ -20,8 +20,8 @@
         pub struct $name(pub u64);
 
         impl fmt::Display for $name {
-            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-                write!(formatter, "{}{}", self.0, $unit)
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}{}", self.0, $unit)
             }
         }
 
@@ -59,8 +59,8 @@
 pub struct RequestRate(pub f64);
 
 impl fmt::Display for RequestRate {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}/s", self.0)
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
     }
 }
 
@@ -75,6 +75,10 @@
         };
         let digits = text.strip_suffix("/s").unwrap_or(text).trim();
         let rate: f64 = digits.parse().map_err(|_parse| error())?;
-        if rate.is_finite() && rate >= 0.0 { Ok(Self(rate)) } else { Err(error()) }
+        if rate.is_finite() && rate >= 0.0 {
+            Ok(Self(rate))
+        } else {
+            Err(error())
+        }
     }
 }
--- a/crates/porthoist-core/src/reason.rs
+++ b/crates/porthoist-core/src/reason.rs
@@ -31,8 +31,8 @@
         }
 
         impl fmt::Display for $name {
-            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-                formatter.write_str(self.as_str())
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(self.as_str())
             }
         }
 
--- a/crates/porthoist-core/src/ring.rs
+++ b/crates/porthoist-core/src/ring.rs
@@ -28,7 +28,10 @@
 pub fn bounded_ring<T>(capacity: usize) -> (RingSender<T>, RingReceiver<T>) {
     let (producer, consumer) = RingBuffer::new(capacity);
     let wake = Arc::new(Notify::new());
-    let sender = RingSender { producer, wake: Arc::clone(&wake) };
+    let sender = RingSender {
+        producer,
+        wake: Arc::clone(&wake),
+    };
     (sender, RingReceiver { consumer, wake })
 }
 
@@ -48,6 +51,11 @@
 }
 
 impl<T> RingReceiver<T> {
+    /// The next value if one is there.
+    pub fn try_receive(&mut self) -> Option<T> {
+        self.consumer.pop().ok()
+    }
+
     /// The next value, or nothing once the sender is gone and the ring is empty.
     pub async fn receive(&mut self) -> Option<T> {
         loop {
@@ -64,13 +72,13 @@
 }
 
 impl<T> fmt::Debug for RingSender<T> {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("RingSender")
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("RingSender")
     }
 }
 
 impl<T> fmt::Debug for RingReceiver<T> {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("RingReceiver")
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("RingReceiver")
     }
 }
--- a/crates/porthoist-core/src/secret.rs
+++ b/crates/porthoist-core/src/secret.rs
@@ -29,8 +29,8 @@
 }
 
 impl fmt::Debug for SharedSecret {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("SharedSecret(..)")
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("SharedSecret(..)")
     }
 }
 
--- a/crates/porthoist-core/src/verdict.rs
+++ b/crates/porthoist-core/src/verdict.rs
@@ -28,8 +28,8 @@
 }
 
 impl fmt::Display for RunVerdict {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(self.as_str())
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
     }
 }
 
--- /dev/null
+++ b/crates/porthoist-fleet/src/client.rs
@@ -0,0 +1,206 @@
+//! The calling side: one connection to one peer.
+
+use crate::convert::{read_digest, read_frame, read_outcome, write_digest, write_offer};
+use crate::digest::FleetDigest;
+use crate::fleet_capnp::{frame_sink, login, node};
+use crate::server::{failed, vat_network};
+use capnp::Error;
+use capnp::capability::Rc as CapabilityRc;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, new_client};
+use porthoist_core::offer::TargetHello;
+use porthoist_core::secret::SharedSecret;
+use porthoist_core::{
+    AnswerFrame, LoadReport, OfferOutcome, RefusalReason, RequestOffer, RunVerdict, TeamName, TicketText,
+    UnixDeadline,
+};
+use std::cell::Cell;
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, mpsc};
+
+/// Time in which a connection must be made and the key accepted.
+pub const CONNECT_TIME: Duration = Duration::from_millis(1500);
+
+/// A call to a peer that has no answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{reason} ({verdict}): {message}")]
+pub struct FleetError {
+    /// The reason to count.
+    pub reason: RefusalReason,
+    /// Whether the request may have run.
+    pub verdict: RunVerdict,
+    /// What happened.
+    pub message: String,
+}
+
+impl FleetError {
+    /// The peer could not be reached; nothing was sent.
+    pub fn unreachable(message: impl fmt::Display) -> Self {
+        let message = message.to_string();
+        Self {
+            reason: RefusalReason::Unreachable,
+            verdict: RunVerdict::NotRun,
+            message,
+        }
+    }
+
+    /// The connection broke after the call was sent.
+    pub fn lost(message: impl fmt::Display) -> Self {
+        let message = message.to_string();
+        Self {
+            reason: RefusalReason::ConnectionLost,
+            verdict: RunVerdict::MayHaveRun,
+            message,
+        }
+    }
+}
+
+struct SinkServer {
+    frames: mpsc::Sender<AnswerFrame>,
+}
+
+impl frame_sink::Server for SinkServer {
+    async fn frames(
+        self: CapabilityRc<Self>,
+        params: frame_sink::FramesParams,
+        _results: frame_sink::FramesResults,
+    ) -> Result<(), Error> {
+        for reader in params.get()?.get_frames()? {
+            let frame = read_frame(reader)?;
+            self.frames.send(frame).await.map_err(failed)?;
+        }
+        Ok(())
+    }
+}
+
+/// A connection to a peer that accepted our key.
+#[derive(Clone)]
+pub struct FleetPeer {
+    node: node::Client,
+    alive: Rc<Cell<bool>>,
+    close: Rc<Notify>,
+}
+
+impl fmt::Debug for FleetPeer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("FleetPeer")
+            .field("alive", &self.alive.get())
+            .finish_non_exhaustive()
+    }
+}
+
+impl FleetPeer {
+    /// Connects and shows the key. Nothing but the key was sent when it fails.
+    pub async fn connect(address: &str, key: &SharedSecret) -> Result<Self, FleetError> {
+        match tokio::time::timeout(CONNECT_TIME, Self::connect_patiently(address, key)).await {
+            Ok(connected) => connected,
+            Err(_elapsed) => Err(FleetError::unreachable(format!(
+                "{address}: no connection in time"
+            ))),
+        }
+    }
+
+    async fn connect_patiently(address: &str, key: &SharedSecret) -> Result<Self, FleetError> {
+        let stream = TcpStream::connect(address)
+            .await
+            .map_err(FleetError::unreachable)?;
+        let mut system = RpcSystem::new(Box::new(vat_network(stream, Side::Client)), None);
+        let login: login::Client = system.bootstrap(Side::Server);
+        let alive = Rc::new(Cell::new(true));
+        let ended = Rc::clone(&alive);
+        let close = Rc::new(Notify::new());
+        let closing = Rc::clone(&close);
+        tokio::task::spawn_local(async move {
+            // Whatever ends the connection, every pending call has its own error.
+            tokio::select! {
+                _ended = system => {}
+                () = closing.notified() => {}
+            }
+            ended.set(false);
+        });
+        let mut request = login.login_request();
+        request.get().set_key(key.expose());
+        let response = request.send().promise.await.map_err(FleetError::unreachable)?;
+        let results = response.get().map_err(FleetError::unreachable)?;
+        let node = results.get_node().map_err(FleetError::unreachable)?;
+        Ok(Self { node, alive, close })
+    }
+
+    /// Whether the connection is up, as far as this side knows.
+    pub fn alive(&self) -> bool {
+        self.alive.get()
+    }
+
+    /// Closes the connection; pending calls fail.
+    pub fn close(&self) {
+        self.close.notify_one();
+    }
+
+    /// Offers a request; its streamed frames go into `frames`. Dropping the future gives the offer up.
+    pub async fn offer(
+        &self,
+        offer: &RequestOffer,
+        frames: mpsc::Sender<AnswerFrame>,
+    ) -> Result<(OfferOutcome, LoadReport), FleetError> {
+        if !self.alive() {
+            return Err(FleetError::unreachable("the connection is closed"));
+        }
+        let mut request = self.node.offer_request();
+        write_offer(request.get().init_offer(), offer);
+        request.get().set_sink(new_client(SinkServer { frames }));
+        let response = request.send().promise.await.map_err(FleetError::lost)?;
+        let outcome = response
+            .get()
+            .and_then(super::fleet_capnp::node::offer_results::Reader::get_outcome)
+            .map_err(FleetError::lost)?;
+        read_outcome(outcome).map_err(FleetError::lost)
+    }
+
+    /// Asks for tickets; nothing runs by it.
+    pub async fn mint(
+        &self,
+        team: &TeamName,
+        count: u32,
+        deadline: UnixDeadline,
+    ) -> Result<Vec<TicketText>, FleetError> {
+        let mut request = self.node.mint_request();
+        request.get().set_team(team.as_str());
+        request.get().set_count(count);
+        request.get().set_deadline(deadline.0.0);
+        let response = request.send().promise.await.map_err(FleetError::unreachable)?;
+        let results = response.get().map_err(FleetError::unreachable)?;
+        let list = results.get_tickets().map_err(FleetError::unreachable)?;
+        let ticket = |text: capnp::Result<capnp::text::Reader<'_>>| {
+            let text = text.map_err(FleetError::unreachable)?;
+            let text = text.to_str().map_err(FleetError::unreachable)?;
+            text.parse().map_err(FleetError::unreachable)
+        };
+        list.iter().map(ticket).collect()
+    }
+
+    /// Asks who the peer is; an entry has no hello.
+    pub async fn hello(&self) -> Result<Option<TargetHello>, FleetError> {
+        let response = self
+            .node
+            .hello_request()
+            .send()
+            .promise
+            .await
+            .map_err(FleetError::unreachable)?;
+        let results = response.get().map_err(FleetError::unreachable)?;
+        let bytes = results.get_hello().map_err(FleetError::unreachable)?;
+        serde_json::from_slice(bytes).map_err(FleetError::unreachable)
+    }
+
+    /// Exchanges digests.
+    pub async fn gossip(&self, own: &FleetDigest) -> Result<FleetDigest, FleetError> {
+        let mut request = self.node.gossip_request();
+        write_digest(request.get().init_digest(), own).map_err(FleetError::unreachable)?;
+        let response = request.send().promise.await.map_err(FleetError::unreachable)?;
+        let digest = response.get().and_then(node::gossip_results::Reader::get_digest);
+        read_digest(digest.map_err(FleetError::unreachable)?).map_err(FleetError::unreachable)
+    }
+}
--- /dev/null
+++ b/crates/porthoist-fleet/src/server.rs
@@ -0,0 +1,167 @@
+//! The listening side: a peer shows the shared key, then offers requests, asks for tickets and gossips.
+
+use crate::convert::{read_digest, read_offer, write_digest, write_frames, write_outcome};
+use crate::digest::FleetDigest;
+use crate::fleet_capnp::{frame_sink, login, node};
+use capnp::Error;
+use capnp::capability::Rc as CapabilityRc;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use capnp_rpc::{RpcSystem, new_client};
+use futures::future::LocalBoxFuture;
+use porthoist_core::offer::TargetHello;
+use porthoist_core::secret::SharedSecret;
+use porthoist_core::{
+    AnswerFrame, LoadReport, OfferOutcome, RequestOffer, TeamName, TicketText, UnixDeadline,
+};
+use std::fmt;
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::compat::{TokioAsyncReadCompatExt as _, TokioAsyncWriteCompatExt as _};
+
+/// A handler's pending answer.
+pub type HandlerFuture<T> = LocalBoxFuture<'static, T>;
+
+/// Where the frames of a streamed answer go.
+#[derive(Clone)]
+pub struct FrameOutlet(frame_sink::Client);
+
+impl fmt::Debug for FrameOutlet {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("FrameOutlet")
+    }
+}
+
+impl FrameOutlet {
+    /// Sends frames and waits until the peer has taken them.
+    pub async fn send(&self, frames: &[AnswerFrame]) -> Result<(), Error> {
+        let mut request = self.0.frames_request();
+        write_frames(request.get().init_frames(frames.len() as u32), frames);
+        request.send().promise.await?;
+        Ok(())
+    }
+}
+
+/// What a process does for its peers.
+pub trait FleetHandler {
+    /// Runs an offer to its end; dropping the future means that the peer gave it up.
+    fn offer(&self, offer: RequestOffer, outlet: FrameOutlet) -> HandlerFuture<(OfferOutcome, LoadReport)>;
+    /// Mints tickets, perhaps fewer than asked for.
+    fn mint(&self, team: TeamName, count: u32, deadline: UnixDeadline) -> HandlerFuture<Vec<TicketText>>;
+    /// Introduces the process.
+    fn hello(&self) -> HandlerFuture<Option<TargetHello>>;
+    /// Takes a peer's digest and gives its own.
+    fn gossip(&self, digest: FleetDigest) -> HandlerFuture<FleetDigest>;
+}
+
+struct LoginServer {
+    key: SharedSecret,
+    handler: Rc<dyn FleetHandler>,
+}
+
+impl login::Server for LoginServer {
+    async fn login(
+        self: CapabilityRc<Self>,
+        params: login::LoginParams,
+        mut results: login::LoginResults,
+    ) -> Result<(), Error> {
+        if !self.key.matches(params.get()?.get_key()?) {
+            return Err(Error::failed("login refused".to_owned()));
+        }
+        let server = NodeServer {
+            handler: Rc::clone(&self.handler),
+        };
+        results.get().set_node(new_client(server));
+        Ok(())
+    }
+}
+
+struct NodeServer {
+    handler: Rc<dyn FleetHandler>,
+}
+
+impl node::Server for NodeServer {
+    async fn offer(
+        self: CapabilityRc<Self>,
+        params: node::OfferParams,
+        mut results: node::OfferResults,
+    ) -> Result<(), Error> {
+        let reader = params.get()?;
+        let offer = read_offer(reader.get_offer()?)?;
+        let outlet = FrameOutlet(reader.get_sink()?);
+        let (outcome, load) = self.handler.offer(offer, outlet).await;
+        write_outcome(results.get().init_outcome(), &outcome, &load);
+        Ok(())
+    }
+
+    async fn mint(
+        self: CapabilityRc<Self>,
+        params: node::MintParams,
+        mut results: node::MintResults,
+    ) -> Result<(), Error> {
+        let reader = params.get()?;
+        let team = reader.get_team()?.to_str()?.parse().map_err(failed)?;
+        let deadline = UnixDeadline(porthoist_core::UnixMillis(reader.get_deadline()));
+        let tickets = self.handler.mint(team, reader.get_count(), deadline).await;
+        let mut list = results.get().init_tickets(tickets.len() as u32);
+        for (index, ticket) in tickets.iter().enumerate() {
+            list.set(index as u32, ticket.to_string());
+        }
+        Ok(())
+    }
+
+    async fn hello(
+        self: CapabilityRc<Self>,
+        _params: node::HelloParams,
+        mut results: node::HelloResults,
+    ) -> Result<(), Error> {
+        let hello = self.handler.hello().await;
+        let bytes = serde_json::to_vec(&hello).map_err(failed)?;
+        results.get().set_hello(&bytes);
+        Ok(())
+    }
+
+    async fn gossip(
+        self: CapabilityRc<Self>,
+        params: node::GossipParams,
+        mut results: node::GossipResults,
+    ) -> Result<(), Error> {
+        let digest = read_digest(params.get()?.get_digest()?)?;
+        let own = self.handler.gossip(digest).await;
+        write_digest(results.get().init_digest(), &own)
+    }
+}
+
+pub(crate) fn failed(error: impl fmt::Display) -> Error {
+    Error::failed(error.to_string())
+}
+
+/// Accepts peers on the present `LocalSet` until the future is dropped.
+pub async fn serve_fleet(listener: TcpListener, key: SharedSecret, handler: Rc<dyn FleetHandler>) {
+    loop {
+        let Ok((stream, _address)) = listener.accept().await else {
+            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+            continue;
+        };
+        let server = LoginServer {
+            key: key.clone(),
+            handler: Rc::clone(&handler),
+        };
+        let login: login::Client = new_client(server);
+        let network = vat_network(stream, Side::Server);
+        let system = RpcSystem::new(Box::new(network), Some(login.client));
+        tokio::task::spawn_local(async move {
+            // The connection's end is normal; every call on it has its own error.
+            drop(system.await);
+        });
+    }
+}
+
+pub(crate) fn vat_network(stream: TcpStream, side: Side) -> VatNetwork<impl futures::AsyncRead + Unpin> {
+    // Small messages must not wait for an acknowledgement; an error here only costs latency.
+    drop(stream.set_nodelay(true));
+    let (reader, writer) = stream.into_split();
+    let reader = futures::io::BufReader::new(reader.compat());
+    let writer = futures::io::BufWriter::new(writer.compat_write());
+    VatNetwork::new(reader, writer, side, capnp::message::ReaderOptions::default())
+}
--- /dev/null
+++ b/crates/porthoist-http/src/client.rs
@@ -0,0 +1,139 @@
+//! The HTTP client; its errors say whether the request may have run.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use porthoist_core::RunVerdict;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::time::Duration;
+
+/// Largest answer that is read whole, in bytes.
+pub const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+const CONNECT_TIME: Duration = Duration::from_secs(2);
+const IDLE_TIME: Duration = Duration::from_secs(30);
+
+/// A call without a usable answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{message} ({verdict})")]
+pub struct CallError {
+    /// Whether the request may have run.
+    pub verdict: RunVerdict,
+    /// What went wrong.
+    pub message: String,
+}
+
+impl CallError {
+    /// An error after which the request may have run.
+    pub fn unknown(message: impl Into<String>) -> Self {
+        Self {
+            verdict: RunVerdict::MayHaveRun,
+            message: message.into(),
+        }
+    }
+
+    /// An error before anything was sent.
+    pub fn not_sent(message: impl Into<String>) -> Self {
+        Self {
+            verdict: RunVerdict::NotRun,
+            message: message.into(),
+        }
+    }
+}
+
+/// A client with a pool of connections; it never sends a request twice.
+#[derive(Debug, Clone)]
+pub struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl HttpClient {
+    /// A client with an empty pool.
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIME));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIME)
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends a request and returns the answer's head with its body unread.
+    pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallError> {
+        self.client.request(request).await.map_err(|error| {
+            let message = describe(&error);
+            if error.is_connect() {
+                CallError::not_sent(message)
+            } else {
+                CallError::unknown(message)
+            }
+        })
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub async fn fetch(&self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, CallError> {
+        let (head, body) = self.send(request).await?.into_parts();
+        let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+        let bytes = collected
+            .map_err(|error| CallError::unknown(error.to_string()))?
+            .to_bytes();
+        Ok(Response::from_parts(head, bytes))
+    }
+
+    /// Sends JSON, or nothing, and reads JSON with any status.
+    pub async fn json<Q, A>(
+        &self,
+        method: Method,
+        url: &str,
+        body: Option<&Q>,
+    ) -> Result<(StatusCode, A), CallError>
+    where
+        Q: Serialize + Sync + ?Sized,
+        A: DeserializeOwned,
+    {
+        let bytes = match body {
+            Some(value) => {
+                serde_json::to_vec(value).map_err(|error| CallError::not_sent(error.to_string()))?
+            }
+            None => Vec::new(),
+        };
+        let request = Request::builder()
+            .method(method)
+            .uri(url)
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(bytes)))
+            .map_err(|error| CallError::not_sent(error.to_string()))?;
+        let answer = self.fetch(request).await?;
+        let status = answer.status();
+        let value = serde_json::from_slice(answer.body()).map_err(|error| {
+            let text = String::from_utf8_lossy(answer.body());
+            let start: String = text.chars().take(200).collect();
+            CallError::unknown(format!("status {status}, unreadable answer {start:?}: {error}"))
+        })?;
+        Ok((status, value))
+    }
+}
+
+fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(inner) = source {
+        text.push_str(": ");
+        text.push_str(&inner.to_string());
+        source = inner.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/porthoist-http/src/lib.rs
@@ -0,0 +1,11 @@
+//! Shared use of hyper.
+//!
+//! It holds a server loop with graceful stop, a pooled client whose errors carry a verdict, and JSON helpers.
+
+pub mod body;
+pub mod client;
+pub mod server;
+
+pub use body::{HttpBody, HttpResponse, full_body, json_response, text_response};
+pub use client::{CallError, HttpClient};
+pub use server::{ServerSettings, serve_until};
--- /dev/null
+++ b/crates/porthoist-metrics/src/lib.rs
@@ -0,0 +1,132 @@
+//! Counters of the daemon, by OpenTelemetry, exported as Prometheus text.
+//!
+//! Every refusal reason and every retry reason has its own time series, present from the start with the value 0.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use porthoist_core::{RefusalReason, RetryReason, RunVerdict};
+use prometheus::{Encoder as _, Registry, TextEncoder};
+
+/// Bounds of the latency histogram's buckets, in milliseconds.
+const LATENCY_BOUNDS: [f64; 12] = [
+    0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 250.0, 500.0, 1400.0, 5000.0,
+];
+
+/// Error of setting up the exporter.
+pub type MetricsError = opentelemetry_sdk::error::OTelSdkError;
+
+/// All metrics of one process.
+#[derive(Debug)]
+pub struct MetricsHub {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+    answers: Counter<u64>,
+    frames: Counter<u64>,
+    runs: Counter<u64>,
+    control_bytes: Counter<u64>,
+    revision: Gauge<u64>,
+    first_byte: Histogram<f64>,
+}
+
+impl MetricsHub {
+    /// Registers all metrics.
+    pub fn new() -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("porthoist");
+        let hub = Self {
+            requests: meter.u64_counter("porthoist_requests").build(),
+            refusals: meter.u64_counter("porthoist_refusals").build(),
+            retries: meter.u64_counter("porthoist_retries").build(),
+            answers: meter.u64_counter("porthoist_answers").build(),
+            frames: meter.u64_counter("porthoist_frames_dropped").build(),
+            runs: meter.u64_counter("porthoist_runs").build(),
+            control_bytes: meter.u64_counter("porthoist_control_bytes").build(),
+            revision: meter.u64_gauge("porthoist_config_revision").build(),
+            first_byte: meter
+                .f64_histogram("porthoist_first_byte_milliseconds")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build(),
+            registry,
+            _provider: provider,
+        };
+        hub.start_at_zero();
+        Ok(hub)
+    }
+
+    fn start_at_zero(&self) {
+        for reason in RefusalReason::ALL {
+            self.refusals.add(0, &[KeyValue::new("reason", reason.as_str())]);
+        }
+        for reason in RetryReason::ALL {
+            self.retries.add(0, &[KeyValue::new("reason", reason.as_str())]);
+        }
+        for kind in ["foreign", "repeated", "gap"] {
+            self.frames.add(0, &[KeyValue::new("kind", kind)]);
+        }
+        self.requests.add(0, &[]);
+        self.answers.add(0, &[]);
+        self.runs.add(0, &[]);
+        self.control_bytes.add(0, &[]);
+    }
+
+    /// Counts a request that a caller sent.
+    pub fn request(&self) {
+        self.requests.add(1, &[]);
+    }
+
+    /// Counts a refusal.
+    pub fn refusal(&self, reason: RefusalReason, _verdict: RunVerdict) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason.as_str())]);
+    }
+
+    /// Counts a retry.
+    pub fn retry(&self, reason: RetryReason) {
+        self.retries.add(1, &[KeyValue::new("reason", reason.as_str())]);
+    }
+
+    /// Counts a whole answer and the time to its first byte in milliseconds.
+    pub fn answer(&self, first_byte_millis: f64) {
+        self.answers.add(1, &[]);
+        self.first_byte.record(first_byte_millis, &[]);
+    }
+
+    /// Counts frames that were not delivered; `kind` is foreign, repeated or gap.
+    pub fn dropped_frames(&self, kind: &'static str, count: u64) {
+        if count > 0 {
+            self.frames.add(count, &[KeyValue::new("kind", kind)]);
+        }
+    }
+
+    /// Counts a request handed to the engine or service.
+    pub fn run(&self) {
+        self.runs.add(1, &[]);
+    }
+
+    /// Counts bytes sent for control.
+    pub fn control_bytes(&self, bytes: u64) {
+        self.control_bytes.add(bytes, &[]);
+    }
+
+    /// Sets the configuration revision in force.
+    pub fn revision(&self, revision: u64) {
+        self.revision.record(revision, &[]);
+    }
+
+    /// The metrics as Prometheus text.
+    pub fn text(&self) -> String {
+        let mut buffer = Vec::new();
+        let families = self.registry.gather();
+        if let Err(error) = TextEncoder::new().encode(&families, &mut buffer) {
+            return format!("# {error}\n");
+        }
+        String::from_utf8_lossy(&buffer).into_owned()
+    }
+}
--- /dev/null
+++ b/crates/porthoist-operator/src/edit.rs
@@ -0,0 +1,239 @@
+//! Edits of the operators' table: conditional, whole or not at all, and read back when the answer is lost.
+
+use porthoist_core::RunVerdict;
+use porthoist_platform::{CONFIG_PREFIX, CallError, PlatformClient, TableWrite, TransactAnswer, WriteResult};
+use porthoist_policy::adoption::ConfigChange;
+use porthoist_policy::table::{CellError, RowCells, RowKey, TableRow};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// A row as it lies in the table service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredRow {
+    /// The cells as the operator wrote them.
+    pub cells: RowCells,
+    /// Identifies the edit that wrote it, so that its writer recognises it.
+    pub edit: String,
+}
+
+/// A row with its version, as operators see it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionedRow {
+    /// Version for a conditional edit.
+    pub version: u64,
+    /// The cells.
+    pub cells: RowCells,
+}
+
+/// One row of an edit.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RowEdit {
+    /// The row in full; kind and name say which.
+    pub cells: RowCells,
+    /// Version that the row must have; absent: it must not exist.
+    pub if_version: Option<u64>,
+    /// Removes the row.
+    #[serde(default)]
+    pub remove: bool,
+}
+
+/// A committed edit.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EditAnswer {
+    /// The table's revision with it; in force where at least this revision is.
+    pub revision: u64,
+    /// Whether the platform's answer was lost and the edit was found by reading back.
+    pub read_back: bool,
+}
+
+/// An edit that is not in the table, or of which that is not known.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "problem", rename_all = "snake_case")]
+pub enum EditProblem {
+    /// A cell can't be read.
+    Cell {
+        /// Index of the row in the edit, from 0.
+        row: usize,
+        /// The column.
+        column: String,
+        /// What stood there.
+        given: String,
+        /// What may stand there.
+        expected: String,
+    },
+    /// Another edit came first; nothing was changed.
+    Conflict {
+        /// The rows in force, for those whose version did not hold.
+        in_force: Vec<Option<VersionedRow>>,
+    },
+    /// The platform did not answer.
+    Platform {
+        /// Whether the edit may have been committed.
+        verdict: RunVerdict,
+        /// What happened.
+        message: String,
+    },
+}
+
+/// Edits the table through the platform.
+#[derive(Debug, Clone)]
+pub struct TableEditor {
+    platform: Arc<dyn PlatformClient>,
+}
+
+fn platform_problem(error: CallError) -> EditProblem {
+    EditProblem::Platform {
+        verdict: error.verdict,
+        message: error.message,
+    }
+}
+
+fn cell_problem(row: usize, error: CellError) -> EditProblem {
+    let CellError {
+        column,
+        given,
+        expected,
+    } = error;
+    EditProblem::Cell {
+        row,
+        column,
+        given,
+        expected,
+    }
+}
+
+fn config_key(key: &RowKey) -> String {
+    format!("{CONFIG_PREFIX}{key}")
+}
+
+impl TableEditor {
+    /// An editor on a platform.
+    pub fn new(platform: Arc<dyn PlatformClient>) -> Self {
+        Self { platform }
+    }
+
+    /// All rows, with the table's revision.
+    pub async fn rows(&self) -> Result<(u64, Vec<VersionedRow>), CallError> {
+        let feed = self.platform.changes(CONFIG_PREFIX, 0).await?;
+        let mut rows = Vec::with_capacity(feed.items.len());
+        for item in feed.items {
+            let Some(value) = item.value else { continue };
+            let stored: StoredRow = serde_json::from_value(value)
+                .map_err(|error| CallError::unknown(format!("{}: {error}", item.key)))?;
+            rows.push(VersionedRow {
+                version: item.version,
+                cells: stored.cells,
+            });
+        }
+        Ok((feed.revision, rows))
+    }
+
+    /// Commits all edits or none; `edit` identifies this edit and is new for each.
+    pub async fn commit(&self, edits: &[RowEdit], edit: &str) -> Result<EditAnswer, EditProblem> {
+        let mut writes = Vec::with_capacity(edits.len());
+        for (index, row) in edits.iter().enumerate() {
+            let (key, _parsed) =
+                TableRow::from_cells(&row.cells).map_err(|error| cell_problem(index, error))?;
+            let stored = StoredRow {
+                cells: row.cells.clone(),
+                edit: edit.to_owned(),
+            };
+            let value = if row.remove {
+                None
+            } else {
+                serde_json::to_value(stored).ok()
+            };
+            writes.push(TableWrite {
+                key: config_key(&key),
+                if_version: row.if_version,
+                unconditional: false,
+                value,
+            });
+        }
+        match self.platform.transact(true, writes.clone()).await {
+            Ok(answer) => committed(&answer),
+            Err(error) if error.verdict == RunVerdict::NotRun => Err(platform_problem(error)),
+            Err(error) => self.read_back(&writes, edit, error).await,
+        }
+    }
+
+    /// The answer was lost: the edit is committed if and only if its own mark stands in the table.
+    async fn read_back(
+        &self,
+        writes: &[TableWrite],
+        edit: &str,
+        lost: CallError,
+    ) -> Result<EditAnswer, EditProblem> {
+        let Some(marked) = writes.iter().find(|write| write.value.is_some()) else {
+            return Err(platform_problem(lost));
+        };
+        let item = self
+            .platform
+            .item(marked.key.clone())
+            .await
+            .map_err(|_silent| platform_problem(lost.clone()))?;
+        let Some(item) = item else {
+            return Err(platform_problem(lost));
+        };
+        let stored: Option<StoredRow> = item.value.and_then(|value| serde_json::from_value(value).ok());
+        if stored.is_some_and(|stored| stored.edit == edit) {
+            return Ok(EditAnswer {
+                revision: item.version,
+                read_back: true,
+            });
+        }
+        // The mark is missing: overwritten since, or not yet written. Neither can be told from here.
+        Err(platform_problem(lost))
+    }
+}
+
+fn committed(answer: &TransactAnswer) -> Result<EditAnswer, EditProblem> {
+    if answer.committed {
+        return Ok(EditAnswer {
+            revision: answer.revision,
+            read_back: false,
+        });
+    }
+    let mut in_force = Vec::with_capacity(answer.results.len());
+    for result in &answer.results {
+        let WriteResult::Conflict { version, value } = result else {
+            continue;
+        };
+        let stored: Option<StoredRow> = value.clone().and_then(|value| serde_json::from_value(value).ok());
+        in_force.push(stored.zip(*version).map(|(stored, version)| VersionedRow {
+            version,
+            cells: stored.cells,
+        }));
+    }
+    Err(EditProblem::Conflict { in_force })
+}
+
+/// Reads a change of configuration from the table's feed; rows that can't be read are left as they are in force.
+pub fn config_change(feed: porthoist_platform::ChangeFeed) -> (ConfigChange, Vec<String>) {
+    let mut rows = Vec::with_capacity(feed.items.len());
+    let mut unreadable = Vec::new();
+    for item in feed.items {
+        let name = item.key.strip_prefix(CONFIG_PREFIX).unwrap_or(&item.key);
+        let Ok(key) = name.parse::<RowKey>() else {
+            unreadable.push(item.key);
+            continue;
+        };
+        let Some(value) = item.value else {
+            rows.push((key, None));
+            continue;
+        };
+        let parsed = serde_json::from_value::<StoredRow>(value).ok();
+        match parsed.and_then(|stored| TableRow::from_cells(&stored.cells).ok()) {
+            Some((_key, row)) => rows.push((key, Some(row))),
+            None => unreadable.push(item.key),
+        }
+    }
+    (
+        ConfigChange {
+            since: feed.since,
+            revision: feed.revision,
+            rows,
+        },
+        unreadable,
+    )
+}
--- /dev/null
+++ b/crates/porthoist-target/src/runner.rs
@@ -0,0 +1,200 @@
+//! Calls to the engine or plain service beside the target process.
+//!
+//! A run's answer goes into its log; a failure says whether the request may have run.
+
+use crate::log::{AnswerLog, LogEnd};
+use bytes::Bytes;
+use eventsource_stream::Eventsource as _;
+use futures::StreamExt as _;
+use futures::future::BoxFuture;
+use http_body_util::{BodyExt as _, BodyStream, Full};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use porthoist_core::{AnswerHead, RefusalReason, RequestOffer, RunVerdict};
+use porthoist_http::{CallError, HttpClient};
+use std::fmt;
+use std::sync::Arc;
+
+/// A request to run, and where its answer goes.
+#[derive(Debug, Clone)]
+pub struct RunJob {
+    /// The request.
+    pub offer: Arc<RequestOffer>,
+    /// Its answer.
+    pub log: Arc<AnswerLog>,
+}
+
+/// Load as an engine states it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, serde::Deserialize)]
+#[serde(default)]
+pub struct EnginePace {
+    /// Duration of one step in microseconds.
+    pub step_micros: u32,
+    /// Prompt tokens computed a second, 0 where prompts cost nothing.
+    pub prefill_rate: u32,
+}
+
+/// What runs requests.
+pub trait BackendRunner: fmt::Debug + Send + Sync {
+    /// Runs a request to its end; `first_event` is called when the first event comes.
+    fn run(&self, job: RunJob, first_event: Box<dyn FnOnce() + Send>) -> BoxFuture<'static, ()>;
+    /// Asks for the engine's pace; a plain service has none.
+    fn pace(&self) -> BoxFuture<'static, Result<EnginePace, CallError>>;
+}
+
+/// A back end over HTTP.
+#[derive(Debug, Clone)]
+pub struct HttpRunner {
+    base: String,
+    client: HttpClient,
+}
+
+/// Headers of the answer that are the connection's own and are not passed on.
+const HOP_HEADERS: [&str; 5] = [
+    "connection",
+    "content-length",
+    "keep-alive",
+    "transfer-encoding",
+    "date",
+];
+
+impl HttpRunner {
+    /// A runner for the back end at `base`, for example `http://127.0.0.1:9000`.
+    pub fn new(base: impl Into<String>) -> Self {
+        Self {
+            base: base.into().trim_end_matches('/').to_owned(),
+            client: HttpClient::new(),
+        }
+    }
+
+    fn request(&self, offer: &RequestOffer) -> Result<Request<Full<Bytes>>, CallError> {
+        let mut builder = Request::builder()
+            .method(offer.method.as_str())
+            .uri(format!("{}{}", self.base, offer.path));
+        for (name, value) in &offer.headers {
+            builder = builder.header(name, value);
+        }
+        builder = builder.header("porthoist-attempt", offer.attempt.to_string());
+        if let Some(event) = offer.resume_after {
+            builder = builder.header("last-event-id", event);
+        }
+        builder
+            .body(Full::new(offer.body.clone()))
+            .map_err(|error| CallError::not_sent(error.to_string()))
+    }
+
+    async fn answer(self, job: &RunJob, first_event: Box<dyn FnOnce() + Send>) -> Result<LogEnd, CallError> {
+        let response = self.client.send(self.request(&job.offer)?).await?;
+        let streamed = job.offer.stream && response.status().is_success();
+        if streamed {
+            return stream_events(response, &job.log, first_event).await;
+        }
+        let head = answer_head(&response);
+        let body = response
+            .into_body()
+            .collect()
+            .await
+            .map_err(|error| CallError::unknown(error.to_string()))?;
+        first_event();
+        Ok(LogEnd::Whole {
+            head,
+            body: body.to_bytes(),
+        })
+    }
+}
+
+fn answer_head(response: &Response<Incoming>) -> AnswerHead {
+    let mut headers = Vec::new();
+    for (name, value) in response.headers() {
+        if HOP_HEADERS.contains(&name.as_str()) {
+            continue;
+        }
+        if let Ok(text) = value.to_str() {
+            headers.push((name.as_str().to_owned(), text.to_owned()));
+        }
+    }
+    AnswerHead {
+        status: response.status().as_u16(),
+        headers,
+    }
+}
+
+async fn stream_events(
+    response: Response<Incoming>,
+    log: &AnswerLog,
+    first_event: Box<dyn FnOnce() + Send>,
+) -> Result<LogEnd, CallError> {
+    let mut first_event = Some(first_event);
+    let pieces = BodyStream::new(response.into_body()).filter_map(|piece| async {
+        match piece {
+            Ok(frame) => frame.into_data().ok().map(Ok),
+            Err(error) => Some(Err(error)),
+        }
+    });
+    let mut events = Box::pin(pieces.eventsource());
+    while let Some(event) = events.next().await {
+        let event = event.map_err(|error| CallError::unknown(error.to_string()))?;
+        if let Some(call) = first_event.take() {
+            call();
+        }
+        let id = event
+            .id
+            .parse()
+            .map_err(|_parse| CallError::unknown("an event without a number"))?;
+        let done = event.data == DONE_MARK;
+        log.push(id, Bytes::from(event.data))
+            .map_err(|gap| CallError::unknown(format!("event {} came for {}", gap.given, gap.expected)))?;
+        if done {
+            return Ok(LogEnd::StreamDone);
+        }
+    }
+    Err(CallError::unknown("the stream ended without its end mark"))
+}
+
+/// Data of the last event of a completion's stream.
+pub const DONE_MARK: &str = "[DONE]";
+
+impl BackendRunner for HttpRunner {
+    fn run(&self, job: RunJob, first_event: Box<dyn FnOnce() + Send>) -> BoxFuture<'static, ()> {
+        let runner = self.clone();
+        Box::pin(async move {
+            let end = match runner.answer(&job, first_event).await {
+                Ok(LogEnd::Whole { head, .. }) if head.status >= 500 && job.offer.kind == MODEL => failed(),
+                Ok(end) => end,
+                Err(error) => {
+                    let reason = match error.verdict {
+                        RunVerdict::NotRun => RefusalReason::Unreachable,
+                        _ => RefusalReason::BackendFailed,
+                    };
+                    LogEnd::Refused {
+                        reason,
+                        verdict: error.verdict,
+                        retry_at: None,
+                    }
+                }
+            };
+            job.log.finish(end);
+        })
+    }
+
+    fn pace(&self) -> BoxFuture<'static, Result<EnginePace, CallError>> {
+        let Self { base, client } = self.clone();
+        Box::pin(async move {
+            let url = format!("{base}/load");
+            let (_status, pace) = client.json(hyper::Method::GET, &url, None::<&()>).await?;
+            Ok(pace)
+        })
+    }
+}
+
+const MODEL: porthoist_core::ServiceKind = porthoist_core::ServiceKind::Model;
+
+/// An engine's own error: it may have run, and a safe request can go elsewhere.
+fn failed() -> LogEnd {
+    let reason = RefusalReason::BackendFailed;
+    LogEnd::Refused {
+        reason,
+        verdict: RunVerdict::MayHaveRun,
+        retry_at: None,
+    }
+}
--- /dev/null
+++ b/porthoistd/src/config.rs
@@ -0,0 +1,117 @@
+//! The configuration in force in this process, shared by its duties.
+
+use porthoist_caller::ConfigPort;
+use porthoist_core::{RequestRate, ServiceName, TargetName, TeamName};
+use porthoist_metrics::MetricsHub;
+use porthoist_policy::adoption::{AdoptOutcome, ChangeHistory, ConfigChange, ConfigState};
+use porthoist_policy::limits::TeamLimit;
+use porthoist_policy::table::{RowKey, RowKind, ServiceRow, TableRow, TargetRow, TeamRow};
+use std::sync::{Arc, Mutex, RwLock};
+use tokio::sync::watch;
+
+/// Recent changes kept for peers that are a little behind.
+const HISTORY_CHANGES: usize = 512;
+
+/// The configuration with those who wait for its changes.
+#[derive(Debug)]
+pub struct ConfigHub {
+    state: Mutex<(ConfigState, ChangeHistory)>,
+    in_force: RwLock<Arc<ConfigState>>,
+    revision: watch::Sender<u64>,
+    metrics: Arc<MetricsHub>,
+}
+
+impl ConfigHub {
+    /// A hub without configuration.
+    pub fn new(metrics: Arc<MetricsHub>) -> Arc<Self> {
+        Arc::new(Self {
+            state: Mutex::new((ConfigState::default(), ChangeHistory::new(HISTORY_CHANGES))),
+            in_force: RwLock::new(Arc::new(ConfigState::default())),
+            revision: watch::Sender::new(0),
+            metrics,
+        })
+    }
+
+    /// Adopts a change if it is newer and joins without a gap.
+    pub fn adopt(&self, change: ConfigChange) -> AdoptOutcome {
+        let mut guard = self.state.lock().expect("adoption does not panic");
+        let (state, history) = &mut *guard;
+        let outcome = state.adopt(change.clone());
+        if outcome == AdoptOutcome::Adopted {
+            history.push(change);
+            *self.in_force.write().expect("readers don't panic") = Arc::new(state.clone());
+            self.metrics.revision(state.revision());
+            self.revision.send_replace(state.revision());
+        }
+        outcome
+    }
+
+    /// What a process with the revision `since` in force lacks, if anything.
+    pub fn change_since(&self, since: u64) -> Option<ConfigChange> {
+        if since >= self.revision() {
+            return None;
+        }
+        let guard = self.state.lock().expect("adoption does not panic");
+        Some(guard.1.since(since).unwrap_or_else(|| guard.0.snapshot()))
+    }
+
+    /// The configuration in force.
+    pub fn current(&self) -> Arc<ConfigState> {
+        Arc::clone(&self.in_force.read().expect("the writer does not panic"))
+    }
+
+    /// The revision in force.
+    pub fn revision(&self) -> u64 {
+        *self.revision.borrow()
+    }
+
+    /// Follows the revision.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.revision.subscribe()
+    }
+
+    fn row(&self, kind: RowKind, name: &str) -> Option<TableRow> {
+        let key = RowKey {
+            kind,
+            name: name.to_owned(),
+        };
+        self.current().row(&key).cloned()
+    }
+
+    /// A target's row.
+    pub fn target(&self, target: &TargetName) -> Option<TargetRow> {
+        match self.row(RowKind::Target, target.as_str()) {
+            Some(TableRow::Target(row)) => Some(row),
+            _ => None,
+        }
+    }
+
+    /// A team's limits.
+    pub fn limit(&self, team: &TeamName) -> Option<TeamLimit> {
+        let TeamRow {
+            rate, concurrency, ..
+        } = self.team(team)?;
+        let rate = RequestRate(rate.0);
+        Some(TeamLimit { rate, concurrency })
+    }
+}
+
+impl ConfigPort for ConfigHub {
+    fn ready(&self) -> bool {
+        self.revision() > 0
+    }
+
+    fn team(&self, team: &TeamName) -> Option<TeamRow> {
+        match self.row(RowKind::Team, team.as_str()) {
+            Some(TableRow::Team(row)) => Some(row),
+            _ => None,
+        }
+    }
+
+    fn service(&self, service: &ServiceName) -> Option<ServiceRow> {
+        match self.row(RowKind::Service, service.as_str()) {
+            Some(TableRow::Service(row)) => Some(row),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/porthoistd/src/duty/entry_fleet/gossip.rs
@@ -0,0 +1,109 @@
+//! Gossip between entries: the configuration revision in force, and changes that a peer lacks.
+
+use super::EntryFleet;
+use super::targets::{MAX_RECONNECT_TIME, MIN_RECONNECT_TIME, SILENCE_TIME};
+use porthoist_core::offer::TargetHello;
+use porthoist_core::{LoadReport, RequestOffer, TeamName, TicketText, UnixDeadline};
+use porthoist_core::{OfferOutcome, RefusalReason, RunVerdict, TargetName};
+use porthoist_fleet::{FleetDigest, FleetError, FleetHandler, FleetPeer, FrameOutlet, HandlerFuture};
+use porthoist_platform::HostEntry;
+use porthoist_policy::adoption::AdoptOutcome;
+use slog::info;
+use std::time::Duration;
+
+/// Time between two exchanges with one peer.
+pub const GOSSIP_TIME: Duration = Duration::from_millis(1000);
+
+impl EntryFleet {
+    pub(crate) fn own_digest(&self) -> FleetDigest {
+        FleetDigest {
+            node: self.shared.node.clone(),
+            zone: self.shared.zone.clone(),
+            revision: self.shared.config.revision(),
+            leaving: Vec::new(),
+            demands: Vec::new(),
+            change: None,
+            ready: true,
+        }
+    }
+
+    fn take_digest(&self, digest: FleetDigest) {
+        self.shared.view.entry_heard(&digest.node, digest.revision);
+        let Some(change) = digest.change else { return };
+        let revision = change.revision;
+        if self.shared.config.adopt(change) == AdoptOutcome::Adopted {
+            info!(self.shared.logger, "configuration in force"; "revision" => revision, "source" => "peer");
+        }
+    }
+
+    /// Follows another entry until it is off the host list and can't be reached.
+    pub(crate) async fn follow_entry(self, first: HostEntry) {
+        let name = first.name.clone();
+        let mut pause = MIN_RECONNECT_TIME;
+        loop {
+            let Some(host) = self.listed(&name) else {
+                self.shared.view.gone(&name);
+                return;
+            };
+            if let Ok(peer) = FleetPeer::connect(&host.address, &self.shared.key).await {
+                let error = self.exchanges(&name, &peer).await;
+                info!(self.shared.logger, "entry lost"; "entry" => %name, "error" => %error);
+                peer.close();
+                pause = MIN_RECONNECT_TIME;
+            }
+            self.shared.view.silent(&name);
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(MAX_RECONNECT_TIME);
+        }
+    }
+
+    async fn exchanges(&self, name: &TargetName, peer: &FleetPeer) -> FleetError {
+        loop {
+            let own = self.own_digest();
+            let digest = match tokio::time::timeout(SILENCE_TIME, peer.gossip(&own)).await {
+                Err(_elapsed) => return FleetError::unreachable("no digest in time"),
+                Ok(Err(error)) => return error,
+                Ok(Ok(digest)) => digest,
+            };
+            if digest.node != *name {
+                return FleetError::unreachable(format!("{} answers in its place", digest.node));
+            }
+            let revision = digest.revision;
+            self.take_digest(digest);
+            if let Err(error) = self.bring_up_to_date(peer, revision).await {
+                return error;
+            }
+            tokio::time::sleep(GOSSIP_TIME).await;
+        }
+    }
+}
+
+/// An entry answers gossip and nothing else.
+impl FleetHandler for EntryFleet {
+    fn offer(&self, _offer: RequestOffer, _outlet: FrameOutlet) -> HandlerFuture<(OfferOutcome, LoadReport)> {
+        let (reason, verdict) = (RefusalReason::NoTarget, RunVerdict::NotRun);
+        let refused = OfferOutcome::Refused {
+            reason,
+            verdict,
+            retry_at: None,
+        };
+        Box::pin(std::future::ready((refused, LoadReport::default())))
+    }
+
+    fn mint(&self, _team: TeamName, _count: u32, _deadline: UnixDeadline) -> HandlerFuture<Vec<TicketText>> {
+        Box::pin(std::future::ready(Vec::new()))
+    }
+
+    fn hello(&self) -> HandlerFuture<Option<TargetHello>> {
+        Box::pin(std::future::ready(None))
+    }
+
+    fn gossip(&self, digest: FleetDigest) -> HandlerFuture<FleetDigest> {
+        let change = self.shared.config.change_since(digest.revision);
+        self.take_digest(digest);
+        Box::pin(std::future::ready(FleetDigest {
+            change,
+            ..self.own_digest()
+        }))
+    }
+}
--- /dev/null
+++ b/porthoistd/src/duty/operator.rs
@@ -0,0 +1,83 @@
+//! The operators' duty: the operator endpoint of either role.
+
+use crate::config::ConfigHub;
+use crate::duty::entry_fleet::view::FleetView;
+use porthoist_caller::ConfigPort as _;
+use porthoist_core::{IncarnationId, RequestId, TargetName, ZoneName};
+use porthoist_http::{ServerSettings, serve_until};
+use porthoist_operator::{OperatorPort, OperatorServer, StatusReport};
+use porthoist_policy::explain::{DecisionLog, DecisionRecord};
+use std::fmt;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// What the process shows its operators.
+pub struct ProcessView {
+    /// Its name.
+    pub node: TargetName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Its life.
+    pub incarnation: IncarnationId,
+    /// Configuration.
+    pub config: Arc<ConfigHub>,
+    /// The fleet; empty on a target.
+    pub fleet: Arc<FleetView>,
+    /// Whether the platform answers.
+    pub platform_heard: Arc<AtomicBool>,
+    /// Decisions; empty on a target.
+    pub decisions: Arc<Mutex<DecisionLog>>,
+    /// Requests in flight.
+    pub in_flight: Box<dyn Fn() -> u64 + Send + Sync>,
+    /// Whether the process is about to end.
+    pub stopping: watch::Receiver<bool>,
+}
+
+impl fmt::Debug for ProcessView {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ProcessView")
+            .field("node", &self.node)
+            .finish_non_exhaustive()
+    }
+}
+
+impl OperatorPort for ProcessView {
+    fn status(&self) -> StatusReport {
+        let (targets, entries) = self.fleet.snapshot();
+        StatusReport {
+            node: self.node.clone(),
+            zone: self.zone.clone(),
+            incarnation: self.incarnation,
+            revision: self.config.revision(),
+            platform_heard: self.platform_heard.load(Ordering::Relaxed),
+            in_flight: (self.in_flight)(),
+            entries: entries
+                .into_iter()
+                .filter(|entry| entry.node != self.node)
+                .collect(),
+            targets,
+        }
+    }
+
+    fn ready(&self) -> bool {
+        self.config.ready() && !*self.stopping.borrow()
+    }
+
+    fn decisions(&self, request: RequestId) -> Vec<DecisionRecord> {
+        self.decisions
+            .lock()
+            .map(|log| log.of_request(request))
+            .unwrap_or_default()
+    }
+}
+
+/// Serves operators for ever.
+pub async fn serve_operators(listener: TcpListener, server: OperatorServer) {
+    let (_keep, never) = watch::channel(false);
+    serve_until(listener, ServerSettings::default(), never, move |request| {
+        server.clone().handle(request)
+    })
+    .await;
+}
--- /dev/null
+++ b/porthoistd/src/duty/platform.rs
@@ -0,0 +1,160 @@
+//! The platform duty: it follows the table and the host list, and keeps this process on that list.
+
+use crate::config::ConfigHub;
+use porthoist_core::{RunVerdict, TargetName};
+use porthoist_operator::edit::config_change;
+use porthoist_platform::{CONFIG_PREFIX, HostEntry, HostRole, PlatformClient, SNAPSHOT_OBJECT};
+use porthoist_policy::adoption::{AdoptOutcome, ConfigChange};
+use porthoist_policy::membership::rendezvous_score;
+use rand::RngExt as _;
+use slog::{Logger, info, warn};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// An entry asks the table so often at today's size, in milliseconds.
+pub const ENTRY_POLL_MILLIS: u64 = 500;
+/// Added to that for each entry on the host list, so that the table's reads stay bounded at any size.
+pub const POLL_MILLIS_PER_ENTRY: u64 = 4;
+/// A target asks the table so often; entries tell it of changes sooner.
+pub const TARGET_POLL_MILLIS: u64 = 10_000;
+/// A process without configuration asks so often.
+const FIRST_POLL_MILLIS: u64 = 100;
+/// A process renews its line of the host list so often.
+const REGISTER_MILLIS: u64 = 30_000;
+
+/// What the duty shares with others.
+#[derive(Debug)]
+pub struct PlatformDuty {
+    /// The platform.
+    pub client: Arc<dyn PlatformClient>,
+    /// Where changes go.
+    pub config: Arc<ConfigHub>,
+    /// Where the host list goes.
+    pub hosts: watch::Sender<Vec<HostEntry>>,
+    /// Whether the platform answered the last call.
+    pub heard: Arc<AtomicBool>,
+    /// This process's own line.
+    pub own: HostEntry,
+    /// Logs.
+    pub logger: Logger,
+}
+
+impl PlatformDuty {
+    /// Runs for ever.
+    pub async fn run(self) {
+        let mut since_register = u64::MAX;
+        loop {
+            if since_register >= REGISTER_MILLIS && self.register().await {
+                since_register = 0;
+            }
+            self.poll().await;
+            if !self.config.current().ready() {
+                self.adopt_snapshot().await;
+            }
+            let pause = self.pause_millis();
+            since_register = since_register.saturating_add(pause);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    /// The time until the next poll, with jitter so that entries don't ask all at once.
+    fn pause_millis(&self) -> u64 {
+        if !self.config.current().ready() {
+            return FIRST_POLL_MILLIS;
+        }
+        let base = match self.own.role {
+            HostRole::Target => TARGET_POLL_MILLIS,
+            HostRole::Entry => {
+                let entries = self
+                    .hosts
+                    .borrow()
+                    .iter()
+                    .filter(|host| host.role == HostRole::Entry)
+                    .count();
+                ENTRY_POLL_MILLIS + POLL_MILLIS_PER_ENTRY * entries as u64
+            }
+        };
+        rand::rng().random_range(base * 3 / 4..=base * 5 / 4)
+    }
+
+    async fn register(&self) -> bool {
+        self.client.register(self.own.clone()).await.is_ok()
+    }
+
+    async fn poll(&self) {
+        let since = self.config.revision();
+        let heard = match self.client.changes(CONFIG_PREFIX, since).await {
+            Ok(feed) => {
+                let (change, unreadable) = config_change(feed);
+                for key in unreadable {
+                    warn!(self.logger, "a row can't be read and is left as it is in force"; "key" => key);
+                }
+                self.adopt(change).await;
+                true
+            }
+            Err(error) => {
+                warn!(self.logger, "the table did not answer"; "error" => %error);
+                error.verdict != RunVerdict::NotRun && error.message.starts_with("status")
+            }
+        };
+        self.heard.store(heard, Ordering::Relaxed);
+        if let Ok(hosts) = self.client.hosts().await {
+            self.hosts.send_if_modified(|known| {
+                let changed = *known != hosts;
+                *known = hosts;
+                changed
+            });
+        }
+    }
+
+    async fn adopt(&self, change: ConfigChange) {
+        let revision = change.revision;
+        if self.config.adopt(change) != AdoptOutcome::Adopted {
+            return;
+        }
+        info!(self.logger, "configuration in force"; "revision" => revision, "source" => "table");
+        if self.writes_snapshot() {
+            self.put_snapshot().await;
+        }
+    }
+
+    /// One entry writes the snapshot: the one with the highest rendezvous score. Two writers do no harm.
+    fn writes_snapshot(&self) -> bool {
+        let hosts = self.hosts.borrow();
+        let entries = hosts
+            .iter()
+            .filter(|host| host.role == HostRole::Entry)
+            .map(|host| &host.name);
+        let score = |name: &&TargetName| rendezvous_score(0, name.as_str());
+        self.own.role == HostRole::Entry
+            && entries
+                .max_by_key(score)
+                .is_none_or(|name| *name == self.own.name)
+    }
+
+    async fn put_snapshot(&self) {
+        let Ok(bytes) = serde_json::to_vec(&self.config.current().snapshot()) else {
+            return;
+        };
+        if let Err(error) = self.client.put_object(SNAPSHOT_OBJECT, bytes.into()).await {
+            warn!(self.logger, "the snapshot was not written"; "error" => %error);
+        }
+    }
+
+    async fn adopt_snapshot(&self) {
+        let Ok(Some(bytes)) = self.client.object(SNAPSHOT_OBJECT).await else {
+            return;
+        };
+        match serde_json::from_slice::<ConfigChange>(&bytes) {
+            Ok(change) => {
+                let revision = change.revision;
+                if self.config.adopt(change) == AdoptOutcome::Adopted {
+                    info!(self.logger, "configuration in force"; "revision" => revision, "source" => "snapshot");
+                }
+            }
+            Err(error) => warn!(self.logger, "the snapshot can't be read"; "error" => %error),
+        }
+    }
+}
--- /dev/null
+++ b/porthoistd/src/duty/routing.rs
@@ -0,0 +1,284 @@
+//! The routing actor of an entry: limits, router, retry budget and hedges.
+
+use crate::config::ConfigHub;
+use futures::future::BoxFuture;
+use kameo::Actor;
+use kameo::actor::{ActorRef, Spawn};
+use kameo::error::SendError;
+use kameo::message::{Context, Message};
+use porthoist_caller::ports::RouteTold;
+use porthoist_caller::{CallerRefusal, RouteAsk, RoutingPort};
+use porthoist_core::{
+    AttemptId, ClockSource, LoadReport, RefusalReason, RunVerdict, TargetName, TeamName, UnixMillis,
+};
+use porthoist_policy::limits::EntryLimiter;
+use porthoist_policy::retry::RetryBudget;
+use porthoist_policy::retry::hedge::HedgePolicy;
+use porthoist_policy::router::{RouteQuery, RouteTarget, Router, RouterSettings};
+use std::sync::Arc;
+
+/// Messages that wait for the actor at most; more are refused as overload.
+const MAILBOX: usize = 8192;
+/// Retries for each first attempt.
+const RETRY_SHARE: f64 = 0.1;
+/// Retries that may be saved up.
+const RETRY_BURST: f64 = 20.0;
+
+/// The actor.
+#[derive(Debug, Actor)]
+pub struct RoutingActor {
+    router: Router,
+    limiter: EntryLimiter,
+    budget: RetryBudget,
+    hedges: HedgePolicy,
+    hedging: bool,
+    config: Arc<ConfigHub>,
+    clock: Arc<dyn ClockSource>,
+}
+
+/// Asks for a route.
+#[derive(Debug)]
+pub struct RouteMessage(pub RouteAsk);
+
+/// A load report, and the attempt that it came back with.
+#[derive(Debug)]
+pub struct LoadMessage {
+    /// The target.
+    pub target: TargetName,
+    /// Its load; absent where it said nothing.
+    pub load: Option<LoadReport>,
+    /// The attempt that is over.
+    pub done: Option<AttemptId>,
+    /// The target could not be reached.
+    pub unreachable: bool,
+}
+
+/// What the fleet duty knows of a target.
+#[derive(Debug)]
+pub enum TargetMessage {
+    /// It is there.
+    Upsert(RouteTarget),
+    /// It is gone.
+    Remove(TargetName),
+}
+
+/// The number of live entries in the zone, and of those that send to the same targets.
+#[derive(Debug, Clone, Copy)]
+pub struct EntriesMessage {
+    /// In the own zone.
+    pub zone: u32,
+    /// In all zones.
+    pub all: u32,
+}
+
+/// An admitted request is over.
+#[derive(Debug)]
+pub struct ReleaseMessage(pub TeamName);
+
+/// A first token took so long, in milliseconds.
+#[derive(Debug, Clone, Copy)]
+pub struct FirstTokenMessage(pub u64);
+
+impl RoutingActor {
+    /// Starts the actor on the present runtime.
+    pub fn start(
+        settings: RouterSettings,
+        hedging: bool,
+        config: Arc<ConfigHub>,
+        clock: Arc<dyn ClockSource>,
+    ) -> ActorRef<Self> {
+        let actor = Self {
+            router: Router::new(settings),
+            limiter: EntryLimiter::new(1),
+            budget: RetryBudget::new(RETRY_SHARE, RETRY_BURST),
+            hedges: HedgePolicy::default(),
+            hedging,
+            config,
+            clock,
+        };
+        Self::spawn_with_mailbox(actor, kameo::mailbox::bounded(MAILBOX))
+    }
+
+    fn admit(&mut self, now: UnixMillis, team: &TeamName) -> Result<(), CallerRefusal> {
+        let Some(limit) = self.config.limit(team) else {
+            return Err(CallerRefusal::not_run(
+                RefusalReason::Unauthorized,
+                "the team has no row",
+            ));
+        };
+        self.limiter
+            .admit(now, team, limit)
+            .map_err(|refusal| CallerRefusal {
+                reason: refusal.reason,
+                verdict: RunVerdict::NotRun,
+                retry_at: Some(refusal.retry_at),
+                detail: format!("the limits of team {team} are reached"),
+            })
+    }
+
+    fn route(&mut self, ask: &RouteAsk) -> Result<RouteTold, CallerRefusal> {
+        let now = self.clock.now();
+        let query = RouteQuery {
+            service: &ask.service,
+            now,
+            deadline: ask.deadline,
+            prompt_tokens: ask.prompt_tokens,
+            prefix_blocks: &ask.prefix_blocks,
+            exclude: &ask.exclude,
+        };
+        if ask.admit {
+            self.admit(now, &ask.team)?;
+            self.budget.first_attempt();
+        }
+        if ask.retry && !self.budget.try_spend() {
+            self.undo_admission(ask);
+            return Err(no_route(
+                now,
+                RefusalReason::RetryBudget,
+                "the retry budget is spent",
+            ));
+        }
+        match self.router.choose(&query) {
+            Ok(choice) => {
+                if !ask.peek {
+                    self.router.sent(now, &choice.target, ask.attempt, &query);
+                }
+                let hedge_at = if self.hedging {
+                    self.hedges.hedge_at(now)
+                } else {
+                    None
+                };
+                Ok(RouteTold { choice, hedge_at })
+            }
+            Err(reason) => {
+                self.undo_admission(ask);
+                Err(no_route(now, reason, "no target serves the service at present"))
+            }
+        }
+    }
+
+    /// A request that gets no route holds no concurrency.
+    fn undo_admission(&mut self, ask: &RouteAsk) {
+        if ask.admit {
+            self.limiter.release(&ask.team);
+        }
+    }
+}
+
+/// A refusal for want of a target is worth another try after a moment.
+const RETRY_MILLIS: u64 = 1000;
+
+fn no_route(now: UnixMillis, reason: RefusalReason, detail: &str) -> CallerRefusal {
+    let retry_at = Some(now.plus(RETRY_MILLIS));
+    CallerRefusal {
+        reason,
+        verdict: RunVerdict::NotRun,
+        retry_at,
+        detail: detail.to_owned(),
+    }
+}
+
+impl Message<RouteMessage> for RoutingActor {
+    type Reply = Result<RouteTold, CallerRefusal>;
+
+    async fn handle(&mut self, msg: RouteMessage, _ctx: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        self.route(&msg.0)
+    }
+}
+
+impl Message<LoadMessage> for RoutingActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: LoadMessage, _ctx: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let LoadMessage {
+            target,
+            load,
+            done,
+            unreachable,
+        } = msg;
+        if let Some(attempt) = done {
+            self.router.done(&target, attempt);
+        }
+        if let Some(load) = load {
+            self.router.report(&target, load);
+        }
+        if unreachable {
+            self.router.unreachable(self.clock.now(), &target);
+        }
+    }
+}
+
+impl Message<TargetMessage> for RoutingActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: TargetMessage, _ctx: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        match msg {
+            TargetMessage::Upsert(target) => self.router.upsert(target),
+            TargetMessage::Remove(target) => self.router.remove(&target),
+        }
+    }
+}
+
+impl Message<EntriesMessage> for RoutingActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: EntriesMessage, _ctx: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        self.limiter.set_entries(msg.zone);
+        self.router.set_entries(msg.all);
+        self.limiter.forget_idle(self.clock.now());
+    }
+}
+
+impl Message<ReleaseMessage> for RoutingActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: ReleaseMessage, _ctx: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        self.limiter.release(&msg.0);
+    }
+}
+
+impl Message<FirstTokenMessage> for RoutingActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: FirstTokenMessage, _ctx: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        self.hedges.observe(msg.0);
+    }
+}
+
+/// The callers' way to the actor.
+#[derive(Debug, Clone)]
+pub struct RoutingHandle(pub ActorRef<RoutingActor>);
+
+impl RoutingPort for RoutingHandle {
+    fn route(&self, ask: RouteAsk) -> BoxFuture<'_, Result<RouteTold, CallerRefusal>> {
+        Box::pin(async move {
+            match self.0.ask(RouteMessage(ask)).try_send().await {
+                Ok(told) => Ok(told),
+                Err(SendError::HandlerError(refusal)) => Err(refusal),
+                Err(_full) => Err(CallerRefusal::not_run(
+                    RefusalReason::Overloaded,
+                    "this entry is overloaded",
+                )),
+            }
+        })
+    }
+
+    fn release(&self, team: TeamName) {
+        self.tell_bounded(ReleaseMessage(team));
+    }
+
+    fn first_token(&self, millis: u64) {
+        // A lost observation costs nothing.
+        let _told = self.0.tell(FirstTokenMessage(millis)).try_send();
+    }
+}
+
+impl RoutingHandle {
+    /// A message that must not be lost, or a concurrency slot would leak: it waits in a task when the mailbox is full.
+    fn tell_bounded(&self, message: ReleaseMessage) {
+        let actor = self.0.clone();
+        if let Err(SendError::MailboxFull(message)) = actor.tell(message).try_send() {
+            tokio::spawn(async move { actor.tell(message).await });
+        }
+    }
+}
--- /dev/null
+++ b/porthoistd/src/duty/target_fleet.rs
@@ -0,0 +1,236 @@
+//! The fleet duty of a target: it answers entries' offers, ticket requests and heartbeats.
+
+use crate::config::ConfigHub;
+use bytes::Bytes;
+use kameo::actor::ActorRef;
+use kameo::error::SendError;
+use porthoist_core::offer::{AnswerDigest, TargetHello};
+use porthoist_core::{
+    AnswerFrame, AttemptId, IncarnationId, LoadReport, OfferOutcome, RefusalReason, RequestOffer, RunVerdict,
+    ServiceName, TargetName, TeamName, TicketText, UnixDeadline, ZoneName,
+};
+use porthoist_fleet::{FleetDigest, FleetHandler, FrameOutlet, HandlerFuture};
+use porthoist_metrics::MetricsHub;
+use porthoist_target::log::LogNews;
+use porthoist_target::offers::{MintTickets, OfferAbandoned, OfferRefusal, OfferRequest};
+use porthoist_target::{LogEnd, LogFollower, OffersActor};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::sync::watch;
+
+/// The handler.
+#[derive(Debug, Clone)]
+pub struct TargetHandler {
+    /// The target's name.
+    pub target: TargetName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// This life of the process.
+    pub incarnation: IncarnationId,
+    /// The services that the back end runs.
+    pub services: Rc<[ServiceName]>,
+    /// The actor with the last word.
+    pub offers: ActorRef<OffersActor>,
+    /// Its load.
+    pub load: watch::Receiver<LoadReport>,
+    /// Configuration.
+    pub config: Arc<ConfigHub>,
+    /// Offers whose answer is not out yet.
+    pub open: Arc<AtomicU64>,
+    /// Counters.
+    pub metrics: Arc<MetricsHub>,
+}
+
+/// Counts an open offer, and tells the actor when its follower is gone.
+struct OpenOffer {
+    follower: Option<LogFollower>,
+    attempt: AttemptId,
+    offers: ActorRef<OffersActor>,
+    open: Arc<AtomicU64>,
+}
+
+impl Drop for OpenOffer {
+    fn drop(&mut self) {
+        self.open.fetch_sub(1, Ordering::Relaxed);
+        if self.follower.take().is_some() {
+            // When the mailbox is full the request stays in the queue until its turn or deadline.
+            let _told = self.offers.tell(OfferAbandoned(self.attempt)).try_send();
+        }
+    }
+}
+
+impl TargetHandler {
+    async fn run_offer(self, offer: RequestOffer, outlet: FrameOutlet) -> OfferOutcome {
+        let attempt = offer.attempt;
+        self.open.fetch_add(1, Ordering::Relaxed);
+        let mut open = OpenOffer {
+            follower: None,
+            attempt,
+            offers: self.offers.clone(),
+            open: Arc::clone(&self.open),
+        };
+        let outcome = match self.ask(offer).await {
+            Ok(follower) => follow(open.follower.insert(follower), attempt, &outlet).await,
+            Err(OfferRefusal {
+                reason,
+                verdict,
+                retry_at,
+            }) => OfferOutcome::Refused {
+                reason,
+                verdict,
+                retry_at,
+            },
+        };
+        if let OfferOutcome::Refused { reason, verdict, .. } = outcome {
+            self.metrics.refusal(reason, verdict);
+        }
+        outcome
+    }
+
+    async fn ask(&self, offer: RequestOffer) -> Result<LogFollower, OfferRefusal> {
+        let keyed = offer.ticket.is_some();
+        let request = self.offers.ask(OfferRequest(Arc::new(offer)));
+        // A refusal here would not spend the ticket, so an offer with one waits for the actor.
+        let asked = if keyed {
+            request.send().await
+        } else {
+            request.try_send().await
+        };
+        asked.map_err(|error| match error {
+            SendError::HandlerError(refusal) => refusal,
+            SendError::MailboxFull(_) => not_run(RefusalReason::Overloaded),
+            _ => OfferRefusal {
+                verdict: RunVerdict::MayHaveRun,
+                ..not_run(RefusalReason::ShuttingDown)
+            },
+        })
+    }
+}
+
+fn not_run(reason: RefusalReason) -> OfferRefusal {
+    OfferRefusal {
+        reason,
+        verdict: RunVerdict::NotRun,
+        retry_at: None,
+    }
+}
+
+async fn follow(follower: &mut LogFollower, attempt: AttemptId, outlet: &FrameOutlet) -> OfferOutcome {
+    let mut frames = 0;
+    let mut digest = AnswerDigest::default();
+    loop {
+        match follower.next().await {
+            LogNews::Events(first, events) => {
+                let batch = frame_batch(attempt, frames, first, events, &mut digest);
+                frames += batch.len() as u64;
+                if outlet.send(&batch).await.is_err() {
+                    return refused(RefusalReason::ConnectionLost, RunVerdict::MayHaveRun);
+                }
+            }
+            LogNews::End(LogEnd::StreamDone) => {
+                return OfferOutcome::StreamEnd {
+                    frames,
+                    digest: digest.value(),
+                };
+            }
+            LogNews::End(LogEnd::Whole { head, body }) => {
+                let digest = AnswerDigest::of(&body);
+                return OfferOutcome::Whole { head, body, digest };
+            }
+            LogNews::End(LogEnd::Refused {
+                reason,
+                verdict,
+                retry_at,
+            }) => {
+                return OfferOutcome::Refused {
+                    reason,
+                    verdict,
+                    retry_at,
+                };
+            }
+            LogNews::Missing => return refused(RefusalReason::AnswerGone, RunVerdict::Ran),
+        }
+    }
+}
+
+fn frame_batch(
+    attempt: AttemptId,
+    sent: u64,
+    first: u64,
+    events: Vec<Bytes>,
+    digest: &mut AnswerDigest,
+) -> Vec<AnswerFrame> {
+    let mut batch = Vec::with_capacity(events.len());
+    for (index, data) in (0_u64..).zip(events) {
+        digest.update(&data);
+        batch.push(AnswerFrame {
+            attempt,
+            sequence: sent + index,
+            event: first + index,
+            data,
+        });
+    }
+    batch
+}
+
+fn refused(reason: RefusalReason, verdict: RunVerdict) -> OfferOutcome {
+    OfferOutcome::Refused {
+        reason,
+        verdict,
+        retry_at: None,
+    }
+}
+
+impl FleetHandler for TargetHandler {
+    fn offer(&self, offer: RequestOffer, outlet: FrameOutlet) -> HandlerFuture<(OfferOutcome, LoadReport)> {
+        let handler = self.clone();
+        Box::pin(async move {
+            let load = handler.load.clone();
+            let outcome = handler.run_offer(offer, outlet).await;
+            let report = *load.borrow();
+            (outcome, report)
+        })
+    }
+
+    fn mint(&self, team: TeamName, count: u32, deadline: UnixDeadline) -> HandlerFuture<Vec<TicketText>> {
+        let offers = self.offers.clone();
+        Box::pin(async move {
+            let minted = offers
+                .ask(MintTickets {
+                    team,
+                    count,
+                    deadline,
+                })
+                .try_send()
+                .await;
+            minted.unwrap_or_default()
+        })
+    }
+
+    fn hello(&self) -> HandlerFuture<Option<TargetHello>> {
+        let hello = TargetHello {
+            incarnation: self.incarnation,
+            services: self.services.to_vec(),
+            load: *self.load.borrow(),
+            revision: self.config.revision(),
+        };
+        Box::pin(std::future::ready(Some(hello)))
+    }
+
+    fn gossip(&self, digest: FleetDigest) -> HandlerFuture<FleetDigest> {
+        if let Some(change) = digest.change {
+            self.config.adopt(change);
+        }
+        let own = FleetDigest {
+            node: self.target.clone(),
+            zone: self.zone.clone(),
+            revision: self.config.revision(),
+            leaving: Vec::new(),
+            demands: Vec::new(),
+            change: self.config.change_since(digest.revision),
+            ready: true,
+        };
+        Box::pin(std::future::ready(own))
+    }
+}
--- /dev/null
+++ b/porthoistd/src/lib.rs
@@ -0,0 +1,38 @@
+//! The daemon as a library: load its settings into a [`Daemon`], then run it.
+//!
+//! Each duty is a thread with a runtime of its own; bounded rings and mailboxes join them.
+
+pub mod config;
+pub mod duty;
+pub mod logging;
+pub mod role;
+pub mod settings;
+
+use miette::IntoDiagnostic as _;
+use settings::{DaemonRole, DaemonSettings};
+use slog::Logger;
+
+/// A daemon that is ready to run.
+#[derive(Debug)]
+pub struct Daemon {
+    settings: DaemonSettings,
+    logger: Logger,
+}
+
+impl Daemon {
+    /// Takes checked settings.
+    pub fn load(settings: DaemonSettings, logger: Logger) -> miette::Result<Self> {
+        Ok(Self { settings, logger })
+    }
+
+    /// Runs until a signal ends it, and returns when nothing is in flight any more.
+    pub fn run(self) -> miette::Result<()> {
+        let Self { settings, logger } = self;
+        match settings.role {
+            DaemonRole::Entry => role::entry::run(settings, logger),
+            DaemonRole::Target => role::target::run(settings, logger),
+            DaemonRole::Local => role::local::run(settings, &logger),
+        }
+        .into_diagnostic()
+    }
+}
--- /dev/null
+++ b/porthoistd/src/main.rs
@@ -0,0 +1,19 @@
+//! `porthoistd`: the daemon.
+
+use porthoistd::settings::{DaemonArgs, DaemonSettings};
+use porthoistd::{Daemon, logging};
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> miette::Result<()> {
+    let args: DaemonArgs = argh::from_env();
+    let check = args.check;
+    let settings = DaemonSettings::load(args, |name| std::env::var(name).ok())?;
+    if check {
+        println!("the settings are valid");
+        return Ok(());
+    }
+    let logger = logging::logger(settings.log_format, settings.log_level);
+    Daemon::load(settings, logger)?.run()
+}
--- /dev/null
+++ b/porthoistd/src/settings.rs
@@ -0,0 +1,354 @@
+//! Settings in flags and environment variables; a flag wins.
+//!
+//! Every setting is checked before anything starts, and an error names it, what was given and what is expected.
+
+use argh::FromArgs;
+use miette::Diagnostic;
+use porthoist_core::secret::SharedSecret;
+use porthoist_core::{HostName, ServiceName, TargetName, ZoneName};
+use slog::Level;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+/// The daemon of porthoist. Every flag has an environment variable: `--fleet-key` is `PORTHOIST_FLEET_KEY`.
+#[derive(Debug, Default, FromArgs)]
+pub struct DaemonArgs {
+    /// only check the settings
+    #[argh(switch)]
+    pub check: bool,
+    /// entry, target or local
+    #[argh(option)]
+    pub role: Option<String>,
+    /// name of this process: the target's name, or the entry's
+    #[argh(option)]
+    pub name: Option<String>,
+    /// name of the host
+    #[argh(option)]
+    pub host: Option<String>,
+    /// availability zone of the host
+    #[argh(option)]
+    pub zone: Option<String>,
+    /// address for callers, IP:PORT (entry, local)
+    #[argh(option)]
+    pub callers_listen: Option<String>,
+    /// address for our own processes, IP:PORT
+    #[argh(option)]
+    pub fleet_listen: Option<String>,
+    /// address under which peers reach the fleet listener, IP:PORT (default: where it listens)
+    #[argh(option)]
+    pub fleet_advertise: Option<String>,
+    /// address for operators and metrics, IP:PORT
+    #[argh(option)]
+    pub operator_listen: Option<String>,
+    /// URL of the platform, http://IP:PORT
+    #[argh(option)]
+    pub platform: Option<String>,
+    /// URL of the engine or service beside the process, http://IP:PORT (target)
+    #[argh(option)]
+    pub backend: Option<String>,
+    /// services that the back end runs, joined by commas (target)
+    #[argh(option)]
+    pub services: Option<String>,
+    /// requests that the back end runs at once (target)
+    #[argh(option)]
+    pub slots: Option<String>,
+    /// requests that wait at most (target)
+    #[argh(option)]
+    pub queue: Option<String>,
+    /// key shared by our own processes, 16 bytes or more
+    #[argh(option)]
+    pub fleet_key: Option<String>,
+    /// token of operators, 16 bytes or more
+    #[argh(option)]
+    pub operator_token: Option<String>,
+    /// deadline in milliseconds of a request that names none (entry, local)
+    #[argh(option)]
+    pub deadline_ms: Option<String>,
+    /// time in milliseconds between the signal to stop and the close of the callers' listener (entry)
+    #[argh(option)]
+    pub stop_lag_ms: Option<String>,
+    /// second attempts beside slow ones: on or off (entry, local)
+    #[argh(option)]
+    pub hedge: Option<String>,
+    /// json or terminal
+    #[argh(option)]
+    pub log: Option<String>,
+    /// debug, info, warning or error
+    #[argh(option)]
+    pub log_level: Option<String>,
+}
+
+/// What the process is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DaemonRole {
+    /// Takes callers' requests.
+    Entry,
+    /// Stands beside a back end.
+    Target,
+    /// Everything, with stand-ins, in one process.
+    Local,
+}
+
+/// How logs look.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogFormat {
+    /// A JSON object a line.
+    Json,
+    /// For people.
+    Terminal,
+}
+
+/// Checked settings.
+#[derive(Debug, Clone)]
+pub struct DaemonSettings {
+    /// What the process is.
+    pub role: DaemonRole,
+    /// Its name.
+    pub name: TargetName,
+    /// Its host.
+    pub host: HostName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// For callers.
+    pub callers_listen: SocketAddr,
+    /// For our own processes.
+    pub fleet_listen: SocketAddr,
+    /// Where peers reach it.
+    pub fleet_advertise: Option<SocketAddr>,
+    /// For operators.
+    pub operator_listen: SocketAddr,
+    /// The platform.
+    pub platform: String,
+    /// The back end.
+    pub backend: String,
+    /// What it runs.
+    pub services: Vec<ServiceName>,
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Requests that wait.
+    pub queue: usize,
+    /// Shared by our own processes.
+    pub fleet_key: SharedSecret,
+    /// Of operators.
+    pub operator_token: SharedSecret,
+    /// Default deadline.
+    pub deadline_millis: u64,
+    /// Lag before the callers' listener closes.
+    pub stop_lag_millis: u64,
+    /// Whether slow attempts are hedged.
+    pub hedge: bool,
+    /// How logs look.
+    pub log_format: LogFormat,
+    /// What is logged.
+    pub log_level: Level,
+}
+
+/// A setting that can't be used.
+#[derive(Debug, thiserror::Error, Diagnostic)]
+#[error("setting --{flag} ({variable}): {given}")]
+#[diagnostic(code(porthoist::settings), help("expected {expected}"))]
+pub struct SettingError {
+    flag: &'static str,
+    variable: String,
+    given: String,
+    expected: &'static str,
+}
+
+/// Shortest secret in bytes.
+const MIN_SECRET_BYTES: usize = 16;
+/// Secret of the local role, where everything is in one process on loopback.
+const LOCAL_SECRET: &str = "local-only-secret";
+
+struct SettingReader<E> {
+    role: DaemonRole,
+    environment: E,
+}
+
+fn variable(flag: &str) -> String {
+    format!("PORTHOIST_{}", flag.replace('-', "_").to_uppercase())
+}
+
+impl<E: Fn(&str) -> Option<String>> SettingReader<E> {
+    fn text(&self, flag: &'static str, given: Option<String>) -> Option<String> {
+        given.or_else(|| (self.environment)(&variable(flag)))
+    }
+
+    fn error(flag: &'static str, given: String, expected: &'static str) -> SettingError {
+        SettingError {
+            flag,
+            variable: variable(flag),
+            given,
+            expected,
+        }
+    }
+
+    fn value<T: FromStr>(
+        &self,
+        flag: &'static str,
+        given: Option<String>,
+        default: Option<&str>,
+        expected: &'static str,
+    ) -> Result<T, SettingError> {
+        let text = self.text(flag, given).or_else(|| default.map(str::to_owned));
+        let Some(text) = text else {
+            return Err(Self::error(flag, "not given".to_owned(), expected));
+        };
+        text.parse()
+            .map_err(|_parse| Self::error(flag, format!("{text:?} given"), expected))
+    }
+
+    fn secret(&self, flag: &'static str, given: Option<String>) -> Result<SharedSecret, SettingError> {
+        let expected = "a secret of 16 bytes or more";
+        let default = (self.role == DaemonRole::Local).then(|| LOCAL_SECRET.to_owned());
+        let Some(secret) = self.text(flag, given).or(default) else {
+            return Err(Self::error(flag, "not given".to_owned(), expected));
+        };
+        if secret.len() < MIN_SECRET_BYTES {
+            return Err(Self::error(
+                flag,
+                format!("{} bytes given", secret.len()),
+                expected,
+            ));
+        }
+        Ok(SharedSecret::new(secret))
+    }
+
+    fn url(&self, flag: &'static str, given: Option<String>, needed: bool) -> Result<String, SettingError> {
+        let expected = "a URL of the form http://IP:PORT";
+        let Some(text) = self.text(flag, given) else {
+            return if needed {
+                Err(Self::error(flag, "not given".to_owned(), expected))
+            } else {
+                Ok(String::new())
+            };
+        };
+        match url::Url::parse(&text) {
+            Ok(url) if url.scheme() == "http" && url.host().is_some() => Ok(text),
+            _ => Err(Self::error(flag, format!("{text:?} given"), expected)),
+        }
+    }
+
+    fn services(&self, given: Option<String>) -> Result<Vec<ServiceName>, SettingError> {
+        let (flag, expected) = ("services", "service names joined by commas");
+        let default = (self.role != DaemonRole::Target).then_some("");
+        let text: String = self.value(flag, given, default, expected)?;
+        let names: Result<Vec<ServiceName>, _> = text
+            .split(',')
+            .filter(|name| !name.is_empty())
+            .map(str::parse)
+            .collect();
+        names.map_err(|_parse| Self::error(flag, format!("{text:?} given"), expected))
+    }
+}
+
+impl FromStr for DaemonRole {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        match text {
+            "entry" => Ok(Self::Entry),
+            "target" => Ok(Self::Target),
+            "local" => Ok(Self::Local),
+            _ => Err(()),
+        }
+    }
+}
+
+impl FromStr for LogFormat {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        match text {
+            "json" => Ok(Self::Json),
+            "terminal" => Ok(Self::Terminal),
+            _ => Err(()),
+        }
+    }
+}
+
+struct Switch(bool);
+
+impl FromStr for Switch {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        match text {
+            "on" => Ok(Self(true)),
+            "off" => Ok(Self(false)),
+            _ => Err(()),
+        }
+    }
+}
+
+const ADDRESS: &str = "an address of the form IP:PORT";
+const MILLIS: &str = "a whole number of milliseconds";
+
+impl DaemonSettings {
+    /// Reads and checks all settings; `environment` looks a variable up.
+    pub fn load<E>(args: DaemonArgs, environment: E) -> Result<Self, SettingError>
+    where
+        E: Fn(&str) -> Option<String>,
+    {
+        let mut reader = SettingReader {
+            role: DaemonRole::Local,
+            environment,
+        };
+        reader.role = reader.value("role", args.role, None, "entry, target or local")?;
+        let local = reader.role == DaemonRole::Local;
+        let named = |name| if local { Some(name) } else { None };
+        let callers_default = if local { "127.0.0.1:8080" } else { "127.0.0.1:0" };
+        let operator_default = if local { "127.0.0.1:8081" } else { "127.0.0.1:0" };
+        let advertise = match reader.text("fleet-advertise", args.fleet_advertise) {
+            None => None,
+            given => Some(reader.value("fleet-advertise", given, None, ADDRESS)?),
+        };
+        let hedge: Switch = reader.value("hedge", args.hedge, Some("on"), "on or off")?;
+        Ok(Self {
+            role: reader.role,
+            name: reader.value(
+                "name",
+                args.name,
+                named("local"),
+                "a name of letters, digits, '-', '_' and '.'",
+            )?,
+            host: reader.value("host", args.host, Some("localhost"), "a host name")?,
+            zone: reader.value(
+                "zone",
+                args.zone,
+                named("local"),
+                "the name of an availability zone",
+            )?,
+            callers_listen: reader.value(
+                "callers-listen",
+                args.callers_listen,
+                Some(callers_default),
+                ADDRESS,
+            )?,
+            fleet_listen: reader.value("fleet-listen", args.fleet_listen, Some("127.0.0.1:0"), ADDRESS)?,
+            fleet_advertise: advertise,
+            operator_listen: reader.value(
+                "operator-listen",
+                args.operator_listen,
+                Some(operator_default),
+                ADDRESS,
+            )?,
+            platform: reader.url("platform", args.platform, !local)?,
+            backend: reader.url("backend", args.backend, reader.role == DaemonRole::Target)?,
+            services: reader.services(args.services)?,
+            slots: reader.value("slots", args.slots, Some("64"), "a whole number")?,
+            queue: reader.value("queue", args.queue, Some("512"), "a whole number")?,
+            fleet_key: reader.secret("fleet-key", args.fleet_key)?,
+            operator_token: reader.secret("operator-token", args.operator_token)?,
+            deadline_millis: reader.value("deadline-ms", args.deadline_ms, Some("30000"), MILLIS)?,
+            stop_lag_millis: reader.value("stop-lag-ms", args.stop_lag_ms, Some("2000"), MILLIS)?,
+            hedge: hedge.0,
+            log_format: reader.value("log", args.log, Some("terminal"), "json or terminal")?,
+            log_level: reader.value(
+                "log-level",
+                args.log_level,
+                Some("info"),
+                "debug, info, warning or error",
+            )?,
+        })
+    }
+}
