--- a/crates/porthoist-caller/src/course.rs
+++ b/crates/porthoist-caller/src/course.rs
@@ -166,9 +166,16 @@
 
     async fn unkeyed(&mut self) -> CourseEnd {
         let mut exclude: Vec<TargetName> = Vec::new();
+        let mut same_again = false;
         loop {
             let told = match self.route(&exclude, self.attempts > 0).await {
                 Ok(told) => told,
+                Err(refusal) if refusal.reason == RefusalReason::NoTarget && same_again => {
+                    // Nobody else serves it, and a target whose run failed may do better this time.
+                    exclude.clear();
+                    same_again = false;
+                    continue;
+                }
                 Err(refusal) => return CourseEnd::Refused(self.worsened(refusal)),
             };
             let target = told.choice.target.clone();
@@ -179,6 +186,7 @@
                 AttemptEnd::Failed(failure, retry_at) => (failure, retry_at),
             };
             exclude.push(target);
+            same_again = failure.verdict == RunVerdict::MayHaveRun;
             let refusal = self.failure_refusal(failure, retry_at);
             let Some(reason) = self.retry_reason(failure) else {
                 return CourseEnd::Refused(refusal);
--- a/crates/porthoist-core/src/ids.rs
+++ b/crates/porthoist-core/src/ids.rs
@@ -110,8 +110,23 @@
     ($(#[$doc:meta])* $name:ident, $role:literal) => {
         $(#[$doc])*
         #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
         pub struct $name(pub u64);
 
+        impl TryFrom<String> for $name {
+            type Error = IdError;
+
+            fn try_from(text: String) -> Result<Self, IdError> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> Self {
+                id.to_string()
+            }
+        }
+
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
                 write!(f, "{:016x}", self.0)
--- a/crates/porthoist-fleet/schema/fleet.capnp
+++ b/crates/porthoist-fleet/schema/fleet.capnp
@@ -93,6 +93,10 @@
   change @5 :Data;
   # Whether the sender holds a promise to accept work.
   ready @6 :Bool;
+  # Whether the sender lacks a host list, for example because it started while the platform is down.
+  wantsHosts @7 :Bool;
+  # The host list in JSON, for a peer that lacks it; empty otherwise.
+  hosts @8 :Data;
 }
 
 interface FrameSink {
--- a/crates/porthoist-fleet/src/convert.rs
+++ b/crates/porthoist-fleet/src/convert.rs
@@ -231,6 +231,11 @@
     builder.set_zone(own.zone.as_str());
     builder.set_revision(own.revision);
     builder.set_ready(own.ready);
+    builder.set_wants_hosts(own.wants_hosts);
+    if !own.hosts.is_empty() {
+        let bytes = serde_json::to_vec(&own.hosts).map_err(|error| Error::failed(error.to_string()))?;
+        builder.set_hosts(&bytes);
+    }
     let marks = &own.leaving[..own.leaving.len().min(MAX_LEAVING)];
     let mut list = builder.reborrow().init_leaving(marks.len() as u32);
     for (index, mark) in marks.iter().enumerate() {
@@ -267,6 +272,12 @@
     } else {
         Some(serde_json::from_slice(change).map_err(|error| Error::failed(error.to_string()))?)
     };
+    let hosts = reader.get_hosts()?;
+    let hosts = if hosts.is_empty() {
+        Vec::new()
+    } else {
+        serde_json::from_slice(hosts).map_err(|error| Error::failed(error.to_string()))?
+    };
     let demands = reader.get_demands()?.iter();
     Ok(FleetDigest {
         node: parsed(reader.get_node()?)?,
@@ -286,5 +297,7 @@
             .collect(),
         change,
         ready: reader.get_ready(),
+        wants_hosts: reader.get_wants_hosts(),
+        hosts,
     })
 }
--- a/crates/porthoist-fleet/src/digest.rs
+++ b/crates/porthoist-fleet/src/digest.rs
@@ -1,6 +1,7 @@
 //! What two entries tell each other in one exchange.
 
 use porthoist_core::{IncarnationId, TargetName, ZoneName};
+use porthoist_platform::HostEntry;
 use porthoist_policy::adoption::ConfigChange;
 
 /// Most leaving marks in one digest.
@@ -43,4 +44,8 @@
     pub change: Option<ConfigChange>,
     /// Whether the sender accepts work.
     pub ready: bool,
+    /// Whether the sender lacks a host list.
+    pub wants_hosts: bool,
+    /// The host list, for a peer that lacks it.
+    pub hosts: Vec<HostEntry>,
 }
--- a/crates/porthoist-fleet/src/fleet_capnp.rs
+++ b/crates/porthoist-fleet/src/fleet_capnp.rs
@@ -3659,11 +3659,23 @@
         pub fn get_ready(self) -> bool {
             self.reader.get_bool_field(64)
         }
+        #[inline]
+        pub fn get_wants_hosts(self) -> bool {
+            self.reader.get_bool_field(65)
+        }
+        #[inline]
+        pub fn get_hosts(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_hosts(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3809,6 +3821,30 @@
         pub fn set_ready(&mut self, value: bool)  {
             self.builder.set_bool_field(64, value);
         }
+        #[inline]
+        pub fn get_wants_hosts(self) -> bool {
+            self.builder.get_bool_field(65)
+        }
+        #[inline]
+        pub fn set_wants_hosts(&mut self, value: bool)  {
+            self.builder.set_bool_field(65, value);
+        }
+        #[inline]
+        pub fn get_hosts(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_hosts(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(5).set_data(value);
+        }
+        #[inline]
+        pub fn init_hosts(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(5).init_data(size)
+        }
+        #[inline]
+        pub fn has_hosts(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3820,73 +3856,87 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 131] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 162] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(109, 230, 27, 233, 94, 71, 248, 154),
             ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(21, 152, 126, 180, 210, 240, 161, 195),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 68, 105, 103, 101),
             ::capnp::word(115, 116, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 65, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 111, 100, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3952,6 +4002,23 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 110, 116, 115, 72, 111, 115),
+            ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 111, 115, 116, 115, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3962,6 +4029,8 @@
                 4 => <::capnp::struct_list::Owned<crate::fleet_capnp::demand::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 6 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                7 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3975,9 +4044,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,4,3,0,6,2,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,4,8,3,0,6,2,7,1];
         pub(crate) const TYPE_ID: u64 = 0x9af8_475e_e91b_e66d;
     }
 }
--- a/crates/porthoist-policy/src/limits.rs
+++ b/crates/porthoist-policy/src/limits.rs
@@ -110,5 +110,9 @@
 
 /// Tokens that may be saved up at a rate.
 pub fn burst(rate: f64) -> f64 {
-    (rate * BURST_SECONDS).max(1.0)
+    if rate > 0.0 {
+        (rate * BURST_SECONDS).max(1.0)
+    } else {
+        0.0
+    }
 }
--- a/crates/porthoist-target/src/log.rs
+++ b/crates/porthoist-target/src/log.rs
@@ -38,6 +38,23 @@
     end: Option<LogEnd>,
 }
 
+impl LogState {
+    fn append(&mut self, event: u64, data: Bytes) -> Result<(), EventGap> {
+        let expected = self.base + self.events.len() as u64 + 1;
+        if event > expected {
+            return Err(EventGap {
+                expected,
+                given: event,
+            });
+        }
+        if event == expected {
+            self.bytes += data.len();
+            self.events.push(data);
+        }
+        Ok(())
+    }
+}
+
 /// The answer of one run.
 #[derive(Debug)]
 pub struct AnswerLog {
@@ -72,33 +89,14 @@
 
     /// Appends an event; a repeated one is dropped, one after a gap is an error.
     pub fn push(&self, event: u64, data: Bytes) -> Result<(), EventGap> {
-        {
-            let mut state = self.state();
-            let expected = state.base + state.events.len() as u64 + 1;
-            if event < expected {
-                return Ok(());
-            }
-            if event > expected {
-                return Err(EventGap {
-                    expected,
-                    given: event,
-                });
-            }
-            state.bytes += data.len();
-            state.events.push(data);
-        }
+        self.state().append(event, data)?;
         self.announce();
         Ok(())
     }
 
     /// Ends the log; the first end counts.
     pub fn finish(&self, end: LogEnd) {
-        {
-            let mut state = self.state();
-            if state.end.is_none() {
-                state.end = Some(end);
-            }
-        }
+        self.state().end.get_or_insert(end);
         self.announce();
     }
 
--- /dev/null
+++ b/porthoist-cli/src/cmd/explain.rs
@@ -0,0 +1,77 @@
+//! `porthoist explain`.
+
+use super::{OutputFormat, json_text};
+use crate::client::OperatorClient;
+use crate::error::ToolError;
+use argh::FromArgs;
+use porthoist_policy::explain::{DecisionKind, DecisionRecord};
+use std::fmt::Write as _;
+
+/// Tell what became of a request: each offer, refusal and retry with its reason and numbers.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainArgs {
+    /// value of the answer's porthoist-request header; ask the entry that answered
+    #[argh(positional)]
+    request: String,
+    /// text or json
+    #[argh(option, default = "OutputFormat::Text")]
+    format: OutputFormat,
+}
+
+/// Runs the command.
+pub async fn run(client: &OperatorClient, args: ExplainArgs) -> Result<String, ToolError> {
+    let decisions = client.explain(&args.request).await?;
+    match args.format {
+        OutputFormat::Json => json_text(&decisions),
+        OutputFormat::Text => Ok(story_text(&decisions)),
+    }
+}
+
+/// The decisions for people, with milliseconds since the first.
+pub fn story_text(decisions: &[DecisionRecord]) -> String {
+    let Some(first) = decisions.first() else {
+        return String::new();
+    };
+    let mut text = String::new();
+    for decision in decisions {
+        let elapsed = decision.at.since(first.at);
+        writeln!(text, "+{elapsed} ms  {}", kind_text(&decision.kind))
+            .expect("writing to a string can't fail");
+    }
+    text
+}
+
+fn kind_text(kind: &DecisionKind) -> String {
+    match kind {
+        DecisionKind::Received {
+            team,
+            service,
+            prompt_tokens,
+        } => {
+            format!("received from team {team} for {service}, about {prompt_tokens} prompt tokens")
+        }
+        DecisionKind::Offered {
+            attempt,
+            target,
+            cost_millis,
+            cached_tokens,
+            candidates,
+        } => format!(
+            "attempt {attempt}: offered to {target}, the cheapest of {candidates} at {cost_millis:.1} ms, \
+             {cached_tokens} tokens expected in its cache"
+        ),
+        DecisionKind::Failed {
+            attempt,
+            reason,
+            verdict,
+        } => {
+            format!("attempt {attempt}: failed, {reason} ({verdict})")
+        }
+        DecisionKind::Retried { reason } => format!("tried again: {reason}"),
+        DecisionKind::Answered { first_byte_millis } => {
+            format!("answered whole, first byte after {first_byte_millis} ms")
+        }
+        DecisionKind::Refused { reason, verdict } => format!("refused: {reason} ({verdict})"),
+    }
+}
--- /dev/null
+++ b/porthoist-cli/src/error.rs
@@ -0,0 +1,78 @@
+//! Errors of the tool, each with its exit status.
+
+use miette::{Diagnostic, NamedSource, SourceSpan};
+use porthoist_policy::table::CellError;
+
+/// Why a command failed.
+#[derive(Debug, thiserror::Error, Diagnostic)]
+pub enum ToolError {
+    /// A cell of an imported file.
+    #[error("{file}: line {line}, column {}: {:?} is not valid", cell.column, cell.given)]
+    #[diagnostic(code(porthoist::table::cell), help("expected {}; nothing was imported", cell.expected))]
+    ImportedCell {
+        /// The file.
+        file: String,
+        /// Line in the file, from 1.
+        line: u64,
+        /// The cell.
+        cell: CellError,
+        /// The file's text.
+        #[source_code]
+        source_text: NamedSource<String>,
+        /// The line.
+        #[label("this row")]
+        span: SourceSpan,
+    },
+    /// A cell given on the command line.
+    #[error("{0}")]
+    #[diagnostic(code(porthoist::table::cell), help("nothing was changed"))]
+    Cell(#[from] CellError),
+    /// A file that is not a table.
+    #[error("{0}")]
+    #[diagnostic(code(porthoist::table::file), help("nothing was imported"))]
+    File(String),
+    /// Another edit came first.
+    #[error("another edit came first; nothing was changed\n{0}")]
+    #[diagnostic(
+        code(porthoist::table::conflict),
+        help("look at the row in force, then edit again")
+    )]
+    Conflict(String),
+    /// The edit may or may not be in the table.
+    #[error("the platform did not confirm the edit: {0}")]
+    #[diagnostic(
+        code(porthoist::table::unknown),
+        help("it may have been committed: `porthoist table get` shows the row in force")
+    )]
+    Unconfirmed(String),
+    /// The endpoint did not answer, or refused.
+    #[error("{0}")]
+    #[diagnostic(
+        code(porthoist::operator),
+        help("check --operator and PORTHOIST_OPERATOR_TOKEN")
+    )]
+    Endpoint(String),
+    /// There is no such thing.
+    #[error("{0}")]
+    #[diagnostic(code(porthoist::missing))]
+    Missing(String),
+    /// In the table, but not in force everywhere in time.
+    #[error("{0}")]
+    #[diagnostic(
+        code(porthoist::table::wait),
+        help("the edit is in the table and will be adopted")
+    )]
+    NotInForce(String),
+}
+
+impl ToolError {
+    /// The exit status.
+    pub fn exit_status(&self) -> u8 {
+        match self {
+            Self::ImportedCell { .. } | Self::Cell(_) | Self::File(_) => 2,
+            Self::Conflict(_) => 3,
+            Self::Unconfirmed(_) | Self::Endpoint(_) | Self::Missing(_) => 4,
+            Self::NotInForce(_) => 5,
+        }
+    }
+}
--- a/porthoistd/src/config.rs
+++ b/porthoistd/src/config.rs
@@ -1,12 +1,13 @@
 //! The configuration in force in this process, shared by its duties.
 
+use parking_lot::{Mutex, RwLock};
 use porthoist_caller::ConfigPort;
 use porthoist_core::{RequestRate, ServiceName, TargetName, TeamName};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::adoption::{AdoptOutcome, ChangeHistory, ConfigChange, ConfigState};
 use porthoist_policy::limits::TeamLimit;
 use porthoist_policy::table::{RowKey, RowKind, ServiceRow, TableRow, TargetRow, TeamRow};
-use std::sync::{Arc, Mutex, RwLock};
+use std::sync::Arc;
 use tokio::sync::watch;
 
 /// Recent changes kept for peers that are a little behind.
@@ -34,12 +35,12 @@
 
     /// Adopts a change if it is newer and joins without a gap.
     pub fn adopt(&self, change: ConfigChange) -> AdoptOutcome {
-        let mut guard = self.state.lock().expect("adoption does not panic");
+        let mut guard = self.state.lock();
         let (state, history) = &mut *guard;
         let outcome = state.adopt(change.clone());
         if outcome == AdoptOutcome::Adopted {
             history.push(change);
-            *self.in_force.write().expect("readers don't panic") = Arc::new(state.clone());
+            *self.in_force.write() = Arc::new(state.clone());
             self.metrics.revision(state.revision());
             self.revision.send_replace(state.revision());
         }
@@ -51,13 +52,13 @@
         if since >= self.revision() {
             return None;
         }
-        let guard = self.state.lock().expect("adoption does not panic");
+        let guard = self.state.lock();
         Some(guard.1.since(since).unwrap_or_else(|| guard.0.snapshot()))
     }
 
     /// The configuration in force.
     pub fn current(&self) -> Arc<ConfigState> {
-        Arc::clone(&self.in_force.read().expect("the writer does not panic"))
+        Arc::clone(&self.in_force.read())
     }
 
     /// The revision in force.
--- a/porthoistd/src/duty/claims.rs
+++ b/porthoistd/src/duty/claims.rs
@@ -1,12 +1,13 @@
 //! Claims of callers' own keys: writes that wait at the same time go to the table in one transaction.
 
 use futures::future::BoxFuture;
+use parking_lot::Mutex;
 use porthoist_caller::ClaimPort;
 use porthoist_core::{RingReceiver, RingSender, TicketText, bounded_ring};
 use porthoist_platform::{CLAIM_PREFIX, ItemRead, PlatformClient, TableWrite, WriteResult};
 use porthoist_policy::claim::{ClaimEvent, ClaimRow, VersionedClaim};
 use serde_json::Value;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use tokio::sync::oneshot;
 
 /// Claim calls that wait at most; more are answered as if the table were silent.
@@ -49,11 +50,7 @@
         make: impl FnOnce(oneshot::Sender<ClaimEvent<TicketText>>) -> ClaimCall,
     ) -> ClaimEvent<TicketText> {
         let (reply, answer) = oneshot::channel();
-        let sent = self
-            .0
-            .lock()
-            .expect("sending does not panic")
-            .try_send(make(reply));
+        let sent = self.0.lock().try_send(make(reply));
         if sent.is_err() {
             return ClaimEvent::TableSilent;
         }
--- a/porthoistd/src/duty/entry_fleet.rs
+++ b/porthoistd/src/duty/entry_fleet.rs
@@ -8,6 +8,7 @@
 use crate::duty::routing::{EntriesMessage, LoadMessage, RoutingActor};
 use futures::future::BoxFuture;
 use kameo::actor::ActorRef;
+use parking_lot::Mutex;
 use porthoist_caller::{OfferFailure, OfferPort};
 use porthoist_core::secret::SharedSecret;
 use porthoist_core::{
@@ -21,7 +22,7 @@
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 use view::FleetView;
@@ -85,7 +86,7 @@
 
 impl FleetHandle {
     fn send(&self, command: FleetCommand) -> Result<(), OfferFailure> {
-        let sent = self.0.lock().expect("sending does not panic").try_send(command);
+        let sent = self.0.lock().try_send(command);
         sent.map_err(|_full| OVERLOADED)
     }
 }
@@ -133,6 +134,7 @@
 }
 
 /// What every task of the duty shares.
+#[derive(Debug)]
 pub struct FleetShared {
     /// This entry's name.
     pub node: TargetName,
@@ -151,7 +153,7 @@
     /// Counters.
     pub metrics: Arc<MetricsHub>,
     /// The host list.
-    pub hosts: watch::Receiver<Vec<HostEntry>>,
+    pub hosts: watch::Sender<Vec<HostEntry>>,
     /// Logs.
     pub logger: Logger,
 }
@@ -269,7 +271,7 @@
 
     /// Keeps a task for each host on the list that this entry follows.
     async fn follow_hosts(self) {
-        let mut hosts = self.shared.hosts.clone();
+        let mut hosts = self.shared.hosts.subscribe();
         loop {
             let list = hosts.borrow_and_update().clone();
             self.shared.view.listed(&list);
--- a/porthoistd/src/duty/entry_fleet/gossip.rs
+++ b/porthoistd/src/duty/entry_fleet/gossip.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// Time between two exchanges with one peer.
-pub const GOSSIP_TIME: Duration = Duration::from_millis(1000);
+pub const GOSSIP_TIME: Duration = Duration::from_secs(1);
 
 impl EntryFleet {
     pub(crate) fn own_digest(&self) -> FleetDigest {
@@ -24,11 +24,29 @@
             demands: Vec::new(),
             change: None,
             ready: true,
+            wants_hosts: self.shared.hosts.borrow().is_empty(),
+            hosts: Vec::new(),
+        }
+    }
+
+    /// The host list for a peer that lacks it.
+    fn hosts_for(&self, wanted: bool) -> Vec<HostEntry> {
+        if wanted {
+            self.shared.hosts.borrow().clone()
+        } else {
+            Vec::new()
         }
     }
 
     fn take_digest(&self, digest: FleetDigest) {
         self.shared.view.entry_heard(&digest.node, digest.revision);
+        self.shared.hosts.send_if_modified(|known| {
+            let lacking = known.is_empty() && !digest.hosts.is_empty();
+            if lacking {
+                known.clone_from(&digest.hosts);
+            }
+            lacking
+        });
         let Some(change) = digest.change else { return };
         let revision = change.revision;
         if self.shared.config.adopt(change) == AdoptOutcome::Adopted {
@@ -69,7 +87,16 @@
                 return FleetError::unreachable(format!("{} answers in its place", digest.node));
             }
             let revision = digest.revision;
+            let hosts = self.hosts_for(digest.wants_hosts);
             self.take_digest(digest);
+            if !hosts.is_empty() {
+                let told = FleetDigest {
+                    hosts,
+                    ..self.own_digest()
+                };
+                // The next exchange tells it again if this one is lost.
+                drop(tokio::time::timeout(SILENCE_TIME, peer.gossip(&told)).await);
+            }
             if let Err(error) = self.bring_up_to_date(peer, revision).await {
                 return error;
             }
@@ -100,9 +127,11 @@
 
     fn gossip(&self, digest: FleetDigest) -> HandlerFuture<FleetDigest> {
         let change = self.shared.config.change_since(digest.revision);
+        let hosts = self.hosts_for(digest.wants_hosts);
         self.take_digest(digest);
         Box::pin(std::future::ready(FleetDigest {
             change,
+            hosts,
             ..self.own_digest()
         }))
     }
--- a/porthoistd/src/duty/entry_fleet/view.rs
+++ b/porthoistd/src/duty/entry_fleet/view.rs
@@ -1,11 +1,11 @@
 //! What this entry knows of the fleet, shared with the operators' duty.
 
+use parking_lot::{Mutex, MutexGuard};
 use porthoist_core::offer::TargetHello;
 use porthoist_core::{LoadReport, TargetName, ZoneName};
 use porthoist_operator::{NodeStatus, TargetStatus};
 use porthoist_platform::{HostEntry, HostRole};
 use std::collections::BTreeMap;
-use std::sync::{Mutex, MutexGuard};
 
 #[derive(Debug, Default)]
 struct ViewState {
@@ -19,7 +19,7 @@
 
 impl FleetView {
     fn state(&self) -> MutexGuard<'_, ViewState> {
-        self.0.lock().expect("no thread panics while it holds the view")
+        self.0.lock()
     }
 
     /// Takes the host list: hosts that were never heard are shown too.
--- a/porthoistd/src/duty/platform.rs
+++ b/porthoistd/src/duty/platform.rs
@@ -100,7 +100,9 @@
             }
         };
         self.heard.store(heard, Ordering::Relaxed);
-        if let Ok(hosts) = self.client.hosts().await {
+        if let Ok(hosts) = self.client.hosts().await
+            && !hosts.is_empty()
+        {
             self.hosts.send_if_modified(|known| {
                 let changed = *known != hosts;
                 *known = hosts;
--- a/porthoistd/src/duty/target_fleet.rs
+++ b/porthoistd/src/duty/target_fleet.rs
@@ -230,6 +230,8 @@
             demands: Vec::new(),
             change: self.config.change_since(digest.revision),
             ready: true,
+            wants_hosts: false,
+            hosts: Vec::new(),
         };
         Box::pin(std::future::ready(own))
     }
--- a/porthoistd/src/lib.rs
+++ b/porthoistd/src/lib.rs
@@ -29,8 +29,8 @@
     pub fn run(self) -> miette::Result<()> {
         let Self { settings, logger } = self;
         match settings.role {
-            DaemonRole::Entry => role::entry::run(settings, logger),
-            DaemonRole::Target => role::target::run(settings, logger),
+            DaemonRole::Entry => role::entry::run(settings, &logger),
+            DaemonRole::Target => role::target::run(settings, &logger),
             DaemonRole::Local => role::local::run(settings, &logger),
         }
         .into_diagnostic()
--- a/porthoistd/src/role/local.rs
+++ b/porthoistd/src/role/local.rs
@@ -65,10 +65,10 @@
         own.backend = format!("http://{backend}");
         own.operator_listen = ANY_PORT;
         own.fleet_listen = ANY_PORT;
-        target::start(own, logger.clone(), stopping.clone())?;
+        target::start(own, logger, stopping.clone())?;
     }
     let token = String::from_utf8_lossy(settings.operator_token.expose()).into_owned();
-    let (addresses, callers) = entry::start(settings, logger.clone(), stopping)?;
+    let (addresses, callers) = entry::start(settings, logger, stopping)?;
     println!("porthoist listens for callers on http://{}", addresses.callers);
     println!("Stream an answer:");
     println!(
--- a/porthoistd/src/role/target.rs
+++ b/porthoistd/src/role/target.rs
@@ -9,17 +9,18 @@
 use crate::duty::spawn_duty;
 use crate::duty::target_fleet::TargetHandler;
 use crate::settings::DaemonSettings;
-use porthoist_core::{AnchoredClock, ClockSource, LoadReport, TicketKey, bounded_ring};
+use kameo::actor::ActorRef;
+use porthoist_core::{AnchoredClock, IncarnationId, LoadReport, TicketKey, bounded_ring};
 use porthoist_fleet::serve_fleet;
 use porthoist_metrics::MetricsHub;
 use porthoist_operator::{OperatorServer, TableEditor};
-use porthoist_platform::{HostRole, HttpPlatform};
+use porthoist_platform::{HostEntry, HostRole, HttpPlatform};
 use porthoist_policy::admission::AdmissionSettings;
 use porthoist_policy::explain::DecisionLog;
-use porthoist_target::{HttpRunner, OffersSettings};
+use porthoist_target::{HttpRunner, OffersActor, OffersSettings};
 use slog::{Logger, info, o};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener as StdListener};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -45,7 +46,7 @@
 }
 
 /// Runs a target until it is told to stop and nothing is in flight.
-pub fn run(settings: DaemonSettings, logger: Logger) -> io::Result<()> {
+pub fn run(settings: DaemonSettings, logger: &Logger) -> io::Result<()> {
     let stopping = watch::Sender::new(false);
     let (addresses, fleet) = start(settings, logger, stopping)?;
     println!("fleet {}\noperator {}", addresses.fleet, addresses.operator);
@@ -57,125 +58,167 @@
 /// Starts a target's duties; the returned thread ends when the target has stopped gracefully.
 pub fn start(
     settings: DaemonSettings,
-    logger: Logger,
+    logger: &Logger,
     stopping: watch::Sender<bool>,
 ) -> io::Result<(TargetAddresses, JoinHandle<()>)> {
-    let logger = logger.new(o!("role" => "target", "name" => settings.name.to_string()));
-    let metrics = Arc::new(MetricsHub::new().map_err(io::Error::other)?);
-    let clock: Arc<dyn ClockSource> = Arc::new(AnchoredClock::new());
-    let config = ConfigHub::new(Arc::clone(&metrics));
-    let incarnation = random_incarnation();
-    let (operator_listener, operator_address) = bind(settings.operator_listen)?;
-    let (fleet_listener, fleet_address) = bind(settings.fleet_listen)?;
-    let heard = Arc::new(AtomicBool::new(false));
-    let open = Arc::new(AtomicU64::new(0));
+    let (operator_listener, operator) = bind(settings.operator_listen)?;
+    let (fleet_listener, fleet) = bind(settings.fleet_listen)?;
+    let own = host_entry(&settings, HostRole::Target, fleet);
+    let process = TargetProcess::new(settings, logger, stopping)?;
+    process.start_platform(own)?;
+    let (actor, load) = process.start_offers()?;
+    process.start_operators(operator_listener)?;
+    let thread = process.start_fleet(fleet_listener, actor, load)?;
+    Ok((TargetAddresses { fleet, operator }, thread))
+}
 
-    let own = host_entry(&settings, HostRole::Target, fleet_address);
-    let duty_config = Arc::clone(&config);
-    let duty_heard = Arc::clone(&heard);
-    let duty_logger = logger.clone();
-    let platform_url = settings.platform.clone();
-    spawn_duty("platform", move || async move {
-        let client = Arc::new(HttpPlatform::new(platform_url));
-        let hosts = watch::Sender::new(Vec::new());
-        let (config, heard, logger) = (duty_config, duty_heard, duty_logger);
-        PlatformDuty {
-            client,
-            config,
-            hosts,
-            heard,
-            own,
-            logger,
-        }
-        .run()
-        .await;
-    })?;
+/// What the duties of one target share.
+struct TargetProcess {
+    settings: DaemonSettings,
+    incarnation: IncarnationId,
+    metrics: Arc<MetricsHub>,
+    config: Arc<ConfigHub>,
+    platform_heard: Arc<AtomicBool>,
+    open: Arc<AtomicU64>,
+    stopping: watch::Sender<bool>,
+    logger: Logger,
+}
+
+impl TargetProcess {
+    fn new(settings: DaemonSettings, logger: &Logger, stopping: watch::Sender<bool>) -> io::Result<Self> {
+        let metrics = Arc::new(MetricsHub::new().map_err(io::Error::other)?);
+        Ok(Self {
+            incarnation: random_incarnation(),
+            config: ConfigHub::new(Arc::clone(&metrics)),
+            platform_heard: Arc::default(),
+            open: Arc::default(),
+            logger: logger.new(o!("role" => "target", "name" => settings.name.to_string())),
+            metrics,
+            settings,
+            stopping,
+        })
+    }
 
-    let (jobs, job_receiver) = bounded_ring(JOB_RING);
-    let load = watch::Sender::new(LoadReport::default());
-    let load_seen = load.subscribe();
-    let offers_settings = OffersSettings::builder()
-        .target(settings.name.clone())
-        .incarnation(incarnation)
-        .key(TicketKey::new(rand::random()))
-        .admission(
-            AdmissionSettings::builder()
-                .slots(settings.slots)
-                .queue(settings.queue)
-                .build(),
-        )
-        .clock(clock)
-        .jobs(jobs)
-        .weights(team_weights(Arc::clone(&config)))
-        .load(load)
-        .build();
-    let (handover, actor) = oneshot::channel();
-    spawn_duty("offers", move || run_offers(offers_settings, handover))?;
-    let actor = actor.blocking_recv().map_err(io::Error::other)?;
+    fn start_platform(&self, own: HostEntry) -> io::Result<()> {
+        let config = Arc::clone(&self.config);
+        let heard = Arc::clone(&self.platform_heard);
+        let logger = self.logger.clone();
+        let url = self.settings.platform.clone();
+        spawn_duty("platform", move || async move {
+            let client = Arc::new(HttpPlatform::new(url));
+            let hosts = watch::Sender::new(Vec::new());
+            PlatformDuty {
+                client,
+                config,
+                hosts,
+                heard,
+                own,
+                logger,
+            }
+            .run()
+            .await;
+        })?;
+        Ok(())
+    }
 
-    let runner = Arc::new(HttpRunner::new(settings.backend.clone()));
-    let (job_actor, job_metrics) = (actor.clone(), Arc::clone(&metrics));
-    spawn_duty("engine", move || {
-        run_backend(job_receiver, runner, job_actor, job_metrics)
-    })?;
+    fn start_offers(&self) -> io::Result<(ActorRef<OffersActor>, watch::Receiver<LoadReport>)> {
+        let (jobs, job_receiver) = bounded_ring(JOB_RING);
+        let load = watch::Sender::new(LoadReport::default());
+        let load_seen = load.subscribe();
+        let settings = &self.settings;
+        let offers = OffersSettings::builder()
+            .target(settings.name.clone())
+            .incarnation(self.incarnation)
+            .key(TicketKey::new(rand::random()))
+            .admission(
+                AdmissionSettings::builder()
+                    .slots(settings.slots)
+                    .queue(settings.queue)
+                    .build(),
+            )
+            .clock(Arc::new(AnchoredClock::new()))
+            .jobs(jobs)
+            .weights(team_weights(Arc::clone(&self.config)))
+            .load(load)
+            .build();
+        let (handover, actor) = oneshot::channel();
+        spawn_duty("offers", move || run_offers(offers, handover))?;
+        let actor: ActorRef<OffersActor> = actor.blocking_recv().map_err(io::Error::other)?;
+        let runner = Arc::new(HttpRunner::new(settings.backend.clone()));
+        let (job_actor, metrics) = (actor.clone(), Arc::clone(&self.metrics));
+        spawn_duty("engine", move || {
+            run_backend(job_receiver, runner, job_actor, metrics)
+        })?;
+        Ok((actor, load_seen))
+    }
 
-    let counted = Arc::clone(&open);
-    let process = ProcessView {
-        node: settings.name.clone(),
-        zone: settings.zone.clone(),
-        incarnation,
-        config: Arc::clone(&config),
-        fleet: Arc::default(),
-        platform_heard: heard,
-        decisions: Arc::new(Mutex::new(DecisionLog::new(1))),
-        in_flight: Box::new(move || counted.load(Ordering::Relaxed)),
-        stopping: stopping.subscribe(),
-    };
-    let token = settings.operator_token.clone();
-    let platform_url = settings.platform.clone();
-    let operator_metrics = Arc::clone(&metrics);
-    spawn_duty("operator", move || async move {
-        let editor = TableEditor::new(Arc::new(HttpPlatform::new(platform_url)));
-        let operators = OperatorServer::new(token, Arc::new(process), editor, operator_metrics);
-        if let Ok(listener) = TcpListener::from_std(operator_listener) {
+    fn start_operators(&self, listener: StdListener) -> io::Result<()> {
+        let counted = Arc::clone(&self.open);
+        let process = ProcessView {
+            node: self.settings.name.clone(),
+            zone: self.settings.zone.clone(),
+            incarnation: self.incarnation,
+            config: Arc::clone(&self.config),
+            fleet: Arc::default(),
+            platform_heard: Arc::clone(&self.platform_heard),
+            decisions: Arc::new(Mutex::new(DecisionLog::new(1))),
+            in_flight: Box::new(move || counted.load(Ordering::Relaxed)),
+            stopping: self.stopping.subscribe(),
+        };
+        let token = self.settings.operator_token.clone();
+        let url = self.settings.platform.clone();
+        let metrics = Arc::clone(&self.metrics);
+        spawn_duty("operator", move || async move {
+            let editor = TableEditor::new(Arc::new(HttpPlatform::new(url)));
+            let operators = OperatorServer::new(token, Arc::new(process), editor, metrics);
+            let listener = TcpListener::from_std(listener).expect("a bound listener fits the runtime");
             serve_operators(listener, operators).await;
-        }
-    })?;
+        })?;
+        Ok(())
+    }
 
-    let fleet = spawn_duty("fleet", move || async move {
-        let handler = TargetHandler {
-            target: settings.name.clone(),
-            zone: settings.zone.clone(),
+    fn start_fleet(
+        self,
+        listener: StdListener,
+        actor: ActorRef<OffersActor>,
+        load: watch::Receiver<LoadReport>,
+    ) -> io::Result<JoinHandle<()>> {
+        let Self {
+            settings,
             incarnation,
-            services: settings.services.into(),
-            offers: actor.clone(),
-            load: load_seen.clone(),
-            config: Arc::clone(&config),
-            open: Arc::clone(&open),
             metrics,
-        };
-        let Ok(listener) = TcpListener::from_std(fleet_listener) else {
-            panic!("the fleet listener can't be used");
-        };
-        info!(logger, "accepting offers"; "address" => %fleet_address, "incarnation" => %incarnation);
-        tokio::task::spawn_local(serve_fleet(listener, settings.fleet_key, Rc::new(handler)));
-        tokio::task::spawn_local(follow_drain(actor, settings.name, config, stopping.subscribe()));
-        let signal_open = Arc::clone(&open);
-        let mut stop_seen = stopping.subscribe();
-        let in_flight = move || signal_open.load(Ordering::Relaxed);
-        tokio::task::spawn_local(watch_signals(stopping, logger.clone(), in_flight));
-        if stop_seen.wait_for(|stop| *stop).await.is_ok() {
-            drained(&open, &load_seen).await;
-        }
-        info!(logger, "nothing is in flight any more");
-    })?;
-    Ok((
-        TargetAddresses {
-            fleet: fleet_address,
-            operator: operator_address,
-        },
-        fleet,
-    ))
+            config,
+            open,
+            stopping,
+            logger,
+            ..
+        } = self;
+        spawn_duty("fleet", move || async move {
+            let handler = TargetHandler {
+                target: settings.name.clone(),
+                zone: settings.zone.clone(),
+                incarnation,
+                services: settings.services.into(),
+                offers: actor.clone(),
+                load: load.clone(),
+                config: Arc::clone(&config),
+                open: Arc::clone(&open),
+                metrics,
+            };
+            let listener = TcpListener::from_std(listener).expect("a bound listener fits the runtime");
+            info!(logger, "accepting offers"; "address" => ?listener.local_addr(), "incarnation" => %incarnation);
+            tokio::task::spawn_local(serve_fleet(listener, settings.fleet_key, Rc::new(handler)));
+            tokio::task::spawn_local(follow_drain(actor, settings.name, config, stopping.subscribe()));
+            let mut stop_seen = stopping.subscribe();
+            let counted = Arc::clone(&open);
+            let in_flight = move || counted.load(Ordering::Relaxed);
+            tokio::task::spawn_local(watch_signals(stopping, logger.clone(), in_flight));
+            if stop_seen.wait_for(|stop| *stop).await.is_ok() {
+                drained(&open, &load).await;
+            }
+            info!(logger, "nothing is in flight any more");
+        })
+    }
 }
 
 /// Waits until nothing runs, waits or is being sent, and has not for a while.
--- /dev/null
+++ b/porthoistd/tests/process.rs
@@ -0,0 +1,21 @@
+//! The process-level suite: real processes on loopback, killed, paused, drained and cut off.
+//!
+//! Every wait is for an event, within a patience that only a hang exceeds; no test depends on speed.
+
+#[path = "process/harness.rs"]
+mod harness;
+
+#[path = "process/bad_input.rs"]
+mod bad_input;
+#[path = "process/config.rs"]
+mod config;
+#[path = "process/once.rs"]
+mod once;
+#[path = "process/path.rs"]
+mod path;
+#[path = "process/shutdown.rs"]
+mod shutdown;
+#[path = "process/table.rs"]
+mod table;
+#[path = "process/whole.rs"]
+mod whole;
--- /dev/null
+++ b/porthoistd/tests/process/shutdown.rs
@@ -0,0 +1,118 @@
+//! Leaving targets and graceful stops.
+
+use crate::harness::{Call, Fleet, completion, eventually, expected_words, stream_words};
+use nix::sys::signal::Signal;
+use std::time::Duration;
+use tokio::task::JoinHandle;
+
+/// Starts streams through an entry; each checks its own answer.
+fn open_streams(fleet: &Fleet, entry: usize, count: usize) -> Vec<JoinHandle<()>> {
+    let base = fleet.entries[entry].address("callers").to_owned();
+    let stream = |index: usize| {
+        let base = base.clone();
+        tokio::spawn(async move {
+            let prompt = format!("stop {index}");
+            let request = hyper::Request::post(format!("http://{base}/v1/completions"))
+                .header("porthoist-team", "border")
+                .body(http_body_util::Full::new(bytes::Bytes::from(completion(
+                    &prompt, 50, true,
+                ))))
+                .unwrap();
+            let answer = porthoist_http::HttpClient::new()
+                .fetch(request)
+                .await
+                .expect("the stream is not cut off");
+            let text = String::from_utf8(answer.body().to_vec()).unwrap();
+            assert_eq!(stream_words(&text), expected_words(&prompt, 50));
+            assert!(text.ends_with("data: [DONE]\n\n"));
+        })
+    };
+    (0..count).map(stream).collect()
+}
+
+async fn runs_of(fleet: &Fleet) -> usize {
+    let mut runs = 0;
+    for target in 0..fleet.targets.len() {
+        runs += fleet.journal(target).await.len();
+    }
+    runs
+}
+
+#[tokio::test]
+async fn a_stopping_entry_cuts_off_no_stream() {
+    let mut fleet = Fleet::start_with(1, 2, 0, "20").await;
+    let streams = open_streams(&fleet, 0, 20);
+    eventually("all streams run", || async { runs_of(&fleet).await == 20 }).await;
+    fleet.entries[0].signal(Signal::SIGTERM);
+    for stream in streams {
+        stream.await.unwrap();
+    }
+    assert!(fleet.entries[0].ended().await.success());
+    println!("SIGTERM of an entry: 20 streams, 0 cut off");
+}
+
+#[tokio::test]
+async fn a_stopping_target_cuts_off_no_stream() {
+    let mut fleet = Fleet::start_with(1, 2, 0, "20").await;
+    let streams = open_streams(&fleet, 0, 20);
+    eventually("all streams run", || async { runs_of(&fleet).await == 20 }).await;
+    fleet.targets[0].daemon.signal(Signal::SIGTERM);
+    for stream in streams {
+        stream.await.unwrap();
+    }
+    assert!(fleet.targets[0].daemon.ended().await.success());
+    for reason in ["stream_resumed", "connection_lost"] {
+        assert_eq!(fleet.counter(0, "porthoist_retries", reason).await, 0, "{reason}");
+    }
+    println!("SIGTERM of a target: 20 streams, 0 cut off, 0 resumed");
+}
+
+#[tokio::test]
+async fn a_stopping_entry_is_not_ready_but_still_answers() {
+    let mut fleet = Fleet::start_with(1, 1, 0, "20").await;
+    let streams = open_streams(&fleet, 0, 2);
+    eventually("the streams run", || async { runs_of(&fleet).await == 2 }).await;
+    fleet.entries[0].signal(Signal::SIGTERM);
+    let url = format!("http://{}/readyz", fleet.entries[0].address("operator"));
+    eventually("it is not ready", || async {
+        let request = hyper::Request::get(&url)
+            .body(http_body_util::Full::new(bytes::Bytes::new()))
+            .unwrap();
+        fleet.client.fetch(request).await.unwrap().status() == 503
+    })
+    .await;
+    for stream in streams {
+        stream.await.unwrap();
+    }
+    assert!(fleet.entries[0].ended().await.success());
+}
+
+#[tokio::test]
+async fn a_drained_target_takes_no_new_work() {
+    let fleet = Fleet::start(2, 2, 0).await;
+    let drained = fleet.tool(0, &["drain", "model-0", "--wait"]);
+    assert!(
+        drained.status.success(),
+        "{}",
+        String::from_utf8_lossy(&drained.stderr)
+    );
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let before = fleet.journal(0).await.len();
+    for round in 0..60 {
+        let call = Call::post("/v1/completions", completion(&format!("drain {round}"), 2, false));
+        assert_eq!(fleet.call(round % 2, call).await.status, 200);
+    }
+    assert_eq!(fleet.journal(0).await.len(), before, "no new work after 2 s");
+    assert!(
+        fleet
+            .tool(0, &["drain", "model-0", "--undo", "--wait"])
+            .status
+            .success()
+    );
+    eventually("it takes work again", || async {
+        let call = Call::post("/v1/completions", completion("undone", 2, false));
+        fleet.call(0, call).await;
+        fleet.journal(0).await.len() > before
+    })
+    .await;
+}
--- /dev/null
+++ b/porthoistd/tests/process/table.rs
@@ -0,0 +1,109 @@
+//! The operators' table: racing edits, import whole or not at all, and an edit whose answer was lost.
+
+use crate::harness::Fleet;
+use serde_json::json;
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[tokio::test]
+async fn of_two_racing_operators_one_gets_the_row_in_force() {
+    let fleet = Fleet::start(1, 1, 0).await;
+    let version = fleet.operator_get(0, "/v1/table").await["rows"][2]["version"]
+        .as_u64()
+        .unwrap()
+        .to_string();
+    let first = fleet.tool(
+        0,
+        &[
+            "table",
+            "set",
+            "team/border",
+            "weight=2",
+            "--if-version",
+            &version,
+        ],
+    );
+    let second = fleet.tool(
+        0,
+        &[
+            "table",
+            "set",
+            "team/border",
+            "weight=3",
+            "--if-version",
+            &version,
+        ],
+    );
+    assert!(first.status.success(), "{}", text(&first.stderr));
+    assert_eq!(second.status.code(), Some(3));
+    assert!(
+        text(&second.stderr).contains("in force: kind=team name=border weight=2"),
+        "{}",
+        text(&second.stderr)
+    );
+    let row = fleet.tool(0, &["table", "get", "team/border"]);
+    assert!(text(&row.stdout).contains("weight=2"));
+}
+
+#[tokio::test]
+async fn a_sheet_is_imported_whole_or_not_at_all() {
+    let fleet = Fleet::start(1, 1, 0).await;
+    let sheet = text(&fleet.tool(0, &["table", "export"]).stdout);
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("sheet.csv");
+    let file = path.to_str().unwrap();
+
+    let broken = sheet.replace("border,,100000/s", "border,5,many") + "team,new,1,5/s,,,,,,,,,\n";
+    std::fs::write(&path, &broken).unwrap();
+    let refused = fleet.tool(0, &["table", "import", file]);
+    assert_eq!(refused.status.code(), Some(2));
+    let said = text(&refused.stderr);
+    assert!(said.contains("column rate") && said.contains("line 4"), "{said}");
+    assert_eq!(
+        text(&fleet.tool(0, &["table", "export"]).stdout),
+        sheet,
+        "nothing was imported"
+    );
+
+    let good = sheet.replace("border,,100000/s", "border,5,99000/s") + "team,new,1,5/s,,,,,,,,,\n";
+    std::fs::write(&path, &good).unwrap();
+    let imported = fleet.tool(0, &["table", "import", file, "--wait"]);
+    assert!(imported.status.success(), "{}", text(&imported.stderr));
+    assert!(
+        text(&imported.stdout).starts_with("2 rows"),
+        "{}",
+        text(&imported.stdout)
+    );
+
+    let stale = good.replace("border,5,99000/s", "border,6,98000/s");
+    std::fs::write(&path, stale.replace("team,new,1,5/s", "team,newer,1,5/s")).unwrap();
+    let conflict = fleet.tool(0, &["table", "import", file]);
+    assert_eq!(conflict.status.code(), Some(3), "{}", text(&conflict.stderr));
+    let after = text(&fleet.tool(0, &["table", "export"]).stdout);
+    assert!(
+        after.contains("border,5,99000/s") && !after.contains("newer"),
+        "{after}"
+    );
+}
+
+#[tokio::test]
+async fn an_edit_whose_answer_was_lost_is_read_back() {
+    let fleet = Fleet::start(1, 1, 0).await;
+    fleet.platform_fault(json!({ "lose_answers": 1 })).await;
+    let set = fleet.tool(0, &["table", "set", "team/border", "weight=7"]);
+    assert!(set.status.success(), "{}", text(&set.stderr));
+    assert!(text(&set.stdout).contains("read back"), "{}", text(&set.stdout));
+    assert!(text(&fleet.tool(0, &["table", "get", "team/border"]).stdout).contains("weight=7"));
+}
+
+#[tokio::test]
+async fn an_edit_without_the_platform_is_reported_as_such() {
+    let fleet = Fleet::start(1, 1, 0).await;
+    fleet.platform_fault(json!({ "outage": true })).await;
+    let set = fleet.tool(0, &["table", "set", "team/border", "weight=7"]);
+    assert_eq!(set.status.code(), Some(4));
+    fleet.platform_fault(json!({})).await;
+    assert!(!text(&fleet.tool(0, &["table", "get", "team/border"]).stdout).contains("weight=7"));
+}
