--- a/crates/porthoist-caller/src/attempt.rs
+++ b/crates/porthoist-caller/src/attempt.rs
@@ -45,14 +45,7 @@
         let (sender, frames) = mpsc::channel(FRAME_BACKLOG);
         let id = offer.attempt;
         let pending = offers.offer(target.clone(), offer, sender);
-        Self {
-            id,
-            target,
-            pending,
-            frames,
-            peeked: None,
-            ended: None,
-        }
+        Self { id, target, pending, frames, peeked: None, ended: None }
     }
 
     /// Waits until there is news, without taking it.
@@ -71,10 +64,9 @@
     pub fn failed(&self) -> Option<OfferFailure> {
         match &self.ended {
             Some(Err(failure)) => Some(*failure),
-            Some(Ok(OfferOutcome::Refused { reason, verdict, .. })) => Some(OfferFailure {
-                reason: *reason,
-                verdict: *verdict,
-            }),
+            Some(Ok(OfferOutcome::Refused { reason, verdict, .. })) => {
+                Some(OfferFailure { reason: *reason, verdict: *verdict })
+            }
             _ => None,
         }
     }
--- a/crates/porthoist-caller/src/course.rs
+++ b/crates/porthoist-caller/src/course.rs
@@ -86,14 +86,7 @@
         let team = self.request.team.clone();
         let service = self.request.service.clone();
         let prompt_tokens = self.request.prompt_tokens;
-        self.ports.decided(
-            self.id,
-            DecisionKind::Received {
-                team: team.clone(),
-                service,
-                prompt_tokens,
-            },
-        );
+        self.ports.decided(self.id, DecisionKind::Received { team: team.clone(), service, prompt_tokens });
         let remaining = self.request.deadline.remaining(self.ports.clock.now());
         let end = match tokio::time::timeout(remaining, self.drive()).await {
             Ok(end) => end,
@@ -115,11 +108,7 @@
 
     fn late(&self) -> CallerRefusal {
         let keyed = self.request.key.is_some();
-        let verdict = if self.open || keyed {
-            RunVerdict::MayHaveRun
-        } else {
-            self.worst
-        };
+        let verdict = if self.open || keyed { RunVerdict::MayHaveRun } else { self.worst };
         CallerRefusal {
             reason: RefusalReason::DeadlinePassed,
             verdict: verdict.max(self.worst),
@@ -140,27 +129,17 @@
         self.ports.metrics.dropped_frames("foreign", dropped.foreign);
         self.ports.metrics.dropped_frames("repeated", dropped.repeated);
         if delivered.is_ok() {
-            let first_byte = self
-                .delivery
-                .first_byte_at()
-                .unwrap_or(now)
-                .since(self.received_at);
+            let first_byte = self.delivery.first_byte_at().unwrap_or(now).since(self.received_at);
             self.ports.metrics.answer(first_byte as f64);
             self.ports.routing.first_token(first_byte);
-            self.ports.decided(
-                self.id,
-                DecisionKind::Answered {
-                    first_byte_millis: first_byte,
-                },
-            );
+            self.ports.decided(self.id, DecisionKind::Answered { first_byte_millis: first_byte });
         }
     }
 
     async fn refuse(&mut self, refusal: CallerRefusal) {
         self.ports.metrics.refusal(refusal.reason, refusal.verdict);
         let CallerRefusal { reason, verdict, .. } = refusal;
-        self.ports
-            .decided(self.id, DecisionKind::Refused { reason, verdict });
+        self.ports.decided(self.id, DecisionKind::Refused { reason, verdict });
         self.delivery.refuse(refusal).await;
     }
 
@@ -203,12 +182,7 @@
     ) -> CallerRefusal {
         let detail = format!("attempt {} failed: {}", self.attempts, failure.reason);
         let verdict = failure.verdict.max(self.worst);
-        CallerRefusal {
-            reason: failure.reason,
-            verdict,
-            retry_at,
-            detail,
-        }
+        CallerRefusal { reason: failure.reason, verdict, retry_at, detail }
     }
 
     fn worsened(&self, mut refusal: CallerRefusal) -> CallerRefusal {
@@ -234,11 +208,7 @@
     }
 
     fn next_attempt(&self) -> AttemptId {
-        AttemptId {
-            entry: self.entry,
-            request: self.id,
-            attempt: self.attempts,
-        }
+        AttemptId { entry: self.entry, request: self.id, attempt: self.attempts }
     }
 
     /// Asks for a target; the first call also asks for admission.
@@ -309,9 +279,7 @@
 
     async fn offer_routed(&mut self, told: RouteTold, exclude: &mut Vec<TargetName>) -> AttemptEnd {
         let primary = self.open_routed(&told);
-        let hedge_at = told
-            .hedge_at
-            .filter(|_at| self.request.repeat == RepeatPolicy::Safe);
+        let hedge_at = told.hedge_at.filter(|_at| self.request.repeat == RepeatPolicy::Safe);
         let Some(hedge_at) = hedge_at else {
             return self.follow(primary).await;
         };
@@ -391,11 +359,9 @@
             OfferOutcome::StreamEnd { frames, digest } if self.delivery.complete(frames, digest) => {
                 AttemptEnd::Streamed
             }
-            OfferOutcome::Refused {
-                reason,
-                verdict,
-                retry_at,
-            } => AttemptEnd::Failed(OfferFailure { reason, verdict }, retry_at),
+            OfferOutcome::Refused { reason, verdict, retry_at } => {
+                AttemptEnd::Failed(OfferFailure { reason, verdict }, retry_at)
+            }
             OfferOutcome::Whole { .. } | OfferOutcome::StreamEnd { .. } => corrupt(),
         }
     }
@@ -404,14 +370,7 @@
         self.open = false;
         if let AttemptEnd::Failed(OfferFailure { reason, verdict }, _retry_at) = *end {
             self.worst = self.worst.max(verdict);
-            self.ports.decided(
-                self.id,
-                DecisionKind::Failed {
-                    attempt: attempt.attempt,
-                    reason,
-                    verdict,
-                },
-            );
+            self.ports.decided(self.id, DecisionKind::Failed { attempt: attempt.attempt, reason, verdict });
         }
     }
 }
--- a/crates/porthoist-caller/src/delivery.rs
+++ b/crates/porthoist-caller/src/delivery.rs
@@ -108,9 +108,7 @@
     fn open(&mut self, now: UnixMillis) -> Result<(), CallerGone> {
         let (sender, receiver) = mpsc::channel(BODY_PIECES);
         let start = self.start.take().ok_or(CallerGone)?;
-        start
-            .send(AnswerStart::Streaming(receiver))
-            .map_err(|_closed| CallerGone)?;
+        start.send(AnswerStart::Streaming(receiver)).map_err(|_closed| CallerGone)?;
         self.first_byte_at = Some(now);
         self.body = Some(sender);
         Ok(())
@@ -128,9 +126,7 @@
     pub fn finish_whole(&mut self, now: UnixMillis, head: AnswerHead, body: Bytes) -> Result<(), CallerGone> {
         let start = self.start.take().ok_or(CallerGone)?;
         self.first_byte_at = Some(now);
-        start
-            .send(AnswerStart::Whole(head, body))
-            .map_err(|_closed| CallerGone)
+        start.send(AnswerStart::Whole(head, body)).map_err(|_closed| CallerGone)
     }
 
     /// Sends the refusal, or breaks off a stream so that it can't be taken for whole.
--- a/crates/porthoist-caller/src/keyed.rs
+++ b/crates/porthoist-caller/src/keyed.rs
@@ -113,12 +113,7 @@
         };
         let team = self.request.team.clone();
         let deadline = UnixDeadline(self.request.deadline.0.plus(CLAIM_TICKET_MILLIS));
-        match self
-            .ports
-            .offers
-            .mint(told.choice.target, team, 1, deadline)
-            .await
-        {
+        match self.ports.offers.mint(told.choice.target, team, 1, deadline).await {
             Ok(tickets) => match tickets.into_iter().next() {
                 Some(ticket) => ClaimEvent::Minted(ticket),
                 None => ClaimEvent::MintFailed(RefusalReason::Draining),
@@ -162,10 +157,5 @@
         RunVerdict::MayHaveRun => "what became of the key is not known",
         RunVerdict::Ran => "the request ran; its answer is no longer kept",
     };
-    CallerRefusal {
-        reason,
-        verdict,
-        retry_at: None,
-        detail: detail.to_owned(),
-    }
+    CallerRefusal { reason, verdict, retry_at: None, detail: detail.to_owned() }
 }
--- a/crates/porthoist-caller/src/ports.rs
+++ b/crates/porthoist-caller/src/ports.rs
@@ -30,12 +30,7 @@
 impl CallerRefusal {
     /// A refusal before anything was sent.
     pub fn not_run(reason: RefusalReason, detail: impl Into<String>) -> Self {
-        Self {
-            reason,
-            verdict: RunVerdict::NotRun,
-            retry_at: None,
-            detail: detail.into(),
-        }
+        Self { reason, verdict: RunVerdict::NotRun, retry_at: None, detail: detail.into() }
     }
 }
 
--- a/crates/porthoist-caller/src/problem.rs
+++ b/crates/porthoist-caller/src/problem.rs
@@ -49,10 +49,7 @@
     let mut response = Response::new(full_body(bytes));
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
     let headers = response.headers_mut();
-    headers.insert(
-        "content-type",
-        HeaderValue::from_static("application/problem+json"),
-    );
+    headers.insert("content-type", HeaderValue::from_static("application/problem+json"));
     headers.insert(VERDICT_HEADER, HeaderValue::from_static(refusal.verdict.as_str()));
     if let Some(retry_at) = refusal.retry_at {
         headers.insert(RETRY_AFTER, HeaderValue::from(retry_at.since(now).div_ceil(1000)));
--- a/crates/porthoist-caller/src/request.rs
+++ b/crates/porthoist-caller/src/request.rs
@@ -83,10 +83,7 @@
     let Some(value) = headers.get(name) else {
         return Ok(None);
     };
-    value
-        .to_str()
-        .map(Some)
-        .map_err(|_text| malformed(format!("header {name} is not text")))
+    value.to_str().map(Some).map_err(|_text| malformed(format!("header {name} is not text")))
 }
 
 fn header_value<T>(headers: &HeaderMap, name: &str) -> Result<Option<T>, CallerRefusal>
@@ -97,10 +94,7 @@
     let Some(text) = header_text(headers, name)? else {
         return Ok(None);
     };
-    text.trim()
-        .parse()
-        .map(Some)
-        .map_err(|error: T::Err| malformed(format!("header {name}: {error}")))
+    text.trim().parse().map(Some).map_err(|error: T::Err| malformed(format!("header {name}: {error}")))
 }
 
 #[derive(Debug, Deserialize)]
@@ -136,43 +130,22 @@
     }
     let parsed: CompletionBody = serde_json::from_slice(body)
         .map_err(|error| malformed(format!("the body is not a completion request: {error}")))?;
-    let service = parsed
-        .model
-        .parse()
-        .map_err(|error| malformed(format!("field model: {error}")))?;
+    let service = parsed.model.parse().map_err(|error| malformed(format!("field model: {error}")))?;
     let mut prompt = parsed.prompt.into_bytes();
     for message in &parsed.messages {
         prompt.extend_from_slice(message.to_string().as_bytes());
     }
-    Ok(Addressed {
-        service,
-        path: path.to_owned(),
-        stream: parsed.stream,
-        prompt,
-        kind: ServiceKind::Model,
-    })
+    Ok(Addressed { service, path: path.to_owned(), stream: parsed.stream, prompt, kind: ServiceKind::Model })
 }
 
 fn plain(path: &str, parts: &Parts) -> Result<Addressed, CallerRefusal> {
     let unknown = || CallerRefusal::not_run(RefusalReason::UnknownService, format!("no such path: {path}"));
     let rest = path.strip_prefix("/services/").ok_or_else(unknown)?;
     let (name, tail) = rest.split_once('/').unwrap_or((rest, ""));
-    let service = name
-        .parse()
-        .map_err(|error| malformed(format!("service in the path: {error}")))?;
-    let query = parts
-        .uri
-        .query()
-        .map(|query| format!("?{query}"))
-        .unwrap_or_default();
+    let service = name.parse().map_err(|error| malformed(format!("service in the path: {error}")))?;
+    let query = parts.uri.query().map(|query| format!("?{query}")).unwrap_or_default();
     let path = format!("/{tail}{query}");
-    Ok(Addressed {
-        service,
-        path,
-        stream: false,
-        prompt: Vec::new(),
-        kind: ServiceKind::Plain,
-    })
+    Ok(Addressed { service, path, stream: false, prompt: Vec::new(), kind: ServiceKind::Plain })
 }
 
 /// Headers that are this system's or the connection's own, and are not passed on.
@@ -220,9 +193,7 @@
         return Ok(None);
     };
     if text.is_empty() || text.len() > MAX_KEY_BYTES {
-        return Err(malformed(format!(
-            "header idempotency-key: expected 1 to {MAX_KEY_BYTES} bytes"
-        )));
+        return Err(malformed(format!("header idempotency-key: expected 1 to {MAX_KEY_BYTES} bytes")));
     }
     match text.parse() {
         Ok(ticket) => Ok(Some(CallerKey::Ticket(ticket))),
@@ -243,11 +214,7 @@
         return Ok(configured);
     }
     let idempotent = kind == ServiceKind::Model || parts.method.is_idempotent();
-    Ok(if idempotent {
-        RepeatPolicy::Safe
-    } else {
-        RepeatPolicy::Never
-    })
+    Ok(if idempotent { RepeatPolicy::Safe } else { RepeatPolicy::Never })
 }
 
 fn deadline(
@@ -274,11 +241,7 @@
     let row = config.team(&team).ok_or_else(refused)?;
     let bearer = header_text(headers, "authorization")?.and_then(|text| text.strip_prefix("Bearer "));
     let allowed = row.token.is_empty() || matches_sha256_hex(bearer.unwrap_or("").as_bytes(), &row.token);
-    if allowed {
-        Ok((team, row.priority))
-    } else {
-        Err(refused())
-    }
+    if allowed { Ok((team, row.priority)) } else { Err(refused()) }
 }
 
 /// Reads a request whose body is whole.
@@ -291,22 +254,10 @@
 ) -> Result<CallerRequest, CallerRefusal> {
     let (team, row_priority) = authorized_team(&parts.headers, config)?;
     let deadline = deadline(&parts.headers, now, defaults)?;
-    let Addressed {
-        service,
-        path,
-        stream,
-        prompt,
-        kind,
-    } = addressed(parts, &body)?;
-    let row = config
-        .service(&service)
-        .filter(|row| row.mode == kind)
-        .ok_or_else(|| {
-            CallerRefusal::not_run(
-                RefusalReason::UnknownService,
-                format!("no {kind} service named {service}"),
-            )
-        })?;
+    let Addressed { service, path, stream, prompt, kind } = addressed(parts, &body)?;
+    let row = config.service(&service).filter(|row| row.mode == kind).ok_or_else(|| {
+        CallerRefusal::not_run(RefusalReason::UnknownService, format!("no {kind} service named {service}"))
+    })?;
     Ok(CallerRequest {
         team,
         service,
--- a/crates/porthoist-caller/src/server.rs
+++ b/crates/porthoist-caller/src/server.rs
@@ -77,15 +77,7 @@
     /// A server; while `stopping` holds `true` it says that it is not ready, and still answers.
     pub fn new(settings: CallerSettings, ports: CallerPorts, stopping: watch::Receiver<bool>) -> Self {
         let (next_request, in_flight) = (AtomicU64::new(1), AtomicU64::new(0));
-        Self {
-            shared: Arc::new(ServerShared {
-                settings,
-                ports,
-                next_request,
-                in_flight,
-                stopping,
-            }),
-        }
+        Self { shared: Arc::new(ServerShared { settings, ports, next_request, in_flight, stopping }) }
     }
 
     /// Requests whose course has not ended.
@@ -143,17 +135,11 @@
         if head.uri.path() == "/porthoist/v1/tickets" {
             return self.tickets(id, &head.headers, &body).await;
         }
-        let defaults = RequestDefaults {
-            deadline_millis: self.shared.settings.deadline_millis,
-        };
+        let defaults = RequestDefaults { deadline_millis: self.shared.settings.deadline_millis };
         let parsed = read_request(&head, body, ports.clock.now(), ports.config.as_ref(), defaults)?;
         let (sender, start) = oneshot::channel();
         let entry = self.shared.settings.entry;
-        let first = AttemptId {
-            entry,
-            request: id,
-            attempt: 0,
-        };
+        let first = AttemptId { entry, request: id, attempt: 0 };
         let delivery = AnswerDelivery::new(first, parsed.resume_after, sender);
         let course = RequestCourse::new(ports.clone(), entry, id, parsed, delivery);
         self.shared.in_flight.fetch_add(1, Ordering::Relaxed);
@@ -169,18 +155,14 @@
                 let label = format!("{entry}-{id}");
                 Ok(problem_response(ports.clock.now(), &label, &refusal))
             }
-            Err(_dropped) => Ok(text_response(
-                StatusCode::INTERNAL_SERVER_ERROR,
-                "the request was abandoned\n",
-            )),
+            Err(_dropped) => {
+                Ok(text_response(StatusCode::INTERNAL_SERVER_ERROR, "the request was abandoned\n"))
+            }
         }
     }
 
     fn check_headers(&self, headers: &HeaderMap) -> Result<(), CallerRefusal> {
-        let total: usize = headers
-            .iter()
-            .map(|(name, value)| name.as_str().len() + value.len())
-            .sum();
+        let total: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
         let limit = self.shared.settings.header_bytes;
         if total <= limit {
             return Ok(());
@@ -197,10 +179,9 @@
                 let detail = format!("the body is longer than {limit} bytes");
                 Err(CallerRefusal::not_run(RefusalReason::BodyTooLong, detail))
             }
-            Err(error) => Err(CallerRefusal::not_run(
-                RefusalReason::Malformed,
-                format!("the body broke off: {error}"),
-            )),
+            Err(error) => {
+                Err(CallerRefusal::not_run(RefusalReason::Malformed, format!("the body broke off: {error}")))
+            }
         }
     }
 
@@ -221,11 +202,7 @@
         let now = ports.clock.now();
         let deadline = wanted.deadline.unwrap_or(UnixDeadline::after(now, TICKET_MILLIS));
         let ask = RouteAsk {
-            attempt: AttemptId {
-                entry: self.shared.settings.entry,
-                request: id,
-                attempt: 0,
-            },
+            attempt: AttemptId { entry: self.shared.settings.entry, request: id, attempt: 0 },
             team: team.clone(),
             service: wanted.service,
             deadline,
@@ -237,17 +214,11 @@
             peek: true,
         };
         let told = ports.routing.route(ask).await?;
-        let minted = ports
-            .offers
-            .mint(told.choice.target, team.clone(), wanted.count, deadline)
-            .await;
+        let minted = ports.offers.mint(told.choice.target, team.clone(), wanted.count, deadline).await;
         ports.routing.release(team);
         match minted {
             Ok(tickets) => Ok(json_response(StatusCode::OK, &TicketAnswer { tickets })),
-            Err(failure) => Err(CallerRefusal::not_run(
-                failure.reason,
-                "no ticket could be minted",
-            )),
+            Err(failure) => Err(CallerRefusal::not_run(failure.reason, "no ticket could be minted")),
         }
     }
 }
@@ -259,12 +230,8 @@
     });
     let body = StreamBody::new(pieces.map(|piece| piece.map(Frame::data)));
     let mut response = Response::new(body.boxed_unsync());
-    response
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
-    response
-        .headers_mut()
-        .insert("cache-control", HeaderValue::from_static("no-store"));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    response.headers_mut().insert("cache-control", HeaderValue::from_static("no-store"));
     response
 }
 
--- a/crates/porthoist-core/src/deadline.rs
+++ b/crates/porthoist-core/src/deadline.rs
@@ -60,9 +60,7 @@
     type Err = DeadlineError;
 
     fn from_str(text: &str) -> Result<Self, DeadlineError> {
-        let millis = text
-            .parse()
-            .map_err(|_parse| DeadlineError(text.chars().take(64).collect()))?;
+        let millis = text.parse().map_err(|_parse| DeadlineError(text.chars().take(64).collect()))?;
         Ok(Self(UnixMillis(millis)))
     }
 }
@@ -86,10 +84,7 @@
     /// Reads the wall clock.
     pub fn new() -> Self {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self {
-            wall: UnixMillis(since_epoch.as_millis() as u64),
-            start: Instant::now(),
-        }
+        Self { wall: UnixMillis(since_epoch.as_millis() as u64), start: Instant::now() }
     }
 }
 
--- a/crates/porthoist-core/src/ids.rs
+++ b/crates/porthoist-core/src/ids.rs
@@ -28,11 +28,7 @@
         return Ok(());
     }
     let text = text.chars().take(MAX_NAME_BYTES).collect();
-    Err(IdError {
-        role,
-        text,
-        expected: NAME_RULE,
-    })
+    Err(IdError { role, text, expected: NAME_RULE })
 }
 
 macro_rules! name_type {
--- a/crates/porthoist-core/src/offer.rs
+++ b/crates/porthoist-core/src/offer.rs
@@ -91,16 +91,9 @@
     type Err = OfferParseError;
 
     fn from_str(text: &str) -> Result<Self, OfferParseError> {
-        let error = || OfferParseError {
-            text: text.chars().take(64).collect(),
-            expected: "0 to 9",
-        };
+        let error = || OfferParseError { text: text.chars().take(64).collect(), expected: "0 to 9" };
         let level = text.parse().map_err(|_parse| error())?;
-        if level <= Self::MAX.0 {
-            Ok(Self(level))
-        } else {
-            Err(error())
-        }
+        if level <= Self::MAX.0 { Ok(Self(level)) } else { Err(error()) }
     }
 }
 
@@ -145,12 +138,7 @@
     /// Fingerprint of everything that a repeat under the same key must share.
     pub fn fingerprint(&self) -> u64 {
         let mut hasher = Xxh3::new();
-        for part in [
-            self.team.as_str(),
-            self.service.as_str(),
-            &self.method,
-            &self.path,
-        ] {
+        for part in [self.team.as_str(), self.service.as_str(), &self.method, &self.path] {
             hasher.update(part.as_bytes());
             hasher.update(&[0]);
         }
--- a/crates/porthoist-core/src/quantity.rs
+++ b/crates/porthoist-core/src/quantity.rs
@@ -75,10 +75,6 @@
         };
         let digits = text.strip_suffix("/s").unwrap_or(text).trim();
         let rate: f64 = digits.parse().map_err(|_parse| error())?;
-        if rate.is_finite() && rate >= 0.0 {
-            Ok(Self(rate))
-        } else {
-            Err(error())
-        }
+        if rate.is_finite() && rate >= 0.0 { Ok(Self(rate)) } else { Err(error()) }
     }
 }
--- a/crates/porthoist-core/src/ring.rs
+++ b/crates/porthoist-core/src/ring.rs
@@ -28,10 +28,7 @@
 pub fn bounded_ring<T>(capacity: usize) -> (RingSender<T>, RingReceiver<T>) {
     let (producer, consumer) = RingBuffer::new(capacity);
     let wake = Arc::new(Notify::new());
-    let sender = RingSender {
-        producer,
-        wake: Arc::clone(&wake),
-    };
+    let sender = RingSender { producer, wake: Arc::clone(&wake) };
     (sender, RingReceiver { consumer, wake })
 }
 
--- a/crates/porthoist-core/src/ticket.rs
+++ b/crates/porthoist-core/src/ticket.rs
@@ -52,13 +52,7 @@
         deadline: UnixDeadline,
         team: &TeamName,
     ) -> TicketText {
-        let mut ticket = TicketText {
-            target: target.clone(),
-            incarnation,
-            sequence,
-            deadline,
-            tag: 0,
-        };
+        let mut ticket = TicketText { target: target.clone(), incarnation, sequence, deadline, tag: 0 };
         ticket.tag = self.tag(&ticket, team);
         ticket
     }
@@ -87,17 +81,8 @@
 
 impl fmt::Display for TicketText {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self {
-            target,
-            incarnation,
-            sequence,
-            deadline,
-            tag,
-        } = self;
-        write!(
-            f,
-            "{PREFIX}:{target}:{incarnation}:{sequence}:{deadline}:{tag:032x}"
-        )
+        let Self { target, incarnation, sequence, deadline, tag } = self;
+        write!(f, "{PREFIX}:{target}:{incarnation}:{sequence}:{deadline}:{tag:032x}")
     }
 }
 
@@ -123,9 +108,7 @@
         let millis: u64 = deadline.parse().map_err(|_parse| TicketError("bad deadline"))?;
         Ok(Self {
             target: target.parse().map_err(|_parse| TicketError("bad target name"))?,
-            incarnation: incarnation
-                .parse()
-                .map_err(|_parse| TicketError("bad incarnation"))?,
+            incarnation: incarnation.parse().map_err(|_parse| TicketError("bad incarnation"))?,
             sequence: sequence.parse().map_err(|_parse| TicketError("bad sequence"))?,
             deadline: UnixDeadline(UnixMillis(millis)),
             tag: u128::from_str_radix(tag, 16).map_err(|_parse| TicketError("bad tag"))?,
--- a/crates/porthoist-fleet/src/client.rs
+++ b/crates/porthoist-fleet/src/client.rs
@@ -40,21 +40,13 @@
     /// The peer could not be reached; nothing was sent.
     pub fn unreachable(message: impl fmt::Display) -> Self {
         let message = message.to_string();
-        Self {
-            reason: RefusalReason::Unreachable,
-            verdict: RunVerdict::NotRun,
-            message,
-        }
+        Self { reason: RefusalReason::Unreachable, verdict: RunVerdict::NotRun, message }
     }
 
     /// The connection broke after the call was sent.
     pub fn lost(message: impl fmt::Display) -> Self {
         let message = message.to_string();
-        Self {
-            reason: RefusalReason::ConnectionLost,
-            verdict: RunVerdict::MayHaveRun,
-            message,
-        }
+        Self { reason: RefusalReason::ConnectionLost, verdict: RunVerdict::MayHaveRun, message }
     }
 }
 
@@ -86,9 +78,7 @@
 
 impl fmt::Debug for FleetPeer {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("FleetPeer")
-            .field("alive", &self.alive.get())
-            .finish_non_exhaustive()
+        f.debug_struct("FleetPeer").field("alive", &self.alive.get()).finish_non_exhaustive()
     }
 }
 
@@ -97,16 +87,12 @@
     pub async fn connect(address: &str, key: &SharedSecret) -> Result<Self, FleetError> {
         match tokio::time::timeout(CONNECT_TIME, Self::connect_patiently(address, key)).await {
             Ok(connected) => connected,
-            Err(_elapsed) => Err(FleetError::unreachable(format!(
-                "{address}: no connection in time"
-            ))),
+            Err(_elapsed) => Err(FleetError::unreachable(format!("{address}: no connection in time"))),
         }
     }
 
     async fn connect_patiently(address: &str, key: &SharedSecret) -> Result<Self, FleetError> {
-        let stream = TcpStream::connect(address)
-            .await
-            .map_err(FleetError::unreachable)?;
+        let stream = TcpStream::connect(address).await.map_err(FleetError::unreachable)?;
         let mut system = RpcSystem::new(Box::new(vat_network(stream, Side::Client)), None);
         let login: login::Client = system.bootstrap(Side::Server);
         let alive = Rc::new(Cell::new(true));
@@ -183,13 +169,7 @@
 
     /// Asks who the peer is; an entry has no hello.
     pub async fn hello(&self) -> Result<Option<TargetHello>, FleetError> {
-        let response = self
-            .node
-            .hello_request()
-            .send()
-            .promise
-            .await
-            .map_err(FleetError::unreachable)?;
+        let response = self.node.hello_request().send().promise.await.map_err(FleetError::unreachable)?;
         let results = response.get().map_err(FleetError::unreachable)?;
         let bytes = results.get_hello().map_err(FleetError::unreachable)?;
         serde_json::from_slice(bytes).map_err(FleetError::unreachable)
--- a/crates/porthoist-fleet/src/convert.rs
+++ b/crates/porthoist-fleet/src/convert.rs
@@ -15,9 +15,7 @@
 where
     T::Err: std::fmt::Display,
 {
-    text.to_str()?
-        .parse()
-        .map_err(|error: T::Err| Error::failed(error.to_string()))
+    text.to_str()?.parse().map_err(|error: T::Err| Error::failed(error.to_string()))
 }
 
 fn write_attempt(mut builder: attempt::Builder<'_>, id: AttemptId) {
@@ -44,12 +42,7 @@
 
 fn read_headers(list: struct_list::Reader<'_, header::Owned>) -> Result<Vec<(String, String)>, Error> {
     list.iter()
-        .map(|reader| {
-            Ok((
-                reader.get_name()?.to_str()?.to_owned(),
-                reader.get_value()?.to_str()?.to_owned(),
-            ))
-        })
+        .map(|reader| Ok((reader.get_name()?.to_str()?.to_owned(), reader.get_value()?.to_str()?.to_owned())))
         .collect()
 }
 
@@ -61,10 +54,7 @@
     builder.set_plain(request.kind == ServiceKind::Plain);
     builder.set_method(&request.method);
     builder.set_path(&request.path);
-    write_headers(
-        builder.reborrow().init_headers(request.headers.len() as u32),
-        &request.headers,
-    );
+    write_headers(builder.reborrow().init_headers(request.headers.len() as u32), &request.headers);
     builder.set_body(&request.body);
     builder.set_deadline(request.deadline.0.0);
     builder.set_priority(request.priority.0);
@@ -83,33 +73,21 @@
 
 /// Reads an offer.
 pub fn read_offer(reader: offer::Reader<'_>) -> Result<RequestOffer, Error> {
-    let ticket = if reader.has_ticket() {
-        Some(parsed(reader.get_ticket()?)?)
-    } else {
-        None
-    };
+    let ticket = if reader.has_ticket() { Some(parsed(reader.get_ticket()?)?) } else { None };
     let blocks: primitive_list::Reader<'_, u64> = reader.get_prefix_blocks()?;
     let resume_after = reader.get_resume_after();
     Ok(RequestOffer {
         attempt: read_attempt(reader.get_attempt()?),
         team: parsed(reader.get_team()?)?,
         service: parsed(reader.get_service()?)?,
-        kind: if reader.get_plain() {
-            ServiceKind::Plain
-        } else {
-            ServiceKind::Model
-        },
+        kind: if reader.get_plain() { ServiceKind::Plain } else { ServiceKind::Model },
         method: reader.get_method()?.to_str()?.to_owned(),
         path: reader.get_path()?.to_str()?.to_owned(),
         headers: read_headers(reader.get_headers()?)?,
         body: Bytes::copy_from_slice(reader.get_body()?),
         deadline: UnixDeadline(UnixMillis(reader.get_deadline())),
         priority: RequestPriority(reader.get_priority().min(RequestPriority::MAX.0)),
-        repeat: if reader.get_never() {
-            RepeatPolicy::Never
-        } else {
-            RepeatPolicy::Safe
-        },
+        repeat: if reader.get_never() { RepeatPolicy::Never } else { RepeatPolicy::Safe },
         ticket,
         stream: reader.get_stream(),
         resume_after: (resume_after > 0).then_some(resume_after),
@@ -169,11 +147,7 @@
 pub fn write_outcome(mut builder: outcome::Builder<'_>, ended: &OfferOutcome, report: &LoadReport) {
     write_load(builder.reborrow().init_load(), report);
     match ended {
-        OfferOutcome::Refused {
-            reason,
-            verdict,
-            retry_at,
-        } => {
+        OfferOutcome::Refused { reason, verdict, retry_at } => {
             let mut refused = builder.init_refused();
             refused.set_reason(reason.as_str());
             refused.set_verdict(verdict.as_str());
@@ -182,10 +156,7 @@
         OfferOutcome::Whole { head, body, digest } => {
             let mut whole = builder.init_whole();
             whole.set_status(head.status);
-            write_headers(
-                whole.reborrow().init_headers(head.headers.len() as u32),
-                &head.headers,
-            );
+            write_headers(whole.reborrow().init_headers(head.headers.len() as u32), &head.headers);
             whole.set_body(body);
             whole.set_digest(*digest);
         }
@@ -210,17 +181,13 @@
             }
         }
         outcome::Which::Whole(whole) => OfferOutcome::Whole {
-            head: AnswerHead {
-                status: whole.get_status(),
-                headers: read_headers(whole.get_headers()?)?,
-            },
+            head: AnswerHead { status: whole.get_status(), headers: read_headers(whole.get_headers()?)? },
             body: Bytes::copy_from_slice(whole.get_body()?),
             digest: whole.get_digest(),
         },
-        outcome::Which::StreamEnd(end) => OfferOutcome::StreamEnd {
-            frames: end.get_frames(),
-            digest: end.get_digest(),
-        },
+        outcome::Which::StreamEnd(end) => {
+            OfferOutcome::StreamEnd { frames: end.get_frames(), digest: end.get_digest() }
+        }
     };
     Ok((ended, report))
 }
@@ -261,10 +228,7 @@
 pub fn read_digest(reader: digest::Reader<'_>) -> Result<FleetDigest, Error> {
     let mark = |item: crate::fleet_capnp::leaving_mark::Reader<'_>| {
         let target = parsed(item.get_target()?)?;
-        Ok(LeavingMark {
-            target,
-            incarnation: IncarnationId(item.get_incarnation()),
-        })
+        Ok(LeavingMark { target, incarnation: IncarnationId(item.get_incarnation()) })
     };
     let change = reader.get_change()?;
     let change = if change.is_empty() {
@@ -283,16 +247,9 @@
         node: parsed(reader.get_node()?)?,
         zone: parsed(reader.get_zone()?)?,
         revision: reader.get_revision(),
-        leaving: reader
-            .get_leaving()?
-            .iter()
-            .map(mark)
-            .collect::<Result<_, Error>>()?,
+        leaving: reader.get_leaving()?.iter().map(mark).collect::<Result<_, Error>>()?,
         demands: demands
-            .map(|item| TokenDemand {
-                team: item.get_team(),
-                tokens: item.get_tokens(),
-            })
+            .map(|item| TokenDemand { team: item.get_team(), tokens: item.get_tokens() })
             .take(MAX_DEMANDS)
             .collect(),
         change,
--- a/crates/porthoist-fleet/src/server.rs
+++ b/crates/porthoist-fleet/src/server.rs
@@ -68,9 +68,7 @@
         if !self.key.matches(params.get()?.get_key()?) {
             return Err(Error::failed("login refused".to_owned()));
         }
-        let server = NodeServer {
-            handler: Rc::clone(&self.handler),
-        };
+        let server = NodeServer { handler: Rc::clone(&self.handler) };
         results.get().set_node(new_client(server));
         Ok(())
     }
@@ -143,10 +141,7 @@
             tokio::time::sleep(std::time::Duration::from_millis(10)).await;
             continue;
         };
-        let server = LoginServer {
-            key: key.clone(),
-            handler: Rc::clone(&handler),
-        };
+        let server = LoginServer { key: key.clone(), handler: Rc::clone(&handler) };
         let login: login::Client = new_client(server);
         let network = vat_network(stream, Side::Server);
         let system = RpcSystem::new(Box::new(network), Some(login.client));
--- a/crates/porthoist-http/src/body.rs
+++ b/crates/porthoist-http/src/body.rs
@@ -15,9 +15,7 @@
 
 /// A body that is sent whole.
 pub fn full_body(bytes: impl Into<Bytes>) -> HttpBody {
-    Full::new(bytes.into())
-        .map_err(|never| match never {})
-        .boxed_unsync()
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
 /// A response with a body and content type.
@@ -28,9 +26,7 @@
 ) -> HttpResponse {
     let mut response = Response::new(full_body(bytes));
     *response.status_mut() = status;
-    response
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
     response
 }
 
--- a/crates/porthoist-http/src/client.rs
+++ b/crates/porthoist-http/src/client.rs
@@ -30,18 +30,12 @@
 impl CallError {
     /// An error after which the request may have run.
     pub fn unknown(message: impl Into<String>) -> Self {
-        Self {
-            verdict: RunVerdict::MayHaveRun,
-            message: message.into(),
-        }
+        Self { verdict: RunVerdict::MayHaveRun, message: message.into() }
     }
 
     /// An error before anything was sent.
     pub fn not_sent(message: impl Into<String>) -> Self {
-        Self {
-            verdict: RunVerdict::NotRun,
-            message: message.into(),
-        }
+        Self { verdict: RunVerdict::NotRun, message: message.into() }
     }
 }
 
@@ -75,11 +69,7 @@
     pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallError> {
         self.client.request(request).await.map_err(|error| {
             let message = describe(&error);
-            if error.is_connect() {
-                CallError::not_sent(message)
-            } else {
-                CallError::unknown(message)
-            }
+            if error.is_connect() { CallError::not_sent(message) } else { CallError::unknown(message) }
         })
     }
 
@@ -87,9 +77,7 @@
     pub async fn fetch(&self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, CallError> {
         let (head, body) = self.send(request).await?.into_parts();
         let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        let bytes = collected
-            .map_err(|error| CallError::unknown(error.to_string()))?
-            .to_bytes();
+        let bytes = collected.map_err(|error| CallError::unknown(error.to_string()))?.to_bytes();
         Ok(Response::from_parts(head, bytes))
     }
 
--- a/crates/porthoist-http/src/server.rs
+++ b/crates/porthoist-http/src/server.rs
@@ -25,10 +25,7 @@
 
 impl Default for ServerSettings {
     fn default() -> Self {
-        Self {
-            header_bytes: 64 * 1024,
-            header_time: Duration::from_secs(10),
-        }
+        Self { header_bytes: 64 * 1024, header_time: Duration::from_secs(10) }
     }
 }
 
--- a/crates/porthoist-metrics/src/lib.rs
+++ b/crates/porthoist-metrics/src/lib.rs
@@ -9,9 +9,7 @@
 use prometheus::{Encoder as _, Registry, TextEncoder};
 
 /// Bounds of the latency histogram's buckets, in milliseconds.
-const LATENCY_BOUNDS: [f64; 12] = [
-    0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 250.0, 500.0, 1400.0, 5000.0,
-];
+const LATENCY_BOUNDS: [f64; 12] = [0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 250.0, 500.0, 1400.0, 5000.0];
 
 /// Error of setting up the exporter.
 pub type MetricsError = opentelemetry_sdk::error::OTelSdkError;
@@ -36,9 +34,7 @@
     /// Registers all metrics.
     pub fn new() -> Result<Self, MetricsError> {
         let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()?;
+        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("porthoist");
         let hub = Self {
--- a/crates/porthoist-operator/src/edit.rs
+++ b/crates/porthoist-operator/src/edit.rs
@@ -82,24 +82,12 @@
 }
 
 fn platform_problem(error: CallError) -> EditProblem {
-    EditProblem::Platform {
-        verdict: error.verdict,
-        message: error.message,
-    }
+    EditProblem::Platform { verdict: error.verdict, message: error.message }
 }
 
 fn cell_problem(row: usize, error: CellError) -> EditProblem {
-    let CellError {
-        column,
-        given,
-        expected,
-    } = error;
-    EditProblem::Cell {
-        row,
-        column,
-        given,
-        expected,
-    }
+    let CellError { column, given, expected } = error;
+    EditProblem::Cell { row, column, given, expected }
 }
 
 fn config_key(key: &RowKey) -> String {
@@ -120,10 +108,7 @@
             let Some(value) = item.value else { continue };
             let stored: StoredRow = serde_json::from_value(value)
                 .map_err(|error| CallError::unknown(format!("{}: {error}", item.key)))?;
-            rows.push(VersionedRow {
-                version: item.version,
-                cells: stored.cells,
-            });
+            rows.push(VersionedRow { version: item.version, cells: stored.cells });
         }
         Ok((feed.revision, rows))
     }
@@ -134,15 +119,8 @@
         for (index, row) in edits.iter().enumerate() {
             let (key, _parsed) =
                 TableRow::from_cells(&row.cells).map_err(|error| cell_problem(index, error))?;
-            let stored = StoredRow {
-                cells: row.cells.clone(),
-                edit: edit.to_owned(),
-            };
-            let value = if row.remove {
-                None
-            } else {
-                serde_json::to_value(stored).ok()
-            };
+            let stored = StoredRow { cells: row.cells.clone(), edit: edit.to_owned() };
+            let value = if row.remove { None } else { serde_json::to_value(stored).ok() };
             writes.push(TableWrite {
                 key: config_key(&key),
                 if_version: row.if_version,
@@ -167,20 +145,14 @@
         let Some(marked) = writes.iter().find(|write| write.value.is_some()) else {
             return Err(platform_problem(lost));
         };
-        let item = self
-            .platform
-            .item(marked.key.clone())
-            .await
-            .map_err(|_silent| platform_problem(lost.clone()))?;
+        let item =
+            self.platform.item(marked.key.clone()).await.map_err(|_silent| platform_problem(lost.clone()))?;
         let Some(item) = item else {
             return Err(platform_problem(lost));
         };
         let stored: Option<StoredRow> = item.value.and_then(|value| serde_json::from_value(value).ok());
         if stored.is_some_and(|stored| stored.edit == edit) {
-            return Ok(EditAnswer {
-                revision: item.version,
-                read_back: true,
-            });
+            return Ok(EditAnswer { revision: item.version, read_back: true });
         }
         // The mark is missing: overwritten since, or not yet written. Neither can be told from here.
         Err(platform_problem(lost))
@@ -189,10 +161,7 @@
 
 fn committed(answer: &TransactAnswer) -> Result<EditAnswer, EditProblem> {
     if answer.committed {
-        return Ok(EditAnswer {
-            revision: answer.revision,
-            read_back: false,
-        });
+        return Ok(EditAnswer { revision: answer.revision, read_back: false });
     }
     let mut in_force = Vec::with_capacity(answer.results.len());
     for result in &answer.results {
@@ -200,10 +169,9 @@
             continue;
         };
         let stored: Option<StoredRow> = value.clone().and_then(|value| serde_json::from_value(value).ok());
-        in_force.push(stored.zip(*version).map(|(stored, version)| VersionedRow {
-            version,
-            cells: stored.cells,
-        }));
+        in_force.push(
+            stored.zip(*version).map(|(stored, version)| VersionedRow { version, cells: stored.cells }),
+        );
     }
     Err(EditProblem::Conflict { in_force })
 }
@@ -228,12 +196,5 @@
             None => unreadable.push(item.key),
         }
     }
-    (
-        ConfigChange {
-            since: feed.since,
-            revision: feed.revision,
-            rows,
-        },
-        unreadable,
-    )
+    (ConfigChange { since: feed.since, revision: feed.revision, rows }, unreadable)
 }
--- a/crates/porthoist-operator/src/server.rs
+++ b/crates/porthoist-operator/src/server.rs
@@ -64,12 +64,7 @@
         editor: TableEditor,
         metrics: Arc<MetricsHub>,
     ) -> Self {
-        Self {
-            token,
-            port,
-            editor,
-            metrics,
-        }
+        Self { token, port, editor, metrics }
     }
 
     /// Answers one request. Health and metrics need no token: they name no caller and change nothing.
@@ -93,10 +88,7 @@
     }
 
     fn authorized(&self, request: &Request<Incoming>) -> bool {
-        let header = request
-            .headers()
-            .get("authorization")
-            .and_then(|value| value.to_str().ok());
+        let header = request.headers().get("authorization").and_then(|value| value.to_str().ok());
         let bearer = header.and_then(|text| text.strip_prefix("Bearer "));
         self.token.matches(bearer.unwrap_or("").as_bytes())
     }
--- a/crates/porthoist-operator/src/status.rs
+++ b/crates/porthoist-operator/src/status.rs
@@ -75,22 +75,14 @@
     pub fn zones(&self) -> BTreeMap<ZoneName, ZoneStatus> {
         let mut zones: BTreeMap<ZoneName, ZoneStatus> = BTreeMap::new();
         let own = (self.zone.clone(), self.node.to_string(), true, self.revision);
-        let entries = self.entries.iter().map(|node| {
-            (
-                node.zone.clone(),
-                node.node.to_string(),
-                node.heard,
-                node.revision,
-            )
-        });
-        let targets = self.targets.iter().map(|target| {
-            (
-                target.zone.clone(),
-                target.target.to_string(),
-                target.heard,
-                target.revision,
-            )
-        });
+        let entries = self
+            .entries
+            .iter()
+            .map(|node| (node.zone.clone(), node.node.to_string(), node.heard, node.revision));
+        let targets = self
+            .targets
+            .iter()
+            .map(|target| (target.zone.clone(), target.target.to_string(), target.heard, target.revision));
         for (zone, name, heard, revision) in std::iter::once(own).chain(entries).chain(targets) {
             let status = zones.entry(zone).or_default();
             if heard {
--- a/crates/porthoist-platform/src/client.rs
+++ b/crates/porthoist-platform/src/client.rs
@@ -47,11 +47,7 @@
     /// A client of the platform at `base`, for example `http://127.0.0.1:7000`.
     pub fn new(base: impl Into<String>) -> Self {
         let base = base.into().trim_end_matches('/').to_owned();
-        Self {
-            base,
-            client: HttpClient::new(),
-            clock: Arc::new(AnchoredClock::new()),
-        }
+        Self { base, client: HttpClient::new(), clock: Arc::new(AnchoredClock::new()) }
     }
 
     async fn bounded<T>(&self, call: impl Future<Output = Result<T, CallError>>) -> Result<T, CallError> {
@@ -72,9 +68,7 @@
         let (status, value): (StatusCode, serde_json::Value) =
             self.bounded(self.client.json(method, &url, body)).await?;
         if !status.is_success() {
-            return Err(CallError::unknown(format!(
-                "status {status} from {path}: {value}"
-            )));
+            return Err(CallError::unknown(format!("status {status} from {path}: {value}")));
         }
         serde_json::from_value(value).map_err(|error| CallError::unknown(error.to_string()))
     }
@@ -105,16 +99,14 @@
     fn transact(&self, atomic: bool, writes: Vec<TableWrite>) -> PlatformFuture<'_, TransactAnswer> {
         Box::pin(async move {
             let request = TransactRequest { atomic, writes };
-            self.call(Method::POST, "/v1/table/transact", Some(&request))
-                .await
+            self.call(Method::POST, "/v1/table/transact", Some(&request)).await
         })
     }
 
     fn item(&self, key: String) -> PlatformFuture<'_, Option<ItemRead>> {
         Box::pin(async move {
             let query: String = url::form_urlencoded::byte_serialize(key.as_bytes()).collect();
-            self.call(Method::GET, &format!("/v1/table/item?key={query}"), NO_BODY)
-                .await
+            self.call(Method::GET, &format!("/v1/table/item?key={query}"), NO_BODY).await
         })
     }
 
--- a/crates/porthoist-policy/src/admission.rs
+++ b/crates/porthoist-policy/src/admission.rs
@@ -120,11 +120,7 @@
 
     /// Predicted time to the first token of a request with so many prompt tokens, in milliseconds.
     pub fn predicted_millis(&self, priority: RequestPriority, prompt_tokens: u32) -> f64 {
-        let ahead = self
-            .queue
-            .keys()
-            .filter(|rank| rank.urgency <= urgency(priority))
-            .count();
+        let ahead = self.queue.keys().filter(|rank| rank.urgency <= urgency(priority)).count();
         let free = self.settings.slots as usize - self.running.len().min(self.settings.slots as usize);
         let waits = (ahead + 1).saturating_sub(free);
         let slot_wait = waits as f64 * self.slot_millis();
@@ -176,31 +172,12 @@
             arrival: self.arrivals,
         };
         self.ranks.insert(request.attempt, rank);
-        let AdmissionRequest {
-            attempt,
-            prompt_tokens,
-            deadline,
-            ..
-        } = request;
-        self.queue.insert(
-            rank,
-            QueuedRequest {
-                attempt,
-                tokens: prompt_tokens,
-                deadline,
-            },
-        );
+        let AdmissionRequest { attempt, prompt_tokens, deadline, .. } = request;
+        self.queue.insert(rank, QueuedRequest { attempt, tokens: prompt_tokens, deadline });
     }
 
     fn start(&mut self, now: UnixMillis, attempt: AttemptId, tokens: u32) {
-        self.running.insert(
-            attempt,
-            RunningRequest {
-                started: now,
-                tokens,
-                prefilled: false,
-            },
-        );
+        self.running.insert(attempt, RunningRequest { started: now, tokens, prefilled: false });
     }
 
     /// The first token of a running request came: its prompt is no longer in the backlog.
--- a/crates/porthoist-policy/src/adoption.rs
+++ b/crates/porthoist-policy/src/adoption.rs
@@ -38,10 +38,7 @@
 
 impl AdoptRules {
     /// The rules in force.
-    pub const SOUND: Self = Self {
-        higher_only: true,
-        no_gap: true,
-    };
+    pub const SOUND: Self = Self { higher_only: true, no_gap: true };
 }
 
 /// The configuration in force in one process.
@@ -61,11 +58,7 @@
 impl<R: Clone> ConfigState<R> {
     /// An empty state with given rules, for the model checker.
     pub fn with_rules(rules: AdoptRules) -> Self {
-        Self {
-            rules,
-            revision: 0,
-            rows: BTreeMap::new(),
-        }
+        Self { rules, revision: 0, rows: BTreeMap::new() }
     }
 
     /// The revision in force, 0 before the first adoption.
@@ -111,16 +104,8 @@
 
     /// The whole state as a change that any process can adopt.
     pub fn snapshot(&self) -> ConfigChange<R> {
-        let rows = self
-            .rows
-            .iter()
-            .map(|(key, row)| (key.clone(), Some(row.clone())))
-            .collect();
-        ConfigChange {
-            since: 0,
-            revision: self.revision,
-            rows,
-        }
+        let rows = self.rows.iter().map(|(key, row)| (key.clone(), Some(row.clone()))).collect();
+        ConfigChange { since: 0, revision: self.revision, rows }
     }
 }
 
@@ -134,10 +119,7 @@
 impl<R: Clone> ChangeHistory<R> {
     /// A history of at most `capacity` changes.
     pub fn new(capacity: usize) -> Self {
-        Self {
-            capacity,
-            changes: std::collections::VecDeque::new(),
-        }
+        Self { capacity, changes: std::collections::VecDeque::new() }
     }
 
     /// Adds a change that was adopted; a snapshot starts the history anew.
@@ -155,18 +137,12 @@
     /// One change from `since` to the newest, if the history reaches back so far.
     pub fn since(&self, since: u64) -> Option<ConfigChange<R>> {
         let revision = self.changes.back()?.revision;
-        let start = self
-            .changes
-            .iter()
-            .position(|change| change.since <= since && change.revision > since)?;
+        let start =
+            self.changes.iter().position(|change| change.since <= since && change.revision > since)?;
         let mut rows = BTreeMap::new();
         for change in self.changes.iter().skip(start) {
             rows.extend(change.rows.iter().cloned());
         }
-        Some(ConfigChange {
-            since,
-            revision,
-            rows: rows.into_iter().collect(),
-        })
+        Some(ConfigChange { since, revision, rows: rows.into_iter().collect() })
     }
 }
--- a/crates/porthoist-policy/src/claim.rs
+++ b/crates/porthoist-policy/src/claim.rs
@@ -87,10 +87,7 @@
 }
 
 /// Rules that the model checker breaks one at a time.
-#[expect(
-    clippy::struct_excessive_bools,
-    reason = "each flag is one rule that the checker breaks alone"
-)]
+#[expect(clippy::struct_excessive_bools, reason = "each flag is one rule that the checker breaks alone")]
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClaimRules {
     /// The row is closed before "not run" is said.
@@ -209,19 +206,12 @@
 
     fn write_row(&mut self, expected: Option<u64>, state: ClaimState<T>) -> ClaimAction<T> {
         self.writer += 1;
-        let row = ClaimRow {
-            fingerprint: self.fingerprint,
-            state,
-            writer: self.writer,
-        };
+        let row = ClaimRow { fingerprint: self.fingerprint, state, writer: self.writer };
         self.send_write(expected, row)
     }
 
     fn send_write(&mut self, expected: Option<u64>, row: ClaimRow<T>) -> ClaimAction<T> {
-        self.step = ClaimStep::Writing {
-            expected,
-            row: row.clone(),
-        };
+        self.step = ClaimStep::Writing { expected, row: row.clone() };
         ClaimAction::Write { expected, row }
     }
 
@@ -283,10 +273,7 @@
     }
 
     fn offer(&mut self, version: u64, ticket: T) -> ClaimAction<T> {
-        self.step = ClaimStep::Offering {
-            version,
-            ticket: ticket.clone(),
-        };
+        self.step = ClaimStep::Offering { version, ticket: ticket.clone() };
         ClaimAction::Offer(ticket)
     }
 
@@ -309,9 +296,7 @@
             return self.unknown(RefusalReason::ConnectionLost);
         }
         if !self.rules.same_ticket_after_loss {
-            self.step = ClaimStep::Minting {
-                expected: Some(version),
-            };
+            self.step = ClaimStep::Minting { expected: Some(version) };
             return ClaimAction::Mint;
         }
         self.offer(version, ticket)
--- a/crates/porthoist-policy/src/explain.rs
+++ b/crates/porthoist-policy/src/explain.rs
@@ -85,10 +85,7 @@
 impl DecisionLog {
     /// A ring of at most `capacity` decisions.
     pub fn new(capacity: usize) -> Self {
-        Self {
-            capacity: capacity.max(1),
-            records: VecDeque::new(),
-        }
+        Self { capacity: capacity.max(1), records: VecDeque::new() }
     }
 
     /// Adds a decision; the oldest goes when the ring is full.
@@ -101,11 +98,7 @@
 
     /// All decisions kept on a request, oldest first.
     pub fn of_request(&self, request: RequestId) -> Vec<DecisionRecord> {
-        self.records
-            .iter()
-            .filter(|record| record.request == request)
-            .cloned()
-            .collect()
+        self.records.iter().filter(|record| record.request == request).cloned().collect()
     }
 }
 
--- a/crates/porthoist-policy/src/gate.rs
+++ b/crates/porthoist-policy/src/gate.rs
@@ -70,11 +70,7 @@
 
 impl GateRules {
     /// The rules in force.
-    pub const SOUND: Self = Self {
-        own_incarnation_only: true,
-        refusal_spends: true,
-        remember_runs: true,
-    };
+    pub const SOUND: Self = Self { own_incarnation_only: true, refusal_spends: true, remember_runs: true };
 }
 
 /// The gate of one incarnation.
@@ -136,11 +132,7 @@
         }
         let sequence = self.next_sequence;
         self.next_sequence += 1;
-        let record = GateRecord {
-            fingerprint: 0,
-            deadline,
-            state: RecordState::Minted,
-        };
+        let record = GateRecord { fingerprint: 0, deadline, state: RecordState::Minted };
         self.insert(GateKey::Ticket(sequence), record);
         Some(sequence)
     }
@@ -193,21 +185,13 @@
         } else {
             admission().err()
         };
-        let state = if refusal.is_some() {
-            RecordState::Refused
-        } else {
-            RecordState::Running
-        };
+        let state = if refusal.is_some() { RecordState::Refused } else { RecordState::Running };
         let remember = match refusal {
             Some(_) => self.rules.refusal_spends && !full,
             None => self.rules.remember_runs,
         };
         if remember {
-            let record = GateRecord {
-                fingerprint: offer.fingerprint,
-                deadline: offer.deadline,
-                state,
-            };
+            let record = GateRecord { fingerprint: offer.fingerprint, deadline: offer.deadline, state };
             self.insert(offer.key, record);
         }
         match refusal {
--- a/crates/porthoist-policy/src/lib.rs
+++ b/crates/porthoist-policy/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod membership;
 pub mod retry;
 pub mod router;
+pub mod switch;
 pub mod table;
--- a/crates/porthoist-policy/src/limits.rs
+++ b/crates/porthoist-policy/src/limits.rs
@@ -50,10 +50,7 @@
 impl EntryLimiter {
     /// A limiter in a zone with so many live entries.
     pub fn new(entries: u32) -> Self {
-        Self {
-            entries: entries.max(1),
-            teams: HashMap::new(),
-        }
+        Self { entries: entries.max(1), teams: HashMap::new() }
     }
 
     /// Sets the number of live entries in the zone.
@@ -78,17 +75,11 @@
         team_use.used_at = now;
         if team_use.in_flight >= concurrency {
             let retry_at = now.plus(bucket::MIN_WAIT_MILLIS);
-            return Err(LimitRefusal {
-                reason: RefusalReason::ConcurrencyLimit,
-                retry_at,
-            });
+            return Err(LimitRefusal { reason: RefusalReason::ConcurrencyLimit, retry_at });
         }
         team_use.bucket.set_rate(now, share, burst(share));
         if let Err(retry_at) = team_use.bucket.take(now) {
-            return Err(LimitRefusal {
-                reason: RefusalReason::RateLimit,
-                retry_at,
-            });
+            return Err(LimitRefusal { reason: RefusalReason::RateLimit, retry_at });
         }
         team_use.in_flight += 1;
         Ok(())
@@ -110,9 +101,5 @@
 
 /// Tokens that may be saved up at a rate.
 pub fn burst(rate: f64) -> f64 {
-    if rate > 0.0 {
-        (rate * BURST_SECONDS).max(1.0)
-    } else {
-        0.0
-    }
+    if rate > 0.0 { (rate * BURST_SECONDS).max(1.0) } else { 0.0 }
 }
--- a/crates/porthoist-policy/src/limits/bucket.rs
+++ b/crates/porthoist-policy/src/limits/bucket.rs
@@ -19,22 +19,12 @@
 impl TokenBucket {
     /// A full bucket.
     pub fn full(now: UnixMillis, rate: f64, burst: f64) -> Self {
-        Self {
-            rate,
-            burst,
-            tokens: burst,
-            filled_at: now,
-        }
+        Self { rate, burst, tokens: burst, filled_at: now }
     }
 
     /// An empty bucket.
     pub fn empty(now: UnixMillis, rate: f64, burst: f64) -> Self {
-        Self {
-            rate,
-            burst,
-            tokens: 0.0,
-            filled_at: now,
-        }
+        Self { rate, burst, tokens: 0.0, filled_at: now }
     }
 
     /// Changes rate and burst; what was saved up is kept within the burst.
@@ -58,11 +48,8 @@
             self.tokens -= 1.0;
             return Ok(());
         }
-        let wait = if self.rate > 0.0 {
-            ((1.0 - self.tokens) / self.rate * 1000.0).ceil() as u64
-        } else {
-            u64::MAX
-        };
+        let wait =
+            if self.rate > 0.0 { ((1.0 - self.tokens) / self.rate * 1000.0).ceil() as u64 } else { u64::MAX };
         Err(now.plus(wait.clamp(MIN_WAIT_MILLIS, MAX_WAIT_MILLIS)))
     }
 
--- a/crates/porthoist-policy/src/membership.rs
+++ b/crates/porthoist-policy/src/membership.rs
@@ -60,13 +60,7 @@
                 return false;
             }
             let target = digest.target.clone();
-            self.records.insert(
-                target,
-                MemberRecord {
-                    digest,
-                    heard_at: now,
-                },
-            );
+            self.records.insert(target, MemberRecord { digest, heard_at: now });
             return true;
         };
         record.heard_at = record.heard_at.max(now);
@@ -86,12 +80,8 @@
     /// Forgets targets that were not heard of since `before`; returns their names.
     pub fn expire(&mut self, before: UnixMillis) -> Vec<TargetName> {
         let silent = |record: &&MemberRecord| record.heard_at < before;
-        let gone: Vec<_> = self
-            .records
-            .values()
-            .filter(silent)
-            .map(|record| record.digest.target.clone())
-            .collect();
+        let gone: Vec<_> =
+            self.records.values().filter(silent).map(|record| record.digest.target.clone()).collect();
         for target in &gone {
             self.records.remove(target);
         }
@@ -106,11 +96,7 @@
     }
     let before = known.clone();
     let reborn = news.life.is_some() && news.life != known.life;
-    known.leaving = if reborn {
-        news.leaving
-    } else {
-        known.leaving || news.leaving
-    };
+    known.leaving = if reborn { news.leaving } else { known.leaving || news.leaving };
     known.life = news.life.or(known.life);
     known.address = news.address;
     known.zone = news.zone;
@@ -131,14 +117,8 @@
 where
     I: IntoIterator<Item = &'a str>,
 {
-    let mut scored: Vec<(u64, &str)> = members
-        .into_iter()
-        .map(|member| (rendezvous_score(key, member), member))
-        .collect();
+    let mut scored: Vec<(u64, &str)> =
+        members.into_iter().map(|member| (rendezvous_score(key, member), member)).collect();
     scored.sort_unstable_by(|left, right| right.cmp(left));
-    scored
-        .into_iter()
-        .take(count)
-        .map(|(_score, member)| member)
-        .collect()
+    scored.into_iter().take(count).map(|(_score, member)| member).collect()
 }
--- a/crates/porthoist-policy/src/retry.rs
+++ b/crates/porthoist-policy/src/retry.rs
@@ -20,11 +20,7 @@
 impl RetryBudget {
     /// A budget of `share` retries for each first attempt, saved up to `burst`.
     pub fn new(share: f64, burst: f64) -> Self {
-        Self {
-            share,
-            burst,
-            tokens: burst,
-        }
+        Self { share, burst, tokens: burst }
     }
 
     /// Counts a first attempt.
@@ -64,9 +60,26 @@
     pub deadline: UnixDeadline,
 }
 
+/// Rules that the model checker breaks one at a time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct RetryRules {
+    /// What may have run is not tried again unless it may be repeated.
+    pub never_after_unknown: bool,
+}
+
+impl RetryRules {
+    /// The rules in force.
+    pub const SOUND: Self = Self { never_after_unknown: true };
+}
+
 impl FailedAttempt {
     /// The reason for another attempt, or nothing if the failure is final.
     pub fn retry_reason(&self, now: UnixMillis) -> Option<RetryReason> {
+        self.retry_reason_by(now, RetryRules::SOUND)
+    }
+
+    /// The same by given rules, for the model checker.
+    pub fn retry_reason_by(&self, now: UnixMillis, rules: RetryRules) -> Option<RetryReason> {
         if self.attempts >= MAX_ATTEMPTS || self.deadline.passed(now) {
             return None;
         }
@@ -78,12 +91,10 @@
                 Some(RetryReason::Unreachable)
             }
             (RunVerdict::NotRun, _) => Some(RetryReason::Refused),
-            (_, RepeatPolicy::Never) => None,
-            (_, RepeatPolicy::Safe) if self.partly_delivered => Some(RetryReason::StreamResumed),
-            (_, RepeatPolicy::Safe) if self.reason == RefusalReason::BackendFailed => {
-                Some(RetryReason::BackendFailed)
-            }
-            (_, RepeatPolicy::Safe) => Some(RetryReason::ConnectionLost),
+            (_, RepeatPolicy::Never) if rules.never_after_unknown => None,
+            _ if self.partly_delivered => Some(RetryReason::StreamResumed),
+            _ if self.reason == RefusalReason::BackendFailed => Some(RetryReason::BackendFailed),
+            _ => Some(RetryReason::ConnectionLost),
         }
     }
 }
--- a/crates/porthoist-policy/src/retry/hedge.rs
+++ b/crates/porthoist-policy/src/retry/hedge.rs
@@ -24,10 +24,7 @@
 impl Default for HedgePolicy {
     fn default() -> Self {
         let histogram = || Histogram::new_with_bounds(1, MAX_MILLIS, 2).expect("the bounds are valid");
-        Self {
-            recent: histogram(),
-            past: histogram(),
-        }
+        Self { recent: histogram(), past: histogram() }
     }
 }
 
@@ -43,11 +40,7 @@
 
     /// When a request that is sent now should be hedged, if enough is known.
     pub fn hedge_at(&self, now: UnixMillis) -> Option<UnixMillis> {
-        let known = if self.past.is_empty() {
-            &self.recent
-        } else {
-            &self.past
-        };
+        let known = if self.past.is_empty() { &self.recent } else { &self.past };
         if known.len() < MIN_OBSERVATIONS {
             return None;
         }
--- a/crates/porthoist-policy/src/router.rs
+++ b/crates/porthoist-policy/src/router.rs
@@ -115,11 +115,7 @@
     /// A router without targets.
     pub fn new(settings: RouterSettings) -> Self {
         let random = Pcg64Mcg::seed_from_u64(settings.seed);
-        Self {
-            settings,
-            views: BTreeMap::new(),
-            random,
-        }
+        Self { settings, views: BTreeMap::new(), random }
     }
 
     /// Adds a target or replaces what is known of it; its load and cache view stay.
@@ -222,16 +218,8 @@
         for name in names {
             let view = &self.views[&name];
             let (cost_millis, cached_tokens) = self.cost(view, query);
-            if best
-                .as_ref()
-                .is_none_or(|choice| cost_millis < choice.cost_millis)
-            {
-                best = Some(RouteChoice {
-                    target: name,
-                    cost_millis,
-                    cached_tokens,
-                    candidates,
-                });
+            if best.as_ref().is_none_or(|choice| cost_millis < choice.cost_millis) {
+                best = Some(RouteChoice { target: name, cost_millis, cached_tokens, candidates });
             }
         }
         best.ok_or(RefusalReason::NoTarget)
@@ -273,11 +261,7 @@
             (backlog, f64::from(query.prompt_tokens - cached) / rate)
         };
         let pace = f64::from(load.step_micros) / 1000.0;
-        let zone = if view.target.zone == self.settings.zone {
-            0.0
-        } else {
-            self.settings.cross_zone_millis
-        };
+        let zone = if view.target.zone == self.settings.zone { 0.0 } else { self.settings.cross_zone_millis };
         let cost = slot_wait + backlog + own + pace + zone;
         // Among idle targets the least occupied one wins, so that equal costs don't all go to one name.
         let tie = occupied / f64::from(load.slots.max(1));
@@ -288,10 +272,7 @@
 fn home_of(views: &[&TargetView], blocks: &[u64]) -> Option<TargetName> {
     let key = *blocks.get(HOME_BLOCKS - 1).or(blocks.last())?;
     let score = |view: &&&TargetView| rendezvous_score(key, view.target.name.as_str());
-    views
-        .iter()
-        .max_by_key(score)
-        .map(|view| view.target.name.clone())
+    views.iter().max_by_key(score).map(|view| view.target.name.clone())
 }
 
 struct UnseenWork {
@@ -312,10 +293,7 @@
     fn unseen(&self, entries: u32) -> UnseenWork {
         let since = |sent: &&SentAttempt| sent.at >= self.load.at;
         let scale = f64::from(entries);
-        let mut unseen = UnseenWork {
-            requests: 0.0,
-            tokens: 0.0,
-        };
+        let mut unseen = UnseenWork { requests: 0.0, tokens: 0.0 };
         for sent in self.sent.values().filter(since) {
             unseen.requests += scale;
             unseen.tokens += scale * f64::from(sent.tokens);
--- a/crates/porthoist-policy/src/router/prefix.rs
+++ b/crates/porthoist-policy/src/router/prefix.rs
@@ -16,20 +16,12 @@
 impl PrefixView {
     /// A view of at most `capacity` blocks.
     pub fn new(capacity: usize) -> Self {
-        Self {
-            capacity,
-            tick: 0,
-            stamps: HashMap::new(),
-            order: VecDeque::new(),
-        }
+        Self { capacity, tick: 0, stamps: HashMap::new(), order: VecDeque::new() }
     }
 
     /// Number of leading blocks that are believed to be cached.
     pub fn cached_blocks(&self, blocks: &[u64]) -> usize {
-        blocks
-            .iter()
-            .take_while(|block| self.stamps.contains_key(block))
-            .count()
+        blocks.iter().take_while(|block| self.stamps.contains_key(block)).count()
     }
 
     /// Blocks kept.
--- a/crates/porthoist-policy/src/table.rs
+++ b/crates/porthoist-policy/src/table.rs
@@ -64,11 +64,7 @@
 impl CellError {
     fn new(column: &str, given: &str, expected: &str) -> Self {
         let given = given.chars().take(80).collect();
-        Self {
-            column: column.to_owned(),
-            given,
-            expected: expected.to_owned(),
-        }
+        Self { column: column.to_owned(), given, expected: expected.to_owned() }
     }
 }
 
@@ -96,10 +92,7 @@
         let kind = kind.parse()?;
         porthoist_core::ServiceName::from_str(name)
             .map_err(|error| CellError::new("name", name, &error.to_string()))?;
-        Ok(Self {
-            kind,
-            name: name.to_owned(),
-        })
+        Ok(Self { kind, name: name.to_owned() })
     }
 }
 
@@ -209,8 +202,7 @@
         if text.is_empty() {
             return Ok(default);
         }
-        text.parse()
-            .map_err(|_parse| CellError::new(column, text, expected))
+        text.parse().map_err(|_parse| CellError::new(column, text, expected))
     }
 
     fn weight(&self, column: &str, default: f64) -> Result<f64, CellError> {
@@ -224,10 +216,7 @@
 
     fn token(&self) -> Result<String, CellError> {
         let token = self.text("token");
-        let hashed = token.len() == 64
-            && token
-                .bytes()
-                .all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+        let hashed = token.len() == 64 && token.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
         if token.is_empty() || hashed {
             return Ok(token.to_owned());
         }
@@ -256,11 +245,7 @@
                 ));
             }
             if !cell.trim().is_empty() && !allowed.contains(&column.as_str()) {
-                return Err(CellError::new(
-                    column,
-                    cell,
-                    "an empty cell in a row of this kind",
-                ));
+                return Err(CellError::new(column, cell, "an empty cell in a row of this kind"));
             }
         }
         Ok(())
@@ -282,15 +267,7 @@
     }
 
     fn team(reader: &CellReader<'_>) -> Result<Self, CellError> {
-        reader.only(&[
-            "kind",
-            "name",
-            "weight",
-            "rate",
-            "concurrency",
-            "priority",
-            "token",
-        ])?;
+        reader.only(&["kind", "name", "weight", "rate", "concurrency", "priority", "token"])?;
         Ok(Self::Team(TeamRow {
             weight: reader.weight("weight", 1.0)?,
             rate: reader.parsed("rate", RequestRate(1000.0), "requests a second, for example 50/s")?,
@@ -312,10 +289,7 @@
 
     fn target(reader: &CellReader<'_>) -> Result<Self, CellError> {
         reader.only(&["kind", "name", "weight", "drain"])?;
-        Ok(Self::Target(TargetRow {
-            weight: reader.weight("weight", 1.0)?,
-            drain: reader.flag("drain")?,
-        }))
+        Ok(Self::Target(TargetRow { weight: reader.weight("weight", 1.0)?, drain: reader.flag("drain")? }))
     }
 
     fn policy(reader: &CellReader<'_>) -> Result<Self, CellError> {
@@ -342,10 +316,7 @@
             }
             Self::Service(row) => {
                 put("mode", row.mode.to_string());
-                put(
-                    "repeat",
-                    row.repeat.map(|repeat| repeat.to_string()).unwrap_or_default(),
-                );
+                put("repeat", row.repeat.map(|repeat| repeat.to_string()).unwrap_or_default());
             }
             Self::Target(row) => {
                 put("weight", row.weight.to_string());
--- /dev/null
+++ b/crates/porthoist-spec/src/models.rs
@@ -0,0 +1,186 @@
+//! The models, and the mutants that each must catch.
+
+pub mod adoption;
+pub mod once;
+pub mod switch;
+pub mod unkeyed;
+
+use crate::search::{SearchReport, search};
+use porthoist_policy::adoption::AdoptRules;
+use porthoist_policy::claim::ClaimRules;
+use porthoist_policy::gate::GateRules;
+use porthoist_policy::retry::RetryRules;
+use porthoist_policy::switch::SwitchRules;
+
+/// A model with one rule broken.
+pub struct Mutant {
+    /// The broken rule.
+    pub rule: &'static str,
+    run: Box<dyn Fn(usize) -> SearchReport>,
+}
+
+impl std::fmt::Debug for Mutant {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Mutant").field("rule", &self.rule).finish_non_exhaustive()
+    }
+}
+
+impl Mutant {
+    fn new(rule: &'static str, run: impl Fn(usize) -> SearchReport + 'static) -> Self {
+        Self { rule, run: Box::new(run) }
+    }
+
+    /// Searches for the counterexample.
+    pub fn search(&self, limit: usize) -> SearchReport {
+        (self.run)(limit)
+    }
+}
+
+/// A model with sound rules, and its mutants.
+#[derive(Debug)]
+pub struct CheckedModel {
+    /// Name of the protocol.
+    pub name: &'static str,
+    /// What is in the model.
+    pub bounds: &'static str,
+    /// The rules in force.
+    pub sound: Mutant,
+    /// One rule broken each.
+    pub mutants: Vec<Mutant>,
+}
+
+/// All models; `large` takes the bounds of the release run instead of those of the tests.
+pub fn all_models(large: bool) -> Vec<CheckedModel> {
+    vec![
+        once_model(large),
+        unkeyed_model(),
+        pair_switch_model(large),
+        group_switch_model(large),
+        adoption_model(),
+    ]
+}
+
+fn once_model(large: bool) -> CheckedModel {
+    let (tries, refusals) = if large { (3, 2) } else { (2, 1) };
+    let searcher = move |gate, claim| {
+        let model =
+            once::OnceModel { gate, claim, tries, crashes: 1, lost_writes: 1, lost_offers: 1, refusals };
+        move |limit| search(&model, limit)
+    };
+    let mutant = |rule, gate, claim| Mutant::new(rule, searcher(gate, claim));
+    let (gate, claim) = (GateRules::SOUND, ClaimRules::SOUND);
+    CheckedModel {
+        name: "at most once, true not-run",
+        bounds: if large {
+            "3 tries of 1 key, each at an entry of its own that may die, 2 targets, 1 target crash, 1 late or lost write, 1 lost, late or repeated offer, 2 refusals"
+        } else {
+            "2 tries of 1 key, each at an entry of its own that may die, 2 targets, 1 target crash, 1 late or lost write, 1 lost, late or repeated offer, 1 refusal"
+        },
+        sound: mutant("none", gate, claim),
+        mutants: vec![
+            mutant(
+                "a ticket of another incarnation runs",
+                GateRules { own_incarnation_only: false, ..gate },
+                claim,
+            ),
+            mutant("a refusal does not spend the ticket", GateRules { refusal_spends: false, ..gate }, claim),
+            mutant("a run is not remembered", GateRules { remember_runs: false, ..gate }, claim),
+            mutant(
+                "not-run is said without closing the row",
+                gate,
+                ClaimRules { close_before_not_run: false, ..claim },
+            ),
+            mutant(
+                "the offer goes out before the claim",
+                gate,
+                ClaimRules { claim_before_offer: false, ..claim },
+            ),
+            mutant(
+                "another ticket after a lost offer",
+                gate,
+                ClaimRules { same_ticket_after_loss: false, ..claim },
+            ),
+            mutant("a lost race is taken for won", gate, ClaimRules { conditional_move: false, ..claim }),
+        ],
+    }
+}
+
+fn unkeyed_model() -> CheckedModel {
+    let mutant = |rule, rules, honest| {
+        Mutant::new(rule, move |limit| search(&unkeyed::UnkeyedModel { rules, honest }, limit))
+    };
+    CheckedModel {
+        name: "never-repeated without a key",
+        bounds: "1 entry, 2 targets, every offer lost, refused, or its answer lost",
+        sound: mutant("none", RetryRules::SOUND, true),
+        mutants: vec![
+            mutant("what may have run is tried again", RetryRules { never_after_unknown: false }, true),
+            mutant("not-run is said of a lost answer", RetryRules::SOUND, false),
+        ],
+    }
+}
+
+fn switch_model(name: &'static str, bounds: &'static str, shape: SwitchShape) -> CheckedModel {
+    let SwitchShape { ranks, steps, restarts } = shape;
+    let mutant = move |rule, rules| {
+        Mutant::new(rule, move |limit| {
+            search(&switch::SwitchModel { rules, ranks, leaders: 2, steps, restarts }, limit)
+        })
+    };
+    let sound = SwitchRules::SOUND;
+    let mut mutants = vec![
+        mutant("a promise is not kept", SwitchRules { keep_promise: false, ..sound }),
+        mutant("commit with one rank fewer than all", SwitchRules { all_armed: false, ..sound }),
+        mutant("an armed rank steps on", SwitchRules { hold_armed: false, ..sound }),
+        mutant("a later leader does not finish a commit", SwitchRules { finish_commit: false, ..sound }),
+        mutant("a switch before the last took effect", SwitchRules { one_switch_at_a_time: false, ..sound }),
+    ];
+    if restarts > 0 {
+        let forgetful = SwitchRules { promise_outlives_restart: false, ..sound };
+        mutants.push(mutant("a restart forgets its promise", forgetful));
+    }
+    CheckedModel { name, bounds, sound: mutant("none", sound), mutants }
+}
+
+struct SwitchShape {
+    ranks: usize,
+    steps: u32,
+    restarts: u8,
+}
+
+fn pair_switch_model(large: bool) -> CheckedModel {
+    let name = "one expert map per step, 2 ranks";
+    if large {
+        let bounds = "2 ranks, 2 leaders, 3 steps, 1 restart beside a rank, late, lost and repeated messages";
+        return switch_model(name, bounds, SwitchShape { ranks: 2, steps: 3, restarts: 1 });
+    }
+    let bounds = "2 ranks, 2 leaders, 2 steps, 1 restart beside a rank, late, lost and repeated messages";
+    switch_model(name, bounds, SwitchShape { ranks: 2, steps: 2, restarts: 1 })
+}
+
+fn group_switch_model(large: bool) -> CheckedModel {
+    let name = "one expert map per step, 3 ranks";
+    if large {
+        let bounds = "3 ranks, 2 leaders, 2 steps, no restart, late, lost and repeated messages";
+        return switch_model(name, bounds, SwitchShape { ranks: 3, steps: 2, restarts: 0 });
+    }
+    let bounds = "3 ranks, 2 leaders, 1 step, no restart, late, lost and repeated messages";
+    switch_model(name, bounds, SwitchShape { ranks: 3, steps: 1, restarts: 0 })
+}
+
+fn adoption_model() -> CheckedModel {
+    let mutant = |rule, rules| {
+        Mutant::new(rule, move |limit| {
+            search(&adoption::AdoptionModel { rules, edits: 3, restarts: 1 }, limit)
+        })
+    };
+    CheckedModel {
+        name: "configuration never reverts",
+        bounds: "2 processes, 3 edits of 2 rows, 1 restart, late, lost and repeated changes from table and peers",
+        sound: mutant("none", AdoptRules::SOUND),
+        mutants: vec![
+            mutant("an older revision is adopted", AdoptRules { higher_only: false, ..AdoptRules::SOUND }),
+            mutant("a change with a gap is adopted", AdoptRules { no_gap: false, ..AdoptRules::SOUND }),
+        ],
+    }
+}
--- /dev/null
+++ b/crates/porthoist-spec/src/models/switch.rs
@@ -0,0 +1,189 @@
+//! Ranks in lock-step and leaders that switch their expert map.
+//!
+//! Every message may arrive at any time or never; arm, commit and abort may arrive again. Ranks step on whenever
+//! they may, so that the model is freer than lock-step.
+
+use crate::search::{EventVisitor, ProtocolModel};
+use porthoist_policy::switch::{
+    HeardRank, LeaderBallot, LeaderMachine, LeaderMessage, MapVersion, RankMachine, RankReply, StepNumber,
+    SwitchRules,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A switch is planned so many steps after the last one started.
+const LEAD_STEPS: u32 = 1;
+
+/// The model's bounds and rules.
+#[derive(Debug, Clone, Copy)]
+pub struct SwitchModel {
+    /// The protocol's rules.
+    pub rules: SwitchRules,
+    /// Ranks in the group.
+    pub ranks: usize,
+    /// Leaders, each with a higher ballot and a map of its own.
+    pub leaders: u32,
+    /// Steps that the group runs.
+    pub steps: u32,
+    /// Restarts of a process beside a running rank.
+    pub restarts: u8,
+}
+
+/// Everything in the model.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct SwitchState {
+    ranks: Vec<RankMachine>,
+    leaders: Vec<Option<LeaderMachine>>,
+    orders: BTreeSet<(usize, LeaderMessage)>,
+    replies: BTreeSet<(u32, usize, RankReply)>,
+    used: BTreeMap<StepNumber, BTreeSet<MapVersion>>,
+    restarts: u8,
+}
+
+impl SwitchModel {
+    fn broadcast(&self, state: &mut SwitchState, message: LeaderMessage) {
+        for rank in 0..self.ranks {
+            state.orders.insert((rank, message));
+        }
+    }
+
+    fn leader_events(&self, state: &SwitchState, visit: EventVisitor<'_, SwitchState>) {
+        for leader in 0..self.leaders {
+            let index = leader as usize;
+            let mut next = state.clone();
+            if let Some(machine) = &mut next.leaders[index] {
+                if machine.decided() {
+                    continue;
+                }
+                let message = machine.timeout();
+                if let Some(message) = message {
+                    self.broadcast(&mut next, message);
+                }
+                visit(format_args!("leader {leader} waits no longer"), next);
+                continue;
+            }
+            let ballot = LeaderBallot(leader + 1);
+            let map = MapVersion(leader + 1);
+            let (machine, message) = LeaderMachine::start(ballot, map, LEAD_STEPS, self.ranks, self.rules);
+            next.leaders[index] = Some(machine);
+            self.broadcast(&mut next, message);
+            visit(format_args!("leader {leader} begins"), next);
+        }
+        for &(leader, rank, reply) in &state.replies {
+            let mut next = state.clone();
+            next.replies.remove(&(leader, rank, reply));
+            let Some(machine) = &mut next.leaders[leader as usize] else {
+                continue;
+            };
+            if let Some(message) = machine.on(rank, reply) {
+                self.broadcast(&mut next, message);
+            }
+            visit(format_args!("leader {leader} hears rank {rank}: {reply:?}"), next);
+        }
+    }
+
+    fn rank_events(&self, state: &SwitchState, visit: EventVisitor<'_, SwitchState>) {
+        for &(rank, message) in &state.orders {
+            let mut next = state.clone();
+            if matches!(message, LeaderMessage::Promise(_)) {
+                next.orders.remove(&(rank, message));
+            }
+            if let Some(reply) = next.ranks[rank].on(message, true) {
+                next.replies.insert((sender(message), rank, reply));
+            }
+            visit(format_args!("rank {rank} hears {message:?}"), next);
+        }
+        for rank in 0..self.ranks {
+            if state.ranks[rank].started().0 < self.steps {
+                let mut next = state.clone();
+                if let Some((step, map)) = next.ranks[rank].start_step() {
+                    next.used.entry(step).or_default().insert(map);
+                    visit(format_args!("rank {rank} starts step {} with map {}", step.0, map.0), next);
+                }
+            }
+            if state.restarts < self.restarts {
+                let mut next = state.clone();
+                next.restarts += 1;
+                next.ranks[rank].restart();
+                visit(format_args!("the process beside rank {rank} restarts"), next);
+            }
+        }
+    }
+}
+
+/// All that concerns one rank; two ranks for which it is the same are alike.
+type RankSide = (RankMachine, Vec<LeaderMessage>, Vec<(u32, RankReply)>, Vec<HeardRank>);
+
+impl SwitchState {
+    /// Replies to a leader that has decided change nothing any more.
+    fn forget_settled(&mut self) {
+        let leaders = &self.leaders;
+        let decided = |leader: u32| leaders[leader as usize].as_ref().is_some_and(LeaderMachine::decided);
+        self.replies.retain(|(leader, _rank, _reply)| !decided(*leader));
+    }
+
+    fn side(&self, rank: usize) -> RankSide {
+        let orders = self.orders.iter().filter(|(to, _message)| *to == rank).map(|(_to, message)| *message);
+        let replies = self.replies.iter().filter(|(_leader, from, _reply)| *from == rank);
+        let replies = replies.map(|(leader, _from, reply)| (*leader, *reply));
+        let heard = self.leaders.iter().flatten().map(|leader| leader.heard(rank));
+        (self.ranks[rank].clone(), orders.collect(), replies.collect(), heard.collect())
+    }
+
+    /// Numbers the ranks in the order of what concerns them.
+    fn sort_ranks(&mut self) {
+        let mut sides: Vec<(RankSide, usize)> =
+            (0..self.ranks.len()).map(|rank| (self.side(rank), rank)).collect();
+        sides.sort();
+        let mut numbers = vec![0; sides.len()];
+        for (number, (_side, rank)) in sides.iter().enumerate() {
+            numbers[*rank] = number;
+        }
+        self.ranks = sides.into_iter().map(|(side, _rank)| side.0).collect();
+        self.orders = self.orders.iter().map(|(rank, message)| (numbers[*rank], *message)).collect();
+        self.replies =
+            self.replies.iter().map(|(leader, rank, reply)| (*leader, numbers[*rank], *reply)).collect();
+        for leader in self.leaders.iter_mut().flatten() {
+            leader.renumber(&numbers);
+        }
+    }
+}
+
+fn sender(message: LeaderMessage) -> u32 {
+    let ballot = match message {
+        LeaderMessage::Promise(ballot)
+        | LeaderMessage::Commit(ballot, _)
+        | LeaderMessage::Abort(ballot, _) => ballot,
+        LeaderMessage::Arm(switch) => switch.ballot,
+    };
+    ballot.0 - 1
+}
+
+impl ProtocolModel for SwitchModel {
+    type State = SwitchState;
+
+    fn initial(&self) -> SwitchState {
+        SwitchState {
+            ranks: vec![RankMachine::new(MapVersion(0), self.rules); self.ranks],
+            leaders: vec![None; self.leaders as usize],
+            orders: BTreeSet::new(),
+            replies: BTreeSet::new(),
+            used: BTreeMap::new(),
+            restarts: 0,
+        }
+    }
+
+    fn successors(&self, state: &SwitchState, visit: EventVisitor<'_, SwitchState>) {
+        self.leader_events(state, visit);
+        self.rank_events(state, visit);
+    }
+
+    fn normalize(&self, state: &mut SwitchState) {
+        state.forget_settled();
+        state.sort_ranks();
+    }
+
+    fn violation(&self, state: &SwitchState) -> Option<String> {
+        let (step, _maps) = state.used.iter().find(|(_step, maps)| maps.len() > 1)?;
+        Some(format!("two maps are used in step {}", step.0))
+    }
+}
--- a/crates/porthoist-standin/src/cmd/engine.rs
+++ b/crates/porthoist-standin/src/cmd/engine.rs
@@ -20,9 +20,6 @@
 
 pub(crate) async fn run(args: EngineArgs) -> miette::Result<()> {
     let standin = EngineStandin::new(!args.ignore_fence);
-    standin.set_faults(EngineFaults {
-        step_ms: args.step_ms,
-        ..EngineFaults::default()
-    });
+    standin.set_faults(EngineFaults { step_ms: args.step_ms, ..EngineFaults::default() });
     super::serve(&args.listen, move |request| standin.clone().handle(request)).await
 }
--- a/crates/porthoist-standin/src/cmd/platform.rs
+++ b/crates/porthoist-standin/src/cmd/platform.rs
@@ -31,8 +31,7 @@
     let text = std::fs::read_to_string(path)
         .into_diagnostic()
         .wrap_err_with(|| format!("can't read the items file {path:?}"))?;
-    let items: BTreeMap<String, Value> = serde_json::from_str(&text)
-        .into_diagnostic()
-        .wrap_err("the items file is not a JSON object")?;
+    let items: BTreeMap<String, Value> =
+        serde_json::from_str(&text).into_diagnostic().wrap_err("the items file is not a JSON object")?;
     Ok(items.into_iter().collect())
 }
--- a/crates/porthoist-standin/src/engine.rs
+++ b/crates/porthoist-standin/src/engine.rs
@@ -80,11 +80,9 @@
 
 /// The word at a position of the answer to a prompt, from 1.
 pub fn answer_word(prompt: &str, position: u64) -> &'static str {
-    let mixed = prompt
-        .bytes()
-        .fold(position.wrapping_mul(0x9e37_79b9), |hash, byte| {
-            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-        });
+    let mixed = prompt.bytes().fold(position.wrapping_mul(0x9e37_79b9), |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
     WORDS[(mixed >> 16) as usize % WORDS.len()]
 }
 
@@ -97,9 +95,7 @@
     }
 
     fn state(&self) -> MutexGuard<'_, EngineState> {
-        self.state
-            .lock()
-            .expect("no thread panics while it holds the state")
+        self.state.lock().expect("no thread panics while it holds the state")
     }
 
     /// Sets the faults.
@@ -131,10 +127,7 @@
 
     fn load(&self) -> HttpResponse {
         let step_micros = self.state().faults.step_ms * 1000;
-        json_response(
-            StatusCode::OK,
-            &json!({ "step_micros": step_micros, "prefill_rate": 0 }),
-        )
+        json_response(StatusCode::OK, &json!({ "step_micros": step_micros, "prefill_rate": 0 }))
     }
 
     async fn order(&self, request: Request<Incoming>) -> HttpResponse {
@@ -151,10 +144,8 @@
     }
 
     async fn complete(&self, path: &str, request: Request<Incoming>) -> HttpResponse {
-        let last_event = request
-            .headers()
-            .get("last-event-id")
-            .and_then(|value| value.to_str().ok()?.parse().ok());
+        let last_event =
+            request.headers().get("last-event-id").and_then(|value| value.to_str().ok()?.parse().ok());
         let Ok(body) = request.into_body().collect().await else {
             return broken();
         };
@@ -179,13 +170,9 @@
             return stream(prompt, completion.max_tokens, last_event.unwrap_or(0), &faults);
         }
         tokio::time::sleep(Duration::from_millis(faults.step_ms * completion.max_tokens)).await;
-        let words: Vec<_> = (1..=completion.max_tokens)
-            .map(|position| answer_word(&prompt, position))
-            .collect();
-        json_response(
-            StatusCode::OK,
-            &json!({ "choices": [{ "text": words.join(" ") }] }),
-        )
+        let words: Vec<_> =
+            (1..=completion.max_tokens).map(|position| answer_word(&prompt, position)).collect();
+        json_response(StatusCode::OK, &json!({ "choices": [{ "text": words.join(" ") }] }))
     }
 }
 
@@ -213,11 +200,7 @@
 fn stream(prompt: String, tokens: u64, last_event: u64, faults: &EngineFaults) -> HttpResponse {
     let ids = event_order(last_event + 1, tokens + 1, faults);
     let step_ms = faults.step_ms;
-    let break_at = if faults.breaks > 0 {
-        faults.break_after
-    } else {
-        u64::MAX
-    };
+    let break_at = if faults.breaks > 0 { faults.break_after } else { u64::MAX };
     let events = futures::stream::unfold(0_u64, move |sent| {
         let next = ids.get(sent as usize).copied();
         let prompt = prompt.clone();
@@ -234,8 +217,6 @@
         }
     });
     let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(events)));
-    response
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
     response
 }
--- a/crates/porthoist-standin/src/journal.rs
+++ b/crates/porthoist-standin/src/journal.rs
@@ -25,10 +25,7 @@
     pub fn record(&mut self, path: &str, body: &[u8]) {
         if self.runs.len() < MAX_RUNS {
             let body = String::from_utf8_lossy(body).into_owned();
-            self.runs.push(JournalRun {
-                path: path.to_owned(),
-                body,
-            });
+            self.runs.push(JournalRun { path: path.to_owned(), body });
         }
     }
 
--- a/crates/porthoist-standin/src/lib.rs
+++ b/crates/porthoist-standin/src/lib.rs
@@ -17,12 +17,7 @@
 /// Reads a JSON body, or explains what is wrong with it.
 pub(crate) async fn read_json<T: DeserializeOwned>(request: Request<Incoming>) -> Result<T, HttpResponse> {
     let bad = |text: String| text_response(StatusCode::BAD_REQUEST, text);
-    let bytes = request
-        .into_body()
-        .collect()
-        .await
-        .map_err(|error| bad(error.to_string()))?
-        .to_bytes();
+    let bytes = request.into_body().collect().await.map_err(|error| bad(error.to_string()))?.to_bytes();
     serde_json::from_slice(&bytes).map_err(|error| bad(error.to_string()))
 }
 
--- a/crates/porthoist-standin/src/platform.rs
+++ b/crates/porthoist-standin/src/platform.rs
@@ -54,11 +54,7 @@
 
 impl PlatformState {
     fn holds(&self, write: &TableWrite) -> bool {
-        let version = self
-            .items
-            .get(&write.key)
-            .filter(|item| item.value.is_some())
-            .map(|item| item.version);
+        let version = self.items.get(&write.key).filter(|item| item.value.is_some()).map(|item| item.version);
         write.unconditional || version == write.if_version
     }
 
@@ -71,14 +67,9 @@
     }
 
     fn apply(&mut self, write: &TableWrite) -> WriteResult {
-        let item = TableItem {
-            version: self.revision,
-            value: write.value.clone(),
-        };
+        let item = TableItem { version: self.revision, value: write.value.clone() };
         self.items.insert(write.key.clone(), item);
-        WriteResult::Written {
-            version: self.revision,
-        }
+        WriteResult::Written { version: self.revision }
     }
 
     fn transact(&mut self, request: &TransactRequest) -> TransactAnswer {
@@ -91,17 +82,9 @@
         let mut results = Vec::with_capacity(request.writes.len());
         for write in &request.writes {
             let effective = committed && self.holds(write);
-            results.push(if effective {
-                self.apply(write)
-            } else {
-                self.conflict(write)
-            });
-        }
-        TransactAnswer {
-            revision: self.revision,
-            committed,
-            results,
+            results.push(if effective { self.apply(write) } else { self.conflict(write) });
         }
+        TransactAnswer { revision: self.revision, committed, results }
     }
 
     fn changes(&self, prefix: &str, since: u64) -> ChangeFeed {
@@ -114,26 +97,16 @@
             value: item.value.clone(),
         };
         let items = self.items.iter().filter(wanted).map(read).collect();
-        ChangeFeed {
-            since,
-            revision: self.revision,
-            items,
-        }
+        ChangeFeed { since, revision: self.revision, items }
     }
 
     fn item(&self, key: &str) -> Option<ItemRead> {
         let item = self.items.get(key).filter(|item| item.value.is_some())?;
-        Some(ItemRead {
-            key: key.to_owned(),
-            version: item.version,
-            value: item.value.clone(),
-        })
+        Some(ItemRead { key: key.to_owned(), version: item.version, value: item.value.clone() })
     }
 
     fn host_list(&self) -> Vec<HostEntry> {
-        self.frozen_hosts
-            .clone()
-            .unwrap_or_else(|| self.hosts.values().cloned().collect())
+        self.frozen_hosts.clone().unwrap_or_else(|| self.hosts.values().cloned().collect())
     }
 }
 
@@ -141,23 +114,15 @@
     /// A stand-in whose table holds `rows` as key and value.
     pub fn with_items(rows: Vec<(String, Value)>) -> Self {
         let standin = Self::default();
-        let write = |(key, value)| TableWrite {
-            key,
-            if_version: None,
-            unconditional: true,
-            value: Some(value),
-        };
+        let write =
+            |(key, value)| TableWrite { key, if_version: None, unconditional: true, value: Some(value) };
         let writes = rows.into_iter().map(write).collect();
-        standin
-            .state()
-            .transact(&TransactRequest { atomic: true, writes });
+        standin.state().transact(&TransactRequest { atomic: true, writes });
         standin
     }
 
     fn state(&self) -> MutexGuard<'_, PlatformState> {
-        self.state
-            .lock()
-            .expect("no thread panics while it holds the state")
+        self.state.lock().expect("no thread panics while it holds the state")
     }
 
     /// Sets the faults.
@@ -233,9 +198,7 @@
 
     fn changes(&self, request: &Request<Incoming>) -> HttpResponse {
         let prefix = query_value(request, "prefix").unwrap_or_default();
-        let since = query_value(request, "since")
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(0);
+        let since = query_value(request, "since").and_then(|text| text.parse().ok()).unwrap_or(0);
         json_response(StatusCode::OK, &self.state().changes(&prefix, since))
     }
 
--- a/crates/porthoist-standin/src/service.rs
+++ b/crates/porthoist-standin/src/service.rs
@@ -35,9 +35,7 @@
 
 impl ServiceStandin {
     fn state(&self) -> MutexGuard<'_, ServiceState> {
-        self.state
-            .lock()
-            .expect("no thread panics while it holds the state")
+        self.state.lock().expect("no thread panics while it holds the state")
     }
 
     /// Answers one request.
@@ -74,9 +72,6 @@
             return broken();
         }
         let body = String::from_utf8_lossy(&bytes);
-        json_response(
-            StatusCode::OK,
-            &json!({ "method": method, "path": path, "run": run, "body": body }),
-        )
+        json_response(StatusCode::OK, &json!({ "method": method, "path": path, "run": run, "body": body }))
     }
 }
--- a/crates/porthoist-target/src/log.rs
+++ b/crates/porthoist-target/src/log.rs
@@ -42,10 +42,7 @@
     fn append(&mut self, event: u64, data: Bytes) -> Result<(), EventGap> {
         let expected = self.base + self.events.len() as u64 + 1;
         if event > expected {
-            return Err(EventGap {
-                expected,
-                given: event,
-            });
+            return Err(EventGap { expected, given: event });
         }
         if event == expected {
             self.bytes += data.len();
@@ -65,22 +62,12 @@
 impl AnswerLog {
     /// An empty log of an answer whose events up to `base` were delivered before.
     pub fn new(base: u64) -> Arc<Self> {
-        let state = Mutex::new(LogState {
-            base,
-            events: Vec::new(),
-            bytes: 0,
-            end: None,
-        });
-        Arc::new(Self {
-            state,
-            changed: watch::Sender::new(0),
-        })
+        let state = Mutex::new(LogState { base, events: Vec::new(), bytes: 0, end: None });
+        Arc::new(Self { state, changed: watch::Sender::new(0) })
     }
 
     fn state(&self) -> MutexGuard<'_, LogState> {
-        self.state
-            .lock()
-            .expect("no thread panics while it holds the log")
+        self.state.lock().expect("no thread panics while it holds the log")
     }
 
     fn announce(&self) {
@@ -117,11 +104,7 @@
 
     /// Follows the log from the event after `resume_after`.
     pub fn follow(self: &Arc<Self>, resume_after: u64) -> LogFollower {
-        LogFollower {
-            log: Arc::clone(self),
-            position: resume_after,
-            changed: self.changed.subscribe(),
-        }
+        LogFollower { log: Arc::clone(self), position: resume_after, changed: self.changed.subscribe() }
     }
 
     /// Waits until nobody follows it.
--- a/crates/porthoist-target/src/offers.rs
+++ b/crates/porthoist-target/src/offers.rs
@@ -52,9 +52,7 @@
 
 impl fmt::Debug for OffersSettings {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("OffersSettings")
-            .field("target", &self.target)
-            .finish_non_exhaustive()
+        f.debug_struct("OffersSettings").field("target", &self.target).finish_non_exhaustive()
     }
 }
 
@@ -78,9 +76,7 @@
 
 impl fmt::Debug for OffersActor {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("OffersActor")
-            .field("settings", &self.settings)
-            .finish_non_exhaustive()
+        f.debug_struct("OffersActor").field("settings", &self.settings).finish_non_exhaustive()
     }
 }
 
@@ -133,11 +129,7 @@
         let misdirected = ticket.target != self.settings.target;
         if misdirected || (own && !self.settings.key.signed(ticket, &offer.team)) {
             let (reason, verdict) = (RefusalReason::TicketInvalid, RunVerdict::MayHaveRun);
-            return Err(OfferRefusal {
-                reason,
-                verdict,
-                retry_at: None,
-            });
+            return Err(OfferRefusal { reason, verdict, retry_at: None });
         }
         Ok(Some(GateOffer {
             key: GateKey::Ticket(ticket.sequence),
@@ -183,14 +175,10 @@
         let key = gate_offer.map(|gate_offer| gate_offer.key);
         match decision {
             GateDecision::Run => Ok(self.accept(offer, key, starts)),
-            GateDecision::Attach | GateDecision::Replay => self
-                .known_log(key)
-                .map(|log| log.follow(offer.resume_after.unwrap_or(0))),
-            GateDecision::Refuse(reason, verdict) => Err(OfferRefusal {
-                reason,
-                verdict,
-                retry_at,
-            }),
+            GateDecision::Attach | GateDecision::Replay => {
+                self.known_log(key).map(|log| log.follow(offer.resume_after.unwrap_or(0)))
+            }
+            GateDecision::Refuse(reason, verdict) => Err(OfferRefusal { reason, verdict, retry_at }),
         }
     }
 
@@ -202,11 +190,7 @@
         if let Some(key) = key {
             self.kept.insert(key, Arc::clone(&log));
         }
-        let record = OfferRecord {
-            offer: Arc::clone(offer),
-            key,
-            log: Arc::clone(&log),
-        };
+        let record = OfferRecord { offer: Arc::clone(offer), key, log: Arc::clone(&log) };
         self.active.insert(offer.attempt, record);
         if starts {
             self.start(offer.attempt);
@@ -216,11 +200,8 @@
 
     fn known_log(&self, key: Option<GateKey>) -> Result<Arc<AnswerLog>, OfferRefusal> {
         let log = key.and_then(|key| self.kept.get(&key));
-        let gone = OfferRefusal {
-            reason: RefusalReason::AnswerGone,
-            verdict: RunVerdict::Ran,
-            retry_at: None,
-        };
+        let gone =
+            OfferRefusal { reason: RefusalReason::AnswerGone, verdict: RunVerdict::Ran, retry_at: None };
         log.cloned().ok_or(gone)
     }
 
@@ -228,10 +209,7 @@
         let Some(record) = self.active.get(&attempt) else {
             return;
         };
-        let job = RunJob {
-            offer: Arc::clone(&record.offer),
-            log: Arc::clone(&record.log),
-        };
+        let job = RunJob { offer: Arc::clone(&record.offer), log: Arc::clone(&record.log) };
         if self.settings.jobs.try_send(job).is_err() {
             let retry_at = Some(self.queue.retry_at(self.now()));
             self.give_up(attempt, RefusalReason::Overloaded, retry_at);
@@ -249,11 +227,7 @@
             self.gate.gave_up(key);
             self.kept.remove(&key);
         }
-        record.log.finish(LogEnd::Refused {
-            reason,
-            verdict: RunVerdict::NotRun,
-            retry_at,
-        });
+        record.log.finish(LogEnd::Refused { reason, verdict: RunVerdict::NotRun, retry_at });
     }
 
     fn start_waiting(&mut self) {
@@ -278,11 +252,7 @@
     }
 
     fn keep(&mut self, key: GateKey, log: &AnswerLog) {
-        if let Some(LogEnd::Refused {
-            verdict: RunVerdict::NotRun,
-            ..
-        }) = log.end()
-        {
+        if let Some(LogEnd::Refused { verdict: RunVerdict::NotRun, .. }) = log.end() {
             self.gate.gave_up(key);
             self.kept.remove(&key);
             return;
@@ -334,12 +304,7 @@
         let now = self.now();
         let latest = UnixDeadline::after(now, MAX_TICKET_MILLIS);
         let deadline = msg.deadline.min(latest);
-        let OffersSettings {
-            target,
-            incarnation,
-            key,
-            ..
-        } = &self.settings;
+        let OffersSettings { target, incarnation, key, .. } = &self.settings;
         let mut tickets = Vec::new();
         for _ in 0..msg.count.min(MAX_TICKET_BATCH) {
             let Some(sequence) = self.gate.mint(now, deadline) else {
@@ -384,10 +349,7 @@
     type Reply = ();
 
     async fn handle(&mut self, msg: OfferAbandoned, _ctx: &mut Context<Self, Self::Reply>) -> Self::Reply {
-        let waiting = self
-            .active
-            .get(&msg.0)
-            .is_some_and(|record| !record.log.followed());
+        let waiting = self.active.get(&msg.0).is_some_and(|record| !record.log.followed());
         if waiting && self.queue.is_waiting(msg.0) {
             self.give_up(msg.0, RefusalReason::DeadlinePassed, None);
             self.publish();
--- a/crates/porthoist-target/src/runner.rs
+++ b/crates/porthoist-target/src/runner.rs
@@ -50,27 +50,17 @@
 }
 
 /// Headers of the answer that are the connection's own and are not passed on.
-const HOP_HEADERS: [&str; 5] = [
-    "connection",
-    "content-length",
-    "keep-alive",
-    "transfer-encoding",
-    "date",
-];
+const HOP_HEADERS: [&str; 5] = ["connection", "content-length", "keep-alive", "transfer-encoding", "date"];
 
 impl HttpRunner {
     /// A runner for the back end at `base`, for example `http://127.0.0.1:9000`.
     pub fn new(base: impl Into<String>) -> Self {
-        Self {
-            base: base.into().trim_end_matches('/').to_owned(),
-            client: HttpClient::new(),
-        }
+        Self { base: base.into().trim_end_matches('/').to_owned(), client: HttpClient::new() }
     }
 
     fn request(&self, offer: &RequestOffer) -> Result<Request<Full<Bytes>>, CallError> {
-        let mut builder = Request::builder()
-            .method(offer.method.as_str())
-            .uri(format!("{}{}", self.base, offer.path));
+        let mut builder =
+            Request::builder().method(offer.method.as_str()).uri(format!("{}{}", self.base, offer.path));
         for (name, value) in &offer.headers {
             builder = builder.header(name, value);
         }
@@ -78,9 +68,7 @@
         if let Some(event) = offer.resume_after {
             builder = builder.header("last-event-id", event);
         }
-        builder
-            .body(Full::new(offer.body.clone()))
-            .map_err(|error| CallError::not_sent(error.to_string()))
+        builder.body(Full::new(offer.body.clone())).map_err(|error| CallError::not_sent(error.to_string()))
     }
 
     async fn answer(self, job: &RunJob, first_event: Box<dyn FnOnce() + Send>) -> Result<LogEnd, CallError> {
@@ -90,16 +78,10 @@
             return stream_events(response, &job.log, first_event).await;
         }
         let head = answer_head(&response);
-        let body = response
-            .into_body()
-            .collect()
-            .await
-            .map_err(|error| CallError::unknown(error.to_string()))?;
+        let body =
+            response.into_body().collect().await.map_err(|error| CallError::unknown(error.to_string()))?;
         first_event();
-        Ok(LogEnd::Whole {
-            head,
-            body: body.to_bytes(),
-        })
+        Ok(LogEnd::Whole { head, body: body.to_bytes() })
     }
 }
 
@@ -113,10 +95,7 @@
             headers.push((name.as_str().to_owned(), text.to_owned()));
         }
     }
-    AnswerHead {
-        status: response.status().as_u16(),
-        headers,
-    }
+    AnswerHead { status: response.status().as_u16(), headers }
 }
 
 async fn stream_events(
@@ -137,10 +116,7 @@
         if let Some(call) = first_event.take() {
             call();
         }
-        let id = event
-            .id
-            .parse()
-            .map_err(|_parse| CallError::unknown("an event without a number"))?;
+        let id = event.id.parse().map_err(|_parse| CallError::unknown("an event without a number"))?;
         let done = event.data == DONE_MARK;
         log.push(id, Bytes::from(event.data))
             .map_err(|gap| CallError::unknown(format!("event {} came for {}", gap.given, gap.expected)))?;
@@ -166,11 +142,7 @@
                         RunVerdict::NotRun => RefusalReason::Unreachable,
                         _ => RefusalReason::BackendFailed,
                     };
-                    LogEnd::Refused {
-                        reason,
-                        verdict: error.verdict,
-                        retry_at: None,
-                    }
+                    LogEnd::Refused { reason, verdict: error.verdict, retry_at: None }
                 }
             };
             job.log.finish(end);
@@ -192,9 +164,5 @@
 /// An engine's own error: it may have run, and a safe request can go elsewhere.
 fn failed() -> LogEnd {
     let reason = RefusalReason::BackendFailed;
-    LogEnd::Refused {
-        reason,
-        verdict: RunVerdict::MayHaveRun,
-        retry_at: None,
-    }
+    LogEnd::Refused { reason, verdict: RunVerdict::MayHaveRun, retry_at: None }
 }
--- a/porthoist-cli/src/client.rs
+++ b/porthoist-cli/src/client.rs
@@ -24,11 +24,7 @@
     /// A client of the endpoint at `base`, for example `http://127.0.0.1:8081`.
     pub fn new(base: impl Into<String>, token: impl Into<String>) -> Self {
         let base = base.into().trim_end_matches('/').to_owned();
-        Self {
-            base,
-            token: token.into(),
-            client: HttpClient::new(),
-        }
+        Self { base, token: token.into(), client: HttpClient::new() }
     }
 
     async fn call(&self, method: Method, path: &str, body: Vec<u8>) -> Result<Response<Bytes>, ToolError> {
@@ -47,11 +43,7 @@
         match answer.status() {
             StatusCode::OK => parse(answer.body()),
             StatusCode::NOT_FOUND => Err(ToolError::Missing(text(&answer))),
-            status => Err(ToolError::Endpoint(format!(
-                "{}{path}: {status}: {}",
-                self.base,
-                text(&answer)
-            ))),
+            status => Err(ToolError::Endpoint(format!("{}{path}: {status}: {}", self.base, text(&answer)))),
         }
     }
 
@@ -72,10 +64,7 @@
 
     /// Commits an edit.
     pub async fn edit(&self, rows: Vec<RowEdit>) -> Result<EditAnswer, EditFailure> {
-        let request = EditRequest {
-            edit: format!("{:032x}", rand::random::<u128>()),
-            rows,
-        };
+        let request = EditRequest { edit: format!("{:032x}", rand::random::<u128>()), rows };
         let body = serde_json::to_vec(&request).map_err(|error| ToolError::File(error.to_string()))?;
         let answer = self.call(Method::POST, "/v1/table", body).await?;
         match answer.status() {
@@ -106,21 +95,13 @@
     fn from(failure: EditFailure) -> Self {
         match failure {
             EditFailure::Tool(error) => error,
-            EditFailure::Problem(EditProblem::Cell {
-                column,
-                given,
-                expected,
-                ..
-            }) => Self::Cell(CellError {
-                column,
-                given,
-                expected,
-            }),
+            EditFailure::Problem(EditProblem::Cell { column, given, expected, .. }) => {
+                Self::Cell(CellError { column, given, expected })
+            }
             EditFailure::Problem(EditProblem::Conflict { in_force }) => Self::Conflict(rows_text(&in_force)),
-            EditFailure::Problem(EditProblem::Platform {
-                verdict: RunVerdict::NotRun,
-                message,
-            }) => Self::Endpoint(format!("nothing was changed: {message}")),
+            EditFailure::Problem(EditProblem::Platform { verdict: RunVerdict::NotRun, message }) => {
+                Self::Endpoint(format!("nothing was changed: {message}"))
+            }
             EditFailure::Problem(EditProblem::Platform { message, .. }) => Self::Unconfirmed(message),
         }
     }
--- a/porthoist-cli/src/cmd/drain.rs
+++ b/porthoist-cli/src/cmd/drain.rs
@@ -31,9 +31,6 @@
     let answer = edit_row(client, &format!("target/{}", args.target), cells, None).await?;
     let verb = if args.undo { "back in service" } else { "draining" };
     let said = format!("target {} is {verb}, revision {}\n", args.target, answer.revision);
-    let wait = EditWait {
-        asked: args.wait,
-        seconds: args.timeout,
-    };
+    let wait = EditWait { asked: args.wait, seconds: args.timeout };
     Ok(said + &wait_in_force(client, answer.revision, wait).await?)
 }
--- a/porthoist-cli/src/cmd/explain.rs
+++ b/porthoist-cli/src/cmd/explain.rs
@@ -44,28 +44,14 @@
 
 fn kind_text(kind: &DecisionKind) -> String {
     match kind {
-        DecisionKind::Received {
-            team,
-            service,
-            prompt_tokens,
-        } => {
+        DecisionKind::Received { team, service, prompt_tokens } => {
             format!("received from team {team} for {service}, about {prompt_tokens} prompt tokens")
         }
-        DecisionKind::Offered {
-            attempt,
-            target,
-            cost_millis,
-            cached_tokens,
-            candidates,
-        } => format!(
+        DecisionKind::Offered { attempt, target, cost_millis, cached_tokens, candidates } => format!(
             "attempt {attempt}: offered to {target}, the cheapest of {candidates} at {cost_millis:.1} ms, \
              {cached_tokens} tokens expected in its cache"
         ),
-        DecisionKind::Failed {
-            attempt,
-            reason,
-            verdict,
-        } => {
+        DecisionKind::Failed { attempt, reason, verdict } => {
             format!("attempt {attempt}: failed, {reason} ({verdict})")
         }
         DecisionKind::Retried { reason } => format!("tried again: {reason}"),
--- a/porthoist-cli/src/cmd/table/export.rs
+++ b/porthoist-cli/src/cmd/table/export.rs
@@ -8,10 +8,7 @@
 /// Print the table as CSV, with the version of each row.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "export")]
-#[expect(
-    clippy::empty_structs_with_brackets,
-    reason = "argh derives only for structs with named fields"
-)]
+#[expect(clippy::empty_structs_with_brackets, reason = "argh derives only for structs with named fields")]
 pub struct ExportArgs {}
 
 /// Runs the command.
--- a/porthoist-cli/src/cmd/table/get.rs
+++ b/porthoist-cli/src/cmd/table/get.rs
@@ -23,9 +23,8 @@
 /// Runs the command.
 pub async fn run(client: &OperatorClient, args: GetArgs) -> Result<String, ToolError> {
     let key: RowKey = args.row.parse()?;
-    let row = find_row(client, &key)
-        .await?
-        .ok_or_else(|| ToolError::Missing(format!("there is no row {key}")))?;
+    let row =
+        find_row(client, &key).await?.ok_or_else(|| ToolError::Missing(format!("there is no row {key}")))?;
     match args.format {
         OutputFormat::Json => json_text(&row),
         OutputFormat::Text => Ok(row_line(&row) + "\n"),
--- a/porthoist-cli/src/cmd/table/import.rs
+++ b/porthoist-cli/src/cmd/table/import.rs
@@ -29,20 +29,14 @@
         .map_err(|error| ToolError::File(format!("can't read {}: {error}", args.file)))?;
     let edits = from_csv(&args.file, &text)?;
     let table = client.table().await?;
-    let changed: Vec<RowEdit> = edits
-        .into_iter()
-        .filter(|edit| !unchanged(edit, &table.rows))
-        .collect();
+    let changed: Vec<RowEdit> = edits.into_iter().filter(|edit| !unchanged(edit, &table.rows)).collect();
     if changed.is_empty() {
         return Ok("nothing differs from the table\n".to_owned());
     }
     let count = changed.len();
     let answer = client.edit(changed).await?;
     let said = format!("{count} rows are in the table, revision {}\n", answer.revision);
-    let wait = EditWait {
-        asked: args.wait,
-        seconds: args.timeout,
-    };
+    let wait = EditWait { asked: args.wait, seconds: args.timeout };
     Ok(said + &wait_in_force(client, answer.revision, wait).await?)
 }
 
--- a/porthoist-cli/src/cmd/table/set.rs
+++ b/porthoist-cli/src/cmd/table/set.rs
@@ -54,19 +54,9 @@
         cells.insert(column.to_owned(), cell.to_owned());
     }
     let answer = edit_row(client, &args.row, cells, args.if_version).await?;
-    let lost = if answer.read_back {
-        " (the platform's answer was lost; read back)"
-    } else {
-        ""
-    };
-    let said = format!(
-        "{} is in the table, revision {}{lost}\n",
-        args.row, answer.revision
-    );
-    let wait = EditWait {
-        asked: args.wait,
-        seconds: args.timeout,
-    };
+    let lost = if answer.read_back { " (the platform's answer was lost; read back)" } else { "" };
+    let said = format!("{} is in the table, revision {}{lost}\n", args.row, answer.revision);
+    let wait = EditWait { asked: args.wait, seconds: args.timeout };
     Ok(said + &wait_in_force(client, answer.revision, wait).await?)
 }
 
@@ -90,13 +80,7 @@
         Some(version) => Some(version),
         None => read_version,
     };
-    Ok(client
-        .edit(vec![RowEdit {
-            cells,
-            if_version,
-            remove: false,
-        }])
-        .await?)
+    Ok(client.edit(vec![RowEdit { cells, if_version, remove: false }]).await?)
 }
 
 /// Waits until a revision is in force in every zone, or says where it is not.
--- a/porthoist-cli/src/error.rs
+++ b/porthoist-cli/src/error.rs
@@ -33,10 +33,7 @@
     File(String),
     /// Another edit came first.
     #[error("another edit came first; nothing was changed\n{0}")]
-    #[diagnostic(
-        code(porthoist::table::conflict),
-        help("look at the row in force, then edit again")
-    )]
+    #[diagnostic(code(porthoist::table::conflict), help("look at the row in force, then edit again"))]
     Conflict(String),
     /// The edit may or may not be in the table.
     #[error("the platform did not confirm the edit: {0}")]
@@ -47,10 +44,7 @@
     Unconfirmed(String),
     /// The endpoint did not answer, or refused.
     #[error("{0}")]
-    #[diagnostic(
-        code(porthoist::operator),
-        help("check --operator and PORTHOIST_OPERATOR_TOKEN")
-    )]
+    #[diagnostic(code(porthoist::operator), help("check --operator and PORTHOIST_OPERATOR_TOKEN"))]
     Endpoint(String),
     /// There is no such thing.
     #[error("{0}")]
@@ -58,10 +52,7 @@
     Missing(String),
     /// In the table, but not in force everywhere in time.
     #[error("{0}")]
-    #[diagnostic(
-        code(porthoist::table::wait),
-        help("the edit is in the table and will be adopted")
-    )]
+    #[diagnostic(code(porthoist::table::wait), help("the edit is in the table and will be adopted"))]
     NotInForce(String),
 }
 
--- a/porthoist-cli/src/lib.rs
+++ b/porthoist-cli/src/lib.rs
@@ -12,11 +12,7 @@
 use argh::FromArgs;
 use client::OperatorClient;
 
-#[expect(
-    clippy::doc_markdown,
-    rustdoc::bare_urls,
-    reason = "the text is printed as the tool's help"
-)]
+#[expect(clippy::doc_markdown, rustdoc::bare_urls, reason = "the text is printed as the tool's help")]
 /// Operate porthoist: its table of weights and limits, its status, and what became of a request.
 /// Exit status: 0 done, 1 usage, 2 a cell or file can't be read, 3 another edit came first, 4 the answer is missing
 /// or refused, 5 not in force everywhere in time.
--- a/porthoist-cli/src/sheet.rs
+++ b/porthoist-cli/src/sheet.rs
@@ -19,9 +19,7 @@
         let cells = COLUMNS.iter().map(cell).chain([row.version.to_string()]);
         writer.write_record(cells).map_err(unwritable)?;
     }
-    let bytes = writer
-        .into_inner()
-        .map_err(|error| ToolError::File(error.to_string()))?;
+    let bytes = writer.into_inner().map_err(|error| ToolError::File(error.to_string()))?;
     String::from_utf8(bytes).map_err(|error| ToolError::File(error.to_string()))
 }
 
@@ -39,13 +37,8 @@
 
 /// Reads a CSV sheet; the first cell that can't be read refuses the whole sheet.
 pub fn from_csv(file: &str, text: &str) -> Result<Vec<RowEdit>, ToolError> {
-    let mut reader = csv::ReaderBuilder::new()
-        .trim(csv::Trim::All)
-        .from_reader(text.as_bytes());
-    let headers = reader
-        .headers()
-        .map_err(|error| ToolError::File(format!("{file}: {error}")))?
-        .clone();
+    let mut reader = csv::ReaderBuilder::new().trim(csv::Trim::All).from_reader(text.as_bytes());
+    let headers = reader.headers().map_err(|error| ToolError::File(format!("{file}: {error}")))?.clone();
     check_headers(file, &headers)?;
     let mut edits = Vec::new();
     for record in reader.records() {
@@ -64,13 +57,9 @@
             "{file}: line 1: unknown column {unknown:?}; known are {columns}"
         )));
     }
-    let missing = ["kind", "name"]
-        .into_iter()
-        .find(|name| !headers.iter().any(|header| header == *name));
+    let missing = ["kind", "name"].into_iter().find(|name| !headers.iter().any(|header| header == *name));
     match missing {
-        Some(column) => Err(ToolError::File(format!(
-            "{file}: line 1: the column {column} is missing"
-        ))),
+        Some(column) => Err(ToolError::File(format!("{file}: line 1: the column {column} is missing"))),
         None => Ok(()),
     }
 }
@@ -86,11 +75,7 @@
         }
     }
     TableRow::from_cells(&cells)?;
-    Ok(RowEdit {
-        cells,
-        if_version,
-        remove: false,
-    })
+    Ok(RowEdit { cells, if_version, remove: false })
 }
 
 fn read_version(cell: &str) -> Result<Option<u64>, CellError> {
@@ -107,10 +92,7 @@
 
 fn at_line(file: &str, text: &str, record: &csv::StringRecord, cell: CellError) -> ToolError {
     let line = record.position().map_or(0, csv::Position::line);
-    let start = record
-        .position()
-        .map_or(0, |position| position.byte() as usize)
-        .min(text.len());
+    let start = record.position().map_or(0, |position| position.byte() as usize).min(text.len());
     let length = text[start..].find('\n').unwrap_or(text.len() - start);
     ToolError::ImportedCell {
         file: file.to_owned(),
--- a/porthoistd/src/config.rs
+++ b/porthoistd/src/config.rs
@@ -72,10 +72,7 @@
     }
 
     fn row(&self, kind: RowKind, name: &str) -> Option<TableRow> {
-        let key = RowKey {
-            kind,
-            name: name.to_owned(),
-        };
+        let key = RowKey { kind, name: name.to_owned() };
         self.current().row(&key).cloned()
     }
 
@@ -89,9 +86,7 @@
 
     /// A team's limits.
     pub fn limit(&self, team: &TeamName) -> Option<TeamLimit> {
-        let TeamRow {
-            rate, concurrency, ..
-        } = self.team(team)?;
+        let TeamRow { rate, concurrency, .. } = self.team(team)?;
         let rate = RequestRate(rate.0);
         Some(TeamLimit { rate, concurrency })
     }
--- a/porthoistd/src/duty.rs
+++ b/porthoistd/src/duty.rs
@@ -20,9 +20,7 @@
     M: FnOnce() -> F + Send + 'static,
     F: Future<Output = ()> + 'static,
 {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     std::thread::Builder::new().name(name.to_owned()).spawn(move || {
         let local = LocalSet::new();
         local.block_on(&runtime, make());
--- a/porthoistd/src/duty/claims.rs
+++ b/porthoistd/src/duty/claims.rs
@@ -24,10 +24,7 @@
 #[derive(Debug)]
 enum ClaimCall {
     Write(PendingWrite),
-    Read {
-        key: String,
-        reply: oneshot::Sender<ClaimEvent<TicketText>>,
-    },
+    Read { key: String, reply: oneshot::Sender<ClaimEvent<TicketText>> },
 }
 
 /// The callers' way to the duty.
@@ -70,14 +67,8 @@
                 return ClaimEvent::TableSilent;
             };
             let key = format!("{CLAIM_PREFIX}{key}");
-            let write = TableWrite {
-                key,
-                if_version: expected,
-                unconditional: false,
-                value: Some(value),
-            };
-            self.call(|reply| ClaimCall::Write(PendingWrite { write, reply }))
-                .await
+            let write = TableWrite { key, if_version: expected, unconditional: false, value: Some(value) };
+            self.call(|reply| ClaimCall::Write(PendingWrite { write, reply })).await
         })
     }
 
@@ -140,9 +131,7 @@
     match result {
         WriteResult::Written { version } => ClaimEvent::Written(version),
         WriteResult::Conflict { version, value } => {
-            let claim = version
-                .zip(value)
-                .and_then(|(version, value)| versioned(version, value));
+            let claim = version.zip(value).and_then(|(version, value)| versioned(version, value));
             ClaimEvent::Conflict(claim)
         }
     }
--- a/porthoistd/src/duty/entry_fleet.rs
+++ b/porthoistd/src/duty/entry_fleet.rs
@@ -75,14 +75,10 @@
     (FleetHandle(Mutex::new(sender)), receiver)
 }
 
-const OVERLOADED: OfferFailure = OfferFailure {
-    reason: RefusalReason::Overloaded,
-    verdict: RunVerdict::NotRun,
-};
-const LOST: OfferFailure = OfferFailure {
-    reason: RefusalReason::ConnectionLost,
-    verdict: RunVerdict::MayHaveRun,
-};
+const OVERLOADED: OfferFailure =
+    OfferFailure { reason: RefusalReason::Overloaded, verdict: RunVerdict::NotRun };
+const LOST: OfferFailure =
+    OfferFailure { reason: RefusalReason::ConnectionLost, verdict: RunVerdict::MayHaveRun };
 
 impl FleetHandle {
     fn send(&self, command: FleetCommand) -> Result<(), OfferFailure> {
@@ -99,12 +95,7 @@
         frames: mpsc::Sender<AnswerFrame>,
     ) -> BoxFuture<'static, Result<OfferOutcome, OfferFailure>> {
         let (reply, answer) = oneshot::channel();
-        let sent = self.send(FleetCommand::Offer {
-            target,
-            offer: Box::new(offer),
-            frames,
-            reply,
-        });
+        let sent = self.send(FleetCommand::Offer { target, offer: Box::new(offer), frames, reply });
         Box::pin(async move {
             sent?;
             answer.await.unwrap_or(Err(LOST))
@@ -119,13 +110,7 @@
         deadline: UnixDeadline,
     ) -> BoxFuture<'static, Result<Vec<TicketText>, OfferFailure>> {
         let (reply, answer) = oneshot::channel();
-        let sent = self.send(FleetCommand::Mint {
-            target,
-            team,
-            count,
-            deadline,
-            reply,
-        });
+        let sent = self.send(FleetCommand::Mint { target, team, count, deadline, reply });
         Box::pin(async move {
             sent?;
             answer.await.unwrap_or(Err(LOST))
@@ -168,20 +153,14 @@
 
 impl std::fmt::Debug for EntryFleet {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("EntryFleet")
-            .field("node", &self.shared.node)
-            .finish_non_exhaustive()
+        f.debug_struct("EntryFleet").field("node", &self.shared.node).finish_non_exhaustive()
     }
 }
 
 impl EntryFleet {
     /// The duty; it must live on a `LocalSet`.
     pub fn new(shared: Arc<FleetShared>) -> Self {
-        Self {
-            shared,
-            peers: Rc::default(),
-            followed: Rc::default(),
-        }
+        Self { shared, peers: Rc::default(), followed: Rc::default() }
     }
 
     /// Serves commands until the callers' end is gone.
@@ -190,21 +169,10 @@
         tokio::task::spawn_local(self.clone().count_entries());
         while let Some(command) = commands.receive().await {
             match command {
-                FleetCommand::Offer {
-                    target,
-                    offer,
-                    frames,
-                    reply,
-                } => {
+                FleetCommand::Offer { target, offer, frames, reply } => {
                     tokio::task::spawn_local(self.clone().offer(target, offer, frames, reply));
                 }
-                FleetCommand::Mint {
-                    target,
-                    team,
-                    count,
-                    deadline,
-                    reply,
-                } => {
+                FleetCommand::Mint { target, team, count, deadline, reply } => {
                     tokio::task::spawn_local(self.clone().mint(target, team, count, deadline, reply));
                 }
             }
@@ -214,9 +182,7 @@
     fn peer(&self, target: &TargetName) -> Result<FleetPeer, FleetError> {
         let peers = self.peers.borrow();
         let alive = peers.get(target).filter(|peer| peer.alive());
-        alive
-            .cloned()
-            .ok_or_else(|| FleetError::unreachable("not connected"))
+        alive.cloned().ok_or_else(|| FleetError::unreachable("not connected"))
     }
 
     async fn offer(
@@ -235,22 +201,12 @@
             Err(error) => Some(Err(error)),
         };
         let failed = matches!(&outcome, Some(Err(_)));
-        let load = outcome
-            .as_ref()
-            .and_then(|ended| ended.as_ref().ok())
-            .map(|(_outcome, load)| *load);
-        let message = LoadMessage {
-            target,
-            load,
-            done: Some(attempt),
-            unreachable: failed,
-        };
+        let load = outcome.as_ref().and_then(|ended| ended.as_ref().ok()).map(|(_outcome, load)| *load);
+        let message = LoadMessage { target, load, done: Some(attempt), unreachable: failed };
         // Routing ends only with the process.
         let _told = self.shared.routing.tell(message).await;
         let Some(ended) = outcome else { return };
-        let answer = ended
-            .map(|(outcome, _load)| outcome)
-            .map_err(|error| failure(&error));
+        let answer = ended.map(|(outcome, _load)| outcome).map_err(|error| failure(&error));
         drop(reply.send(answer));
     }
 
@@ -291,9 +247,7 @@
         use porthoist_policy::membership::rendezvous_subset;
         let key = porthoist_core::offer::AnswerDigest::of(self.shared.node.as_str().as_bytes());
         let names = |role| {
-            let of_role = list
-                .iter()
-                .filter(move |host| host.role == role && host.name != self.shared.node);
+            let of_role = list.iter().filter(move |host| host.role == role && host.name != self.shared.node);
             of_role.map(|host| host.name.as_str())
         };
         let mut chosen: HashSet<String> = HashSet::new();
@@ -303,9 +257,7 @@
         for name in rendezvous_subset(key, names(HostRole::Entry), PEER_SUBSET) {
             chosen.insert(name.to_owned());
         }
-        list.into_iter()
-            .filter(|host| chosen.contains(host.name.as_str()))
-            .collect()
+        list.into_iter().filter(|host| chosen.contains(host.name.as_str())).collect()
     }
 
     async fn follow_host(self, host: HostEntry) {
@@ -319,12 +271,7 @@
 
     /// The present line of the host list for a name.
     pub(crate) fn listed(&self, name: &TargetName) -> Option<HostEntry> {
-        self.shared
-            .hosts
-            .borrow()
-            .iter()
-            .find(|host| host.name == *name)
-            .cloned()
+        self.shared.hosts.borrow().iter().find(|host| host.name == *name).cloned()
     }
 
     async fn count_entries(self) {
@@ -338,8 +285,5 @@
 }
 
 fn failure(error: &FleetError) -> OfferFailure {
-    OfferFailure {
-        reason: error.reason,
-        verdict: error.verdict,
-    }
+    OfferFailure { reason: error.reason, verdict: error.verdict }
 }
--- a/porthoistd/src/duty/entry_fleet/gossip.rs
+++ b/porthoistd/src/duty/entry_fleet/gossip.rs
@@ -31,11 +31,7 @@
 
     /// The host list for a peer that lacks it.
     fn hosts_for(&self, wanted: bool) -> Vec<HostEntry> {
-        if wanted {
-            self.shared.hosts.borrow().clone()
-        } else {
-            Vec::new()
-        }
+        if wanted { self.shared.hosts.borrow().clone() } else { Vec::new() }
     }
 
     fn take_digest(&self, digest: FleetDigest) {
@@ -90,10 +86,7 @@
             let hosts = self.hosts_for(digest.wants_hosts);
             self.take_digest(digest);
             if !hosts.is_empty() {
-                let told = FleetDigest {
-                    hosts,
-                    ..self.own_digest()
-                };
+                let told = FleetDigest { hosts, ..self.own_digest() };
                 // The next exchange tells it again if this one is lost.
                 drop(tokio::time::timeout(SILENCE_TIME, peer.gossip(&told)).await);
             }
@@ -109,11 +102,7 @@
 impl FleetHandler for EntryFleet {
     fn offer(&self, _offer: RequestOffer, _outlet: FrameOutlet) -> HandlerFuture<(OfferOutcome, LoadReport)> {
         let (reason, verdict) = (RefusalReason::NoTarget, RunVerdict::NotRun);
-        let refused = OfferOutcome::Refused {
-            reason,
-            verdict,
-            retry_at: None,
-        };
+        let refused = OfferOutcome::Refused { reason, verdict, retry_at: None };
         Box::pin(std::future::ready((refused, LoadReport::default())))
     }
 
@@ -129,10 +118,6 @@
         let change = self.shared.config.change_since(digest.revision);
         let hosts = self.hosts_for(digest.wants_hosts);
         self.take_digest(digest);
-        Box::pin(std::future::ready(FleetDigest {
-            change,
-            hosts,
-            ..self.own_digest()
-        }))
+        Box::pin(std::future::ready(FleetDigest { change, hosts, ..self.own_digest() }))
     }
 }
--- a/porthoistd/src/duty/entry_fleet/targets.rs
+++ b/porthoistd/src/duty/entry_fleet/targets.rs
@@ -40,12 +40,7 @@
                 pause = MIN_RECONNECT_TIME;
             }
             self.shared.view.silent(&name);
-            let message = LoadMessage {
-                target: name.clone(),
-                load: None,
-                done: None,
-                unreachable: true,
-            };
+            let message = LoadMessage { target: name.clone(), load: None, done: None, unreachable: true };
             let _told = self.shared.routing.tell(message).await;
             tokio::time::sleep(pause).await;
             pause = (pause * 2).min(MAX_RECONNECT_TIME);
@@ -54,11 +49,7 @@
 
     async fn forget(&self, name: &TargetName) {
         self.shared.view.gone(name);
-        let _told = self
-            .shared
-            .routing
-            .tell(TargetMessage::Remove(name.clone()))
-            .await;
+        let _told = self.shared.routing.tell(TargetMessage::Remove(name.clone())).await;
     }
 
     /// Exchanges heartbeats until one fails.
@@ -83,14 +74,8 @@
         let now = self.shared.clock.now();
         let known = members.get(name).and_then(|record| record.digest.life);
         let reborn = known.is_none_or(|life| life.incarnation != hello.incarnation);
-        let life = if reborn {
-            Some(ProcessLife {
-                started: now,
-                incarnation: hello.incarnation,
-            })
-        } else {
-            known
-        };
+        let life =
+            if reborn { Some(ProcessLife { started: now, incarnation: hello.incarnation }) } else { known };
         members.apply(now, member_digest(&host, hello, life));
         let sticky = members.get(name).is_some_and(|record| record.digest.leaving);
         let row = self.shared.config.target(name);
@@ -104,12 +89,8 @@
             leaving,
         };
         self.shared.view.target_heard(name, hello, leaving);
-        let load = LoadMessage {
-            target: name.clone(),
-            load: Some(hello.load),
-            done: None,
-            unreachable: false,
-        };
+        let load =
+            LoadMessage { target: name.clone(), load: Some(hello.load), done: None, unreachable: false };
         let _told = self.shared.routing.tell(TargetMessage::Upsert(target)).await;
         let _told = self.shared.routing.tell(load).await;
     }
@@ -119,10 +100,7 @@
         let Some(change) = self.shared.config.change_since(revision) else {
             return Ok(());
         };
-        let digest = FleetDigest {
-            change: Some(change),
-            ..self.own_digest()
-        };
+        let digest = FleetDigest { change: Some(change), ..self.own_digest() };
         match tokio::time::timeout(SILENCE_TIME, peer.gossip(&digest)).await {
             Ok(Ok(_digest)) => Ok(()),
             Ok(Err(error)) => {
@@ -140,10 +118,7 @@
         host: host.host.clone(),
         zone: host.zone.clone(),
         address: host.address.clone(),
-        life: life.or(Some(ProcessLife {
-            started: UnixMillis(0),
-            incarnation: hello.incarnation,
-        })),
+        life: life.or(Some(ProcessLife { started: UnixMillis(0), incarnation: hello.incarnation })),
         leaving: host.state == HostState::Leaving,
         services: hello.services.clone(),
     }
--- a/porthoistd/src/duty/entry_fleet/view.rs
+++ b/porthoistd/src/duty/entry_fleet/view.rs
@@ -95,10 +95,7 @@
     /// The targets and the other entries.
     pub fn snapshot(&self) -> (Vec<TargetStatus>, Vec<NodeStatus>) {
         let state = self.state();
-        (
-            state.targets.values().cloned().collect(),
-            state.entries.values().cloned().collect(),
-        )
+        (state.targets.values().cloned().collect(), state.entries.values().cloned().collect())
     }
 }
 
--- a/porthoistd/src/duty/offers.rs
+++ b/porthoistd/src/duty/offers.rs
@@ -92,11 +92,7 @@
     }
     // Without an end of its own the run was cancelled because nobody waits for it.
     let (reason, verdict) = (RefusalReason::DeadlinePassed, RunVerdict::MayHaveRun);
-    log.finish(LogEnd::Refused {
-        reason,
-        verdict,
-        retry_at: None,
-    });
+    log.finish(LogEnd::Refused { reason, verdict, retry_at: None });
     // The actor is gone only when the process ends.
     let _told = actor.tell(RunEnded(attempt)).await;
 }
--- a/porthoistd/src/duty/operator.rs
+++ b/porthoistd/src/duty/operator.rs
@@ -37,9 +37,7 @@
 
 impl fmt::Debug for ProcessView {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("ProcessView")
-            .field("node", &self.node)
-            .finish_non_exhaustive()
+        f.debug_struct("ProcessView").field("node", &self.node).finish_non_exhaustive()
     }
 }
 
@@ -53,10 +51,7 @@
             revision: self.config.revision(),
             platform_heard: self.platform_heard.load(Ordering::Relaxed),
             in_flight: (self.in_flight)(),
-            entries: entries
-                .into_iter()
-                .filter(|entry| entry.node != self.node)
-                .collect(),
+            entries: entries.into_iter().filter(|entry| entry.node != self.node).collect(),
             targets,
         }
     }
@@ -66,18 +61,13 @@
     }
 
     fn decisions(&self, request: RequestId) -> Vec<DecisionRecord> {
-        self.decisions
-            .lock()
-            .map(|log| log.of_request(request))
-            .unwrap_or_default()
+        self.decisions.lock().map(|log| log.of_request(request)).unwrap_or_default()
     }
 }
 
 /// Serves operators for ever.
 pub async fn serve_operators(listener: TcpListener, server: OperatorServer) {
     let (_keep, never) = watch::channel(false);
-    serve_until(listener, ServerSettings::default(), never, move |request| {
-        server.clone().handle(request)
-    })
-    .await;
+    serve_until(listener, ServerSettings::default(), never, move |request| server.clone().handle(request))
+        .await;
 }
--- a/porthoistd/src/duty/platform.rs
+++ b/porthoistd/src/duty/platform.rs
@@ -67,12 +67,7 @@
         let base = match self.own.role {
             HostRole::Target => TARGET_POLL_MILLIS,
             HostRole::Entry => {
-                let entries = self
-                    .hosts
-                    .borrow()
-                    .iter()
-                    .filter(|host| host.role == HostRole::Entry)
-                    .count();
+                let entries = self.hosts.borrow().iter().filter(|host| host.role == HostRole::Entry).count();
                 ENTRY_POLL_MILLIS + POLL_MILLIS_PER_ENTRY * entries as u64
             }
         };
@@ -125,15 +120,10 @@
     /// One entry writes the snapshot: the one with the highest rendezvous score. Two writers do no harm.
     fn writes_snapshot(&self) -> bool {
         let hosts = self.hosts.borrow();
-        let entries = hosts
-            .iter()
-            .filter(|host| host.role == HostRole::Entry)
-            .map(|host| &host.name);
+        let entries = hosts.iter().filter(|host| host.role == HostRole::Entry).map(|host| &host.name);
         let score = |name: &&TargetName| rendezvous_score(0, name.as_str());
         self.own.role == HostRole::Entry
-            && entries
-                .max_by_key(score)
-                .is_none_or(|name| *name == self.own.name)
+            && entries.max_by_key(score).is_none_or(|name| *name == self.own.name)
     }
 
     async fn put_snapshot(&self) {
--- a/porthoistd/src/duty/routing.rs
+++ b/porthoistd/src/duty/routing.rs
@@ -101,19 +101,14 @@
 
     fn admit(&mut self, now: UnixMillis, team: &TeamName) -> Result<(), CallerRefusal> {
         let Some(limit) = self.config.limit(team) else {
-            return Err(CallerRefusal::not_run(
-                RefusalReason::Unauthorized,
-                "the team has no row",
-            ));
+            return Err(CallerRefusal::not_run(RefusalReason::Unauthorized, "the team has no row"));
         };
-        self.limiter
-            .admit(now, team, limit)
-            .map_err(|refusal| CallerRefusal {
-                reason: refusal.reason,
-                verdict: RunVerdict::NotRun,
-                retry_at: Some(refusal.retry_at),
-                detail: format!("the limits of team {team} are reached"),
-            })
+        self.limiter.admit(now, team, limit).map_err(|refusal| CallerRefusal {
+            reason: refusal.reason,
+            verdict: RunVerdict::NotRun,
+            retry_at: Some(refusal.retry_at),
+            detail: format!("the limits of team {team} are reached"),
+        })
     }
 
     fn route(&mut self, ask: &RouteAsk) -> Result<RouteTold, CallerRefusal> {
@@ -132,22 +127,14 @@
         }
         if ask.retry && !self.budget.try_spend() {
             self.undo_admission(ask);
-            return Err(no_route(
-                now,
-                RefusalReason::RetryBudget,
-                "the retry budget is spent",
-            ));
+            return Err(no_route(now, RefusalReason::RetryBudget, "the retry budget is spent"));
         }
         match self.router.choose(&query) {
             Ok(choice) => {
                 if !ask.peek {
                     self.router.sent(now, &choice.target, ask.attempt, &query);
                 }
-                let hedge_at = if self.hedging {
-                    self.hedges.hedge_at(now)
-                } else {
-                    None
-                };
+                let hedge_at = if self.hedging { self.hedges.hedge_at(now) } else { None };
                 Ok(RouteTold { choice, hedge_at })
             }
             Err(reason) => {
@@ -170,12 +157,7 @@
 
 fn no_route(now: UnixMillis, reason: RefusalReason, detail: &str) -> CallerRefusal {
     let retry_at = Some(now.plus(RETRY_MILLIS));
-    CallerRefusal {
-        reason,
-        verdict: RunVerdict::NotRun,
-        retry_at,
-        detail: detail.to_owned(),
-    }
+    CallerRefusal { reason, verdict: RunVerdict::NotRun, retry_at, detail: detail.to_owned() }
 }
 
 impl Message<RouteMessage> for RoutingActor {
@@ -190,12 +172,7 @@
     type Reply = ();
 
     async fn handle(&mut self, msg: LoadMessage, _ctx: &mut Context<Self, Self::Reply>) -> Self::Reply {
-        let LoadMessage {
-            target,
-            load,
-            done,
-            unreachable,
-        } = msg;
+        let LoadMessage { target, load, done, unreachable } = msg;
         if let Some(attempt) = done {
             self.router.done(&target, attempt);
         }
@@ -255,10 +232,9 @@
             match self.0.ask(RouteMessage(ask)).try_send().await {
                 Ok(told) => Ok(told),
                 Err(SendError::HandlerError(refusal)) => Err(refusal),
-                Err(_full) => Err(CallerRefusal::not_run(
-                    RefusalReason::Overloaded,
-                    "this entry is overloaded",
-                )),
+                Err(_full) => {
+                    Err(CallerRefusal::not_run(RefusalReason::Overloaded, "this entry is overloaded"))
+                }
             }
         })
     }
--- a/porthoistd/src/duty/target_fleet.rs
+++ b/porthoistd/src/duty/target_fleet.rs
@@ -64,23 +64,13 @@
     async fn run_offer(self, offer: RequestOffer, outlet: FrameOutlet) -> OfferOutcome {
         let attempt = offer.attempt;
         self.open.fetch_add(1, Ordering::Relaxed);
-        let mut open = OpenOffer {
-            follower: None,
-            attempt,
-            offers: self.offers.clone(),
-            open: Arc::clone(&self.open),
-        };
+        let mut open =
+            OpenOffer { follower: None, attempt, offers: self.offers.clone(), open: Arc::clone(&self.open) };
         let outcome = match self.ask(offer).await {
             Ok(follower) => follow(open.follower.insert(follower), attempt, &outlet).await,
-            Err(OfferRefusal {
-                reason,
-                verdict,
-                retry_at,
-            }) => OfferOutcome::Refused {
-                reason,
-                verdict,
-                retry_at,
-            },
+            Err(OfferRefusal { reason, verdict, retry_at }) => {
+                OfferOutcome::Refused { reason, verdict, retry_at }
+            }
         };
         if let OfferOutcome::Refused { reason, verdict, .. } = outcome {
             self.metrics.refusal(reason, verdict);
@@ -92,28 +82,17 @@
         let keyed = offer.ticket.is_some();
         let request = self.offers.ask(OfferRequest(Arc::new(offer)));
         // A refusal here would not spend the ticket, so an offer with one waits for the actor.
-        let asked = if keyed {
-            request.send().await
-        } else {
-            request.try_send().await
-        };
+        let asked = if keyed { request.send().await } else { request.try_send().await };
         asked.map_err(|error| match error {
             SendError::HandlerError(refusal) => refusal,
             SendError::MailboxFull(_) => not_run(RefusalReason::Overloaded),
-            _ => OfferRefusal {
-                verdict: RunVerdict::MayHaveRun,
-                ..not_run(RefusalReason::ShuttingDown)
-            },
+            _ => OfferRefusal { verdict: RunVerdict::MayHaveRun, ..not_run(RefusalReason::ShuttingDown) },
         })
     }
 }
 
 fn not_run(reason: RefusalReason) -> OfferRefusal {
-    OfferRefusal {
-        reason,
-        verdict: RunVerdict::NotRun,
-        retry_at: None,
-    }
+    OfferRefusal { reason, verdict: RunVerdict::NotRun, retry_at: None }
 }
 
 async fn follow(follower: &mut LogFollower, attempt: AttemptId, outlet: &FrameOutlet) -> OfferOutcome {
@@ -129,25 +108,14 @@
                 }
             }
             LogNews::End(LogEnd::StreamDone) => {
-                return OfferOutcome::StreamEnd {
-                    frames,
-                    digest: digest.value(),
-                };
+                return OfferOutcome::StreamEnd { frames, digest: digest.value() };
             }
             LogNews::End(LogEnd::Whole { head, body }) => {
                 let digest = AnswerDigest::of(&body);
                 return OfferOutcome::Whole { head, body, digest };
             }
-            LogNews::End(LogEnd::Refused {
-                reason,
-                verdict,
-                retry_at,
-            }) => {
-                return OfferOutcome::Refused {
-                    reason,
-                    verdict,
-                    retry_at,
-                };
+            LogNews::End(LogEnd::Refused { reason, verdict, retry_at }) => {
+                return OfferOutcome::Refused { reason, verdict, retry_at };
             }
             LogNews::Missing => return refused(RefusalReason::AnswerGone, RunVerdict::Ran),
         }
@@ -164,22 +132,13 @@
     let mut batch = Vec::with_capacity(events.len());
     for (index, data) in (0_u64..).zip(events) {
         digest.update(&data);
-        batch.push(AnswerFrame {
-            attempt,
-            sequence: sent + index,
-            event: first + index,
-            data,
-        });
+        batch.push(AnswerFrame { attempt, sequence: sent + index, event: first + index, data });
     }
     batch
 }
 
 fn refused(reason: RefusalReason, verdict: RunVerdict) -> OfferOutcome {
-    OfferOutcome::Refused {
-        reason,
-        verdict,
-        retry_at: None,
-    }
+    OfferOutcome::Refused { reason, verdict, retry_at: None }
 }
 
 impl FleetHandler for TargetHandler {
@@ -196,14 +155,7 @@
     fn mint(&self, team: TeamName, count: u32, deadline: UnixDeadline) -> HandlerFuture<Vec<TicketText>> {
         let offers = self.offers.clone();
         Box::pin(async move {
-            let minted = offers
-                .ask(MintTickets {
-                    team,
-                    count,
-                    deadline,
-                })
-                .try_send()
-                .await;
+            let minted = offers.ask(MintTickets { team, count, deadline }).try_send().await;
             minted.unwrap_or_default()
         })
     }
--- a/porthoistd/src/logging.rs
+++ b/porthoistd/src/logging.rs
@@ -15,9 +15,6 @@
             Box::new(slog_term::FullFormat::new(decorator).build().ignore_res())
         }
     };
-    let drain = slog_async::Async::new(drain)
-        .chan_size(LOG_BACKLOG)
-        .build()
-        .ignore_res();
+    let drain = slog_async::Async::new(drain).chan_size(LOG_BACKLOG).build().ignore_res();
     Logger::root(LevelFilter::new(drain, level).ignore_res(), o!())
 }
--- a/porthoistd/src/role/entry.rs
+++ b/porthoistd/src/role/entry.rs
@@ -47,13 +47,8 @@
 pub fn run(settings: DaemonSettings, logger: &Logger) -> io::Result<()> {
     let stopping = watch::Sender::new(false);
     let (addresses, callers) = start(settings, logger, stopping)?;
-    println!(
-        "callers {}\noperator {}\nfleet {}",
-        addresses.callers, addresses.operator, addresses.fleet
-    );
-    callers
-        .join()
-        .map_err(|_panic| io::Error::other("the callers' duty panicked"))
+    println!("callers {}\noperator {}\nfleet {}", addresses.callers, addresses.operator, addresses.fleet);
+    callers.join().map_err(|_panic| io::Error::other("the callers' duty panicked"))
 }
 
 /// Starts an entry's duties; the returned thread ends when the entry has stopped gracefully.
@@ -65,11 +60,7 @@
     let (callers_listener, callers) = bind(settings.callers_listen)?;
     let (operator_listener, operator) = bind(settings.operator_listen)?;
     let (fleet_listener, fleet) = bind(settings.fleet_listen)?;
-    let addresses = EntryAddresses {
-        callers,
-        operator,
-        fleet,
-    };
+    let addresses = EntryAddresses { callers, operator, fleet };
     let own = host_entry(&settings, HostRole::Entry, fleet);
     let process = EntryProcess::new(settings, logger, stopping)?;
     let (claims, claim_calls) = claim_ring();
@@ -137,25 +128,13 @@
         spawn_duty("platform", move || async move {
             let client: Arc<HttpPlatform> = Arc::new(HttpPlatform::new(url));
             tokio::task::spawn_local(serve_claims(claim_calls, Arc::<HttpPlatform>::clone(&client)));
-            PlatformDuty {
-                client,
-                config,
-                hosts,
-                heard,
-                own,
-                logger,
-            }
-            .run()
-            .await;
+            PlatformDuty { client, config, hosts, heard, own, logger }.run().await;
         })?;
         Ok(hosts_seen)
     }
 
     fn start_routing(&self) -> io::Result<ActorRef<RoutingActor>> {
-        let router = RouterSettings::builder()
-            .zone(self.settings.zone.clone())
-            .seed(rand::random())
-            .build();
+        let router = RouterSettings::builder().zone(self.settings.zone.clone()).seed(rand::random()).build();
         let hedging = self.settings.hedge;
         let (handover, actor) = oneshot::channel();
         let (config, clock) = (Arc::clone(&self.config), Arc::clone(&self.clock));
@@ -230,19 +209,12 @@
     }
 
     fn start_callers(self, listener: StdListener, server: CallerServer) -> io::Result<JoinHandle<()>> {
-        let Self {
-            settings,
-            logger,
-            stopping,
-            ..
-        } = self;
+        let Self { settings, logger, stopping, .. } = self;
         let stop_lag = Duration::from_millis(settings.stop_lag_millis);
         let stop_seen = stopping.subscribe();
         spawn_duty("callers", move || async move {
             let counted = server.clone();
-            tokio::task::spawn_local(watch_signals(stopping, logger.clone(), move || {
-                counted.in_flight()
-            }));
+            tokio::task::spawn_local(watch_signals(stopping, logger.clone(), move || counted.in_flight()));
             let listener = TcpListener::from_std(listener).expect("a bound listener fits the runtime");
             info!(logger, "accepting callers"; "address" => ?listener.local_addr());
             serve_callers(listener, server, stop_seen, stop_lag, logger).await;
--- a/porthoistd/src/role/local.rs
+++ b/porthoistd/src/role/local.rs
@@ -22,14 +22,8 @@
 pub fn default_rows() -> Vec<(String, Value)> {
     let row = |cells: Value| json!({ "cells": cells, "edit": "start" });
     vec![
-        (
-            "config/team/demo".to_owned(),
-            row(json!({ "kind": "team", "name": "demo", "rate": "1000/s" })),
-        ),
-        (
-            "config/service/demo-model".to_owned(),
-            row(json!({ "kind": "service", "name": "demo-model" })),
-        ),
+        ("config/team/demo".to_owned(), row(json!({ "kind": "team", "name": "demo", "rate": "1000/s" }))),
+        ("config/service/demo-model".to_owned(), row(json!({ "kind": "service", "name": "demo-model" }))),
         (
             "config/service/echo".to_owned(),
             row(json!({ "kind": "service", "name": "echo", "mode": "plain" })),
@@ -41,24 +35,18 @@
 pub fn run(settings: DaemonSettings, logger: &Logger) -> io::Result<()> {
     let platform = PlatformStandin::with_items(default_rows());
     let engine = EngineStandin::new(true);
-    engine.set_faults(EngineFaults {
-        step_ms: STEP_MILLIS,
-        ..EngineFaults::default()
-    });
+    engine.set_faults(EngineFaults { step_ms: STEP_MILLIS, ..EngineFaults::default() });
     let service = ServiceStandin::default();
-    let platform_address = stand_in("platform-standin", move |request| {
-        platform.clone().handle(request)
-    })?;
+    let platform_address = stand_in("platform-standin", move |request| platform.clone().handle(request))?;
     let engine_address = stand_in("engine-standin", move |request| engine.clone().handle(request))?;
     let service_address = stand_in("service-standin", move |request| service.clone().handle(request))?;
 
     let mut settings = settings;
     settings.platform = format!("http://{platform_address}");
     let stopping = watch::Sender::new(false);
-    for (name, services, backend) in [
-        ("demo-engine", "demo-model", engine_address),
-        ("demo-echo", "echo", service_address),
-    ] {
+    for (name, services, backend) in
+        [("demo-engine", "demo-model", engine_address), ("demo-echo", "echo", service_address)]
+    {
         let mut own = settings.clone();
         own.name = name.parse().map_err(io::Error::other)?;
         own.services = vec![services.parse().map_err(io::Error::other)?];
@@ -80,9 +68,7 @@
         "  curl http://{}/v1/table -H 'Authorization: Bearer {token}' -d '{{\"edit\":\"1\",\"rows\":[{{\"cells\":{{\"kind\":\"team\",\"name\":\"desk\",\"rate\":\"5/s\"}},\"if_version\":null}}]}}'",
         addresses.operator
     );
-    callers
-        .join()
-        .map_err(|_panic| io::Error::other("the callers' duty panicked"))
+    callers.join().map_err(|_panic| io::Error::other("the callers' duty panicked"))
 }
 
 fn stand_in<F, R>(name: &str, handler: F) -> io::Result<SocketAddr>
--- a/porthoistd/src/role/target.rs
+++ b/porthoistd/src/role/target.rs
@@ -50,9 +50,7 @@
     let stopping = watch::Sender::new(false);
     let (addresses, fleet) = start(settings, logger, stopping)?;
     println!("fleet {}\noperator {}", addresses.fleet, addresses.operator);
-    fleet
-        .join()
-        .map_err(|_panic| io::Error::other("the fleet duty panicked"))
+    fleet.join().map_err(|_panic| io::Error::other("the fleet duty panicked"))
 }
 
 /// Starts a target's duties; the returned thread ends when the target has stopped gracefully.
@@ -107,16 +105,7 @@
         spawn_duty("platform", move || async move {
             let client = Arc::new(HttpPlatform::new(url));
             let hosts = watch::Sender::new(Vec::new());
-            PlatformDuty {
-                client,
-                config,
-                hosts,
-                heard,
-                own,
-                logger,
-            }
-            .run()
-            .await;
+            PlatformDuty { client, config, hosts, heard, own, logger }.run().await;
         })?;
         Ok(())
     }
@@ -130,12 +119,7 @@
             .target(settings.name.clone())
             .incarnation(self.incarnation)
             .key(TicketKey::new(rand::random()))
-            .admission(
-                AdmissionSettings::builder()
-                    .slots(settings.slots)
-                    .queue(settings.queue)
-                    .build(),
-            )
+            .admission(AdmissionSettings::builder().slots(settings.slots).queue(settings.queue).build())
             .clock(Arc::new(AnchoredClock::new()))
             .jobs(jobs)
             .weights(team_weights(Arc::clone(&self.config)))
@@ -146,9 +130,7 @@
         let actor: ActorRef<OffersActor> = actor.blocking_recv().map_err(io::Error::other)?;
         let runner = Arc::new(HttpRunner::new(settings.backend.clone()));
         let (job_actor, metrics) = (actor.clone(), Arc::clone(&self.metrics));
-        spawn_duty("engine", move || {
-            run_backend(job_receiver, runner, job_actor, metrics)
-        })?;
+        spawn_duty("engine", move || run_backend(job_receiver, runner, job_actor, metrics))?;
         Ok((actor, load_seen))
     }
 
@@ -183,16 +165,7 @@
         actor: ActorRef<OffersActor>,
         load: watch::Receiver<LoadReport>,
     ) -> io::Result<JoinHandle<()>> {
-        let Self {
-            settings,
-            incarnation,
-            metrics,
-            config,
-            open,
-            stopping,
-            logger,
-            ..
-        } = self;
+        let Self { settings, incarnation, metrics, config, open, stopping, logger, .. } = self;
         spawn_duty("fleet", move || async move {
             let handler = TargetHandler {
                 target: settings.name.clone(),
--- a/porthoistd/src/settings.rs
+++ b/porthoistd/src/settings.rs
@@ -174,12 +174,7 @@
     }
 
     fn error(flag: &'static str, given: String, expected: &'static str) -> SettingError {
-        SettingError {
-            flag,
-            variable: variable(flag),
-            given,
-            expected,
-        }
+        SettingError { flag, variable: variable(flag), given, expected }
     }
 
     fn value<T: FromStr>(
@@ -193,8 +188,7 @@
         let Some(text) = text else {
             return Err(Self::error(flag, "not given".to_owned(), expected));
         };
-        text.parse()
-            .map_err(|_parse| Self::error(flag, format!("{text:?} given"), expected))
+        text.parse().map_err(|_parse| Self::error(flag, format!("{text:?} given"), expected))
     }
 
     fn secret(&self, flag: &'static str, given: Option<String>) -> Result<SharedSecret, SettingError> {
@@ -204,11 +198,7 @@
             return Err(Self::error(flag, "not given".to_owned(), expected));
         };
         if secret.len() < MIN_SECRET_BYTES {
-            return Err(Self::error(
-                flag,
-                format!("{} bytes given", secret.len()),
-                expected,
-            ));
+            return Err(Self::error(flag, format!("{} bytes given", secret.len()), expected));
         }
         Ok(SharedSecret::new(secret))
     }
@@ -232,11 +222,8 @@
         let (flag, expected) = ("services", "service names joined by commas");
         let default = (self.role != DaemonRole::Target).then_some("");
         let text: String = self.value(flag, given, default, expected)?;
-        let names: Result<Vec<ServiceName>, _> = text
-            .split(',')
-            .filter(|name| !name.is_empty())
-            .map(str::parse)
-            .collect();
+        let names: Result<Vec<ServiceName>, _> =
+            text.split(',').filter(|name| !name.is_empty()).map(str::parse).collect();
         names.map_err(|_parse| Self::error(flag, format!("{text:?} given"), expected))
     }
 }
@@ -289,10 +276,7 @@
     where
         E: Fn(&str) -> Option<String>,
     {
-        let mut reader = SettingReader {
-            role: DaemonRole::Local,
-            environment,
-        };
+        let mut reader = SettingReader { role: DaemonRole::Local, environment };
         reader.role = reader.value("role", args.role, None, "entry, target or local")?;
         let local = reader.role == DaemonRole::Local;
         let named = |name| if local { Some(name) } else { None };
@@ -312,12 +296,7 @@
                 "a name of letters, digits, '-', '_' and '.'",
             )?,
             host: reader.value("host", args.host, Some("localhost"), "a host name")?,
-            zone: reader.value(
-                "zone",
-                args.zone,
-                named("local"),
-                "the name of an availability zone",
-            )?,
+            zone: reader.value("zone", args.zone, named("local"), "the name of an availability zone")?,
             callers_listen: reader.value(
                 "callers-listen",
                 args.callers_listen,
--- a/porthoistd/tests/process/bad_input.rs
+++ b/porthoistd/tests/process/bad_input.rs
@@ -8,16 +8,8 @@
     let fleet = Fleet::start(1, 1, 1).await;
     let good = || completion("x", 2, false);
     let cases = [
-        (
-            Call::post("/v1/completions", good()).header("porthoist-team", "nobody"),
-            401,
-            "unauthorized",
-        ),
-        (
-            Call::post("/v1/completions", good()).header("porthoist-team", "guarded"),
-            401,
-            "unauthorized",
-        ),
+        (Call::post("/v1/completions", good()).header("porthoist-team", "nobody"), 401, "unauthorized"),
+        (Call::post("/v1/completions", good()).header("porthoist-team", "guarded"), 401, "unauthorized"),
         (
             Call::post("/v1/completions", good())
                 .header("porthoist-team", "guarded")
@@ -26,53 +18,17 @@
             "unauthorized",
         ),
         (Call::post("/v1/completions", "{\"model\":"), 400, "malformed"),
-        (
-            Call::post("/v1/completions", "{\"model\":\"no/name\"}"),
-            400,
-            "malformed",
-        ),
-        (
-            Call::post("/v1/completions", "{\"model\":\"unknown\"}"),
-            404,
-            "unknown_service",
-        ),
+        (Call::post("/v1/completions", "{\"model\":\"no/name\"}"), 400, "malformed"),
+        (Call::post("/v1/completions", "{\"model\":\"unknown\"}"), 404, "unknown_service"),
         (Call::post("/services/refunds/x", ""), 404, "unknown_service"),
         (Call::post("/nowhere", ""), 404, "unknown_service"),
-        (
-            Call::post("/v1/completions", good()).header("porthoist-deadline", "1000"),
-            504,
-            "deadline_passed",
-        ),
-        (
-            Call::post("/v1/completions", good()).header("porthoist-deadline", "soon"),
-            400,
-            "malformed",
-        ),
-        (
-            Call::post("/v1/completions", good()).header("porthoist-priority", "10"),
-            400,
-            "malformed",
-        ),
-        (
-            Call::post("/v1/completions", good()).header("x-long", "a".repeat(20_000)),
-            431,
-            "header_too_long",
-        ),
-        (
-            Call::post("/services/vouchers/x", "b".repeat(5_000_000)),
-            413,
-            "body_too_long",
-        ),
-        (
-            Call::post("/v1/completions", good()).header("idempotency-key", "pt1:broken"),
-            400,
-            "malformed",
-        ),
-        (
-            Call::post("/v1/completions", good()).header("porthoist-team", "slow"),
-            429,
-            "rate_limit",
-        ),
+        (Call::post("/v1/completions", good()).header("porthoist-deadline", "1000"), 504, "deadline_passed"),
+        (Call::post("/v1/completions", good()).header("porthoist-deadline", "soon"), 400, "malformed"),
+        (Call::post("/v1/completions", good()).header("porthoist-priority", "10"), 400, "malformed"),
+        (Call::post("/v1/completions", good()).header("x-long", "a".repeat(20_000)), 431, "header_too_long"),
+        (Call::post("/services/vouchers/x", "b".repeat(5_000_000)), 413, "body_too_long"),
+        (Call::post("/v1/completions", good()).header("idempotency-key", "pt1:broken"), 400, "malformed"),
+        (Call::post("/v1/completions", good()).header("porthoist-team", "slow"), 429, "rate_limit"),
     ];
     let mut journal_before = 0;
     for target in 0..fleet.targets.len() {
@@ -81,19 +37,10 @@
     for (call, status, reason) in cases {
         let before = fleet.counter(0, "porthoist_refusals", reason).await;
         let answer = fleet.call(0, call).await;
-        assert_eq!(
-            (answer.status, answer.reason().as_str()),
-            (status, reason),
-            "{}",
-            answer.body
-        );
+        assert_eq!((answer.status, answer.reason().as_str()), (status, reason), "{}", answer.body);
         assert_eq!(answer.verdict(), "not-run");
         assert_eq!(answer.headers["content-type"], "application/problem+json");
-        assert_eq!(
-            fleet.counter(0, "porthoist_refusals", reason).await,
-            before + 1,
-            "{reason} is counted"
-        );
+        assert_eq!(fleet.counter(0, "porthoist_refusals", reason).await, before + 1, "{reason} is counted");
     }
     let mut journal_after = 0;
     for target in 0..fleet.targets.len() {
@@ -130,12 +77,7 @@
     let local = tokio::task::LocalSet::new();
     let refused = local.run_until(async move {
         let key = porthoist_core::secret::SharedSecret::new("another-key-0123456789");
-        porthoist_fleet::FleetPeer::connect(&address, &key)
-            .await
-            .map(drop)
+        porthoist_fleet::FleetPeer::connect(&address, &key).await.map(drop)
     });
-    assert_eq!(
-        refused.await.unwrap_err().verdict,
-        porthoist_core::RunVerdict::NotRun
-    );
+    assert_eq!(refused.await.unwrap_err().verdict, porthoist_core::RunVerdict::NotRun);
 }
--- a/porthoistd/tests/process/harness.rs
+++ b/porthoistd/tests/process/harness.rs
@@ -29,18 +29,12 @@
 
 impl Process {
     fn start(mut command: Command, lines: usize) -> Self {
-        let mut child = command
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the program starts");
+        let mut child = command.stdout(Stdio::piped()).spawn().expect("the program starts");
         let mut reader = BufReader::new(child.stdout.take().expect("its output is piped"));
         let mut addresses = Vec::new();
         while addresses.len() < lines {
             let mut line = String::new();
-            assert!(
-                reader.read_line(&mut line).unwrap() > 0,
-                "the program ended early: {command:?}"
-            );
+            assert!(reader.read_line(&mut line).unwrap() > 0, "the program ended early: {command:?}");
             let (name, address) = line.trim().split_once(' ').expect("NAME ADDRESS");
             addresses.push((name.to_owned(), address.to_owned()));
         }
@@ -84,10 +78,7 @@
 
 fn built(package: &str, binary: &str) -> std::path::PathBuf {
     // The profile of the tests, so that nothing is built twice.
-    let build = escargot::CargoBuild::new()
-        .package(package)
-        .bin(binary)
-        .current_release();
+    let build = escargot::CargoBuild::new().package(package).bin(binary).current_release();
     build.run().expect("the binary builds").path().to_owned()
 }
 
@@ -110,16 +101,7 @@
 fn daemon(platform: &str, arguments: &[&str], lines: usize) -> Process {
     let mut command = Command::new(env!("CARGO_BIN_EXE_porthoistd"));
     command
-        .args([
-            "--platform",
-            platform,
-            "--fleet-key",
-            FLEET_KEY,
-            "--operator-token",
-            TOKEN,
-            "--log",
-            "json",
-        ])
+        .args(["--platform", platform, "--fleet-key", FLEET_KEY, "--operator-token", TOKEN, "--log", "json"])
         .args(["--log-level", "error"])
         .args(arguments);
     Process::start(command, lines)
@@ -167,9 +149,7 @@
 
 impl Answer {
     pub fn verdict(&self) -> &str {
-        self.headers
-            .get("porthoist-verdict")
-            .map_or("", |value| value.to_str().unwrap())
+        self.headers.get("porthoist-verdict").map_or("", |value| value.to_str().unwrap())
     }
 
     pub fn reason(&self) -> String {
@@ -188,12 +168,7 @@
 impl<'a> Call<'a> {
     pub fn post(path: &'a str, body: impl Into<String>) -> Self {
         let headers = vec![("porthoist-team", "border".to_owned())];
-        Self {
-            method: Method::POST,
-            path,
-            headers,
-            body: body.into(),
-        }
+        Self { method: Method::POST, path, headers, body: body.into() }
     }
 
     pub fn header(mut self, name: &'a str, value: impl Into<String>) -> Self {
@@ -203,9 +178,8 @@
     }
 
     fn request(&self, base: &str) -> Request<Full<Bytes>> {
-        let mut builder = Request::builder()
-            .method(self.method.clone())
-            .uri(format!("http://{base}{}", self.path));
+        let mut builder =
+            Request::builder().method(self.method.clone()).uri(format!("http://{base}{}", self.path));
         for (name, value) in &self.headers {
             builder = builder.header(*name, value);
         }
@@ -223,19 +197,14 @@
     let events = data.filter(|data| *data != "[DONE]");
     events
         .map(|data| {
-            serde_json::from_str::<Value>(data).unwrap()["choices"][0]["text"]
-                .as_str()
-                .unwrap()
-                .to_owned()
+            serde_json::from_str::<Value>(data).unwrap()["choices"][0]["text"].as_str().unwrap().to_owned()
         })
         .collect()
 }
 
 /// The words that the stand-in engine gives.
 pub fn expected_words(prompt: &str, tokens: u64) -> Vec<String> {
-    (1..=tokens)
-        .map(|position| porthoist_standin::engine::answer_word(prompt, position).to_owned())
-        .collect()
+    (1..=tokens).map(|position| porthoist_standin::engine::answer_word(prompt, position).to_owned()).collect()
 }
 
 impl Fleet {
@@ -248,23 +217,14 @@
         let file = tempfile::NamedTempFile::new().unwrap();
         std::fs::write(file.path(), rows().to_string()).unwrap();
         let platform = standin(&["platform", "--items", file.path().to_str().unwrap()]);
-        let mut fleet = Self {
-            platform,
-            entries: Vec::new(),
-            targets: Vec::new(),
-            client: HttpClient::new(),
-        };
+        let mut fleet =
+            Self { platform, entries: Vec::new(), targets: Vec::new(), client: HttpClient::new() };
         for index in 0..models {
             let backend = standin(&["engine", "--step-ms", step_ms]);
             fleet.add_target(&format!("model-{index}"), "refunds", index, backend);
         }
         for index in 0..services {
-            fleet.add_target(
-                &format!("plain-{index}"),
-                "vouchers",
-                index,
-                standin(&["service"]),
-            );
+            fleet.add_target(&format!("plain-{index}"), "vouchers", index, standin(&["service"]));
         }
         for index in 0..entries {
             let entry = fleet.entry(index, &[]);
@@ -282,16 +242,8 @@
 
     pub fn entry(&self, index: usize, more: &[&str]) -> Process {
         let (name, zone) = (format!("entry-{index}"), format!("zone-{}", index % 2));
-        let mut arguments = vec![
-            "--role",
-            "entry",
-            "--name",
-            &name,
-            "--zone",
-            &zone,
-            "--stop-lag-ms",
-            STOP_LAG_MS,
-        ];
+        let mut arguments =
+            vec!["--role", "entry", "--name", &name, "--zone", &zone, "--stop-lag-ms", STOP_LAG_MS];
         arguments.extend_from_slice(more);
         daemon(&self.platform_url(), &arguments, 3)
     }
@@ -318,13 +270,7 @@
         let url = format!("http://{}", backend.address("listening"));
         let daemon = self.target_daemon(name, &zone, service, &url, &[]);
         let (name, service) = (name.to_owned(), service.to_owned());
-        self.targets.push(TargetPair {
-            name,
-            zone,
-            service,
-            backend,
-            daemon,
-        });
+        self.targets.push(TargetPair { name, zone, service, backend, daemon });
     }
 
     /// Starts a target's process again at its old address, beside the same back end.
@@ -341,14 +287,7 @@
         let addresses =
             ["callers", "operator", "fleet"].map(|name| self.entries[index].address(name).to_owned());
         let [callers, operator, fleet] = &addresses;
-        let more = [
-            "--callers-listen",
-            callers,
-            "--operator-listen",
-            operator,
-            "--fleet-listen",
-            fleet,
-        ];
+        let more = ["--callers-listen", callers, "--operator-listen", operator, "--fleet-listen", fleet];
         self.entries[index] = self.entry(index, &more);
     }
 
@@ -358,10 +297,7 @@
 
     pub async fn operator_get(&self, entry: usize, path: &str) -> Value {
         let request = Request::builder()
-            .uri(format!(
-                "http://{}{path}",
-                self.entries[entry].address("operator")
-            ))
+            .uri(format!("http://{}{path}", self.entries[entry].address("operator")))
             .header("authorization", format!("Bearer {TOKEN}"))
             .body(Full::new(Bytes::new()))
             .unwrap();
@@ -380,12 +316,8 @@
     pub async fn counter(&self, entry: usize, name: &str, reason: &str) -> u64 {
         let label = format!("reason=\"{reason}\"");
         let text = self.metrics(entry).await;
-        let line = text
-            .lines()
-            .find(|line| line.starts_with(name) && line.contains(&label));
-        line.and_then(|line| line.rsplit(' ').next())
-            .and_then(|value| value.parse().ok())
-            .unwrap_or(0)
+        let line = text.lines().find(|line| line.starts_with(name) && line.contains(&label));
+        line.and_then(|line| line.rsplit(' ').next()).and_then(|value| value.parse().ok()).unwrap_or(0)
     }
 
     /// Waits until an entry hears every target and entry.
@@ -394,8 +326,7 @@
         eventually("the entry hears everyone", || async {
             let status = self.status(entry).await;
             let heard = |list: &Value| {
-                list.as_array()
-                    .map_or(0, |list| list.iter().filter(|one| one["heard"] == true).count())
+                list.as_array().map_or(0, |list| list.iter().filter(|one| one["heard"] == true).count())
             };
             heard(&status["targets"]) == targets && heard(&status["entries"]) == entries
         })
@@ -417,21 +348,14 @@
     pub fn tool(&self, entry: usize, arguments: &[&str]) -> Output {
         let operator = format!("http://{}", self.entries[entry].address("operator"));
         let mut command = Command::new(tool_path());
-        command
-            .args(["--operator", &operator, "--token", TOKEN])
-            .args(arguments)
-            .env("NO_COLOR", "1");
+        command.args(["--operator", &operator, "--token", TOKEN]).args(arguments).env("NO_COLOR", "1");
         command.output().unwrap()
     }
 
     pub async fn fault(&self, address: &str, faults: Value) {
         let (status, _answer): (_, Value) = self
             .client
-            .json(
-                Method::POST,
-                &format!("http://{address}/standin/faults"),
-                Some(&faults),
-            )
+            .json(Method::POST, &format!("http://{address}/standin/faults"), Some(&faults))
             .await
             .unwrap();
         assert!(status.is_success());
@@ -442,10 +366,7 @@
     }
 
     pub async fn journal(&self, target: usize) -> Vec<JournalRun> {
-        let url = format!(
-            "http://{}/standin/journal",
-            self.targets[target].backend.address("listening")
-        );
+        let url = format!("http://{}/standin/journal", self.targets[target].backend.address("listening"));
         self.client.json(Method::GET, &url, None::<&()>).await.unwrap().1
     }
 
@@ -453,12 +374,7 @@
     pub async fn runs(&self, body: &str) -> usize {
         let mut runs = 0;
         for target in 0..self.targets.len() {
-            runs += self
-                .journal(target)
-                .await
-                .iter()
-                .filter(|run| run.body == body)
-                .count();
+            runs += self.journal(target).await.iter().filter(|run| run.body == body).count();
         }
         runs
     }
--- a/porthoistd/tests/process/once.rs
+++ b/porthoistd/tests/process/once.rs
@@ -35,20 +35,10 @@
     if let Some(key) = &request.key {
         builder = builder.header("idempotency-key", key);
     }
-    let message = builder
-        .body(Full::new(Bytes::from(request.body.clone())))
-        .unwrap();
-    let answer = tokio::time::timeout(TRY_TIME, client.fetch(message))
-        .await
-        .ok()?
-        .ok()?;
-    let header = |name: &str| {
-        answer
-            .headers()
-            .get(name)
-            .map_or("", |value| value.to_str().unwrap())
-            .to_owned()
-    };
+    let message = builder.body(Full::new(Bytes::from(request.body.clone()))).unwrap();
+    let answer = tokio::time::timeout(TRY_TIME, client.fetch(message)).await.ok()?.ok()?;
+    let header =
+        |name: &str| answer.headers().get(name).map_or("", |value| value.to_str().unwrap()).to_owned();
     let text = String::from_utf8(answer.body().to_vec()).unwrap();
     Some((answer.status().as_u16(), header("porthoist-verdict"), text))
 }
@@ -92,11 +82,7 @@
     }
     let doubled: Vec<_> = runs.iter().filter(|(_, count)| **count > 1).collect();
     assert!(doubled.is_empty(), "run more than once: {doubled:?}");
-    let untrue: Vec<_> = told
-        .not_run
-        .iter()
-        .filter(|body| runs.contains_key(*body))
-        .collect();
+    let untrue: Vec<_> = told.not_run.iter().filter(|body| runs.contains_key(*body)).collect();
     assert!(untrue.is_empty(), "said not-run, yet in the journal: {untrue:?}");
     println!(
         "sent {}, answered {}, not-run {}, may-have-run {}, runs {}, doubled 0, foreign 0",
@@ -109,11 +95,7 @@
 }
 
 fn entry_addresses(fleet: &Fleet) -> Vec<String> {
-    fleet
-        .entries
-        .iter()
-        .map(|entry| entry.address("callers").to_owned())
-        .collect()
+    fleet.entries.iter().map(|entry| entry.address("callers").to_owned()).collect()
 }
 
 /// Kills, freezes and restarts targets and an entry while requests go on.
@@ -166,9 +148,7 @@
 
 async fn slow_backends(fleet: &Fleet) {
     for pair in &fleet.targets {
-        fleet
-            .fault(pair.backend.address("listening"), json!({ "delay_ms": 20 }))
-            .await;
+        fleet.fault(pair.backend.address("listening"), json!({ "delay_ms": 20 })).await;
     }
 }
 
@@ -179,10 +159,7 @@
     let mut batches = Vec::new();
     for batch in 0..6 {
         let tickets = fleet.tickets(batch % 2, "vouchers", 60).await;
-        let keyed = |(index, ticket)| KeyedRequest {
-            body: format!("t{batch}-{index}"),
-            key: Some(ticket),
-        };
+        let keyed = |(index, ticket)| KeyedRequest { body: format!("t{batch}-{index}"), key: Some(ticket) };
         batches.push(tickets.into_iter().enumerate().map(keyed).collect());
     }
     let told = run_under_faults(&mut fleet, batches).await;
@@ -197,10 +174,7 @@
     let batches = (0..6).map(|batch| {
         let keyed = |index| {
             let body = format!("k{batch}-{index}");
-            KeyedRequest {
-                key: Some(format!("key-{body}")),
-                body,
-            }
+            KeyedRequest { key: Some(format!("key-{body}")), body }
         };
         (0..60).map(keyed).collect()
     });
@@ -214,12 +188,7 @@
     let mut fleet = Fleet::start(2, 0, 2).await;
     slow_backends(&fleet).await;
     let batches = (0..6).map(|batch| {
-        (0..100)
-            .map(|index| KeyedRequest {
-                body: format!("u{batch}-{index}"),
-                key: None,
-            })
-            .collect()
+        (0..100).map(|index| KeyedRequest { body: format!("u{batch}-{index}"), key: None }).collect()
     });
     let told = run_under_faults(&mut fleet, batches.collect()).await;
     check_journals(&fleet, &told).await;
@@ -235,13 +204,7 @@
         let call =
             || Call::post("/services/vouchers/issue", body.clone()).header("idempotency-key", body.clone());
         let (first, second) = tokio::join!(fleet.call(0, call()), fleet.call(1, call()));
-        assert_eq!(
-            (first.status, second.status),
-            (200, 200),
-            "{} {}",
-            first.body,
-            second.body
-        );
+        assert_eq!((first.status, second.status), (200, 200), "{} {}", first.body, second.body);
         assert_eq!(first.body, second.body);
         assert_eq!(fleet.runs(&body).await, 1);
     }
@@ -267,21 +230,11 @@
     fleet.platform_fault(json!({ "outage": true })).await;
     let call = || Call::post("/services/vouchers/issue", "dark").header("idempotency-key", "dark");
     let answer = fleet.call(0, call()).await;
-    assert_eq!(
-        (answer.status, answer.reason().as_str()),
-        (503, "claim_unavailable")
-    );
-    assert_eq!(
-        answer.verdict(),
-        "may-have-run",
-        "of the key nothing is known while the table is away"
-    );
+    assert_eq!((answer.status, answer.reason().as_str()), (503, "claim_unavailable"));
+    assert_eq!(answer.verdict(), "may-have-run", "of the key nothing is known while the table is away");
     assert_eq!(fleet.runs("dark").await, 0);
     fleet.platform_fault(json!({})).await;
-    eventually("the key works again", || async {
-        fleet.call(0, call()).await.status == 200
-    })
-    .await;
+    eventually("the key works again", || async { fleet.call(0, call()).await.status == 200 }).await;
     assert_eq!(fleet.runs("dark").await, 1);
 }
 
--- a/porthoistd/tests/process/shutdown.rs
+++ b/porthoistd/tests/process/shutdown.rs
@@ -14,14 +14,10 @@
             let prompt = format!("stop {index}");
             let request = hyper::Request::post(format!("http://{base}/v1/completions"))
                 .header("porthoist-team", "border")
-                .body(http_body_util::Full::new(bytes::Bytes::from(completion(
-                    &prompt, 50, true,
-                ))))
+                .body(http_body_util::Full::new(bytes::Bytes::from(completion(&prompt, 50, true))))
                 .unwrap();
-            let answer = porthoist_http::HttpClient::new()
-                .fetch(request)
-                .await
-                .expect("the stream is not cut off");
+            let answer =
+                porthoist_http::HttpClient::new().fetch(request).await.expect("the stream is not cut off");
             let text = String::from_utf8(answer.body().to_vec()).unwrap();
             assert_eq!(stream_words(&text), expected_words(&prompt, 50));
             assert!(text.ends_with("data: [DONE]\n\n"));
@@ -75,9 +71,7 @@
     fleet.entries[0].signal(Signal::SIGTERM);
     let url = format!("http://{}/readyz", fleet.entries[0].address("operator"));
     eventually("it is not ready", || async {
-        let request = hyper::Request::get(&url)
-            .body(http_body_util::Full::new(bytes::Bytes::new()))
-            .unwrap();
+        let request = hyper::Request::get(&url).body(http_body_util::Full::new(bytes::Bytes::new())).unwrap();
         fleet.client.fetch(request).await.unwrap().status() == 503
     })
     .await;
@@ -91,11 +85,7 @@
 async fn a_drained_target_takes_no_new_work() {
     let fleet = Fleet::start(2, 2, 0).await;
     let drained = fleet.tool(0, &["drain", "model-0", "--wait"]);
-    assert!(
-        drained.status.success(),
-        "{}",
-        String::from_utf8_lossy(&drained.stderr)
-    );
+    assert!(drained.status.success(), "{}", String::from_utf8_lossy(&drained.stderr));
     tokio::time::sleep(Duration::from_secs(2)).await;
     let before = fleet.journal(0).await.len();
     for round in 0..60 {
@@ -103,12 +93,7 @@
         assert_eq!(fleet.call(round % 2, call).await.status, 200);
     }
     assert_eq!(fleet.journal(0).await.len(), before, "no new work after 2 s");
-    assert!(
-        fleet
-            .tool(0, &["drain", "model-0", "--undo", "--wait"])
-            .status
-            .success()
-    );
+    assert!(fleet.tool(0, &["drain", "model-0", "--undo", "--wait"]).status.success());
     eventually("it takes work again", || async {
         let call = Call::post("/v1/completions", completion("undone", 2, false));
         fleet.call(0, call).await;
--- a/porthoistd/tests/process/table.rs
+++ b/porthoistd/tests/process/table.rs
@@ -10,32 +10,10 @@
 #[tokio::test]
 async fn of_two_racing_operators_one_gets_the_row_in_force() {
     let fleet = Fleet::start(1, 1, 0).await;
-    let version = fleet.operator_get(0, "/v1/table").await["rows"][2]["version"]
-        .as_u64()
-        .unwrap()
-        .to_string();
-    let first = fleet.tool(
-        0,
-        &[
-            "table",
-            "set",
-            "team/border",
-            "weight=2",
-            "--if-version",
-            &version,
-        ],
-    );
-    let second = fleet.tool(
-        0,
-        &[
-            "table",
-            "set",
-            "team/border",
-            "weight=3",
-            "--if-version",
-            &version,
-        ],
-    );
+    let version =
+        fleet.operator_get(0, "/v1/table").await["rows"][2]["version"].as_u64().unwrap().to_string();
+    let first = fleet.tool(0, &["table", "set", "team/border", "weight=2", "--if-version", &version]);
+    let second = fleet.tool(0, &["table", "set", "team/border", "weight=3", "--if-version", &version]);
     assert!(first.status.success(), "{}", text(&first.stderr));
     assert_eq!(second.status.code(), Some(3));
     assert!(
@@ -61,31 +39,20 @@
     assert_eq!(refused.status.code(), Some(2));
     let said = text(&refused.stderr);
     assert!(said.contains("column rate") && said.contains("line 4"), "{said}");
-    assert_eq!(
-        text(&fleet.tool(0, &["table", "export"]).stdout),
-        sheet,
-        "nothing was imported"
-    );
+    assert_eq!(text(&fleet.tool(0, &["table", "export"]).stdout), sheet, "nothing was imported");
 
     let good = sheet.replace("border,,100000/s", "border,5,99000/s") + "team,new,1,5/s,,,,,,,,,\n";
     std::fs::write(&path, &good).unwrap();
     let imported = fleet.tool(0, &["table", "import", file, "--wait"]);
     assert!(imported.status.success(), "{}", text(&imported.stderr));
-    assert!(
-        text(&imported.stdout).starts_with("2 rows"),
-        "{}",
-        text(&imported.stdout)
-    );
+    assert!(text(&imported.stdout).starts_with("2 rows"), "{}", text(&imported.stdout));
 
     let stale = good.replace("border,5,99000/s", "border,6,98000/s");
     std::fs::write(&path, stale.replace("team,new,1,5/s", "team,newer,1,5/s")).unwrap();
     let conflict = fleet.tool(0, &["table", "import", file]);
     assert_eq!(conflict.status.code(), Some(3), "{}", text(&conflict.stderr));
     let after = text(&fleet.tool(0, &["table", "export"]).stdout);
-    assert!(
-        after.contains("border,5,99000/s") && !after.contains("newer"),
-        "{after}"
-    );
+    assert!(after.contains("border,5,99000/s") && !after.contains("newer"), "{after}");
 }
 
 #[tokio::test]
--- a/porthoistd/tests/process/whole.rs
+++ b/porthoistd/tests/process/whole.rs
@@ -12,10 +12,7 @@
     let fleet = Fleet::start(1, 2, 0).await;
     for pair in &fleet.targets {
         fleet
-            .fault(
-                pair.backend.address("listening"),
-                json!({ "breaks": 1, "break_after": 3, "step_ms": 5 }),
-            )
+            .fault(pair.backend.address("listening"), json!({ "breaks": 1, "break_after": 3, "step_ms": 5 }))
             .await;
     }
     let answer = fleet.call(0, streamed("broken", 10)).await;
@@ -27,12 +24,7 @@
 #[tokio::test]
 async fn repeated_events_are_delivered_once() {
     let fleet = Fleet::start(1, 1, 0).await;
-    fleet
-        .fault(
-            fleet.targets[0].backend.address("listening"),
-            json!({ "repeat_events": true }),
-        )
-        .await;
+    fleet.fault(fleet.targets[0].backend.address("listening"), json!({ "repeat_events": true })).await;
     let answer = fleet.call(0, streamed("twice", 10)).await;
     assert_eq!(stream_words(&answer.body), expected_words("twice", 10));
 }
@@ -40,12 +32,7 @@
 #[tokio::test]
 async fn swapped_events_never_reach_the_caller() {
     let fleet = Fleet::start(1, 2, 0).await;
-    fleet
-        .fault(
-            fleet.targets[0].backend.address("listening"),
-            json!({ "swap_events": true }),
-        )
-        .await;
+    fleet.fault(fleet.targets[0].backend.address("listening"), json!({ "swap_events": true })).await;
     for round in 0..10 {
         let prompt = format!("swapped {round}");
         let answer = fleet.call(0, streamed(&prompt, 10)).await;
@@ -73,11 +60,7 @@
 #[tokio::test]
 async fn streams_survive_the_kill_of_a_target() {
     let mut fleet = Fleet::start_with(2, 2, 0, "20").await;
-    let entries: Vec<_> = fleet
-        .entries
-        .iter()
-        .map(|entry| entry.address("callers").to_owned())
-        .collect();
+    let entries: Vec<_> = fleet.entries.iter().map(|entry| entry.address("callers").to_owned()).collect();
     let mut streams = Vec::new();
     for index in 0..20 {
         let base = entries[index % 2].clone();
@@ -125,9 +108,8 @@
     eventually("the request runs", at_work).await;
     fleet.entries[0].kill();
     assert!(first.await.unwrap(), "the first connection broke");
-    let rest = Call::post("/v1/completions", body)
-        .header("idempotency-key", ticket)
-        .header("last-event-id", "4");
+    let rest =
+        Call::post("/v1/completions", body).header("idempotency-key", ticket).header("last-event-id", "4");
     let answer = fleet.call(1, rest).await;
     assert!(answer.whole);
     assert_eq!(stream_words(&answer.body), expected_words("resume", 30)[4..]);
