Plan expert placement by shares and few moves; measure it against static, full and oracle

Change: porthoist-policy::placement (estimator with jump detection, shares between replicas, best few moves) and porthoist-lab experts with fakes for drift, lag and cost.

--- /dev/null
+++ b/crates/porthoist-lab/src/cmd.rs
@@ -0,0 +1,25 @@
+//! The subcommands, a file for each.
+
+pub mod experts;
+
+use argh::FromArgs;
+
+/// Measure porthoist: experiments with its decisions against baselines, and load on its processes.
+#[derive(Debug, FromArgs)]
+pub struct LabArgs {
+    #[argh(subcommand)]
+    command: LabCommand,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum LabCommand {
+    Experts(experts::ExpertsArgs),
+}
+
+/// Runs a command and returns its report.
+pub fn run(args: LabArgs) -> miette::Result<String> {
+    match args.command {
+        LabCommand::Experts(args) => experts::run(&args),
+    }
+}
--- /dev/null
+++ b/crates/porthoist-lab/src/report.rs
@@ -0,0 +1,78 @@
+//! Distributions and ratios of the reports.
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::str::FromStr;
+
+/// Values are recorded in thousandths of their unit.
+const SCALE: f64 = 1000.0;
+/// Largest value told apart, in thousandths.
+const MAX_VALUE: u64 = 3_600_000_000;
+
+/// A distribution of values that are not negative.
+#[derive(Debug, Clone)]
+pub struct Distribution(Histogram<u64>);
+
+impl Default for Distribution {
+    fn default() -> Self {
+        Self(Histogram::new_with_bounds(1, MAX_VALUE, 3).expect("the bounds are valid"))
+    }
+}
+
+impl Distribution {
+    /// Adds a value.
+    pub fn add(&mut self, value: f64) {
+        self.0.saturating_record((value * SCALE) as u64);
+    }
+
+    /// The value at a quantile, 0 where nothing was added.
+    pub fn at(&self, quantile: f64) -> f64 {
+        self.0.value_at_quantile(quantile) as f64 / SCALE
+    }
+
+    /// Number of values.
+    pub fn count(&self) -> u64 {
+        self.0.len()
+    }
+
+    /// Their mean.
+    pub fn mean(&self) -> f64 {
+        self.0.mean() / SCALE
+    }
+}
+
+/// How a report is printed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReportFormat {
+    /// For people.
+    Text,
+    /// For scripts.
+    Json,
+}
+
+impl FromStr for ReportFormat {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            other => Err(format!("{other:?} is not a format: expected text or json")),
+        }
+    }
+}
+
+/// Rounds to four significant decimals, so that a report reads well and stays the same for a seed.
+pub fn rounded(value: f64) -> f64 {
+    (value * 10_000.0).round() / 10_000.0
+}
+
+/// A part of a whole, 0 where the whole is 0.
+pub fn ratio(part: f64, whole: f64) -> f64 {
+    if whole > 0.0 { rounded(part / whole) } else { 0.0 }
+}
+
+/// A value as indented JSON.
+pub fn json_text<T: Serialize>(value: &T) -> String {
+    serde_json::to_string_pretty(value).unwrap_or_default()
+}
--- a/crates/porthoist-policy/src/gate.rs
+++ b/crates/porthoist-policy/src/gate.rs
@@ -207,7 +207,9 @@
 
     /// The run ended and its answer is kept.
     pub fn finished(&mut self, key: GateKey) {
-        self.set_state(key, RecordState::Finished);
+        if self.rules.remember_runs {
+            self.set_state(key, RecordState::Finished);
+        }
     }
 
     /// The kept answer was dropped; that it ran is still remembered.
--- a/crates/porthoist-policy/src/lib.rs
+++ b/crates/porthoist-policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod gate;
 pub mod limits;
 pub mod membership;
+pub mod placement;
 pub mod retry;
 pub mod router;
 pub mod switch;
--- a/crates/porthoist-spec/src/main.rs
+++ b/crates/porthoist-spec/src/main.rs
@@ -44,15 +44,12 @@
     let mut all = true;
     for mutant in &model.mutants {
         let report = mutant.search(limit);
-        match &report.counterexample {
-            Some((promise, events)) => {
-                println!("caught: {}: {} ({} events)", mutant.rule, promise, events.len());
-            }
-            None => {
-                println!("NOT CAUGHT: {} ({} states)", mutant.rule, report.states);
-                all = false;
-            }
+        if let Some((promise, events)) = &report.counterexample {
+            println!("caught: {}: {} ({} events)", mutant.rule, promise, events.len());
+            continue;
         }
+        println!("NOT CAUGHT: {} ({} states)", mutant.rule, report.states);
+        all = false;
     }
     all
 }
--- a/crates/porthoist-spec/src/models.rs
+++ b/crates/porthoist-spec/src/models.rs
@@ -142,6 +142,7 @@
     CheckedModel { name, bounds, sound: mutant("none", sound), mutants }
 }
 
+#[derive(Clone, Copy)]
 struct SwitchShape {
     ranks: usize,
     steps: u32,
