--- a/crates/porthoist-caller/src/course.rs
+++ b/crates/porthoist-caller/src/course.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use porthoist_core::offer::AnswerDigest;
 use porthoist_core::{
-    AnswerHead, AttemptId, IncarnationId, OfferOutcome, RefusalReason, RepeatPolicy, RequestId, RequestOffer,
-    RetryReason, RunVerdict, TargetName, TicketText, UnixMillis,
+    AnswerFrame, AnswerHead, AttemptId, IncarnationId, OfferOutcome, RefusalReason, RepeatPolicy, RequestId,
+    RequestOffer, RetryReason, RunVerdict, TargetName, TicketText, UnixMillis,
 };
 use porthoist_policy::answer::FrameVerdict;
 use porthoist_policy::explain::DecisionKind;
@@ -327,6 +327,7 @@
 
     async fn follow(&mut self, mut attempt: OpenAttempt) -> AttemptEnd {
         self.delivery.expect(attempt.id);
+        let mut first = true;
         loop {
             let news = tokio::select! {
                 news = attempt.next() => news,
@@ -334,13 +335,12 @@
             };
             let end = match news {
                 AttemptNews::Frame(frame) => {
-                    match self.delivery.frame(self.ports.clock.now(), &frame).await {
-                        Err(CallerGone) => return AttemptEnd::Gone,
-                        Ok(FrameVerdict::Gap) => {
-                            self.ports.metrics.dropped_frames("gap", 1);
-                            corrupt()
-                        }
-                        Ok(_taken) => continue,
+                    if std::mem::take(&mut first) {
+                        self.ports.routing.first_frame(attempt.target.clone(), attempt.id);
+                    }
+                    match self.deliver(&frame).await {
+                        Some(end) => end,
+                        None => continue,
                     }
                 }
                 AttemptNews::Ended(Ok(outcome)) => self.outcome(outcome),
@@ -351,6 +351,18 @@
         }
     }
 
+    /// Sends a frame on; returns the attempt's end if it can't go on.
+    async fn deliver(&mut self, frame: &AnswerFrame) -> Option<AttemptEnd> {
+        match self.delivery.frame(self.ports.clock.now(), frame).await {
+            Err(CallerGone) => Some(AttemptEnd::Gone),
+            Ok(FrameVerdict::Gap) => {
+                self.ports.metrics.dropped_frames("gap", 1);
+                Some(corrupt())
+            }
+            Ok(_taken) => None,
+        }
+    }
+
     fn outcome(&self, outcome: OfferOutcome) -> AttemptEnd {
         match outcome {
             OfferOutcome::Whole { head, body, digest } if AnswerDigest::of(&body) == digest => {
--- a/crates/porthoist-caller/src/ports.rs
+++ b/crates/porthoist-caller/src/ports.rs
@@ -83,6 +83,8 @@
     fn route(&self, ask: RouteAsk) -> BoxFuture<'_, Result<RouteTold, CallerRefusal>>;
     /// An admitted request is over.
     fn release(&self, team: TeamName);
+    /// The first frame of an attempt came back.
+    fn first_frame(&self, target: TargetName, attempt: AttemptId);
     /// The first token of a request took so long, in milliseconds.
     fn first_token(&self, millis: u64);
 }
--- a/crates/porthoist-lab/src/cmd.rs
+++ b/crates/porthoist-lab/src/cmd.rs
@@ -1,6 +1,8 @@
 //! The subcommands, a file for each.
 
 pub mod experts;
+pub mod load;
+pub mod route;
 
 use argh::FromArgs;
 
@@ -15,11 +17,15 @@
 #[argh(subcommand)]
 enum LabCommand {
     Experts(experts::ExpertsArgs),
+    Load(load::LoadArgs),
+    Route(route::RouteArgs),
 }
 
 /// Runs a command and returns its report.
 pub fn run(args: LabArgs) -> miette::Result<String> {
     match args.command {
         LabCommand::Experts(args) => experts::run(&args),
+        LabCommand::Load(args) => load::run(&args),
+        LabCommand::Route(args) => route::run(&args),
     }
 }
--- a/crates/porthoist-lab/src/lib.rs
+++ b/crates/porthoist-lab/src/lib.rs
@@ -5,5 +5,7 @@
 
 pub mod cmd;
 pub mod experts;
+pub mod load;
 pub mod plot;
 pub mod report;
+pub mod route;
--- a/crates/porthoist-lab/src/report.rs
+++ b/crates/porthoist-lab/src/report.rs
@@ -25,6 +25,11 @@
         self.0.saturating_record((value * SCALE) as u64);
     }
 
+    /// Adds all values of another distribution.
+    pub fn merge(&mut self, other: &Self) {
+        self.0.add(&other.0).expect("both have the same bounds");
+    }
+
     /// The value at a quantile, 0 where nothing was added.
     pub fn at(&self, quantile: f64) -> f64 {
         self.0.value_at_quantile(quantile) as f64 / SCALE
--- a/crates/porthoist-policy/src/router.rs
+++ b/crates/porthoist-policy/src/router.rs
@@ -24,6 +24,9 @@
 /// Added to the cost of a target that could not be reached, until it is heard again, in milliseconds.
 pub const UNREACHABLE_MILLIS: u64 = 1000;
 
+/// Default weight of a prompt's own computation against the wait before it; see docs/measurements/ROUTING.md.
+pub const WORK_WEIGHT: f64 = 8.0;
+
 /// Settings of a router.
 #[derive(Debug, Clone, bon::Builder)]
 pub struct RouterSettings {
@@ -35,9 +38,14 @@
     /// Random candidates beside the prefix's home; all targets where there are no more.
     #[builder(default = 16)]
     pub choices: usize,
+    /// Weight of the prompt's own computation: it delays everyone behind it too, and what it puts into a cache drives
+    /// something else out.
+    #[builder(default = WORK_WEIGHT)]
+    pub work_weight: f64,
     /// Entries that send to the same targets, this one included.
     #[builder(default = 1)]
     pub entries: u32,
+
     /// Seed of the random choices.
     #[builder(default = 1)]
     pub seed: u64,
@@ -92,6 +100,15 @@
 struct SentAttempt {
     at: UnixMillis,
     tokens: u32,
+    prefilled: bool,
+}
+
+/// A first token that came back: all work that reached the target before `sent_at` was done by `seen_at`. Answers
+/// come at once, so this is often newer than the last load report.
+#[derive(Debug, Clone, Copy, Default)]
+struct ClearPoint {
+    sent_at: UnixMillis,
+    seen_at: UnixMillis,
 }
 
 #[derive(Debug)]
@@ -100,6 +117,8 @@
     load: LoadReport,
     sent: HashMap<AttemptId, SentAttempt>,
     prefixes: PrefixView,
+    inflow: InflowRate,
+    clear: ClearPoint,
     unreachable_until: UnixMillis,
 }
 
@@ -130,6 +149,8 @@
             load: LoadReport::default(),
             sent: HashMap::new(),
             prefixes: PrefixView::new(PREFIX_CAPACITY),
+            inflow: InflowRate::default(),
+            clear: ClearPoint::default(),
             unreachable_until: UnixMillis(0),
         };
         self.views.insert(name, view);
@@ -179,10 +200,21 @@
         };
         let cached = view.prefixes.cached_blocks(query.prefix_blocks) as u32 * BLOCK_TOKENS;
         let tokens = query.prompt_tokens.saturating_sub(cached);
-        view.sent.insert(attempt, SentAttempt { at: now, tokens });
+        view.sent.insert(attempt, SentAttempt { at: now, tokens, prefilled: false });
+        view.inflow.add(now, f64::from(tokens));
         view.prefixes.insert(query.prefix_blocks);
     }
 
+    /// The first token of an attempt came back.
+    pub fn first_token(&mut self, now: UnixMillis, target: &TargetName, attempt: AttemptId) {
+        let Some(view) = self.views.get_mut(target) else { return };
+        let Some(sent) = view.sent.get_mut(&attempt) else { return };
+        sent.prefilled = true;
+        if sent.at >= view.clear.sent_at {
+            view.clear = ClearPoint { sent_at: sent.at, seen_at: now };
+        }
+    }
+
     /// Counts an attempt as over.
     pub fn done(&mut self, target: &TargetName, attempt: AttemptId) {
         if let Some(view) = self.views.get_mut(target) {
@@ -190,6 +222,15 @@
         }
     }
 
+    /// A target's process began a new life: nothing known of its queue and cache holds any more.
+    pub fn reset(&mut self, target: &TargetName) {
+        if let Some(view) = self.views.get_mut(target) {
+            view.load = LoadReport { at: view.load.at, ..LoadReport::default() };
+            view.prefixes = PrefixView::new(PREFIX_CAPACITY);
+            view.clear = ClearPoint::default();
+        }
+    }
+
     /// Avoids a target that could not be reached, for a while.
     pub fn unreachable(&mut self, now: UnixMillis, target: &TargetName) {
         if let Some(view) = self.views.get_mut(target) {
@@ -247,26 +288,51 @@
 
     fn cost(&self, view: &TargetView, query: &RouteQuery<'_>) -> (f64, u32) {
         let load = &view.load;
-        let unseen = view.unseen(self.settings.entries);
-        let occupied = f64::from(load.running + load.queued) + unseen.requests;
+        let unseen = view.unseen();
+        let age = query.now.since(load.at) as f64;
+        let slot_millis = f64::from(load.slot_micros) / 1000.0;
+        let drained = if slot_millis > 0.0 { age / slot_millis } else { 0.0 };
+        let reported = (f64::from(load.running + load.queued) - drained).max(0.0);
+        let occupied = reported + unseen.requests;
         let waiting = (occupied + 1.0 - f64::from(load.slots.max(1))).max(0.0);
-        let slot_wait = waiting * f64::from(load.slot_micros) / 1000.0;
+        let slot_wait = waiting * slot_millis;
         let rate = f64::from(load.prefill_rate.max(1)) / 1000.0;
         let cached = view.prefixes.cached_blocks(query.prefix_blocks) as u32 * BLOCK_TOKENS;
         let cached = cached.min(query.prompt_tokens);
         let (backlog, own) = if load.prefill_rate == 0 {
             (0.0, 0.0)
         } else {
-            let backlog = (load.queued_tokens as f64 + unseen.tokens) / rate;
+            let backlog = self.backlog_tokens(view, query.now, rate) / rate;
             (backlog, f64::from(query.prompt_tokens - cached) / rate)
         };
         let pace = f64::from(load.step_micros) / 1000.0;
+
         let zone = if view.target.zone == self.settings.zone { 0.0 } else { self.settings.cross_zone_millis };
-        let cost = slot_wait + backlog + own + pace + zone;
+        let cost = slot_wait + backlog + own * self.settings.work_weight + pace + zone;
         // Among idle targets the least occupied one wins, so that equal costs don't all go to one name.
         let tie = occupied / f64::from(load.slots.max(1));
         ((cost + tie) / view.target.weight, cached)
     }
+
+    /// Prompt tokens that wait at a target now, from the newest thing known of it: a load report or a first token.
+    fn backlog_tokens(&self, view: &TargetView, now: UnixMillis, rate: f64) -> f64 {
+        let newer = view.clear.seen_at > view.load.at;
+        let (known, since, at) = if newer {
+            (0.0, view.clear.sent_at, view.clear.seen_at)
+        } else {
+            (view.load.queued_tokens as f64, view.load.at, view.load.at)
+        };
+        let others = f64::from(self.settings.entries - 1) * view.inflow.rate(now) * now.since(since) as f64;
+        let mut own = 0.0;
+        let mut unanswered = 0.0;
+        for sent in view.sent.values() {
+            let tokens = f64::from(sent.tokens);
+            own += if sent.at >= since && !(newer && sent.prefilled) { tokens } else { 0.0 };
+            unanswered += if sent.prefilled { 0.0 } else { tokens };
+        }
+        let done = rate * now.since(at) as f64;
+        (known + own + others - done).max(unanswered)
+    }
 }
 
 fn home_of(views: &[&TargetView], blocks: &[u64]) -> Option<TargetName> {
@@ -275,6 +341,31 @@
     views.iter().max_by_key(score).map(|view| view.target.name.clone())
 }
 
+/// Time over which the inflow to a target is averaged, in milliseconds.
+const INFLOW_MILLIS: f64 = 2000.0;
+
+/// Tokens a millisecond that this entry sends to a target; the other entries are taken to send alike.
+#[derive(Debug, Default, Clone, Copy)]
+struct InflowRate {
+    tokens: f64,
+    at: UnixMillis,
+}
+
+impl InflowRate {
+    fn decayed(&self, now: UnixMillis) -> f64 {
+        self.tokens * (-(now.since(self.at) as f64) / INFLOW_MILLIS).exp()
+    }
+
+    fn add(&mut self, now: UnixMillis, tokens: f64) {
+        self.tokens = self.decayed(now) + tokens;
+        self.at = now;
+    }
+
+    fn rate(&self, now: UnixMillis) -> f64 {
+        self.decayed(now) / INFLOW_MILLIS
+    }
+}
+
 struct UnseenWork {
     requests: f64,
     tokens: f64,
@@ -289,14 +380,13 @@
             && !query.exclude.contains(&target.name)
     }
 
-    /// Work sent since the last report, by this entry and, scaled up, by the others.
-    fn unseen(&self, entries: u32) -> UnseenWork {
+    /// Work that this entry sent since the last report.
+    fn unseen(&self) -> UnseenWork {
         let since = |sent: &&SentAttempt| sent.at >= self.load.at;
-        let scale = f64::from(entries);
         let mut unseen = UnseenWork { requests: 0.0, tokens: 0.0 };
         for sent in self.sent.values().filter(since) {
-            unseen.requests += scale;
-            unseen.tokens += scale * f64::from(sent.tokens);
+            unseen.requests += 1.0;
+            unseen.tokens += f64::from(sent.tokens);
         }
         unseen
     }
--- a/crates/porthoist-policy/src/router/prefix.rs
+++ b/crates/porthoist-policy/src/router/prefix.rs
@@ -34,14 +34,14 @@
         self.stamps.is_empty()
     }
 
-    /// Adds blocks, or renews them.
-    pub fn insert(&mut self, blocks: &[u64]) {
+    /// Adds blocks, or renews them; returns the blocks that had to go.
+    pub fn insert(&mut self, blocks: &[u64]) -> Vec<u64> {
         for &block in blocks {
             self.tick += 1;
             self.stamps.insert(block, self.tick);
             self.order.push_back((self.tick, block));
         }
-        self.evict();
+        self.evict()
     }
 
     /// Removes blocks.
@@ -51,14 +51,17 @@
         }
     }
 
-    fn evict(&mut self) {
+    fn evict(&mut self) -> Vec<u64> {
+        let mut evicted = Vec::new();
         while self.stamps.len() > self.capacity || self.order.len() > 2 * self.capacity {
             let Some((tick, block)) = self.order.pop_front() else {
-                return;
+                break;
             };
             if self.stamps.get(&block) == Some(&tick) {
                 self.stamps.remove(&block);
+                evicted.push(block);
             }
         }
+        evicted
     }
 }
--- a/crates/porthoist-spec/src/main.rs
+++ b/crates/porthoist-spec/src/main.rs
@@ -13,8 +13,8 @@
     /// use the smaller bounds of the tests
     #[argh(switch)]
     small: bool,
-    /// states expanded at most for one search (default 20000000)
-    #[argh(option, default = "20_000_000")]
+    /// states expanded at most for one search (default 3000000)
+    #[argh(option, default = "3_000_000")]
     limit: usize,
 }
 
--- a/crates/porthoist-target/src/offers.rs
+++ b/crates/porthoist-target/src/offers.rs
@@ -12,6 +12,8 @@
 };
 use porthoist_policy::admission::{AdmissionDecision, AdmissionQueue, AdmissionRequest, AdmissionSettings};
 use porthoist_policy::gate::{GateDecision, GateKey, GateMachine, GateOffer};
+use porthoist_policy::router::prefix::PrefixView;
+use porthoist_policy::router::{BLOCK_TOKENS, PREFIX_CAPACITY};
 use std::collections::{HashMap, VecDeque};
 use std::fmt;
 use std::sync::Arc;
@@ -72,6 +74,7 @@
     kept: HashMap<GateKey, Arc<AnswerLog>>,
     kept_order: VecDeque<GateKey>,
     kept_bytes: usize,
+    prefixes: PrefixView,
 }
 
 impl fmt::Debug for OffersActor {
@@ -101,6 +104,7 @@
             kept: HashMap::new(),
             kept_order: VecDeque::new(),
             kept_bytes: 0,
+            prefixes: PrefixView::new(PREFIX_CAPACITY),
             settings,
         }
     }
@@ -109,6 +113,11 @@
         self.settings.clock.now()
     }
 
+    /// Prompt tokens believed to be in the engine's cache: what ran here lately.
+    fn cached_tokens(&self, blocks: &[u64]) -> u32 {
+        self.prefixes.cached_blocks(blocks) as u32 * BLOCK_TOKENS
+    }
+
     fn publish(&self) {
         let load = self.queue.load(self.now(), self.gate.draining());
         self.settings.load.send_replace(load);
@@ -147,7 +156,7 @@
             team: offer.team.clone(),
             weight: (self.settings.weights)(&offer.team),
             priority: offer.priority,
-            prompt_tokens: offer.prompt_tokens,
+            prompt_tokens: offer.prompt_tokens.saturating_sub(self.cached_tokens(&offer.prefix_blocks)),
             deadline: offer.deadline,
         };
         let queue = &mut self.queue;
@@ -192,6 +201,7 @@
         }
         let record = OfferRecord { offer: Arc::clone(offer), key, log: Arc::clone(&log) };
         self.active.insert(offer.attempt, record);
+        self.prefixes.insert(&offer.prefix_blocks);
         if starts {
             self.start(offer.attempt);
         }
--- a/porthoistd/src/duty/entry_fleet/targets.rs
+++ b/porthoistd/src/duty/entry_fleet/targets.rs
@@ -74,6 +74,9 @@
         let now = self.shared.clock.now();
         let known = members.get(name).and_then(|record| record.digest.life);
         let reborn = known.is_none_or(|life| life.incarnation != hello.incarnation);
+        if reborn && known.is_some() {
+            let _told = self.shared.routing.tell(TargetMessage::Reset(name.clone())).await;
+        }
         let life =
             if reborn { Some(ProcessLife { started: now, incarnation: hello.incarnation }) } else { known };
         members.apply(now, member_digest(&host, hello, life));
--- a/porthoistd/src/duty/routing.rs
+++ b/porthoistd/src/duty/routing.rs
@@ -58,6 +58,8 @@
 pub enum TargetMessage {
     /// It is there.
     Upsert(RouteTarget),
+    /// Its process began a new life.
+    Reset(TargetName),
     /// It is gone.
     Remove(TargetName),
 }
@@ -75,6 +77,23 @@
 #[derive(Debug)]
 pub struct ReleaseMessage(pub TeamName);
 
+/// The first frame of an attempt came back.
+#[derive(Debug)]
+pub struct FirstFrameMessage {
+    /// The target.
+    pub target: TargetName,
+    /// The attempt.
+    pub attempt: AttemptId,
+}
+
+impl Message<FirstFrameMessage> for RoutingActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: FirstFrameMessage, _ctx: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        self.router.first_token(self.clock.now(), &msg.target, msg.attempt);
+    }
+}
+
 /// A first token took so long, in milliseconds.
 #[derive(Debug, Clone, Copy)]
 pub struct FirstTokenMessage(pub u64);
@@ -191,6 +210,7 @@
     async fn handle(&mut self, msg: TargetMessage, _ctx: &mut Context<Self, Self::Reply>) -> Self::Reply {
         match msg {
             TargetMessage::Upsert(target) => self.router.upsert(target),
+            TargetMessage::Reset(target) => self.router.reset(&target),
             TargetMessage::Remove(target) => self.router.remove(&target),
         }
     }
@@ -243,6 +263,11 @@
         self.tell_bounded(ReleaseMessage(team));
     }
 
+    fn first_frame(&self, target: TargetName, attempt: AttemptId) {
+        // A lost observation costs nothing.
+        let _told = self.0.tell(FirstFrameMessage { target, attempt }).try_send();
+    }
+
     fn first_token(&self, millis: u64) {
         // A lost observation costs nothing.
         let _told = self.0.tell(FirstTokenMessage(millis)).try_send();
