--- a/crates/porthoist-fleet/schema/fleet.capnp
+++ b/crates/porthoist-fleet/schema/fleet.capnp
@@ -77,9 +77,19 @@
   incarnation @1 :UInt64;
 }
 
-struct Demand {
+struct SettleAsk {
+  # Hash of the team's name.
   team @0 :UInt64;
-  tokens @1 :UInt32;
+  # Requests admitted on credit.
+  debt @1 :UInt32;
+  # Tokens wanted ahead.
+  wanted @2 :UInt32;
+}
+
+struct SettleTold {
+  team @0 :UInt64;
+  granted @1 :UInt32;
+  waitMillis @2 :UInt32;
 }
 
 struct Digest {
@@ -87,8 +97,7 @@
   zone @1 :Text;
   revision @2 :UInt64;
   leaving @3 :List(LeavingMark);
-  # Token batches asked of the keeper, or lent by it.
-  demands @4 :List(Demand);
+  unused4 @4 :Void;
   # A configuration change in JSON that leads to a higher revision than the peer named; empty where there is none.
   change @5 :Data;
   # Whether the sender holds a promise to accept work.
@@ -109,6 +118,8 @@
   # The target's hello in JSON.
   hello @2 () -> (hello :Data);
   gossip @3 (digest :Digest) -> (digest :Digest);
+  # Settles teams' limits with their keeper.
+  settle @4 (asks :List(SettleAsk)) -> (told :List(SettleTold));
 }
 
 interface Login {
--- a/crates/porthoist-fleet/src/client.rs
+++ b/crates/porthoist-fleet/src/client.rs
@@ -1,6 +1,8 @@
 //! The calling side: one connection to one peer.
 
-use crate::convert::{read_digest, read_frame, read_outcome, write_digest, write_offer};
+use crate::convert::{
+    read_digest, read_frame, read_outcome, read_told, write_asks, write_digest, write_offer,
+};
 use crate::digest::FleetDigest;
 use crate::fleet_capnp::{frame_sink, login, node};
 use crate::server::{failed, vat_network};
@@ -14,6 +16,7 @@
     AnswerFrame, LoadReport, OfferOutcome, RefusalReason, RequestOffer, RunVerdict, TeamName, TicketText,
     UnixDeadline,
 };
+use porthoist_policy::limits::keeper::{SettleAsk, SettleTold};
 use std::cell::Cell;
 use std::fmt;
 use std::rc::Rc;
@@ -175,6 +178,15 @@
         serde_json::from_slice(bytes).map_err(FleetError::unreachable)
     }
 
+    /// Settles teams' limits with their keeper.
+    pub async fn settle(&self, asks: &[SettleAsk]) -> Result<Vec<SettleTold>, FleetError> {
+        let mut request = self.node.settle_request();
+        write_asks(request.get().init_asks(asks.len() as u32), asks);
+        let response = request.send().promise.await.map_err(FleetError::unreachable)?;
+        let results = response.get().map_err(FleetError::unreachable)?;
+        Ok(read_told(results.get_told().map_err(FleetError::unreachable)?))
+    }
+
     /// Exchanges digests.
     pub async fn gossip(&self, own: &FleetDigest) -> Result<FleetDigest, FleetError> {
         let mut request = self.node.gossip_request();
--- a/crates/porthoist-fleet/src/convert.rs
+++ b/crates/porthoist-fleet/src/convert.rs
@@ -1,7 +1,7 @@
 //! Conversion between porthoist's types and the capnp messages.
 
-use crate::digest::{FleetDigest, LeavingMark, MAX_DEMANDS, MAX_LEAVING, TokenDemand};
-use crate::fleet_capnp::{attempt, digest, frame, header, load, offer, outcome};
+use crate::digest::{FleetDigest, LeavingMark, MAX_LEAVING};
+use crate::fleet_capnp::{attempt, digest, frame, header, load, offer, outcome, settle_ask, settle_told};
 use bytes::Bytes;
 use capnp::Error;
 use capnp::{primitive_list, struct_list};
@@ -9,6 +9,7 @@
     AnswerFrame, AnswerHead, AttemptId, IncarnationId, LoadReport, OfferOutcome, RepeatPolicy, RequestId,
     RequestOffer, RequestPriority, ServiceKind, UnixDeadline, UnixMillis,
 };
+use porthoist_policy::limits::keeper::{SettleAsk, SettleTold};
 use std::str::FromStr;
 
 fn parsed<T: FromStr>(text: capnp::text::Reader<'_>) -> Result<T, Error>
@@ -210,13 +211,6 @@
         item.set_target(mark.target.as_str());
         item.set_incarnation(mark.incarnation.0);
     }
-    let demands = &own.demands[..own.demands.len().min(MAX_DEMANDS)];
-    let mut list = builder.reborrow().init_demands(demands.len() as u32);
-    for (index, demand) in demands.iter().enumerate() {
-        let mut item = list.reborrow().get(index as u32);
-        item.set_team(demand.team);
-        item.set_tokens(demand.tokens);
-    }
     if let Some(change) = &own.change {
         let bytes = serde_json::to_vec(change).map_err(|error| Error::failed(error.to_string()))?;
         builder.set_change(&bytes);
@@ -242,19 +236,54 @@
     } else {
         serde_json::from_slice(hosts).map_err(|error| Error::failed(error.to_string()))?
     };
-    let demands = reader.get_demands()?.iter();
     Ok(FleetDigest {
         node: parsed(reader.get_node()?)?,
         zone: parsed(reader.get_zone()?)?,
         revision: reader.get_revision(),
         leaving: reader.get_leaving()?.iter().map(mark).collect::<Result<_, Error>>()?,
-        demands: demands
-            .map(|item| TokenDemand { team: item.get_team(), tokens: item.get_tokens() })
-            .take(MAX_DEMANDS)
-            .collect(),
         change,
         ready: reader.get_ready(),
         wants_hosts: reader.get_wants_hosts(),
         hosts,
     })
 }
+
+/// Writes what an entry asks of a keeper.
+pub fn write_asks(mut list: struct_list::Builder<'_, settle_ask::Owned>, asks: &[SettleAsk]) {
+    for (index, ask) in asks.iter().enumerate() {
+        let mut item = list.reborrow().get(index as u32);
+        item.set_team(ask.team);
+        item.set_debt(ask.debt);
+        item.set_wanted(ask.wanted);
+    }
+}
+
+/// Reads what an entry asks of a keeper.
+pub fn read_asks(list: struct_list::Reader<'_, settle_ask::Owned>) -> Vec<SettleAsk> {
+    let ask = |item: settle_ask::Reader<'_>| SettleAsk {
+        team: item.get_team(),
+        debt: item.get_debt(),
+        wanted: item.get_wanted(),
+    };
+    list.iter().map(ask).collect()
+}
+
+/// Writes a keeper's answers.
+pub fn write_told(mut list: struct_list::Builder<'_, settle_told::Owned>, told: &[SettleTold]) {
+    for (index, one) in told.iter().enumerate() {
+        let mut item = list.reborrow().get(index as u32);
+        item.set_team(one.team);
+        item.set_granted(one.granted);
+        item.set_wait_millis(one.wait_millis);
+    }
+}
+
+/// Reads a keeper's answers.
+pub fn read_told(list: struct_list::Reader<'_, settle_told::Owned>) -> Vec<SettleTold> {
+    let told = |item: settle_told::Reader<'_>| SettleTold {
+        team: item.get_team(),
+        granted: item.get_granted(),
+        wait_millis: item.get_wait_millis(),
+    };
+    list.iter().map(told).collect()
+}
--- a/crates/porthoist-fleet/src/digest.rs
+++ b/crates/porthoist-fleet/src/digest.rs
@@ -6,8 +6,6 @@
 
 /// Most leaving marks in one digest.
 pub const MAX_LEAVING: usize = 64;
-/// Most token demands in one digest.
-pub const MAX_DEMANDS: usize = 32;
 
 /// A target that is leaving, in one of its lives.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -18,15 +16,6 @@
     pub incarnation: IncarnationId,
 }
 
-/// Tokens of a team's limit, asked of its keeper or lent by it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct TokenDemand {
-    /// Hash of the team's name.
-    pub team: u64,
-    /// Tokens.
-    pub tokens: u32,
-}
-
 /// A bounded summary of what one process knows.
 #[derive(Debug, Clone, PartialEq)]
 pub struct FleetDigest {
@@ -38,8 +27,6 @@
     pub revision: u64,
     /// Targets that are leaving.
     pub leaving: Vec<LeavingMark>,
-    /// Token batches asked or lent.
-    pub demands: Vec<TokenDemand>,
     /// A change that the peer lacks.
     pub change: Option<ConfigChange>,
     /// Whether the sender accepts work.
--- a/crates/porthoist-fleet/src/fleet_capnp.rs
+++ b/crates/porthoist-fleet/src/fleet_capnp.rs
@@ -3327,7 +3327,7 @@
     }
 }
 
-pub mod demand {
+pub mod settle_ask {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -3393,9 +3393,13 @@
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_tokens(self) -> u32 {
+        pub fn get_debt(self) -> u32 {
             self.reader.get_data_field::<u32>(2)
         }
+        #[inline]
+        pub fn get_wanted(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -3459,13 +3463,21 @@
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_tokens(self) -> u32 {
+        pub fn get_debt(self) -> u32 {
             self.builder.get_data_field::<u32>(2)
         }
         #[inline]
-        pub fn set_tokens(&mut self, value: u32)  {
+        pub fn set_debt(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(2, value);
         }
+        #[inline]
+        pub fn get_wanted(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_wanted(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3477,38 +3489,45 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(86, 142, 47, 177, 67, 25, 187, 191),
+            ::capnp::word(178, 43, 171, 130, 214, 218, 189, 244),
             ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(21, 152, 126, 180, 210, 240, 161, 195),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
-            ::capnp::word(112, 110, 112, 58, 68, 101, 109, 97),
-            ::capnp::word(110, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 110, 112, 58, 83, 101, 116, 116),
+            ::capnp::word(108, 101, 65, 115, 107, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(116, 101, 97, 109, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3517,7 +3536,15 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 111, 107, 101, 110, 115, 0, 0),
+            ::capnp::word(100, 101, 98, 116, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 110, 116, 101, 100, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3530,6 +3557,7 @@
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3543,14 +3571,14 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
-        pub(crate) const TYPE_ID: u64 = 0xbfbb_1943_b12f_8e56;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+        pub(crate) const TYPE_ID: u64 = 0xf4bd_dad6_82ab_2bb2;
     }
 }
 
-pub mod digest {
+pub mod settle_told {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -3603,7 +3631,7 @@
         }
     }
 
-    impl <'a,> Reader<'a,>  {
+    impl <> Reader<'_,>  {
         pub fn reborrow(&self) -> Reader<'_,> {
             Self { .. *self }
         }
@@ -3612,70 +3640,22 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_node(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_node(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
-        }
-        #[inline]
-        pub fn get_zone(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_zone(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
-        }
-        #[inline]
-        pub fn get_revision(self) -> u64 {
+        pub fn get_team(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_leaving(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::leaving_mark::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_leaving(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
-        }
-        #[inline]
-        pub fn get_demands(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::demand::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_demands(&self) -> bool {
-            !self.reader.get_pointer_field(3).is_null()
-        }
-        #[inline]
-        pub fn get_change(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_change(&self) -> bool {
-            !self.reader.get_pointer_field(4).is_null()
-        }
-        #[inline]
-        pub fn get_ready(self) -> bool {
-            self.reader.get_bool_field(64)
-        }
-        #[inline]
-        pub fn get_wants_hosts(self) -> bool {
-            self.reader.get_bool_field(65)
-        }
-        #[inline]
-        pub fn get_hosts(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+        pub fn get_granted(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
         }
         #[inline]
-        pub fn has_hosts(&self) -> bool {
-            !self.reader.get_pointer_field(5).is_null()
+        pub fn get_wait_millis(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 6 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3726,124 +3706,28 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_node(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_node(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
-        }
-        #[inline]
-        pub fn init_node(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
-        }
-        #[inline]
-        pub fn has_node(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
-        }
-        #[inline]
-        pub fn get_zone(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_zone(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
-        }
-        #[inline]
-        pub fn init_zone(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(1).init_text(size)
-        }
-        #[inline]
-        pub fn has_zone(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
-        }
-        #[inline]
-        pub fn get_revision(self) -> u64 {
+        pub fn get_team(self) -> u64 {
             self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_revision(&mut self, value: u64)  {
+        pub fn set_team(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_leaving(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::leaving_mark::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_leaving(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::leaving_mark::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
-        }
-        #[inline]
-        pub fn init_leaving(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::leaving_mark::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
-        }
-        #[inline]
-        pub fn has_leaving(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
-        }
-        #[inline]
-        pub fn get_demands(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::demand::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_demands(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::demand::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
-        }
-        #[inline]
-        pub fn init_demands(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::demand::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
-        }
-        #[inline]
-        pub fn has_demands(&self) -> bool {
-            !self.builder.is_pointer_field_null(3)
-        }
-        #[inline]
-        pub fn get_change(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_change(&mut self, value: ::capnp::data::Reader<'_>)  {
-            self.builder.reborrow().get_pointer_field(4).set_data(value);
-        }
-        #[inline]
-        pub fn init_change(self, size: u32) -> ::capnp::data::Builder<'a> {
-            self.builder.get_pointer_field(4).init_data(size)
-        }
-        #[inline]
-        pub fn has_change(&self) -> bool {
-            !self.builder.is_pointer_field_null(4)
-        }
-        #[inline]
-        pub fn get_ready(self) -> bool {
-            self.builder.get_bool_field(64)
-        }
-        #[inline]
-        pub fn set_ready(&mut self, value: bool)  {
-            self.builder.set_bool_field(64, value);
-        }
-        #[inline]
-        pub fn get_wants_hosts(self) -> bool {
-            self.builder.get_bool_field(65)
-        }
-        #[inline]
-        pub fn set_wants_hosts(&mut self, value: bool)  {
-            self.builder.set_bool_field(65, value);
-        }
-        #[inline]
-        pub fn get_hosts(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+        pub fn get_granted(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
         }
         #[inline]
-        pub fn set_hosts(&mut self, value: ::capnp::data::Reader<'_>)  {
-            self.builder.reborrow().get_pointer_field(5).set_data(value);
+        pub fn set_granted(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
         }
         #[inline]
-        pub fn init_hosts(self, size: u32) -> ::capnp::data::Builder<'a> {
-            self.builder.get_pointer_field(5).init_data(size)
+        pub fn get_wait_millis(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
         }
         #[inline]
-        pub fn has_hosts(&self) -> bool {
-            !self.builder.is_pointer_field_null(5)
+        pub fn set_wait_millis(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
         }
     }
 
@@ -3856,206 +3740,1069 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 162] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(109, 230, 27, 233, 94, 71, 248, 154),
+            ::capnp::word(52, 15, 242, 13, 153, 25, 75, 149),
             ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(21, 152, 126, 180, 210, 240, 161, 195),
-            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
-            ::capnp::word(112, 110, 112, 58, 68, 105, 103, 101),
-            ::capnp::word(115, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 110, 112, 58, 83, 101, 116, 116),
+            ::capnp::word(108, 101, 84, 111, 108, 100, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 101, 97, 109, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 64, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 65, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(119, 97, 105, 116, 77, 105, 108, 108),
+            ::capnp::word(105, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(110, 111, 100, 101, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(122, 111, 110, 101, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 191, 79, 214, 172, 235, 243),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 101, 109, 97, 110, 100, 115, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(86, 142, 47, 177, 67, 25, 187, 191),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 104, 97, 110, 103, 101, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 97, 100, 121, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(119, 97, 110, 116, 115, 72, 111, 115),
-            ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 111, 115, 116, 115, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <::capnp::struct_list::Owned<crate::fleet_capnp::leaving_mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                4 => <::capnp::struct_list::Owned<crate::fleet_capnp::demand::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                5 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                7 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                8 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
-        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+        pub(crate) const TYPE_ID: u64 = 0x954b_1999_0df2_0f34;
+    }
+}
+
+pub mod digest {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_node(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_node(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_zone(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_zone(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_revision(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_leaving(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::leaving_mark::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_leaving(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_unused4(self)  {
+            
+        }
+        #[inline]
+        pub fn get_change(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_change(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+        #[inline]
+        pub fn get_ready(self) -> bool {
+            self.reader.get_bool_field(64)
+        }
+        #[inline]
+        pub fn get_wants_hosts(self) -> bool {
+            self.reader.get_bool_field(65)
+        }
+        #[inline]
+        pub fn get_hosts(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_hosts(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 5 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_node(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_node(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_node(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_node(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_zone(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_zone(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_zone(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_zone(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_revision(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_revision(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_leaving(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::leaving_mark::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_leaving(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::leaving_mark::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_leaving(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::leaving_mark::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_leaving(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_unused4(self)  {
+            
+        }
+        #[inline]
+        pub fn set_unused4(&mut self, _value: ())  {
+        }
+        #[inline]
+        pub fn get_change(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_change(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(3).set_data(value);
+        }
+        #[inline]
+        pub fn init_change(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(3).init_data(size)
+        }
+        #[inline]
+        pub fn has_change(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+        #[inline]
+        pub fn get_ready(self) -> bool {
+            self.builder.get_bool_field(64)
+        }
+        #[inline]
+        pub fn set_ready(&mut self, value: bool)  {
+            self.builder.set_bool_field(64, value);
+        }
+        #[inline]
+        pub fn get_wants_hosts(self) -> bool {
+            self.builder.get_bool_field(65)
+        }
+        #[inline]
+        pub fn set_wants_hosts(&mut self, value: bool)  {
+            self.builder.set_bool_field(65, value);
+        }
+        #[inline]
+        pub fn get_hosts(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_hosts(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(4).set_data(value);
+        }
+        #[inline]
+        pub fn init_hosts(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(4).init_data(size)
+        }
+        #[inline]
+        pub fn has_hosts(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 158] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(109, 230, 27, 233, 94, 71, 248, 154),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(21, 152, 126, 180, 210, 240, 161, 195),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 68, 105, 103, 101),
+            ::capnp::word(115, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 65, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(110, 111, 100, 101, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(122, 111, 110, 101, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 2, 191, 79, 214, 172, 235, 243),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 117, 115, 101, 100, 52, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 104, 97, 110, 103, 101, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 97, 100, 121, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 110, 116, 115, 72, 111, 115),
+            ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 111, 115, 116, 115, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::struct_list::Owned<crate::fleet_capnp::leaving_mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                4 => <() as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                7 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,8,3,0,6,2,4,7,1];
+        pub(crate) const TYPE_ID: u64 = 0x9af8_475e_e91b_e66d;
+    }
+}
+
+
+pub mod frame_sink {
+    #![allow(unused_variables)]
+    pub type FramesParams<> = ::capnp::capability::Params<crate::fleet_capnp::frame_sink::frames_params::Owned>;
+    pub type FramesResults<> = ::capnp::capability::Results<crate::fleet_capnp::frame_sink::frames_results::Owned>;
+
+    pub struct Client {
+        pub client: ::capnp::capability::Client,
+    }
+    impl  ::capnp::capability::FromClientHook for Client {
+        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
+            Self { client: ::capnp::capability::Client::new(hook),  }
+        }
+        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
+            self.client.hook
+        }
+        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
+            &*self.client.hook
+        }
+    }
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Capability.into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Client; type Builder<'a> = Client; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Client; }
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Client<>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(reader.get_capability()?))
+        }
+    }
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Client<>  {
+        fn init_pointer(_builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            unimplemented!()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(builder.get_capability()?))
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Client<>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, from: Self, _canonicalize: bool) -> ::capnp::Result<()> {
+            pointer.set_capability(from.client.hook);
+            ::core::result::Result::Ok(())
+        }
+    }
+    impl  ::capnp::traits::HasTypeId for Client {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl  Clone for Client {
+        fn clone(&self) -> Self {
+            Self { client: self.client.clone(),  }
+        }
+    }
+    impl  Client {
+        pub fn frames_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::frame_sink::frames_params::Owned,crate::fleet_capnp::frame_sink::frames_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
+        }
+    }
+    pub trait Server<> : 'static  {
+        fn frames(self: ::capnp::capability::Rc<Self>, _: FramesParams<>, _: FramesResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method frame_sink::Server::frames not implemented".to_string()))) }
+    }
+    pub struct ServerDispatch<_T,> {
+        pub server: ::capnp::capability::Rc<_T>,
+    }
+    impl <_S: Server + 'static, > ::capnp::capability::FromServer<_S> for Client   {
+        type Dispatch = ServerDispatch<_S, >;
+        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S, > {
+            ServerDispatch { server: s,  }
+        }
+    }
+    impl <_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
+        type Target = _T;
+        fn deref(&self) -> &_T { &self.server}
+    }
+    impl <_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
+        fn clone(&self) -> Self { Self { server: self.server.clone(),  } }
+    }
+    impl <_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
+        fn dispatch_call(self, interface_id: u64, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match interface_id {
+                _private::TYPE_ID => Self::dispatch_call_internal(self.server, method_id, params, results),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+        fn as_ptr(&self) -> usize { ::capnp::capability::Rc::as_ptr(&self.server) as usize }
+    }
+    impl <_T :Server> ServerDispatch<_T> {
+        pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match method_id {
+                0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::frames(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+    }
+    pub(crate) mod _private {
+        pub(crate) const TYPE_ID: u64 = 0xce14_3830_4b2b_16a0;
+    }
+
+    pub mod frames_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_frames(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::frame::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_frames(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_frames(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::frame::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_frames(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::frame::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_frames(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::frame::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_frames(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(253, 182, 141, 103, 203, 31, 207, 251),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 70, 114, 97, 109),
+                ::capnp::word(101, 83, 105, 110, 107, 46, 102, 114),
+                ::capnp::word(97, 109, 101, 115, 36, 80, 97, 114),
+                ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(102, 114, 97, 109, 101, 115, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(84, 28, 79, 118, 189, 56, 74, 253),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::struct_list::Owned<crate::fleet_capnp::frame::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xfbcf_1fcb_678d_b6fd;
+        }
+    }
+
+    pub mod frames_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(231, 165, 112, 37, 2, 197, 29, 233),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 70, 114, 97, 109),
+                ::capnp::word(101, 83, 105, 110, 107, 46, 102, 114),
+                ::capnp::word(97, 109, 101, 115, 36, 82, 101, 115),
+                ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xe91d_c502_2570_a5e7;
         }
-        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-            &ARENA,
-            NONUNION_MEMBERS,
-            MEMBERS_BY_DISCRIMINANT,
-            MEMBERS_BY_NAME
-        );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,4,8,3,0,6,2,7,1];
-        pub(crate) const TYPE_ID: u64 = 0x9af8_475e_e91b_e66d;
     }
 }
 
 
-pub mod frame_sink {
+pub mod node {
     #![allow(unused_variables)]
-    pub type FramesParams<> = ::capnp::capability::Params<crate::fleet_capnp::frame_sink::frames_params::Owned>;
-    pub type FramesResults<> = ::capnp::capability::Results<crate::fleet_capnp::frame_sink::frames_results::Owned>;
+    pub type OfferParams<> = ::capnp::capability::Params<crate::fleet_capnp::node::offer_params::Owned>;
+    pub type OfferResults<> = ::capnp::capability::Results<crate::fleet_capnp::node::offer_results::Owned>;
+    pub type MintParams<> = ::capnp::capability::Params<crate::fleet_capnp::node::mint_params::Owned>;
+    pub type MintResults<> = ::capnp::capability::Results<crate::fleet_capnp::node::mint_results::Owned>;
+    pub type HelloParams<> = ::capnp::capability::Params<crate::fleet_capnp::node::hello_params::Owned>;
+    pub type HelloResults<> = ::capnp::capability::Results<crate::fleet_capnp::node::hello_results::Owned>;
+    pub type GossipParams<> = ::capnp::capability::Params<crate::fleet_capnp::node::gossip_params::Owned>;
+    pub type GossipResults<> = ::capnp::capability::Results<crate::fleet_capnp::node::gossip_results::Owned>;
+    pub type SettleParams<> = ::capnp::capability::Params<crate::fleet_capnp::node::settle_params::Owned>;
+    pub type SettleResults<> = ::capnp::capability::Results<crate::fleet_capnp::node::settle_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -4105,12 +4852,28 @@
         }
     }
     impl  Client {
-        pub fn frames_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::frame_sink::frames_params::Owned,crate::fleet_capnp::frame_sink::frames_results::Owned> {
+        pub fn offer_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::node::offer_params::Owned,crate::fleet_capnp::node::offer_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
         }
+        pub fn mint_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::node::mint_params::Owned,crate::fleet_capnp::node::mint_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
+        }
+        pub fn hello_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::node::hello_params::Owned,crate::fleet_capnp::node::hello_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
+        }
+        pub fn gossip_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::node::gossip_params::Owned,crate::fleet_capnp::node::gossip_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
+        }
+        pub fn settle_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::node::settle_params::Owned,crate::fleet_capnp::node::settle_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
-        fn frames(self: ::capnp::capability::Rc<Self>, _: FramesParams<>, _: FramesResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method frame_sink::Server::frames not implemented".to_string()))) }
+        fn offer(self: ::capnp::capability::Rc<Self>, _: OfferParams<>, _: OfferResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::offer not implemented".to_string()))) }
+        fn mint(self: ::capnp::capability::Rc<Self>, _: MintParams<>, _: MintResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::mint not implemented".to_string()))) }
+        fn hello(self: ::capnp::capability::Rc<Self>, _: HelloParams<>, _: HelloResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::hello not implemented".to_string()))) }
+        fn gossip(self: ::capnp::capability::Rc<Self>, _: GossipParams<>, _: GossipResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::gossip not implemented".to_string()))) }
+        fn settle(self: ::capnp::capability::Rc<Self>, _: SettleParams<>, _: SettleResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::settle not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -4140,16 +4903,20 @@
     impl <_T :Server> ServerDispatch<_T> {
         pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
             match method_id {
-                0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::frames(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::offer(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::mint(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::hello(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::gossip(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::settle(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
     }
     pub(crate) mod _private {
-        pub(crate) const TYPE_ID: u64 = 0xce14_3830_4b2b_16a0;
+        pub(crate) const TYPE_ID: u64 = 0x970b_6a22_7ae8_6254;
     }
 
-    pub mod frames_params {
+    pub mod offer_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -4211,18 +4978,26 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_frames(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::frame::Owned>> {
+            pub fn get_offer(self) -> ::capnp::Result<crate::fleet_capnp::offer::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_frames(&self) -> bool {
+            pub fn has_offer(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_sink(self) -> ::capnp::Result<crate::fleet_capnp::frame_sink::Client> {
+                match self.reader.get_pointer_field(1).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            }
+            #[inline]
+            pub fn has_sink(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4273,21 +5048,33 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_frames(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::frame::Owned>> {
+            pub fn get_offer(self) -> ::capnp::Result<crate::fleet_capnp::offer::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_frames(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::frame::Owned>) -> ::capnp::Result<()> {
+            pub fn set_offer(&mut self, value: crate::fleet_capnp::offer::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_frames(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::frame::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            pub fn init_offer(self, ) -> crate::fleet_capnp::offer::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_frames(&self) -> bool {
+            pub fn has_offer(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_sink(self) -> ::capnp::Result<crate::fleet_capnp::frame_sink::Client> {
+                match self.builder.get_pointer_field(1).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            }
+            #[inline]
+            pub fn set_sink(&mut self, value: crate::fleet_capnp::frame_sink::Client)  {
+                self.builder.reborrow().get_pointer_field(1).set_capability(value.client.hook);
+            }
+            #[inline]
+            pub fn has_sink(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4297,50 +5084,67 @@
             }
         }
         impl Pipeline  {
+            pub fn get_offer(&self) -> crate::fleet_capnp::offer::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+            pub fn get_sink(&self) -> crate::fleet_capnp::frame_sink::Client {
+                ::capnp::capability::FromClientHook::new(self._typeless.get_pointer_field(1).as_cap())
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(253, 182, 141, 103, 203, 31, 207, 251),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(17, 231, 94, 194, 1, 11, 101, 167),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
-                ::capnp::word(112, 110, 112, 58, 70, 114, 97, 109),
-                ::capnp::word(101, 83, 105, 110, 107, 46, 102, 114),
-                ::capnp::word(97, 109, 101, 115, 36, 80, 97, 114),
-                ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(112, 110, 112, 58, 78, 111, 100, 101),
+                ::capnp::word(46, 111, 102, 102, 101, 114, 36, 80),
+                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(111, 102, 102, 101, 114, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(117, 209, 170, 76, 97, 194, 229, 158),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(102, 114, 97, 109, 101, 115, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(84, 28, 79, 118, 189, 56, 74, 253),
+                ::capnp::word(115, 105, 110, 107, 0, 0, 0, 0),
+                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(160, 22, 43, 75, 48, 56, 20, 206),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::struct_list::Owned<crate::fleet_capnp::frame::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::fleet_capnp::offer::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <crate::fleet_capnp::frame_sink::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4354,14 +5158,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xfbcf_1fcb_678d_b6fd;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) const TYPE_ID: u64 = 0xa765_0b01_c25e_e711;
         }
     }
 
-    pub mod frames_results {
+    pub mod offer_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -4414,7 +5218,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -4422,11 +5226,19 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_outcome(self) -> ::capnp::Result<crate::fleet_capnp::outcome::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_outcome(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4476,6 +5288,22 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_outcome(self) -> ::capnp::Result<crate::fleet_capnp::outcome::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_outcome(&mut self, value: crate::fleet_capnp::outcome::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_outcome(self, ) -> crate::fleet_capnp::outcome::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_outcome(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4485,29 +5313,50 @@
             }
         }
         impl Pipeline  {
+            pub fn get_outcome(&self) -> crate::fleet_capnp::outcome::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(231, 165, 112, 37, 2, 197, 29, 233),
-                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(82, 1, 159, 132, 69, 157, 246, 185),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
-                ::capnp::word(112, 110, 112, 58, 70, 114, 97, 109),
-                ::capnp::word(101, 83, 105, 110, 107, 46, 102, 114),
-                ::capnp::word(97, 109, 101, 115, 36, 82, 101, 115),
-                ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
+                ::capnp::word(112, 110, 112, 58, 78, 111, 100, 101),
+                ::capnp::word(46, 111, 102, 102, 101, 114, 36, 82),
+                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(111, 117, 116, 99, 111, 109, 101, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(145, 6, 232, 109, 118, 35, 173, 192),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <crate::fleet_capnp::outcome::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -4519,134 +5368,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xe91d_c502_2570_a5e7;
-        }
-    }
-}
-
-
-pub mod node {
-    #![allow(unused_variables)]
-    pub type OfferParams<> = ::capnp::capability::Params<crate::fleet_capnp::node::offer_params::Owned>;
-    pub type OfferResults<> = ::capnp::capability::Results<crate::fleet_capnp::node::offer_results::Owned>;
-    pub type MintParams<> = ::capnp::capability::Params<crate::fleet_capnp::node::mint_params::Owned>;
-    pub type MintResults<> = ::capnp::capability::Results<crate::fleet_capnp::node::mint_results::Owned>;
-    pub type HelloParams<> = ::capnp::capability::Params<crate::fleet_capnp::node::hello_params::Owned>;
-    pub type HelloResults<> = ::capnp::capability::Results<crate::fleet_capnp::node::hello_results::Owned>;
-    pub type GossipParams<> = ::capnp::capability::Params<crate::fleet_capnp::node::gossip_params::Owned>;
-    pub type GossipResults<> = ::capnp::capability::Results<crate::fleet_capnp::node::gossip_results::Owned>;
-
-    pub struct Client {
-        pub client: ::capnp::capability::Client,
-    }
-    impl  ::capnp::capability::FromClientHook for Client {
-        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
-            Self { client: ::capnp::capability::Client::new(hook),  }
-        }
-        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
-            self.client.hook
-        }
-        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
-            &*self.client.hook
-        }
-    }
-    #[derive(Copy, Clone)]
-    pub struct Owned(());
-    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Capability.into() } }
-    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Client; type Builder<'a> = Client; }
-    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Client; }
-    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Client<>  {
-        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(reader.get_capability()?))
-        }
-    }
-    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Client<>  {
-        fn init_pointer(_builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-            unimplemented!()
-        }
-        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(builder.get_capability()?))
-        }
-    }
-
-    impl <> ::capnp::traits::SetterInput<Owned<>> for Client<>  {
-        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, from: Self, _canonicalize: bool) -> ::capnp::Result<()> {
-            pointer.set_capability(from.client.hook);
-            ::core::result::Result::Ok(())
-        }
-    }
-    impl  ::capnp::traits::HasTypeId for Client {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl  Clone for Client {
-        fn clone(&self) -> Self {
-            Self { client: self.client.clone(),  }
-        }
-    }
-    impl  Client {
-        pub fn offer_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::node::offer_params::Owned,crate::fleet_capnp::node::offer_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
-        }
-        pub fn mint_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::node::mint_params::Owned,crate::fleet_capnp::node::mint_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
-        }
-        pub fn hello_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::node::hello_params::Owned,crate::fleet_capnp::node::hello_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
-        }
-        pub fn gossip_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::node::gossip_params::Owned,crate::fleet_capnp::node::gossip_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
-        }
-    }
-    pub trait Server<> : 'static  {
-        fn offer(self: ::capnp::capability::Rc<Self>, _: OfferParams<>, _: OfferResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::offer not implemented".to_string()))) }
-        fn mint(self: ::capnp::capability::Rc<Self>, _: MintParams<>, _: MintResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::mint not implemented".to_string()))) }
-        fn hello(self: ::capnp::capability::Rc<Self>, _: HelloParams<>, _: HelloResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::hello not implemented".to_string()))) }
-        fn gossip(self: ::capnp::capability::Rc<Self>, _: GossipParams<>, _: GossipResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::gossip not implemented".to_string()))) }
-    }
-    pub struct ServerDispatch<_T,> {
-        pub server: ::capnp::capability::Rc<_T>,
-    }
-    impl <_S: Server + 'static, > ::capnp::capability::FromServer<_S> for Client   {
-        type Dispatch = ServerDispatch<_S, >;
-        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S, > {
-            ServerDispatch { server: s,  }
-        }
-    }
-    impl <_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
-        type Target = _T;
-        fn deref(&self) -> &_T { &self.server}
-    }
-    impl <_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
-        fn clone(&self) -> Self { Self { server: self.server.clone(),  } }
-    }
-    impl <_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
-        fn dispatch_call(self, interface_id: u64, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
-            match interface_id {
-                _private::TYPE_ID => Self::dispatch_call_internal(self.server, method_id, params, results),
-                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
-            }
-        }
-        fn as_ptr(&self) -> usize { ::capnp::capability::Rc::as_ptr(&self.server) as usize }
-    }
-    impl <_T :Server> ServerDispatch<_T> {
-        pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
-            match method_id {
-                0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::offer(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::mint(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::hello(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::gossip(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
-            }
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xb9f6_9d45_849f_0152;
         }
     }
-    pub(crate) mod _private {
-        pub(crate) const TYPE_ID: u64 = 0x970b_6a22_7ae8_6254;
-    }
 
-    pub mod offer_params {
+    pub mod mint_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -4708,26 +5437,26 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_offer(self) -> ::capnp::Result<crate::fleet_capnp::offer::Reader<'a>> {
+            pub fn get_team(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_offer(&self) -> bool {
+            pub fn has_team(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_sink(self) -> ::capnp::Result<crate::fleet_capnp::frame_sink::Client> {
-                match self.reader.get_pointer_field(1).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            pub fn get_count(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
             }
             #[inline]
-            pub fn has_sink(&self) -> bool {
-                !self.reader.get_pointer_field(1).is_null()
+            pub fn get_deadline(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4778,32 +5507,36 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_offer(self) -> ::capnp::Result<crate::fleet_capnp::offer::Builder<'a>> {
+            pub fn get_team(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_offer(&mut self, value: crate::fleet_capnp::offer::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            pub fn set_team(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
             }
             #[inline]
-            pub fn init_offer(self, ) -> crate::fleet_capnp::offer::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            pub fn init_team(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
             }
             #[inline]
-            pub fn has_offer(&self) -> bool {
+            pub fn has_team(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_sink(self) -> ::capnp::Result<crate::fleet_capnp::frame_sink::Client> {
-                match self.builder.get_pointer_field(1).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            pub fn get_count(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn set_count(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(0, value);
             }
             #[inline]
-            pub fn set_sink(&mut self, value: crate::fleet_capnp::frame_sink::Client)  {
-                self.builder.reborrow().get_pointer_field(1).set_capability(value.client.hook);
+            pub fn get_deadline(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
             }
             #[inline]
-            pub fn has_sink(&self) -> bool {
-                !self.builder.is_pointer_field_null(1)
+            pub fn set_deadline(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
             }
         }
 
@@ -4814,67 +5547,78 @@
             }
         }
         impl Pipeline  {
-            pub fn get_offer(&self) -> crate::fleet_capnp::offer::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
-            pub fn get_sink(&self) -> crate::fleet_capnp::frame_sink::Client {
-                ::capnp::capability::FromClientHook::new(self._typeless.get_pointer_field(1).as_cap())
-            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(17, 231, 94, 194, 1, 11, 101, 167),
-                ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(203, 7, 89, 90, 50, 218, 8, 179),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 78, 111, 100, 101),
-                ::capnp::word(46, 111, 102, 102, 101, 114, 36, 80),
-                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(46, 109, 105, 110, 116, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(111, 102, 102, 101, 114, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(117, 209, 170, 76, 97, 194, 229, 158),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(116, 101, 97, 109, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(115, 105, 110, 107, 0, 0, 0, 0),
-                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(160, 22, 43, 75, 48, 56, 20, 206),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 117, 110, 116, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 101, 97, 100, 108, 105, 110, 101),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::fleet_capnp::offer::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <crate::fleet_capnp::frame_sink::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4888,14 +5632,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
-            pub(crate) const TYPE_ID: u64 = 0xa765_0b01_c25e_e711;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
+            pub(crate) const TYPE_ID: u64 = 0xb308_da32_5a59_07cb;
         }
     }
 
-    pub mod offer_results {
+    pub mod mint_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -4957,11 +5701,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_outcome(self) -> ::capnp::Result<crate::fleet_capnp::outcome::Reader<'a>> {
+            pub fn get_tickets(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_outcome(&self) -> bool {
+            pub fn has_tickets(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -5019,19 +5763,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_outcome(self) -> ::capnp::Result<crate::fleet_capnp::outcome::Builder<'a>> {
+            pub fn get_tickets(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_outcome(&mut self, value: crate::fleet_capnp::outcome::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_tickets(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_outcome(self, ) -> crate::fleet_capnp::outcome::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            pub fn init_tickets(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
             }
             #[inline]
-            pub fn has_outcome(&self) -> bool {
+            pub fn has_tickets(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -5043,19 +5787,16 @@
             }
         }
         impl Pipeline  {
-            pub fn get_outcome(&self) -> crate::fleet_capnp::outcome::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(82, 1, 159, 132, 69, 157, 246, 185),
+                ::capnp::word(74, 85, 107, 152, 53, 35, 146, 158),
                 ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
@@ -5063,8 +5804,8 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 78, 111, 100, 101),
-                ::capnp::word(46, 111, 102, 102, 101, 114, 36, 82),
-                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+                ::capnp::word(46, 109, 105, 110, 116, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -5072,19 +5813,23 @@
                 ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(111, 117, 116, 99, 111, 109, 101, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(145, 6, 232, 109, 118, 35, 173, 192),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(116, 105, 99, 107, 101, 116, 115, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::fleet_capnp::outcome::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5101,11 +5846,11 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xb9f6_9d45_849f_0152;
+            pub(crate) const TYPE_ID: u64 = 0x9e92_2335_986b_554a;
         }
     }
 
-    pub mod mint_params {
+    pub mod hello_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -5158,7 +5903,7 @@
             }
         }
 
-        impl <'a,> Reader<'a,>  {
+        impl <> Reader<'_,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -5166,27 +5911,11 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
-            #[inline]
-            pub fn get_team(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_team(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
-            #[inline]
-            pub fn get_count(self) -> u32 {
-                self.reader.get_data_field::<u32>(0)
-            }
-            #[inline]
-            pub fn get_deadline(self) -> u64 {
-                self.reader.get_data_field::<u64>(1)
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5236,121 +5965,37 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
-            #[inline]
-            pub fn get_team(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_team(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
-            }
-            #[inline]
-            pub fn init_team(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(0).init_text(size)
-            }
-            #[inline]
-            pub fn has_team(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
-            #[inline]
-            pub fn get_count(self) -> u32 {
-                self.builder.get_data_field::<u32>(0)
-            }
-            #[inline]
-            pub fn set_count(&mut self, value: u32)  {
-                self.builder.set_data_field::<u32>(0, value);
-            }
-            #[inline]
-            pub fn get_deadline(self) -> u64 {
-                self.builder.get_data_field::<u64>(1)
-            }
-            #[inline]
-            pub fn set_deadline(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(1, value);
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
         impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
-            }
-        }
-        impl Pipeline  {
-        }
-        mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
-                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(203, 7, 89, 90, 50, 218, 8, 179),
-                ::capnp::word(17, 0, 0, 0, 1, 0, 2, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
-                ::capnp::word(112, 110, 112, 58, 78, 111, 100, 101),
-                ::capnp::word(46, 109, 105, 110, 116, 36, 80, 97),
-                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(116, 101, 97, 109, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(99, 111, 117, 110, 116, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(45, 240, 21, 37, 196, 245, 108, 136),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 101, 97, 100, 108, 105, 110, 101),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 78, 111, 100, 101),
+                ::capnp::word(46, 104, 101, 108, 108, 111, 36, 80),
+                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
+                ::capnp::introspect::panic_invalid_field_index(index)
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -5362,14 +6007,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
-            pub(crate) const TYPE_ID: u64 = 0xb308_da32_5a59_07cb;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0x886c_f5c4_2515_f02d;
         }
     }
 
-    pub mod mint_results {
+    pub mod hello_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -5431,11 +6076,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_tickets(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            pub fn get_hello(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_tickets(&self) -> bool {
+            pub fn has_hello(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -5493,19 +6138,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_tickets(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            pub fn get_hello(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_tickets(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            pub fn set_hello(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
             }
             #[inline]
-            pub fn init_tickets(self, size: u32) -> ::capnp::text_list::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            pub fn init_hello(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
             }
             #[inline]
-            pub fn has_tickets(&self) -> bool {
+            pub fn has_hello(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -5519,14 +6164,14 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(74, 85, 107, 152, 53, 35, 146, 158),
+                ::capnp::word(56, 212, 54, 251, 168, 250, 137, 187),
                 ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
@@ -5534,32 +6179,28 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 78, 111, 100, 101),
-                ::capnp::word(46, 109, 105, 110, 116, 36, 82, 101),
-                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(46, 104, 101, 108, 108, 111, 36, 82),
+                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(116, 105, 99, 107, 101, 116, 115, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(104, 101, 108, 108, 111, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5576,11 +6217,11 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0x9e92_2335_986b_554a;
+            pub(crate) const TYPE_ID: u64 = 0xbb89_faa8_fb36_d438;
         }
     }
 
-    pub mod hello_params {
+    pub mod gossip_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -5633,7 +6274,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -5641,11 +6282,19 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_digest(self) -> ::capnp::Result<crate::fleet_capnp::digest::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_digest(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5695,6 +6344,22 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_digest(self) -> ::capnp::Result<crate::fleet_capnp::digest::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_digest(&mut self, value: crate::fleet_capnp::digest::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_digest(self, ) -> crate::fleet_capnp::digest::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_digest(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5704,28 +6369,50 @@
             }
         }
         impl Pipeline  {
+            pub fn get_digest(&self) -> crate::fleet_capnp::digest::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(45, 240, 21, 37, 196, 245, 108, 136),
+                ::capnp::word(247, 169, 56, 57, 213, 40, 26, 203),
                 ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 78, 111, 100, 101),
-                ::capnp::word(46, 104, 101, 108, 108, 111, 36, 80),
-                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(46, 103, 111, 115, 115, 105, 112, 36),
+                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 230, 27, 233, 94, 71, 248, 154),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <crate::fleet_capnp::digest::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -5737,14 +6424,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0x886c_f5c4_2515_f02d;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xcb1a_28d5_3938_a9f7;
         }
     }
 
-    pub mod hello_results {
+    pub mod gossip_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -5806,11 +6493,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_hello(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            pub fn get_digest(self) -> ::capnp::Result<crate::fleet_capnp::digest::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_hello(&self) -> bool {
+            pub fn has_digest(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -5868,19 +6555,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_hello(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            pub fn get_digest(self) -> ::capnp::Result<crate::fleet_capnp::digest::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_hello(&mut self, value: ::capnp::data::Reader<'_>)  {
-                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            pub fn set_digest(&mut self, value: crate::fleet_capnp::digest::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_hello(self, size: u32) -> ::capnp::data::Builder<'a> {
-                self.builder.get_pointer_field(0).init_data(size)
+            pub fn init_digest(self, ) -> crate::fleet_capnp::digest::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_hello(&self) -> bool {
+            pub fn has_digest(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -5892,16 +6579,19 @@
             }
         }
         impl Pipeline  {
+            pub fn get_digest(&self) -> crate::fleet_capnp::digest::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(56, 212, 54, 251, 168, 250, 137, 187),
+                ::capnp::word(34, 121, 200, 110, 234, 217, 19, 174),
                 ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
@@ -5909,28 +6599,28 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 78, 111, 100, 101),
-                ::capnp::word(46, 104, 101, 108, 108, 111, 36, 82),
-                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+                ::capnp::word(46, 103, 111, 115, 115, 105, 112, 36),
+                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(104, 101, 108, 108, 111, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 230, 27, 233, 94, 71, 248, 154),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::fleet_capnp::digest::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5947,11 +6637,11 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xbb89_faa8_fb36_d438;
+            pub(crate) const TYPE_ID: u64 = 0xae13_d9ea_6ec8_7922;
         }
     }
 
-    pub mod gossip_params {
+    pub mod settle_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -6013,11 +6703,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_digest(self) -> ::capnp::Result<crate::fleet_capnp::digest::Reader<'a>> {
+            pub fn get_asks(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::settle_ask::Owned>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_digest(&self) -> bool {
+            pub fn has_asks(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -6075,19 +6765,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_digest(self) -> ::capnp::Result<crate::fleet_capnp::digest::Builder<'a>> {
+            pub fn get_asks(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::settle_ask::Owned>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_digest(&mut self, value: crate::fleet_capnp::digest::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_asks(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::settle_ask::Owned>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_digest(self, ) -> crate::fleet_capnp::digest::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            pub fn init_asks(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::settle_ask::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
             }
             #[inline]
-            pub fn has_digest(&self) -> bool {
+            pub fn has_asks(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -6099,14 +6789,11 @@
             }
         }
         impl Pipeline  {
-            pub fn get_digest(&self) -> crate::fleet_capnp::digest::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(247, 169, 56, 57, 213, 40, 26, 203),
+                ::capnp::word(12, 237, 251, 239, 79, 26, 101, 242),
                 ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
@@ -6119,28 +6806,32 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 78, 111, 100, 101),
-                ::capnp::word(46, 103, 111, 115, 115, 105, 112, 36),
+                ::capnp::word(46, 115, 101, 116, 116, 108, 101, 36),
                 ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 230, 27, 233, 94, 71, 248, 154),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(97, 115, 107, 115, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(178, 43, 171, 130, 214, 218, 189, 244),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::fleet_capnp::digest::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::struct_list::Owned<crate::fleet_capnp::settle_ask::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6157,11 +6848,11 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xcb1a_28d5_3938_a9f7;
+            pub(crate) const TYPE_ID: u64 = 0xf265_1a4f_effb_ed0c;
         }
     }
 
-    pub mod gossip_results {
+    pub mod settle_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -6223,11 +6914,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_digest(self) -> ::capnp::Result<crate::fleet_capnp::digest::Reader<'a>> {
+            pub fn get_told(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::settle_told::Owned>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_digest(&self) -> bool {
+            pub fn has_told(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -6285,19 +6976,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_digest(self) -> ::capnp::Result<crate::fleet_capnp::digest::Builder<'a>> {
+            pub fn get_told(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::settle_told::Owned>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_digest(&mut self, value: crate::fleet_capnp::digest::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_told(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::settle_told::Owned>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_digest(self, ) -> crate::fleet_capnp::digest::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            pub fn init_told(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::settle_told::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
             }
             #[inline]
-            pub fn has_digest(&self) -> bool {
+            pub fn has_told(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -6309,14 +7000,11 @@
             }
         }
         impl Pipeline  {
-            pub fn get_digest(&self) -> crate::fleet_capnp::digest::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(34, 121, 200, 110, 234, 217, 19, 174),
+                ::capnp::word(82, 212, 60, 205, 79, 118, 45, 213),
                 ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
@@ -6329,28 +7017,32 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 78, 111, 100, 101),
-                ::capnp::word(46, 103, 111, 115, 115, 105, 112, 36),
+                ::capnp::word(46, 115, 101, 116, 116, 108, 101, 36),
                 ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 230, 27, 233, 94, 71, 248, 154),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(116, 111, 108, 100, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(52, 15, 242, 13, 153, 25, 75, 149),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::fleet_capnp::digest::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::struct_list::Owned<crate::fleet_capnp::settle_told::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6367,7 +7059,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xae13_d9ea_6ec8_7922;
+            pub(crate) const TYPE_ID: u64 = 0xd52d_764f_cd3c_d452;
         }
     }
 }
--- a/crates/porthoist-fleet/src/server.rs
+++ b/crates/porthoist-fleet/src/server.rs
@@ -1,6 +1,8 @@
 //! The listening side: a peer shows the shared key, then offers requests, asks for tickets and gossips.
 
-use crate::convert::{read_digest, read_offer, write_digest, write_frames, write_outcome};
+use crate::convert::{
+    read_asks, read_digest, read_offer, write_digest, write_frames, write_outcome, write_told,
+};
 use crate::digest::FleetDigest;
 use crate::fleet_capnp::{frame_sink, login, node};
 use capnp::Error;
@@ -14,6 +16,7 @@
 use porthoist_core::{
     AnswerFrame, LoadReport, OfferOutcome, RequestOffer, TeamName, TicketText, UnixDeadline,
 };
+use porthoist_policy::limits::keeper::{SettleAsk, SettleTold};
 use std::fmt;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
@@ -52,6 +55,8 @@
     fn hello(&self) -> HandlerFuture<Option<TargetHello>>;
     /// Takes a peer's digest and gives its own.
     fn gossip(&self, digest: FleetDigest) -> HandlerFuture<FleetDigest>;
+    /// Settles teams' limits that this process keeps; a team without limits is left out.
+    fn settle(&self, asks: Vec<SettleAsk>) -> HandlerFuture<Vec<SettleTold>>;
 }
 
 struct LoginServer {
@@ -128,6 +133,17 @@
         let own = self.handler.gossip(digest).await;
         write_digest(results.get().init_digest(), &own)
     }
+
+    async fn settle(
+        self: CapabilityRc<Self>,
+        params: node::SettleParams,
+        mut results: node::SettleResults,
+    ) -> Result<(), Error> {
+        let asks = read_asks(params.get()?.get_asks()?);
+        let told = self.handler.settle(asks).await;
+        write_told(results.get().init_told(told.len() as u32), &told);
+        Ok(())
+    }
 }
 
 pub(crate) fn failed(error: impl fmt::Display) -> Error {
--- a/crates/porthoist-lab/src/cmd.rs
+++ b/crates/porthoist-lab/src/cmd.rs
@@ -1,6 +1,7 @@
 //! The subcommands, a file for each.
 
 pub mod experts;
+pub mod limits;
 pub mod load;
 pub mod route;
 
@@ -17,6 +18,7 @@
 #[argh(subcommand)]
 enum LabCommand {
     Experts(experts::ExpertsArgs),
+    Limits(limits::LimitsArgs),
     Load(load::LoadArgs),
     Route(route::RouteArgs),
 }
@@ -25,6 +27,7 @@
 pub fn run(args: LabArgs) -> miette::Result<String> {
     match args.command {
         LabCommand::Experts(args) => experts::run(&args),
+        LabCommand::Limits(args) => limits::run(&args),
         LabCommand::Load(args) => load::run(&args),
         LabCommand::Route(args) => route::run(&args),
     }
--- a/crates/porthoist-lab/src/lib.rs
+++ b/crates/porthoist-lab/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod cmd;
 pub mod experts;
+pub mod limits;
 pub mod load;
 pub mod plot;
 pub mod report;
--- a/crates/porthoist-platform/src/client.rs
+++ b/crates/porthoist-platform/src/client.rs
@@ -1,6 +1,6 @@
 //! The platform's client over HTTP.
 
-use crate::wire::{ChangeFeed, HostEntry, ItemRead, TableWrite, TransactAnswer, TransactRequest};
+use crate::wire::{ChangeFeed, HostEntry, HostFeed, ItemRead, TableWrite, TransactAnswer, TransactRequest};
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use http_body_util::Full;
@@ -22,8 +22,8 @@
     fn item(&self, key: String) -> PlatformFuture<'_, Option<ItemRead>>;
     /// Items below `prefix` changed since a revision.
     fn changes(&self, prefix: &'static str, since: u64) -> PlatformFuture<'_, ChangeFeed>;
-    /// The host list, which lags behind reality.
-    fn hosts(&self) -> PlatformFuture<'_, Vec<HostEntry>>;
+    /// The host list, which lags behind reality, if it changed since the revision known.
+    fn hosts(&self, known: u64) -> PlatformFuture<'_, HostFeed>;
     /// Adds this process to the host list.
     fn register(&self, host: HostEntry) -> PlatformFuture<'_, ()>;
     /// Reads an object.
@@ -117,8 +117,8 @@
         })
     }
 
-    fn hosts(&self) -> PlatformFuture<'_, Vec<HostEntry>> {
-        Box::pin(self.call(Method::GET, "/v1/hosts", NO_BODY))
+    fn hosts(&self, known: u64) -> PlatformFuture<'_, HostFeed> {
+        Box::pin(async move { self.call(Method::GET, &format!("/v1/hosts?known={known}"), NO_BODY).await })
     }
 
     fn register(&self, host: HostEntry) -> PlatformFuture<'_, ()> {
--- a/crates/porthoist-platform/src/lib.rs
+++ b/crates/porthoist-platform/src/lib.rs
@@ -9,7 +9,7 @@
 pub use client::{HttpPlatform, PlatformClient, PlatformFuture};
 pub use porthoist_http::CallError;
 pub use wire::{
-    ChangeFeed, HostEntry, HostRole, HostState, ItemRead, TableWrite, TransactAnswer, WriteResult,
+    ChangeFeed, HostEntry, HostFeed, HostRole, HostState, ItemRead, TableWrite, TransactAnswer, WriteResult,
 };
 
 /// Prefix of the keys of the operators' rows.
--- a/crates/porthoist-platform/src/wire.rs
+++ b/crates/porthoist-platform/src/wire.rs
@@ -100,6 +100,15 @@
     Leaving,
 }
 
+/// The host list, whole if it changed since the revision that the asker knows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostFeed {
+    /// The list's revision.
+    pub revision: u64,
+    /// The list; absent where it has not changed.
+    pub hosts: Option<Vec<HostEntry>>,
+}
+
 /// One line of the host list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostEntry {
--- a/crates/porthoist-standin/src/platform.rs
+++ b/crates/porthoist-standin/src/platform.rs
@@ -8,7 +8,9 @@
 use porthoist_http::body::typed_response;
 use porthoist_http::{HttpResponse, json_response, text_response};
 use porthoist_platform::wire::TransactRequest;
-use porthoist_platform::{ChangeFeed, HostEntry, ItemRead, TableWrite, TransactAnswer, WriteResult};
+use porthoist_platform::{
+    ChangeFeed, HostEntry, HostFeed, ItemRead, TableWrite, TransactAnswer, WriteResult,
+};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -41,6 +43,7 @@
     items: BTreeMap<String, TableItem>,
     objects: BTreeMap<String, Bytes>,
     hosts: BTreeMap<String, HostEntry>,
+    hosts_revision: u64,
     frozen_hosts: Option<Vec<HostEntry>>,
     faults: PlatformFaults,
     calls: u64,
@@ -105,6 +108,11 @@
         Some(ItemRead { key: key.to_owned(), version: item.version, value: item.value.clone() })
     }
 
+    fn host_feed(&self, known: u64) -> HostFeed {
+        let revision = self.hosts_revision;
+        HostFeed { revision, hosts: (known != revision).then(|| self.host_list()) }
+    }
+
     fn host_list(&self) -> Vec<HostEntry> {
         self.frozen_hosts.clone().unwrap_or_else(|| self.hosts.values().cloned().collect())
     }
@@ -129,6 +137,7 @@
     pub fn set_faults(&self, faults: PlatformFaults) {
         let mut state = self.state();
         state.frozen_hosts = None;
+        state.hosts_revision += 1;
         if faults.freeze_hosts {
             state.frozen_hosts = Some(state.host_list());
         }
@@ -162,7 +171,10 @@
                 json_response(StatusCode::OK, &self.state().item(&key))
             }
             (Method::GET, "/v1/table/changes") => self.changes(&request),
-            (Method::GET, "/v1/hosts") => json_response(StatusCode::OK, &self.state().host_list()),
+            (Method::GET, "/v1/hosts") => {
+                let known = query_value(&request, "known").and_then(|text| text.parse().ok()).unwrap_or(0);
+                json_response(StatusCode::OK, &self.state().host_feed(known))
+            }
             (Method::POST, "/v1/hosts") => self.register(request).await,
             (method, path) if path.starts_with("/v1/objects/") => self.object(method, path, request).await,
             _ => text_response(StatusCode::NOT_FOUND, "no such call"),
@@ -207,7 +219,12 @@
             Ok(entry) => entry,
             Err(response) => return response,
         };
-        self.state().hosts.insert(entry.name.to_string(), entry);
+        let mut state = self.state();
+        let old = state.hosts.insert(entry.name.to_string(), entry.clone());
+        if old != Some(entry) {
+            state.hosts_revision += 1;
+        }
+        drop(state);
         done()
     }
 
--- a/porthoistd/src/config.rs
+++ b/porthoistd/src/config.rs
@@ -2,7 +2,7 @@
 
 use parking_lot::{Mutex, RwLock};
 use porthoist_caller::ConfigPort;
-use porthoist_core::{RequestRate, ServiceName, TargetName, TeamName};
+use porthoist_core::{ServiceName, TargetName, TeamName};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::adoption::{AdoptOutcome, ChangeHistory, ConfigChange, ConfigState};
 use porthoist_policy::limits::TeamLimit;
@@ -84,10 +84,20 @@
         }
     }
 
+    /// The limits of all teams.
+    pub fn limits(&self) -> impl Iterator<Item = (TeamName, TeamLimit)> + use<> {
+        let mut limits = Vec::new();
+        for (key, row) in self.current().rows() {
+            if let (TableRow::Team(TeamRow { rate, concurrency, .. }), Ok(name)) = (row, key.name.parse()) {
+                limits.push((name, TeamLimit { rate: *rate, concurrency: *concurrency }));
+            }
+        }
+        limits.into_iter()
+    }
+
     /// A team's limits.
     pub fn limit(&self, team: &TeamName) -> Option<TeamLimit> {
         let TeamRow { rate, concurrency, .. } = self.team(team)?;
-        let rate = RequestRate(rate.0);
         Some(TeamLimit { rate, concurrency })
     }
 }
--- a/porthoistd/src/duty/entry_fleet.rs
+++ b/porthoistd/src/duty/entry_fleet.rs
@@ -1,6 +1,7 @@
 //! The fleet duty of an entry: connections to targets, offers, and gossip with other entries.
 
 pub mod gossip;
+pub mod settlement;
 pub mod targets;
 pub mod view;
 
@@ -31,7 +32,9 @@
 const RING: usize = 8192;
 /// Targets that one entry keeps connections to at most; beyond that it takes a subset by rendezvous.
 pub const TARGET_SUBSET: usize = 128;
-/// Entries that one entry gossips with at most.
+/// Entries of its own availability zone that one entry talks to at most; their limits are settled among them.
+pub const ZONE_PEERS: usize = 128;
+/// Entries of other zones that one entry gossips with at most.
 pub const PEER_SUBSET: usize = 8;
 /// The list of live entries is counted so often.
 const COUNT_TIME: Duration = Duration::from_secs(1);
@@ -167,6 +170,7 @@
     pub async fn run(self, mut commands: RingReceiver<FleetCommand>) {
         tokio::task::spawn_local(self.clone().follow_hosts());
         tokio::task::spawn_local(self.clone().count_entries());
+        tokio::task::spawn_local(self.clone().settle_limits());
         while let Some(command) = commands.receive().await {
             match command {
                 FleetCommand::Offer { target, offer, frames, reply } => {
@@ -254,6 +258,12 @@
         for name in rendezvous_subset(key, names(HostRole::Target), TARGET_SUBSET) {
             chosen.insert(name.to_owned());
         }
+        let own_zone = |host: &&HostEntry| host.zone == self.shared.zone && host.role == HostRole::Entry;
+        let near = list.iter().filter(own_zone).map(|host| host.name.as_str());
+        let near = near.filter(|name| *name != self.shared.node.as_str());
+        for name in rendezvous_subset(key, near, ZONE_PEERS) {
+            chosen.insert(name.to_owned());
+        }
         for name in rendezvous_subset(key, names(HostRole::Entry), PEER_SUBSET) {
             chosen.insert(name.to_owned());
         }
--- a/porthoistd/src/duty/entry_fleet/gossip.rs
+++ b/porthoistd/src/duty/entry_fleet/gossip.rs
@@ -2,12 +2,14 @@
 
 use super::EntryFleet;
 use super::targets::{MAX_RECONNECT_TIME, MIN_RECONNECT_TIME, SILENCE_TIME};
+use crate::duty::routing::KeeperMessage;
 use porthoist_core::offer::TargetHello;
 use porthoist_core::{LoadReport, RequestOffer, TeamName, TicketText, UnixDeadline};
 use porthoist_core::{OfferOutcome, RefusalReason, RunVerdict, TargetName};
 use porthoist_fleet::{FleetDigest, FleetError, FleetHandler, FleetPeer, FrameOutlet, HandlerFuture};
 use porthoist_platform::HostEntry;
 use porthoist_policy::adoption::AdoptOutcome;
+use porthoist_policy::limits::keeper::{SettleAsk, SettleTold};
 use slog::info;
 use std::time::Duration;
 
@@ -21,7 +23,6 @@
             zone: self.shared.zone.clone(),
             revision: self.shared.config.revision(),
             leaving: Vec::new(),
-            demands: Vec::new(),
             change: None,
             ready: true,
             wants_hosts: self.shared.hosts.borrow().is_empty(),
@@ -60,7 +61,9 @@
                 return;
             };
             if let Ok(peer) = FleetPeer::connect(&host.address, &self.shared.key).await {
+                self.peers.borrow_mut().insert(name.clone(), peer.clone());
                 let error = self.exchanges(&name, &peer).await;
+                self.peers.borrow_mut().remove(&name);
                 info!(self.shared.logger, "entry lost"; "entry" => %name, "error" => %error);
                 peer.close();
                 pause = MIN_RECONNECT_TIME;
@@ -110,6 +113,11 @@
         Box::pin(std::future::ready(Vec::new()))
     }
 
+    fn settle(&self, asks: Vec<SettleAsk>) -> HandlerFuture<Vec<SettleTold>> {
+        let routing = self.shared.routing.clone();
+        Box::pin(async move { routing.ask(KeeperMessage(asks)).await.unwrap_or_default() })
+    }
+
     fn hello(&self) -> HandlerFuture<Option<TargetHello>> {
         Box::pin(std::future::ready(None))
     }
--- a/porthoistd/src/duty/entry_fleet/targets.rs
+++ b/porthoistd/src/duty/entry_fleet/targets.rs
@@ -11,8 +11,11 @@
 use slog::{info, warn};
 use std::time::Duration;
 
-/// Time between two heartbeats.
+/// Time between two heartbeats to a target, up to [`HEARTBEAT_TARGETS`] followed targets.
 pub const HEARTBEAT_TIME: Duration = Duration::from_millis(500);
+/// Beyond so many followed targets the time grows with the square of their number, so that the bytes of all
+/// heartbeats shrink rather than grow; load then travels on answers and refusals alone.
+pub const HEARTBEAT_TARGETS: usize = 24;
 /// A heartbeat without an answer for so long ends the connection.
 pub const SILENCE_TIME: Duration = Duration::from_millis(1500);
 /// First pause between two attempts to connect; it doubles up to [`MAX_RECONNECT_TIME`].
@@ -65,7 +68,7 @@
             if let Err(error) = self.bring_up_to_date(peer, hello.revision).await {
                 return error;
             }
-            tokio::time::sleep(HEARTBEAT_TIME).await;
+            tokio::time::sleep(heartbeat_time(self.peers.borrow().len())).await;
         }
     }
 
@@ -115,6 +118,12 @@
     }
 }
 
+/// Time between two heartbeats at so many followed peers.
+pub fn heartbeat_time(peers: usize) -> Duration {
+    let excess = (peers as f64 / HEARTBEAT_TARGETS as f64).max(1.0);
+    HEARTBEAT_TIME.mul_f64(excess * excess)
+}
+
 fn member_digest(host: &HostEntry, hello: &TargetHello, life: Option<ProcessLife>) -> MemberDigest {
     MemberDigest {
         target: host.name.clone(),
--- a/porthoistd/src/duty/entry_fleet/view.rs
+++ b/porthoistd/src/duty/entry_fleet/view.rs
@@ -84,6 +84,13 @@
         state.entries.remove(name);
     }
 
+    /// Names of the other live entries in `zone`.
+    pub fn live_peers(&self, zone: &ZoneName) -> Vec<TargetName> {
+        let state = self.state();
+        let live = state.entries.values().filter(|status| status.heard && status.zone == *zone);
+        live.map(|status| status.node.clone()).collect()
+    }
+
     /// Live entries in `zone` and in all zones, this one included.
     pub fn live_entries(&self, zone: &ZoneName) -> (u32, u32) {
         let state = self.state();
