--- a/porthoistd/src/duty/platform.rs
+++ b/porthoistd/src/duty/platform.rs
@@ -9,7 +9,7 @@
 use rand::RngExt as _;
 use slog::{Logger, info, warn};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -37,6 +37,8 @@
     pub heard: Arc<AtomicBool>,
     /// This process's own line.
     pub own: HostEntry,
+    /// Revision of the host list known.
+    pub hosts_revision: AtomicU64,
     /// Logs.
     pub logger: Logger,
 }
@@ -95,7 +97,10 @@
             }
         };
         self.heard.store(heard, Ordering::Relaxed);
-        if let Ok(hosts) = self.client.hosts().await
+        let known = self.hosts_revision.load(Ordering::Relaxed);
+        let Ok(feed) = self.client.hosts(known).await else { return };
+        self.hosts_revision.store(feed.revision, Ordering::Relaxed);
+        if let Some(hosts) = feed.hosts
             && !hosts.is_empty()
         {
             self.hosts.send_if_modified(|known| {
--- a/porthoistd/src/duty/routing.rs
+++ b/porthoistd/src/duty/routing.rs
@@ -11,10 +11,12 @@
 use porthoist_core::{
     AttemptId, ClockSource, LoadReport, RefusalReason, RunVerdict, TargetName, TeamName, UnixMillis,
 };
-use porthoist_policy::limits::EntryLimiter;
+use porthoist_policy::limits::keeper::{LimitKeeper, SettleAsk, SettleTold, team_key};
+use porthoist_policy::limits::{EntryLimiter, TeamLimit};
 use porthoist_policy::retry::RetryBudget;
 use porthoist_policy::retry::hedge::HedgePolicy;
 use porthoist_policy::router::{RouteQuery, RouteTarget, Router, RouterSettings};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 /// Messages that wait for the actor at most; more are refused as overload.
@@ -29,6 +31,9 @@
 pub struct RoutingActor {
     router: Router,
     limiter: EntryLimiter,
+    keeper: LimitKeeper,
+    kept_limits: HashMap<u64, TeamLimit>,
+    kept_revision: u64,
     budget: RetryBudget,
     hedges: HedgePolicy,
     hedging: bool,
@@ -77,6 +82,55 @@
 #[derive(Debug)]
 pub struct ReleaseMessage(pub TeamName);
 
+/// Asks which teams are to be settled with their keepers now.
+#[derive(Debug, Clone, Copy)]
+pub struct DueMessage;
+
+impl Message<DueMessage> for RoutingActor {
+    type Reply = Vec<(TeamName, SettleAsk)>;
+
+    async fn handle(&mut self, _msg: DueMessage, _ctx: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        self.limiter.due(self.clock.now())
+    }
+}
+
+/// What a keeper answered, or nothing where it could not be heard.
+#[derive(Debug)]
+pub struct SettledMessage(pub Vec<(TeamName, SettleAsk, Option<SettleTold>)>);
+
+impl Message<SettledMessage> for RoutingActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: SettledMessage, _ctx: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let now = self.clock.now();
+        for (team, ask, told) in msg.0 {
+            match told {
+                Some(told) => self.limiter.settled(now, &team, ask, told),
+                None => self.limiter.keeper_silent(now, &team),
+            }
+        }
+    }
+}
+
+/// Another entry settles teams that this one keeps.
+#[derive(Debug)]
+pub struct KeeperMessage(pub Vec<SettleAsk>);
+
+impl Message<KeeperMessage> for RoutingActor {
+    type Reply = Vec<SettleTold>;
+
+    async fn handle(&mut self, msg: KeeperMessage, _ctx: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let now = self.clock.now();
+        let mut told = Vec::with_capacity(msg.0.len());
+        for ask in msg.0 {
+            if let Some(limit) = self.limit_of(ask.team) {
+                told.push(self.keeper.settle(now, ask, limit));
+            }
+        }
+        told
+    }
+}
+
 /// The first frame of an attempt came back.
 #[derive(Debug)]
 pub struct FirstFrameMessage {
@@ -109,6 +163,9 @@
         let actor = Self {
             router: Router::new(settings),
             limiter: EntryLimiter::new(1),
+            keeper: LimitKeeper::new(),
+            kept_limits: HashMap::new(),
+            kept_revision: 0,
             budget: RetryBudget::new(RETRY_SHARE, RETRY_BURST),
             hedges: HedgePolicy::default(),
             hedging,
@@ -118,6 +175,15 @@
         Self::spawn_with_mailbox(actor, kameo::mailbox::bounded(MAILBOX))
     }
 
+    /// The limits of the team with this hash, in the configuration in force.
+    fn limit_of(&mut self, team: u64) -> Option<TeamLimit> {
+        if self.kept_revision != self.config.revision() {
+            self.kept_revision = self.config.revision();
+            self.kept_limits = self.config.limits().map(|(name, limit)| (team_key(&name), limit)).collect();
+        }
+        self.kept_limits.get(&team).copied()
+    }
+
     fn admit(&mut self, now: UnixMillis, team: &TeamName) -> Result<(), CallerRefusal> {
         let Some(limit) = self.config.limit(team) else {
             return Err(CallerRefusal::not_run(RefusalReason::Unauthorized, "the team has no row"));
@@ -223,6 +289,7 @@
         self.limiter.set_entries(msg.zone);
         self.router.set_entries(msg.all);
         self.limiter.forget_idle(self.clock.now());
+        self.keeper.forget_idle(self.clock.now());
     }
 }
 
--- a/porthoistd/src/duty/target_fleet.rs
+++ b/porthoistd/src/duty/target_fleet.rs
@@ -11,6 +11,7 @@
 };
 use porthoist_fleet::{FleetDigest, FleetHandler, FrameOutlet, HandlerFuture};
 use porthoist_metrics::MetricsHub;
+use porthoist_policy::limits::keeper::{SettleAsk, SettleTold};
 use porthoist_target::log::LogNews;
 use porthoist_target::offers::{MintTickets, OfferAbandoned, OfferRefusal, OfferRequest};
 use porthoist_target::{LogEnd, LogFollower, OffersActor};
@@ -142,6 +143,11 @@
 }
 
 impl FleetHandler for TargetHandler {
+    fn settle(&self, _asks: Vec<SettleAsk>) -> HandlerFuture<Vec<SettleTold>> {
+        // Limits are kept by entries.
+        Box::pin(std::future::ready(Vec::new()))
+    }
+
     fn offer(&self, offer: RequestOffer, outlet: FrameOutlet) -> HandlerFuture<(OfferOutcome, LoadReport)> {
         let handler = self.clone();
         Box::pin(async move {
@@ -179,7 +185,6 @@
             zone: self.zone.clone(),
             revision: self.config.revision(),
             leaving: Vec::new(),
-            demands: Vec::new(),
             change: self.config.change_since(digest.revision),
             ready: true,
             wants_hosts: false,
--- a/porthoistd/src/role/entry.rs
+++ b/porthoistd/src/role/entry.rs
@@ -25,7 +25,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::rc::Rc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -128,7 +128,8 @@
         spawn_duty("platform", move || async move {
             let client: Arc<HttpPlatform> = Arc::new(HttpPlatform::new(url));
             tokio::task::spawn_local(serve_claims(claim_calls, Arc::<HttpPlatform>::clone(&client)));
-            PlatformDuty { client, config, hosts, heard, own, logger }.run().await;
+            let hosts_revision = AtomicU64::new(0);
+            PlatformDuty { client, config, hosts, heard, own, hosts_revision, logger }.run().await;
         })?;
         Ok(hosts_seen)
     }
--- a/porthoistd/src/role/target.rs
+++ b/porthoistd/src/role/target.rs
@@ -105,7 +105,8 @@
         spawn_duty("platform", move || async move {
             let client = Arc::new(HttpPlatform::new(url));
             let hosts = watch::Sender::new(Vec::new());
-            PlatformDuty { client, config, hosts, heard, own, logger }.run().await;
+            let hosts_revision = AtomicU64::new(0);
+            PlatformDuty { client, config, hosts, heard, own, hosts_revision, logger }.run().await;
         })?;
         Ok(())
     }
