--- a/crates/porthoist-caller/src/course.rs
+++ b/crates/porthoist-caller/src/course.rs
@@ -15,6 +15,9 @@
 use porthoist_policy::retry::FailedAttempt;
 use std::time::Duration;
 
+/// Pause before a target is tried again that broke off, where nobody else serves; it doubles each time.
+const SAME_TARGET_PAUSE: Duration = Duration::from_millis(100);
+
 /// How an attempt ended for the caller.
 #[derive(Debug)]
 pub(crate) enum AttemptEnd {
@@ -146,11 +149,14 @@
     async fn unkeyed(&mut self) -> CourseEnd {
         let mut exclude: Vec<TargetName> = Vec::new();
         let mut same_again = false;
+        let mut pause = SAME_TARGET_PAUSE;
         loop {
             let told = match self.route(&exclude, self.attempts > 0).await {
                 Ok(told) => told,
                 Err(refusal) if refusal.reason == RefusalReason::NoTarget && same_again => {
-                    // Nobody else serves it, and a target whose run failed may do better this time.
+                    // Nobody else serves it, and a target that broke off may do better after a moment.
+                    tokio::time::sleep(pause).await;
+                    pause *= 2;
                     exclude.clear();
                     same_again = false;
                     continue;
@@ -165,7 +171,7 @@
                 AttemptEnd::Failed(failure, retry_at) => (failure, retry_at),
             };
             exclude.push(target);
-            same_again = failure.verdict == RunVerdict::MayHaveRun;
+            same_again = failure.verdict == RunVerdict::MayHaveRun || self.delivery.started();
             let refusal = self.failure_refusal(failure, retry_at);
             let Some(reason) = self.retry_reason(failure) else {
                 return CourseEnd::Refused(refusal);
--- a/crates/porthoist-fleet/schema/fleet.capnp
+++ b/crates/porthoist-fleet/schema/fleet.capnp
@@ -120,6 +120,8 @@
   gossip @3 (digest :Digest) -> (digest :Digest);
   # Settles teams' limits with their keeper.
   settle @4 (asks :List(SettleAsk)) -> (told :List(SettleTold));
+  # A leader's message to a rank in JSON, and the rank's reply; empty where there is none.
+  rank @5 (message :Data) -> (reply :Data);
 }
 
 interface Login {
--- a/crates/porthoist-fleet/src/client.rs
+++ b/crates/porthoist-fleet/src/client.rs
@@ -17,6 +17,7 @@
     UnixDeadline,
 };
 use porthoist_policy::limits::keeper::{SettleAsk, SettleTold};
+use porthoist_policy::switch::{LeaderMessage, RankReply};
 use std::cell::Cell;
 use std::fmt;
 use std::rc::Rc;
@@ -178,6 +179,17 @@
         serde_json::from_slice(bytes).map_err(FleetError::unreachable)
     }
 
+    /// Sends a leader's message to the rank beside the peer.
+    pub async fn rank(&self, message: LeaderMessage) -> Result<Option<RankReply>, FleetError> {
+        let mut request = self.node.rank_request();
+        let bytes = serde_json::to_vec(&message).map_err(FleetError::unreachable)?;
+        request.get().set_message(&bytes);
+        let response = request.send().promise.await.map_err(FleetError::lost)?;
+        let reply =
+            response.get().and_then(node::rank_results::Reader::get_reply).map_err(FleetError::lost)?;
+        serde_json::from_slice(reply).map_err(FleetError::lost)
+    }
+
     /// Settles teams' limits with their keeper.
     pub async fn settle(&self, asks: &[SettleAsk]) -> Result<Vec<SettleTold>, FleetError> {
         let mut request = self.node.settle_request();
--- a/crates/porthoist-fleet/src/fleet_capnp.rs
+++ b/crates/porthoist-fleet/src/fleet_capnp.rs
@@ -4803,6 +4803,8 @@
     pub type GossipResults<> = ::capnp::capability::Results<crate::fleet_capnp::node::gossip_results::Owned>;
     pub type SettleParams<> = ::capnp::capability::Params<crate::fleet_capnp::node::settle_params::Owned>;
     pub type SettleResults<> = ::capnp::capability::Results<crate::fleet_capnp::node::settle_results::Owned>;
+    pub type RankParams<> = ::capnp::capability::Params<crate::fleet_capnp::node::rank_params::Owned>;
+    pub type RankResults<> = ::capnp::capability::Results<crate::fleet_capnp::node::rank_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -4867,6 +4869,9 @@
         pub fn settle_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::node::settle_params::Owned,crate::fleet_capnp::node::settle_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
         }
+        pub fn rank_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::node::rank_params::Owned,crate::fleet_capnp::node::rank_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn offer(self: ::capnp::capability::Rc<Self>, _: OfferParams<>, _: OfferResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::offer not implemented".to_string()))) }
@@ -4874,6 +4879,7 @@
         fn hello(self: ::capnp::capability::Rc<Self>, _: HelloParams<>, _: HelloResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::hello not implemented".to_string()))) }
         fn gossip(self: ::capnp::capability::Rc<Self>, _: GossipParams<>, _: GossipResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::gossip not implemented".to_string()))) }
         fn settle(self: ::capnp::capability::Rc<Self>, _: SettleParams<>, _: SettleResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::settle not implemented".to_string()))) }
+        fn rank(self: ::capnp::capability::Rc<Self>, _: RankParams<>, _: RankResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::rank not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -4908,6 +4914,7 @@
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::hello(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::gossip(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::settle(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::rank(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -7062,6 +7069,420 @@
             pub(crate) const TYPE_ID: u64 = 0xd52d_764f_cd3c_d452;
         }
     }
+
+    pub mod rank_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_message(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_message(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_message(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_message(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_message(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_message(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(190, 201, 169, 73, 43, 54, 214, 216),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 78, 111, 100, 101),
+                ::capnp::word(46, 114, 97, 110, 107, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(109, 101, 115, 115, 97, 103, 101, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xd8d6_362b_49a9_c9be;
+        }
+    }
+
+    pub mod rank_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_reply(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_reply(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_reply(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_reply(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_reply(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_reply(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(45, 206, 220, 3, 142, 63, 63, 129),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 78, 111, 100, 101),
+                ::capnp::word(46, 114, 97, 110, 107, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 112, 108, 121, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x813f_3f8e_03dc_ce2d;
+        }
+    }
 }
 
 
--- a/crates/porthoist-fleet/src/server.rs
+++ b/crates/porthoist-fleet/src/server.rs
@@ -17,6 +17,7 @@
     AnswerFrame, LoadReport, OfferOutcome, RequestOffer, TeamName, TicketText, UnixDeadline,
 };
 use porthoist_policy::limits::keeper::{SettleAsk, SettleTold};
+use porthoist_policy::switch::{LeaderMessage, RankReply};
 use std::fmt;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
@@ -55,6 +56,8 @@
     fn hello(&self) -> HandlerFuture<Option<TargetHello>>;
     /// Takes a peer's digest and gives its own.
     fn gossip(&self, digest: FleetDigest) -> HandlerFuture<FleetDigest>;
+    /// Takes a leader's message for the rank beside this process; nothing where there is no rank or no answer.
+    fn rank(&self, message: LeaderMessage) -> HandlerFuture<Option<Option<RankReply>>>;
     /// Settles teams' limits that this process keeps; a team without limits is left out.
     fn settle(&self, asks: Vec<SettleAsk>) -> HandlerFuture<Vec<SettleTold>>;
 }
@@ -134,6 +137,18 @@
         write_digest(results.get().init_digest(), &own)
     }
 
+    async fn rank(
+        self: CapabilityRc<Self>,
+        params: node::RankParams,
+        mut results: node::RankResults,
+    ) -> Result<(), Error> {
+        let message = serde_json::from_slice(params.get()?.get_message()?).map_err(failed)?;
+        let reply = self.handler.rank(message).await.ok_or_else(|| failed("the rank does not answer"))?;
+        let bytes = serde_json::to_vec(&reply).map_err(failed)?;
+        results.get().set_reply(&bytes);
+        Ok(())
+    }
+
     async fn settle(
         self: CapabilityRc<Self>,
         params: node::SettleParams,
--- /dev/null
+++ b/crates/porthoist-group/src/lib.rs
@@ -0,0 +1,11 @@
+//! Rank groups as peers: one rank's driver beside its engine, and the leader of a switch.
+//!
+//! The decisions are those of `porthoist_policy::switch`; here they meet the engine's orders and the fleet's calls.
+
+pub mod engine;
+pub mod leader;
+pub mod rank;
+
+pub use engine::{GroupEngine, HttpGroupEngine, RankOrder};
+pub use leader::{RankLink, SwitchError, SwitchOutcome, switch_group};
+pub use rank::RankDriver;
--- /dev/null
+++ b/crates/porthoist-lab/src/capacity.rs
@@ -0,0 +1,330 @@
+//! Slopes of memory, processor time and bytes, measured on the daemon's own types in this process.
+//!
+//! docs/CAPACITY.md works the size in two years out from them.
+
+use crate::report::rounded;
+use porthoist_core::{
+    AttemptId, ByteSize, ClockSource, IncarnationId, LoadReport, OfferOutcome, RefusalReason, RepeatPolicy,
+    RequestId, RequestOffer, RequestPriority, RequestRate, RunVerdict, ServiceKind, ServiceName, TargetName,
+    TeamName, UnixDeadline, UnixMillis, ZoneName,
+};
+use porthoist_fleet::FleetDigest;
+use porthoist_fleet::convert::{read_offer, write_asks, write_digest, write_offer, write_outcome};
+use porthoist_fleet::fleet_capnp::{digest, node, offer, outcome};
+use porthoist_policy::adoption::{ConfigChange, ConfigState};
+use porthoist_policy::explain::{DecisionKind, DecisionLog};
+use porthoist_policy::gate::{GateKey, GateMachine, GateOffer};
+use porthoist_policy::limits::keeper::{LimitKeeper, SettleAsk};
+use porthoist_policy::limits::{EntryLimiter, TeamLimit};
+use porthoist_policy::placement::{GroupEstimate, PlannerSettings, place_anew, plan};
+use porthoist_policy::router::{PREFIX_CAPACITY, RouteQuery, RouteTarget, Router, RouterSettings};
+use porthoist_policy::table::{RowKey, RowKind, TableRow, TeamRow};
+use serde::Serialize;
+use std::hint::black_box;
+use std::time::Instant;
+
+/// One measured slope.
+#[derive(Debug, Clone, Serialize)]
+pub struct CapacitySlope {
+    /// What is measured.
+    pub name: &'static str,
+    /// Its unit.
+    pub unit: &'static str,
+    /// The figure.
+    pub value: f64,
+}
+
+/// Teams at the size in two years.
+const TEAMS: usize = 41_000;
+/// Targets that one entry follows.
+const TARGETS: usize = 128;
+const ROUNDS: usize = 20_000;
+const PAGE_BYTES: u64 = 4096;
+
+/// Resident memory of this process.
+fn resident() -> ByteSize {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages: u64 = text.split(' ').nth(1).and_then(|pages| pages.parse().ok()).unwrap_or(0);
+    ByteSize(pages * PAGE_BYTES)
+}
+
+/// Bytes that each of `count` things adds, and the things themselves.
+fn bytes_each<T>(count: usize, make: impl FnOnce() -> T) -> (f64, T) {
+    let before = resident();
+    let built = make();
+    let grown = resident().0.saturating_sub(before.0);
+    (grown as f64 / count as f64, built)
+}
+
+/// Microseconds of one call.
+fn micros_each(rounds: usize, mut call: impl FnMut(usize)) -> f64 {
+    let began = Instant::now();
+    for round in 0..rounds {
+        call(round);
+    }
+    began.elapsed().as_secs_f64() * 1e6 / rounds as f64
+}
+
+fn slope(name: &'static str, unit: &'static str, value: f64) -> CapacitySlope {
+    CapacitySlope { name, unit, value: rounded(value) }
+}
+
+fn team(index: usize) -> TeamName {
+    format!("team-{index:05}").parse().expect("valid")
+}
+
+fn team_row(index: usize) -> (RowKey, Option<TableRow>) {
+    let row = TableRow::Team(TeamRow {
+        weight: 1.0,
+        rate: RequestRate(50.0),
+        concurrency: 100,
+        priority: RequestPriority::default(),
+        token: porthoist_core::secret::sha256_hex(&index.to_be_bytes()),
+    });
+    (RowKey { kind: RowKind::Team, name: team(index).to_string() }, Some(row))
+}
+
+fn attempt(index: usize) -> AttemptId {
+    AttemptId { entry: IncarnationId(1), request: RequestId(index as u64), attempt: 0 }
+}
+
+/// Measures all slopes.
+pub fn measure() -> Vec<CapacitySlope> {
+    // What is built is never freed, so that each growth of memory is that of the thing alone.
+    let mut slopes = target();
+    slopes.extend(configuration());
+    slopes.extend(limits());
+    slopes.extend(routing());
+    slopes.extend(messages());
+    slopes.extend(placement());
+    slopes
+}
+
+fn configuration() -> Vec<CapacitySlope> {
+    let (row_bytes, mut state) = bytes_each(TEAMS, || {
+        let mut state: ConfigState = ConfigState::default();
+        let rows = (0..TEAMS).map(team_row).collect();
+        state.adopt(ConfigChange { since: 0, revision: 1, rows });
+        state
+    });
+    let json = serde_json::to_vec(&state.snapshot()).unwrap_or_default().len();
+    let mut revision = 1;
+    let adopt = micros_each(20, |round| {
+        let change = ConfigChange { since: revision, revision: revision + 1, rows: vec![team_row(round)] };
+        revision += 1;
+        state.adopt(change);
+        black_box(state.clone());
+    });
+    std::mem::forget(state);
+    vec![
+        slope("configuration: memory of a team's row", "B", row_bytes),
+        slope("configuration: snapshot of 41,000 teams", "B", json as f64),
+        slope("configuration: adopt one row among 41,000 and publish", "us", adopt),
+    ]
+}
+
+fn limits() -> Vec<CapacitySlope> {
+    let limit = TeamLimit { rate: RequestRate(50.0), concurrency: 100 };
+    let names: Vec<TeamName> = (0..TEAMS).map(team).collect();
+    let now = UnixMillis(1_000_000);
+    let (team_bytes, mut limiter) = bytes_each(TEAMS, || {
+        let mut limiter = EntryLimiter::new(63);
+        for name in &names {
+            black_box(limiter.admit(now, name, limit).is_ok());
+            limiter.release(name);
+        }
+        limiter
+    });
+    let admit = micros_each(ROUNDS, |round| {
+        let name = &names[round % names.len()];
+        black_box(limiter.admit(now, name, limit).is_ok());
+        limiter.release(name);
+    });
+    let due = micros_each(50, |round| {
+        black_box(limiter.due(now.plus(round as u64)));
+    });
+    let buckets = 20 * TEAMS;
+    let (kept_bytes, mut keeper) = bytes_each(buckets, || {
+        let mut keeper = LimitKeeper::new();
+        for team in 0..buckets as u64 {
+            keeper.settle(now, SettleAsk { team, debt: 1, wanted: 0 }, limit);
+        }
+        keeper
+    });
+    let settle = micros_each(ROUNDS, |round| {
+        let team = (round % TEAMS) as u64;
+        black_box(keeper.settle(now, SettleAsk { team, debt: 1, wanted: 1 }, limit));
+    });
+    std::mem::forget((limiter, keeper));
+    vec![
+        slope("limits: memory of an active team at an entry", "B", team_bytes),
+        slope("limits: admit a request", "us", admit),
+        slope("limits: look for due settlements among 41,000 active teams", "us", due),
+        slope("limits: memory of a kept bucket", "B", kept_bytes),
+        slope("limits: settle a team", "us", settle),
+    ]
+}
+
+fn routing() -> Vec<CapacitySlope> {
+    let zone: ZoneName = "zone-1".parse().expect("valid");
+    let service: ServiceName = "model".parse().expect("valid");
+    let names: Vec<TargetName> =
+        (0..TARGETS).map(|index| format!("target-{index}").parse().expect("valid")).collect();
+    let (target_bytes, mut router) = bytes_each(TARGETS, || {
+        let mut router = Router::new(RouterSettings::builder().zone(zone.clone()).build());
+        for (index, name) in names.iter().enumerate() {
+            router.upsert(RouteTarget {
+                name: name.clone(),
+                zone: zone.clone(),
+                services: vec![service.clone()],
+                weight: 1.0,
+                leaving: false,
+            });
+            let blocks: Vec<u64> =
+                (0..PREFIX_CAPACITY as u64).map(|block| block + ((index as u64) << 32)).collect();
+            router.cache_events(name, &blocks, &[]);
+        }
+        router
+    });
+    let blocks: Vec<u64> = (0..32).collect();
+    let query = RouteQuery {
+        service: &service,
+        now: UnixMillis(1),
+        deadline: UnixDeadline(UnixMillis(1400)),
+        prompt_tokens: 2100,
+        prefix_blocks: &blocks,
+        exclude: &[],
+    };
+    let choose = micros_each(ROUNDS, |round| {
+        if let Ok(choice) = router.choose(&query) {
+            router.sent(query.now, &choice.target, attempt(round), &query);
+            router.done(&choice.target, attempt(round));
+        }
+    });
+    let (decision_bytes, log) = bytes_each(1_000_000, || {
+        let mut log = DecisionLog::new(1_000_000);
+        for index in 0..1_000_000 {
+            let kind = DecisionKind::Offered {
+                attempt: 0,
+                target: names[index % TARGETS].clone(),
+                cost_millis: 1.0,
+                cached_tokens: 0,
+                candidates: 16,
+            };
+            log.record(UnixMillis(1), RequestId(index as u64), kind);
+        }
+        log
+    });
+    std::mem::forget((router, log));
+    vec![
+        slope("routing: memory of a followed target with a full prefix view", "B", target_bytes),
+        slope("routing: choose among 128 targets, send and finish", "us", choose),
+        slope("explain: memory of a kept decision", "B", decision_bytes),
+    ]
+}
+
+fn target() -> Vec<CapacitySlope> {
+    let incarnation = IncarnationId(1);
+    let deadline = UnixDeadline(UnixMillis(1_000_000));
+    let now = UnixMillis(1);
+    let count = 100_000;
+    let (ticket_bytes, mut gate) = bytes_each(count, || {
+        let mut gate = GateMachine::new(incarnation, 2 * count);
+        for _ in 0..count {
+            gate.mint(now, deadline);
+        }
+        gate
+    });
+    let offer = micros_each(ROUNDS, |round| {
+        let key = GateKey::Ticket(round as u64 + 1);
+        let offer = GateOffer { key, incarnation, fingerprint: 1, deadline };
+        black_box(gate.offer(now, offer, || Ok(())));
+        gate.finished(key);
+    });
+    std::mem::forget(gate);
+    vec![
+        slope("gate: memory of a ticket", "B", ticket_bytes),
+        slope("gate: decide on an offer and remember its end", "us", offer),
+    ]
+}
+
+fn request_offer(body: usize) -> RequestOffer {
+    RequestOffer {
+        attempt: attempt(1),
+        team: team(1),
+        service: "model".parse().expect("valid"),
+        kind: ServiceKind::Model,
+        method: "POST".to_owned(),
+        path: "/v1/completions".to_owned(),
+        headers: vec![("content-type".to_owned(), "application/json".to_owned())],
+        body: vec![b'x'; body].into(),
+        deadline: UnixDeadline(porthoist_core::AnchoredClock::new().now()),
+        priority: RequestPriority::default(),
+        repeat: RepeatPolicy::Safe,
+        ticket: None,
+        stream: true,
+        resume_after: None,
+        prompt_tokens: 500,
+        prefix_blocks: vec![1; 8],
+    }
+}
+
+fn messages() -> Vec<CapacitySlope> {
+    let request = request_offer(2000);
+    let encode = micros_each(ROUNDS, |_round| {
+        let mut message = capnp::message::Builder::new_default();
+        write_offer(message.init_root::<offer::Builder<'_>>(), &request);
+        let reader = message.into_reader();
+        black_box(reader.get_root::<offer::Reader<'_>>().and_then(read_offer).is_ok());
+    });
+    let load = LoadReport::default();
+    let refused = OfferOutcome::Refused {
+        reason: RefusalReason::Draining,
+        verdict: RunVerdict::NotRun,
+        retry_at: Some(UnixMillis(1)),
+    };
+    let mut message = capnp::message::Builder::new_default();
+    write_outcome(message.init_root::<outcome::Builder<'_>>(), &refused, &load);
+    let outcome_bytes = capnp::serialize::write_message_to_words(&message).len();
+    let mut message = capnp::message::Builder::new_default();
+    let own = FleetDigest {
+        node: "entry-123".parse().expect("valid"),
+        zone: "zone-1".parse().expect("valid"),
+        revision: 1,
+        leaving: Vec::new(),
+        change: None,
+        ready: true,
+        wants_hosts: false,
+        hosts: Vec::new(),
+    };
+    let written = write_digest(message.init_root::<digest::Builder<'_>>(), &own).is_ok();
+    let digest_bytes = capnp::serialize::write_message_to_words(&message).len() * usize::from(written);
+    let ask_bytes = |count: u64| {
+        let asks: Vec<SettleAsk> = (0..count).map(|team| SettleAsk { team, debt: 1, wanted: 1 }).collect();
+        let mut message = capnp::message::Builder::new_default();
+        let mut params = message.init_root::<node::settle_params::Builder<'_>>();
+        write_asks(params.reborrow().init_asks(asks.len() as u32), &asks);
+        capnp::serialize::write_message_to_words(&message).len()
+    };
+    vec![
+        slope("messages: write and read an offer of 2 KB", "us", encode),
+        slope("messages: a refusal with its load report", "B", outcome_bytes as f64),
+        slope("messages: a digest without changes", "B", digest_bytes as f64),
+        slope("messages: a settlement of one team", "B", ask_bytes(1) as f64),
+        slope("messages: each further team in it", "B", (ask_bytes(101) - ask_bytes(1)) as f64 / 100.0),
+    ]
+}
+
+fn placement() -> Vec<CapacitySlope> {
+    let experts = 128;
+    let popularity: Vec<f64> = (1..=experts).map(|place| 1.0 / f64::from(place)).collect();
+    let sum: f64 = popularity.iter().sum();
+    let popularity = popularity.into_iter().map(|weight| weight / sum).collect();
+    let estimate = GroupEstimate { popularity, speed: vec![1.0; 64] };
+    let settings = PlannerSettings::builder().skew_weight(4.0).move_weight(1.0).build();
+    let map = place_anew(&GroupEstimate { popularity: vec![1.0 / 128.0; 128], ..estimate.clone() }, 64, 3);
+    let planned = micros_each(5, |_round| {
+        black_box(plan(&map, &estimate, &settings));
+    });
+    vec![slope("placement: plan for 64 ranks and 128 experts after a jump", "us", planned)]
+}
--- a/crates/porthoist-lab/src/cmd.rs
+++ b/crates/porthoist-lab/src/cmd.rs
@@ -1,9 +1,11 @@
 //! The subcommands, a file for each.
 
+pub mod capacity;
 pub mod experts;
 pub mod limits;
 pub mod load;
 pub mod route;
+pub mod storm;
 
 use argh::FromArgs;
 
@@ -17,18 +19,22 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum LabCommand {
+    Capacity(capacity::CapacityArgs),
     Experts(experts::ExpertsArgs),
     Limits(limits::LimitsArgs),
     Load(load::LoadArgs),
     Route(route::RouteArgs),
+    Storm(storm::StormArgs),
 }
 
 /// Runs a command and returns its report.
 pub fn run(args: LabArgs) -> miette::Result<String> {
     match args.command {
+        LabCommand::Capacity(args) => capacity::run(&args),
         LabCommand::Experts(args) => experts::run(&args),
         LabCommand::Limits(args) => limits::run(&args),
         LabCommand::Load(args) => load::run(&args),
         LabCommand::Route(args) => route::run(&args),
+        LabCommand::Storm(args) => storm::run(&args),
     }
 }
--- /dev/null
+++ b/crates/porthoist-lab/src/cmd/capacity.rs
@@ -0,0 +1,33 @@
+//! `porthoist-lab capacity`.
+
+use crate::capacity::{CapacitySlope, measure};
+use crate::report::{ReportFormat, json_text};
+use argh::FromArgs;
+use std::fmt::Write as _;
+
+/// Measure the slopes of docs/CAPACITY.md: memory, processor time and bytes of the daemon's own types.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "capacity")]
+pub struct CapacityArgs {
+    /// text or json
+    #[argh(option, default = "ReportFormat::Text")]
+    format: ReportFormat,
+}
+
+/// Runs the command.
+pub fn run(args: &CapacityArgs) -> miette::Result<String> {
+    let slopes = measure();
+    Ok(match args.format {
+        ReportFormat::Json => json_text(&slopes),
+        ReportFormat::Text => text(&slopes),
+    })
+}
+
+fn text(slopes: &[CapacitySlope]) -> String {
+    let mut text = String::new();
+    for slope in slopes {
+        writeln!(text, "{:<64} {:>12.2} {}", slope.name, slope.value, slope.unit)
+            .expect("writing to a string can't fail");
+    }
+    text
+}
--- a/crates/porthoist-lab/src/cmd/load.rs
+++ b/crates/porthoist-lab/src/cmd/load.rs
@@ -141,10 +141,9 @@
         text += &line("direct", direct);
         text += &line("entry", entry);
     }
-    text += &format!(
-        "added (median of turns): p50 {:.3} ms, p99 {:.3} ms\n",
-        report.added_p50_ms, report.added_p99_ms
-    );
+    let (p50, p99) = (report.added_p50_ms, report.added_p99_ms);
+    text.push_str("added (median of turns): ");
+    text.push_str(&[format!("p50 {p50:.3} ms"), format!("p99 {p99:.3} ms\n")].join(", "));
     text += "as fast as the connections allow\n";
     text += &line("direct", &report.flat_out_direct);
     text += &line("entry", &report.flat_out);
--- a/crates/porthoist-lab/src/experts.rs
+++ b/crates/porthoist-lab/src/experts.rs
@@ -131,8 +131,8 @@
 /// The policy rows of the two users' profiles.
 pub fn profiles() -> [(&'static str, PolicyRow); 2] {
     [
-        ("rambursa", PolicyRow { skew_weight: 4.0, move_weight: 1.0 }),
-        ("sneznik", PolicyRow { skew_weight: 1.0, move_weight: 8.0 }),
+        ("rambursa", PolicyRow { skew_weight: 4.0, move_weight: 1.0, map: 0 }),
+        ("sneznik", PolicyRow { skew_weight: 1.0, move_weight: 8.0, map: 0 }),
     ]
 }
 
--- a/crates/porthoist-lab/src/route.rs
+++ b/crates/porthoist-lab/src/route.rs
@@ -44,6 +44,9 @@
     /// Whether one target dies for ten seconds in the middle.
     #[builder(default = true)]
     pub death: bool,
+    /// Whether all targets of a zone die for ten seconds in the middle.
+    #[builder(default = false)]
+    pub zone_death: bool,
 }
 
 /// What one policy came to at one load.
@@ -65,6 +68,12 @@
     pub retries: u64,
     /// Second attempts beside slow ones.
     pub hedges: u64,
+    /// Offers sent.
+    pub attempts: u64,
+    /// Requests asked in each second, and those of them not answered in the contract.
+    pub seconds: Vec<(u64, u64)>,
+    /// Requests asked and offers sent while the zone was dead.
+    pub outage: (u64, u64),
     /// Prompt tokens asked for and found in a cache.
     pub prompt_tokens: u64,
     /// Found in a cache.
--- a/crates/porthoist-lab/src/route/simulation.rs
+++ b/crates/porthoist-lab/src/route/simulation.rs
@@ -25,7 +25,7 @@
 /// Queues look for passed deadlines so often, in microseconds.
 const EXPIRY_MICROS: u64 = 20_000;
 /// Length of the death in microseconds.
-const DEATH_MICROS: u64 = 10_000_000;
+pub const DEATH_MICROS: u64 = 10_000_000;
 /// Part of the run that warms the caches and is not counted.
 pub const WARM_PART: u64 = 5;
 const RETRY_SHARE: f64 = 0.1;
@@ -124,6 +124,11 @@
         if self.settings.death {
             self.at(end / 2, SimEvent::Die { target: 2 });
         }
+        if self.settings.zone_death {
+            for target in (0..self.engines.len()).step_by(3) {
+                self.at(end / 2, SimEvent::Die { target });
+            }
+        }
         while let Some(Reverse((time, _number, event))) = self.events.pop() {
             if time > end {
                 return;
@@ -157,6 +162,15 @@
         }
     }
 
+    fn in_outage(&self) -> bool {
+        in_outage(self.settings, self.now)
+    }
+
+    /// Counts a request as asked, and not answered until it is.
+    fn note_second(&mut self, at: u64, asked: bool) {
+        note_second(&mut self.result, at, asked);
+    }
+
     fn schedule_arrival(&mut self) {
         let request = self.workload.next_request();
         let at = request.at;
@@ -182,6 +196,8 @@
         };
         self.requests.insert(id, open);
         self.result.asked += u64::from(counted);
+        self.result.outage.0 += u64::from(self.in_outage());
+        self.note_second(self.now, true);
         self.budgets[entry].first_attempt();
         self.send(id);
         if self.hedging
@@ -210,6 +226,8 @@
         self.choosers[entry].sent(&case, target, attempt);
         open.attempts += 1;
         open.open.push((attempt, target));
+        self.result.attempts += 1;
+        self.result.outage.1 += u64::from(in_outage(self.settings, self.now));
         let at = self.now + one_way(entry, target);
         self.at(at, SimEvent::Offer { attempt, target });
     }
@@ -267,6 +285,10 @@
                 self.result.first_token.add(took);
                 self.result.in_contract += u64::from(took <= self.settings.contract_millis as f64);
             }
+            let (asked_at, kept) = (open.request.at, took <= self.settings.contract_millis as f64);
+            if kept {
+                note_second(&mut self.result, asked_at, false);
+            }
             let losers: Vec<_> = open.open.iter().copied().filter(|other| other.0 != attempt).collect();
             open.open.retain(|other| other.0 == attempt);
             for (loser, loser_target) in losers {
@@ -418,6 +440,24 @@
     }
 }
 
+fn in_outage(settings: &RouteSettings, now: u64) -> bool {
+    let begins = settings.seconds * 1_000_000 / 2;
+    settings.zone_death && (begins..begins + DEATH_MICROS).contains(&now)
+}
+
+fn note_second(result: &mut RouteResult, at: u64, asked: bool) {
+    let second = (at / 1_000_000) as usize;
+    if result.seconds.len() <= second {
+        result.seconds.resize(second + 1, (0, 0));
+    }
+    if asked {
+        result.seconds[second].0 += 1;
+        result.seconds[second].1 += 1;
+    } else {
+        result.seconds[second].1 -= 1;
+    }
+}
+
 fn one_way(entry: usize, target: usize) -> u64 {
     if entry % 3 == target % 3 { SAME_ZONE_MICROS } else { OTHER_ZONE_MICROS }
 }
--- a/crates/porthoist-policy/src/switch.rs
+++ b/crates/porthoist-policy/src/switch.rs
@@ -3,22 +3,23 @@
 //! It needs unanimity, which costs a lock-step group nothing: without all its ranks it does not step anyway. It
 //! needs no store, so that a switch works while the platform is down.
 
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// Number of an attempt to lead; a higher one wins.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct LeaderBallot(pub u32);
 
 /// Version of an expert map.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct MapVersion(pub u32);
 
 /// Number of a step of the group.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct StepNumber(pub u32);
 
 /// A switch that ranks are armed with.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ArmedSwitch {
     /// The ballot that armed it.
     pub ballot: LeaderBallot,
@@ -29,7 +30,7 @@
 }
 
 /// What a leader tells a rank.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum LeaderMessage {
     /// Refuse lower ballots from now on, and say what you have.
     Promise(LeaderBallot),
@@ -42,7 +43,7 @@
 }
 
 /// What a rank tells a leader.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum RankReply {
     /// Promised; what the rank has.
     Promised {
@@ -91,6 +92,21 @@
     };
 }
 
+/// What an engine holds of its rank; it outlives the process beside it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptRank {
+    /// The promised ballot: the highest fencing number that the engine has seen.
+    pub promised: LeaderBallot,
+    /// The switch that it holds for.
+    pub armed: Option<ArmedSwitch>,
+    /// The last switch that it was told to make.
+    pub committed: Option<ArmedSwitch>,
+    /// The map of the last step started.
+    pub map: MapVersion,
+    /// The last step started.
+    pub started: StepNumber,
+}
+
 /// The process beside one rank.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RankMachine {
@@ -108,6 +124,23 @@
         Self { rules, promised: LeaderBallot(0), armed: None, committed: None, map, started: StepNumber(0) }
     }
 
+    /// A rank as its engine holds it, for a process that starts beside it.
+    pub fn restored(kept: KeptRank) -> Self {
+        let KeptRank { promised, armed, committed, map, started } = kept;
+        Self { rules: SwitchRules::SOUND, promised, armed, committed, map, started }
+    }
+
+    /// What the engine must hold of this rank.
+    pub fn kept(&self) -> KeptRank {
+        let Self { promised, armed, committed, map, started, .. } = *self;
+        KeptRank { promised, armed, committed, map, started }
+    }
+
+    /// The engine has started this step.
+    pub fn observe_started(&mut self, started: StepNumber) {
+        self.started = self.started.max(started);
+    }
+
     /// The last step started.
     pub fn started(&self) -> StepNumber {
         self.started
--- a/crates/porthoist-policy/src/table.rs
+++ b/crates/porthoist-policy/src/table.rs
@@ -150,6 +150,9 @@
     pub skew_weight: f64,
     /// Weight of the cost of moving experts.
     pub move_weight: f64,
+    /// Version of the expert map that the group of this name is to use; 0 leaves it as it is.
+    #[serde(default)]
+    pub map: u32,
 }
 
 /// A row in force.
@@ -180,6 +183,7 @@
     "drain",
     "skew_weight",
     "move_weight",
+    "map",
 ];
 
 /// Highest weight accepted.
@@ -293,10 +297,11 @@
     }
 
     fn policy(reader: &CellReader<'_>) -> Result<Self, CellError> {
-        reader.only(&["kind", "name", "skew_weight", "move_weight"])?;
+        reader.only(&["kind", "name", "skew_weight", "move_weight", "map"])?;
         Ok(Self::Policy(PolicyRow {
             skew_weight: reader.weight("skew_weight", 1.0)?,
             move_weight: reader.weight("move_weight", 1.0)?,
+            map: reader.parsed("map", 0, "a whole number")?,
         }))
     }
 
@@ -325,6 +330,7 @@
             Self::Policy(row) => {
                 put("skew_weight", row.skew_weight.to_string());
                 put("move_weight", row.move_weight.to_string());
+                put("map", if row.map > 0 { row.map.to_string() } else { String::new() });
             }
         }
         cells.retain(|_column, cell| !cell.is_empty());
--- a/crates/porthoist-standin/src/cmd/engine.rs
+++ b/crates/porthoist-standin/src/cmd/engine.rs
@@ -13,6 +13,9 @@
     /// time between tokens in milliseconds (default 0)
     #[argh(option, default = "0")]
     step_ms: u64,
+    /// time of a step of the rank group in milliseconds (default 5)
+    #[argh(option, default = "5")]
+    group_step_ms: u64,
     /// accept orders with any fencing number
     #[argh(switch)]
     ignore_fence: bool,
@@ -21,5 +24,7 @@
 pub(crate) async fn run(args: EngineArgs) -> miette::Result<()> {
     let standin = EngineStandin::new(!args.ignore_fence);
     standin.set_faults(EngineFaults { step_ms: args.step_ms, ..EngineFaults::default() });
+    let step = std::time::Duration::from_millis(args.group_step_ms.max(1));
+    tokio::spawn(standin.group().run(step));
     super::serve(&args.listen, move |request| standin.clone().handle(request)).await
 }
--- a/crates/porthoist-standin/src/engine.rs
+++ b/crates/porthoist-standin/src/engine.rs
@@ -2,6 +2,7 @@
 //!
 //! The text is a function of the prompt, so that a resumed stream can be compared with a whole one.
 
+use crate::group::GroupStandin;
 use crate::journal::RunJournal;
 use crate::{broken, done, read_json};
 use bytes::Bytes;
@@ -46,6 +47,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct EngineStandin {
     state: Arc<Mutex<EngineState>>,
+    group: GroupStandin,
 }
 
 /// An order as the engine takes it.
@@ -94,6 +96,11 @@
         standin
     }
 
+    /// The engine's part in its rank group.
+    pub fn group(&self) -> GroupStandin {
+        self.group.clone()
+    }
+
     fn state(&self) -> MutexGuard<'_, EngineState> {
         self.state.lock().expect("no thread panics while it holds the state")
     }
@@ -109,6 +116,9 @@
         match (request.method().clone(), path.as_str()) {
             (Method::POST, "/v1/completions" | "/v1/chat/completions") => self.complete(&path, request).await,
             (Method::GET, "/load") => self.load(),
+            (Method::GET, "/group") => self.group.kept_response(),
+            (Method::POST, "/group") => self.group.order(request).await,
+            (Method::GET, "/standin/group") => self.group.record_response(),
             (Method::POST, "/orders") => self.order(request).await,
             (Method::GET, "/orders") => {
                 json_response(StatusCode::OK, &json!({ "fence": self.state().fence }))
--- a/crates/porthoist-standin/src/lib.rs
+++ b/crates/porthoist-standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each keeps its state in memory, listens on loopback, and has switches for the faults that porthoist must survive.
 
 pub mod engine;
+pub mod group;
 pub mod journal;
 pub mod platform;
 pub mod service;
--- a/porthoistd/src/duty/entry_fleet/gossip.rs
+++ b/porthoistd/src/duty/entry_fleet/gossip.rs
@@ -10,6 +10,7 @@
 use porthoist_platform::HostEntry;
 use porthoist_policy::adoption::AdoptOutcome;
 use porthoist_policy::limits::keeper::{SettleAsk, SettleTold};
+use porthoist_policy::switch::{LeaderMessage, RankReply};
 use slog::info;
 use std::time::Duration;
 
@@ -113,6 +114,10 @@
         Box::pin(std::future::ready(Vec::new()))
     }
 
+    fn rank(&self, _message: LeaderMessage) -> HandlerFuture<Option<Option<RankReply>>> {
+        Box::pin(std::future::ready(None))
+    }
+
     fn settle(&self, asks: Vec<SettleAsk>) -> HandlerFuture<Vec<SettleTold>> {
         let routing = self.shared.routing.clone();
         Box::pin(async move { routing.ask(KeeperMessage(asks)).await.unwrap_or_default() })
--- a/porthoistd/src/duty/entry_fleet/targets.rs
+++ b/porthoistd/src/duty/entry_fleet/targets.rs
@@ -68,7 +68,8 @@
             if let Err(error) = self.bring_up_to_date(peer, hello.revision).await {
                 return error;
             }
-            tokio::time::sleep(heartbeat_time(self.peers.borrow().len())).await;
+            let followed = self.peers.borrow().len();
+            tokio::time::sleep(heartbeat_time(followed)).await;
         }
     }
 
--- a/porthoistd/src/duty/target_fleet.rs
+++ b/porthoistd/src/duty/target_fleet.rs
@@ -10,8 +10,10 @@
     ServiceName, TargetName, TeamName, TicketText, UnixDeadline, ZoneName,
 };
 use porthoist_fleet::{FleetDigest, FleetHandler, FrameOutlet, HandlerFuture};
+use porthoist_group::RankDriver;
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::limits::keeper::{SettleAsk, SettleTold};
+use porthoist_policy::switch::{LeaderMessage, RankReply};
 use porthoist_target::log::LogNews;
 use porthoist_target::offers::{MintTickets, OfferAbandoned, OfferRefusal, OfferRequest};
 use porthoist_target::{LogEnd, LogFollower, OffersActor};
@@ -39,6 +41,8 @@
     pub config: Arc<ConfigHub>,
     /// Offers whose answer is not out yet.
     pub open: Arc<AtomicU64>,
+    /// The driver of the rank beside the process.
+    pub rank: Arc<RankDriver>,
     /// Counters.
     pub metrics: Arc<MetricsHub>,
 }
@@ -143,6 +147,11 @@
 }
 
 impl FleetHandler for TargetHandler {
+    fn rank(&self, message: LeaderMessage) -> HandlerFuture<Option<Option<RankReply>>> {
+        let driver = Arc::clone(&self.rank);
+        Box::pin(async move { driver.handle(message).await.ok() })
+    }
+
     fn settle(&self, _asks: Vec<SettleAsk>) -> HandlerFuture<Vec<SettleTold>> {
         // Limits are kept by entries.
         Box::pin(std::future::ready(Vec::new()))
--- a/porthoistd/src/role/target.rs
+++ b/porthoistd/src/role/target.rs
@@ -2,6 +2,7 @@
 
 use super::{bind, host_entry, random_incarnation};
 use crate::config::ConfigHub;
+use crate::duty::group::GroupDuty;
 use crate::duty::offers::{follow_drain, run_backend, run_offers, team_weights};
 use crate::duty::operator::{ProcessView, serve_operators};
 use crate::duty::platform::PlatformDuty;
@@ -12,6 +13,7 @@
 use kameo::actor::ActorRef;
 use porthoist_core::{AnchoredClock, IncarnationId, LoadReport, TicketKey, bounded_ring};
 use porthoist_fleet::serve_fleet;
+use porthoist_group::{HttpGroupEngine, RankDriver};
 use porthoist_metrics::MetricsHub;
 use porthoist_operator::{OperatorServer, TableEditor};
 use porthoist_platform::{HostEntry, HostRole, HttpPlatform};
@@ -177,10 +179,22 @@
                 load: load.clone(),
                 config: Arc::clone(&config),
                 open: Arc::clone(&open),
+                rank: Arc::new(RankDriver::new(Arc::new(HttpGroupEngine::new(&settings.backend)))),
                 metrics,
             };
             let listener = TcpListener::from_std(listener).expect("a bound listener fits the runtime");
             info!(logger, "accepting offers"; "address" => ?listener.local_addr(), "incarnation" => %incarnation);
+            if !settings.group.is_empty() {
+                let group = GroupDuty {
+                    ranks: settings.group,
+                    key: settings.fleet_key.clone(),
+                    engine: HttpGroupEngine::new(&settings.backend),
+                    config: Arc::clone(&config),
+                    own: settings.name.clone(),
+                    logger: logger.clone(),
+                };
+                tokio::task::spawn_local(group.run());
+            }
             tokio::task::spawn_local(serve_fleet(listener, settings.fleet_key, Rc::new(handler)));
             tokio::task::spawn_local(follow_drain(actor, settings.name, config, stopping.subscribe()));
             let mut stop_seen = stopping.subscribe();
--- a/porthoistd/src/settings.rs
+++ b/porthoistd/src/settings.rs
@@ -49,6 +49,9 @@
     /// services that the back end runs, joined by commas (target)
     #[argh(option)]
     pub services: Option<String>,
+    /// fleet addresses of all ranks of the group in the order of their ranks, IP:PORT joined by commas (target)
+    #[argh(option)]
+    pub group: Option<String>,
     /// requests that the back end runs at once (target)
     #[argh(option)]
     pub slots: Option<String>,
@@ -123,6 +126,8 @@
     pub backend: String,
     /// What it runs.
     pub services: Vec<ServiceName>,
+    /// Fleet addresses of the group's ranks.
+    pub group: Vec<SocketAddr>,
     /// Requests that run at once.
     pub slots: u32,
     /// Requests that wait.
@@ -218,6 +223,14 @@
         }
     }
 
+    fn group(&self, given: Option<String>) -> Result<Vec<SocketAddr>, SettingError> {
+        let (flag, expected) = ("group", "addresses of the form IP:PORT joined by commas");
+        let text: String = self.value(flag, given, Some(""), expected)?;
+        let addresses: Result<Vec<SocketAddr>, _> =
+            text.split(',').filter(|address| !address.is_empty()).map(str::parse).collect();
+        addresses.map_err(|_parse| Self::error(flag, format!("{text:?} given"), expected))
+    }
+
     fn services(&self, given: Option<String>) -> Result<Vec<ServiceName>, SettingError> {
         let (flag, expected) = ("services", "service names joined by commas");
         let default = (self.role != DaemonRole::Target).then_some("");
@@ -314,6 +327,7 @@
             platform: reader.url("platform", args.platform, !local)?,
             backend: reader.url("backend", args.backend, reader.role == DaemonRole::Target)?,
             services: reader.services(args.services)?,
+            group: reader.group(args.group)?,
             slots: reader.value("slots", args.slots, Some("64"), "a whole number")?,
             queue: reader.value("queue", args.queue, Some("512"), "a whole number")?,
             fleet_key: reader.secret("fleet-key", args.fleet_key)?,
--- a/porthoistd/tests/process.rs
+++ b/porthoistd/tests/process.rs
@@ -9,6 +9,8 @@
 mod bad_input;
 #[path = "process/config.rs"]
 mod config;
+#[path = "process/group.rs"]
+mod group;
 #[path = "process/once.rs"]
 mod once;
 #[path = "process/path.rs"]
--- /dev/null
+++ b/porthoistd/tests/process/group.rs
@@ -0,0 +1,78 @@
+//! One expert map per step: switches of a group of three ranks, under kills of the processes beside them.
+
+use crate::harness::{Fleet, eventually};
+use nix::sys::signal::Signal;
+use porthoist_standin::group::GroupRecord;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+async fn record(fleet: &Fleet, rank: usize) -> GroupRecord {
+    let address = fleet.targets[rank].backend.address("listening");
+    let url = format!("http://{address}/standin/group");
+    fleet.client.json(hyper::Method::GET, &url, None::<&()>).await.unwrap().1
+}
+
+/// Checks every step that more than one rank has started, and returns the maps used.
+async fn one_map_per_step(fleet: &Fleet) -> BTreeSet<u32> {
+    let mut records = Vec::new();
+    for rank in 0..fleet.targets.len() {
+        records.push(record(fleet, rank).await);
+    }
+    let shortest = records.iter().map(|record| record.used.len()).min().unwrap();
+    for step in 0..shortest {
+        let maps: BTreeSet<_> = records.iter().map(|record| record.used[step]).collect();
+        assert_eq!(maps.len(), 1, "two maps in step {}: {maps:?}", step + 1);
+    }
+    records.iter().flat_map(|record| record.used.iter().map(|map| map.0)).collect()
+}
+
+async fn all_use(fleet: &Fleet, map: u32) {
+    eventually("all ranks use the map", || async {
+        for rank in 0..fleet.targets.len() {
+            if record(fleet, rank).await.used.last().is_none_or(|used| used.0 != map) {
+                return false;
+            }
+        }
+        true
+    })
+    .await;
+}
+
+fn want(fleet: &Fleet, map: u32) {
+    let set = fleet.tool(0, &["table", "set", "policy/placement", &format!("map={map}")]);
+    assert!(set.status.success(), "{}", String::from_utf8_lossy(&set.stderr));
+}
+
+#[tokio::test]
+async fn a_group_switches_maps_at_one_step() {
+    let mut fleet = Fleet::start(1, 0, 0).await;
+    fleet.add_group(3);
+    fleet.hears_all(0).await;
+    for map in 1..=4 {
+        want(&fleet, map);
+        all_use(&fleet, map).await;
+    }
+    assert!(one_map_per_step(&fleet).await.is_superset(&(1..=4).collect()));
+    let held: u64 = record(&fleet, 0).await.held;
+    println!("4 switches, {held} steps of rank 0 held");
+}
+
+#[tokio::test]
+async fn kills_and_freezes_beside_the_ranks_never_split_a_step() {
+    let mut fleet = Fleet::start(1, 0, 0).await;
+    fleet.add_group(3);
+    fleet.hears_all(0).await;
+    for map in 1..=4_u32 {
+        want(&fleet, map);
+        let victim = (map % 3) as usize;
+        tokio::time::sleep(Duration::from_millis(u64::from(map) * 150)).await;
+        fleet.targets[victim].daemon.kill();
+        let frozen = (victim + 1) % 3;
+        fleet.targets[frozen].daemon.signal(Signal::SIGSTOP);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        fleet.targets[frozen].daemon.signal(Signal::SIGCONT);
+        fleet.restart_target(victim);
+        all_use(&fleet, map).await;
+        one_map_per_step(&fleet).await;
+    }
+}
--- a/porthoistd/tests/process/harness.rs
+++ b/porthoistd/tests/process/harness.rs
@@ -11,6 +11,7 @@
 use std::io::{BufRead as _, BufReader};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 /// Only a hang exceeds this.
@@ -98,8 +99,23 @@
     Process::start(command, 1)
 }
 
+/// A loopback address of its own for each process: a port that is free while a process is dead can't be taken by
+/// another listener, or by a connection, before the process listens on it again.
+fn own_address() -> std::net::Ipv4Addr {
+    static NEXT: AtomicU16 = AtomicU16::new(1);
+    let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let run = (std::process::id() % 200) as u8;
+    std::net::Ipv4Addr::new(127, 1 + run, high, low)
+}
+
 fn daemon(platform: &str, arguments: &[&str], lines: usize) -> Process {
     let mut command = Command::new(env!("CARGO_BIN_EXE_porthoistd"));
+    let address = format!("{}:0", own_address());
+    for flag in ["--fleet-listen", "--callers-listen", "--operator-listen"] {
+        if !arguments.contains(&flag) {
+            command.args([flag, &address]);
+        }
+    }
     command
         .args(["--platform", platform, "--fleet-key", FLEET_KEY, "--operator-token", TOKEN, "--log", "json"])
         .args(["--log-level", "error"])
@@ -135,6 +151,7 @@
     pub entries: Vec<Process>,
     pub targets: Vec<TargetPair>,
     pub client: HttpClient,
+    group: String,
 }
 
 /// Answer of a caller's request.
@@ -217,8 +234,13 @@
         let file = tempfile::NamedTempFile::new().unwrap();
         std::fs::write(file.path(), rows().to_string()).unwrap();
         let platform = standin(&["platform", "--items", file.path().to_str().unwrap()]);
-        let mut fleet =
-            Self { platform, entries: Vec::new(), targets: Vec::new(), client: HttpClient::new() };
+        let mut fleet = Self {
+            platform,
+            entries: Vec::new(),
+            targets: Vec::new(),
+            client: HttpClient::new(),
+            group: String::new(),
+        };
         for index in 0..models {
             let backend = standin(&["engine", "--step-ms", step_ms]);
             fleet.add_target(&format!("model-{index}"), "refunds", index, backend);
@@ -273,13 +295,35 @@
         self.targets.push(TargetPair { name, zone, service, backend, daemon });
     }
 
+    /// Adds the ranks of a group, each a target's process beside an engine of its own.
+    pub fn add_group(&mut self, ranks: usize) {
+        let ports: Vec<_> =
+            (0..ranks).map(|_| std::net::TcpListener::bind((own_address(), 0)).unwrap()).collect();
+        let addresses: Vec<String> =
+            ports.iter().map(|port| port.local_addr().unwrap().to_string()).collect();
+        drop(ports);
+        self.group = addresses.join(",");
+        for (rank, address) in addresses.iter().enumerate() {
+            let backend = standin(&["engine", "--group-step-ms", "5"]);
+            let (name, zone, service) = (format!("rank-{rank}"), "zone-0".to_owned(), "refunds".to_owned());
+            let url = format!("http://{}", backend.address("listening"));
+            let more = ["--group", &self.group, "--fleet-listen", address];
+            let daemon = self.target_daemon(&name, &zone, &service, &url, &more);
+            self.targets.push(TargetPair { name, zone, service, backend, daemon });
+        }
+    }
+
     /// Starts a target's process again at its old address, beside the same back end.
     pub fn restart_target(&mut self, index: usize) {
         let pair = &self.targets[index];
         let address = pair.daemon.address("fleet").to_owned();
         let url = format!("http://{}", pair.backend.address("listening"));
         let (name, zone, service) = (pair.name.clone(), pair.zone.clone(), pair.service.clone());
-        let daemon = self.target_daemon(&name, &zone, &service, &url, &["--fleet-listen", &address]);
+        let mut more = vec!["--fleet-listen", &address];
+        if name.starts_with("rank-") {
+            more.extend(["--group", &self.group]);
+        }
+        let daemon = self.target_daemon(&name, &zone, &service, &url, &more);
         self.targets[index].daemon = daemon;
     }
 
--- a/porthoistd/tests/process/table.rs
+++ b/porthoistd/tests/process/table.rs
@@ -33,7 +33,10 @@
     let path = folder.path().join("sheet.csv");
     let file = path.to_str().unwrap();
 
-    let broken = sheet.replace("border,,100000/s", "border,5,many") + "team,new,1,5/s,,,,,,,,,\n";
+    // A row with as many cells as the sheet has columns.
+    let columns = sheet.lines().next().unwrap().split(',').count();
+    let new_row = format!("team,new,1,5/s{}\n", ",".repeat(columns - 4));
+    let broken = sheet.replace("border,,100000/s", "border,5,many") + &new_row;
     std::fs::write(&path, &broken).unwrap();
     let refused = fleet.tool(0, &["table", "import", file]);
     assert_eq!(refused.status.code(), Some(2));
@@ -41,7 +44,7 @@
     assert!(said.contains("column rate") && said.contains("line 4"), "{said}");
     assert_eq!(text(&fleet.tool(0, &["table", "export"]).stdout), sheet, "nothing was imported");
 
-    let good = sheet.replace("border,,100000/s", "border,5,99000/s") + "team,new,1,5/s,,,,,,,,,\n";
+    let good = sheet.replace("border,,100000/s", "border,5,99000/s") + &new_row;
     std::fs::write(&path, &good).unwrap();
     let imported = fleet.tool(0, &["table", "import", file, "--wait"]);
     assert!(imported.status.success(), "{}", text(&imported.stderr));
