Hedge only what seems stuck; weigh a prompt's work by the targets' backlog

A hedge after the 95th percentile computes a prompt a second time where it is not cached, and made the tail that it was to cut. Change: a hedge waits for twice the 99th percentile; the weight of a prompt's own computation grows with the mean backlog (1 + backlog / 10 ms, at most 8).

--- a/crates/porthoist-policy/src/retry/hedge.rs
+++ b/crates/porthoist-policy/src/retry/hedge.rs
@@ -1,10 +1,15 @@
-//! When a second attempt beside a slow first one makes sense: after a high quantile of the first-token time.
+//! When a second attempt beside a slow first one makes sense: when the first seems stuck, not merely slow.
+//!
+//! A hedge computes the prompt a second time where it is not cached. After a mere high quantile that makes the tail it
+//! means to cut (docs/measurements/ROUTING.md), so it waits for twice the 99th percentile.
 
 use hdrhistogram::Histogram;
 use porthoist_core::UnixMillis;
 
 /// Quantile of the first-token time after which a request is hedged.
-pub const HEDGE_QUANTILE: f64 = 0.95;
+pub const HEDGE_QUANTILE: f64 = 0.99;
+/// A hedge waits for so many times that quantile.
+pub const HEDGE_FACTOR: u64 = 2;
 /// Observations before the first hedge.
 pub const MIN_OBSERVATIONS: u64 = 200;
 /// Observations after which half of the weight of the past is dropped.
@@ -44,7 +49,7 @@
         if known.len() < MIN_OBSERVATIONS {
             return None;
         }
-        let wait = known.value_at_quantile(HEDGE_QUANTILE).max(MIN_HEDGE_MILLIS);
+        let wait = (known.value_at_quantile(HEDGE_QUANTILE) * HEDGE_FACTOR).max(MIN_HEDGE_MILLIS);
         Some(now.plus(wait))
     }
 }
--- a/crates/porthoist-policy/src/router.rs
+++ b/crates/porthoist-policy/src/router.rs
@@ -24,7 +24,9 @@
 /// Added to the cost of a target that could not be reached, until it is heard again, in milliseconds.
 pub const UNREACHABLE_MILLIS: u64 = 1000;
 
-/// Default weight of a prompt's own computation against the wait before it; see docs/measurements/ROUTING.md.
+/// The weight of a prompt's own computation grows by one for each so many milliseconds of mean backlog.
+pub const WEIGHT_MILLIS: f64 = 10.0;
+/// Highest weight of a prompt's own computation against the wait before it; see docs/measurements/ROUTING.md.
 pub const WORK_WEIGHT: f64 = 8.0;
 
 /// Settings of a router.
@@ -255,10 +257,11 @@
     pub fn choose(&mut self, query: &RouteQuery<'_>) -> Result<RouteChoice, RefusalReason> {
         let names = self.candidates(query);
         let candidates = names.len();
+        let weight = self.work_weight(&names, query.now);
         let mut best: Option<RouteChoice> = None;
         for name in names {
             let view = &self.views[&name];
-            let (cost_millis, cached_tokens) = self.cost(view, query);
+            let (cost_millis, cached_tokens) = self.cost(view, query, weight);
             if best.as_ref().is_none_or(|choice| cost_millis < choice.cost_millis) {
                 best = Some(RouteChoice { target: name, cost_millis, cached_tokens, candidates });
             }
@@ -286,7 +289,21 @@
         chosen
     }
 
-    fn cost(&self, view: &TargetView, query: &RouteQuery<'_>) -> (f64, u32) {
+    /// Weight of a prompt's own computation: little while the targets are idle, more the longer their queues are.
+    fn work_weight(&self, names: &[TargetName], now: UnixMillis) -> f64 {
+        let mut total = 0.0;
+        for name in names {
+            let view = &self.views[name];
+            if view.load.prefill_rate > 0 {
+                let rate = f64::from(view.load.prefill_rate) / 1000.0;
+                total += self.backlog_tokens(view, now, rate) / rate;
+            }
+        }
+        let mean = total / names.len().max(1) as f64;
+        (1.0 + mean / WEIGHT_MILLIS).min(self.settings.work_weight)
+    }
+
+    fn cost(&self, view: &TargetView, query: &RouteQuery<'_>, work_weight: f64) -> (f64, u32) {
         let load = &view.load;
         let unseen = view.unseen();
         let age = query.now.since(load.at) as f64;
@@ -308,7 +325,7 @@
         let pace = f64::from(load.step_micros) / 1000.0;
 
         let zone = if view.target.zone == self.settings.zone { 0.0 } else { self.settings.cross_zone_millis };
-        let cost = slot_wait + backlog + own * self.settings.work_weight + pace + zone;
+        let cost = slot_wait + backlog + own * work_weight + pace + zone;
         // Among idle targets the least occupied one wins, so that equal costs don't all go to one name.
         let tie = occupied / f64::from(load.slots.max(1));
         ((cost + tie) / view.target.weight, cached)
