--- /dev/null
+++ b/crates/porthoist-policy/tests/policy.rs
@@ -0,0 +1,18 @@
+//! The decisions, driven as the daemon drives them.
+
+#[path = "policy/admission.rs"]
+mod admission;
+#[path = "policy/configuration.rs"]
+mod configuration;
+#[path = "policy/gate.rs"]
+mod gate;
+#[path = "policy/limits.rs"]
+mod limits;
+#[path = "policy/placement.rs"]
+mod placement;
+#[path = "policy/retry.rs"]
+mod retry;
+#[path = "policy/router.rs"]
+mod router;
+#[path = "policy/table.rs"]
+mod table;
--- /dev/null
+++ b/crates/porthoist-policy/tests/policy/limits.rs
@@ -0,0 +1,84 @@
+//! Limits of teams.
+
+use porthoist_core::{RefusalReason, RequestRate, TeamName, UnixMillis};
+use porthoist_policy::limits::keeper::LimitKeeper;
+use porthoist_policy::limits::{EntryLimiter, TeamLimit};
+
+fn team() -> TeamName {
+    "border".parse().unwrap()
+}
+
+fn limit(rate: f64, concurrency: u32) -> TeamLimit {
+    TeamLimit { rate: RequestRate(rate), concurrency }
+}
+
+/// Asks for more than the limit for some seconds through two entries, the second with a tenth of the requests.
+fn admitted_through_two(keeper_heard: bool, seconds: u64) -> u64 {
+    let limit = limit(100.0, 1000);
+    let mut entries = [EntryLimiter::new(2), EntryLimiter::new(2)];
+    let mut keeper = LimitKeeper::new();
+    let mut admitted = 0;
+    for now in 0..seconds * 1000 {
+        let now = UnixMillis(10_000 + now);
+        let entry = usize::from(now.0.is_multiple_of(10));
+        if now.0.is_multiple_of(3) && entries[entry].admit(now, &team(), limit).is_ok() {
+            entries[entry].release(&team());
+            admitted += 1;
+        }
+        for limiter in &mut entries {
+            for (name, ask) in limiter.due(now) {
+                if keeper_heard {
+                    let told = keeper.settle(now, ask, limit);
+                    limiter.settled(now, &name, ask, told);
+                } else {
+                    limiter.keeper_silent(now, &name);
+                }
+            }
+        }
+    }
+    admitted
+}
+
+#[test]
+fn a_skewed_team_gets_its_limit_and_no_more() {
+    let admitted = admitted_through_two(true, 20);
+    assert!((1980..=2150).contains(&admitted), "{admitted} of 2000");
+}
+
+#[test]
+fn without_its_keeper_an_entry_uses_its_fair_share() {
+    let admitted = admitted_through_two(false, 20);
+    assert!((1000..=2100).contains(&admitted), "{admitted} of 2000");
+}
+
+#[test]
+fn a_team_without_a_rate_gets_nothing() {
+    let mut entry = EntryLimiter::new(1);
+    let refused = entry.admit(UnixMillis(0), &team(), limit(0.0, 10)).unwrap_err();
+    assert_eq!(refused.reason, RefusalReason::RateLimit);
+}
+
+#[test]
+fn concurrency_is_shared_between_entries_and_given_back() {
+    let mut entry = EntryLimiter::new(2);
+    let limit = limit(1000.0, 3);
+    entry.admit(UnixMillis(0), &team(), limit).unwrap();
+    entry.admit(UnixMillis(0), &team(), limit).unwrap();
+    let refused = entry.admit(UnixMillis(0), &team(), limit).unwrap_err();
+    assert_eq!(refused.reason, RefusalReason::ConcurrencyLimit);
+    entry.release(&team());
+    entry.admit(UnixMillis(0), &team(), limit).unwrap();
+}
+
+#[test]
+fn idle_teams_are_forgotten() {
+    let mut entry = EntryLimiter::new(1);
+    entry.admit(UnixMillis(0), &team(), limit(10.0, 3)).unwrap();
+    entry.release(&team());
+    for (name, ask) in entry.due(UnixMillis(40_000)) {
+        let told = LimitKeeper::new().settle(UnixMillis(40_000), ask, limit(10.0, 3));
+        entry.settled(UnixMillis(40_000), &name, ask, told);
+    }
+    entry.forget_idle(UnixMillis(120_000));
+    assert_eq!(entry.teams(), 0);
+}
--- a/porthoistd/src/duty/entry_fleet/gossip.rs
+++ b/porthoistd/src/duty/entry_fleet/gossip.rs
@@ -1,7 +1,7 @@
 //! Gossip between entries: the configuration revision in force, and changes that a peer lacks.
 
 use super::EntryFleet;
-use super::targets::{MAX_RECONNECT_TIME, MIN_RECONNECT_TIME, SILENCE_TIME};
+use super::targets::{MAX_RECONNECT_TIME, MIN_RECONNECT_TIME, SILENCE_TIME, spaced};
 use crate::duty::routing::KeeperMessage;
 use porthoist_core::offer::TargetHello;
 use porthoist_core::{LoadReport, RequestOffer, TeamName, TicketText, UnixDeadline};
@@ -14,8 +14,11 @@
 use slog::info;
 use std::time::Duration;
 
-/// Time between two exchanges with one peer.
+/// Time between two exchanges with one peer, up to [`GOSSIP_PEERS`] peers.
 pub const GOSSIP_TIME: Duration = Duration::from_secs(1);
+/// Beyond so many peers the time grows with the square of their number; changes come from the table then, and gossip
+/// only covers a zone that is cut off from it.
+pub const GOSSIP_PEERS: usize = 8;
 
 impl EntryFleet {
     pub(crate) fn own_digest(&self) -> FleetDigest {
@@ -97,7 +100,8 @@
             if let Err(error) = self.bring_up_to_date(peer, revision).await {
                 return error;
             }
-            tokio::time::sleep(GOSSIP_TIME).await;
+            let peers = self.shared.view.entries_known();
+            tokio::time::sleep(spaced(GOSSIP_TIME, peers, GOSSIP_PEERS)).await;
         }
     }
 }
--- a/porthoistd/src/duty/entry_fleet/targets.rs
+++ b/porthoistd/src/duty/entry_fleet/targets.rs
@@ -11,11 +11,11 @@
 use slog::{info, warn};
 use std::time::Duration;
 
-/// Time between two heartbeats to a target, up to [`HEARTBEAT_TARGETS`] followed targets.
+/// Time between two heartbeats to a target, up to [`HEARTBEAT_TARGETS`] connections.
 pub const HEARTBEAT_TIME: Duration = Duration::from_millis(500);
-/// Beyond so many followed targets the time grows with the square of their number, so that the bytes of all
+/// Beyond so many connections the time grows with the square of their number, so that the bytes of all
 /// heartbeats shrink rather than grow; load then travels on answers and refusals alone.
-pub const HEARTBEAT_TARGETS: usize = 24;
+pub const HEARTBEAT_TARGETS: usize = 16;
 /// A heartbeat without an answer for so long ends the connection.
 pub const SILENCE_TIME: Duration = Duration::from_millis(1500);
 /// First pause between two attempts to connect; it doubles up to [`MAX_RECONNECT_TIME`].
@@ -119,10 +119,15 @@
     }
 }
 
-/// Time between two heartbeats at so many followed peers.
-pub fn heartbeat_time(peers: usize) -> Duration {
-    let excess = (peers as f64 / HEARTBEAT_TARGETS as f64).max(1.0);
-    HEARTBEAT_TIME.mul_f64(excess * excess)
+/// Time between two heartbeats at so many connections.
+pub fn heartbeat_time(connections: usize) -> Duration {
+    spaced(HEARTBEAT_TIME, connections, HEARTBEAT_TARGETS)
+}
+
+/// A time that grows with the square of a number beyond a free one.
+pub fn spaced(time: Duration, number: usize, free: usize) -> Duration {
+    let excess = (number as f64 / free as f64).max(1.0);
+    time.mul_f64(excess * excess)
 }
 
 fn member_digest(host: &HostEntry, hello: &TargetHello, life: Option<ProcessLife>) -> MemberDigest {
--- a/porthoistd/src/duty/entry_fleet/view.rs
+++ b/porthoistd/src/duty/entry_fleet/view.rs
@@ -84,6 +84,11 @@
         state.entries.remove(name);
     }
 
+    /// Other entries that are heard.
+    pub fn entries_known(&self) -> usize {
+        self.state().entries.values().filter(|status| status.heard).count()
+    }
+
     /// Names of the other live entries in `zone`.
     pub fn live_peers(&self, zone: &ZoneName) -> Vec<TargetName> {
         let state = self.state();
--- /dev/null
+++ b/porthoistd/tests/settings.rs
@@ -0,0 +1,53 @@
+//! Settings in flags and environment variables.
+
+use porthoistd::settings::{DaemonArgs, DaemonSettings};
+use test_case::test_case;
+
+fn environment(name: &str) -> Option<String> {
+    let value = match name {
+        "PORTHOIST_ROLE" => "target",
+        "PORTHOIST_NAME" => "t1",
+        "PORTHOIST_ZONE" => "a",
+        "PORTHOIST_PLATFORM" => "http://127.0.0.1:7000",
+        "PORTHOIST_BACKEND" => "http://127.0.0.1:9000",
+        "PORTHOIST_SERVICES" => "refunds,records",
+        "PORTHOIST_FLEET_KEY" | "PORTHOIST_OPERATOR_TOKEN" => "0123456789abcdef",
+        _ => return None,
+    };
+    Some(value.to_owned())
+}
+
+#[test]
+fn variables_are_enough_and_a_flag_wins() {
+    let args = DaemonArgs { zone: Some("b".to_owned()), ..DaemonArgs::default() };
+    let settings = DaemonSettings::load(args, environment).unwrap();
+    assert_eq!(settings.zone.as_str(), "b");
+    assert_eq!(settings.services.len(), 2);
+    assert_eq!(settings.slots, 64);
+}
+
+#[test]
+fn the_local_role_needs_nothing_else() {
+    let args = DaemonArgs { role: Some("local".to_owned()), ..DaemonArgs::default() };
+    let settings = DaemonSettings::load(args, |_name| None).unwrap();
+    assert_eq!(settings.callers_listen.to_string(), "127.0.0.1:8080");
+}
+
+#[test_case(DaemonArgs { role: Some("king".into()), ..DaemonArgs::default() }, "--role (PORTHOIST_ROLE): \"king\" given"; "role")]
+#[test_case(DaemonArgs { name: Some("a b".into()), ..DaemonArgs::default() }, "--name (PORTHOIST_NAME): \"a b\" given"; "name")]
+#[test_case(DaemonArgs { slots: Some("few".into()), ..DaemonArgs::default() }, "--slots (PORTHOIST_SLOTS): \"few\" given"; "number")]
+#[test_case(DaemonArgs { platform: Some("ftp://x".into()), ..DaemonArgs::default() }, "--platform (PORTHOIST_PLATFORM): \"ftp://x\" given"; "url")]
+#[test_case(DaemonArgs { fleet_key: Some("short".into()), ..DaemonArgs::default() }, "--fleet-key (PORTHOIST_FLEET_KEY): 5 bytes given"; "a secret is not shown")]
+#[test_case(DaemonArgs { fleet_listen: Some("here".into()), ..DaemonArgs::default() }, "--fleet-listen (PORTHOIST_FLEET_LISTEN): \"here\" given"; "address")]
+fn an_error_names_the_setting(args: DaemonArgs, expected: &str) {
+    let error = DaemonSettings::load(args, environment).unwrap_err();
+    assert_eq!(error.to_string(), format!("setting {expected}"));
+}
+
+#[test]
+fn a_missing_setting_is_named() {
+    let error = DaemonSettings::load(DaemonArgs::default(), |name| {
+        environment(name).filter(|_| name != "PORTHOIST_BACKEND")
+    });
+    assert_eq!(error.unwrap_err().to_string(), "setting --backend (PORTHOIST_BACKEND): not given");
+}
