Say once what stood twice: the run of a job, the operators' duty; split the scenario entry

Ruled out: one role module for entry and target (they share only the operators' duty). Change: porthoist_target::run_to_end, role::start_operators, scenario outcome and ports modules; the first polls of the table back off from 100 ms to 2 s with jitter, since 230 processes of a zone that start at once would ask 2,300 times a second for as long as the table is away. Conclusion: scenario and daemon now run the very same job code.

--- a/crates/porthoist-scenario/src/world.rs
+++ b/crates/porthoist-scenario/src/world.rs
@@ -2,13 +2,16 @@
 
 pub mod entry;
 pub mod network;
+pub mod outcome;
+pub(crate) mod ports;
 pub mod target;
 
 use crate::backend::FakeRun;
 use crate::platform::MemoryPlatform;
 use crate::script::{Expectation, Scenario, StepKind, TimedStep};
-use entry::{EntryNode, SentOutcome};
+use entry::EntryNode;
 use network::ScenarioNetwork;
+use outcome::SentOutcome;
 use porthoist_core::{ClockSource, UnixMillis};
 use porthoist_operator::{EditProblem, RowEdit, TableEditor};
 use porthoist_platform::{CONFIG_PREFIX, PlatformClient, TableWrite};
--- a/crates/porthoist-scenario/src/world/target.rs
+++ b/crates/porthoist-scenario/src/world/target.rs
@@ -5,12 +5,12 @@
 use crate::script::TargetSpec;
 use kameo::actor::{ActorRef, Spawn as _};
 use porthoist_core::{
-    ClockSource, IncarnationId, LoadReport, RefusalReason, RepeatPolicy, RingReceiver, RunVerdict, TicketKey,
-    TicketText, UnixDeadline, UnixMillis, bounded_ring,
+    ClockSource, IncarnationId, LoadReport, RingReceiver, TicketKey, TicketText, UnixDeadline, UnixMillis,
+    bounded_ring,
 };
 use porthoist_policy::admission::AdmissionSettings;
-use porthoist_target::offers::{FirstEvent, MintTickets, QueueTick, RunEnded, SetDraining};
-use porthoist_target::{BackendRunner, LogEnd, OffersActor, OffersSettings, RunJob};
+use porthoist_target::offers::{MintTickets, QueueTick, SetDraining};
+use porthoist_target::{BackendRunner, OffersActor, OffersSettings, RunJob, run_to_end};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -174,27 +174,7 @@
         if paused.wait_for(|paused| !*paused).await.is_err() {
             return;
         }
-        let (runner, actor) = (Arc::clone(&runner), actor.clone());
-        tokio::spawn(async move {
-            let attempt = job.offer.attempt;
-            let log = Arc::clone(&job.log);
-            let cancellable = job.offer.repeat == RepeatPolicy::Safe && job.offer.ticket.is_none();
-            let first_actor = actor.clone();
-            let first = Box::new(move || {
-                let _told = first_actor.tell(FirstEvent(attempt)).try_send();
-            });
-            let run = runner.run(job, first);
-            if cancellable {
-                tokio::select! {
-                    () = run => {}
-                    () = log.unfollowed() => {}
-                }
-            } else {
-                run.await;
-            }
-            let (reason, verdict) = (RefusalReason::DeadlinePassed, RunVerdict::MayHaveRun);
-            log.finish(LogEnd::Refused { reason, verdict, retry_at: None });
-            let _told = actor.tell(RunEnded(attempt)).await;
-        });
+        let runner: Arc<dyn BackendRunner> = Arc::<FakeRunner>::clone(&runner);
+        tokio::spawn(run_to_end(job, runner, actor.clone()));
     }
 }
--- a/crates/porthoist-target/src/lib.rs
+++ b/crates/porthoist-target/src/lib.rs
@@ -9,4 +9,4 @@
 
 pub use log::{AnswerLog, LogEnd, LogFollower};
 pub use offers::{OffersActor, OffersSettings};
-pub use runner::{BackendRunner, HttpRunner, RunJob};
+pub use runner::{BackendRunner, HttpRunner, RunJob, run_to_end};
--- a/crates/porthoist-target/src/runner.rs
+++ b/crates/porthoist-target/src/runner.rs
@@ -3,6 +3,7 @@
 //! A run's answer goes into its log; a failure says whether the request may have run.
 
 use crate::log::{AnswerLog, LogEnd};
+use crate::offers::{FirstEvent, OffersActor, RunEnded};
 use bytes::Bytes;
 use eventsource_stream::Eventsource as _;
 use futures::StreamExt as _;
@@ -10,7 +11,8 @@
 use http_body_util::{BodyExt as _, BodyStream, Full};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
-use porthoist_core::{AnswerHead, RefusalReason, RequestOffer, RunVerdict};
+use kameo::actor::ActorRef;
+use porthoist_core::{AnswerHead, RefusalReason, RepeatPolicy, RequestOffer, RunVerdict};
 use porthoist_http::{CallError, HttpClient};
 use std::fmt;
 use std::sync::Arc;
@@ -166,3 +168,30 @@
     let reason = RefusalReason::BackendFailed;
     LogEnd::Refused { reason, verdict: RunVerdict::MayHaveRun, retry_at: None }
 }
+
+/// Runs a job and tells the offers actor of its first event and its end.
+///
+/// A run that nobody waits for is cancelled if it may be repeated and no ticket can ask for its answer.
+pub async fn run_to_end(job: RunJob, runner: Arc<dyn BackendRunner>, actor: ActorRef<OffersActor>) {
+    let attempt = job.offer.attempt;
+    let log = Arc::clone(&job.log);
+    let cancellable = job.offer.repeat == RepeatPolicy::Safe && job.offer.ticket.is_none();
+    let first_actor = actor.clone();
+    let first_event = Box::new(move || {
+        let _told = first_actor.tell(FirstEvent(attempt)).try_send();
+    });
+    let run = runner.run(job, first_event);
+    if cancellable {
+        tokio::select! {
+            () = run => {}
+            () = log.unfollowed() => {}
+        }
+    } else {
+        run.await;
+    }
+    // Without an end of its own the run was cancelled.
+    let (reason, verdict) = (RefusalReason::DeadlinePassed, RunVerdict::MayHaveRun);
+    log.finish(LogEnd::Refused { reason, verdict, retry_at: None });
+    // The actor is gone only when the process ends.
+    let _told = actor.tell(RunEnded(attempt)).await;
+}
--- a/porthoistd/src/duty/offers.rs
+++ b/porthoistd/src/duty/offers.rs
@@ -3,12 +3,10 @@
 use crate::config::ConfigHub;
 use kameo::actor::{ActorRef, Spawn as _};
 use porthoist_caller::ConfigPort as _;
-use porthoist_core::{
-    RefusalReason, RepeatPolicy, RequestOffer, RingReceiver, RunVerdict, TargetName, TeamName,
-};
+use porthoist_core::{RingReceiver, TargetName, TeamName};
 use porthoist_metrics::MetricsHub;
-use porthoist_target::offers::{FirstEvent, QueueTick, RunEnded, SetDraining};
-use porthoist_target::{BackendRunner, LogEnd, OffersActor, OffersSettings, RunJob};
+use porthoist_target::offers::{QueueTick, SetDraining};
+use porthoist_target::{BackendRunner, OffersActor, OffersSettings, RunJob, run_to_end};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
@@ -69,39 +67,10 @@
     tokio::task::spawn_local(follow_pace(Arc::clone(&runner), actor.clone()));
     while let Some(job) = jobs.receive().await {
         metrics.run();
-        tokio::task::spawn_local(run_job(job, Arc::clone(&runner), actor.clone()));
+        tokio::task::spawn_local(run_to_end(job, Arc::clone(&runner), actor.clone()));
     }
 }
 
-async fn run_job(job: RunJob, runner: Arc<dyn BackendRunner>, actor: ActorRef<OffersActor>) {
-    let attempt = job.offer.attempt;
-    let log = Arc::clone(&job.log);
-    let cancellable = may_cancel(&job.offer);
-    let first_actor = actor.clone();
-    let first_event = Box::new(move || {
-        let _told = first_actor.tell(FirstEvent(attempt)).try_send();
-    });
-    let run = runner.run(job, first_event);
-    if cancellable {
-        tokio::select! {
-            () = run => {}
-            () = log.unfollowed() => {}
-        }
-    } else {
-        run.await;
-    }
-    // Without an end of its own the run was cancelled because nobody waits for it.
-    let (reason, verdict) = (RefusalReason::DeadlinePassed, RunVerdict::MayHaveRun);
-    log.finish(LogEnd::Refused { reason, verdict, retry_at: None });
-    // The actor is gone only when the process ends.
-    let _told = actor.tell(RunEnded(attempt)).await;
-}
-
-/// A run that nobody waits for is cancelled if it may be repeated and no ticket can ask for its answer.
-fn may_cancel(offer: &RequestOffer) -> bool {
-    offer.repeat == RepeatPolicy::Safe && offer.ticket.is_none()
-}
-
 async fn follow_pace(runner: Arc<dyn BackendRunner>, actor: ActorRef<OffersActor>) {
     loop {
         if let Ok(pace) = runner.pace().await {
--- a/porthoistd/src/duty/platform.rs
+++ b/porthoistd/src/duty/platform.rs
@@ -19,8 +19,11 @@
 pub const POLL_MILLIS_PER_ENTRY: u64 = 4;
 /// A target asks the table so often; entries tell it of changes sooner.
 pub const TARGET_POLL_MILLIS: u64 = 10_000;
-/// A process without configuration asks so often.
+/// A process without configuration asks again after so long; the time doubles up to [`MAX_FIRST_POLL_MILLIS`], so that
+/// a zone that starts at once does not flood the table.
 const FIRST_POLL_MILLIS: u64 = 100;
+/// Longest time between two asks of a process without configuration.
+const MAX_FIRST_POLL_MILLIS: u64 = 2000;
 /// A process renews its line of the host list so often.
 const REGISTER_MILLIS: u64 = 30_000;
 
@@ -47,6 +50,7 @@
     /// Runs for ever.
     pub async fn run(self) {
         let mut since_register = u64::MAX;
+        let mut first_poll = FIRST_POLL_MILLIS;
         loop {
             if since_register >= REGISTER_MILLIS && self.register().await {
                 since_register = 0;
@@ -55,25 +59,22 @@
             if !self.config.current().ready() {
                 self.adopt_snapshot().await;
             }
-            let pause = self.pause_millis();
+            let pause = jittered(if self.config.current().ready() { self.poll_millis() } else { first_poll });
+            first_poll = (first_poll * 2).min(MAX_FIRST_POLL_MILLIS);
             since_register = since_register.saturating_add(pause);
             tokio::time::sleep(Duration::from_millis(pause)).await;
         }
     }
 
-    /// The time until the next poll, with jitter so that entries don't ask all at once.
-    fn pause_millis(&self) -> u64 {
-        if !self.config.current().ready() {
-            return FIRST_POLL_MILLIS;
-        }
-        let base = match self.own.role {
+    /// The time between two polls at the present size.
+    fn poll_millis(&self) -> u64 {
+        match self.own.role {
             HostRole::Target => TARGET_POLL_MILLIS,
             HostRole::Entry => {
                 let entries = self.hosts.borrow().iter().filter(|host| host.role == HostRole::Entry).count();
                 ENTRY_POLL_MILLIS + POLL_MILLIS_PER_ENTRY * entries as u64
             }
-        };
-        rand::rng().random_range(base * 3 / 4..=base * 5 / 4)
+        }
     }
 
     async fn register(&self) -> bool {
@@ -155,3 +156,8 @@
         }
     }
 }
+
+/// A time that differs from process to process, so that they don't ask all at once.
+fn jittered(millis: u64) -> u64 {
+    rand::rng().random_range(millis * 3 / 4..=millis * 5 / 4)
+}
--- a/porthoistd/src/role.rs
+++ b/porthoistd/src/role.rs
@@ -4,11 +4,17 @@
 pub mod local;
 pub mod target;
 
+use crate::duty::operator::{ProcessView, serve_operators};
+use crate::duty::spawn_duty;
 use crate::settings::DaemonSettings;
 use porthoist_core::IncarnationId;
-use porthoist_platform::{HostEntry, HostRole, HostState};
+use porthoist_metrics::MetricsHub;
+use porthoist_operator::{OperatorServer, TableEditor};
+use porthoist_platform::{HostEntry, HostRole, HostState, HttpPlatform};
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
+use std::sync::Arc;
+use tokio::net::TcpListener;
 
 /// A listener that a duty's thread takes over.
 pub(crate) fn bind(address: SocketAddr) -> io::Result<(StdListener, SocketAddr)> {
@@ -19,6 +25,24 @@
     Ok((listener, bound))
 }
 
+/// Starts the operators' duty.
+pub(crate) fn start_operators(
+    settings: &DaemonSettings,
+    listener: StdListener,
+    process: ProcessView,
+    metrics: Arc<MetricsHub>,
+) -> io::Result<()> {
+    let token = settings.operator_token.clone();
+    let url = settings.platform.clone();
+    spawn_duty("operator", move || async move {
+        let editor = TableEditor::new(Arc::new(HttpPlatform::new(url)));
+        let operators = OperatorServer::new(token, Arc::new(process), editor, metrics);
+        let listener = TcpListener::from_std(listener).expect("a bound listener fits the runtime");
+        serve_operators(listener, operators).await;
+    })?;
+    Ok(())
+}
+
 pub(crate) fn random_incarnation() -> IncarnationId {
     IncarnationId(rand::random())
 }
--- a/porthoistd/src/role/entry.rs
+++ b/porthoistd/src/role/entry.rs
@@ -1,12 +1,12 @@
 //! The entry role.
 
-use super::{bind, host_entry, random_incarnation};
+use super::{bind, host_entry, random_incarnation, start_operators};
 use crate::config::ConfigHub;
 use crate::duty::callers::serve_callers;
 use crate::duty::claims::{ClaimCalls, claim_ring, serve_claims};
 use crate::duty::entry_fleet::view::FleetView;
 use crate::duty::entry_fleet::{EntryFleet, FleetCommand, FleetShared, fleet_ring};
-use crate::duty::operator::{ProcessView, serve_operators};
+use crate::duty::operator::ProcessView;
 use crate::duty::platform::PlatformDuty;
 use crate::duty::routing::{RoutingActor, RoutingHandle};
 use crate::duty::signals::watch_signals;
@@ -17,7 +17,6 @@
 use porthoist_core::{AnchoredClock, ClockSource, IncarnationId, RingReceiver};
 use porthoist_fleet::serve_fleet;
 use porthoist_metrics::MetricsHub;
-use porthoist_operator::{OperatorServer, TableEditor};
 use porthoist_platform::{HostEntry, HostRole, HttpPlatform};
 use porthoist_policy::explain::DecisionLog;
 use porthoist_policy::router::RouterSettings;
@@ -197,16 +196,7 @@
             in_flight: Box::new(move || callers.in_flight()),
             stopping: self.stopping.subscribe(),
         };
-        let token = self.settings.operator_token.clone();
-        let url = self.settings.platform.clone();
-        let metrics = Arc::clone(&self.metrics);
-        spawn_duty("operator", move || async move {
-            let editor = TableEditor::new(Arc::new(HttpPlatform::new(url)));
-            let operators = OperatorServer::new(token, Arc::new(process), editor, metrics);
-            let listener = TcpListener::from_std(listener).expect("a bound listener fits the runtime");
-            serve_operators(listener, operators).await;
-        })?;
-        Ok(())
+        start_operators(&self.settings, listener, process, Arc::clone(&self.metrics))
     }
 
     fn start_callers(self, listener: StdListener, server: CallerServer) -> io::Result<JoinHandle<()>> {
--- a/porthoistd/src/role/target.rs
+++ b/porthoistd/src/role/target.rs
@@ -1,10 +1,10 @@
 //! The target role.
 
-use super::{bind, host_entry, random_incarnation};
+use super::{bind, host_entry, random_incarnation, start_operators};
 use crate::config::ConfigHub;
 use crate::duty::group::GroupDuty;
 use crate::duty::offers::{follow_drain, run_backend, run_offers, team_weights};
-use crate::duty::operator::{ProcessView, serve_operators};
+use crate::duty::operator::ProcessView;
 use crate::duty::platform::PlatformDuty;
 use crate::duty::signals::watch_signals;
 use crate::duty::spawn_duty;
@@ -15,7 +15,6 @@
 use porthoist_fleet::serve_fleet;
 use porthoist_group::{HttpGroupEngine, RankDriver};
 use porthoist_metrics::MetricsHub;
-use porthoist_operator::{OperatorServer, TableEditor};
 use porthoist_platform::{HostEntry, HostRole, HttpPlatform};
 use porthoist_policy::admission::AdmissionSettings;
 use porthoist_policy::explain::DecisionLog;
@@ -150,16 +149,7 @@
             in_flight: Box::new(move || counted.load(Ordering::Relaxed)),
             stopping: self.stopping.subscribe(),
         };
-        let token = self.settings.operator_token.clone();
-        let url = self.settings.platform.clone();
-        let metrics = Arc::clone(&self.metrics);
-        spawn_duty("operator", move || async move {
-            let editor = TableEditor::new(Arc::new(HttpPlatform::new(url)));
-            let operators = OperatorServer::new(token, Arc::new(process), editor, metrics);
-            let listener = TcpListener::from_std(listener).expect("a bound listener fits the runtime");
-            serve_operators(listener, operators).await;
-        })?;
-        Ok(())
+        start_operators(&self.settings, listener, process, Arc::clone(&self.metrics))
     }
 
     fn start_fleet(
