--- a/crates/porthoist-group/src/engine.rs
+++ b/crates/porthoist-group/src/engine.rs
@@ -1,9 +1,11 @@
 //! An engine's part in a rank group: it keeps the hold, the map and the fencing number, and counts its steps.
 
+use crate::planner::ExpertWindow;
 use futures::future::BoxFuture;
 use hyper::{Method, StatusCode};
 use porthoist_http::{CallError, HttpClient};
-use porthoist_policy::switch::KeptRank;
+use porthoist_policy::placement::map::ExpertId;
+use porthoist_policy::switch::{KeptRank, MapVersion};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -20,13 +22,27 @@
 pub trait GroupEngine: fmt::Debug + Send + Sync {
     /// What it holds, and the last step that it started.
     fn kept(&self) -> BoxFuture<'_, Result<KeptRank, CallError>>;
+    /// What it counted since the last window.
+    fn window(&self) -> BoxFuture<'_, Result<ExpertWindow, CallError>>;
+    /// Loads a rank's experts of a map, without blocking a step; true when they are there.
+    fn load(&self, map: MapVersion, held: Vec<ExpertId>) -> BoxFuture<'_, Result<bool, CallError>>;
     /// Gives an order; false where its fencing number is old or the switch's step has begun.
     fn order(&self, order: RankOrder) -> BoxFuture<'_, Result<bool, CallError>>;
 }
 
-/// An engine over HTTP: `GET /group` and `POST /group`.
+/// The experts that a rank is to load for a map.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MapLoad {
+    /// The map.
+    pub map: MapVersion,
+    /// The rank's experts.
+    pub held: Vec<ExpertId>,
+}
+
+/// An engine over HTTP: `GET` and `POST /group`, `GET /experts`, `POST /experts/load`.
 #[derive(Debug, Clone)]
 pub struct HttpGroupEngine {
+    base: String,
     url: String,
     client: HttpClient,
 }
@@ -34,7 +50,8 @@
 impl HttpGroupEngine {
     /// The engine at `base`.
     pub fn new(base: &str) -> Self {
-        Self { url: format!("{}/group", base.trim_end_matches('/')), client: HttpClient::new() }
+        let base = base.trim_end_matches('/').to_owned();
+        Self { url: format!("{base}/group"), base, client: HttpClient::new() }
     }
 }
 
@@ -46,6 +63,23 @@
         })
     }
 
+    fn window(&self) -> BoxFuture<'_, Result<ExpertWindow, CallError>> {
+        Box::pin(async move {
+            let url = format!("{}/experts", self.base);
+            let (_status, window) = self.client.json(Method::GET, &url, None::<&()>).await?;
+            Ok(window)
+        })
+    }
+
+    fn load(&self, map: MapVersion, held: Vec<ExpertId>) -> BoxFuture<'_, Result<bool, CallError>> {
+        Box::pin(async move {
+            let url = format!("{}/experts/load", self.base);
+            let (status, _answer): (StatusCode, serde_json::Value) =
+                self.client.json(Method::POST, &url, Some(&MapLoad { map, held })).await?;
+            Ok(status.is_success())
+        })
+    }
+
     fn order(&self, order: RankOrder) -> BoxFuture<'_, Result<bool, CallError>> {
         Box::pin(async move {
             let (status, _kept): (StatusCode, serde_json::Value) =
--- a/crates/porthoist-group/src/lib.rs
+++ b/crates/porthoist-group/src/lib.rs
@@ -4,8 +4,10 @@
 
 pub mod engine;
 pub mod leader;
+pub mod planner;
 pub mod rank;
 
 pub use engine::{GroupEngine, HttpGroupEngine, RankOrder};
 pub use leader::{RankLink, SwitchError, SwitchOutcome, switch_group};
-pub use rank::RankDriver;
+pub use planner::{ExpertWindow, GroupPlanner};
+pub use rank::{MapSource, RankDriver};
--- a/crates/porthoist-platform/src/client.rs
+++ b/crates/porthoist-platform/src/client.rs
@@ -27,9 +27,9 @@
     /// Adds this process to the host list.
     fn register(&self, host: HostEntry) -> PlatformFuture<'_, ()>;
     /// Reads an object.
-    fn object(&self, name: &'static str) -> PlatformFuture<'_, Option<Bytes>>;
+    fn object(&self, name: String) -> PlatformFuture<'_, Option<Bytes>>;
     /// Writes an object.
-    fn put_object(&self, name: &'static str, bytes: Bytes) -> PlatformFuture<'_, ()>;
+    fn put_object(&self, name: String, bytes: Bytes) -> PlatformFuture<'_, ()>;
 }
 
 /// Milliseconds that a platform call may take.
@@ -76,7 +76,7 @@
     async fn object_call(
         &self,
         method: Method,
-        name: &str,
+        name: String,
         bytes: Bytes,
     ) -> Result<Option<Bytes>, CallError> {
         let request = Request::builder()
@@ -128,11 +128,11 @@
         })
     }
 
-    fn object(&self, name: &'static str) -> PlatformFuture<'_, Option<Bytes>> {
+    fn object(&self, name: String) -> PlatformFuture<'_, Option<Bytes>> {
         Box::pin(self.object_call(Method::GET, name, Bytes::new()))
     }
 
-    fn put_object(&self, name: &'static str, bytes: Bytes) -> PlatformFuture<'_, ()> {
+    fn put_object(&self, name: String, bytes: Bytes) -> PlatformFuture<'_, ()> {
         Box::pin(async move { self.object_call(Method::PUT, name, bytes).await.map(drop) })
     }
 }
--- a/crates/porthoist-scenario/src/platform.rs
+++ b/crates/porthoist-scenario/src/platform.rs
@@ -128,11 +128,11 @@
         ready(self.answered(|_state| ()))
     }
 
-    fn object(&self, _name: &'static str) -> PlatformFuture<'_, Option<Bytes>> {
+    fn object(&self, _name: String) -> PlatformFuture<'_, Option<Bytes>> {
         ready(self.answered(|_state| None))
     }
 
-    fn put_object(&self, _name: &'static str, _bytes: Bytes) -> PlatformFuture<'_, ()> {
+    fn put_object(&self, _name: String, _bytes: Bytes) -> PlatformFuture<'_, ()> {
         ready(self.answered(|_state| ()))
     }
 }
--- a/crates/porthoist-standin/src/engine.rs
+++ b/crates/porthoist-standin/src/engine.rs
@@ -118,6 +118,9 @@
             (Method::GET, "/load") => self.load(),
             (Method::GET, "/group") => self.group.kept_response(),
             (Method::POST, "/group") => self.group.order(request).await,
+            (Method::GET, "/experts") => self.group.window_response(),
+            (Method::POST, "/experts/load") => self.group.load(request).await,
+            (Method::POST, "/standin/experts") => self.group.set_window(request).await,
             (Method::GET, "/standin/group") => self.group.record_response(),
             (Method::POST, "/orders") => self.order(request).await,
             (Method::GET, "/orders") => {
--- a/crates/porthoist-standin/src/group.rs
+++ b/crates/porthoist-standin/src/group.rs
@@ -1,10 +1,11 @@
 //! The engine's part in a rank group: it steps on by itself, holds before an armed step, and keeps a record of the
 //! map that each step used.
 
-use crate::read_json;
+use crate::{done, read_json};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
-use porthoist_group::RankOrder;
+use porthoist_group::engine::MapLoad;
+use porthoist_group::{ExpertWindow, RankOrder};
 use porthoist_http::{HttpResponse, json_response};
 use porthoist_policy::switch::{KeptRank, LeaderBallot, MapVersion, RankMachine, StepNumber};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -18,6 +19,8 @@
     kept: KeptRank,
     used: Vec<MapVersion>,
     held: u64,
+    window: ExpertWindow,
+    loads: Vec<MapLoad>,
 }
 
 /// One rank's engine; clones share one state.
@@ -65,6 +68,33 @@
         }
     }
 
+    /// What it counted.
+    pub fn window_response(&self) -> HttpResponse {
+        json_response(StatusCode::OK, &self.state().window)
+    }
+
+    /// Sets what it counts from now on.
+    pub async fn set_window(&self, request: Request<Incoming>) -> HttpResponse {
+        match read_json(request).await {
+            Ok(window) => {
+                self.state().window = window;
+                done()
+            }
+            Err(response) => response,
+        }
+    }
+
+    /// Loads experts; they are there at once.
+    pub async fn load(&self, request: Request<Incoming>) -> HttpResponse {
+        match read_json(request).await {
+            Ok(load) => {
+                self.state().loads.push(load);
+                done()
+            }
+            Err(response) => response,
+        }
+    }
+
     /// What it holds.
     pub fn kept_response(&self) -> HttpResponse {
         json_response(StatusCode::OK, &self.state().kept)
@@ -84,7 +114,12 @@
     /// The map of each step from 1 on, and how often a step had to wait.
     pub fn record_response(&self) -> HttpResponse {
         let state = self.state();
-        let record = GroupRecord { used: state.used.clone(), held: state.held, started: state.kept.started };
+        let record = GroupRecord {
+            used: state.used.clone(),
+            held: state.held,
+            started: state.kept.started,
+            loads: state.loads.clone(),
+        };
         json_response(StatusCode::OK, &record)
     }
 }
@@ -98,4 +133,6 @@
     pub held: u64,
     /// The last step started.
     pub started: StepNumber,
+    /// Experts loaded for maps, in order.
+    pub loads: Vec<MapLoad>,
 }
--- a/porthoistd/src/duty/group.rs
+++ b/porthoistd/src/duty/group.rs
@@ -1,4 +1,5 @@
-//! The group duty of a target that stands beside a rank: it leads the switch to the map that the table's row names.
+//! The group duty of a target that stands beside a rank: it leads the switch to the map that the table's row names, or
+//! where the row names none to the one that the planner of rank 0 finds best.
 //!
 //! Every rank's process may lead; the lowest rank tries first, the others later, each with a higher ballot.
 
@@ -7,9 +8,13 @@
 use porthoist_core::TargetName;
 use porthoist_core::secret::SharedSecret;
 use porthoist_fleet::FleetPeer;
-use porthoist_group::{GroupEngine as _, HttpGroupEngine, RankLink, SwitchOutcome, switch_group};
+use porthoist_group::{
+    GroupEngine as _, GroupPlanner, HttpGroupEngine, MapSource, RankLink, SwitchOutcome, switch_group,
+};
+use porthoist_platform::{CallError, HttpPlatform, PlatformClient as _};
+use porthoist_policy::placement::map::ExpertMap;
 use porthoist_policy::switch::{KeptRank, LeaderBallot, LeaderMessage, MapVersion, RankReply};
-use porthoist_policy::table::{RowKey, RowKind, TableRow};
+use porthoist_policy::table::{PolicyRow, RowKey, RowKind, TableRow};
 use slog::{Logger, info, warn};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -33,6 +38,8 @@
     pub key: SharedSecret,
     /// The engine of the own rank.
     pub engine: HttpGroupEngine,
+    /// Where maps lie.
+    pub maps: PlatformMaps,
     /// Configuration.
     pub config: Arc<ConfigHub>,
     /// The target's name; the number at its end is its rank.
@@ -41,6 +48,42 @@
     pub logger: Logger,
 }
 
+/// Expert maps as objects of the platform.
+#[derive(Debug)]
+pub struct PlatformMaps(pub HttpPlatform);
+
+fn map_object(version: MapVersion) -> String {
+    format!("porthoist-expert-map-{}", version.0)
+}
+
+impl PlatformMaps {
+    /// Writes a map, before the group switches to it.
+    pub async fn put(&self, version: MapVersion, map: &ExpertMap) -> Result<(), CallError> {
+        let bytes = serde_json::to_vec(map).map_err(|error| CallError::not_sent(error.to_string()))?;
+        self.0.put_object(map_object(version), bytes.into()).await
+    }
+}
+
+impl MapSource for PlatformMaps {
+    fn map(&self, version: MapVersion) -> BoxFuture<'_, Result<Option<ExpertMap>, CallError>> {
+        Box::pin(async move {
+            let Some(bytes) = self.0.object(map_object(version)).await? else { return Ok(None) };
+            serde_json::from_slice(&bytes).map(Some).map_err(|error| CallError::unknown(error.to_string()))
+        })
+    }
+}
+
+/// The rank that a target's name ends with.
+pub fn rank_of(target: &TargetName) -> u16 {
+    let digits = target.as_str().rsplit(|letter: char| !letter.is_ascii_digit()).next();
+    digits.and_then(|digits| digits.parse().ok()).unwrap_or(0)
+}
+
+/// The map that a rank which holds is to go on with: the one it is armed with.
+fn planned_map(kept: &KeptRank) -> MapVersion {
+    kept.armed.map_or(kept.map, |switch| switch.map)
+}
+
 type RankCall = (LeaderMessage, oneshot::Sender<Option<Option<RankReply>>>);
 
 /// The way to a rank's process: a task of the fleet duty holds the connection, which is bound to its thread.
@@ -76,7 +119,9 @@
 impl GroupDuty {
     /// Runs for ever on the fleet duty's `LocalSet`.
     pub async fn run(self) {
-        let patience = RANK_PATIENCE * self.rank();
+        let rank = rank_of(&self.own);
+        let patience = RANK_PATIENCE * u32::from(rank);
+        let mut planner = None;
         let mut links: Vec<Box<dyn RankLink>> = Vec::with_capacity(self.ranks.len());
         for address in &self.ranks {
             let (sender, calls) = mpsc::channel(MESSAGES);
@@ -86,27 +131,60 @@
         loop {
             tokio::time::sleep(LOOK_TIME).await;
             if !self.due().await {
+                if rank == 0 {
+                    self.plan(&links, &mut planner).await;
+                }
                 continue;
             }
             tokio::time::sleep(patience).await;
             if self.due().await
                 && let Ok(kept) = self.engine.kept().await
             {
-                self.lead(&links, kept).await;
+                let map = if self.wanted().0 > 0 { self.wanted() } else { planned_map(&kept) };
+                self.lead(&links, kept, map).await;
             }
         }
     }
 
-    fn rank(&self) -> u32 {
-        let digits = self.own.as_str().rsplit(|letter: char| !letter.is_ascii_digit()).next();
-        digits.and_then(|digits| digits.parse().ok()).unwrap_or(0)
+    fn row(&self) -> Option<PolicyRow> {
+        let key = RowKey { kind: RowKind::Policy, name: PLACEMENT_ROW.to_owned() };
+        match self.config.current().row(&key) {
+            Some(TableRow::Policy(row)) => Some(row.clone()),
+            _ => None,
+        }
     }
 
     fn wanted(&self) -> MapVersion {
-        let key = RowKey { kind: RowKind::Policy, name: PLACEMENT_ROW.to_owned() };
-        match self.config.current().row(&key) {
-            Some(TableRow::Policy(row)) => MapVersion(row.map),
-            _ => MapVersion(0),
+        MapVersion(self.row().map_or(0, |row| row.map))
+    }
+
+    /// Takes a window and switches the group to the planned map, if the row leaves the map to the planner.
+    async fn plan(&self, links: &[Box<dyn RankLink>], planner: &mut Option<GroupPlanner>) {
+        let Some(row) = self.row().filter(|row| row.map == 0) else { return };
+        let Ok(window) = self.engine.window().await else { return };
+        if !window.usable() {
+            return;
+        }
+        let Ok(kept) = self.engine.kept().await else { return };
+        let current = kept.committed.map_or(kept.map, |switch| switch.map);
+        if planner.is_none() {
+            let Ok(map) = self.maps.map(current).await else { return };
+            *planner = Some(GroupPlanner::new(&window, map));
+        }
+        let Some(next) = planner.as_mut().and_then(|planner| planner.window(&window, &row)) else {
+            return;
+        };
+        let version = MapVersion(current.0 + 1);
+        if let Err(error) = self.maps.put(version, &next.map).await {
+            warn!(self.logger, "the planned map was not written"; "error" => %error);
+            return;
+        }
+        info!(self.logger, "a map is planned"; "map" => version.0, "moves" => next.moves.len(),
+            "peak_before" => next.peak_before, "peak_after" => next.peak_after);
+        if self.lead(links, kept, version).await
+            && let Some(planner) = planner
+        {
+            planner.switched(next.map);
         }
     }
 
@@ -115,18 +193,20 @@
         let wanted = self.wanted();
         let Ok(kept) = self.engine.kept().await else { return false };
         let planned = kept.committed.map_or(kept.map, |switch| switch.map);
-        wanted.0 > 0 && (planned != wanted || kept.armed.is_some())
+        (wanted.0 > 0 && planned != wanted) || kept.armed.is_some()
     }
 
-    async fn lead(&self, links: &[Box<dyn RankLink>], kept: KeptRank) {
+    /// Leads a switch to a map; returns whether the group switches to this one.
+    async fn lead(&self, links: &[Box<dyn RankLink>], kept: KeptRank, wanted: MapVersion) -> bool {
         let ballot = LeaderBallot(kept.promised.0 + 1);
-        let wanted = self.wanted();
         match switch_group(links, ballot, wanted).await {
             Ok(SwitchOutcome::Committed(map)) => {
                 info!(self.logger, "the group switches"; "map" => map.0, "ballot" => ballot.0);
+                return map == wanted;
             }
             Ok(SwitchOutcome::Aborted) => info!(self.logger, "the switch is aborted"; "ballot" => ballot.0),
             Err(error) => warn!(self.logger, "the switch is not decided"; "error" => %error),
         }
+        false
     }
 }
--- a/porthoistd/src/duty/platform.rs
+++ b/porthoistd/src/duty/platform.rs
@@ -136,13 +136,13 @@
         let Ok(bytes) = serde_json::to_vec(&self.config.current().snapshot()) else {
             return;
         };
-        if let Err(error) = self.client.put_object(SNAPSHOT_OBJECT, bytes.into()).await {
+        if let Err(error) = self.client.put_object(SNAPSHOT_OBJECT.to_owned(), bytes.into()).await {
             warn!(self.logger, "the snapshot was not written"; "error" => %error);
         }
     }
 
     async fn adopt_snapshot(&self) {
-        let Ok(Some(bytes)) = self.client.object(SNAPSHOT_OBJECT).await else {
+        let Ok(Some(bytes)) = self.client.object(SNAPSHOT_OBJECT.to_owned()).await else {
             return;
         };
         match serde_json::from_slice::<ConfigChange>(&bytes) {
--- a/porthoistd/src/role/target.rs
+++ b/porthoistd/src/role/target.rs
@@ -2,7 +2,7 @@
 
 use super::{bind, host_entry, random_incarnation, start_operators};
 use crate::config::ConfigHub;
-use crate::duty::group::GroupDuty;
+use crate::duty::group::{GroupDuty, PlatformMaps, rank_of};
 use crate::duty::offers::{follow_drain, run_backend, run_offers, team_weights};
 use crate::duty::operator::ProcessView;
 use crate::duty::platform::PlatformDuty;
@@ -18,6 +18,7 @@
 use porthoist_platform::{HostEntry, HostRole, HttpPlatform};
 use porthoist_policy::admission::AdmissionSettings;
 use porthoist_policy::explain::DecisionLog;
+use porthoist_policy::placement::map::RankId;
 use porthoist_target::{HttpRunner, OffersActor, OffersSettings};
 use slog::{Logger, info, o};
 use std::io;
@@ -169,7 +170,11 @@
                 load: load.clone(),
                 config: Arc::clone(&config),
                 open: Arc::clone(&open),
-                rank: Arc::new(RankDriver::new(Arc::new(HttpGroupEngine::new(&settings.backend)))),
+                rank: Arc::new(RankDriver::new(
+                    Arc::new(HttpGroupEngine::new(&settings.backend)),
+                    Arc::new(PlatformMaps(HttpPlatform::new(settings.platform.clone()))),
+                    RankId(rank_of(&settings.name)),
+                )),
                 metrics,
             };
             let listener = TcpListener::from_std(listener).expect("a bound listener fits the runtime");
@@ -179,6 +184,7 @@
                     ranks: settings.group,
                     key: settings.fleet_key.clone(),
                     engine: HttpGroupEngine::new(&settings.backend),
+                    maps: PlatformMaps(HttpPlatform::new(settings.platform.clone())),
                     config: Arc::clone(&config),
                     own: settings.name.clone(),
                     logger: logger.clone(),
--- a/porthoistd/tests/process/group.rs
+++ b/porthoistd/tests/process/group.rs
@@ -76,3 +76,48 @@
         one_map_per_step(&fleet).await;
     }
 }
+
+#[tokio::test]
+async fn the_planner_answers_a_jump_of_popularity() {
+    let mut fleet = Fleet::start(1, 0, 0).await;
+    fleet.add_group(3);
+    fleet.hears_all(0).await;
+    let set = fleet.tool(0, &["table", "set", "policy/placement", "skew_weight=4", "move_weight=1"]);
+    assert!(set.status.success());
+    // 6 experts on 3 ranks with 3 slots each; first alike, then expert 5 becomes the hot one.
+    let window = |hot: f64| {
+        serde_json::json!({
+            "tokens": [1000.0, 1000.0, 1000.0, 1000.0, 1000.0, hot], "speeds": [1.0, 1.0, 1.0], "slots": 3,
+        })
+    };
+    let counts = async |hot: f64| {
+        for pair in &fleet.targets {
+            let url = format!("http://{}/standin/experts", pair.backend.address("listening"));
+            let (status, _answer): (_, serde_json::Value) =
+                fleet.client.json(hyper::Method::POST, &url, Some(&window(hot))).await.unwrap();
+            assert!(status.is_success());
+        }
+    };
+    counts(1000.0).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    counts(20_000.0).await;
+    eventually("the group switched to a planned map, loaded on every rank", || async {
+        for rank in 0..3 {
+            let record = record(&fleet, rank).await;
+            let used = record.used.last().copied().unwrap_or_default();
+            if used.0 == 0 || !record.loads.iter().any(|load| load.map == used) {
+                return false;
+            }
+        }
+        true
+    })
+    .await;
+    one_map_per_step(&fleet).await;
+    let mut holders = 0;
+    for rank in 0..3 {
+        let record = record(&fleet, rank).await;
+        let last = record.loads.last().unwrap();
+        holders += usize::from(last.held.iter().any(|expert| expert.0 == 5));
+    }
+    assert!(holders >= 2, "the hot expert is on {holders} ranks");
+}
