Leave out of gossip what nobody read; log addresses as they are

Cause: reading as a newcomer: digests carried leaving marks and a ready flag that were always empty and always true. Ruled out: filling them: the target's own drain flag has the last word, and routing learns of it from load reports. Change: the fields are gone from schema, digest and conversion; two log lines no longer show Ok(..). Conclusion: a leaving host is told by its row, its process or the host list.

--- a/crates/porthoist-fleet/schema/fleet.capnp
+++ b/crates/porthoist-fleet/schema/fleet.capnp
@@ -72,11 +72,6 @@
   }
 }
 
-struct LeavingMark {
-  target @0 :Text;
-  incarnation @1 :UInt64;
-}
-
 struct SettleAsk {
   # Hash of the team's name.
   team @0 :UInt64;
@@ -95,17 +90,14 @@
 struct Digest {
   node @0 :Text;
   zone @1 :Text;
+  # Configuration revision in force at the sender.
   revision @2 :UInt64;
-  leaving @3 :List(LeavingMark);
-  unused4 @4 :Void;
   # A configuration change in JSON that leads to a higher revision than the peer named; empty where there is none.
-  change @5 :Data;
-  # Whether the sender holds a promise to accept work.
-  ready @6 :Bool;
+  change @3 :Data;
   # Whether the sender lacks a host list, for example because it started while the platform is down.
-  wantsHosts @7 :Bool;
+  wantsHosts @4 :Bool;
   # The host list in JSON, for a peer that lacks it; empty otherwise.
-  hosts @8 :Data;
+  hosts @5 :Data;
 }
 
 interface FrameSink {
--- a/crates/porthoist-fleet/src/convert.rs
+++ b/crates/porthoist-fleet/src/convert.rs
@@ -1,6 +1,6 @@
 //! Conversion between porthoist's types and the capnp messages.
 
-use crate::digest::{FleetDigest, LeavingMark, MAX_LEAVING};
+use crate::digest::FleetDigest;
 use crate::fleet_capnp::{attempt, digest, frame, header, load, offer, outcome, settle_ask, settle_told};
 use bytes::Bytes;
 use capnp::Error;
@@ -193,24 +193,16 @@
     Ok((ended, report))
 }
 
-/// Writes a digest; lists beyond their bounds are cut.
+/// Writes a digest.
 pub fn write_digest(mut builder: digest::Builder<'_>, own: &FleetDigest) -> Result<(), Error> {
     builder.set_node(own.node.as_str());
     builder.set_zone(own.zone.as_str());
     builder.set_revision(own.revision);
-    builder.set_ready(own.ready);
     builder.set_wants_hosts(own.wants_hosts);
     if !own.hosts.is_empty() {
         let bytes = serde_json::to_vec(&own.hosts).map_err(|error| Error::failed(error.to_string()))?;
         builder.set_hosts(&bytes);
     }
-    let marks = &own.leaving[..own.leaving.len().min(MAX_LEAVING)];
-    let mut list = builder.reborrow().init_leaving(marks.len() as u32);
-    for (index, mark) in marks.iter().enumerate() {
-        let mut item = list.reborrow().get(index as u32);
-        item.set_target(mark.target.as_str());
-        item.set_incarnation(mark.incarnation.0);
-    }
     if let Some(change) = &own.change {
         let bytes = serde_json::to_vec(change).map_err(|error| Error::failed(error.to_string()))?;
         builder.set_change(&bytes);
@@ -220,10 +212,6 @@
 
 /// Reads a digest.
 pub fn read_digest(reader: digest::Reader<'_>) -> Result<FleetDigest, Error> {
-    let mark = |item: crate::fleet_capnp::leaving_mark::Reader<'_>| {
-        let target = parsed(item.get_target()?)?;
-        Ok(LeavingMark { target, incarnation: IncarnationId(item.get_incarnation()) })
-    };
     let change = reader.get_change()?;
     let change = if change.is_empty() {
         None
@@ -240,9 +228,7 @@
         node: parsed(reader.get_node()?)?,
         zone: parsed(reader.get_zone()?)?,
         revision: reader.get_revision(),
-        leaving: reader.get_leaving()?.iter().map(mark).collect::<Result<_, Error>>()?,
         change,
-        ready: reader.get_ready(),
         wants_hosts: reader.get_wants_hosts(),
         hosts,
     })
--- a/crates/porthoist-fleet/src/fleet_capnp.rs
+++ b/crates/porthoist-fleet/src/fleet_capnp.rs
@@ -3091,242 +3091,6 @@
     }
 }
 
-pub mod leaving_mark {
-    #[derive(Copy, Clone)]
-    pub struct Owned(());
-    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
-
-    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-    impl <> ::core::marker::Copy for Reader<'_,>  {}
-    impl <> ::core::clone::Clone for Reader<'_,>  {
-        fn clone(&self) -> Self { *self }
-    }
-
-    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-            Self { reader,  }
-        }
-    }
-
-    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-        fn from(reader: Reader<'a,>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-        }
-    }
-
-    impl <> ::core::fmt::Debug for Reader<'_,>  {
-        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
-        }
-    }
-
-    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(reader.get_struct(default)?.into())
-        }
-    }
-
-    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-            self.reader
-        }
-    }
-
-    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-        }
-    }
-
-    impl <'a,> Reader<'a,>  {
-        pub fn reborrow(&self) -> Reader<'_,> {
-            Self { .. *self }
-        }
-
-        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-            self.reader.total_size()
-        }
-        #[inline]
-        pub fn get_target(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_target(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
-        }
-        #[inline]
-        pub fn get_incarnation(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
-        }
-    }
-
-    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
-    }
-    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
-        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-            Self { builder,  }
-        }
-    }
-
-    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-        fn from(builder: Builder<'a,>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-        }
-    }
-
-    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
-        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-        }
-    }
-
-    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-        }
-        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
-        }
-    }
-
-    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
-    }
-
-    impl <'a,> Builder<'a,>  {
-        pub fn into_reader(self) -> Reader<'a,> {
-            self.builder.into_reader().into()
-        }
-        pub fn reborrow(&mut self) -> Builder<'_,> {
-            Builder { builder: self.builder.reborrow() }
-        }
-        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-            self.builder.as_reader().into()
-        }
-
-        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-            self.builder.as_reader().total_size()
-        }
-        #[inline]
-        pub fn get_target(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_target(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
-        }
-        #[inline]
-        pub fn init_target(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
-        }
-        #[inline]
-        pub fn has_target(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
-        }
-        #[inline]
-        pub fn get_incarnation(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn set_incarnation(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
-        }
-    }
-
-    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
-    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-            Self { _typeless: typeless,  }
-        }
-    }
-    impl Pipeline  {
-    }
-    mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
-            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(36, 2, 191, 79, 214, 172, 235, 243),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(21, 152, 126, 180, 210, 240, 161, 195),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
-            ::capnp::word(112, 110, 112, 58, 76, 101, 97, 118),
-            ::capnp::word(105, 110, 103, 77, 97, 114, 107, 0),
-            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 98, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(116, 97, 114, 103, 101, 116, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
-            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ];
-        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-            match index {
-                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                _ => ::capnp::introspect::panic_invalid_field_index(index),
-            }
-        }
-        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-        }
-        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-            &ARENA,
-            NONUNION_MEMBERS,
-            MEMBERS_BY_DISCRIMINANT,
-            MEMBERS_BY_NAME
-        );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
-        pub(crate) const TYPE_ID: u64 = 0xf3eb_acd6_4fbf_0224;
-    }
-}
-
 pub mod settle_ask {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -3910,48 +3674,32 @@
         #[inline]
         pub fn get_revision(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn get_leaving(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::leaving_mark::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_leaving(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
-        }
-        #[inline]
-        pub fn get_unused4(self)  {
-            
         }
         #[inline]
         pub fn get_change(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_change(&self) -> bool {
-            !self.reader.get_pointer_field(3).is_null()
-        }
-        #[inline]
-        pub fn get_ready(self) -> bool {
-            self.reader.get_bool_field(64)
+            !self.reader.get_pointer_field(2).is_null()
         }
         #[inline]
         pub fn get_wants_hosts(self) -> bool {
-            self.reader.get_bool_field(65)
+            self.reader.get_bool_field(64)
         }
         #[inline]
         pub fn get_hosts(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_hosts(&self) -> bool {
-            !self.reader.get_pointer_field(4).is_null()
+            !self.reader.get_pointer_field(3).is_null()
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4042,75 +3790,44 @@
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_leaving(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::leaving_mark::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_leaving(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::leaving_mark::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
-        }
-        #[inline]
-        pub fn init_leaving(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::leaving_mark::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
-        }
-        #[inline]
-        pub fn has_leaving(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
-        }
-        #[inline]
-        pub fn get_unused4(self)  {
-            
-        }
-        #[inline]
-        pub fn set_unused4(&mut self, _value: ())  {
-        }
-        #[inline]
         pub fn get_change(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
         pub fn set_change(&mut self, value: ::capnp::data::Reader<'_>)  {
-            self.builder.reborrow().get_pointer_field(3).set_data(value);
+            self.builder.reborrow().get_pointer_field(2).set_data(value);
         }
         #[inline]
         pub fn init_change(self, size: u32) -> ::capnp::data::Builder<'a> {
-            self.builder.get_pointer_field(3).init_data(size)
+            self.builder.get_pointer_field(2).init_data(size)
         }
         #[inline]
         pub fn has_change(&self) -> bool {
-            !self.builder.is_pointer_field_null(3)
-        }
-        #[inline]
-        pub fn get_ready(self) -> bool {
-            self.builder.get_bool_field(64)
-        }
-        #[inline]
-        pub fn set_ready(&mut self, value: bool)  {
-            self.builder.set_bool_field(64, value);
+            !self.builder.is_pointer_field_null(2)
         }
         #[inline]
         pub fn get_wants_hosts(self) -> bool {
-            self.builder.get_bool_field(65)
+            self.builder.get_bool_field(64)
         }
         #[inline]
         pub fn set_wants_hosts(&mut self, value: bool)  {
-            self.builder.set_bool_field(65, value);
+            self.builder.set_bool_field(64, value);
         }
         #[inline]
         pub fn get_hosts(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
         pub fn set_hosts(&mut self, value: ::capnp::data::Reader<'_>)  {
-            self.builder.reborrow().get_pointer_field(4).set_data(value);
+            self.builder.reborrow().get_pointer_field(3).set_data(value);
         }
         #[inline]
         pub fn init_hosts(self, size: u32) -> ::capnp::data::Builder<'a> {
-            self.builder.get_pointer_field(4).init_data(size)
+            self.builder.get_pointer_field(3).init_data(size)
         }
         #[inline]
         pub fn has_hosts(&self) -> bool {
-            !self.builder.is_pointer_field_null(4)
+            !self.builder.is_pointer_field_null(3)
         }
     }
 
@@ -4123,87 +3840,66 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 158] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 109] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(109, 230, 27, 233, 94, 71, 248, 154),
             ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(21, 152, 126, 180, 210, 240, 161, 195),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 68, 105, 103, 101),
             ::capnp::word(115, 116, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 64, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 65, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 90, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 111, 100, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4229,26 +3925,6 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 191, 79, 214, 172, 235, 243),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 110, 117, 115, 101, 100, 52, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(99, 104, 97, 110, 103, 101, 0, 0),
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4257,14 +3933,6 @@
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 97, 100, 121, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(119, 97, 110, 116, 115, 72, 111, 115),
             ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
@@ -4288,12 +3956,9 @@
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <::capnp::struct_list::Owned<crate::fleet_capnp::leaving_mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                4 => <() as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                7 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                8 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4307,9 +3972,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,8,3,0,6,2,4,7,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,5,0,2,4,1];
         pub(crate) const TYPE_ID: u64 = 0x9af8_475e_e91b_e66d;
     }
 }
--- a/crates/porthoist-fleet/src/lib.rs
+++ b/crates/porthoist-fleet/src/lib.rs
@@ -18,5 +18,5 @@
 pub mod server;
 
 pub use client::{FleetError, FleetPeer};
-pub use digest::{FleetDigest, LeavingMark};
+pub use digest::FleetDigest;
 pub use server::{FleetHandler, FrameOutlet, HandlerFuture, serve_fleet};
--- a/crates/porthoist-lab/src/capacity.rs
+++ b/crates/porthoist-lab/src/capacity.rs
@@ -291,9 +291,7 @@
         node: "entry-123".parse().expect("valid"),
         zone: "zone-1".parse().expect("valid"),
         revision: 1,
-        leaving: Vec::new(),
         change: None,
-        ready: true,
         wants_hosts: false,
         hosts: Vec::new(),
     };
--- a/porthoistd/src/duty/entry_fleet/gossip.rs
+++ b/porthoistd/src/duty/entry_fleet/gossip.rs
@@ -26,9 +26,7 @@
             node: self.shared.node.clone(),
             zone: self.shared.zone.clone(),
             revision: self.shared.config.revision(),
-            leaving: Vec::new(),
             change: None,
-            ready: true,
             wants_hosts: self.shared.hosts.borrow().is_empty(),
             hosts: Vec::new(),
         }
--- a/porthoistd/src/duty/target_fleet.rs
+++ b/porthoistd/src/duty/target_fleet.rs
@@ -193,9 +193,7 @@
             node: self.target.clone(),
             zone: self.zone.clone(),
             revision: self.config.revision(),
-            leaving: Vec::new(),
             change: self.config.change_since(digest.revision),
-            ready: true,
             wants_hosts: false,
             hosts: Vec::new(),
         };
--- a/porthoistd/src/role/entry.rs
+++ b/porthoistd/src/role/entry.rs
@@ -207,7 +207,7 @@
             let counted = server.clone();
             tokio::task::spawn_local(watch_signals(stopping, logger.clone(), move || counted.in_flight()));
             let listener = TcpListener::from_std(listener).expect("a bound listener fits the runtime");
-            info!(logger, "accepting callers"; "address" => ?listener.local_addr());
+            info!(logger, "accepting callers"; "address" => listener.local_addr().ok().map(|address| address.to_string()));
             serve_callers(listener, server, stop_seen, stop_lag, logger).await;
         })
     }
--- a/porthoistd/src/role/target.rs
+++ b/porthoistd/src/role/target.rs
@@ -178,7 +178,7 @@
                 metrics,
             };
             let listener = TcpListener::from_std(listener).expect("a bound listener fits the runtime");
-            info!(logger, "accepting offers"; "address" => ?listener.local_addr(), "incarnation" => %incarnation);
+            info!(logger, "accepting offers"; "address" => listener.local_addr().ok().map(|address| address.to_string()), "incarnation" => %incarnation);
             if !settings.group.is_empty() {
                 let group = GroupDuty {
                     ranks: settings.group,
