--- a/crates/porthoist-lab/src/cmd/limits.rs
+++ b/crates/porthoist-lab/src/cmd/limits.rs
@@ -13,8 +13,8 @@
     /// seed (default 1)
     #[argh(option, default = "1")]
     seed: u64,
-    /// simulated seconds (default 60)
-    #[argh(option, default = "60")]
+    /// simulated seconds (default 300)
+    #[argh(option, default = "300")]
     seconds: u64,
     /// text or json
     #[argh(option, default = "ReportFormat::Text")]
--- a/crates/porthoist-policy/src/limits.rs
+++ b/crates/porthoist-policy/src/limits.rs
@@ -21,7 +21,7 @@
 /// A busy team is settled so often, in milliseconds.
 pub const SETTLE_MILLIS: u64 = 1000;
 /// Small debts are settled at every multiple of this, in milliseconds, so that they share messages.
-pub const LAZY_SETTLE_MILLIS: u64 = 30_000;
+pub const LAZY_SETTLE_MILLIS: u64 = 120_000;
 /// An entry's credit is at least so many requests of a team that has a rate at all.
 pub const MIN_CREDIT: u32 = 4;
 /// After the keeper was not heard an entry uses its fair share for so long, in milliseconds.
