Test the settlement of small debts by its constant

Change: the test takes the times from the constants and also checks that the debt is settled before the team is forgotten. Conclusion: the fault was the test's time, not the limiter's.

--- a/crates/porthoist-policy/tests/policy/limits.rs
+++ b/crates/porthoist-policy/tests/policy/limits.rs
@@ -2,7 +2,7 @@
 
 use porthoist_core::{RefusalReason, RequestRate, TeamName, UnixMillis};
 use porthoist_policy::limits::keeper::LimitKeeper;
-use porthoist_policy::limits::{EntryLimiter, TeamLimit};
+use porthoist_policy::limits::{EntryLimiter, IDLE_MILLIS, LAZY_SETTLE_MILLIS, TeamLimit};
 
 fn team() -> TeamName {
     "border".parse().unwrap()
@@ -75,10 +75,13 @@
     let mut entry = EntryLimiter::new(1);
     entry.admit(UnixMillis(0), &team(), limit(10.0, 3)).unwrap();
     entry.release(&team());
-    for (name, ask) in entry.due(UnixMillis(40_000)) {
-        let told = LimitKeeper::new().settle(UnixMillis(40_000), ask, limit(10.0, 3));
-        entry.settled(UnixMillis(40_000), &name, ask, told);
+    let settled_at = UnixMillis(LAZY_SETTLE_MILLIS);
+    let due = entry.due(settled_at);
+    assert_eq!(due.len(), 1, "the debt is settled before the team is forgotten");
+    for (name, ask) in due {
+        let told = LimitKeeper::new().settle(settled_at, ask, limit(10.0, 3));
+        entry.settled(settled_at, &name, ask, told);
     }
-    entry.forget_idle(UnixMillis(120_000));
+    entry.forget_idle(settled_at.plus(IDLE_MILLIS));
     assert_eq!(entry.teams(), 0);
 }
