Keep the expert maps of several groups apart

Cause: reading as a newcomer: planned maps lay under one name for all groups of a platform, so that two groups would load each other's maps. Ruled out: a setting for the group's name: the list of its ranks already tells groups apart. Before: one name. Conclusion: the weights of the policy row are still shared.

--- a/porthoistd/src/duty/group.rs
+++ b/porthoistd/src/duty/group.rs
@@ -6,6 +6,7 @@
 use crate::config::ConfigHub;
 use futures::future::BoxFuture;
 use porthoist_core::TargetName;
+use porthoist_core::offer::AnswerDigest;
 use porthoist_core::secret::SharedSecret;
 use porthoist_fleet::FleetPeer;
 use porthoist_group::{
@@ -48,26 +49,35 @@
     pub logger: Logger,
 }
 
-/// Expert maps as objects of the platform.
+/// Expert maps of one group as objects of the platform.
 #[derive(Debug)]
-pub struct PlatformMaps(pub HttpPlatform);
-
-fn map_object(version: MapVersion) -> String {
-    format!("porthoist-expert-map-{}", version.0)
+pub struct PlatformMaps {
+    platform: HttpPlatform,
+    group: u64,
 }
 
 impl PlatformMaps {
+    /// The maps of the group with these ranks, on the platform at `url`.
+    pub fn new(url: &str, ranks: &[SocketAddr]) -> Self {
+        let names: Vec<String> = ranks.iter().map(ToString::to_string).collect();
+        Self { platform: HttpPlatform::new(url), group: AnswerDigest::of(names.join(",").as_bytes()) }
+    }
+
+    fn object(&self, version: MapVersion) -> String {
+        format!("porthoist-expert-map-{:016x}-{}", self.group, version.0)
+    }
+
     /// Writes a map, before the group switches to it.
     pub async fn put(&self, version: MapVersion, map: &ExpertMap) -> Result<(), CallError> {
         let bytes = serde_json::to_vec(map).map_err(|error| CallError::not_sent(error.to_string()))?;
-        self.0.put_object(map_object(version), bytes.into()).await
+        self.platform.put_object(self.object(version), bytes.into()).await
     }
 }
 
 impl MapSource for PlatformMaps {
     fn map(&self, version: MapVersion) -> BoxFuture<'_, Result<Option<ExpertMap>, CallError>> {
         Box::pin(async move {
-            let Some(bytes) = self.0.object(map_object(version)).await? else { return Ok(None) };
+            let Some(bytes) = self.platform.object(self.object(version)).await? else { return Ok(None) };
             serde_json::from_slice(&bytes).map(Some).map_err(|error| CallError::unknown(error.to_string()))
         })
     }
--- a/porthoistd/src/role/target.rs
+++ b/porthoistd/src/role/target.rs
@@ -172,7 +172,7 @@
                 open: Arc::clone(&open),
                 rank: Arc::new(RankDriver::new(
                     Arc::new(HttpGroupEngine::new(&settings.backend)),
-                    Arc::new(PlatformMaps(HttpPlatform::new(settings.platform.clone()))),
+                    Arc::new(PlatformMaps::new(&settings.platform, &settings.group)),
                     RankId(rank_of(&settings.name)),
                 )),
                 metrics,
@@ -180,11 +180,12 @@
             let listener = TcpListener::from_std(listener).expect("a bound listener fits the runtime");
             info!(logger, "accepting offers"; "address" => listener.local_addr().ok().map(|address| address.to_string()), "incarnation" => %incarnation);
             if !settings.group.is_empty() {
+                let maps = PlatformMaps::new(&settings.platform, &settings.group);
                 let group = GroupDuty {
                     ranks: settings.group,
                     key: settings.fleet_key.clone(),
                     engine: HttpGroupEngine::new(&settings.backend),
-                    maps: PlatformMaps(HttpPlatform::new(settings.platform.clone())),
+                    maps,
                     config: Arc::clone(&config),
                     own: settings.name.clone(),
                     logger: logger.clone(),
