--- a/porthoist-cli/src/error.rs
+++ b/porthoist-cli/src/error.rs
@@ -26,7 +26,7 @@
     /// A cell given on the command line.
     #[error("{0}")]
     #[diagnostic(code(porthoist::table::cell), help("nothing was changed"))]
-    Cell(#[from] CellError),
+    Cell(CellError),
     /// A file that is not a table.
     #[error("{0}")]
     #[diagnostic(code(porthoist::table::file), help("nothing was imported"))]
@@ -56,6 +56,12 @@
     NotInForce(String),
 }
 
+impl From<CellError> for ToolError {
+    fn from(cell: CellError) -> Self {
+        Self::Cell(cell)
+    }
+}
+
 impl ToolError {
     /// The exit status.
     pub fn exit_status(&self) -> u8 {
