--- a/crates/porthoist-metrics/src/lib.rs
+++ b/crates/porthoist-metrics/src/lib.rs
@@ -28,6 +28,11 @@
     control_bytes: Counter<u64>,
     revision: Gauge<u64>,
     first_byte: Histogram<f64>,
+    queue_wait: Histogram<f64>,
+    event_pause: Histogram<f64>,
+    connections: Counter<u64>,
+    broken_streams: Counter<u64>,
+    table_calls: Counter<u64>,
 }
 
 impl MetricsHub {
@@ -50,6 +55,17 @@
                 .f64_histogram("porthoist_first_byte_milliseconds")
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
                 .build(),
+            queue_wait: meter
+                .f64_histogram("porthoist_queue_wait_milliseconds")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build(),
+            event_pause: meter
+                .f64_histogram("porthoist_event_pause_milliseconds")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build(),
+            connections: meter.u64_counter("porthoist_target_connections").build(),
+            broken_streams: meter.u64_counter("porthoist_broken_streams").build(),
+            table_calls: meter.u64_counter("porthoist_table_calls").build(),
             registry,
             _provider: provider,
         };
@@ -71,6 +87,34 @@
         self.answers.add(0, &[]);
         self.runs.add(0, &[]);
         self.control_bytes.add(0, &[]);
+        self.connections.add(0, &[]);
+        self.broken_streams.add(0, &[]);
+        self.table_calls.add(0, &[]);
+    }
+
+    /// Counts a new connection to a target.
+    pub fn connection(&self) {
+        self.connections.add(1, &[]);
+    }
+
+    /// Counts a stream that ended unfinished.
+    pub fn broken_stream(&self) {
+        self.broken_streams.add(1, &[]);
+    }
+
+    /// Counts a call to the table service.
+    pub fn table_call(&self) {
+        self.table_calls.add(1, &[]);
+    }
+
+    /// Records how long a request waited for a place, in milliseconds.
+    pub fn queue_wait(&self, millis: f64) {
+        self.queue_wait.record(millis, &[]);
+    }
+
+    /// Records the pause between two events of a stream, in milliseconds.
+    pub fn event_pause(&self, millis: f64) {
+        self.event_pause.record(millis, &[]);
     }
 
     /// Counts a request that a caller sent.
--- a/crates/porthoist-policy/src/lib.rs
+++ b/crates/porthoist-policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod limits;
 pub mod membership;
 pub mod placement;
+pub mod proxy;
 pub mod retry;
 pub mod router;
 pub mod switch;
--- /dev/null
+++ b/crates/porthoist-policy/src/proxy/freshness.rs
@@ -0,0 +1,53 @@
+//! How old the proof is that the configuration held is the newest one.
+//!
+//! The table service stamps each answer with its own steady clock. The stamp is placed on the local clock by the
+//! tightest lower bound seen: an answer can't have been made before its question was sent. So a long wait for a change
+//! proves freshness up to its end, not only up to its start.
+
+use porthoist_core::UnixMillis;
+
+/// One answered question to the table service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StampedAnswer {
+    /// When the question was sent, by the local clock.
+    pub sent: UnixMillis,
+    /// When the answer was read, by the local clock.
+    pub received: UnixMillis,
+    /// The service's steady clock when it answered, in milliseconds.
+    pub stamp: u64,
+}
+
+/// The proof held.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct FreshnessProof {
+    /// Local clock less the service's clock, a lower bound.
+    offset: Option<i128>,
+    proven: Option<UnixMillis>,
+}
+
+impl FreshnessProof {
+    /// Takes an answer that showed the newest configuration, or that there is none newer.
+    pub fn answered(&mut self, answer: StampedAnswer) {
+        let earliest = i128::from(answer.sent.0) - i128::from(answer.stamp);
+        let latest = i128::from(answer.received.0) - i128::from(answer.stamp);
+        let offset = match self.offset {
+            // A service that started its clock anew contradicts the old bound: begin again with what is certain.
+            Some(known) if known <= latest => known.max(earliest),
+            _ => earliest,
+        };
+        self.offset = Some(offset);
+        let proven = u64::try_from(offset + i128::from(answer.stamp)).unwrap_or_default();
+        let proven = UnixMillis(proven.min(answer.received.0));
+        self.proven = Some(self.proven.map_or(proven, |known| known.max(proven)));
+    }
+
+    /// Age of the proof in milliseconds; nothing without a proof.
+    pub fn age(&self, now: UnixMillis) -> Option<u64> {
+        self.proven.map(|proven| now.since(proven))
+    }
+
+    /// When the configuration held was last known to be the newest.
+    pub fn proven(&self) -> Option<UnixMillis> {
+        self.proven
+    }
+}
--- /dev/null
+++ b/crates/porthoist-policy/src/proxy/placement.rs
@@ -0,0 +1,297 @@
+//! Which target takes a request next, and in which order requests wait for one.
+//!
+//! The board counts what this process has sent and has not seen end. Targets that fail in a row get nothing for a
+//! while, longer each time, and one request as a trial afterwards.
+
+use super::targets::{TargetBook, TargetRecord, TargetState};
+use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis, ZoneName};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+/// Failures in a row after which a target gets nothing for a while. One alone is common: a reset of an idle
+/// connection, for example.
+const FAILURES_TO_EJECT: u32 = 3;
+/// First time out in milliseconds; it doubles with each further failure.
+const EJECT_MILLIS: u64 = 800;
+/// Longest time out in milliseconds. A target that recovers is found again within this time.
+const MAX_EJECT_MILLIS: u64 = 6_400;
+/// What a request to another availability zone costs, as a part of one request in flight.
+const ZONE_COST: f64 = 0.3;
+/// Prompt tokens that weigh as much as one request in flight; the mean prompt of the users' streams.
+const TOKENS_OF_A_REQUEST: f64 = 835.0;
+/// How much slower than the service's mean a target's answers must be to count as a slow one.
+const SLOW_FACTOR: f64 = 2.5;
+/// Weight of a new answer in the mean time of a target.
+const ANSWER_WEIGHT: f64 = 0.2;
+
+/// Work that a request brings.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RequestWork {
+    /// Tokens of its prompt; 0 for requests without one.
+    pub prompt_tokens: u64,
+}
+
+/// How a send to a target ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum SendOutcome {
+    /// An answer came after so many milliseconds.
+    Answered(f64),
+    /// The target was full or leaving and said so.
+    Shed,
+    /// It failed.
+    Failed,
+    /// The caller left; nothing is known of the target.
+    Abandoned,
+}
+
+#[derive(Debug, Clone)]
+struct TargetLoad {
+    record: Arc<TargetRecord>,
+    in_flight: u32,
+    tokens: u64,
+    failures: u32,
+    ejections: u32,
+    closed_until: Option<UnixDeadline>,
+    mean_millis: Option<f64>,
+}
+
+impl TargetLoad {
+    fn new(record: Arc<TargetRecord>) -> Self {
+        Self {
+            record,
+            in_flight: 0,
+            tokens: 0,
+            failures: 0,
+            ejections: 0,
+            closed_until: None,
+            mean_millis: None,
+        }
+    }
+
+    fn open(&self, now: UnixMillis) -> bool {
+        if self.record.state != TargetState::Ready {
+            return false;
+        }
+        match self.closed_until {
+            // After its time out, a target gets one request at a time until one succeeds.
+            Some(deadline) => deadline.passed(now) && self.in_flight == 0,
+            None => true,
+        }
+    }
+
+    fn failed(&mut self, now: UnixMillis) -> bool {
+        self.failures += 1;
+        let trial = self.closed_until.is_some();
+        if self.failures < FAILURES_TO_EJECT && !trial {
+            return false;
+        }
+        let time_out = (EJECT_MILLIS << self.ejections.min(8)).min(MAX_EJECT_MILLIS);
+        self.closed_until = Some(UnixDeadline::after(now, time_out));
+        self.ejections += 1;
+        true
+    }
+}
+
+/// Settings of a board.
+#[derive(Debug, Clone)]
+pub struct BoardSettings {
+    /// The availability zone of this process.
+    pub zone: ZoneName,
+    /// Requests of this process that a rank of a group runs at once.
+    pub per_rank: u32,
+}
+
+/// A target chosen for a request.
+#[derive(Debug, Clone)]
+pub struct ChosenTarget {
+    /// The target.
+    pub record: Arc<TargetRecord>,
+    /// Requests of this process at it before this one.
+    pub in_flight: u32,
+}
+
+/// Loads of all targets, as this process sees them.
+#[derive(Debug, Clone)]
+pub struct LoadBoard {
+    settings: BoardSettings,
+    loads: HashMap<TargetName, TargetLoad>,
+    turn: u64,
+}
+
+impl LoadBoard {
+    /// A board without targets.
+    pub fn new(settings: BoardSettings) -> Self {
+        Self { settings, loads: HashMap::new(), turn: 0 }
+    }
+
+    /// Takes the targets believed in now. What is in flight at a target that is gone is still counted.
+    pub fn sync(&mut self, book: &TargetBook) {
+        let known: HashMap<&TargetName, &Arc<TargetRecord>> =
+            book.records().map(|record| (&record.id, record)).collect();
+        self.loads.retain(|id, load| known.contains_key(id) || load.in_flight > 0);
+        for (id, load) in &mut self.loads {
+            match known.get(id) {
+                Some(record) => load.record = Arc::clone(record),
+                None => {
+                    let record = TargetRecord { state: TargetState::Draining, ..(*load.record).clone() };
+                    load.record = Arc::new(record);
+                }
+            }
+        }
+        for record in book.records() {
+            let load = || TargetLoad::new(Arc::clone(record));
+            self.loads.entry(record.id.clone()).or_insert_with(load);
+        }
+    }
+
+    /// The best target that has room for one more request, counted as in flight from now on.
+    pub fn choose(
+        &mut self,
+        service: &ServiceName,
+        ranked: bool,
+        work: RequestWork,
+        tried: &[TargetName],
+        now: UnixMillis,
+    ) -> Option<ChosenTarget> {
+        let usual = self.usual_millis(service);
+        self.turn = self.turn.wrapping_add(1);
+        let turn = self.turn;
+        let fits = |load: &&mut TargetLoad| {
+            let limit = if ranked { self.settings.per_rank } else { load.record.slots };
+            load.record.service == *service
+                && load.open(now)
+                && load.in_flight < limit
+                && !tried.contains(&load.record.id)
+        };
+        let cost = |load: &TargetLoad| {
+            let zone = if load.record.zone == self.settings.zone { 0.0 } else { ZONE_COST };
+            let slowness = match (load.mean_millis, usual) {
+                (Some(mean), Some(usual)) if mean > usual * SLOW_FACTOR => mean / usual,
+                _ => 1.0,
+            };
+            let tokens = load.tokens as f64 / TOKENS_OF_A_REQUEST;
+            (f64::from(load.in_flight) + tokens + 1.0) * slowness + zone
+        };
+        let candidates = self.loads.values_mut().filter(fits);
+        let best = candidates.min_by(|left, right| {
+            let order = cost(left).total_cmp(&cost(right));
+            order.then_with(|| spread(&left.record.id, turn).cmp(&spread(&right.record.id, turn)))
+        })?;
+        let in_flight = best.in_flight;
+        best.in_flight += 1;
+        best.tokens += work.prompt_tokens;
+        Some(ChosenTarget { record: Arc::clone(&best.record), in_flight })
+    }
+
+    /// Takes the end of a send. Returns whether the target gets nothing for a while from now on.
+    pub fn ended(
+        &mut self,
+        id: &TargetName,
+        work: RequestWork,
+        outcome: SendOutcome,
+        now: UnixMillis,
+    ) -> bool {
+        let Some(load) = self.loads.get_mut(id) else { return false };
+        load.in_flight = load.in_flight.saturating_sub(1);
+        load.tokens = load.tokens.saturating_sub(work.prompt_tokens);
+        match outcome {
+            SendOutcome::Answered(millis) => {
+                let mean = load.mean_millis.map_or(millis, |mean| mean + ANSWER_WEIGHT * (millis - mean));
+                load.mean_millis = Some(mean);
+                load.failures = 0;
+                load.ejections = 0;
+                load.closed_until = None;
+                false
+            }
+            SendOutcome::Failed => load.failed(now),
+            SendOutcome::Shed | SendOutcome::Abandoned => false,
+        }
+    }
+
+    /// Whether any target of the service may take requests, now or when it has room.
+    pub fn serves(&self, service: &ServiceName, now: UnixMillis) -> bool {
+        let mut loads = self.loads.values();
+        loads.any(|load| load.record.service == *service && (load.open(now) || load.in_flight > 0))
+    }
+
+    /// Requests in flight at a target.
+    pub fn in_flight(&self, id: &TargetName) -> u32 {
+        self.loads.get(id).map_or(0, |load| load.in_flight)
+    }
+
+    /// Median of the targets' mean answer times.
+    fn usual_millis(&self, service: &ServiceName) -> Option<f64> {
+        let of_service = self.loads.values().filter(|load| load.record.service == *service);
+        let mut means: Vec<f64> = of_service.filter_map(|load| load.mean_millis).collect();
+        if means.is_empty() {
+            return None;
+        }
+        means.sort_by(f64::total_cmp);
+        Some(means[means.len() / 2])
+    }
+}
+
+/// An order of equal targets that changes from choice to choice.
+fn spread(id: &TargetName, turn: u64) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(id.as_str().as_bytes(), turn)
+}
+
+/// Where a request stands among those that wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WaitRank {
+    /// Rank of the request, 0 first.
+    pub priority: u8,
+    /// Those that were refused before go first.
+    pub returned: Reverse<bool>,
+    /// Order of arrival.
+    pub arrival: u64,
+}
+
+/// Requests of one service that wait for a target.
+#[derive(Debug)]
+pub struct WaitList<T> {
+    waiting: BTreeMap<WaitRank, T>,
+    arrivals: u64,
+}
+
+impl<T> Default for WaitList<T> {
+    fn default() -> Self {
+        Self { waiting: BTreeMap::new(), arrivals: 0 }
+    }
+}
+
+impl<T> WaitList<T> {
+    /// Adds a request; the rank takes it out again.
+    pub fn add(&mut self, priority: u8, returned: bool, item: T) -> WaitRank {
+        let rank = WaitRank { priority, returned: Reverse(returned), arrival: self.arrivals };
+        self.arrivals += 1;
+        self.waiting.insert(rank, item);
+        rank
+    }
+
+    /// Takes out one that gave up.
+    pub fn remove(&mut self, rank: WaitRank) -> Option<T> {
+        self.waiting.remove(&rank)
+    }
+
+    /// Takes out the first.
+    pub fn pop(&mut self) -> Option<T> {
+        self.waiting.pop_first().map(|(_rank, item)| item)
+    }
+
+    /// Looks at the first.
+    pub fn first(&self) -> Option<&T> {
+        self.waiting.first_key_value().map(|(_rank, item)| item)
+    }
+
+    /// How many wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/porthoist-policy/src/proxy/retry_share.rs
@@ -0,0 +1,63 @@
+//! One process's share of the repeats that all processes together may send to a service.
+//!
+//! Nothing is coordinated: the shares of all processes add up to less than the whole, whoever is alive.
+
+use porthoist_core::UnixMillis;
+use std::collections::VecDeque;
+
+/// Settings of a share.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ShareSettings {
+    /// Repeats allowed for each first send of this process.
+    pub ratio: f64,
+    /// Repeats in a window that are allowed beside the ratio.
+    pub slack: f64,
+    /// Length of the window in milliseconds.
+    pub window_millis: u64,
+}
+
+/// First sends and repeats of the last window.
+#[derive(Debug, Clone)]
+pub struct RetryShare {
+    settings: ShareSettings,
+    firsts: VecDeque<UnixMillis>,
+    repeats: VecDeque<UnixMillis>,
+}
+
+impl RetryShare {
+    /// An empty window.
+    pub fn new(settings: ShareSettings) -> Self {
+        Self { settings, firsts: VecDeque::new(), repeats: VecDeque::new() }
+    }
+
+    /// Changes the slack, for example because more processes share it.
+    pub fn set_slack(&mut self, slack: f64) {
+        self.settings.slack = slack;
+    }
+
+    /// Counts the first send of a request.
+    pub fn first(&mut self, now: UnixMillis) {
+        self.forget(now);
+        self.firsts.push_back(now);
+    }
+
+    /// Takes one repeat from the share; `false` when it is spent.
+    pub fn take(&mut self, now: UnixMillis) -> bool {
+        self.forget(now);
+        let allowed = self.settings.ratio * self.firsts.len() as f64 + self.settings.slack;
+        if self.repeats.len() as f64 + 1.0 > allowed {
+            return false;
+        }
+        self.repeats.push_back(now);
+        true
+    }
+
+    fn forget(&mut self, now: UnixMillis) {
+        let window = self.settings.window_millis;
+        for times in [&mut self.firsts, &mut self.repeats] {
+            while times.front().is_some_and(|time| now.since(*time) > window) {
+                times.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/porthoist-policy/src/proxy/targets.rs
@@ -0,0 +1,121 @@
+//! The targets that serve a service, as the table last showed them.
+//!
+//! A row that is missing in a listing is gone, unless the table service was away just before: then the row gets a
+//! short grace, since the target may not have registered again yet.
+
+use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis, ZoneName};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Whether a target takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetState {
+    /// It does.
+    Ready,
+    /// It leaves and must get nothing new.
+    Draining,
+}
+
+/// One life of a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetRecord {
+    /// Identifier of this life; a restart has a new one.
+    pub id: TargetName,
+    /// The service it runs.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: TargetState,
+}
+
+/// A change of one row.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TargetChange {
+    /// The row is new or changed.
+    Put(TargetRecord),
+    /// The row was removed.
+    Gone(TargetName),
+}
+
+/// What a process believes of all targets.
+#[derive(Debug, Clone, Default)]
+pub struct TargetBook {
+    records: HashMap<TargetName, Arc<TargetRecord>>,
+    missing: HashMap<TargetName, UnixDeadline>,
+}
+
+impl TargetBook {
+    /// Takes a whole listing. Rows that it lacks are gone, or at `grace` where the service has just come back.
+    pub fn listed(&mut self, rows: Vec<TargetRecord>, grace: Option<UnixDeadline>) {
+        let mut listed: HashMap<TargetName, Arc<TargetRecord>> =
+            rows.into_iter().map(|record| (record.id.clone(), Arc::new(record))).collect();
+        self.missing.retain(|id, _deadline| !listed.contains_key(id));
+        for (id, record) in self.records.drain() {
+            if listed.contains_key(&id) {
+                continue;
+            }
+            let Some(deadline) = grace else {
+                self.missing.remove(&id);
+                continue;
+            };
+            self.missing.entry(id.clone()).or_insert(deadline);
+            listed.insert(id, record);
+        }
+        self.records = listed;
+    }
+
+    /// Takes changes in their order. `grace` is as in [`Self::listed`].
+    pub fn changed(&mut self, changes: Vec<TargetChange>, grace: Option<UnixDeadline>) {
+        for change in changes {
+            match change {
+                TargetChange::Put(record) => {
+                    self.missing.remove(&record.id);
+                    self.records.insert(record.id.clone(), Arc::new(record));
+                }
+                TargetChange::Gone(id) => self.removed(id, grace),
+            }
+        }
+    }
+
+    fn removed(&mut self, id: TargetName, grace: Option<UnixDeadline>) {
+        if let Some(deadline) = grace
+            && self.records.contains_key(&id)
+        {
+            self.missing.entry(id).or_insert(deadline);
+            return;
+        }
+        self.missing.remove(&id);
+        self.records.remove(&id);
+    }
+
+    /// Drops the rows whose grace has ended; returns their names.
+    pub fn expire(&mut self, now: UnixMillis) -> Vec<TargetName> {
+        let ended: Vec<TargetName> = self
+            .missing
+            .iter()
+            .filter(|(_id, deadline)| deadline.passed(now))
+            .map(|(id, _deadline)| id.clone())
+            .collect();
+        for id in &ended {
+            self.missing.remove(id);
+            self.records.remove(id);
+        }
+        ended
+    }
+
+    /// When the next grace ends.
+    pub fn next_expiry(&self) -> Option<UnixDeadline> {
+        self.missing.values().min().copied()
+    }
+
+    /// All records.
+    pub fn records(&self) -> impl Iterator<Item = &Arc<TargetRecord>> {
+        self.records.values()
+    }
+}
--- /dev/null
+++ b/crates/porthoist-proxy/src/control.rs
@@ -0,0 +1,315 @@
+//! Where routes and targets come from, and how they are kept current.
+//!
+//! One watch follows the routes, another the targets. Each lists once and then waits for changes; when the source has
+//! forgotten its history, was silent, or answered with an error, it lists anew.
+
+use futures::future::LocalBoxFuture;
+use porthoist_core::{ClockSource, UnixDeadline, UnixMillis};
+use porthoist_policy::proxy::freshness::{FreshnessProof, StampedAnswer};
+use porthoist_policy::proxy::routes::RouteTable;
+use porthoist_policy::proxy::targets::{TargetBook, TargetChange, TargetRecord};
+use slog::{Logger, info, warn};
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// How long one question waits for a change of the routes, in milliseconds. Each answer renews the proof that the
+/// routes held are the newest, which must be younger than the settings' `proof_millis`.
+const ROUTES_WAIT_MILLIS: u64 = 1_800;
+/// How long one question waits for a change of the targets, in milliseconds; a link that was cut in silence is
+/// noticed by the other question.
+const TARGETS_WAIT_MILLIS: u64 = 9_000;
+/// Time in milliseconds beyond the wait in which an answer must come.
+const ANSWER_MILLIS: u64 = 900;
+/// First pause after a failed question, in milliseconds; it doubles up to [`MAX_PAUSE_MILLIS`].
+const PAUSE_MILLIS: u64 = 60;
+/// Longest pause after a failed question: readiness must return within a second of the source's return.
+const MAX_PAUSE_MILLIS: u64 = 480;
+/// How long a target's row may be missing after the source was away, in milliseconds: its page says that rows which
+/// lapsed meanwhile are back within two seconds, and a target that left must get nothing new after two seconds.
+const GRACE_MILLIS: u64 = 1_700;
+/// For so long after the source's return, in milliseconds, a row that vanishes may have lapsed meanwhile.
+const LAPSE_MILLIS: u64 = 2_500;
+
+/// An answer of the source.
+#[derive(Debug, Clone)]
+pub struct Stamped<T> {
+    /// What it says.
+    pub value: T,
+    /// Revision from which the next question goes on.
+    pub revision: u64,
+    /// The source's steady clock, in milliseconds.
+    pub stamp: u64,
+}
+
+/// A question without an answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum SourceError {
+    /// The source has forgotten the changes after the revision.
+    #[error("the history is gone")]
+    HistoryGone,
+    /// The source refused the question.
+    #[error("refused with status {0}")]
+    Refused(u16),
+    /// No answer, or one that can't be read.
+    #[error("{0}")]
+    Unavailable(String),
+}
+
+/// The pending answer of a source.
+pub type SourceFuture<'a, T> = LocalBoxFuture<'a, Result<Stamped<T>, SourceError>>;
+
+/// The service that holds routes and targets.
+pub trait ControlSource: fmt::Debug {
+    /// The newest routes; nothing if there are none yet.
+    fn list_routes(&self) -> SourceFuture<'_, Option<RouteTable>>;
+    /// The routes if they have changed after a revision, else nothing after the wait.
+    fn routes_after(&self, revision: u64, wait: Duration) -> SourceFuture<'_, Option<RouteTable>>;
+    /// All targets.
+    fn list_targets(&self) -> SourceFuture<'_, Vec<TargetRecord>>;
+    /// Changes of targets after a revision, none after the wait.
+    fn targets_after(&self, revision: u64, wait: Duration) -> SourceFuture<'_, Vec<TargetChange>>;
+}
+
+/// What a process believes now.
+#[derive(Debug, Clone, Default)]
+pub struct ControlState {
+    /// The routes in force.
+    pub routes: Option<Arc<RouteTable>>,
+    /// The targets.
+    pub targets: TargetBook,
+    /// Proof that the routes are the newest.
+    pub proof: FreshnessProof,
+}
+
+/// Keeps a [`ControlState`] current.
+#[derive(Debug)]
+pub struct ControlWatch {
+    source: Rc<dyn ControlSource>,
+    state: watch::Sender<ControlState>,
+    clock: Arc<dyn ClockSource>,
+    logger: Logger,
+    /// Counts failures of the routes' questions: the targets' watch lists anew when it changes.
+    breaks: watch::Sender<u64>,
+    returned: Cell<Option<UnixMillis>>,
+    away: Cell<bool>,
+    pause: RefCell<u64>,
+}
+
+impl ControlWatch {
+    /// A watch that publishes into `state`.
+    pub fn new(
+        source: Rc<dyn ControlSource>,
+        state: watch::Sender<ControlState>,
+        clock: Arc<dyn ClockSource>,
+        logger: Logger,
+    ) -> Self {
+        Self {
+            source,
+            state,
+            clock,
+            logger,
+            breaks: watch::Sender::new(0),
+            returned: Cell::new(None),
+            away: Cell::new(false),
+            pause: RefCell::new(PAUSE_MILLIS),
+        }
+    }
+
+    /// Runs for ever.
+    pub async fn run(&self) {
+        tokio::join!(self.watch_routes(), self.watch_targets(), self.expire_targets());
+    }
+
+    async fn watch_routes(&self) {
+        let mut revision = None;
+        loop {
+            let sent = self.clock.now();
+            let question = match revision {
+                None => self.source.list_routes(),
+                Some(revision) => {
+                    self.source.routes_after(revision, Duration::from_millis(ROUTES_WAIT_MILLIS))
+                }
+            };
+            let wait = if revision.is_some() { ROUTES_WAIT_MILLIS } else { 0 };
+            match within(wait, question).await {
+                Ok(answer) => {
+                    revision = Some(answer.revision);
+                    self.heard();
+                    self.adopt(answer, sent);
+                }
+                Err(SourceError::HistoryGone) => {
+                    info!(self.logger, "routes are listed anew"; "event" => "history_gone");
+                    revision = None;
+                }
+                Err(error) => {
+                    revision = None;
+                    self.failed("routes", &error).await;
+                }
+            }
+        }
+    }
+
+    async fn watch_targets(&self) {
+        let mut breaks = self.breaks.subscribe();
+        let mut revision = None;
+        loop {
+            breaks.mark_unchanged();
+            let question = async {
+                match revision {
+                    None => within(0, self.source.list_targets()).await.map(TargetNews::listed),
+                    Some(revision) => {
+                        let wait = Duration::from_millis(TARGETS_WAIT_MILLIS);
+                        let question = self.source.targets_after(revision, wait);
+                        within(TARGETS_WAIT_MILLIS, question).await.map(TargetNews::changed)
+                    }
+                }
+            };
+            let answer = tokio::select! {
+                answer = question => answer,
+                // The routes' question failed: this one may hang on a connection that is gone.
+                _changed = breaks.changed(), if revision.is_some() => {
+                    revision = None;
+                    continue;
+                }
+            };
+            match answer {
+                Ok(answer) => {
+                    revision = Some(answer.revision);
+                    self.take_targets(answer.value);
+                }
+                Err(SourceError::HistoryGone) => {
+                    info!(self.logger, "targets are listed anew"; "event" => "history_gone");
+                    revision = None;
+                }
+                Err(error) => {
+                    revision = None;
+                    self.failed("targets", &error).await;
+                }
+            }
+        }
+    }
+
+    async fn expire_targets(&self) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            let now = self.clock.now();
+            let due = self.state.borrow().targets.next_expiry().is_some_and(|deadline| deadline.passed(now));
+            if !due {
+                continue;
+            }
+            self.state.send_modify(|state| {
+                for id in state.targets.expire(now) {
+                    info!(self.logger, "target is gone"; "event" => "target_expired", "target" => id.to_string());
+                }
+            });
+        }
+    }
+
+    /// Takes an answer to a question about routes: newer routes come into force, older ones never.
+    fn adopt(&self, answer: Stamped<Option<RouteTable>>, sent: UnixMillis) {
+        let stamped = StampedAnswer { sent, received: self.clock.now(), stamp: answer.stamp };
+        let newer = |state: &ControlState, table: &RouteTable| {
+            state.routes.as_ref().is_none_or(|held| table.version > held.version)
+        };
+        self.state.send_modify(|state| {
+            if let Some(table) = answer.value
+                && newer(state, &table)
+            {
+                info!(self.logger, "configuration in force"; "event" => "config_adopted",
+                    "version" => table.version.0, "routes" => table.route_count());
+                state.routes = Some(Arc::new(table));
+            }
+            state.proof.answered(stamped);
+        });
+    }
+
+    fn take_targets(&self, news: TargetNews) {
+        let grace = self.grace();
+        self.state.send_modify(|state| match news {
+            TargetNews::Listed(rows) => {
+                info!(self.logger, "targets listed"; "event" => "targets_listed", "count" => rows.len(),
+                    "after_outage" => grace.is_some());
+                state.targets.listed(rows, grace);
+            }
+            TargetNews::Changed(changes) => {
+                for change in &changes {
+                    self.log_change(change, grace);
+                }
+                state.targets.changed(changes, grace);
+            }
+        });
+    }
+
+    fn log_change(&self, change: &TargetChange, grace: Option<UnixDeadline>) {
+        match change {
+            TargetChange::Put(record) => {
+                info!(self.logger, "target changed"; "event" => "target_put", "target" => record.id.to_string(),
+                    "state" => format!("{:?}", record.state));
+            }
+            TargetChange::Gone(id) => {
+                info!(self.logger, "target removed"; "event" => "target_gone", "target" => id.to_string(),
+                    "grace" => grace.is_some());
+            }
+        }
+    }
+
+    /// The end of the grace for rows that vanish now; nothing unless the source has just come back.
+    fn grace(&self) -> Option<UnixDeadline> {
+        let returned = self.returned.get()?;
+        let now = self.clock.now();
+        (now.since(returned) <= LAPSE_MILLIS).then(|| UnixDeadline::after(returned.max(now), GRACE_MILLIS))
+    }
+
+    fn heard(&self) {
+        self.pause.replace(PAUSE_MILLIS);
+        if self.away.replace(false) {
+            self.returned.set(Some(self.clock.now()));
+            info!(self.logger, "table service answers again"; "event" => "dependency_regained",
+                "dependency" => "table");
+        }
+    }
+
+    async fn failed(&self, question: &'static str, error: &SourceError) {
+        if !self.away.replace(true) {
+            warn!(self.logger, "table service does not answer"; "event" => "dependency_lost",
+                "dependency" => "table", "question" => question, "error" => error.to_string());
+        }
+        if question == "routes" {
+            self.breaks.send_modify(|breaks| *breaks += 1);
+        }
+        let pause = *self.pause.borrow();
+        self.pause.replace((pause * 2).min(MAX_PAUSE_MILLIS));
+        // Processes that failed together must not ask again together.
+        let jitter = rand::random::<f64>().mul_add(0.5, 0.75);
+        tokio::time::sleep(Duration::from_millis((pause as f64 * jitter) as u64)).await;
+    }
+}
+
+enum TargetNews {
+    Listed(Vec<TargetRecord>),
+    Changed(Vec<TargetChange>),
+}
+
+impl TargetNews {
+    fn listed(answer: Stamped<Vec<TargetRecord>>) -> Stamped<Self> {
+        let Stamped { value, revision, stamp } = answer;
+        Stamped { value: Self::Listed(value), revision, stamp }
+    }
+
+    fn changed(answer: Stamped<Vec<TargetChange>>) -> Stamped<Self> {
+        let Stamped { value, revision, stamp } = answer;
+        Stamped { value: Self::Changed(value), revision, stamp }
+    }
+}
+
+async fn within<T>(wait_millis: u64, question: SourceFuture<'_, T>) -> Result<Stamped<T>, SourceError> {
+    let patience = Duration::from_millis(wait_millis + ANSWER_MILLIS);
+    match tokio::time::timeout(patience, question).await {
+        Ok(answer) => answer,
+        Err(_elapsed) => Err(SourceError::Unavailable("no answer in time".to_owned())),
+    }
+}
--- /dev/null
+++ b/crates/porthoist-proxy/src/course.rs
@@ -0,0 +1,583 @@
+//! The course of one request: admitted by routes, key and proof, given a place, sent, and sent again where that is
+//! allowed, until its answer or a refusal that says truthfully whether it may have run.
+
+use crate::broker::{PlaceBroker, PlaceDemand, PlaceError, TargetPlace};
+use crate::control::ControlState;
+use crate::exchange::{ConnectionPool, OpenAnswer, SendFailure};
+use crate::reply::{Reply, own_reply, piecewise_reply, relayed_headers, strip_hop_headers, whole_reply};
+use crate::wire::{RequestFacts, SendFacts, WireCodec};
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Request, StatusCode};
+use porthoist_core::{
+    ClockSource, RefusalReason, RetryReason, RunVerdict, ServiceName, TargetName, UnixDeadline, UnixMillis,
+};
+use porthoist_metrics::MetricsHub;
+use porthoist_policy::proxy::placement::{RequestWork, SendOutcome};
+use porthoist_policy::proxy::retry_share::{RetryShare, ShareSettings};
+use porthoist_policy::proxy::routes::{RouteError, RouteRule, TeamGrant};
+use slog::{Logger, info};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+
+mod admission;
+mod relay;
+
+use relay::EventRelay;
+
+/// Where a resumed stream goes on; also what callers send.
+const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+/// Longest answer that is kept in memory before it is passed on, in bytes.
+const MAX_WHOLE_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+/// When a caller should come back after a refusal for want of a place, in milliseconds: about two passes of a group,
+/// in which some streams end.
+const BUSY_RETRY_MILLIS: u64 = 250;
+/// When a caller should come back to a process without configuration or proof, in milliseconds. The balancer needs
+/// two questions, a second apart, to take the process out.
+const UNREADY_RETRY_MILLIS: u64 = 1_000;
+
+/// Settings of all courses.
+#[derive(Debug, Clone, bon::Builder)]
+pub struct CourseSettings {
+    /// Age in milliseconds at which the proof that the configuration is the newest no longer counts.
+    pub proof_millis: u64,
+    /// This process's share of repeats.
+    pub share: ShareSettings,
+    /// Part of its target latency that a request waits for a place at most. Who is refused within a quarter can still
+    /// be served in time elsewhere.
+    #[builder(default = 0.24)]
+    pub wait_part: f64,
+}
+
+/// What all courses of a process share.
+pub struct RequestCourse {
+    settings: CourseSettings,
+    codec: Rc<dyn WireCodec>,
+    state: watch::Receiver<ControlState>,
+    broker: PlaceBroker,
+    pool: ConnectionPool,
+    shares: RefCell<HashMap<ServiceName, RetryShare>>,
+    refused: RefCell<HashMap<u64, UnixDeadline>>,
+    in_flight: Cell<u64>,
+    stopping: Cell<bool>,
+    clock: Arc<dyn ClockSource>,
+    metrics: Arc<MetricsHub>,
+    logger: Logger,
+}
+
+impl std::fmt::Debug for RequestCourse {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("RequestCourse").field("in_flight", &self.in_flight.get()).finish_non_exhaustive()
+    }
+}
+
+/// A request that is allowed, with its body read.
+struct AdmittedRequest {
+    facts: RequestFacts,
+    head: Parts,
+    body: Bytes,
+    rule: Arc<RouteRule>,
+    grant: Option<TeamGrant>,
+    service: ServiceName,
+    ranked: bool,
+    arrival: UnixMillis,
+    deadline: UnixDeadline,
+    returned: bool,
+}
+
+impl AdmittedRequest {
+    fn priority(&self) -> u8 {
+        self.grant.as_ref().and_then(|grant| grant.priority).unwrap_or(self.rule.priority)
+    }
+
+    fn work(&self) -> RequestWork {
+        RequestWork { prompt_tokens: self.facts.prompt_tokens }
+    }
+
+    fn once(&self) -> bool {
+        !self.rule.kind.repeatable()
+    }
+}
+
+/// An end without a target's answer.
+#[derive(Debug, Clone, Copy)]
+struct CourseRefusal {
+    reason: RefusalReason,
+    status: StatusCode,
+    verdict: RunVerdict,
+    retry_millis: Option<u64>,
+}
+
+impl CourseRefusal {
+    /// A refusal of a request that the caller must change.
+    fn denied(reason: RefusalReason) -> Self {
+        let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_REQUEST);
+        Self { reason, status, verdict: RunVerdict::NotRun, retry_millis: None }
+    }
+
+    /// A refusal of a request that did not run and may come back.
+    fn later(reason: RefusalReason, retry_millis: u64) -> Self {
+        Self {
+            reason,
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            verdict: RunVerdict::NotRun,
+            retry_millis: Some(retry_millis),
+        }
+    }
+
+    /// The end of a request that may have run.
+    fn unknown(reason: RefusalReason, status: StatusCode) -> Self {
+        Self { reason, status, verdict: RunVerdict::MayHaveRun, retry_millis: None }
+    }
+}
+
+/// An answer of a target that was read to its end.
+struct WholeAnswer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// A target's answer to one send.
+enum TargetAnswer {
+    Whole(WholeAnswer),
+    Events(OpenAnswer),
+}
+
+/// Sends of one request so far.
+#[derive(Debug, Default)]
+struct SendRecord {
+    tried: Vec<TargetName>,
+    may_have_run: bool,
+    last_reason: Option<RetryReason>,
+}
+
+impl SendRecord {
+    fn failed(&mut self, failure: &SendFailure) {
+        self.may_have_run |= failure.verdict != RunVerdict::NotRun;
+        self.last_reason = Some(failure.reason);
+    }
+}
+
+/// Says in the log that the caller left, unless the course came to its end.
+struct CourseGuard {
+    course: Rc<RequestCourse>,
+    attempt: Arc<str>,
+    ended: Cell<bool>,
+}
+
+impl Drop for CourseGuard {
+    fn drop(&mut self) {
+        let course = &self.course;
+        course.in_flight.set(course.in_flight.get().saturating_sub(1));
+        if !self.ended.get() {
+            info!(course.logger, "caller left"; "event" => "caller_left", "request" => &*self.attempt);
+        }
+    }
+}
+
+impl RequestCourse {
+    /// Joins the parts of a course.
+    #[allow(clippy::too_many_arguments, reason = "each is one collaborator, named at the single call")]
+    pub fn new(
+        settings: CourseSettings,
+        codec: Rc<dyn WireCodec>,
+        state: watch::Receiver<ControlState>,
+        broker: PlaceBroker,
+        clock: Arc<dyn ClockSource>,
+        metrics: Arc<MetricsHub>,
+        logger: Logger,
+    ) -> Rc<Self> {
+        let pool = ConnectionPool::new(Arc::clone(&clock), Arc::clone(&metrics));
+        Rc::new(Self {
+            settings,
+            codec,
+            state,
+            broker,
+            pool,
+            shares: RefCell::default(),
+            refused: RefCell::default(),
+            in_flight: Cell::new(0),
+            stopping: Cell::new(false),
+            clock,
+            metrics,
+            logger,
+        })
+    }
+
+    /// Requests whose answer is not at its end.
+    pub fn in_flight(&self) -> u64 {
+        self.in_flight.get()
+    }
+
+    /// From now on every answer asks its caller to leave the connection.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+    }
+
+    /// Bounds on callers by the configuration in force.
+    pub fn limits(&self) -> Option<porthoist_policy::proxy::routes::CallerLimits> {
+        self.state.borrow().routes.as_ref().map(|routes| routes.limits)
+    }
+
+    /// Takes the targets believed in now.
+    pub fn sync_targets(&self) {
+        let state = self.state.borrow();
+        self.broker.sync(&state.targets);
+        let known: std::collections::HashSet<&TargetName> =
+            state.targets.records().map(|record| &record.id).collect();
+        self.pool.tidy(|id| known.contains(id));
+    }
+
+    /// Serves one request.
+    pub async fn serve(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+        let arrival = self.clock.now();
+        self.metrics.request();
+        self.in_flight.set(self.in_flight.get() + 1);
+        let (head, body) = request.into_parts();
+        let facts = self.codec.request_facts(&head.headers);
+        let attempt = facts.as_ref().map_or_else(|_error| Arc::from("-"), |facts| Arc::clone(&facts.attempt));
+        let guard =
+            CourseGuard { course: Rc::clone(&self), attempt: Arc::clone(&attempt), ended: Cell::new(false) };
+        let admitted = match facts {
+            Ok(facts) => self.admit(facts, head, body, arrival).await,
+            Err(error) => {
+                info!(self.logger, "unreadable headers"; "event" => "malformed", "error" => error.to_string());
+                Err(CourseRefusal::denied(RefusalReason::Malformed))
+            }
+        };
+        let outcome = match admitted {
+            Ok(admitted) => self.run(Rc::new(admitted), guard).await,
+            Err(refusal) => Err((refusal, guard)),
+        };
+        let mut reply = match outcome {
+            Ok(reply) => reply,
+            Err((refusal, guard)) => {
+                guard.ended.set(true);
+                self.refuse(refusal, &attempt, arrival)
+            }
+        };
+        if self.stopping.get() {
+            reply.headers_mut().insert(hyper::header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        reply
+    }
+
+    fn refuse(&self, refusal: CourseRefusal, attempt: &str, arrival: UnixMillis) -> Reply {
+        let CourseRefusal { reason, status, verdict, retry_millis } = refusal;
+        info!(self.logger, "refused"; "event" => "refused", "request" => attempt, "reason" => reason.as_str(),
+            "status" => status.as_u16(), "verdict" => verdict.as_str(), "retry_ms" => retry_millis,
+            "held_ms" => self.clock.now().since(arrival));
+        self.metrics.refusal(reason, verdict);
+        let mut reply = own_reply(status, reason, retry_millis);
+        self.codec.write_own_answer(attempt, reply.headers_mut());
+        reply
+    }
+
+    /// Sends a request until it is answered or nothing more is allowed.
+    async fn run(
+        self: &Rc<Self>,
+        admitted: Rc<AdmittedRequest>,
+        guard: CourseGuard,
+    ) -> Result<Reply, (CourseRefusal, CourseGuard)> {
+        let mut record = SendRecord::default();
+        loop {
+            let place = match self.find_place(&admitted, &record).await {
+                Ok(place) => place,
+                Err(refusal) => return Err((refusal, guard)),
+            };
+            let outcome = self.send(&admitted, &place, None, &mut record).await;
+            let failure = match outcome {
+                Ok(TargetAnswer::Events(answer)) => {
+                    return Ok(self.relay_events(admitted, place, answer, record, guard));
+                }
+                Ok(TargetAnswer::Whole(answer)) => {
+                    let server_error = answer.status.is_server_error();
+                    let retry = server_error && !admitted.once() && self.may_repeat(&admitted, &record);
+                    if !retry {
+                        guard.ended.set(true);
+                        return Ok(self.relay_whole(&admitted, &place, answer));
+                    }
+                    let detail = format!("status {}", answer.status.as_u16());
+                    SendFailure { verdict: RunVerdict::Ran, reason: RetryReason::BackendFailed, detail }
+                }
+                Err(failure) => failure,
+            };
+            drop(place);
+            record.failed(&failure);
+            if failure.reason == RetryReason::BackendFailed {
+                self.repeat(&admitted, &failure);
+                continue;
+            }
+            if let Err(refusal) = self.allow_repeat(&admitted, &record, &failure) {
+                return Err((refusal, guard));
+            }
+        }
+    }
+
+    async fn find_place(
+        &self,
+        admitted: &AdmittedRequest,
+        record: &SendRecord,
+    ) -> Result<TargetPlace, CourseRefusal> {
+        let now = self.clock.now();
+        let patience = (admitted.rule.target_latency_millis as f64 * self.settings.wait_part) as u64;
+        let wait = UnixDeadline::after(admitted.arrival, patience).min(admitted.deadline);
+        let demand = PlaceDemand {
+            service: admitted.service.clone(),
+            ranked: admitted.ranked,
+            work: admitted.work(),
+            priority: admitted.priority(),
+            returned: admitted.returned,
+            tried: record.tried.clone(),
+        };
+        // A repeat may wait as long again.
+        let wait = if record.tried.is_empty() {
+            wait
+        } else {
+            UnixDeadline::after(now, patience).min(admitted.deadline)
+        };
+        let placed = self.broker.place(demand, wait).await;
+        let waited = self.clock.now().since(now);
+        self.metrics.queue_wait(waited as f64);
+        match placed {
+            Ok(place) => {
+                info!(self.logger, "placed"; "event" => "placed", "request" => &*admitted.facts.attempt,
+                    "target" => place.record.id.to_string(), "in_flight" => place.in_flight, "waited_ms" => waited);
+                Ok(place)
+            }
+            Err(error) => Err(self.no_place(admitted, record, error)),
+        }
+    }
+
+    fn no_place(&self, admitted: &AdmittedRequest, record: &SendRecord, error: PlaceError) -> CourseRefusal {
+        let reason = match error {
+            PlaceError::Busy | PlaceError::Full => RefusalReason::Overloaded,
+            PlaceError::NoTarget => RefusalReason::NoTarget,
+        };
+        if record.may_have_run {
+            return CourseRefusal::unknown(reason, StatusCode::BAD_GATEWAY);
+        }
+        if let Some(session) = admitted.facts.session {
+            let remembered = UnixDeadline::after(self.clock.now(), admitted.rule.timeout_millis);
+            self.refused.borrow_mut().insert(session, remembered);
+        }
+        CourseRefusal::later(reason, BUSY_RETRY_MILLIS)
+    }
+
+    /// One send and what its answer proves.
+    async fn send(
+        &self,
+        admitted: &AdmittedRequest,
+        place: &TargetPlace,
+        after_event: Option<u64>,
+        record: &mut SendRecord,
+    ) -> Result<TargetAnswer, SendFailure> {
+        let began = self.clock.now();
+        let request = self.outgoing(admitted, place, after_event, began);
+        if record.tried.is_empty() {
+            self.share_of(&admitted.service, |share| share.first(began));
+        }
+        record.tried.push(place.record.id.clone());
+        let answer = self.pool.send(&place.record, request, admitted.once(), admitted.deadline).await;
+        let answer = match answer {
+            Ok(open) => self.read_answer(admitted, open).await,
+            Err(failure) => Err(failure),
+        };
+        let millis = self.clock.now().since(began) as f64;
+        match &answer {
+            Ok(TargetAnswer::Whole(whole)) if whole.status.is_server_error() => {
+                place.ended(SendOutcome::Failed)
+            }
+            Ok(_answer) => place.ended(SendOutcome::Answered(millis)),
+            Err(failure) => {
+                let shed = failure.reason == RetryReason::Refused;
+                place.ended(if shed { SendOutcome::Shed } else { SendOutcome::Failed });
+                info!(self.logger, "send failed"; "event" => "send_failed",
+                    "request" => &*admitted.facts.attempt, "target" => place.record.id.to_string(),
+                    "reason" => failure.reason.as_str(), "verdict" => failure.verdict.as_str(),
+                    "detail" => &failure.detail, "took_ms" => millis);
+            }
+        }
+        answer
+    }
+
+    fn outgoing(
+        &self,
+        admitted: &AdmittedRequest,
+        place: &TargetPlace,
+        after_event: Option<u64>,
+        now: UnixMillis,
+    ) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(admitted.body.clone()));
+        *request.method_mut() = admitted.head.method.clone();
+        *request.uri_mut() = admitted.head.uri.clone();
+        let mut headers = admitted.head.headers.clone();
+        strip_hop_headers(&mut headers);
+        headers.remove(CONTENT_LENGTH);
+        if !admitted.body.is_empty() {
+            headers.insert(CONTENT_LENGTH, HeaderValue::from(admitted.body.len()));
+        }
+        if let Some(id) = after_event {
+            headers.insert(LAST_EVENT_ID, HeaderValue::from(id));
+        }
+        let facts = SendFacts {
+            target: &place.record.id,
+            team: admitted.grant.as_ref().map(|grant| &grant.team),
+            remaining_millis: admitted.deadline.0.since(now),
+            priority: admitted.priority().min(9),
+        };
+        self.codec.write_send(&mut headers, &facts);
+        *request.headers_mut() = headers;
+        request
+    }
+
+    async fn read_answer(
+        &self,
+        admitted: &AdmittedRequest,
+        answer: OpenAnswer,
+    ) -> Result<TargetAnswer, SendFailure> {
+        let status = answer.head.status;
+        let facts = self.codec.answer_facts(&admitted.facts.attempt, status, &answer.head.headers);
+        if facts.own == Some(false) {
+            return Err(SendFailure::lost("the answer names another request"));
+        }
+        if facts.not_executed {
+            let whole = self.read_whole(admitted, answer).await;
+            let detail =
+                whole.map_or_else(|failure| failure.detail, |whole| format!("status {}", whole.status));
+            return Err(SendFailure { verdict: RunVerdict::NotRun, reason: RetryReason::Refused, detail });
+        }
+        if status.is_success() && !(facts.signed && facts.own == Some(true)) {
+            return Err(SendFailure::lost("a success without signature or request"));
+        }
+        if status.is_success() && admitted.rule.kind.streams() {
+            return Ok(TargetAnswer::Events(answer));
+        }
+        let promise = matches!(
+            status,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS | StatusCode::REQUEST_TIMEOUT
+        );
+        if promise {
+            // Callers take these for a promise that the target has not given.
+            return Err(SendFailure::lost(format!("status {} without proof", status.as_u16())));
+        }
+        self.read_whole(admitted, answer).await.map(TargetAnswer::Whole)
+    }
+
+    async fn read_whole(
+        &self,
+        admitted: &AdmittedRequest,
+        answer: OpenAnswer,
+    ) -> Result<WholeAnswer, SendFailure> {
+        let OpenAnswer { head, body, lease } = answer;
+        let patience = admitted.deadline.remaining(self.clock.now());
+        let reading = Limited::new(body, MAX_WHOLE_ANSWER_BYTES).collect();
+        let collected = tokio::time::timeout(patience, reading).await;
+        let body = collected
+            .map_err(|_elapsed| SendFailure::lost("the answer was not whole in time"))?
+            .map_err(SendFailure::lost)?
+            .to_bytes();
+        lease.give_back(&head.headers);
+        Ok(WholeAnswer { status: head.status, headers: head.headers, body })
+    }
+
+    fn relay_whole(&self, admitted: &AdmittedRequest, place: &TargetPlace, answer: WholeAnswer) -> Reply {
+        let millis = self.clock.now().since(admitted.arrival);
+        self.metrics.answer(millis as f64);
+        info!(self.logger, "answered"; "event" => "answered", "request" => &*admitted.facts.attempt,
+            "target" => place.record.id.to_string(), "status" => answer.status.as_u16(), "took_ms" => millis);
+        whole_reply(answer.status, relayed_headers(answer.headers), answer.body)
+    }
+
+    fn relay_events(
+        self: &Rc<Self>,
+        admitted: Rc<AdmittedRequest>,
+        place: TargetPlace,
+        answer: OpenAnswer,
+        record: SendRecord,
+        guard: CourseGuard,
+    ) -> Reply {
+        let status = answer.head.status;
+        let headers = relayed_headers(answer.head.headers.clone());
+        let relay = EventRelay::new(Rc::clone(self), admitted, place, answer, record, guard);
+        piecewise_reply(status, headers, relay.pieces())
+    }
+
+    /// Whether one more send is within the route's attempts and the deadline.
+    fn may_repeat(&self, admitted: &AdmittedRequest, record: &SendRecord) -> bool {
+        let attempts = record.tried.len() as u32;
+        let in_time = !admitted.deadline.passed(self.clock.now());
+        let now = self.clock.now();
+        attempts < admitted.rule.max_attempts
+            && in_time
+            && self.share_of(&admitted.service, |share| share.take(now))
+    }
+
+    fn repeat(&self, admitted: &AdmittedRequest, failure: &SendFailure) {
+        self.metrics.retry(failure.reason);
+        info!(self.logger, "sent again"; "event" => "sent_again", "request" => &*admitted.facts.attempt,
+            "reason" => failure.reason.as_str());
+    }
+
+    /// Allows one more send after a failure, or says how the request ends.
+    fn allow_repeat(
+        &self,
+        admitted: &AdmittedRequest,
+        record: &SendRecord,
+        failure: &SendFailure,
+    ) -> Result<(), CourseRefusal> {
+        let repeatable = !record.may_have_run || !admitted.once();
+        if repeatable && self.may_repeat(admitted, record) {
+            self.repeat(admitted, failure);
+            return Ok(());
+        }
+        let timed_out = admitted.deadline.passed(self.clock.now());
+        Err(match (record.may_have_run, timed_out) {
+            (true, true) => {
+                CourseRefusal::unknown(RefusalReason::DeadlinePassed, StatusCode::GATEWAY_TIMEOUT)
+            }
+            (true, false) => CourseRefusal::unknown(RefusalReason::ConnectionLost, StatusCode::BAD_GATEWAY),
+            (false, _) => {
+                let reason = match failure.reason {
+                    RetryReason::Unreachable => RefusalReason::Unreachable,
+                    _ => RefusalReason::Overloaded,
+                };
+                CourseRefusal::later(reason, BUSY_RETRY_MILLIS)
+            }
+        })
+    }
+
+    fn share_of<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryShare) -> T) -> T {
+        let mut shares = self.shares.borrow_mut();
+        let share = shares.entry(service.clone()).or_insert_with(|| RetryShare::new(self.settings.share));
+        act(share)
+    }
+
+    /// A pause that ends at the deadline.
+    fn patience(&self, deadline: UnixDeadline) -> Duration {
+        deadline.remaining(self.clock.now())
+    }
+}
+
+fn header_text(headers: &HeaderMap, name: HeaderName) -> Option<&str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+fn host_of(head: &Parts) -> &str {
+    head.uri.host().or_else(|| header_text(&head.headers, HOST)).unwrap_or_default()
+}
+
+fn key_error(error: RouteError) -> RefusalReason {
+    match error {
+        RouteError::NoRoute => RefusalReason::UnknownService,
+        RouteError::UnknownKey => RefusalReason::Unauthorized,
+    }
+}
--- /dev/null
+++ b/crates/porthoist-proxy/src/course/admission.rs
@@ -0,0 +1,134 @@
+//! Whether a request is allowed: a route, a key, proof that both are current, and a body within bounds.
+
+use super::{AdmittedRequest, CourseRefusal, RequestCourse, UNREADY_RETRY_MILLIS, host_of, key_error};
+use crate::wire::RequestFacts;
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use porthoist_core::{RefusalReason, ServiceName, UnixDeadline, UnixMillis};
+use porthoist_policy::proxy::routes::{RouteRule, RouteTable, TeamGrant};
+use slog::info;
+use std::sync::Arc;
+
+/// What the routes in force say of a request.
+struct RoutedRequest {
+    rule: Arc<RouteRule>,
+    grant: Option<TeamGrant>,
+    service: ServiceName,
+    ranked: bool,
+    body_bytes: usize,
+}
+
+impl RequestCourse {
+    pub(super) async fn admit(
+        &self,
+        facts: RequestFacts,
+        head: Parts,
+        body: Incoming,
+        arrival: UnixMillis,
+    ) -> Result<AdmittedRequest, CourseRefusal> {
+        let routed = self.route(&facts, &head, arrival)?;
+        let RoutedRequest { rule, grant, service, ranked, body_bytes } = routed;
+        let wait = facts.remaining_millis.unwrap_or(rule.timeout_millis).min(rule.timeout_millis);
+        let deadline = UnixDeadline::after(arrival, wait);
+        let body = self.read_body(body, body_bytes, deadline).await?;
+        let returned = self.was_refused(facts.session);
+        Ok(AdmittedRequest { facts, head, body, rule, grant, service, ranked, arrival, deadline, returned })
+    }
+
+    fn route(
+        &self,
+        facts: &RequestFacts,
+        head: &Parts,
+        arrival: UnixMillis,
+    ) -> Result<RoutedRequest, CourseRefusal> {
+        let (routes, proof) = {
+            let state = self.state.borrow();
+            (state.routes.clone(), state.proof)
+        };
+        let Some(routes) = routes else {
+            return Err(CourseRefusal::later(RefusalReason::NotReady, UNREADY_RETRY_MILLIS));
+        };
+        let age = proof.age(arrival);
+        let fresh = age.is_some_and(|age| age < self.settings.proof_millis);
+        let decided = Self::decide(&routes, facts, head);
+        match &decided {
+            // Without proof, neither a denial nor a key is known to be current.
+            Err(_denial) if !fresh => return Err(self.unproven(facts, &routes, age)),
+            Ok(routed) if !fresh && routes.keyed() && !routed.rule.public => {
+                return Err(self.unproven(facts, &routes, age));
+            }
+            _ => {}
+        }
+        if let Ok(routed) = &decided {
+            info!(self.logger, "admitted"; "event" => "admitted", "request" => &*facts.attempt,
+                "route" => &*routed.rule.name, "version" => routes.version.0, "proof_age_ms" => age);
+        }
+        decided
+    }
+
+    fn decide(
+        routes: &RouteTable,
+        facts: &RequestFacts,
+        head: &Parts,
+    ) -> Result<RoutedRequest, CourseRefusal> {
+        let denied = |error| CourseRefusal::denied(key_error(error));
+        let rule = routes.route(host_of(head), head.uri.path()).map_err(denied)?;
+        let grant = routes.team(&rule, facts.key.as_deref()).map_err(denied)?;
+        let hash = xxhash_rust::xxh3::xxh3_64(facts.attempt.as_bytes());
+        let service = rule.service(hash).cloned();
+        let service = service.ok_or(CourseRefusal::denied(RefusalReason::UnknownService))?;
+        let spec = routes.services.get(&service);
+        let ranked = spec.is_some_and(|spec| spec.engine.is_some());
+        let body_bytes = routes.limits.body_bytes;
+        Ok(RoutedRequest { rule, grant, service, ranked, body_bytes })
+    }
+
+    fn unproven(&self, facts: &RequestFacts, routes: &RouteTable, age: Option<u64>) -> CourseRefusal {
+        info!(self.logger, "the configuration may be out of date"; "event" => "unproven",
+            "request" => &*facts.attempt, "version" => routes.version.0, "proof_age_ms" => age);
+        CourseRefusal::later(RefusalReason::NotReady, UNREADY_RETRY_MILLIS)
+    }
+
+    async fn read_body(
+        &self,
+        body: Incoming,
+        body_bytes: usize,
+        deadline: UnixDeadline,
+    ) -> Result<Bytes, CourseRefusal> {
+        let reading = Limited::new(body, body_bytes).collect();
+        let collected = tokio::time::timeout(self.patience(deadline), reading).await;
+        let Ok(collected) = collected else {
+            return Err(CourseRefusal {
+                status: StatusCode::REQUEST_TIMEOUT,
+                ..CourseRefusal::denied(RefusalReason::DeadlinePassed)
+            });
+        };
+        match collected {
+            Ok(collected) => Ok(collected.to_bytes()),
+            Err(error) if error.is::<LengthLimitError>() => {
+                Err(CourseRefusal::denied(RefusalReason::BodyTooLong))
+            }
+            Err(error) => {
+                info!(self.logger, "unreadable body"; "event" => "malformed", "error" => error.to_string());
+                Err(CourseRefusal::denied(RefusalReason::Malformed))
+            }
+        }
+    }
+
+    /// Whether the session was refused a short while ago; it is forgotten with the question.
+    fn was_refused(&self, session: Option<u64>) -> bool {
+        let now = self.clock.now();
+        let mut refused = self.refused.borrow_mut();
+        if refused.len() > MAX_REFUSED {
+            refused.retain(|_session, deadline| !deadline.passed(now));
+        }
+        let Some(deadline) = session.and_then(|session| refused.remove(&session)) else { return false };
+        !deadline.passed(now)
+    }
+}
+
+/// Refused sessions remembered before old ones are dropped; at 100 refusals a second, 40 s worth.
+const MAX_REFUSED: usize = 4_096;
--- /dev/null
+++ b/crates/porthoist-proxy/src/course/relay.rs
@@ -0,0 +1,211 @@
+//! Passes a stream on, event by event, and goes on at another target after its last event where that is allowed.
+
+use super::{AdmittedRequest, CourseGuard, RequestCourse, SendRecord, TargetAnswer};
+use crate::broker::TargetPlace;
+use crate::events::{EventSplitter, WholeEvent};
+use crate::exchange::{OpenAnswer, SendFailure};
+use crate::reply::PieceStream;
+use bytes::Bytes;
+use futures::StreamExt as _;
+use http_body_util::BodyExt as _;
+use hyper::body::Frame;
+use porthoist_core::{RetryReason, UnixMillis};
+use porthoist_policy::proxy::placement::SendOutcome;
+use slog::info;
+use std::io;
+use std::rc::Rc;
+
+/// A stream on its way to a caller.
+pub(super) struct EventRelay {
+    course: Rc<RequestCourse>,
+    admitted: Rc<AdmittedRequest>,
+    source: Option<EventSource>,
+    splitter: EventSplitter,
+    last_id: Option<u64>,
+    passed_on: u64,
+    first_at: Option<UnixMillis>,
+    last_at: UnixMillis,
+    record: SendRecord,
+    guard: CourseGuard,
+}
+
+/// The target that a stream comes from.
+struct EventSource {
+    place: TargetPlace,
+    answer: OpenAnswer,
+}
+
+/// What a stream brings next.
+enum RelayStep {
+    Event(WholeEvent),
+    End,
+    Broken(String),
+}
+
+impl EventRelay {
+    pub(super) fn new(
+        course: Rc<RequestCourse>,
+        admitted: Rc<AdmittedRequest>,
+        place: TargetPlace,
+        answer: OpenAnswer,
+        record: SendRecord,
+        guard: CourseGuard,
+    ) -> Self {
+        let after = super::header_text(&admitted.head.headers, super::LAST_EVENT_ID);
+        let last_id = after.and_then(|text| text.trim().parse().ok());
+        let last_at = course.clock.now();
+        Self {
+            course,
+            admitted,
+            source: Some(EventSource { place, answer }),
+            splitter: EventSplitter::default(),
+            last_id,
+            passed_on: 0,
+            first_at: None,
+            last_at,
+            record,
+            guard,
+        }
+    }
+
+    /// The stream as body of an answer.
+    pub(super) fn pieces(self) -> PieceStream {
+        futures::stream::unfold(Some(self), |relay| async move {
+            let mut relay = relay?;
+            match relay.next_piece().await {
+                Some(Ok(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
+                Some(Err(error)) => Some((Err(error), None)),
+                None => None,
+            }
+        })
+        .boxed_local()
+    }
+
+    /// The next event's bytes; nothing at the orderly end; an error where the stream must end unfinished.
+    async fn next_piece(&mut self) -> Option<io::Result<Bytes>> {
+        loop {
+            let step = match self.next_step().await {
+                RelayStep::Event(event) => match self.check(&event) {
+                    Ok(()) => return Some(Ok(self.pass_on(event))),
+                    Err(detail) => RelayStep::Broken(detail),
+                },
+                step => step,
+            };
+            match step {
+                RelayStep::End => {
+                    self.finish();
+                    return None;
+                }
+                RelayStep::Broken(detail) => {
+                    if let Err(error) = self.resume(detail).await {
+                        return Some(Err(error));
+                    }
+                }
+                RelayStep::Event(_event) => unreachable!("events were passed on above"),
+            }
+        }
+    }
+
+    async fn next_step(&mut self) -> RelayStep {
+        loop {
+            match self.splitter.next_event() {
+                Ok(Some(event)) => return RelayStep::Event(event),
+                Ok(None) => {}
+                Err(error) => return RelayStep::Broken(error.to_string()),
+            }
+            let Some(source) = &mut self.source else { return RelayStep::Broken("no target".to_owned()) };
+            let patience = self.course.patience(self.admitted.deadline);
+            let frame = tokio::time::timeout(patience, source.answer.body.frame()).await;
+            match frame {
+                Err(_elapsed) => return RelayStep::Broken("not whole in time".to_owned()),
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        self.splitter.push(&bytes);
+                    }
+                }
+                Ok(Some(Err(error))) => return RelayStep::Broken(error.to_string()),
+                Ok(None) if self.splitter.has_rest() => {
+                    return RelayStep::Broken("it ended within an event".to_owned());
+                }
+                Ok(None) => return RelayStep::End,
+            }
+        }
+    }
+
+    /// Identifiers must rise by one.
+    fn check(&self, event: &WholeEvent) -> Result<(), String> {
+        match (self.last_id, event.id) {
+            (Some(last), Some(id)) if id != last + 1 => Err(format!("event {id} came after {last}")),
+            _ => Ok(()),
+        }
+    }
+
+    fn pass_on(&mut self, event: WholeEvent) -> Bytes {
+        let now = self.course.clock.now();
+        if self.first_at.is_none() {
+            self.first_at = Some(now);
+            let first = now.since(self.admitted.arrival) as f64;
+            self.course.metrics.answer(first);
+        } else {
+            self.course.metrics.event_pause(now.since(self.last_at) as f64);
+        }
+        self.last_at = now;
+        self.passed_on += 1;
+        self.last_id = event.id.or(self.last_id);
+        event.bytes
+    }
+
+    fn finish(&mut self) {
+        self.guard.ended.set(true);
+        let Some(EventSource { place, answer }) = self.source.take() else { return };
+        let first = self.first_at.map(|first| first.since(self.admitted.arrival));
+        info!(self.course.logger, "streamed"; "event" => "answered",
+            "request" => &*self.admitted.facts.attempt, "target" => place.record.id.to_string(),
+            "events" => self.passed_on, "first_ms" => first,
+            "took_ms" => self.course.clock.now().since(self.admitted.arrival));
+        place.ended(SendOutcome::Answered(first.unwrap_or_default() as f64));
+        answer.lease.give_back(&answer.head.headers);
+    }
+
+    /// Goes on at another target, or ends the stream unfinished.
+    async fn resume(&mut self, detail: String) -> io::Result<()> {
+        let mut failure = SendFailure::lost(detail);
+        if let Some(source) = self.source.take() {
+            source.place.ended(SendOutcome::Failed);
+            info!(self.course.logger, "stream broke"; "event" => "stream_broken",
+                "request" => &*self.admitted.facts.attempt, "target" => source.place.record.id.to_string(),
+                "events" => self.passed_on, "last_id" => self.last_id, "detail" => &failure.detail);
+        }
+        self.splitter.clear();
+        loop {
+            failure.reason = RetryReason::StreamResumed;
+            self.record.failed(&failure);
+            if self.course.allow_repeat(&self.admitted, &self.record, &failure).is_err() {
+                return Err(self.give_up(&failure.detail));
+            }
+            let Ok(place) = self.course.find_place(&self.admitted, &self.record).await else {
+                return Err(self.give_up("no place to go on"));
+            };
+            let sent = self.course.send(&self.admitted, &place, self.last_id, &mut self.record).await;
+            match sent {
+                Ok(TargetAnswer::Events(answer)) => {
+                    self.source = Some(EventSource { place, answer });
+                    return Ok(());
+                }
+                Ok(TargetAnswer::Whole(whole)) => {
+                    failure = SendFailure::lost(format!("status {}", whole.status.as_u16()));
+                }
+                Err(next) => failure = next,
+            }
+        }
+    }
+
+    fn give_up(&self, detail: &str) -> io::Error {
+        self.guard.ended.set(true);
+        self.course.metrics.broken_stream();
+        info!(self.course.logger, "stream ends unfinished"; "event" => "stream_unfinished",
+            "request" => &*self.admitted.facts.attempt, "events" => self.passed_on, "last_id" => self.last_id,
+            "detail" => detail, "took_ms" => self.course.clock.now().since(self.admitted.arrival));
+        io::Error::other("the stream can't go on")
+    }
+}
--- /dev/null
+++ b/crates/porthoist-proxy/src/exchange.rs
@@ -0,0 +1,286 @@
+//! One send of a request to one target: a pooled connection, the request, and the head of its answer.
+//!
+//! Every failure says whether the request may have run. A connection whose exchange did not end in order is closed at
+//! once, which also ends the work at its target, and is never used again.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{CONNECTION, HeaderMap, HeaderName};
+use hyper::http::response::Parts;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use porthoist_core::{ClockSource, RetryReason, RunVerdict, TargetName, UnixDeadline, UnixMillis};
+use porthoist_metrics::MetricsHub;
+use porthoist_policy::proxy::targets::TargetRecord;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::fmt;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// Time in milliseconds for a new connection; some hundred times the way between availability zones.
+const CONNECT_MILLIS: u64 = 400;
+/// How long an idle connection is used again where its target announces no limit, in milliseconds.
+const IDLE_MILLIS: u64 = 4_000;
+/// Kept from an announced limit, in milliseconds, for the way and for rounding to whole seconds.
+const IDLE_MARGIN_MILLIS: u64 = 1_000;
+/// A request that may run once goes only over a connection that was used so many milliseconds ago at most: a target
+/// that closes an idle connection would leave it unknown whether the request ran.
+const ONCE_IDLE_MILLIS: u64 = 1_500;
+/// Idle connections kept for one target.
+const MAX_IDLE: usize = 16;
+
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// Why a send brought no answer.
+#[derive(Debug, Clone, thiserror::Error)]
+#[error("{reason} ({verdict}): {detail}")]
+pub struct SendFailure {
+    /// Whether the request may have run.
+    pub verdict: RunVerdict,
+    /// The reason to count.
+    pub reason: RetryReason,
+    /// What happened.
+    pub detail: String,
+}
+
+impl SendFailure {
+    fn not_sent(detail: impl fmt::Display) -> Self {
+        Self { verdict: RunVerdict::NotRun, reason: RetryReason::Unreachable, detail: detail.to_string() }
+    }
+
+    /// The connection broke, or the answer can't be used, after the request was written.
+    pub fn lost(detail: impl fmt::Display) -> Self {
+        Self {
+            verdict: RunVerdict::MayHaveRun,
+            reason: RetryReason::ConnectionLost,
+            detail: detail.to_string(),
+        }
+    }
+}
+
+struct IdleConnection {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    idle_since: UnixMillis,
+    usable: UnixDeadline,
+}
+
+/// Connections to targets that wait for their next request.
+#[derive(Clone)]
+pub struct ConnectionPool {
+    idle: Rc<RefCell<HashMap<TargetName, Vec<IdleConnection>>>>,
+    clock: Arc<dyn ClockSource>,
+    metrics: Arc<MetricsHub>,
+}
+
+impl fmt::Debug for ConnectionPool {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ConnectionPool").field("targets", &self.idle.borrow().len()).finish_non_exhaustive()
+    }
+}
+
+/// A connection in use. Dropping it closes the connection.
+pub struct ConnectionLease {
+    sender: Option<SendRequest<Full<Bytes>>>,
+    task: AbortHandle,
+    target: TargetName,
+    pool: ConnectionPool,
+}
+
+impl fmt::Debug for ConnectionLease {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ConnectionLease").field("target", &self.target).finish_non_exhaustive()
+    }
+}
+
+impl Drop for ConnectionLease {
+    fn drop(&mut self) {
+        if self.sender.is_some() {
+            self.task.abort();
+        }
+    }
+}
+
+impl ConnectionLease {
+    /// Returns a connection whose answer was read to its end.
+    pub fn give_back(mut self, headers: &HeaderMap) {
+        let Some(idle_millis) = reusable_millis(headers) else { return };
+        let Some(sender) = self.sender.take() else { return };
+        if sender.is_closed() {
+            return;
+        }
+        let now = self.pool.clock.now();
+        let connection = IdleConnection {
+            sender,
+            task: self.task.clone(),
+            idle_since: now,
+            usable: UnixDeadline::after(now, idle_millis),
+        };
+        let mut idle = self.pool.idle.borrow_mut();
+        let connections = idle.entry(self.target.clone()).or_default();
+        if connections.len() >= MAX_IDLE {
+            connections.remove(0).task.abort();
+        }
+        connections.push(connection);
+    }
+}
+
+/// How long a connection may be used again after an answer with these headers; nothing if it may not.
+fn reusable_millis(headers: &HeaderMap) -> Option<u64> {
+    let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+    if text(&CONNECTION).is_some_and(|value| value.to_ascii_lowercase().contains("close")) {
+        return None;
+    }
+    let announced = text(&KEEP_ALIVE).and_then(|value| {
+        let field = value.split(',').find_map(|field| field.trim().strip_prefix("timeout="))?;
+        field.trim().parse::<u64>().ok()
+    });
+    match announced {
+        Some(seconds) => {
+            let millis = seconds.saturating_mul(1_000).saturating_sub(IDLE_MARGIN_MILLIS);
+            (millis > 0).then_some(millis)
+        }
+        None => Some(IDLE_MILLIS),
+    }
+}
+
+/// An answer whose body is still to be read.
+#[derive(Debug)]
+pub struct OpenAnswer {
+    /// Status and headers.
+    pub head: Parts,
+    /// The body.
+    pub body: Incoming,
+    /// The connection it comes over.
+    pub lease: ConnectionLease,
+}
+
+impl ConnectionPool {
+    /// An empty pool.
+    pub fn new(clock: Arc<dyn ClockSource>, metrics: Arc<MetricsHub>) -> Self {
+        Self { idle: Rc::default(), clock, metrics }
+    }
+
+    /// Sends a request and waits for the head of its answer until the deadline.
+    pub async fn send(
+        &self,
+        target: &TargetRecord,
+        request: Request<Full<Bytes>>,
+        once: bool,
+        deadline: UnixDeadline,
+    ) -> Result<OpenAnswer, SendFailure> {
+        let mut request = request;
+        // An idle connection that its target has closed hands the request back unsent.
+        while let Some(mut lease) = self.idle_lease(&target.id, once) {
+            match self.exchange(&mut lease, request, deadline).await {
+                Ok(answer) => return Ok(open(answer, lease)),
+                Err(ExchangeFailure::Unsent(unsent)) => request = *unsent,
+                Err(ExchangeFailure::Failed(failure)) => return Err(failure),
+            }
+        }
+        let mut lease = self.connect(target, deadline).await?;
+        match self.exchange(&mut lease, request, deadline).await {
+            Ok(answer) => Ok(open(answer, lease)),
+            Err(ExchangeFailure::Unsent(_request)) => Err(SendFailure::not_sent("closed before the request")),
+            Err(ExchangeFailure::Failed(failure)) => Err(failure),
+        }
+    }
+
+    /// Closes what has been idle too long, and all connections to targets that are not kept.
+    pub fn tidy(&self, keep: impl Fn(&TargetName) -> bool) {
+        let now = self.clock.now();
+        let mut idle = self.idle.borrow_mut();
+        for (target, connections) in idle.iter_mut() {
+            let known = keep(target);
+            connections.retain(|connection| {
+                let usable = known && !connection.sender.is_closed() && !connection.usable.passed(now);
+                if !usable {
+                    connection.task.abort();
+                }
+                usable
+            });
+        }
+        idle.retain(|_target, connections| !connections.is_empty());
+    }
+
+    fn idle_lease(&self, target: &TargetName, once: bool) -> Option<ConnectionLease> {
+        let now = self.clock.now();
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(target)?;
+        while let Some(connection) = connections.pop() {
+            let recent = !once || now.since(connection.idle_since) <= ONCE_IDLE_MILLIS;
+            if connection.sender.is_ready() && recent && !connection.usable.passed(now) {
+                return Some(ConnectionLease {
+                    sender: Some(connection.sender),
+                    task: connection.task,
+                    target: target.clone(),
+                    pool: self.clone(),
+                });
+            }
+            connection.task.abort();
+        }
+        None
+    }
+
+    async fn connect(
+        &self,
+        target: &TargetRecord,
+        deadline: UnixDeadline,
+    ) -> Result<ConnectionLease, SendFailure> {
+        let patience = deadline.remaining(self.clock.now()).min(Duration::from_millis(CONNECT_MILLIS));
+        let connected = tokio::time::timeout(patience, TcpStream::connect(target.address)).await;
+        let stream = connected
+            .map_err(|_elapsed| SendFailure::not_sent("no connection in time"))?
+            .map_err(SendFailure::not_sent)?;
+        // Small requests must not wait for an acknowledgement; an error here only costs latency.
+        drop(stream.set_nodelay(true));
+        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(SendFailure::not_sent)?;
+        self.metrics.connection();
+        let task = tokio::task::spawn_local(async move {
+            // A broken connection shows in the exchange that uses it.
+            drop(connection.await);
+        });
+        Ok(ConnectionLease {
+            sender: Some(sender),
+            task: task.abort_handle(),
+            target: target.id.clone(),
+            pool: self.clone(),
+        })
+    }
+
+    async fn exchange(
+        &self,
+        lease: &mut ConnectionLease,
+        request: Request<Full<Bytes>>,
+        deadline: UnixDeadline,
+    ) -> Result<Response<Incoming>, ExchangeFailure> {
+        let sender = lease.sender.as_mut().expect("a lease in use has its sender");
+        let patience = deadline.remaining(self.clock.now());
+        let answered = tokio::time::timeout(patience, sender.try_send_request(request)).await;
+        match answered {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(mut failure)) => match failure.take_message() {
+                Some(unsent) => Err(ExchangeFailure::Unsent(Box::new(unsent))),
+                None => Err(ExchangeFailure::Failed(SendFailure::lost(failure.into_error()))),
+            },
+            Err(_elapsed) => Err(ExchangeFailure::Failed(SendFailure::lost("no answer in time"))),
+        }
+    }
+}
+
+enum ExchangeFailure {
+    Unsent(Box<Request<Full<Bytes>>>),
+    Failed(SendFailure),
+}
+
+fn open(answer: Response<Incoming>, lease: ConnectionLease) -> OpenAnswer {
+    let (head, body) = answer.into_parts();
+    OpenAnswer { head, body, lease }
+}
--- /dev/null
+++ b/crates/porthoist-proxy/src/lib.rs
@@ -0,0 +1,20 @@
+//! Requests that are passed on as they are: any method, path and body, by routes of host and path prefix.
+//!
+//! One duty accepts callers, finds a place at a target for each request, and relays its answer or its stream of
+//! events. How facts stand in headers is behind [`wire::WireCodec`], and where routes and targets come from behind
+//! [`control::ControlSource`].
+
+pub mod broker;
+pub mod control;
+pub mod course;
+pub mod events;
+pub mod exchange;
+pub mod reply;
+pub mod server;
+pub mod wire;
+
+pub use broker::{BrokerSettings, PlaceBroker};
+pub use control::{ControlSource, ControlState, ControlWatch, SourceError, Stamped};
+pub use course::{CourseSettings, RequestCourse};
+pub use server::{ProxyServer, serve_proxy};
+pub use wire::{AnswerFacts, FactsError, RequestFacts, SendFacts, WireCodec};
--- a/porthoistd/src/duty.rs
+++ b/porthoistd/src/duty.rs
@@ -9,6 +9,7 @@
 pub mod platform;
 pub mod routing;
 pub mod signals;
+pub mod status;
 pub mod target_fleet;
 
 use std::io;
--- a/porthoistd/src/duty/signals.rs
+++ b/porthoistd/src/duty/signals.rs
@@ -27,3 +27,15 @@
     tokio::time::sleep(std::time::Duration::from_millis(50)).await;
     std::process::exit(CUT_OFF_STATUS);
 }
+
+/// Says in the log that the settings were read again. Nothing that a running process uses of them can change: what
+/// changes comes from the table service.
+pub async fn watch_reloads(logger: Logger) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        warn!(logger, "the reload signal can't be watched");
+        return;
+    };
+    while hangup.recv().await.is_some() {
+        info!(logger, "reloaded"; "event" => "reload", "changed" => 0);
+    }
+}
--- /dev/null
+++ b/porthoistd/src/duty/status.rs
@@ -0,0 +1,99 @@
+//! The status duty: tells the balancer whether the process takes new connections, and serves metrics.
+
+use hyper::{Request, StatusCode};
+use porthoist_core::ClockSource;
+use porthoist_http::{HttpResponse, ServerSettings, serve_until, text_response};
+use porthoist_metrics::MetricsHub;
+use porthoist_proxy::ControlState;
+use slog::{Logger, info};
+use std::net::TcpListener as StdListener;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// Path of the metrics.
+pub const METRICS_PATH: &str = "/metrics";
+
+/// Answers the balancer and whoever collects metrics.
+#[derive(Debug)]
+pub struct StatusDuty {
+    /// Path of the balancer's question.
+    pub ready_path: &'static str,
+    /// What the process believes.
+    pub state: watch::Receiver<ControlState>,
+    /// Whether it stops.
+    pub stopping: watch::Receiver<bool>,
+    /// Age in milliseconds at which the proof of the newest configuration no longer counts.
+    pub proof_millis: u64,
+    /// The present time.
+    pub clock: Arc<dyn ClockSource>,
+    /// What is counted.
+    pub metrics: Arc<MetricsHub>,
+    /// For the log.
+    pub logger: Logger,
+    /// The last answer, to log changes only.
+    pub last_ready: AtomicBool,
+}
+
+impl StatusDuty {
+    /// Serves both listeners for ever.
+    pub async fn run(self: Arc<Self>, ready: StdListener, metrics: StdListener) {
+        let never = watch::Sender::new(false);
+        let questions = Arc::clone(&self);
+        let ready = serve_until(
+            TcpListener::from_std(ready).expect("a bound listener fits the runtime"),
+            ServerSettings::default(),
+            never.subscribe(),
+            move |request| {
+                let answer = questions.ready(&request);
+                async move { answer }
+            },
+        );
+        let metrics = serve_until(
+            TcpListener::from_std(metrics).expect("a bound listener fits the runtime"),
+            ServerSettings::default(),
+            never.subscribe(),
+            move |request| {
+                let answer = self.metrics(&request);
+                async move { answer }
+            },
+        );
+        tokio::join!(ready, metrics);
+    }
+
+    fn ready<B>(&self, request: &Request<B>) -> HttpResponse {
+        if request.uri().path() != self.ready_path {
+            return text_response(StatusCode::NOT_FOUND, "not found\n");
+        }
+        let problem = self.problem();
+        let ready = problem.is_none();
+        if self.last_ready.swap(ready, Ordering::Relaxed) != ready {
+            info!(self.logger, "readiness changed"; "event" => "readiness", "ready" => ready, "problem" => problem);
+        }
+        match problem {
+            None => text_response(StatusCode::OK, "ready\n"),
+            Some(problem) => text_response(StatusCode::SERVICE_UNAVAILABLE, format!("{problem}\n")),
+        }
+    }
+
+    fn problem(&self) -> Option<&'static str> {
+        if *self.stopping.borrow() {
+            return Some("stopping");
+        }
+        let state = self.state.borrow();
+        if state.routes.is_none() {
+            return Some("no configuration");
+        }
+        let age = state.proof.age(self.clock.now());
+        let fresh = age.is_some_and(|age| age < self.proof_millis);
+        (!fresh).then_some("the configuration may be out of date")
+    }
+
+    fn metrics<B>(&self, request: &Request<B>) -> HttpResponse {
+        if request.uri().path() != METRICS_PATH {
+            return text_response(StatusCode::NOT_FOUND, "not found\n");
+        }
+        text_response(StatusCode::OK, self.metrics.text())
+    }
+}
--- a/porthoistd/src/lib.rs
+++ b/porthoistd/src/lib.rs
@@ -9,7 +9,8 @@
 pub mod settings;
 
 use miette::IntoDiagnostic as _;
-use settings::{DaemonRole, DaemonSettings};
+use settings::proxy::ProxySettings;
+use settings::{DaemonCommand, DaemonRole, DaemonSettings, LogFormat};
 use slog::Logger;
 
 /// A daemon that is ready to run.
@@ -36,3 +37,22 @@
         .into_diagnostic()
     }
 }
+
+impl DaemonCommand {
+    /// Checks the command's settings and runs its role until a signal ends it.
+    pub fn run(self) -> miette::Result<()> {
+        let environment = |name: &str| std::env::var(name).ok();
+        match self {
+            Self::Proxy(args) => {
+                let check = args.check;
+                let settings = ProxySettings::load(args, environment)?;
+                if check {
+                    println!("the settings are valid");
+                    return Ok(());
+                }
+                let logger = logging::logger(LogFormat::Json, settings.log_level);
+                role::proxy::run(settings, &logger).into_diagnostic()
+            }
+        }
+    }
+}
--- a/porthoistd/src/logging.rs
+++ b/porthoistd/src/logging.rs
@@ -1,20 +1,84 @@
-//! Structured logs on standard error, as JSON lines or for a terminal.
+//! Structured logs: JSON lines on standard output, or lines for a terminal on standard error.
+//!
+//! Logging never blocks the thread that logs, and a process writes a bounded number of lines a second.
 
 use crate::settings::LogFormat;
-use slog::{Drain as _, Level, LevelFilter, Logger, o};
+use slog::{Drain, Level, LevelFilter, Logger, Never, OwnedKVList, Record, o};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 /// Records that wait for a slow reader of the log; more are dropped and counted by slog.
 const LOG_BACKLOG: usize = 4096;
+/// Lines a second that a process writes at most. At the users' rates an entry writes about 60.
+const LINES_A_SECOND: u32 = 500;
 
 /// A logger that never blocks the thread that logs.
 pub fn logger(format: LogFormat, level: Level) -> Logger {
-    let drain: Box<dyn slog::Drain<Ok = (), Err = slog::Never> + Send> = match format {
-        LogFormat::Json => Box::new(slog_json::Json::default(std::io::stderr()).ignore_res()),
+    let drain: Box<dyn Drain<Ok = (), Err = Never> + Send> = match format {
+        LogFormat::Json => Box::new(slog_json::Json::default(std::io::stdout()).ignore_res()),
         LogFormat::Terminal => {
             let decorator = slog_term::TermDecorator::new().stderr().build();
             Box::new(slog_term::FullFormat::new(decorator).build().ignore_res())
         }
     };
     let drain = slog_async::Async::new(drain).chan_size(LOG_BACKLOG).build().ignore_res();
+    let drain = BoundedDrain::new(drain, LINES_A_SECOND);
     Logger::root(LevelFilter::new(drain, level).ignore_res(), o!())
 }
+
+/// Passes a bounded number of lines a second on, and says how many it dropped.
+#[derive(Debug)]
+pub struct BoundedDrain<D> {
+    drain: D,
+    limit: u32,
+    second: Mutex<LogSecond>,
+}
+
+#[derive(Debug)]
+struct LogSecond {
+    end: Instant,
+    lines: u32,
+    dropped: u32,
+}
+
+impl<D> BoundedDrain<D> {
+    /// A bound of `limit` lines a second before a drain.
+    pub fn new(drain: D, limit: u32) -> Self {
+        let second = LogSecond { end: Instant::now(), lines: 0, dropped: 0 };
+        Self { drain, limit, second: Mutex::new(second) }
+    }
+
+    /// Whether one more line may pass, and how many were dropped in the second before.
+    fn admit(&self) -> (bool, u32) {
+        let now = Instant::now();
+        let mut second = self.second.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut dropped = 0;
+        if now >= second.end {
+            dropped = second.dropped;
+            *second = LogSecond { end: now + Duration::from_secs(1), lines: 0, dropped: 0 };
+        }
+        second.lines += 1;
+        let admitted = second.lines <= self.limit;
+        if !admitted {
+            second.dropped += 1;
+        }
+        (admitted, dropped)
+    }
+}
+
+impl<D: Drain<Ok = (), Err = Never>> Drain for BoundedDrain<D> {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
+        let (admitted, dropped) = self.admit();
+        if dropped > 0 {
+            let location = record.location();
+            let told = slog::RecordStatic { location, tag: "", level: Level::Warning };
+            let text = format_args!("log lines dropped");
+            let pairs = slog::b!("event" => "log_lines_dropped", "count" => dropped);
+            self.drain.log(&Record::new(&told, &text, pairs), values)?;
+        }
+        if admitted { self.drain.log(record, values) } else { Ok(()) }
+    }
+}
--- a/porthoistd/src/main.rs
+++ b/porthoistd/src/main.rs
@@ -7,7 +7,10 @@
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
 fn main() -> miette::Result<()> {
-    let args: DaemonArgs = argh::from_env();
+    let mut args: DaemonArgs = argh::from_env();
+    if let Some(command) = args.command.take() {
+        return command.run();
+    }
     let check = args.check;
     let settings = DaemonSettings::load(args, |name| std::env::var(name).ok())?;
     if check {
--- a/porthoistd/src/role.rs
+++ b/porthoistd/src/role.rs
@@ -2,6 +2,7 @@
 
 pub mod entry;
 pub mod local;
+pub mod proxy;
 pub mod target;
 
 use crate::duty::operator::{ProcessView, serve_operators};
--- /dev/null
+++ b/porthoistd/src/role/proxy.rs
@@ -0,0 +1,171 @@
+//! The proxy role: passes requests on as they are, by routes and targets of the platform's table service.
+
+use super::bind;
+use crate::duty::signals::{watch_reloads, watch_signals};
+use crate::duty::spawn_duty;
+use crate::duty::status::StatusDuty;
+use crate::settings::proxy::ProxySettings;
+use porthoist_core::{AnchoredClock, ClockSource};
+use porthoist_metrics::MetricsHub;
+use porthoist_policy::proxy::placement::BoardSettings;
+use porthoist_policy::proxy::retry_share::ShareSettings;
+use porthoist_proxy::{
+    ControlState, ControlWatch, CourseSettings, PlaceBroker, ProxyServer, RequestCourse, serve_proxy,
+};
+use porthoist_turist::{READY_PATH, StoreClient, TuristCodec, TuristSource};
+use slog::{Logger, info, o};
+use std::io;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::thread::JoinHandle;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// Kept from the time within which a key that was taken away must run nothing, in milliseconds: the local clock is
+/// placed on the table service's with an error of some milliseconds.
+const PROOF_MARGIN_MILLIS: u64 = 400;
+/// Milliseconds after the signal to stop in which the balancer still sends new connections: it takes a process out
+/// after two questions, a second apart.
+const STOP_LAG_MILLIS: u64 = 2_600;
+/// Kept from the time to stop, in milliseconds, so that the last log lines are written.
+const GRACE_MARGIN_MILLIS: u64 = 300;
+/// Part of the repeats of all processes that are given out: callers are spread unevenly.
+const RATIO_PART: f64 = 0.5;
+/// Processes that the slack is divided between. More may run than this process knows of.
+const SLACK_PROCESSES: f64 = 24.0;
+
+/// Addresses that a proxy listens on.
+#[derive(Debug, Clone, Copy)]
+pub struct ProxyAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer.
+    pub ready: SocketAddr,
+    /// For metrics.
+    pub metrics: SocketAddr,
+}
+
+/// Runs a proxy until it is told to stop and nothing is in flight.
+pub fn run(settings: ProxySettings, logger: &Logger) -> io::Result<()> {
+    let stopping = watch::Sender::new(false);
+    let (_addresses, callers) = start(settings, logger, stopping)?;
+    callers.join().map_err(|_panic| io::Error::other("the callers' duty panicked"))
+}
+
+/// Starts a proxy's duties; the returned thread ends when the proxy has stopped gracefully.
+pub fn start(
+    settings: ProxySettings,
+    logger: &Logger,
+    stopping: watch::Sender<bool>,
+) -> io::Result<(ProxyAddresses, JoinHandle<()>)> {
+    let (callers_listener, callers) = bind(settings.callers_listen)?;
+    let (ready_listener, ready) = bind(settings.ready_listen)?;
+    let (metrics_listener, metrics) = bind(settings.metrics_listen)?;
+    let addresses = ProxyAddresses { callers, ready, metrics };
+    let logger = logger.new(o!("role" => "proxy", "host" => settings.host.to_string()));
+    info!(logger, "started"; "event" => "start", "callers" => callers.to_string(),
+        "zone" => settings.zone.to_string(), "table" => settings.table.to_string(),
+        "version" => env!("CARGO_PKG_VERSION"));
+    let process = ProxyProcess {
+        metrics: Arc::new(MetricsHub::new().map_err(io::Error::other)?),
+        clock: Arc::new(AnchoredClock::new()),
+        state: watch::Sender::new(ControlState::default()),
+        proof_millis: settings.revoke_millis.saturating_sub(PROOF_MARGIN_MILLIS),
+        settings,
+        stopping,
+        logger,
+    };
+    process.start_control()?;
+    process.start_status(ready_listener, metrics_listener)?;
+    let callers = process.start_callers(callers_listener)?;
+    Ok((addresses, callers))
+}
+
+/// What the duties of one proxy share.
+struct ProxyProcess {
+    settings: ProxySettings,
+    metrics: Arc<MetricsHub>,
+    clock: Arc<dyn ClockSource>,
+    state: watch::Sender<ControlState>,
+    proof_millis: u64,
+    stopping: watch::Sender<bool>,
+    logger: Logger,
+}
+
+impl ProxyProcess {
+    fn start_control(&self) -> io::Result<()> {
+        let (table, metrics) = (self.settings.table, Arc::clone(&self.metrics));
+        let (state, clock, logger) = (self.state.clone(), Arc::clone(&self.clock), self.logger.clone());
+        spawn_duty("control", move || async move {
+            let source = TuristSource::new(StoreClient::new(table, metrics), logger.clone());
+            ControlWatch::new(Rc::new(source), state, clock, logger).run().await;
+        })?;
+        Ok(())
+    }
+
+    fn start_status(&self, ready: StdListener, metrics: StdListener) -> io::Result<()> {
+        let duty = StatusDuty {
+            ready_path: READY_PATH,
+            state: self.state.subscribe(),
+            stopping: self.stopping.subscribe(),
+            proof_millis: self.proof_millis,
+            clock: Arc::clone(&self.clock),
+            metrics: Arc::clone(&self.metrics),
+            logger: self.logger.clone(),
+            last_ready: AtomicBool::new(false),
+        };
+        spawn_duty("status", move || Arc::new(duty).run(ready, metrics))?;
+        Ok(())
+    }
+
+    fn start_callers(self, listener: StdListener) -> io::Result<JoinHandle<()>> {
+        spawn_duty("callers", move || async move {
+            let course = self.course();
+            let counted = Rc::clone(&course);
+            let server = ProxyServer {
+                course: Rc::clone(&course),
+                stopping: self.stopping.subscribe(),
+                stop_lag_millis: STOP_LAG_MILLIS,
+                grace_millis: self.settings.grace_millis.saturating_sub(GRACE_MARGIN_MILLIS),
+                metrics: Arc::clone(&self.metrics),
+                logger: self.logger.clone(),
+            };
+            tokio::task::spawn_local(watch_reloads(self.logger.clone()));
+            tokio::task::spawn_local(watch_signals(self.stopping.clone(), self.logger.clone(), move || {
+                counted.in_flight()
+            }));
+            tokio::task::spawn_local(follow_targets(course, self.state.subscribe()));
+            let listener = TcpListener::from_std(listener).expect("a bound listener fits the runtime");
+            serve_proxy(listener, server).await;
+        })
+    }
+
+    fn course(&self) -> Rc<RequestCourse> {
+        let board = BoardSettings { zone: self.settings.zone.clone(), per_rank: self.settings.per_rank };
+        let share = ShareSettings {
+            ratio: self.settings.retry_ratio * RATIO_PART,
+            slack: self.settings.retry_slack / SLACK_PROCESSES,
+            window_millis: self.settings.retry_window_millis,
+        };
+        let settings = CourseSettings::builder().proof_millis(self.proof_millis).share(share).build();
+        RequestCourse::new(
+            settings,
+            Rc::new(TuristCodec),
+            self.state.subscribe(),
+            PlaceBroker::new(board, Arc::clone(&self.clock)),
+            Arc::clone(&self.clock),
+            Arc::clone(&self.metrics),
+            self.logger.clone(),
+        )
+    }
+}
+
+/// Tells the course of each change of the targets.
+async fn follow_targets(course: Rc<RequestCourse>, mut state: watch::Receiver<ControlState>) {
+    while state.changed().await.is_ok() {
+        state.mark_unchanged();
+        course.sync_targets();
+    }
+}
