--- /dev/null
+++ b/crates/porthoist-fleet/schema/rank.capnp
@@ -0,0 +1,52 @@
+@0xd4f0a63be0c1a5e7;
+# Between the processes beside the ranks of a group.
+
+struct RankView {
+  epoch @0 :UInt32;
+  sequence @1 :UInt64;
+  step @2 :UInt32;
+  map @3 :UInt32;
+  # One more than the version; 0 for none.
+  prepared @4 :UInt32;
+  # One more than the version; 0 for none.
+  armedVersion @5 :UInt32;
+  armedStep @6 :UInt32;
+  # One more than the pass; 0 for none.
+  held @7 :UInt32;
+  busy @8 :Bool;
+}
+
+struct RankState {
+  view @0 :RankView;
+  group @1 :Text;
+  rank @2 :UInt16;
+  size @3 :UInt16;
+  open @4 :Bool;
+}
+
+struct RankOrder {
+  epoch @0 :UInt32;
+  union {
+    prepare :group {
+      version @1 :UInt32;
+      sequence @2 :UInt64;
+      # The experts by set and rank.
+      map @3 :List(List(List(UInt16)));
+    }
+    arm :group {
+      version @4 :UInt32;
+      step @5 :UInt32;
+    }
+    hold @6 :UInt32;
+    go @7 :UInt32;
+  }
+}
+
+interface RankProcess {
+  # The engine's state, and what its requests chose since the last call with `counts`, by set and expert.
+  observe @0 (counts :Bool) -> (state :RankState, counts :List(UInt32));
+  # The map in use and this rank's experts by set.
+  lists @1 () -> (version :UInt32, experts :List(List(UInt16)));
+  # Gives the engine an order and tells how it was taken.
+  order @2 (order :RankOrder) -> (taken :Bool);
+}
--- /dev/null
+++ b/crates/porthoist-fleet/src/rank.rs
@@ -0,0 +1,189 @@
+//! The processes beside the ranks of one group: each shows its engine to the others and passes orders on to it.
+
+use crate::rank_capnp::rank_process;
+use crate::rank_convert::{read_observation, read_order, write_order, write_state};
+use crate::server::{failed, vat_network};
+use capnp::Error;
+use capnp::capability::Rc as CapabilityRc;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, new_client};
+use porthoist_group::{HeldLink, RankFuture, RankLists, RankObservation};
+use porthoist_http::CallError;
+use porthoist_policy::forward::EngineOrder;
+use porthoist_policy::placement::even::EvenMap;
+use porthoist_policy::placement::map::ExpertId;
+use porthoist_policy::switch::MapVersion;
+use std::cell::RefCell;
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Time for a new connection in milliseconds; a host that was cut off answers nothing at all.
+const CONNECT_MILLIS: u64 = 120;
+
+struct RankServer {
+    link: Rc<dyn HeldLink>,
+}
+
+impl rank_process::Server for RankServer {
+    async fn observe(
+        self: CapabilityRc<Self>,
+        params: rank_process::ObserveParams,
+        mut results: rank_process::ObserveResults,
+    ) -> Result<(), Error> {
+        let observed = self.link.observe(params.get()?.get_counts()).await.map_err(failed)?;
+        let mut builder = results.get();
+        write_state(builder.reborrow().init_state(), &observed.state);
+        let mut counts = builder.init_counts(observed.counts.len() as u32);
+        for (index, count) in observed.counts.iter().enumerate() {
+            counts.set(index as u32, *count);
+        }
+        Ok(())
+    }
+
+    async fn lists(
+        self: CapabilityRc<Self>,
+        _params: rank_process::ListsParams,
+        mut results: rank_process::ListsResults,
+    ) -> Result<(), Error> {
+        let lists = self.link.lists().await.map_err(failed)?;
+        let mut builder = results.get();
+        builder.set_version(lists.version.0);
+        let mut sets = builder.init_experts(lists.experts.len() as u32);
+        for (set, experts) in lists.experts.iter().enumerate() {
+            let mut list = sets.reborrow().init(set as u32, experts.len() as u32);
+            for (index, expert) in experts.iter().enumerate() {
+                list.set(index as u32, expert.0);
+            }
+        }
+        Ok(())
+    }
+
+    async fn order(
+        self: CapabilityRc<Self>,
+        params: rank_process::OrderParams,
+        mut results: rank_process::OrderResults,
+    ) -> Result<(), Error> {
+        let (order, map) = read_order(params.get()?.get_order()?)?;
+        let taken = self.link.order(order, map.as_ref()).await.map_err(failed)?;
+        results.get().set_taken(taken);
+        Ok(())
+    }
+}
+
+/// Accepts the processes of other ranks on the present `LocalSet` until the future is dropped.
+pub async fn serve_ranks(listener: TcpListener, link: Rc<dyn HeldLink>) {
+    loop {
+        let Ok((stream, _address)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let process: rank_process::Client = new_client(RankServer { link: Rc::clone(&link) });
+        let system = RpcSystem::new(Box::new(vat_network(stream, Side::Server)), Some(process.client));
+        tokio::task::spawn_local(async move {
+            // The connection's end is normal; every call on it has its own error.
+            drop(system.await);
+        });
+    }
+}
+
+/// The process beside another rank. It connects when it is first called, and anew after each failed call.
+pub struct RankPeer {
+    address: SocketAddr,
+    connected: RefCell<Option<rank_process::Client>>,
+}
+
+impl fmt::Debug for RankPeer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("RankPeer").field("address", &self.address).finish_non_exhaustive()
+    }
+}
+
+impl RankPeer {
+    /// The process at an address.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, connected: RefCell::new(None) }
+    }
+
+    async fn client(&self) -> Result<rank_process::Client, CallError> {
+        if let Some(client) = self.connected.borrow().as_ref() {
+            return Ok(client.clone());
+        }
+        let connecting = TcpStream::connect(self.address);
+        let connected = tokio::time::timeout(Duration::from_millis(CONNECT_MILLIS), connecting).await;
+        let stream = connected
+            .map_err(|_elapsed| CallError::not_sent("no connection in time"))?
+            .map_err(|error| CallError::not_sent(error.to_string()))?;
+        let mut system = RpcSystem::new(Box::new(vat_network(stream, Side::Client)), None);
+        let client: rank_process::Client = system.bootstrap(Side::Server);
+        tokio::task::spawn_local(async move {
+            // Whatever ends the connection, every pending call has its own error.
+            drop(system.await);
+        });
+        *self.connected.borrow_mut() = Some(client.clone());
+        Ok(client)
+    }
+
+    /// Forgets the connection after a failure.
+    fn lost(&self, error: &Error) -> CallError {
+        self.connected.borrow_mut().take();
+        CallError::unknown(error.to_string())
+    }
+
+    /// Forgets the connection, for example because a call had no answer in time.
+    pub fn reset(&self) {
+        self.connected.borrow_mut().take();
+    }
+
+    async fn observe_rank(&self, counts: bool) -> Result<RankObservation, CallError> {
+        let mut request = self.client().await?.observe_request();
+        request.get().set_counts(counts);
+        let observed = async {
+            let response = request.send().promise.await?;
+            let results = response.get()?;
+            let counts = results.get_counts()?.iter().collect();
+            read_observation(results.get_state()?, counts)
+        };
+        observed.await.map_err(|error: Error| self.lost(&error))
+    }
+
+    async fn rank_lists(&self) -> Result<RankLists, CallError> {
+        let request = self.client().await?.lists_request();
+        let lists = async {
+            let response = request.send().promise.await?;
+            let results = response.get()?;
+            let mut experts = Vec::new();
+            for list in results.get_experts()? {
+                experts.push(list?.iter().map(ExpertId).collect());
+            }
+            Ok(RankLists { version: MapVersion(results.get_version()), experts })
+        };
+        lists.await.map_err(|error: Error| self.lost(&error))
+    }
+
+    async fn pass_order(&self, order: EngineOrder, map: Option<&EvenMap>) -> Result<bool, CallError> {
+        let mut request = self.client().await?.order_request();
+        write_order(request.get().init_order(), order, map);
+        let taken = async {
+            let response = request.send().promise.await?;
+            Ok(response.get()?.get_taken())
+        };
+        taken.await.map_err(|error: Error| self.lost(&error))
+    }
+}
+
+impl HeldLink for RankPeer {
+    fn observe(&self, counts: bool) -> RankFuture<'_, RankObservation> {
+        Box::pin(self.observe_rank(counts))
+    }
+
+    fn lists(&self) -> RankFuture<'_, RankLists> {
+        Box::pin(self.rank_lists())
+    }
+
+    fn order<'a>(&'a self, order: EngineOrder, map: Option<&'a EvenMap>) -> RankFuture<'a, bool> {
+        Box::pin(self.pass_order(order, map))
+    }
+}
--- /dev/null
+++ b/crates/porthoist-fleet/src/rank_convert.rs
@@ -0,0 +1,130 @@
+//! Ranks' states and orders, to and from the wire.
+
+use crate::rank_capnp::{rank_order, rank_state, rank_view};
+use capnp::Error;
+use porthoist_group::RankObservation;
+use porthoist_policy::forward::{ArmedMap, EngineOrder, GroupEpoch, OrderSequence, RankState, RankView};
+use porthoist_policy::placement::even::EvenMap;
+use porthoist_policy::placement::map::ExpertId;
+use porthoist_policy::switch::{MapVersion, StepNumber};
+
+fn optional(number: u32) -> Option<u32> {
+    number.checked_sub(1)
+}
+
+fn present(number: Option<u32>) -> u32 {
+    number.map_or(0, |number| number + 1)
+}
+
+fn write_view(mut builder: rank_view::Builder<'_>, view: &RankView) {
+    builder.set_epoch(view.epoch.0);
+    builder.set_sequence(view.sequence.0);
+    builder.set_step(view.step.0);
+    builder.set_map(view.map.0);
+    builder.set_prepared(present(view.prepared.map(|version| version.0)));
+    builder.set_armed_version(present(view.armed.map(|armed| armed.version.0)));
+    builder.set_armed_step(view.armed.map_or(0, |armed| armed.step.0));
+    builder.set_held(present(view.held.map(|step| step.0)));
+    builder.set_busy(view.busy);
+}
+
+fn read_view(reader: rank_view::Reader<'_>) -> RankView {
+    let armed = optional(reader.get_armed_version())
+        .map(|version| ArmedMap { version: MapVersion(version), step: StepNumber(reader.get_armed_step()) });
+    RankView {
+        epoch: GroupEpoch(reader.get_epoch()),
+        sequence: OrderSequence(reader.get_sequence()),
+        step: StepNumber(reader.get_step()),
+        map: MapVersion(reader.get_map()),
+        prepared: optional(reader.get_prepared()).map(MapVersion),
+        armed,
+        held: optional(reader.get_held()).map(StepNumber),
+        busy: reader.get_busy(),
+    }
+}
+
+pub(crate) fn write_state(mut builder: rank_state::Builder<'_>, state: &RankState) {
+    write_view(builder.reborrow().init_view(), &state.view);
+    builder.set_group(&state.group);
+    builder.set_rank(state.rank as u16);
+    builder.set_size(state.size as u16);
+    builder.set_open(state.open);
+}
+
+pub(crate) fn read_observation(
+    reader: rank_state::Reader<'_>,
+    counts: Vec<u32>,
+) -> Result<RankObservation, Error> {
+    let state = RankState {
+        view: read_view(reader.get_view()?),
+        group: reader.get_group()?.to_string()?,
+        rank: usize::from(reader.get_rank()),
+        size: usize::from(reader.get_size()),
+        open: reader.get_open(),
+    };
+    Ok(RankObservation { state, counts })
+}
+
+pub(crate) fn write_order(mut builder: rank_order::Builder<'_>, order: EngineOrder, map: Option<&EvenMap>) {
+    match order {
+        EngineOrder::Prepare { epoch, version, sequence } => {
+            builder.set_epoch(epoch.0);
+            let mut prepare = builder.init_prepare();
+            prepare.set_version(version.0);
+            prepare.set_sequence(sequence.0);
+            let sets = map.map_or(&[][..], EvenMap::sets);
+            let mut set_lists = prepare.init_map(sets.len() as u32);
+            for (set, ranks) in sets.iter().enumerate() {
+                let mut rank_lists = set_lists.reborrow().init(set as u32, ranks.len() as u32);
+                for (rank, experts) in ranks.iter().enumerate() {
+                    let mut list = rank_lists.reborrow().init(rank as u32, experts.len() as u32);
+                    for (index, expert) in experts.iter().enumerate() {
+                        list.set(index as u32, expert.0);
+                    }
+                }
+            }
+        }
+        EngineOrder::Arm { epoch, armed } => {
+            builder.set_epoch(epoch.0);
+            let mut arm = builder.init_arm();
+            arm.set_version(armed.version.0);
+            arm.set_step(armed.step.0);
+        }
+        EngineOrder::Hold { epoch, step } => {
+            builder.set_epoch(epoch.0);
+            builder.set_hold(step.0);
+        }
+        EngineOrder::Go { epoch, step } => {
+            builder.set_epoch(epoch.0);
+            builder.set_go(step.0);
+        }
+    }
+}
+
+pub(crate) fn read_order(reader: rank_order::Reader<'_>) -> Result<(EngineOrder, Option<EvenMap>), Error> {
+    let epoch = GroupEpoch(reader.get_epoch());
+    Ok(match reader.which()? {
+        rank_order::Prepare(prepare) => {
+            let order = EngineOrder::Prepare {
+                epoch,
+                version: MapVersion(prepare.get_version()),
+                sequence: OrderSequence(prepare.get_sequence()),
+            };
+            let mut sets = Vec::new();
+            for rank_lists in prepare.get_map()? {
+                let mut ranks = Vec::new();
+                for list in rank_lists? {
+                    ranks.push(list?.iter().map(ExpertId).collect());
+                }
+                sets.push(ranks);
+            }
+            (order, Some(EvenMap::new(sets)))
+        }
+        rank_order::Arm(arm) => {
+            let armed = ArmedMap { version: MapVersion(arm.get_version()), step: StepNumber(arm.get_step()) };
+            (EngineOrder::Arm { epoch, armed }, None)
+        }
+        rank_order::Hold(step) => (EngineOrder::Hold { epoch, step: StepNumber(step) }, None),
+        rank_order::Go(step) => (EngineOrder::Go { epoch, step: StepNumber(step) }, None),
+    })
+}
--- /dev/null
+++ b/crates/porthoist-group/src/held.rs
@@ -0,0 +1,265 @@
+//! Engines that hold a group themselves, and the planner that keeps their expert map close to the demand.
+//!
+//! The process beside the first rank plans and switches; the others observe their own engine and pass orders on to it.
+
+use futures::future::{LocalBoxFuture, join_all};
+use porthoist_http::CallError;
+use porthoist_policy::forward::{EngineOrder, ForwardDriver, ForwardRules, GroupEpoch, RankState, RankView};
+use porthoist_policy::placement::GroupEstimate;
+use porthoist_policy::placement::estimate::GroupEstimator;
+use porthoist_policy::placement::even::{EvenBounds, EvenMap, EvenPlan, improve};
+use porthoist_policy::placement::map::ExpertId;
+use porthoist_policy::switch::MapVersion;
+use slog::{Logger, info, warn};
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Time in milliseconds within which a rank's process must answer; some ten times the way to the farthest zone.
+const ANSWER_MILLIS: u64 = 150;
+/// Part of the demand's mean skew that a plan must win to be worth a switch.
+const MIN_GAIN: f64 = 0.04;
+/// Chosen experts that a window must hold to be worth an estimate: 20 for each expert of a usual set.
+const MIN_CHOICES: u64 = 1_500;
+
+/// What an engine's own requests chose since it started, by set and expert.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ChoiceCounts {
+    /// Counts, set after set.
+    pub counts: Vec<u64>,
+}
+
+/// The map in use and one rank's experts by set.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RankLists {
+    /// The map's version.
+    pub version: MapVersion,
+    /// Experts by set.
+    pub experts: Vec<Vec<ExpertId>>,
+}
+
+/// The pending answer of an engine or of the process beside it.
+pub type RankFuture<'a, T> = LocalBoxFuture<'a, Result<T, CallError>>;
+
+/// The engine beside this process.
+pub trait HeldEngine: fmt::Debug {
+    /// What it reports of itself.
+    fn state(&self) -> RankFuture<'_, RankState>;
+    /// What its requests chose since it started.
+    fn counts(&self) -> RankFuture<'_, ChoiceCounts>;
+    /// Its experts.
+    fn lists(&self) -> RankFuture<'_, RankLists>;
+    /// Gives an order, with the map that a prepare is about; `false` if it was refused.
+    fn order<'a>(&'a self, order: EngineOrder, map: Option<&'a EvenMap>) -> RankFuture<'a, bool>;
+}
+
+/// One observation of a rank.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RankObservation {
+    /// The engine's state.
+    pub state: RankState,
+    /// What its requests chose since the last observation with counts, by set and expert.
+    pub counts: Vec<u32>,
+}
+
+/// The way to the process beside a rank.
+pub trait HeldLink: fmt::Debug {
+    /// Observes the rank.
+    fn observe(&self, counts: bool) -> RankFuture<'_, RankObservation>;
+    /// The rank's experts.
+    fn lists(&self) -> RankFuture<'_, RankLists>;
+    /// Passes an order on; `false` if the engine refused it.
+    fn order<'a>(&'a self, order: EngineOrder, map: Option<&'a EvenMap>) -> RankFuture<'a, bool>;
+}
+
+/// The shape of a group's experts, from its operators.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct GroupShape {
+    /// Sets of experts.
+    pub sets: usize,
+    /// Experts in a set.
+    pub experts: usize,
+    /// Bounds of a plan.
+    pub bounds: EvenBounds,
+}
+
+/// What a round of the planner did; says when the next one should come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RoundOutcome {
+    /// Nothing is under way.
+    Rest,
+    /// Experts are being copied.
+    Copying,
+    /// The group is held or about to be.
+    Holding,
+    /// A rank could not be heard, or the group does not run.
+    Blind,
+}
+
+/// The map in force with the epoch that it belongs to.
+#[derive(Debug, Clone)]
+struct KnownMap {
+    epoch: GroupEpoch,
+    version: MapVersion,
+    map: EvenMap,
+}
+
+/// Plans and switches the expert map of one group.
+#[derive(Debug)]
+pub struct HeldPlanner {
+    shape: GroupShape,
+    driver: ForwardDriver,
+    estimators: Vec<GroupEstimator>,
+    known: Option<KnownMap>,
+    next: Option<KnownMap>,
+    gathered: Vec<u64>,
+    logger: Logger,
+}
+
+impl HeldPlanner {
+    /// A planner that knows nothing of its group yet.
+    pub fn new(shape: GroupShape, logger: Logger) -> Self {
+        let even =
+            GroupEstimate { popularity: vec![1.0 / shape.experts as f64; shape.experts], speed: Vec::new() };
+        Self {
+            driver: ForwardDriver::new(ForwardRules::SOUND),
+            estimators: vec![GroupEstimator::new(&even); shape.sets],
+            known: None,
+            next: None,
+            gathered: vec![0; shape.sets * shape.experts],
+            shape,
+            logger,
+        }
+    }
+
+    /// One round: observes all ranks, the first before the others, and gives the orders that follow. `fresh` is a
+    /// version that no other life of this process uses.
+    pub async fn round(&mut self, links: &[Rc<dyn HeldLink>], fresh: MapVersion) -> RoundOutcome {
+        let counting = !self.driver.holding();
+        let Some(observed) = observe_all(links, counting).await else { return RoundOutcome::Blind };
+        let views: Vec<RankView> = observed.iter().map(|rank| rank.state.view).collect();
+        let whole = observed.iter().all(|rank| rank.state.open && rank.state.size == links.len());
+        if !whole {
+            return RoundOutcome::Blind;
+        }
+        self.gather(&observed);
+        self.settle(&views);
+        if self.driver.at_rest(&views) && self.learn_map(links, &views).await {
+            self.plan(&views, fresh);
+        }
+        let orders = self.driver.next(&views);
+        let sent = self.send(links, orders).await;
+        self.pace(&views, sent)
+    }
+
+    fn pace(&self, views: &[RankView], sent: usize) -> RoundOutcome {
+        if views[0].held.is_some() || self.driver.holding() {
+            return RoundOutcome::Holding;
+        }
+        if self.driver.target().is_some() || sent > 0 { RoundOutcome::Copying } else { RoundOutcome::Rest }
+    }
+
+    fn gather(&mut self, observed: &[RankObservation]) {
+        for rank in observed {
+            for (sum, count) in self.gathered.iter_mut().zip(&rank.counts) {
+                *sum += u64::from(*count);
+            }
+        }
+    }
+
+    /// Takes a map that came into force.
+    fn settle(&mut self, views: &[RankView]) {
+        let epoch = views[0].epoch;
+        let in_force =
+            |known: &KnownMap| known.epoch == epoch && views.iter().all(|view| view.map == known.version);
+        if let Some(next) = self.next.take_if(|next| in_force(next)) {
+            info!(self.logger, "expert map in force"; "event" => "map_in_force", "version" => next.version.0,
+                "step" => views[0].step.0);
+            self.known = Some(next);
+        }
+        if self.known.as_ref().is_some_and(|known| !in_force(known)) && self.next.is_none() {
+            self.known = None;
+        }
+        if self.next.as_ref().is_some_and(|next| next.epoch != epoch) {
+            self.next = None;
+        }
+    }
+
+    /// Reads the map in force from all ranks unless it is known.
+    async fn learn_map(&mut self, links: &[Rc<dyn HeldLink>], views: &[RankView]) -> bool {
+        if self.known.is_some() {
+            return true;
+        }
+        let asked = join_all(links.iter().map(|link| within(link.lists()))).await;
+        let Some(lists) = asked.into_iter().collect::<Option<Vec<RankLists>>>() else { return false };
+        let version = views[0].map;
+        let alike = lists.iter().all(|list| list.version == version && list.experts.len() == self.shape.sets);
+        if !alike {
+            return false;
+        }
+        let of_set = |set: usize| lists.iter().map(|list| list.experts[set].clone()).collect();
+        let map = EvenMap::new((0..self.shape.sets).map(of_set).collect());
+        self.known = Some(KnownMap { epoch: views[0].epoch, version, map });
+        true
+    }
+
+    fn plan(&mut self, views: &[RankView], fresh: MapVersion) {
+        let Some(known) = &self.known else { return };
+        if self.gathered.iter().sum::<u64>() < MIN_CHOICES * self.shape.sets as u64 {
+            return;
+        }
+        let windows = self.gathered.chunks(self.shape.experts);
+        for (estimator, window) in self.estimators.iter_mut().zip(windows) {
+            let tokens: Vec<f64> = window.iter().map(|count| *count as f64).collect();
+            estimator.counts(&tokens);
+        }
+        self.gathered.fill(0);
+        let demand: Vec<Vec<f64>> =
+            self.estimators.iter().map(|estimator| estimator.estimate().popularity).collect();
+        let plan = improve(&known.map, &demand, &self.shape.bounds);
+        if plan.skew_before - plan.skew_after < MIN_GAIN {
+            return;
+        }
+        let version = self.driver.begin(views, fresh);
+        self.log_plan(&plan, version, views);
+        self.next = Some(KnownMap { epoch: views[0].epoch, version, map: plan.map });
+    }
+
+    fn log_plan(&self, plan: &EvenPlan, version: MapVersion, views: &[RankView]) {
+        info!(self.logger, "expert map planned"; "event" => "map_planned", "version" => version.0,
+            "moves" => plan.moves, "skew_before" => plan.skew_before, "skew_after" => plan.skew_after,
+            "epoch" => views[0].epoch.0, "step" => views[0].step.0);
+    }
+
+    async fn send(&mut self, links: &[Rc<dyn HeldLink>], orders: Vec<(usize, EngineOrder)>) -> usize {
+        let map = self.next.as_ref().map(|next| &next.map);
+        let pending = orders.iter().map(|(rank, order)| {
+            let map = matches!(order, EngineOrder::Prepare { .. }).then_some(map).flatten();
+            within(links[*rank].order(*order, map))
+        });
+        let taken = join_all(pending).await;
+        let refused = orders.iter().zip(&taken).filter(|(order, taken)| {
+            matches!(order.1, EngineOrder::Prepare { .. }) && **taken == Some(false)
+        });
+        if refused.count() > 0 {
+            warn!(self.logger, "a prepare was refused"; "event" => "map_refused",
+                "version" => self.driver.target().map(|version| version.0));
+            self.driver.version_refused();
+            self.next = None;
+        }
+        orders.len()
+    }
+}
+
+async fn observe_all(links: &[Rc<dyn HeldLink>], counts: bool) -> Option<Vec<RankObservation>> {
+    let (first, others) = links.split_first()?;
+    let first = within(first.observe(counts)).await?;
+    let others = join_all(others.iter().map(|link| within(link.observe(counts)))).await;
+    let others = others.into_iter().collect::<Option<Vec<RankObservation>>>()?;
+    Some(std::iter::once(first).chain(others).collect())
+}
+
+async fn within<T>(call: RankFuture<'_, T>) -> Option<T> {
+    let answered = tokio::time::timeout(Duration::from_millis(ANSWER_MILLIS), call).await;
+    answered.ok()?.ok()
+}
--- a/crates/porthoist-group/src/lib.rs
+++ b/crates/porthoist-group/src/lib.rs
@@ -3,11 +3,16 @@
 //! The decisions are those of `porthoist_policy::switch`; here they meet the engine's orders and the fleet's calls.
 
 pub mod engine;
+pub mod held;
 pub mod leader;
 pub mod planner;
 pub mod rank;
 
 pub use engine::{GroupEngine, HttpGroupEngine, RankOrder};
+pub use held::{
+    ChoiceCounts, GroupShape, HeldEngine, HeldLink, HeldPlanner, RankFuture, RankLists, RankObservation,
+    RoundOutcome,
+};
 pub use leader::{RankLink, SwitchError, SwitchOutcome, switch_group};
 pub use planner::{ExpertWindow, GroupPlanner};
 pub use rank::{MapSource, RankDriver};
--- a/crates/porthoist-policy/src/lib.rs
+++ b/crates/porthoist-policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod answer;
 pub mod claim;
 pub mod explain;
+pub mod forward;
 pub mod gate;
 pub mod limits;
 pub mod membership;
--- a/crates/porthoist-policy/src/placement.rs
+++ b/crates/porthoist-policy/src/placement.rs
@@ -4,6 +4,7 @@
 //! is worth more than the bytes moved. Shares between replicas are set anew at no cost.
 
 pub mod estimate;
+pub mod even;
 pub mod map;
 pub mod shares;
 
--- /dev/null
+++ b/crates/porthoist-policy/src/placement/even.rs
@@ -0,0 +1,268 @@
+//! Expert maps whose replicas share an expert's tokens evenly, in several sets of layers.
+//!
+//! The planner improves the map in force by small moves: each rank can take only a few experts that are new to it.
+
+use super::map::ExpertId;
+
+/// Experts looked at on the most loaded rank.
+const HOT_EXPERTS: usize = 5;
+/// Ranks looked at as homes for a further replica.
+const COOL_RANKS: usize = 6;
+/// Replicas looked at to make room for it.
+const EVICTED: usize = 3;
+/// Exponent of the norm that the planner lowers: high enough for the most loaded rank to count most, low enough that
+/// lowering one of two equal peaks is a gain.
+const NORM: i32 = 8;
+
+/// Which experts each rank holds, by set and rank.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EvenMap {
+    sets: Vec<Vec<Vec<ExpertId>>>,
+}
+
+impl EvenMap {
+    /// A map from its lists, by set and rank.
+    pub fn new(sets: Vec<Vec<Vec<ExpertId>>>) -> Self {
+        Self { sets }
+    }
+
+    /// The lists, by set and rank.
+    pub fn sets(&self) -> &[Vec<Vec<ExpertId>>] {
+        &self.sets
+    }
+
+    /// Experts that are new to a rank beside an earlier map.
+    pub fn new_to(&self, earlier: &Self, rank: usize) -> usize {
+        let sets = self.sets.iter().zip(&earlier.sets);
+        sets.map(|(new, old)| new[rank].iter().filter(|expert| !old[rank].contains(expert)).count()).sum()
+    }
+}
+
+/// Bounds of one plan.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EvenBounds {
+    /// Experts of a set that a rank holds at most.
+    pub places: usize,
+    /// Experts of a set that may be new to a rank.
+    pub spare: usize,
+    /// Experts that may be new to a rank in all sets together: they are copied one after the other.
+    pub new_a_rank: usize,
+    /// Part of the mean load that a move must win to be worth its copy.
+    pub move_price: f64,
+}
+
+/// A better map.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EvenPlan {
+    /// The map.
+    pub map: EvenMap,
+    /// Replicas to copy.
+    pub moves: usize,
+    /// Mean over the sets of the most loaded rank's load by the mean load, before.
+    pub skew_before: f64,
+    /// The same after.
+    pub skew_after: f64,
+}
+
+/// Load of each rank in one set; the demand sums to 1.
+pub fn rank_loads(ranks: &[Vec<ExpertId>], demand: &[f64]) -> Vec<f64> {
+    let copies = copies(ranks, demand.len());
+    let load = |expert: &ExpertId| {
+        let index = usize::from(expert.0);
+        demand[index] / f64::from(copies[index].max(1))
+    };
+    ranks.iter().map(|held| held.iter().map(load).sum()).collect()
+}
+
+/// Mean over the sets of the most loaded rank's load by the mean load.
+pub fn skew(map: &EvenMap, demand: &[Vec<f64>]) -> f64 {
+    let peaks = map.sets.iter().zip(demand).map(|(ranks, demand)| peak(&rank_loads(ranks, demand)));
+    peaks.sum::<f64>() / map.sets.len().max(1) as f64
+}
+
+/// The most loaded rank's load by the mean load.
+fn peak(loads: &[f64]) -> f64 {
+    let total: f64 = loads.iter().sum();
+    if total <= 0.0 {
+        return 1.0;
+    }
+    loads.iter().copied().fold(0.0, f64::max) * loads.len() as f64 / total
+}
+
+fn copies(ranks: &[Vec<ExpertId>], experts: usize) -> Vec<u32> {
+    let mut copies = vec![0; experts];
+    for expert in ranks.iter().flatten() {
+        copies[usize::from(expert.0)] += 1;
+    }
+    copies
+}
+
+/// One set while it is planned.
+struct SetPlan<'a> {
+    original: &'a [Vec<ExpertId>],
+    ranks: Vec<Vec<ExpertId>>,
+    demand: &'a [f64],
+    loads: Vec<f64>,
+    copies: Vec<u32>,
+    new: Vec<usize>,
+}
+
+/// A further replica on a rank, in place of another where it is full.
+#[derive(Debug, Clone, Copy)]
+struct ReplicaMove {
+    rank: usize,
+    expert: ExpertId,
+    evict: Option<ExpertId>,
+    gain: f64,
+}
+
+impl<'a> SetPlan<'a> {
+    fn new(original: &'a [Vec<ExpertId>], demand: &'a [f64]) -> Self {
+        Self {
+            original,
+            ranks: original.to_vec(),
+            demand,
+            loads: rank_loads(original, demand),
+            copies: copies(original, demand.len()),
+            new: vec![0; original.len()],
+        }
+    }
+
+    fn demand(&self, expert: ExpertId) -> f64 {
+        self.demand[usize::from(expert.0)]
+    }
+
+    fn load_of(&self, expert: ExpertId) -> f64 {
+        self.demand(expert) / f64::from(self.copies[usize::from(expert.0)].max(1))
+    }
+
+    /// The best move for the most loaded rank; `room` says whether a rank may take something new.
+    fn best_move(&self, bounds: &EvenBounds, room: &[bool]) -> Option<ReplicaMove> {
+        let hottest =
+            (0..self.loads.len()).max_by(|left, right| self.loads[*left].total_cmp(&self.loads[*right]))?;
+        let mut hot = self.ranks[hottest].clone();
+        hot.sort_by(|left, right| self.load_of(*right).total_cmp(&self.load_of(*left)));
+        let mut cool: Vec<usize> = (0..self.loads.len()).filter(|rank| *rank != hottest).collect();
+        cool.sort_by(|left, right| self.loads[*left].total_cmp(&self.loads[*right]));
+        let mut best: Option<ReplicaMove> = None;
+        for expert in hot.into_iter().take(HOT_EXPERTS) {
+            let homes = cool.iter().copied().filter(|rank| self.takes(*rank, expert, bounds, room));
+            for rank in homes.take(COOL_RANKS) {
+                for evict in self.evictions(rank, expert, bounds) {
+                    let gain = self.gain(rank, expert, evict);
+                    if best.as_ref().is_none_or(|best| gain > best.gain) {
+                        best = Some(ReplicaMove { rank, expert, evict, gain });
+                    }
+                }
+            }
+        }
+        best
+    }
+
+    fn takes(&self, rank: usize, expert: ExpertId, bounds: &EvenBounds, room: &[bool]) -> bool {
+        if self.ranks[rank].contains(&expert) {
+            return false;
+        }
+        // A replica that the map in force has is no copy.
+        self.original[rank].contains(&expert) || (self.new[rank] < bounds.spare && room[rank])
+    }
+
+    /// What may go to make room: replicas of experts that are elsewhere too, the least loaded first.
+    fn evictions(&self, rank: usize, expert: ExpertId, bounds: &EvenBounds) -> Vec<Option<ExpertId>> {
+        if self.ranks[rank].len() < bounds.places {
+            return vec![None];
+        }
+        let copied = |held: &ExpertId| self.copies[usize::from(held.0)] > 1 && *held != expert;
+        let mut held: Vec<ExpertId> = self.ranks[rank].iter().copied().filter(copied).collect();
+        // What the other replicas must take over counts.
+        let burden = |held: &ExpertId| {
+            let copies = f64::from(self.copies[usize::from(held.0)]);
+            self.demand(*held) / (copies * (copies - 1.0))
+        };
+        held.sort_by(|left, right| burden(left).total_cmp(&burden(right)));
+        held.into_iter().take(EVICTED).map(Some).collect()
+    }
+
+    /// What a move lowers the norm of the loads by, in units of the mean load.
+    fn gain(&self, rank: usize, expert: ExpertId, evict: Option<ExpertId>) -> f64 {
+        let loads = self.loads_after(rank, expert, evict);
+        norm(&self.loads) - norm(&loads)
+    }
+
+    fn loads_after(&self, rank: usize, expert: ExpertId, evict: Option<ExpertId>) -> Vec<f64> {
+        let mut loads = self.loads.clone();
+        let copies = f64::from(self.copies[usize::from(expert.0)]);
+        let relief = self.demand(expert) / copies - self.demand(expert) / (copies + 1.0);
+        for (load, held) in loads.iter_mut().zip(&self.ranks) {
+            if held.contains(&expert) {
+                *load -= relief;
+            }
+        }
+        loads[rank] += self.demand(expert) / (copies + 1.0);
+        if let Some(evict) = evict {
+            let copies = f64::from(self.copies[usize::from(evict.0)]);
+            let burden = self.demand(evict) / (copies - 1.0) - self.demand(evict) / copies;
+            for (index, (load, held)) in loads.iter_mut().zip(&self.ranks).enumerate() {
+                if index != rank && held.contains(&evict) {
+                    *load += burden;
+                }
+            }
+            loads[rank] -= self.demand(evict) / copies;
+        }
+        loads
+    }
+
+    fn apply(&mut self, chosen: ReplicaMove) {
+        let ReplicaMove { rank, expert, evict, .. } = chosen;
+        self.loads = self.loads_after(rank, expert, evict);
+        if let Some(evict) = evict {
+            self.ranks[rank].retain(|held| *held != evict);
+            self.copies[usize::from(evict.0)] -= 1;
+        }
+        self.ranks[rank].push(expert);
+        self.copies[usize::from(expert.0)] += 1;
+        let original = &self.original[rank];
+        self.new[rank] = self.ranks[rank].iter().filter(|held| !original.contains(held)).count();
+    }
+}
+
+/// A norm close to the highest load, in units of the mean load.
+fn norm(loads: &[f64]) -> f64 {
+    let total: f64 = loads.iter().sum();
+    if total <= 0.0 {
+        return 1.0;
+    }
+    let mean = total / loads.len() as f64;
+    let sum: f64 = loads.iter().map(|load| (load / mean).powi(NORM)).sum();
+    (sum / loads.len() as f64).powf(1.0 / f64::from(NORM))
+}
+
+/// Improves a map for a demand by set; each set's demand sums to 1.
+pub fn improve(map: &EvenMap, demand: &[Vec<f64>], bounds: &EvenBounds) -> EvenPlan {
+    let ranks = map.sets.first().map_or(0, Vec::len);
+    let mut plans: Vec<SetPlan<'_>> =
+        map.sets.iter().zip(demand).map(|(ranks, demand)| SetPlan::new(ranks, demand)).collect();
+    let mut room = vec![bounds.new_a_rank > 0; ranks];
+    let mut candidates: Vec<Option<ReplicaMove>> =
+        plans.iter().map(|plan| plan.best_move(bounds, &room)).collect();
+    while let Some((set, chosen)) = best_candidate(&candidates, bounds.move_price) {
+        plans[set].apply(chosen);
+        let new: usize = plans.iter().map(|plan| plan.new[chosen.rank]).sum();
+        let open = new < bounds.new_a_rank;
+        if room[chosen.rank] == open {
+            candidates[set] = plans[set].best_move(bounds, &room);
+            continue;
+        }
+        room[chosen.rank] = open;
+        candidates = plans.iter().map(|plan| plan.best_move(bounds, &room)).collect();
+    }
+    let moves = plans.iter().flat_map(|plan| &plan.new).sum();
+    let better = EvenMap::new(plans.into_iter().map(|plan| plan.ranks).collect());
+    EvenPlan { moves, skew_before: skew(map, demand), skew_after: skew(&better, demand), map: better }
+}
+
+fn best_candidate(candidates: &[Option<ReplicaMove>], price: f64) -> Option<(usize, ReplicaMove)> {
+    let offers = candidates.iter().enumerate().filter_map(|(set, chosen)| chosen.map(|chosen| (set, chosen)));
+    let best = offers.max_by(|left, right| left.1.gain.total_cmp(&right.1.gain))?;
+    (best.1.gain > price).then_some(best)
+}
--- a/crates/porthoist-policy/src/proxy/placement.rs
+++ b/crates/porthoist-policy/src/proxy/placement.rs
@@ -131,13 +131,12 @@
             book.records().map(|record| (&record.id, record)).collect();
         self.loads.retain(|id, load| known.contains_key(id) || load.in_flight > 0);
         for (id, load) in &mut self.loads {
-            match known.get(id) {
-                Some(record) => load.record = Arc::clone(record),
-                None => {
-                    let record = TargetRecord { state: TargetState::Draining, ..(*load.record).clone() };
-                    load.record = Arc::new(record);
-                }
+            if let Some(record) = known.get(id) {
+                load.record = Arc::clone(record);
+                continue;
             }
+            let record = TargetRecord { state: TargetState::Draining, ..(*load.record).clone() };
+            load.record = Arc::new(record);
         }
         for record in book.records() {
             let load = || TargetLoad::new(Arc::clone(record));
--- a/crates/porthoist-policy/src/proxy/routes.rs
+++ b/crates/porthoist-policy/src/proxy/routes.rs
@@ -188,7 +188,7 @@
             hosts.entry(host.to_ascii_lowercase().into()).or_default().push(Arc::new(rule));
         }
         for rules in hosts.values_mut() {
-            rules.sort_by(|left, right| right.prefix.len().cmp(&left.prefix.len()));
+            rules.sort_by_key(|rule| std::cmp::Reverse(rule.prefix.len()));
         }
         let services = services.into_iter().map(|spec| (spec.name.clone(), spec)).collect();
         Self { version, limits, services, hosts, keys }
--- a/crates/porthoist-proxy/src/control.rs
+++ b/crates/porthoist-proxy/src/control.rs
@@ -16,12 +16,17 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// How long one question waits for a change of the routes, in milliseconds. Each answer renews the proof that the
-/// routes held are the newest, which must be younger than the settings' `proof_millis`.
-const ROUTES_WAIT_MILLIS: u64 = 1_800;
-/// How long one question waits for a change of the targets, in milliseconds; a link that was cut in silence is
-/// noticed by the other question.
-const TARGETS_WAIT_MILLIS: u64 = 9_000;
+/// How long questions wait for a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WatchSettings {
+    /// Wait for a change of the routes, in milliseconds. Each answer renews the proof that the routes held are the
+    /// newest.
+    pub routes_wait_millis: u64,
+    /// Wait for a change of the targets, in milliseconds; a link that was cut in silence is noticed by the other
+    /// question.
+    pub targets_wait_millis: u64,
+}
+
 /// Time in milliseconds beyond the wait in which an answer must come.
 const ANSWER_MILLIS: u64 = 900;
 /// First pause after a failed question, in milliseconds; it doubles up to [`MAX_PAUSE_MILLIS`].
@@ -88,6 +93,7 @@
 /// Keeps a [`ControlState`] current.
 #[derive(Debug)]
 pub struct ControlWatch {
+    settings: WatchSettings,
     source: Rc<dyn ControlSource>,
     state: watch::Sender<ControlState>,
     clock: Arc<dyn ClockSource>,
@@ -102,12 +108,14 @@
 impl ControlWatch {
     /// A watch that publishes into `state`.
     pub fn new(
+        settings: WatchSettings,
         source: Rc<dyn ControlSource>,
         state: watch::Sender<ControlState>,
         clock: Arc<dyn ClockSource>,
         logger: Logger,
     ) -> Self {
         Self {
+            settings,
             source,
             state,
             clock,
@@ -130,11 +138,11 @@
             let sent = self.clock.now();
             let question = match revision {
                 None => self.source.list_routes(),
-                Some(revision) => {
-                    self.source.routes_after(revision, Duration::from_millis(ROUTES_WAIT_MILLIS))
-                }
+                Some(revision) => self
+                    .source
+                    .routes_after(revision, Duration::from_millis(self.settings.routes_wait_millis)),
             };
-            let wait = if revision.is_some() { ROUTES_WAIT_MILLIS } else { 0 };
+            let wait = if revision.is_some() { self.settings.routes_wait_millis } else { 0 };
             match within(wait, question).await {
                 Ok(answer) => {
                     revision = Some(answer.revision);
@@ -162,9 +170,9 @@
                 match revision {
                     None => within(0, self.source.list_targets()).await.map(TargetNews::listed),
                     Some(revision) => {
-                        let wait = Duration::from_millis(TARGETS_WAIT_MILLIS);
+                        let wait = Duration::from_millis(self.settings.targets_wait_millis);
                         let question = self.source.targets_after(revision, wait);
-                        within(TARGETS_WAIT_MILLIS, question).await.map(TargetNews::changed)
+                        within(self.settings.targets_wait_millis, question).await.map(TargetNews::changed)
                     }
                 }
             };
--- a/crates/porthoist-spec/src/models.rs
+++ b/crates/porthoist-spec/src/models.rs
@@ -1,6 +1,7 @@
 //! The models, and the mutants that each must catch.
 
 pub mod adoption;
+pub mod forward;
 pub mod once;
 pub mod switch;
 pub mod unkeyed;
@@ -8,6 +9,7 @@
 use crate::search::{SearchReport, search};
 use porthoist_policy::adoption::AdoptRules;
 use porthoist_policy::claim::ClaimRules;
+use porthoist_policy::forward::ForwardRules;
 use porthoist_policy::gate::GateRules;
 use porthoist_policy::retry::RetryRules;
 use porthoist_policy::switch::SwitchRules;
@@ -51,7 +53,16 @@
 
 /// All models; `large` takes the bounds of the release run instead of those of the tests.
 pub fn all_models(large: bool) -> Vec<CheckedModel> {
-    vec![once_model(), unkeyed_model(), pair_switch_model(large), group_switch_model(large), adoption_model()]
+    vec![
+        once_model(),
+        unkeyed_model(),
+        pair_switch_model(large),
+        group_switch_model(large),
+        adoption_model(),
+        forward_model(large),
+        held_model(),
+        epoch_model(),
+    ]
 }
 
 fn once_model() -> CheckedModel {
@@ -182,3 +193,82 @@
         ],
     }
 }
+
+/// The bounds of the roll-forward switch.
+fn forward_bounds(large: bool) -> forward::ForwardModel {
+    let ranks = if large { 3 } else { 2 };
+    forward::ForwardModel {
+        rules: ForwardRules::SOUND,
+        epochs_checked: true,
+        ranks,
+        steps: 5,
+        plans: 2,
+        restarts: 1,
+        formations: 0,
+    }
+}
+
+fn forward_model(large: bool) -> CheckedModel {
+    let mutant = move |rule, rules| {
+        Mutant::new(rule, move |limit| {
+            search(&forward::ForwardModel { rules, ..forward_bounds(large) }, limit)
+        })
+    };
+    let sound = ForwardRules::SOUND;
+    CheckedModel {
+        name: "one expert map per pass, rolled forward by orders",
+        bounds: "2 ranks (3 in the large run), 5 passes, 2 maps, 1 restart of the driver, orders lost, doubled and late \
+                 without bound",
+        sound: mutant("none", sound),
+        mutants: vec![
+            mutant(
+                "ranks are armed before the hold is read back",
+                ForwardRules { read_back_hold: false, ..sound },
+            ),
+            mutant(
+                "released with one rank not read back as armed",
+                ForwardRules { read_back_armed: false, ..sound },
+            ),
+            mutant("released because no rank was seen armed", ForwardRules { never_give_up: false, ..sound }),
+        ],
+    }
+}
+
+fn held_model() -> CheckedModel {
+    let bounds = forward::ForwardModel { restarts: 2, ..forward_bounds(false) };
+    let mutant = move |rule, rules| {
+        Mutant::new(rule, move |limit| {
+            forward::search_held(&forward::ForwardModel { rules, ..bounds }, limit)
+        })
+    };
+    let sound = ForwardRules::SOUND;
+    CheckedModel {
+        name: "a held group goes on, whatever is late",
+        bounds: "2 ranks, 5 passes, 2 maps, 2 restarts of the driver, orders lost, doubled and late without bound",
+        sound: mutant("none", sound),
+        mutants: vec![
+            mutant(
+                "a prepare names no number of orders",
+                ForwardRules { prepare_precondition: false, ..sound },
+            ),
+            mutant("a hold that is found is left", ForwardRules { take_over_hold: false, ..sound }),
+            mutant(
+                "prepared before old holds have ended",
+                ForwardRules { wait_out_old_holds: false, ..sound },
+            ),
+        ],
+    }
+}
+
+fn epoch_model() -> CheckedModel {
+    let mutant = |rule, epochs_checked| {
+        let bounds = forward::ForwardModel { formations: 1, epochs_checked, ..forward_bounds(false) };
+        Mutant::new(rule, move |limit| search(&bounds, limit))
+    };
+    CheckedModel {
+        name: "a new formation of the group ends a switch",
+        bounds: "2 ranks, 5 passes, 2 maps, 1 restart of the driver, 1 new formation, orders lost, doubled and late without bound",
+        sound: mutant("none", true),
+        mutants: vec![mutant("an order of an earlier formation is carried out", false)],
+    }
+}
--- /dev/null
+++ b/crates/porthoist-spec/src/models/forward.rs
@@ -0,0 +1,305 @@
+//! A group whose engines hold, arm and switch by orders that may be lost, doubled or late without bound.
+//!
+//! The driver is the daemon's own. Its reports are read rank by rank while the group goes on, and it may die at any
+//! moment; the orders of all its lives stay on their way for ever.
+
+use crate::search::{EventVisitor, ProtocolModel, SearchReport};
+use porthoist_policy::forward::{
+    ArmedMap, EngineOrder, ForwardDriver, ForwardRules, GroupEpoch, OrderSequence, RankView,
+};
+use porthoist_policy::switch::{MapVersion, StepNumber};
+use std::collections::{BTreeSet, HashMap, HashSet};
+
+/// The model's bounds and rules.
+#[derive(Debug, Clone, Copy)]
+pub struct ForwardModel {
+    /// The driver's rules.
+    pub rules: ForwardRules,
+    /// Whether engines look at the epoch of an order.
+    pub epochs_checked: bool,
+    /// Ranks in the group.
+    pub ranks: usize,
+    /// Passes that the group begins.
+    pub steps: u32,
+    /// Maps that are planned.
+    pub plans: u8,
+    /// Restarts of the driver.
+    pub restarts: u8,
+    /// New formations of the group.
+    pub formations: u8,
+}
+
+/// One rank's engine.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct EngineRank {
+    sequence: OrderSequence,
+    map: MapVersion,
+    highest: MapVersion,
+    prepared: Option<MapVersion>,
+    armed: Option<ArmedMap>,
+    held: Option<StepNumber>,
+}
+
+impl EngineRank {
+    fn new() -> Self {
+        Self {
+            sequence: OrderSequence(0),
+            map: MapVersion(0),
+            highest: MapVersion(0),
+            prepared: None,
+            armed: None,
+            held: None,
+        }
+    }
+
+    /// Carries an order out, or refuses it.
+    fn order(&mut self, order: EngineOrder, step: StepNumber, precondition: bool) {
+        match order {
+            EngineOrder::Prepare { version, sequence, .. } => {
+                let named = sequence == self.sequence || !precondition;
+                if named && version > self.highest && self.armed.is_none() {
+                    self.highest = version;
+                    self.prepared = Some(version);
+                    // Real engines count the other orders too, which makes more late prepares fail.
+                    self.sequence.0 += 1;
+                }
+            }
+            EngineOrder::Arm { armed, .. } if self.prepared == Some(armed.version) && armed.step > step => {
+                self.armed = Some(armed);
+            }
+            EngineOrder::Hold { step: pass, .. } if self.held.is_none() && pass > step => {
+                self.held = Some(pass);
+            }
+            EngineOrder::Go { step: pass, .. } if self.held == Some(pass) => self.held = None,
+            EngineOrder::Arm { .. } | EngineOrder::Hold { .. } | EngineOrder::Go { .. } => {}
+        }
+    }
+
+    fn begin_pass(&mut self, step: StepNumber) {
+        if let Some(armed) = self.armed
+            && armed.step == step
+        {
+            self.map = armed.version;
+            self.armed = None;
+            self.prepared = None;
+        }
+    }
+}
+
+/// Everything in the model.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ForwardState {
+    ranks: Vec<EngineRank>,
+    epoch: GroupEpoch,
+    step: StepNumber,
+    driver: ForwardDriver,
+    heard: Vec<RankView>,
+    orders: BTreeSet<(usize, EngineOrder)>,
+    plans: u8,
+    restarts: u8,
+    formations: u8,
+}
+
+impl ForwardState {
+    fn view(&self, rank: usize) -> RankView {
+        let engine = &self.ranks[rank];
+        RankView {
+            epoch: self.epoch,
+            sequence: engine.sequence,
+            step: self.step,
+            map: engine.map,
+            prepared: engine.prepared,
+            armed: engine.armed,
+            held: engine.held,
+            busy: false,
+        }
+    }
+
+    fn held(&self) -> bool {
+        self.ranks.iter().any(|rank| rank.held == Some(StepNumber(self.step.0 + 1)))
+    }
+}
+
+fn epoch_of(order: EngineOrder) -> GroupEpoch {
+    match order {
+        EngineOrder::Prepare { epoch, .. }
+        | EngineOrder::Arm { epoch, .. }
+        | EngineOrder::Hold { epoch, .. }
+        | EngineOrder::Go { epoch, .. } => epoch,
+    }
+}
+
+impl ForwardModel {
+    /// A version from a clock that goes back when the driver restarts.
+    fn fresh(&self, state: &ForwardState) -> MapVersion {
+        let clock = 10 * u32::from(state.plans);
+        MapVersion(if state.restarts == 0 { clock } else { 0 })
+    }
+
+    fn driver_events(&self, state: &ForwardState, visit: EventVisitor<'_, ForwardState>) {
+        if state.heard.len() < self.ranks {
+            let mut next = state.clone();
+            let rank = next.heard.len();
+            next.heard.push(state.view(rank));
+            visit(format_args!("the driver reads rank {rank}"), next);
+        } else {
+            let mut next = state.clone();
+            let views = std::mem::take(&mut next.heard);
+            let rest = next.driver.at_rest(&views);
+            if rest && next.plans < self.plans {
+                let mut planning = next.clone();
+                planning.plans += 1;
+                planning.driver.begin(&views, self.fresh(&planning));
+                planning.orders.extend(planning.driver.next(&views));
+                visit(format_args!("the driver begins a switch"), planning);
+            }
+            let mut dropped = next.clone();
+            dropped.driver.abandon();
+            if dropped.driver != next.driver {
+                visit(format_args!("the driver drops its switch"), dropped);
+            }
+            next.orders.extend(next.driver.next(&views));
+            visit(format_args!("the driver acts"), next);
+        }
+        if state.restarts < self.restarts {
+            let mut next = state.clone();
+            next.restarts += 1;
+            next.driver = ForwardDriver::new(self.rules);
+            next.heard.clear();
+            visit(format_args!("the driver restarts"), next);
+        }
+    }
+
+    fn group_events(&self, state: &ForwardState, visit: EventVisitor<'_, ForwardState>) {
+        for &(rank, order) in &state.orders {
+            if self.epochs_checked && epoch_of(order) != state.epoch {
+                continue;
+            }
+            let mut next = state.clone();
+            next.ranks[rank].order(order, state.step, self.rules.prepare_precondition);
+            visit(format_args!("rank {rank} gets {order:?}"), next);
+        }
+        if state.step.0 < self.steps && !state.held() {
+            let mut next = state.clone();
+            next.step.0 += 1;
+            for rank in &mut next.ranks {
+                rank.begin_pass(next.step);
+            }
+            visit(format_args!("pass {} begins", state.step.0 + 1), next);
+        }
+        if state.formations < self.formations {
+            let mut next = state.clone();
+            next.formations += 1;
+            next.epoch.0 += 1;
+            for rank in &mut next.ranks {
+                // A restarted engine counts its orders anew; the others keep their highest version.
+                let highest = rank.highest;
+                *rank = EngineRank { highest, ..EngineRank::new() };
+            }
+            visit(format_args!("the group forms anew"), next);
+        }
+    }
+}
+
+impl ProtocolModel for ForwardModel {
+    type State = ForwardState;
+
+    fn initial(&self) -> ForwardState {
+        ForwardState {
+            ranks: vec![EngineRank::new(); self.ranks],
+            epoch: GroupEpoch(1),
+            step: StepNumber(0),
+            driver: ForwardDriver::new(self.rules),
+            heard: Vec::new(),
+            orders: BTreeSet::new(),
+            plans: 0,
+            restarts: 0,
+            formations: 0,
+        }
+    }
+
+    fn successors(&self, state: &ForwardState, visit: EventVisitor<'_, ForwardState>) {
+        self.driver_events(state, visit);
+        self.group_events(state, visit);
+    }
+
+    fn violation(&self, state: &ForwardState) -> Option<String> {
+        let map = state.ranks[0].map;
+        let mixed = state.ranks.iter().any(|rank| rank.map != map);
+        mixed.then(|| format!("two maps are used in step {}", state.step.0))
+    }
+
+    /// Orders of earlier epochs and of passes that have begun change nothing any more.
+    fn normalize(&self, state: &mut ForwardState) {
+        let (epoch, step) = (state.epoch, state.step);
+        let ranks = state.ranks.clone();
+        state.orders.retain(|(rank, order)| {
+            if self.epochs_checked && epoch_of(*order) != epoch {
+                return false;
+            }
+            match order {
+                EngineOrder::Prepare { version, sequence, .. } => {
+                    let late = self.rules.prepare_precondition && *sequence < ranks[*rank].sequence;
+                    *version > ranks[*rank].highest && !late
+                }
+                EngineOrder::Arm { armed, .. } => armed.step > step,
+                EngineOrder::Hold { step: pass, .. } | EngineOrder::Go { step: pass, .. } => *pass > step,
+            }
+        });
+    }
+}
+
+/// Searches for a reachable state in which the group is held and from which it never goes on.
+pub fn search_held(model: &ForwardModel, limit: usize) -> SearchReport {
+    let Some((states, parents, free)) = explore(model, limit) else {
+        return SearchReport { states: limit, depth: 0, counterexample: None, complete: false };
+    };
+    let count = states.len();
+    let stuck = stuck_state(states, &parents, free);
+    let counterexample = stuck.map(|state| ("the group stays held".to_owned(), vec![format!("{state:?}")]));
+    SearchReport { states: count, depth: 0, counterexample, complete: true }
+}
+
+fn stuck_state(states: Vec<ForwardState>, parents: &[Vec<usize>], free: Vec<usize>) -> Option<ForwardState> {
+    let mut able: HashSet<usize> = free.iter().copied().collect();
+    let mut todo: Vec<usize> = free;
+    while let Some(state) = todo.pop() {
+        for parent in &parents[state] {
+            if able.insert(*parent) {
+                todo.push(*parent);
+            }
+        }
+    }
+    states.into_iter().enumerate().find(|(index, _state)| !able.contains(index)).map(|(_index, state)| state)
+}
+
+/// All states, the parents of each, and those in which the group is not held. Nothing if there are too many.
+fn explore(model: &ForwardModel, limit: usize) -> Option<(Vec<ForwardState>, Vec<Vec<usize>>, Vec<usize>)> {
+    let mut numbers: HashMap<ForwardState, usize> = HashMap::new();
+    let (mut states, mut parents, mut free) = (Vec::new(), Vec::new(), Vec::new());
+    let initial = model.initial();
+    numbers.insert(initial.clone(), 0);
+    states.push(initial);
+    parents.push(Vec::new());
+    let mut next_index = 0;
+    while next_index < states.len() {
+        let state = states[next_index].clone();
+        if !state.held() {
+            free.push(next_index);
+        }
+        model.successors(&state, &mut |_event, mut next| {
+            model.normalize(&mut next);
+            let number = *numbers.entry(next.clone()).or_insert_with(|| {
+                states.push(next);
+                parents.push(Vec::new());
+                states.len() - 1
+            });
+            parents[number].push(next_index);
+        });
+        next_index += 1;
+        if states.len() > limit {
+            return None;
+        }
+    }
+    Some((states, parents, free))
+}
--- a/crates/porthoist-spec/tests/spec.rs
+++ b/crates/porthoist-spec/tests/spec.rs
@@ -10,6 +10,9 @@
 #[test_case(2; "expert map switch of 2 ranks")]
 #[test_case(3; "expert map switch of 3 ranks")]
 #[test_case(4; "configuration")]
+#[test_case(5; "roll-forward switch")]
+#[test_case(6; "held groups")]
+#[test_case(7; "formations")]
 fn holds(index: usize) {
     let model = &all_models(false)[index];
     let report = model.sound.search(LIMIT);
@@ -22,6 +25,9 @@
 #[test_case(2; "expert map switch of 2 ranks")]
 #[test_case(3; "expert map switch of 3 ranks")]
 #[test_case(4; "configuration")]
+#[test_case(5; "roll-forward switch")]
+#[test_case(6; "held groups")]
+#[test_case(7; "formations")]
 fn mutants_are_caught(index: usize) {
     let model = &all_models(false)[index];
     for mutant in &model.mutants {
--- a/porthoistd/src/duty.rs
+++ b/porthoistd/src/duty.rs
@@ -7,6 +7,7 @@
 pub mod offers;
 pub mod operator;
 pub mod platform;
+pub mod rank;
 pub mod routing;
 pub mod signals;
 pub mod status;
--- /dev/null
+++ b/porthoistd/src/duty/rank.rs
@@ -0,0 +1,215 @@
+//! The rank duty: shows the engine beside this process to the others, and plans where it is the group's first rank.
+
+use crate::settings::rank::RankSettings;
+use futures::future::join_all;
+use porthoist_core::{ClockSource, ServiceName};
+use porthoist_fleet::RankPeer;
+use porthoist_group::{
+    GroupShape, HeldEngine, HeldLink, HeldPlanner, RankFuture, RankLists, RankObservation, RoundOutcome,
+};
+use porthoist_policy::forward::{EngineOrder, RankState};
+use porthoist_policy::placement::even::{EvenBounds, EvenMap};
+use porthoist_policy::switch::MapVersion;
+use porthoist_proxy::ControlState;
+use slog::{Logger, info};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// Pause between rounds while nothing is under way, in milliseconds: demand shifts every few seconds.
+const REST_MILLIS: u64 = 150;
+/// Pause between rounds while experts are copied, in milliseconds; one takes about 100.
+const COPY_MILLIS: u64 = 25;
+/// Pause between rounds while a group is held, in milliseconds.
+const HOLD_MILLIS: u64 = 2;
+/// Pause of a process that can't plan, in milliseconds.
+const IDLE_MILLIS: u64 = 400;
+/// Time in milliseconds in which a process must say which rank it stands beside.
+const FIND_MILLIS: u64 = 200;
+/// Start of the clock that versions come from, in Unix milliseconds: the beginning of 2026.
+const VERSION_EPOCH_MILLIS: u64 = 1_767_225_600_000;
+/// Milliseconds of one version: a life of the process takes longer to begin.
+const VERSION_MILLIS: u64 = 100;
+
+/// The engine beside this process, with the counts that were told already.
+#[derive(Debug)]
+pub struct OwnRank {
+    engine: Rc<dyn HeldEngine>,
+    told: RefCell<Vec<u64>>,
+}
+
+impl OwnRank {
+    /// Wraps an engine.
+    pub fn new(engine: Rc<dyn HeldEngine>) -> Self {
+        Self { engine, told: RefCell::default() }
+    }
+
+    /// What was chosen since the last call. A restarted engine counts anew.
+    async fn new_counts(&self) -> Result<Vec<u32>, porthoist_http::CallError> {
+        let counts = self.engine.counts().await?.counts;
+        let mut told = self.told.borrow_mut();
+        let known =
+            told.len() == counts.len() && counts.iter().zip(told.iter()).all(|(now, then)| now >= then);
+        let since = |index: usize| counts[index] - if known { told[index] } else { 0 };
+        let new = (0..counts.len()).map(|index| u32::try_from(since(index)).unwrap_or(u32::MAX)).collect();
+        *told = counts;
+        Ok(new)
+    }
+}
+
+impl HeldLink for OwnRank {
+    fn observe(&self, counts: bool) -> RankFuture<'_, RankObservation> {
+        Box::pin(async move {
+            let state = self.engine.state().await?;
+            let counts = if counts { self.new_counts().await? } else { Vec::new() };
+            Ok(RankObservation { state, counts })
+        })
+    }
+
+    fn lists(&self) -> RankFuture<'_, RankLists> {
+        self.engine.lists()
+    }
+
+    fn order<'a>(&'a self, order: EngineOrder, map: Option<&'a EvenMap>) -> RankFuture<'a, bool> {
+        self.engine.order(order, map)
+    }
+}
+
+/// Plans for the group while this process stands beside its first rank.
+#[derive(Debug)]
+pub struct RankDuty {
+    settings: RankSettings,
+    own: Rc<OwnRank>,
+    state: watch::Receiver<ControlState>,
+    clock: Arc<dyn ClockSource>,
+    logger: Logger,
+    peers: HashMap<SocketAddr, Rc<RankPeer>>,
+    /// The peers of the other ranks, by rank, once all are known.
+    ranks: BTreeMap<usize, Rc<RankPeer>>,
+    planner: Option<HeldPlanner>,
+}
+
+impl RankDuty {
+    /// A duty that has not heard of its group yet.
+    pub fn new(
+        settings: RankSettings,
+        own: Rc<OwnRank>,
+        state: watch::Receiver<ControlState>,
+        clock: Arc<dyn ClockSource>,
+        logger: Logger,
+    ) -> Self {
+        Self {
+            settings,
+            own,
+            state,
+            clock,
+            logger,
+            peers: HashMap::new(),
+            ranks: BTreeMap::new(),
+            planner: None,
+        }
+    }
+
+    /// Runs for ever.
+    pub async fn run(mut self) {
+        loop {
+            let pause = self.turn().await;
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    /// One turn; returns the pause before the next in milliseconds.
+    async fn turn(&mut self) -> u64 {
+        let Ok(own) = self.own.observe(false).await else { return IDLE_MILLIS };
+        if own.state.rank != 0 || !own.state.open {
+            self.planner = None;
+            return IDLE_MILLIS;
+        }
+        let Some(links) = self.links(&own.state).await else { return IDLE_MILLIS };
+        if self.planner.is_none() {
+            let Some(shape) = self.shape() else { return IDLE_MILLIS };
+            info!(self.logger, "planning for the group"; "event" => "planner_start", "group" => own.state.group,
+                "ranks" => links.len());
+            self.planner = Some(HeldPlanner::new(shape, self.logger.clone()));
+        }
+        let fresh = self.fresh_version();
+        let Some(planner) = &mut self.planner else { return IDLE_MILLIS };
+        match planner.round(&links, fresh).await {
+            RoundOutcome::Rest => REST_MILLIS,
+            RoundOutcome::Copying => COPY_MILLIS,
+            RoundOutcome::Holding => HOLD_MILLIS,
+            RoundOutcome::Blind => {
+                self.peers.values().for_each(|peer| peer.reset());
+                self.ranks.clear();
+                REST_MILLIS
+            }
+        }
+    }
+
+    /// The ways to all ranks in their order; nothing while one is not known.
+    async fn links(&mut self, own: &RankState) -> Option<Vec<Rc<dyn HeldLink>>> {
+        if self.ranks.len() + 1 != own.size {
+            self.find_ranks(own).await;
+        }
+        if self.ranks.len() + 1 != own.size {
+            return None;
+        }
+        let first: Rc<dyn HeldLink> = Rc::<OwnRank>::clone(&self.own);
+        let others = self.ranks.values().map(|peer| -> Rc<dyn HeldLink> { Rc::<RankPeer>::clone(peer) });
+        Some(std::iter::once(first).chain(others).collect())
+    }
+
+    /// Asks the processes beside all engines of the service for their ranks.
+    async fn find_ranks(&mut self, own: &RankState) {
+        self.ranks.clear();
+        let addresses = self.peer_addresses();
+        self.peers.retain(|address, _peer| addresses.contains(address));
+        for address in addresses {
+            self.peers.entry(address).or_insert_with(|| Rc::new(RankPeer::new(address)));
+        }
+        let asked = self.peers.values().map(|peer| async {
+            let patience = Duration::from_millis(FIND_MILLIS);
+            let observed = tokio::time::timeout(patience, peer.observe(false)).await.ok()?.ok()?;
+            let same = observed.state.group == own.group && observed.state.view.epoch == own.view.epoch;
+            same.then(|| (observed.state.rank, Rc::clone(peer)))
+        });
+        let found = join_all(asked).await;
+        self.ranks = found.into_iter().flatten().filter(|(rank, _peer)| *rank != own.rank).collect();
+    }
+
+    fn peer_addresses(&self) -> Vec<SocketAddr> {
+        let state = self.state.borrow();
+        let Some(service) = self.own_service(&state) else { return Vec::new() };
+        let port = self.settings.rank_listen.port();
+        let others = state.targets.records().filter(|record| record.service == service);
+        let others = others.filter(|record| record.address != self.settings.engine);
+        others.map(|record| SocketAddr::new(record.address.ip(), port)).collect()
+    }
+
+    fn own_service(&self, state: &ControlState) -> Option<ServiceName> {
+        let own = state.targets.records().find(|record| record.address == self.settings.engine)?;
+        Some(own.service.clone())
+    }
+
+    fn shape(&self) -> Option<GroupShape> {
+        let state = self.state.borrow();
+        let service = self.own_service(&state)?;
+        let engine = state.routes.as_ref()?.services.get(&service)?.engine.as_ref()?;
+        let bounds = EvenBounds {
+            places: engine.places,
+            spare: engine.spare,
+            new_a_rank: self.settings.new_a_rank,
+            move_price: self.settings.move_price,
+        };
+        Some(GroupShape { sets: engine.sets, experts: engine.experts, bounds })
+    }
+
+    fn fresh_version(&self) -> MapVersion {
+        let millis = self.clock.now().0.saturating_sub(VERSION_EPOCH_MILLIS);
+        MapVersion((millis / VERSION_MILLIS) as u32)
+    }
+}
--- a/porthoistd/src/duty/status.rs
+++ b/porthoistd/src/duty/status.rs
@@ -50,16 +50,7 @@
                 async move { answer }
             },
         );
-        let metrics = serve_until(
-            TcpListener::from_std(metrics).expect("a bound listener fits the runtime"),
-            ServerSettings::default(),
-            never.subscribe(),
-            move |request| {
-                let answer = self.metrics(&request);
-                async move { answer }
-            },
-        );
-        tokio::join!(ready, metrics);
+        tokio::join!(ready, serve_metrics(metrics, Arc::clone(&self.metrics)));
     }
 
     fn ready<B>(&self, request: &Request<B>) -> HttpResponse {
@@ -89,11 +80,19 @@
         let fresh = age.is_some_and(|age| age < self.proof_millis);
         (!fresh).then_some("the configuration may be out of date")
     }
+}
 
-    fn metrics<B>(&self, request: &Request<B>) -> HttpResponse {
-        if request.uri().path() != METRICS_PATH {
-            return text_response(StatusCode::NOT_FOUND, "not found\n");
-        }
-        text_response(StatusCode::OK, self.metrics.text())
-    }
+/// Serves metrics for ever.
+pub async fn serve_metrics(listener: StdListener, metrics: Arc<MetricsHub>) {
+    let never = watch::Sender::new(false);
+    let listener = TcpListener::from_std(listener).expect("a bound listener fits the runtime");
+    serve_until(listener, ServerSettings::default(), never.subscribe(), move |request| {
+        let answer = if request.uri().path() == METRICS_PATH {
+            text_response(StatusCode::OK, metrics.text())
+        } else {
+            text_response(StatusCode::NOT_FOUND, "not found\n")
+        };
+        async move { answer }
+    })
+    .await;
 }
--- a/porthoistd/src/lib.rs
+++ b/porthoistd/src/lib.rs
@@ -10,6 +10,7 @@
 
 use miette::IntoDiagnostic as _;
 use settings::proxy::ProxySettings;
+use settings::rank::RankSettings;
 use settings::{DaemonCommand, DaemonRole, DaemonSettings, LogFormat};
 use slog::Logger;
 
@@ -53,6 +54,16 @@
                 let logger = logging::logger(LogFormat::Json, settings.log_level);
                 role::proxy::run(settings, &logger).into_diagnostic()
             }
+            Self::Rank(args) => {
+                let check = args.check;
+                let settings = RankSettings::load(args, environment)?;
+                if check {
+                    println!("the settings are valid");
+                    return Ok(());
+                }
+                let logger = logging::logger(LogFormat::Json, settings.log_level);
+                role::rank::run(settings, &logger).into_diagnostic()
+            }
         }
     }
 }
--- a/porthoistd/src/role.rs
+++ b/porthoistd/src/role.rs
@@ -3,6 +3,7 @@
 pub mod entry;
 pub mod local;
 pub mod proxy;
+pub mod rank;
 pub mod target;
 
 use crate::duty::operator::{ProcessView, serve_operators};
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -9,6 +9,7 @@
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::placement::BoardSettings;
 use porthoist_policy::proxy::retry_share::ShareSettings;
+use porthoist_proxy::control::WatchSettings;
 use porthoist_proxy::{
     ControlState, ControlWatch, CourseSettings, PlaceBroker, ProxyServer, RequestCourse, serve_proxy,
 };
@@ -36,6 +37,10 @@
 /// Processes that the slack is divided between. More may run than this process knows of.
 const SLACK_PROCESSES: f64 = 24.0;
 
+/// How long questions to the table service wait. Two answers about routes come within the life of a proof, so that
+/// one may be lost; each question has its price.
+const WATCH: WatchSettings = WatchSettings { routes_wait_millis: 1_800, targets_wait_millis: 9_000 };
+
 /// Addresses that a proxy listens on.
 #[derive(Debug, Clone, Copy)]
 pub struct ProxyAddresses {
@@ -100,7 +105,7 @@
         let (state, clock, logger) = (self.state.clone(), Arc::clone(&self.clock), self.logger.clone());
         spawn_duty("control", move || async move {
             let source = TuristSource::new(StoreClient::new(table, metrics), logger.clone());
-            ControlWatch::new(Rc::new(source), state, clock, logger).run().await;
+            ControlWatch::new(WATCH, Rc::new(source), state, clock, logger).run().await;
         })?;
         Ok(())
     }
--- /dev/null
+++ b/porthoistd/src/role/rank.rs
@@ -0,0 +1,70 @@
+//! The rank role: stands beside one rank of a group, and plans the group's expert maps where it is the first.
+
+use super::bind;
+use crate::duty::rank::{OwnRank, RankDuty};
+use crate::duty::signals::{watch_reloads, watch_signals};
+use crate::duty::spawn_duty;
+use crate::duty::status::serve_metrics;
+use crate::settings::rank::RankSettings;
+use porthoist_core::{AnchoredClock, ClockSource};
+use porthoist_fleet::serve_ranks;
+use porthoist_metrics::MetricsHub;
+use porthoist_proxy::control::WatchSettings;
+use porthoist_proxy::{ControlState, ControlWatch};
+use porthoist_turist::{StoreClient, TuristEngine, TuristSource};
+use slog::{Logger, info, o};
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// How long one question to the table service waits for a change, in milliseconds: the process needs the group's
+/// shape and the other ranks' addresses, which seldom change.
+const WATCH_WAIT_MILLIS: u64 = 25_000;
+
+/// Runs the role until it is told to stop.
+pub fn run(settings: RankSettings, logger: &Logger) -> io::Result<()> {
+    let (rank_listener, rank_address) = bind(settings.rank_listen)?;
+    let (metrics_listener, _metrics_address) = bind(settings.metrics_listen)?;
+    let logger = logger.new(o!("role" => "rank", "host" => settings.host.to_string()));
+    info!(logger, "started"; "event" => "start", "engine" => settings.engine.to_string(),
+        "rank_listen" => rank_address.to_string(), "table" => settings.table.to_string(),
+        "version" => env!("CARGO_PKG_VERSION"));
+    let metrics = Arc::new(MetricsHub::new().map_err(io::Error::other)?);
+    let clock: Arc<dyn ClockSource> = Arc::new(AnchoredClock::new());
+    let state = watch::Sender::new(ControlState::default());
+    start_control(&settings, state.clone(), Arc::clone(&clock), Arc::clone(&metrics), logger.clone())?;
+    spawn_duty("metrics", move || serve_metrics(metrics_listener, metrics))?;
+    let stopping = watch::Sender::new(false);
+    let mut stop = stopping.subscribe();
+    let duty = spawn_duty("rank", move || async move {
+        let own = Rc::new(OwnRank::new(Rc::new(TuristEngine::new(settings.engine))));
+        let listener = TcpListener::from_std(rank_listener).expect("a bound listener fits the runtime");
+        tokio::task::spawn_local(serve_ranks(listener, Rc::<OwnRank>::clone(&own)));
+        tokio::task::spawn_local(watch_reloads(logger.clone()));
+        tokio::task::spawn_local(watch_signals(stopping, logger.clone(), || 0));
+        let duty = RankDuty::new(settings, own, state.subscribe(), clock, logger);
+        tokio::task::spawn_local(duty.run());
+        // A held group is released by the next life of this process: nothing has to be finished here.
+        drop(stop.wait_for(|stopping| *stopping).await);
+    })?;
+    duty.join().map_err(|_panic| io::Error::other("the rank duty panicked"))
+}
+
+fn start_control(
+    settings: &RankSettings,
+    state: watch::Sender<ControlState>,
+    clock: Arc<dyn ClockSource>,
+    metrics: Arc<MetricsHub>,
+    logger: Logger,
+) -> io::Result<()> {
+    let table = settings.table;
+    spawn_duty("control", move || async move {
+        let source = TuristSource::new(StoreClient::new(table, metrics), logger.clone());
+        let settings =
+            WatchSettings { routes_wait_millis: WATCH_WAIT_MILLIS, targets_wait_millis: WATCH_WAIT_MILLIS };
+        ControlWatch::new(settings, Rc::new(source), state, clock, logger).run().await;
+    })?;
+    Ok(())
+}
--- a/porthoistd/src/settings.rs
+++ b/porthoistd/src/settings.rs
@@ -3,6 +3,7 @@
 //! Every setting is checked before anything starts, and an error names it, what was given and what is expected.
 
 pub mod proxy;
+pub mod rank;
 mod reader;
 
 pub use reader::SettingError;
@@ -11,6 +12,7 @@
 use porthoist_core::secret::SharedSecret;
 use porthoist_core::{HostName, ServiceName, TargetName, ZoneName};
 use proxy::ProxyArgs;
+use rank::RankArgs;
 use reader::SettingReader;
 use slog::Level;
 use std::net::SocketAddr;
@@ -96,6 +98,8 @@
 pub enum DaemonCommand {
     /// Passes requests on as they are.
     Proxy(ProxyArgs),
+    /// Stands beside a rank of a group.
+    Rank(RankArgs),
 }
 
 /// What the process is.
