Say a later time to come back where a service is silent, and watch the table only beside first ranks

Ruled out: holding refusals back (not allowed, and no service). Change: 900 ms to come back when busy, 2,600 ms when nothing was answered for a second; a request that comes back may wait 0.6 of its target latency for a place; only the process beside a group's first rank watches the table.

--- a/crates/porthoist-policy/src/placement/even.rs
+++ b/crates/porthoist-policy/src/placement/even.rs
@@ -172,8 +172,8 @@
         if self.ranks[rank].len() < bounds.places {
             return vec![None];
         }
-        let copied = |held: &ExpertId| self.copies[usize::from(held.0)] > 1 && *held != expert;
-        let mut held: Vec<ExpertId> = self.ranks[rank].iter().copied().filter(copied).collect();
+        let spare = |held: &ExpertId| self.copies[usize::from(held.0)] > 1 && *held != expert;
+        let mut held: Vec<ExpertId> = self.ranks[rank].iter().copied().filter(spare).collect();
         // What the other replicas must take over counts.
         let burden = |held: &ExpertId| {
             let copies = f64::from(self.copies[usize::from(held.0)]);
--- a/crates/porthoist-proxy/src/course.rs
+++ b/crates/porthoist-proxy/src/course.rs
@@ -36,9 +36,16 @@
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 /// Longest answer that is kept in memory before it is passed on, in bytes.
 const MAX_WHOLE_ANSWER_BYTES: usize = 8 * 1024 * 1024;
-/// When a caller should come back after a refusal for want of a place, in milliseconds: about two passes of a group,
-/// in which some streams end.
-const BUSY_RETRY_MILLIS: u64 = 250;
+/// When a caller should come back after a refusal for want of a place, in milliseconds: most bursts and switches of a
+/// group are over by then.
+const BUSY_RETRY_MILLIS: u64 = 900;
+/// When a caller should come back to a service that has answered nothing for a while, in milliseconds: a group forms
+/// anew within about a second after its cause has ended, and nobody knows when that is. Callers that wait less long
+/// anyway come back earlier.
+const SILENT_RETRY_MILLIS: u64 = 2_600;
+/// A service that had no answer for so long, in milliseconds, counts as silent; engines stall for 1,500 before they
+/// give requests back.
+const SILENT_MILLIS: u64 = 1_000;
 /// When a caller should come back to a process without configuration or proof, in milliseconds. The balancer needs
 /// two questions, a second apart, to take the process out.
 const UNREADY_RETRY_MILLIS: u64 = 1_000;
@@ -54,6 +61,9 @@
     /// be served in time elsewhere.
     #[builder(default = 0.24)]
     pub wait_part: f64,
+    /// The same for a request that was refused before: refusing it twice is worse than being late.
+    #[builder(default = 0.6)]
+    pub returned_wait_part: f64,
 }
 
 /// What all courses of a process share.
@@ -65,6 +75,7 @@
     pool: ConnectionPool,
     shares: RefCell<HashMap<ServiceName, RetryShare>>,
     refused: RefCell<HashMap<u64, UnixDeadline>>,
+    answered: RefCell<HashMap<ServiceName, UnixMillis>>,
     in_flight: Cell<u64>,
     stopping: Cell<bool>,
     clock: Arc<dyn ClockSource>,
@@ -204,6 +215,7 @@
             pool,
             shares: RefCell::default(),
             refused: RefCell::default(),
+            answered: RefCell::default(),
             in_flight: Cell::new(0),
             stopping: Cell::new(false),
             clock,
@@ -328,7 +340,8 @@
         record: &SendRecord,
     ) -> Result<TargetPlace, CourseRefusal> {
         let now = self.clock.now();
-        let patience = (admitted.rule.target_latency_millis as f64 * self.settings.wait_part) as u64;
+        let part = if admitted.returned { self.settings.returned_wait_part } else { self.settings.wait_part };
+        let patience = (admitted.rule.target_latency_millis as f64 * part) as u64;
         let wait = UnixDeadline::after(admitted.arrival, patience).min(admitted.deadline);
         let demand = PlaceDemand {
             service: admitted.service.clone(),
@@ -369,7 +382,26 @@
             let remembered = UnixDeadline::after(self.clock.now(), admitted.rule.timeout_millis);
             self.refused.borrow_mut().insert(session, remembered);
         }
-        CourseRefusal::later(reason, BUSY_RETRY_MILLIS)
+        CourseRefusal::later(reason, self.retry_millis(&admitted.service))
+    }
+
+    /// When a caller should come back to a service.
+    fn retry_millis(&self, service: &ServiceName) -> u64 {
+        let now = self.clock.now();
+        let answered = self.answered.borrow().get(service).copied();
+        let silent = answered.is_none_or(|answered| now.since(answered) > SILENT_MILLIS);
+        if silent { SILENT_RETRY_MILLIS } else { BUSY_RETRY_MILLIS }
+    }
+
+    /// Remembers that a service answers.
+    fn note_answer(&self, service: &ServiceName) {
+        let now = self.clock.now();
+        let mut answered = self.answered.borrow_mut();
+        if let Some(last) = answered.get_mut(service) {
+            *last = now;
+        } else {
+            answered.insert(service.clone(), now);
+        }
     }
 
     /// One send and what its answer proves.
@@ -396,7 +428,10 @@
             Ok(TargetAnswer::Whole(whole)) if whole.status.is_server_error() => {
                 place.ended(SendOutcome::Failed)
             }
-            Ok(_answer) => place.ended(SendOutcome::Answered(millis)),
+            Ok(_answer) => {
+                self.note_answer(&admitted.service);
+                place.ended(SendOutcome::Answered(millis));
+            }
             Err(failure) => {
                 let shed = failure.reason == RetryReason::Refused;
                 place.ended(if shed { SendOutcome::Shed } else { SendOutcome::Failed });
@@ -550,7 +585,7 @@
                     RetryReason::Unreachable => RefusalReason::Unreachable,
                     _ => RefusalReason::Overloaded,
                 };
-                CourseRefusal::later(reason, BUSY_RETRY_MILLIS)
+                CourseRefusal::later(reason, self.retry_millis(&admitted.service))
             }
         })
     }
--- a/crates/porthoist-proxy/src/course/admission.rs
+++ b/crates/porthoist-proxy/src/course/admission.rs
@@ -57,14 +57,14 @@
         match &decided {
             // Without proof, neither a denial nor a key is known to be current.
             Err(_denial) if !fresh => return Err(self.unproven(facts, &routes, age)),
-            Ok(routed) if !fresh && routes.keyed() && !routed.rule.public => {
+            Ok(allowed) if !fresh && routes.keyed() && !allowed.rule.public => {
                 return Err(self.unproven(facts, &routes, age));
             }
             _ => {}
         }
-        if let Ok(routed) = &decided {
+        if let Ok(allowed) = &decided {
             info!(self.logger, "admitted"; "event" => "admitted", "request" => &*facts.attempt,
-                "route" => &*routed.rule.name, "version" => routes.version.0, "proof_age_ms" => age);
+                "route" => &*allowed.rule.name, "version" => routes.version.0, "proof_age_ms" => age);
         }
         decided
     }
--- a/crates/porthoist-spec/src/models/forward.rs
+++ b/crates/porthoist-spec/src/models/forward.rs
@@ -131,7 +131,7 @@
 
 impl ForwardModel {
     /// A version from a clock that goes back when the driver restarts.
-    fn fresh(&self, state: &ForwardState) -> MapVersion {
+    fn fresh(state: &ForwardState) -> MapVersion {
         let clock = 10 * u32::from(state.plans);
         MapVersion(if state.restarts == 0 { clock } else { 0 })
     }
@@ -149,7 +149,7 @@
             if rest && next.plans < self.plans {
                 let mut planning = next.clone();
                 planning.plans += 1;
-                planning.driver.begin(&views, self.fresh(&planning));
+                planning.driver.begin(&views, Self::fresh(&planning));
                 planning.orders.extend(planning.driver.next(&views));
                 visit(format_args!("the driver begins a switch"), planning);
             }
@@ -273,8 +273,11 @@
     states.into_iter().enumerate().find(|(index, _state)| !able.contains(index)).map(|(_index, state)| state)
 }
 
-/// All states, the parents of each, and those in which the group is not held. Nothing if there are too many.
-fn explore(model: &ForwardModel, limit: usize) -> Option<(Vec<ForwardState>, Vec<Vec<usize>>, Vec<usize>)> {
+/// All states, the parents of each, and those in which the group is not held.
+type ExploredStates = (Vec<ForwardState>, Vec<Vec<usize>>, Vec<usize>);
+
+/// Visits every state; nothing if there are too many.
+fn explore(model: &ForwardModel, limit: usize) -> Option<ExploredStates> {
     let mut numbers: HashMap<ForwardState, usize> = HashMap::new();
     let (mut states, mut parents, mut free) = (Vec::new(), Vec::new(), Vec::new());
     let initial = model.initial();
--- a/porthoistd/src/duty/rank.rs
+++ b/porthoistd/src/duty/rank.rs
@@ -10,7 +10,7 @@
 use porthoist_policy::forward::{EngineOrder, RankState};
 use porthoist_policy::placement::even::{EvenBounds, EvenMap};
 use porthoist_policy::switch::MapVersion;
-use porthoist_proxy::ControlState;
+use porthoist_proxy::{ControlState, ControlWatch};
 use slog::{Logger, info};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -84,6 +84,8 @@
 pub struct RankDuty {
     settings: RankSettings,
     own: Rc<OwnRank>,
+    /// Follows the table service once this process is the first of its group; the others need nothing from there.
+    control: Option<ControlWatch>,
     state: watch::Receiver<ControlState>,
     clock: Arc<dyn ClockSource>,
     logger: Logger,
@@ -98,20 +100,13 @@
     pub fn new(
         settings: RankSettings,
         own: Rc<OwnRank>,
+        control: ControlWatch,
         state: watch::Receiver<ControlState>,
         clock: Arc<dyn ClockSource>,
         logger: Logger,
     ) -> Self {
-        Self {
-            settings,
-            own,
-            state,
-            clock,
-            logger,
-            peers: HashMap::new(),
-            ranks: BTreeMap::new(),
-            planner: None,
-        }
+        let (peers, ranks) = (HashMap::new(), BTreeMap::new());
+        Self { settings, own, control: Some(control), state, clock, logger, peers, ranks, planner: None }
     }
 
     /// Runs for ever.
@@ -129,6 +124,9 @@
             self.planner = None;
             return IDLE_MILLIS;
         }
+        if let Some(control) = self.control.take() {
+            tokio::task::spawn_local(async move { control.run().await });
+        }
         let Some(links) = self.links(&own.state).await else { return IDLE_MILLIS };
         if self.planner.is_none() {
             let Some(shape) = self.shape() else { return IDLE_MILLIS };
--- a/porthoistd/src/role/rank.rs
+++ b/porthoistd/src/role/rank.rs
@@ -19,9 +19,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-/// How long one question to the table service waits for a change, in milliseconds: the process needs the group's
-/// shape and the other ranks' addresses, which seldom change.
-const WATCH_WAIT_MILLIS: u64 = 25_000;
+/// How long one question to the table service waits for a change: the process needs the group's shape and the other
+/// ranks' addresses, which seldom change.
+const WATCH: WatchSettings = WatchSettings { routes_wait_millis: 25_000, targets_wait_millis: 25_000 };
 
 /// Runs the role until it is told to stop.
 pub fn run(settings: RankSettings, logger: &Logger) -> io::Result<()> {
@@ -34,8 +34,8 @@
     let metrics = Arc::new(MetricsHub::new().map_err(io::Error::other)?);
     let clock: Arc<dyn ClockSource> = Arc::new(AnchoredClock::new());
     let state = watch::Sender::new(ControlState::default());
-    start_control(&settings, state.clone(), Arc::clone(&clock), Arc::clone(&metrics), logger.clone())?;
-    spawn_duty("metrics", move || serve_metrics(metrics_listener, metrics))?;
+    let served = Arc::clone(&metrics);
+    spawn_duty("metrics", move || serve_metrics(metrics_listener, served))?;
     let stopping = watch::Sender::new(false);
     let mut stop = stopping.subscribe();
     let duty = spawn_duty("rank", move || async move {
@@ -44,27 +44,13 @@
         tokio::task::spawn_local(serve_ranks(listener, Rc::<OwnRank>::clone(&own)));
         tokio::task::spawn_local(watch_reloads(logger.clone()));
         tokio::task::spawn_local(watch_signals(stopping, logger.clone(), || 0));
-        let duty = RankDuty::new(settings, own, state.subscribe(), clock, logger);
+        let source = TuristSource::new(StoreClient::new(settings.table, metrics), logger.clone());
+        let control =
+            ControlWatch::new(WATCH, Rc::new(source), state.clone(), Arc::clone(&clock), logger.clone());
+        let duty = RankDuty::new(settings, own, control, state.subscribe(), clock, logger);
         tokio::task::spawn_local(duty.run());
         // A held group is released by the next life of this process: nothing has to be finished here.
         drop(stop.wait_for(|stopping| *stopping).await);
     })?;
     duty.join().map_err(|_panic| io::Error::other("the rank duty panicked"))
 }
-
-fn start_control(
-    settings: &RankSettings,
-    state: watch::Sender<ControlState>,
-    clock: Arc<dyn ClockSource>,
-    metrics: Arc<MetricsHub>,
-    logger: Logger,
-) -> io::Result<()> {
-    let table = settings.table;
-    spawn_duty("control", move || async move {
-        let source = TuristSource::new(StoreClient::new(table, metrics), logger.clone());
-        let settings =
-            WatchSettings { routes_wait_millis: WATCH_WAIT_MILLIS, targets_wait_millis: WATCH_WAIT_MILLIS };
-        ControlWatch::new(settings, Rc::new(source), state, clock, logger).run().await;
-    })?;
-    Ok(())
-}
