--- a/crates/porthoist-group/src/held.rs
+++ b/crates/porthoist-group/src/held.rs
@@ -152,6 +152,11 @@
         self.pace(&views, sent)
     }
 
+    /// Whether the group is, or is about to be, held by a switch of this planner.
+    pub fn holding(&self) -> bool {
+        self.driver.holding()
+    }
+
     fn pace(&self, views: &[RankView], sent: usize) -> RoundOutcome {
         if views[0].held.is_some() || self.driver.holding() {
             return RoundOutcome::Holding;
--- a/crates/porthoist-proxy/src/course.rs
+++ b/crates/porthoist-proxy/src/course.rs
@@ -426,7 +426,7 @@
         let millis = self.clock.now().since(began) as f64;
         match &answer {
             Ok(TargetAnswer::Whole(whole)) if whole.status.is_server_error() => {
-                place.ended(SendOutcome::Failed)
+                place.ended(SendOutcome::Failed);
             }
             Ok(_answer) => {
                 self.note_answer(&admitted.service);
--- a/porthoistd/src/duty/rank.rs
+++ b/porthoistd/src/duty/rank.rs
@@ -109,10 +109,14 @@
         Self { settings, own, control: Some(control), state, clock, logger, peers, ranks, planner: None }
     }
 
-    /// Runs for ever.
-    pub async fn run(mut self) {
+    /// Runs until it should stop and no switch of its own holds the group.
+    pub async fn run(mut self, stop: watch::Receiver<bool>) {
         loop {
             let pause = self.turn().await;
+            let holding = self.planner.as_ref().is_some_and(HeldPlanner::holding);
+            if *stop.borrow() && !holding {
+                return;
+            }
             tokio::time::sleep(Duration::from_millis(pause)).await;
         }
     }
--- a/porthoistd/src/role/rank.rs
+++ b/porthoistd/src/role/rank.rs
@@ -37,7 +37,7 @@
     let served = Arc::clone(&metrics);
     spawn_duty("metrics", move || serve_metrics(metrics_listener, served))?;
     let stopping = watch::Sender::new(false);
-    let mut stop = stopping.subscribe();
+    let stop = stopping.subscribe();
     let duty = spawn_duty("rank", move || async move {
         let own = Rc::new(OwnRank::new(Rc::new(TuristEngine::new(settings.engine))));
         let listener = TcpListener::from_std(rank_listener).expect("a bound listener fits the runtime");
@@ -47,10 +47,9 @@
         let source = TuristSource::new(StoreClient::new(settings.table, metrics), logger.clone());
         let control =
             ControlWatch::new(WATCH, Rc::new(source), state.clone(), Arc::clone(&clock), logger.clone());
-        let duty = RankDuty::new(settings, own, control, state.subscribe(), clock, logger);
-        tokio::task::spawn_local(duty.run());
-        // A held group is released by the next life of this process: nothing has to be finished here.
-        drop(stop.wait_for(|stopping| *stopping).await);
+        let duty = RankDuty::new(settings, own, control, state.subscribe(), clock, logger.clone());
+        duty.run(stop).await;
+        info!(logger, "stopped"; "event" => "stopped");
     })?;
     duty.join().map_err(|_panic| io::Error::other("the rank duty panicked"))
 }
