Let a rank run three requests of each entry

Cause: at scale a place was refused while ranks had room, since callers spread unevenly over entries.

--- a/porthoistd/src/settings/proxy.rs
+++ b/porthoistd/src/settings/proxy.rs
@@ -127,7 +127,7 @@
                 SECONDS,
             )?),
             retry_slack: reader.value("retry-slack", args.retry_slack, Some("0"), number)?,
-            per_rank: reader.value("per-rank", args.per_rank, Some("2"), "a whole number")?,
+            per_rank: reader.value("per-rank", args.per_rank, Some("3"), "a whole number")?,
             log_level: reader.value(
                 "log-level",
                 args.log_level,
