--- a/crates/porthoist-proxy/src/control.rs
+++ b/crates/porthoist-proxy/src/control.rs
@@ -86,6 +86,8 @@
     pub routes: Option<Arc<RouteTable>>,
     /// The targets.
     pub targets: TargetBook,
+    /// Whether they were listed at all.
+    pub targets_listed: bool,
     /// Proof that the routes are the newest.
     pub proof: FreshnessProof,
 }
@@ -242,6 +244,7 @@
                 info!(self.logger, "targets listed"; "event" => "targets_listed", "count" => rows.len(),
                     "after_outage" => grace.is_some());
                 state.targets.listed(rows, grace);
+                state.targets_listed = true;
             }
             TargetNews::Changed(changes) => {
                 for change in &changes {
--- a/porthoistd/src/duty/status.rs
+++ b/porthoistd/src/duty/status.rs
@@ -76,6 +76,9 @@
         if state.routes.is_none() {
             return Some("no configuration");
         }
+        if !state.targets_listed {
+            return Some("no targets listed");
+        }
         let age = state.proof.age(self.clock.now());
         let fresh = age.is_some_and(|age| age < self.proof_millis);
         (!fresh).then_some("the configuration may be out of date")
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -167,10 +167,13 @@
     }
 }
 
-/// Tells the course of each change of the targets.
+/// Tells the course of the targets now, and of each change. What was listed before this task began counts too.
 async fn follow_targets(course: Rc<RequestCourse>, mut state: watch::Receiver<ControlState>) {
-    while state.changed().await.is_ok() {
+    loop {
         state.mark_unchanged();
         course.sync_targets();
+        if state.changed().await.is_err() {
+            return;
+        }
     }
 }
