Fit the planner of a group of 63 ranks through a small host's link; ask once for many changes

Cause: on the grown deployment no map was ever planned: 8 KB of counts from each of 62 ranks took longer than the time for an answer, and 10 KB of map for each as long. Calls to the store were the largest price there. Ruled out: longer times alone (half a second a round leaves nothing of a shift that lasts three). Change: counts as bytes with a unit, maps as changes to the last one sent, times that grow with the ranks; a pause of 500 ms after a change of targets and 100 ms after one of routes.

--- a/crates/porthoist-fleet/schema/rank.capnp
+++ b/crates/porthoist-fleet/schema/rank.capnp
@@ -24,14 +24,22 @@
   open @4 :Bool;
 }
 
+# One rank's experts of one set in place of those before.
+struct RankChange {
+  set @0 :UInt16;
+  rank @1 :UInt16;
+  experts @2 :List(UInt16);
+}
+
 struct RankOrder {
   epoch @0 :UInt32;
   union {
     prepare :group {
       version @1 :UInt32;
       sequence @2 :UInt64;
-      # The experts by set and rank.
-      map @3 :List(List(List(UInt16)));
+      # The version of the map that the changes are to be made to; the receiver refuses if it does not know that map.
+      base @8 :UInt32;
+      changes @3 :List(RankChange);
     }
     arm :group {
       version @4 :UInt32;
@@ -43,10 +51,11 @@
 }
 
 interface RankProcess {
-  # The engine's state, and what its requests chose since the last call with `counts`, by set and expert.
-  observe @0 (counts :Bool) -> (state :RankState, counts :List(UInt32));
+  # The engine's state, and what its requests chose since the last call with `counts`: a byte for each set and expert,
+  # in units of `unit`. A group of 64 ranks with 2,000 experts would not fit through a side's link otherwise.
+  observe @0 (counts :Bool) -> (state :RankState, counts :Data, unit :Float32);
   # The map in use and this rank's experts by set.
   lists @1 () -> (version :UInt32, experts :List(List(UInt16)));
   # Gives the engine an order and tells how it was taken.
-  order @2 (order :RankOrder) -> (taken :Bool);
+  order @2 (order :RankOrder) -> (taken :Bool, unknownBase :Bool);
 }
--- a/crates/porthoist-fleet/src/rank.rs
+++ b/crates/porthoist-fleet/src/rank.rs
@@ -1,7 +1,9 @@
 //! The processes beside the ranks of one group: each shows its engine to the others and passes orders on to it.
 
 use crate::rank_capnp::rank_process;
-use crate::rank_convert::{read_observation, read_order, write_order, write_state};
+use crate::rank_convert::{
+    MapChanges, pack_counts, read_observation, read_order, unpack_counts, write_order, write_state,
+};
 use crate::server::{failed, vat_network};
 use capnp::Error;
 use capnp::capability::Rc as CapabilityRc;
@@ -23,8 +25,28 @@
 /// Time for a new connection in milliseconds; a host that was cut off answers nothing at all.
 const CONNECT_MILLIS: u64 = 120;
 
+/// A map that both sides of a connection know.
+type SharedMap = RefCell<Option<(MapVersion, EvenMap)>>;
+
 struct RankServer {
     link: Rc<dyn HeldLink>,
+    /// The last map received over this connection.
+    received: SharedMap,
+}
+
+impl RankServer {
+    /// The whole map of a prepare; nothing if its base is not the last one received.
+    fn whole_map(&self, version: MapVersion, map: MapChanges) -> Option<EvenMap> {
+        let mut received = self.received.borrow_mut();
+        let base = match received.take() {
+            _ if map.base == MapVersion(0) => None,
+            Some((known, base)) if known == map.base => Some(base),
+            _ => return None,
+        };
+        let whole = EvenMap::with_changes(base, map.changes);
+        *received = Some((version, whole.clone()));
+        Some(whole)
+    }
 }
 
 impl rank_process::Server for RankServer {
@@ -36,10 +58,9 @@
         let observed = self.link.observe(params.get()?.get_counts()).await.map_err(failed)?;
         let mut builder = results.get();
         write_state(builder.reborrow().init_state(), &observed.state);
-        let mut counts = builder.init_counts(observed.counts.len() as u32);
-        for (index, count) in observed.counts.iter().enumerate() {
-            counts.set(index as u32, *count);
-        }
+        let (counts, unit) = pack_counts(&observed.counts);
+        builder.set_counts(&counts);
+        builder.set_unit(unit);
         Ok(())
     }
 
@@ -66,7 +87,17 @@
         params: rank_process::OrderParams,
         mut results: rank_process::OrderResults,
     ) -> Result<(), Error> {
-        let (order, map) = read_order(params.get()?.get_order()?)?;
+        let (order, changes) = read_order(params.get()?.get_order()?)?;
+        let map = match (order, changes) {
+            (EngineOrder::Prepare { version, .. }, Some(changes)) => {
+                let Some(map) = self.whole_map(version, changes) else {
+                    results.get().set_unknown_base(true);
+                    return Ok(());
+                };
+                Some(map)
+            }
+            _ => None,
+        };
         let taken = self.link.order(order, map.as_ref()).await.map_err(failed)?;
         results.get().set_taken(taken);
         Ok(())
@@ -80,7 +111,8 @@
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
-        let process: rank_process::Client = new_client(RankServer { link: Rc::clone(&link) });
+        let process: rank_process::Client =
+            new_client(RankServer { link: Rc::clone(&link), received: RefCell::new(None) });
         let system = RpcSystem::new(Box::new(vat_network(stream, Side::Server)), Some(process.client));
         tokio::task::spawn_local(async move {
             // The connection's end is normal; every call on it has its own error.
@@ -93,6 +125,8 @@
 pub struct RankPeer {
     address: SocketAddr,
     connected: RefCell<Option<rank_process::Client>>,
+    /// The last map sent over the present connection.
+    sent: SharedMap,
 }
 
 impl fmt::Debug for RankPeer {
@@ -104,7 +138,7 @@
 impl RankPeer {
     /// The process at an address.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, connected: RefCell::new(None) }
+        Self { address, connected: RefCell::new(None), sent: RefCell::new(None) }
     }
 
     async fn client(&self) -> Result<rank_process::Client, CallError> {
@@ -128,13 +162,14 @@
 
     /// Forgets the connection after a failure.
     fn lost(&self, error: &Error) -> CallError {
-        self.connected.borrow_mut().take();
+        self.reset();
         CallError::unknown(error.to_string())
     }
 
     /// Forgets the connection, for example because a call had no answer in time.
     pub fn reset(&self) {
         self.connected.borrow_mut().take();
+        self.sent.borrow_mut().take();
     }
 
     async fn observe_rank(&self, counts: bool) -> Result<RankObservation, CallError> {
@@ -143,7 +178,7 @@
         let observed = async {
             let response = request.send().promise.await?;
             let results = response.get()?;
-            let counts = results.get_counts()?.iter().collect();
+            let counts = unpack_counts(results.get_counts()?, results.get_unit());
             read_observation(results.get_state()?, counts)
         };
         observed.await.map_err(|error: Error| self.lost(&error))
@@ -164,11 +199,31 @@
     }
 
     async fn pass_order(&self, order: EngineOrder, map: Option<&EvenMap>) -> Result<bool, CallError> {
+        let (EngineOrder::Prepare { version, .. }, Some(map)) = (order, map) else {
+            return Ok(self.send_order(order, &MapChanges::default()).await?.0);
+        };
+        let changes = {
+            let sent = self.sent.borrow();
+            let base = sent.as_ref().map_or(MapVersion(0), |(version, _map)| *version);
+            MapChanges { base, changes: map.changes_from(sent.as_ref().map(|(_version, map)| map)) }
+        };
+        *self.sent.borrow_mut() = Some((version, map.clone()));
+        let (taken, unknown_base) = self.send_order(order, &changes).await?;
+        if !unknown_base {
+            return Ok(taken);
+        }
+        let whole = MapChanges { base: MapVersion(0), changes: map.changes_from(None) };
+        Ok(self.send_order(order, &whole).await?.0)
+    }
+
+    /// Sends an order; returns whether it was taken, and whether the base of its map is unknown.
+    async fn send_order(&self, order: EngineOrder, map: &MapChanges) -> Result<(bool, bool), CallError> {
         let mut request = self.client().await?.order_request();
         write_order(request.get().init_order(), order, map);
         let taken = async {
             let response = request.send().promise.await?;
-            Ok(response.get()?.get_taken())
+            let results = response.get()?;
+            Ok((results.get_taken(), results.get_unknown_base()))
         };
         taken.await.map_err(|error: Error| self.lost(&error))
     }
--- a/crates/porthoist-fleet/src/rank_convert.rs
+++ b/crates/porthoist-fleet/src/rank_convert.rs
@@ -4,7 +4,7 @@
 use capnp::Error;
 use porthoist_group::RankObservation;
 use porthoist_policy::forward::{ArmedMap, EngineOrder, GroupEpoch, OrderSequence, RankState, RankView};
-use porthoist_policy::placement::even::EvenMap;
+use porthoist_policy::placement::even::ListChange;
 use porthoist_policy::placement::map::ExpertId;
 use porthoist_policy::switch::{MapVersion, StepNumber};
 
@@ -65,22 +65,29 @@
     Ok(RankObservation { state, counts })
 }
 
-pub(crate) fn write_order(mut builder: rank_order::Builder<'_>, order: EngineOrder, map: Option<&EvenMap>) {
+/// The map of a prepare as changes to one that the receiver may know; version 0 stands for none.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct MapChanges {
+    pub base: MapVersion,
+    pub changes: Vec<ListChange>,
+}
+
+pub(crate) fn write_order(mut builder: rank_order::Builder<'_>, order: EngineOrder, map: &MapChanges) {
     match order {
         EngineOrder::Prepare { epoch, version, sequence } => {
             builder.set_epoch(epoch.0);
             let mut prepare = builder.init_prepare();
             prepare.set_version(version.0);
             prepare.set_sequence(sequence.0);
-            let sets = map.map_or(&[][..], EvenMap::sets);
-            let mut set_lists = prepare.init_map(sets.len() as u32);
-            for (set, ranks) in sets.iter().enumerate() {
-                let mut rank_lists = set_lists.reborrow().init(set as u32, ranks.len() as u32);
-                for (rank, experts) in ranks.iter().enumerate() {
-                    let mut list = rank_lists.reborrow().init(rank as u32, experts.len() as u32);
-                    for (index, expert) in experts.iter().enumerate() {
-                        list.set(index as u32, expert.0);
-                    }
+            prepare.set_base(map.base.0);
+            let mut changes = prepare.init_changes(map.changes.len() as u32);
+            for (index, change) in map.changes.iter().enumerate() {
+                let mut written = changes.reborrow().get(index as u32);
+                written.set_set(change.set as u16);
+                written.set_rank(change.rank as u16);
+                let mut experts = written.init_experts(change.experts.len() as u32);
+                for (place, expert) in change.experts.iter().enumerate() {
+                    experts.set(place as u32, expert.0);
                 }
             }
         }
@@ -101,7 +108,7 @@
     }
 }
 
-pub(crate) fn read_order(reader: rank_order::Reader<'_>) -> Result<(EngineOrder, Option<EvenMap>), Error> {
+pub(crate) fn read_order(reader: rank_order::Reader<'_>) -> Result<(EngineOrder, Option<MapChanges>), Error> {
     let epoch = GroupEpoch(reader.get_epoch());
     Ok(match reader.which()? {
         rank_order::Prepare(prepare) => {
@@ -110,15 +117,13 @@
                 version: MapVersion(prepare.get_version()),
                 sequence: OrderSequence(prepare.get_sequence()),
             };
-            let mut sets = Vec::new();
-            for rank_lists in prepare.get_map()? {
-                let mut ranks = Vec::new();
-                for list in rank_lists? {
-                    ranks.push(list?.iter().map(ExpertId).collect());
-                }
-                sets.push(ranks);
+            let mut changes = Vec::new();
+            for change in prepare.get_changes()? {
+                let experts = change.get_experts()?.iter().map(ExpertId).collect();
+                let (set, rank) = (usize::from(change.get_set()), usize::from(change.get_rank()));
+                changes.push(ListChange { set, rank, experts });
             }
-            (order, Some(EvenMap::new(sets)))
+            (order, Some(MapChanges { base: MapVersion(prepare.get_base()), changes }))
         }
         rank_order::Arm(arm) => {
             let armed = ArmedMap { version: MapVersion(arm.get_version()), step: StepNumber(arm.get_step()) };
@@ -128,3 +133,18 @@
         rank_order::Go(step) => (EngineOrder::Go { epoch, step: StepNumber(step) }, None),
     })
 }
+
+/// Largest count in a byte.
+const COUNT_STEPS: f32 = 255.0;
+
+/// Counts as bytes in units of the second value.
+pub(crate) fn pack_counts(counts: &[u32]) -> (Vec<u8>, f32) {
+    let highest = counts.iter().copied().max().unwrap_or(0);
+    let unit = (highest as f32 / COUNT_STEPS).max(1.0);
+    (counts.iter().map(|count| (*count as f32 / unit).round() as u8).collect(), unit)
+}
+
+/// Counts from bytes.
+pub(crate) fn unpack_counts(bytes: &[u8], unit: f32) -> Vec<u32> {
+    bytes.iter().map(|byte| (f32::from(*byte) * unit).round() as u32).collect()
+}
--- a/crates/porthoist-group/src/held.rs
+++ b/crates/porthoist-group/src/held.rs
@@ -17,6 +17,9 @@
 
 /// Time in milliseconds within which a rank's process must answer; some ten times the way to the farthest zone.
 const ANSWER_MILLIS: u64 = 150;
+/// Added for each rank of the group, in milliseconds: all answers come through the link of one small host, where 2 KB
+/// of counts take 2 ms at 8 Mbit/s.
+const ANSWER_MILLIS_A_RANK: u64 = 6;
 /// Part of the demand's mean skew that a plan must win to be worth a switch.
 const MIN_GAIN: f64 = 0.04;
 /// Chosen experts that a window must hold to be worth an estimate: 20 for each expert of a usual set.
@@ -195,7 +198,7 @@
         if self.known.is_some() {
             return true;
         }
-        let asked = join_all(links.iter().map(|link| within(link.lists()))).await;
+        let asked = join_all(links.iter().map(|link| within(links.len(), link.lists()))).await;
         let Some(lists) = asked.into_iter().collect::<Option<Vec<RankLists>>>() else { return false };
         let version = views[0].map;
         let alike = lists.iter().all(|list| list.version == version && list.experts.len() == self.shape.sets);
@@ -240,7 +243,7 @@
         let map = self.next.as_ref().map(|next| &next.map);
         let pending = orders.iter().map(|(rank, order)| {
             let map = matches!(order, EngineOrder::Prepare { .. }).then_some(map).flatten();
-            within(links[*rank].order(*order, map))
+            within(links.len(), links[*rank].order(*order, map))
         });
         let taken = join_all(pending).await;
         let refused = orders.iter().zip(&taken).filter(|(order, taken)| {
@@ -258,13 +261,14 @@
 
 async fn observe_all(links: &[Rc<dyn HeldLink>], counts: bool) -> Option<Vec<RankObservation>> {
     let (first, others) = links.split_first()?;
-    let first = within(first.observe(counts)).await?;
-    let others = join_all(others.iter().map(|link| within(link.observe(counts)))).await;
+    let first = within(links.len(), first.observe(counts)).await?;
+    let others = join_all(others.iter().map(|link| within(links.len(), link.observe(counts)))).await;
     let others = others.into_iter().collect::<Option<Vec<RankObservation>>>()?;
     Some(std::iter::once(first).chain(others).collect())
 }
 
-async fn within<T>(call: RankFuture<'_, T>) -> Option<T> {
-    let answered = tokio::time::timeout(Duration::from_millis(ANSWER_MILLIS), call).await;
+async fn within<T>(ranks: usize, call: RankFuture<'_, T>) -> Option<T> {
+    let patience = ANSWER_MILLIS + ANSWER_MILLIS_A_RANK * ranks as u64;
+    let answered = tokio::time::timeout(Duration::from_millis(patience), call).await;
     answered.ok()?.ok()
 }
--- a/crates/porthoist-policy/src/placement/even.rs
+++ b/crates/porthoist-policy/src/placement/even.rs
@@ -31,6 +31,40 @@
         &self.sets
     }
 
+    /// The lists that differ from an earlier map's; all of them if there is none or it has another shape.
+    pub fn changes_from(&self, earlier: Option<&Self>) -> Vec<ListChange> {
+        let earlier = earlier.filter(|earlier| earlier.shape() == self.shape());
+        let mut changes = Vec::new();
+        for (set, ranks) in self.sets.iter().enumerate() {
+            for (rank, experts) in ranks.iter().enumerate() {
+                if earlier.is_none_or(|earlier| earlier.sets[set][rank] != *experts) {
+                    changes.push(ListChange { set, rank, experts: experts.clone() });
+                }
+            }
+        }
+        changes
+    }
+
+    /// An earlier map, or none, with changes made to it.
+    pub fn with_changes(earlier: Option<Self>, changes: Vec<ListChange>) -> Self {
+        let mut sets = earlier.map(|earlier| earlier.sets).unwrap_or_default();
+        for ListChange { set, rank, experts } in changes {
+            if sets.len() <= set {
+                sets.resize(set + 1, Vec::new());
+            }
+            let ranks = &mut sets[set];
+            if ranks.len() <= rank {
+                ranks.resize(rank + 1, Vec::new());
+            }
+            ranks[rank] = experts;
+        }
+        Self { sets }
+    }
+
+    fn shape(&self) -> (usize, usize) {
+        (self.sets.len(), self.sets.first().map_or(0, Vec::len))
+    }
+
     /// Experts that are new to a rank beside an earlier map.
     pub fn new_to(&self, earlier: &Self, rank: usize) -> usize {
         let sets = self.sets.iter().zip(&earlier.sets);
@@ -38,6 +72,17 @@
     }
 }
 
+/// One rank's experts of one set.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListChange {
+    /// The set.
+    pub set: usize,
+    /// The rank.
+    pub rank: usize,
+    /// Its experts from now on.
+    pub experts: Vec<ExpertId>,
+}
+
 /// Bounds of one plan.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EvenBounds {
--- a/crates/porthoist-proxy/src/control.rs
+++ b/crates/porthoist-proxy/src/control.rs
@@ -27,6 +27,12 @@
     pub targets_wait_millis: u64,
 }
 
+/// Pause after a change of the routes, in milliseconds: versions may come every 80, and each must be in force within
+/// 2,000.
+const ROUTES_PAUSE_MILLIS: u64 = 100;
+/// Pause after a change of the targets, in milliseconds, so that many changes cost one question: a target that leaves
+/// must get nothing new after 2,000.
+const TARGETS_PAUSE_MILLIS: u64 = 500;
 /// Time in milliseconds beyond the wait in which an answer must come.
 const ANSWER_MILLIS: u64 = 900;
 /// First pause after a failed question, in milliseconds; it doubles up to [`MAX_PAUSE_MILLIS`].
@@ -149,7 +155,11 @@
                 Ok(answer) => {
                     revision = Some(answer.revision);
                     self.heard();
+                    let changed = answer.value.is_some();
                     self.adopt(answer, sent);
+                    if changed {
+                        tokio::time::sleep(Duration::from_millis(ROUTES_PAUSE_MILLIS)).await;
+                    }
                 }
                 Err(SourceError::HistoryGone) => {
                     info!(self.logger, "routes are listed anew"; "event" => "history_gone");
@@ -189,7 +199,11 @@
             match answer {
                 Ok(answer) => {
                     revision = Some(answer.revision);
+                    let changed = !answer.value.is_empty();
                     self.take_targets(answer.value);
+                    if changed {
+                        tokio::time::sleep(Duration::from_millis(TARGETS_PAUSE_MILLIS)).await;
+                    }
                 }
                 Err(SourceError::HistoryGone) => {
                     info!(self.logger, "targets are listed anew"; "event" => "history_gone");
@@ -306,6 +320,13 @@
 }
 
 impl TargetNews {
+    fn is_empty(&self) -> bool {
+        match self {
+            Self::Listed(rows) => rows.is_empty(),
+            Self::Changed(changes) => changes.is_empty(),
+        }
+    }
+
     fn listed(answer: Stamped<Vec<TargetRecord>>) -> Stamped<Self> {
         let Stamped { value, revision, stamp } = answer;
         Stamped { value: Self::Listed(value), revision, stamp }
--- a/porthoistd/src/duty/rank.rs
+++ b/porthoistd/src/duty/rank.rs
@@ -24,12 +24,17 @@
 const REST_MILLIS: u64 = 150;
 /// Pause between rounds while experts are copied, in milliseconds; one takes about 100.
 const COPY_MILLIS: u64 = 25;
+/// The least of that pause for each rank, in milliseconds: reading 2 KB of counts from each takes 2 ms of a small
+/// host's link, and half of it must stay free for a switch.
+const REST_MILLIS_A_RANK: u64 = 5;
+/// The same while experts are copied, when only states are read.
+const COPY_MILLIS_A_RANK: u64 = 2;
 /// Pause between rounds while a group is held, in milliseconds.
 const HOLD_MILLIS: u64 = 2;
 /// Pause of a process that can't plan, in milliseconds.
 const IDLE_MILLIS: u64 = 400;
 /// Time in milliseconds in which a process must say which rank it stands beside.
-const FIND_MILLIS: u64 = 200;
+const FIND_MILLIS: u64 = 600;
 /// Start of the clock that versions come from, in Unix milliseconds: the beginning of 2026.
 const VERSION_EPOCH_MILLIS: u64 = 1_767_225_600_000;
 /// Milliseconds of one version: a life of the process takes longer to begin.
@@ -141,8 +146,8 @@
         let fresh = self.fresh_version();
         let Some(planner) = &mut self.planner else { return IDLE_MILLIS };
         match planner.round(&links, fresh).await {
-            RoundOutcome::Rest => REST_MILLIS,
-            RoundOutcome::Copying => COPY_MILLIS,
+            RoundOutcome::Rest => REST_MILLIS.max(REST_MILLIS_A_RANK * own.state.size as u64),
+            RoundOutcome::Copying => COPY_MILLIS.max(COPY_MILLIS_A_RANK * own.state.size as u64),
             RoundOutcome::Holding => HOLD_MILLIS,
             RoundOutcome::Blind => {
                 self.peers.values().for_each(|peer| peer.reset());
