Give out repeats so that any number of processes keeps within the whole; price moves by the group's size

Ruled out: counting entries by rows of the table (a row for each life, and calls that are priced). Change: 0.8 of the ratio for one's own first sends and a hundredth of the slack for each process; a replica must win 0.36 of one rank's mean load for the group, so that a larger group moves more.

--- a/porthoistd/src/duty/rank.rs
+++ b/porthoistd/src/duty/rank.rs
@@ -138,7 +138,7 @@
         }
         let Some(links) = self.links(&own.state).await else { return IDLE_MILLIS };
         if self.planner.is_none() {
-            let Some(shape) = self.shape() else { return IDLE_MILLIS };
+            let Some(shape) = self.shape(own.state.size) else { return IDLE_MILLIS };
             info!(self.logger, "planning for the group"; "event" => "planner_start", "group" => own.state.group,
                 "ranks" => links.len());
             self.planner = Some(HeldPlanner::new(shape, self.logger.clone()));
@@ -202,7 +202,7 @@
         Some(own.service.clone())
     }
 
-    fn shape(&self) -> Option<GroupShape> {
+    fn shape(&self, ranks: usize) -> Option<GroupShape> {
         let state = self.state.borrow();
         let service = self.own_service(&state)?;
         let engine = state.routes.as_ref()?.services.get(&service)?.engine.as_ref()?;
@@ -210,7 +210,7 @@
             places: engine.places,
             spare: engine.spare,
             new_a_rank: self.settings.new_a_rank,
-            move_price: self.settings.move_price,
+            move_price: self.settings.move_price / ranks.max(1) as f64,
         };
         Some(GroupShape { sets: engine.sets, experts: engine.experts, bounds })
     }
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -32,10 +32,10 @@
 const STOP_LAG_MILLIS: u64 = 2_600;
 /// Kept from the time to stop, in milliseconds, so that the last log lines are written.
 const GRACE_MARGIN_MILLIS: u64 = 300;
-/// Part of the repeats of all processes that are given out: callers are spread unevenly.
-const RATIO_PART: f64 = 0.5;
-/// Processes that the slack is divided between. More may run than this process knows of.
-const SLACK_PROCESSES: f64 = 24.0;
+/// Part of the repeats for each request that a process sends by itself; the rest covers processes that restart.
+const RATIO_PART: f64 = 0.8;
+/// Processes that the slack is divided between: twice the most that any deployment runs now.
+const SLACK_PROCESSES: f64 = 100.0;
 
 /// How long questions to the table service wait. Two answers about routes come within the life of a proof, so that
 /// one may be lost; each question has its price.
--- a/porthoistd/src/settings/rank.rs
+++ b/porthoistd/src/settings/rank.rs
@@ -33,7 +33,7 @@
     /// address of the platform's table service, IP:PORT
     #[argh(option)]
     pub table: Option<String>,
-    /// part of the mean load that a replica must win to be copied
+    /// part of one rank's mean load that a replica must win for the group to be copied
     #[argh(option)]
     pub move_price: Option<String>,
     /// experts that one switch copies to a rank at most
@@ -59,7 +59,7 @@
     pub metrics_listen: SocketAddr,
     /// The table service.
     pub table: SocketAddr,
-    /// Part of the mean load that a replica must win.
+    /// Part of one rank's mean load that a replica must win for the group.
     pub move_price: f64,
     /// Experts that one switch copies to a rank at most.
     pub new_a_rank: usize,
@@ -86,7 +86,7 @@
                 ADDRESS,
             )?,
             table: reader.value("table", args.table, None, ADDRESS)?,
-            move_price: reader.value("move-price", args.move_price, Some("0.03"), "a number")?,
+            move_price: reader.value("move-price", args.move_price, Some("0.36"), "a number")?,
             new_a_rank: reader.value("new-a-rank", args.new_a_rank, Some("4"), "a whole number")?,
             log_level: reader.value(
                 "log-level",
