--- /dev/null
+++ b/crates/porthoist-group/tests/held.rs
@@ -0,0 +1,252 @@
+//! The planner over engines in memory that carry orders out late, twice or not at all.
+
+use futures::FutureExt as _;
+use porthoist_group::{GroupShape, HeldLink, HeldPlanner, RankFuture, RankLists, RankObservation};
+use porthoist_http::CallError;
+use porthoist_policy::forward::{ArmedMap, EngineOrder, GroupEpoch, OrderSequence, RankState, RankView};
+use porthoist_policy::placement::even::{EvenBounds, EvenMap, skew};
+use porthoist_policy::placement::map::ExpertId;
+use porthoist_policy::switch::{MapVersion, StepNumber};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg32;
+use slog::{Discard, Logger, o};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use test_case::test_case;
+
+const RANKS: usize = 4;
+const EXPERTS: usize = 12;
+const PLACES: usize = 4;
+/// Rounds of the planner in one run; a pass begins between any two.
+const ROUNDS: u32 = 400;
+
+#[derive(Debug, Clone)]
+struct Engine {
+    view: RankView,
+    highest: MapVersion,
+    maps: HashMap<MapVersion, EvenMap>,
+}
+
+/// A group in memory.
+#[derive(Debug)]
+struct Group {
+    engines: Vec<Engine>,
+    late: Vec<(usize, EngineOrder, Option<EvenMap>)>,
+    random: Pcg32,
+    /// Part of the orders that get no answer and are carried out late or never.
+    trouble: f64,
+    hot: usize,
+    mixed: bool,
+    held_passes: u32,
+}
+
+fn first_map() -> EvenMap {
+    let held =
+        |rank: usize| (0..PLACES).map(|place| ExpertId(((place * RANKS + rank) % EXPERTS) as u16)).collect();
+    EvenMap::new(vec![(0..RANKS).map(held).collect()])
+}
+
+impl Group {
+    fn new(seed: u64, trouble: f64) -> Self {
+        let view = RankView {
+            epoch: GroupEpoch(1),
+            sequence: OrderSequence(0),
+            step: StepNumber(0),
+            map: MapVersion(0),
+            prepared: None,
+            armed: None,
+            held: None,
+            busy: false,
+        };
+        let maps = HashMap::from([(MapVersion(0), first_map())]);
+        let engine = Engine { view, highest: MapVersion(0), maps };
+        let random = Pcg32::seed_from_u64(seed);
+        let engines = vec![engine; RANKS];
+        Self { engines, late: Vec::new(), random, trouble, hot: 0, mixed: false, held_passes: 0 }
+    }
+
+    /// Carries an order out as an engine does; `false` if it is refused.
+    fn carry_out(&mut self, rank: usize, order: EngineOrder, map: Option<&EvenMap>) -> bool {
+        let Engine { view, highest, maps } = &mut self.engines[rank];
+        let (fits, done) = match order {
+            EngineOrder::Prepare { epoch, version, sequence } => {
+                let fits = epoch == view.epoch
+                    && sequence == view.sequence
+                    && version > *highest
+                    && view.armed.is_none();
+                if fits {
+                    *highest = version;
+                    view.prepared = Some(version);
+                    maps.insert(version, map.expect("a prepare has its map").clone());
+                }
+                (fits, view.prepared == Some(version))
+            }
+            EngineOrder::Arm { epoch, armed } => {
+                let fits =
+                    epoch == view.epoch && view.prepared == Some(armed.version) && armed.step > view.step;
+                let done = view.armed == Some(armed);
+                if fits {
+                    view.armed = Some(armed);
+                }
+                (fits && !done, done)
+            }
+            EngineOrder::Hold { epoch, step } => {
+                let fits = epoch == view.epoch && step > view.step && view.held.is_none();
+                if fits {
+                    view.held = Some(step);
+                }
+                (fits, view.held == Some(step))
+            }
+            EngineOrder::Go { epoch, step } => {
+                let fits = epoch == view.epoch && view.held == Some(step);
+                if fits {
+                    view.held = None;
+                }
+                (fits, true)
+            }
+        };
+        view.sequence.0 += u64::from(fits);
+        fits || done
+    }
+
+    /// Carries out some late orders, then begins a pass unless it is held.
+    fn pass(&mut self) {
+        for (rank, order, map) in std::mem::take(&mut self.late) {
+            if self.random.random_bool(0.1) {
+                self.carry_out(rank, order, map.as_ref());
+            } else {
+                self.late.push((rank, order, map));
+            }
+        }
+        let next = StepNumber(self.engines[0].view.step.0 + 1);
+        if self.engines[0].view.held == Some(next) {
+            self.held_passes += 1;
+            return;
+        }
+        for engine in &mut self.engines {
+            engine.view.step = next;
+            if let Some(ArmedMap { version, step }) = engine.view.armed
+                && step == next
+            {
+                engine.view = RankView { map: version, armed: None, prepared: None, ..engine.view };
+            }
+        }
+        let map = |engine: &Engine| engine.maps[&engine.view.map].clone();
+        self.mixed |= self.engines.iter().any(|engine| map(engine) != map(&self.engines[0]));
+    }
+
+    fn demand(&self) -> Vec<f64> {
+        let weight =
+            |expert: usize| if expert == self.hot || expert == (self.hot + 4) % EXPERTS { 10.0 } else { 1.0 };
+        let total: f64 = (0..EXPERTS).map(weight).sum();
+        (0..EXPERTS).map(|expert| weight(expert) / total).collect()
+    }
+
+    fn skew(&self) -> f64 {
+        let engine = &self.engines[0];
+        skew(&engine.maps[&engine.view.map], &[self.demand()])
+    }
+}
+
+#[derive(Debug)]
+struct Link {
+    group: Rc<RefCell<Group>>,
+    rank: usize,
+}
+
+impl HeldLink for Link {
+    fn observe(&self, counts: bool) -> RankFuture<'_, RankObservation> {
+        let group = self.group.borrow();
+        let state = RankState {
+            view: group.engines[self.rank].view,
+            group: "g".to_owned(),
+            rank: self.rank,
+            size: RANKS,
+            open: true,
+        };
+        let counts = if counts {
+            group.demand().iter().map(|part| (part * 2_000.0) as u32).collect()
+        } else {
+            Vec::new()
+        };
+        async move { Ok(RankObservation { state, counts }) }.boxed_local()
+    }
+
+    fn lists(&self) -> RankFuture<'_, RankLists> {
+        let group = self.group.borrow();
+        let engine = &group.engines[self.rank];
+        let map = &engine.maps[&engine.view.map];
+        let experts = map.sets().iter().map(|ranks| ranks[self.rank].clone()).collect();
+        let lists = RankLists { version: engine.view.map, experts };
+        async move { Ok(lists) }.boxed_local()
+    }
+
+    fn order<'a>(&'a self, order: EngineOrder, map: Option<&'a EvenMap>) -> RankFuture<'a, bool> {
+        let mut group = self.group.borrow_mut();
+        let trouble = group.trouble;
+        let lost = group.random.random_bool(trouble);
+        let answer = if lost {
+            // Half of them are carried out late, the others at once, and all without an answer; some come twice.
+            if group.random.random_bool(0.5) {
+                group.carry_out(self.rank, order, map);
+            }
+            group.late.push((self.rank, order, map.cloned()));
+            Err(CallError::unknown("lost"))
+        } else {
+            Ok(group.carry_out(self.rank, order, map))
+        };
+        async move { answer }.boxed_local()
+    }
+}
+
+fn shape() -> GroupShape {
+    let bounds = EvenBounds { places: PLACES, spare: 2, new_a_rank: 3, move_price: 0.01 };
+    GroupShape { sets: 1, experts: EXPERTS, bounds }
+}
+
+fn planner() -> HeldPlanner {
+    HeldPlanner::new(shape(), Logger::root(Discard, o!()))
+}
+
+#[test_case(0.0, false; "calm")]
+#[test_case(0.35, false; "a third of the orders late")]
+#[test_case(0.35, true; "late orders and a planner that restarts")]
+#[test_case(0.8, true; "most orders late and a planner that restarts")]
+#[tokio::test]
+async fn passes_are_never_mixed_and_the_group_goes_on(trouble: f64, restarts: bool) {
+    for seed in 0..20 {
+        let group = Rc::new(RefCell::new(Group::new(seed, trouble)));
+        let links: Vec<Rc<dyn HeldLink>> = (0..RANKS)
+            .map(|rank| Rc::new(Link { group: Rc::clone(&group), rank }) as Rc<dyn HeldLink>)
+            .collect();
+        let mut planner = planner();
+        let mut random = Pcg32::seed_from_u64(seed + 1_000);
+        for round in 0..ROUNDS {
+            if restarts && random.random_bool(0.02) {
+                planner = self::planner();
+            }
+            if round % 100 == 0 {
+                group.borrow_mut().hot = random.random_range(0..EXPERTS);
+            }
+            planner.round(&links, MapVersion(round)).await;
+            if random.random_bool(0.7) {
+                group.borrow_mut().pass();
+            }
+        }
+        let group = group.borrow();
+        assert!(!group.mixed, "seed {seed}: a pass was mixed");
+        let passes = group.engines[0].view.step.0;
+        assert!(passes > ROUNDS / 4, "seed {seed}: {passes} passes, {} held", group.held_passes);
+        if trouble == 0.0 {
+            assert!(group.skew() < 1.5, "seed {seed}: skew {}", group.skew());
+            // A pass begins in seven rounds of ten, and a switch takes three rounds from its hold on.
+            let switches = group.engines[0].maps.len() as u32;
+            assert!(
+                group.held_passes <= switches,
+                "seed {seed}: {} held, {switches} maps",
+                group.held_passes
+            );
+        }
+    }
+}
--- a/crates/porthoist-policy/src/placement/even.rs
+++ b/crates/porthoist-policy/src/placement/even.rs
@@ -163,14 +163,9 @@
 
 impl<'a> SetPlan<'a> {
     fn new(original: &'a [Vec<ExpertId>], demand: &'a [f64]) -> Self {
-        Self {
-            original,
-            ranks: original.to_vec(),
-            demand,
-            loads: rank_loads(original, demand),
-            copies: copies(original, demand.len()),
-            new: vec![0; original.len()],
-        }
+        let ranks: Vec<Vec<ExpertId>> = original.iter().map(|held| without_repeats(held)).collect();
+        let (loads, copies) = (rank_loads(&ranks, demand), copies(&ranks, demand.len()));
+        Self { original, ranks, demand, loads, copies, new: vec![0; original.len()] }
     }
 
     fn demand(&self, expert: ExpertId) -> f64 {
@@ -271,6 +266,17 @@
     }
 }
 
+/// An expert that a rank lists twice is one replica all the same.
+fn without_repeats(held: &[ExpertId]) -> Vec<ExpertId> {
+    let mut once = Vec::with_capacity(held.len());
+    for expert in held {
+        if !once.contains(expert) {
+            once.push(*expert);
+        }
+    }
+    once
+}
+
 /// A norm close to the highest load, in units of the mean load.
 fn norm(loads: &[f64]) -> f64 {
     let total: f64 = loads.iter().sum();
--- a/crates/porthoist-policy/tests/policy.rs
+++ b/crates/porthoist-policy/tests/policy.rs
@@ -4,12 +4,18 @@
 mod admission;
 #[path = "policy/configuration.rs"]
 mod configuration;
+#[path = "policy/even.rs"]
+mod even;
+#[path = "policy/forward.rs"]
+mod forward;
 #[path = "policy/gate.rs"]
 mod gate;
 #[path = "policy/limits.rs"]
 mod limits;
 #[path = "policy/placement.rs"]
 mod placement;
+#[path = "policy/proxy.rs"]
+mod proxy;
 #[path = "policy/retry.rs"]
 mod retry;
 #[path = "policy/router.rs"]
--- /dev/null
+++ b/crates/porthoist-policy/tests/policy/even.rs
@@ -0,0 +1,95 @@
+//! Expert maps whose replicas share evenly.
+
+use porthoist_policy::placement::even::{EvenBounds, EvenMap, improve, rank_loads, skew};
+use porthoist_policy::placement::map::ExpertId;
+use proptest::prelude::*;
+
+const RANKS: usize = 6;
+const EXPERTS: usize = 18;
+const PLACES: usize = 4;
+
+/// Experts in turn; each rank lists its first expert a second time in its last place.
+fn first_map(sets: usize) -> EvenMap {
+    let held =
+        |rank: usize| (0..PLACES).map(|place| ExpertId(((place * RANKS + rank) % EXPERTS) as u16)).collect();
+    EvenMap::new(vec![(0..RANKS).map(held).collect(); sets])
+}
+
+fn bounds(spare: usize, new_a_rank: usize) -> EvenBounds {
+    EvenBounds { places: PLACES, spare, new_a_rank, move_price: 0.005 }
+}
+
+/// A demand in which some experts are liked far more.
+fn skewed(hot: usize) -> Vec<f64> {
+    let weight = |expert: usize| 1.0 / (1.0 + ((expert + EXPERTS - hot) % EXPERTS) as f64);
+    let total: f64 = (0..EXPERTS).map(weight).sum();
+    (0..EXPERTS).map(|expert| weight(expert) / total).collect()
+}
+
+#[test]
+fn loads_are_shared_evenly_between_replicas() {
+    let map = [vec![ExpertId(0), ExpertId(1)], vec![ExpertId(0)]];
+    assert_eq!(rank_loads(&map, &[0.6, 0.4]), [0.7, 0.3]);
+}
+
+#[test]
+fn a_skewed_demand_is_evened_out_in_a_few_plans() {
+    let demand = vec![skewed(3), skewed(11)];
+    let mut map = first_map(2);
+    let before = skew(&map, &demand);
+    for _plan in 0..4 {
+        map = improve(&map, &demand, &bounds(2, 3)).map;
+    }
+    let after = skew(&map, &demand);
+    assert!(before > 1.8 && after < 1.25, "{before} to {after}");
+}
+
+#[test]
+fn an_even_demand_moves_nothing() {
+    let demand = vec![vec![1.0 / EXPERTS as f64; EXPERTS]];
+    let even = EvenMap::new(vec![
+        (0..RANKS)
+            .map(|rank| (0..3).map(|place| ExpertId((place * RANKS + rank) as u16)).collect())
+            .collect(),
+    ]);
+    let plan = improve(&even, &demand, &bounds(2, 3));
+    assert_eq!((plan.moves, plan.map), (0, even));
+}
+
+#[test]
+fn changes_to_a_map_make_the_next_one() {
+    let first = improve(&first_map(2), &[skewed(3), skewed(11)], &bounds(2, 3)).map;
+    let next = improve(&first, &[skewed(4), skewed(11)], &bounds(2, 3)).map;
+    assert_ne!(next, first);
+    let changes = next.changes_from(Some(&first));
+    assert!(changes.len() < 2 * RANKS, "only the lists that differ");
+    assert_eq!(EvenMap::with_changes(Some(first), changes), next);
+    assert_eq!(EvenMap::with_changes(None, next.changes_from(None)), next);
+}
+
+proptest! {
+    #[test]
+    fn a_plan_keeps_every_expert_and_every_bound(
+        weights in prop::collection::vec(0.0_f64..1.0, EXPERTS),
+        spare in 0_usize..3,
+        new_a_rank in 0_usize..5,
+    ) {
+        let total: f64 = weights.iter().sum::<f64>().max(1e-9);
+        let demand = vec![weights.iter().map(|weight| weight / total).collect::<Vec<f64>>(); 2];
+        let first = first_map(2);
+        let plan = improve(&first, &demand, &bounds(spare, new_a_rank));
+        prop_assert!(plan.skew_after <= plan.skew_before + 1e-9);
+        for (set, ranks) in plan.map.sets().iter().enumerate() {
+            for expert in 0..EXPERTS {
+                prop_assert!(ranks.iter().flatten().any(|held| usize::from(held.0) == expert));
+            }
+            for (rank, held) in ranks.iter().enumerate() {
+                let new = held.iter().filter(|expert| !first.sets()[set][rank].contains(expert)).count();
+                prop_assert!(held.len() <= PLACES && new <= spare);
+            }
+        }
+        for rank in 0..RANKS {
+            prop_assert!(plan.map.new_to(&first, rank) <= new_a_rank);
+        }
+    }
+}
--- /dev/null
+++ b/crates/porthoist-policy/tests/policy/forward.rs
@@ -0,0 +1,110 @@
+//! The switch that only rolls forward, order by order.
+
+use porthoist_policy::forward::{
+    ArmedMap, EngineOrder, ForwardDriver, ForwardRules, GroupEpoch, OrderSequence, RankView,
+};
+use porthoist_policy::switch::{MapVersion, StepNumber};
+
+const EPOCH: GroupEpoch = GroupEpoch(1);
+
+fn view(step: u32) -> RankView {
+    RankView {
+        epoch: EPOCH,
+        sequence: OrderSequence(0),
+        step: StepNumber(step),
+        map: MapVersion(0),
+        prepared: None,
+        armed: None,
+        held: None,
+        busy: false,
+    }
+}
+
+/// A driver that has waited long enough, and the reports it saw last.
+fn rested() -> (ForwardDriver, Vec<RankView>) {
+    let mut driver = ForwardDriver::new(ForwardRules::SOUND);
+    assert!(!driver.at_rest(&[view(5), view(5)]), "an old hold may still come into force");
+    let views = vec![view(7), view(7)];
+    assert!(driver.at_rest(&views));
+    (driver, views)
+}
+
+#[test]
+fn a_switch_goes_forward_step_by_step() {
+    let (mut driver, mut views) = rested();
+    let version = driver.begin(&views, MapVersion(40));
+    assert_eq!(version, MapVersion(40));
+    let prepare = EngineOrder::Prepare { epoch: EPOCH, version, sequence: OrderSequence(0) };
+    assert_eq!(driver.next(&views), [(0, prepare), (1, prepare)]);
+    views[0].prepared = Some(version);
+    assert_eq!(driver.next(&views), [(1, prepare)], "repeated with the same condition until read back");
+    views[1].prepared = Some(version);
+    let armed = ArmedMap { version, step: StepNumber(9) };
+    let hold = EngineOrder::Hold { epoch: EPOCH, step: armed.step };
+    assert_eq!(driver.next(&views), [(0, hold)]);
+    views[0].held = Some(armed.step);
+    let arm = EngineOrder::Arm { epoch: EPOCH, armed };
+    assert_eq!(driver.next(&views), [(0, arm), (1, arm)]);
+    views[1].armed = Some(armed);
+    assert_eq!(driver.next(&views), [(0, arm)]);
+    views[0].armed = Some(armed);
+    assert_eq!(driver.next(&views), [(0, EngineOrder::Go { epoch: EPOCH, step: armed.step })]);
+    views[0].held = None;
+    assert_eq!(driver.next(&views), []);
+    for rank in &mut views {
+        *rank = RankView { map: version, armed: None, prepared: None, ..view(9) };
+    }
+    assert_eq!(driver.next(&views), []);
+    assert!(driver.at_rest(&views) && !driver.holding());
+}
+
+#[test]
+fn a_hold_that_came_too_late_is_given_for_a_later_pass() {
+    let (mut driver, mut views) = rested();
+    let version = driver.begin(&views, MapVersion(1));
+    for rank in &mut views {
+        rank.prepared = Some(version);
+    }
+    assert_eq!(driver.next(&views), [(0, EngineOrder::Hold { epoch: EPOCH, step: StepNumber(9) })]);
+    for rank in &mut views {
+        rank.step = StepNumber(9);
+    }
+    assert_eq!(driver.next(&views), [(0, EngineOrder::Hold { epoch: EPOCH, step: StepNumber(11) })]);
+}
+
+#[test]
+fn a_new_life_goes_on_with_the_hold_it_finds() {
+    let armed = ArmedMap { version: MapVersion(3), step: StepNumber(8) };
+    let mut views = vec![view(7), view(7), view(7)];
+    for rank in &mut views {
+        rank.prepared = Some(armed.version);
+    }
+    views[0].held = Some(armed.step);
+    views[2].armed = Some(armed);
+    let mut driver = ForwardDriver::new(ForwardRules::SOUND);
+    assert!(!driver.at_rest(&views));
+    let arm = EngineOrder::Arm { epoch: EPOCH, armed };
+    assert_eq!(driver.next(&views), [(0, arm), (1, arm)]);
+}
+
+#[test]
+fn a_new_formation_ends_a_switch() {
+    let (mut driver, mut views) = rested();
+    driver.begin(&views, MapVersion(1));
+    for rank in &mut views {
+        rank.epoch = GroupEpoch(2);
+    }
+    assert_eq!(driver.next(&views), []);
+    assert_eq!(driver.target(), None);
+    views[0].epoch = GroupEpoch(3);
+    assert_eq!(driver.next(&views), [], "ranks in different formations get nothing");
+}
+
+#[test]
+fn a_refused_version_is_skipped_by_far() {
+    let (mut driver, views) = rested();
+    let first = driver.begin(&views, MapVersion(1));
+    driver.version_refused();
+    let second = driver.begin(&views, MapVersion(1));
+    assert!(second.0 > first.0 + 10, "{first:?} then {second:?}");
+}
--- /dev/null
+++ b/crates/porthoist-policy/tests/policy/proxy.rs
@@ -0,0 +1,222 @@
+//! Decisions for requests that are passed on as they are.
+
+use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis};
+use porthoist_policy::proxy::freshness::{FreshnessProof, StampedAnswer};
+use porthoist_policy::proxy::placement::{BoardSettings, LoadBoard, RequestWork, SendOutcome, WaitList};
+use porthoist_policy::proxy::retry_share::{RetryShare, ShareSettings};
+use porthoist_policy::proxy::routes::{
+    CallerLimits, ConfigVersion, RouteError, RouteKind, RouteRule, RouteTable, TeamGrant, WeightedService,
+};
+use porthoist_policy::proxy::targets::{TargetBook, TargetChange, TargetRecord, TargetState};
+use std::collections::HashMap;
+use test_case::test_case;
+
+fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().unwrap()
+}
+
+fn rule(prefix: &str, services: &[(&str, u32)]) -> RouteRule {
+    let services =
+        services.iter().map(|(service, weight)| WeightedService { service: name(service), weight: *weight });
+    RouteRule {
+        name: prefix.into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Repeatable,
+        timeout_millis: 1_000,
+        target_latency_millis: 500,
+        priority: 1,
+        max_attempts: 2,
+        public: prefix.contains("public"),
+        services: services.collect(),
+    }
+}
+
+fn table() -> RouteTable {
+    let limits = CallerLimits { header_bytes: 1, body_bytes: 1, idle_millis: 1 };
+    let routes = ["/", "/a/", "/a/b/", "/public/"]
+        .map(|prefix| (Box::from("Host.example"), rule(prefix, &[("s", 1)])));
+    let grant = TeamGrant { team: name("team"), priority: None };
+    let keys = HashMap::from([(Box::from("key"), grant)]);
+    RouteTable::new(ConfigVersion(1), limits, Vec::new(), routes.into(), Some(keys))
+}
+
+#[test_case("host.example", "/a/b/c" => Ok("/a/b/".to_owned()); "the longest prefix")]
+#[test_case("HOST.EXAMPLE:80", "/a/bc" => Ok("/a/".to_owned()); "case and port of the host do not matter")]
+#[test_case("host.example", "/" => Ok("/".to_owned()); "the whole prefix")]
+#[test_case("other.example", "/a/" => Err(RouteError::NoRoute); "unknown host")]
+#[test_case("host.example", "a" => Err(RouteError::NoRoute); "no prefix")]
+fn route(host: &str, path: &str) -> Result<String, RouteError> {
+    table().route(host, path).map(|rule| rule.prefix.to_string())
+}
+
+#[test_case("/a/", Some("key") => Ok(true); "known")]
+#[test_case("/a/", Some("old") => Err(RouteError::UnknownKey); "unknown")]
+#[test_case("/a/", None => Err(RouteError::UnknownKey); "missing")]
+#[test_case("/public/", None => Ok(false); "public")]
+#[test_case("/public/", Some("old") => Ok(false); "public with an unknown key")]
+fn team(path: &str, key: Option<&str>) -> Result<bool, RouteError> {
+    let table = table();
+    let rule = table.route("host.example", path)?;
+    table.team(&rule, key).map(|grant| grant.is_some())
+}
+
+#[test]
+fn a_split_follows_its_weights_and_a_hash_keeps_its_service() {
+    let rule = rule("/", &[("left", 90), ("right", 10), ("none", 0)]);
+    let counts = (0..1_000).fold(HashMap::new(), |mut counts: HashMap<String, u32>, hash| {
+        *counts.entry(rule.service(hash).unwrap().to_string()).or_default() += 1;
+        counts
+    });
+    assert_eq!(counts, HashMap::from([("left".to_owned(), 900), ("right".to_owned(), 100)]));
+    assert_eq!(rule.service(77), rule.service(77));
+}
+
+fn answer(sent: u64, received: u64, stamp: u64) -> StampedAnswer {
+    StampedAnswer { sent: UnixMillis(sent), received: UnixMillis(received), stamp }
+}
+
+#[test]
+fn a_long_wait_proves_freshness_up_to_its_end() {
+    let mut proof = FreshnessProof::default();
+    assert_eq!(proof.age(UnixMillis(5_000)), None);
+    proof.answered(answer(1_000, 1_004, 50));
+    assert_eq!(proof.age(UnixMillis(1_004)), Some(4));
+    // Asked at 1,010, answered by the service at 1,850 of its clock.
+    proof.answered(answer(1_010, 2_804, 1_850));
+    assert_eq!(proof.age(UnixMillis(2_804)), Some(4));
+}
+
+#[test]
+fn an_answer_that_was_long_on_its_way_proves_no_more_than_it_may() {
+    let mut proof = FreshnessProof::default();
+    proof.answered(answer(1_000, 1_004, 50));
+    // The process slept between the service's answer and its reading.
+    proof.answered(answer(1_010, 9_000, 60));
+    assert_eq!(proof.age(UnixMillis(9_000)), Some(7_990));
+}
+
+#[test]
+fn a_service_whose_clock_began_anew_is_trusted_from_the_question_on() {
+    let mut proof = FreshnessProof::default();
+    proof.answered(answer(10_000, 10_004, 9_000));
+    proof.answered(answer(20_000, 20_004, 5));
+    assert_eq!(proof.age(UnixMillis(20_004)), Some(4));
+}
+
+#[test]
+fn repeats_stay_within_the_share_of_a_sliding_window() {
+    let mut share = RetryShare::new(ShareSettings { ratio: 0.1, slack: 1.0, window_millis: 1_000 });
+    for millis in 0..20 {
+        share.first(UnixMillis(millis));
+    }
+    let taken = (0..10).filter(|_repeat| share.take(UnixMillis(20))).count();
+    assert_eq!(taken, 3);
+    // What was sent a window ago no longer counts, on either side.
+    assert!(share.take(UnixMillis(1_500)));
+    assert!(!share.take(UnixMillis(1_501)));
+}
+
+fn record(id: &str, state: TargetState) -> TargetRecord {
+    TargetRecord {
+        id: name(id),
+        service: name("s"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: name("a"),
+        slots: 2,
+        state,
+    }
+}
+
+fn ids(book: &TargetBook) -> Vec<String> {
+    let mut ids: Vec<String> = book.records().map(|record| record.id.to_string()).collect();
+    ids.sort();
+    ids
+}
+
+#[test]
+fn a_row_that_is_missing_is_gone_at_once_in_calm_times() {
+    let mut book = TargetBook::default();
+    book.listed(vec![record("t1", TargetState::Ready), record("t2", TargetState::Ready)], None);
+    book.listed(vec![record("t1", TargetState::Ready)], None);
+    assert_eq!(ids(&book), ["t1"]);
+    book.changed(vec![TargetChange::Gone(name("t1"))], None);
+    assert_eq!(ids(&book), Vec::<String>::new());
+}
+
+#[test]
+fn a_row_that_is_missing_after_an_outage_has_a_grace() {
+    let grace = Some(UnixDeadline(UnixMillis(100)));
+    let mut book = TargetBook::default();
+    book.listed(["t1", "t2", "t3"].map(|id| record(id, TargetState::Ready)).into(), None);
+    book.listed(vec![record("t1", TargetState::Ready)], grace);
+    book.changed(vec![TargetChange::Gone(name("t1"))], grace);
+    assert_eq!(ids(&book), ["t1", "t2", "t3"]);
+    // A second listing does not extend it, and a row that is back needs none.
+    book.listed(vec![record("t2", TargetState::Ready)], Some(UnixDeadline(UnixMillis(900))));
+    assert_eq!(book.expire(UnixMillis(99)), Vec::<TargetName>::new());
+    let mut expired = book.expire(UnixMillis(100));
+    expired.sort();
+    assert_eq!(expired, ["t1", "t3"].map(name::<TargetName>));
+    assert_eq!(ids(&book), ["t2"]);
+}
+
+fn board(records: Vec<TargetRecord>) -> LoadBoard {
+    let mut book = TargetBook::default();
+    book.listed(records, None);
+    let mut board = LoadBoard::new(BoardSettings { zone: name("a"), per_rank: 3 });
+    board.sync(&book);
+    board
+}
+
+fn choose(board: &mut LoadBoard, now: u64) -> Option<String> {
+    let service: ServiceName = name("s");
+    let chosen = board.choose(&service, false, RequestWork::default(), &[], UnixMillis(now))?;
+    Some(chosen.record.id.to_string())
+}
+
+#[test]
+fn work_spreads_until_all_targets_are_full() {
+    let mut board = board(vec![record("t1", TargetState::Ready), record("t2", TargetState::Ready)]);
+    let mut chosen: Vec<String> = (0..4).filter_map(|_request| choose(&mut board, 0)).collect();
+    chosen.sort();
+    assert_eq!(chosen, ["t1", "t1", "t2", "t2"]);
+    assert_eq!(choose(&mut board, 0), None);
+    board.ended(&name("t2"), RequestWork::default(), SendOutcome::Answered(1.0), UnixMillis(1));
+    assert_eq!(choose(&mut board, 1).as_deref(), Some("t2"));
+}
+
+#[test]
+fn a_draining_target_gets_nothing() {
+    let mut board = board(vec![record("t1", TargetState::Draining)]);
+    assert_eq!(choose(&mut board, 0), None);
+}
+
+#[test]
+fn a_target_that_fails_in_a_row_rests_and_is_tried_again() {
+    let mut board = board(vec![record("t1", TargetState::Ready)]);
+    let fail = |board: &mut LoadBoard, now: u64| {
+        assert!(choose(board, now).is_some());
+        board.ended(&name("t1"), RequestWork::default(), SendOutcome::Failed, UnixMillis(now))
+    };
+    assert_eq!([fail(&mut board, 0), fail(&mut board, 0), fail(&mut board, 0)], [false, false, true]);
+    assert_eq!(choose(&mut board, 799), None);
+    // One request at a time is the trial; its failure doubles the rest.
+    assert!(fail(&mut board, 800));
+    assert_eq!(choose(&mut board, 2_399), None);
+    assert!(choose(&mut board, 2_400).is_some());
+    assert_eq!(choose(&mut board, 2_400), None);
+    board.ended(&name("t1"), RequestWork::default(), SendOutcome::Answered(1.0), UnixMillis(2_500));
+    assert!(choose(&mut board, 2_500).is_some() && choose(&mut board, 2_500).is_some());
+}
+
+#[test]
+fn who_waits_is_served_by_priority_then_return_then_arrival() {
+    let mut list = WaitList::default();
+    list.add(2, false, "low");
+    list.add(1, false, "first");
+    let gone = list.add(1, false, "gone");
+    list.add(1, true, "returned");
+    assert_eq!(list.remove(gone), Some("gone"));
+    let order: Vec<&str> = std::iter::from_fn(|| list.pop()).collect();
+    assert_eq!(order, ["returned", "first", "low"]);
+}
