--- a/crates/porthoist-policy/src/proxy/placement.rs
+++ b/crates/porthoist-policy/src/proxy/placement.rs
@@ -3,6 +3,7 @@
 //! The board counts what this process has sent and has not seen end. Targets that fail in a row get nothing for a
 //! while, longer each time, and one request as a trial afterwards.
 
+use super::pace::GroupPace;
 use super::targets::{TargetBook, TargetRecord, TargetState};
 use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis, ZoneName};
 use std::cmp::Reverse;
@@ -116,13 +117,14 @@
 pub struct LoadBoard {
     settings: BoardSettings,
     loads: HashMap<TargetName, TargetLoad>,
+    paces: HashMap<ServiceName, GroupPace>,
     turn: u64,
 }
 
 impl LoadBoard {
     /// A board without targets.
     pub fn new(settings: BoardSettings) -> Self {
-        Self { settings, loads: HashMap::new(), turn: 0 }
+        Self { settings, loads: HashMap::new(), paces: HashMap::new(), turn: 0 }
     }
 
     /// Takes the targets believed in now. What is in flight at a target that is gone is still counted.
@@ -153,6 +155,9 @@
         tried: &[TargetName],
         now: UnixMillis,
     ) -> Option<ChosenTarget> {
+        if ranked && self.in_flight_at(service) >= self.group_limit(service) {
+            return None;
+        }
         let usual = self.usual_millis(service);
         self.turn = self.turn.wrapping_add(1);
         let turn = self.turn;
@@ -214,6 +219,30 @@
         loads.any(|load| load.record.service == *service && (load.open(now) || load.in_flight > 0))
     }
 
+    /// Takes a pause between two events of a stream, as a part of the longest that is on time.
+    pub fn paused(&mut self, service: &ServiceName, part: f64, now: UnixMillis) {
+        let in_flight = self.in_flight_at(service);
+        let most = self.most_at(service);
+        let pace = self.paces.entry(service.clone()).or_insert_with(|| GroupPace::new(most));
+        pace.paused(part, in_flight, now);
+    }
+
+    fn group_limit(&self, service: &ServiceName) -> u32 {
+        self.paces.get(service).map_or(u32::MAX, GroupPace::limit)
+    }
+
+    /// Requests of this process that all ranks of a service have room for.
+    fn most_at(&self, service: &ServiceName) -> u32 {
+        let ranks = self.loads.values().filter(|load| load.record.service == *service).count();
+        ranks as u32 * self.settings.per_rank
+    }
+
+    /// Requests in flight at all targets of a service.
+    fn in_flight_at(&self, service: &ServiceName) -> u32 {
+        let loads = self.loads.values().filter(|load| load.record.service == *service);
+        loads.map(|load| load.in_flight).sum()
+    }
+
     /// Requests in flight at a target.
     pub fn in_flight(&self, id: &TargetName) -> u32 {
         self.loads.get(id).map_or(0, |load| load.in_flight)
--- a/crates/porthoist-policy/src/proxy/routes.rs
+++ b/crates/porthoist-policy/src/proxy/routes.rs
@@ -65,6 +65,8 @@
     pub timeout_millis: u64,
     /// Time in milliseconds within which an answer is on time.
     pub target_latency_millis: u64,
+    /// Longest pause in milliseconds between two events of a stream that is on time; 0 where none is declared.
+    pub pause_aim_millis: u64,
     /// Rank among requests, 0 first.
     pub priority: u8,
     /// Targets that one request may be sent to at most.
--- a/crates/porthoist-policy/tests/policy/proxy.rs
+++ b/crates/porthoist-policy/tests/policy/proxy.rs
@@ -24,6 +24,7 @@
         kind: RouteKind::Repeatable,
         timeout_millis: 1_000,
         target_latency_millis: 500,
+        pause_aim_millis: 120,
         priority: 1,
         max_attempts: 2,
         public: prefix.contains("public"),
--- a/crates/porthoist-proxy/src/broker.rs
+++ b/crates/porthoist-proxy/src/broker.rs
@@ -151,6 +151,12 @@
         }
     }
 
+    /// Takes a pause between two events of a stream, as a part of the longest that is on time.
+    pub fn paused(&self, service: &ServiceName, part: f64) {
+        let now = self.clock.now();
+        self.state.borrow_mut().board.paused(service, part, now);
+    }
+
     /// Requests that wait now.
     pub fn waiting(&self) -> usize {
         self.state.borrow().waiting.values().map(WaitList::len).sum()
--- a/crates/porthoist-proxy/src/course/relay.rs
+++ b/crates/porthoist-proxy/src/course/relay.rs
@@ -147,7 +147,12 @@
             let first = now.since(self.admitted.arrival) as f64;
             self.course.metrics.answer(first);
         } else {
-            self.course.metrics.event_pause(now.since(self.last_at) as f64);
+            let pause = now.since(self.last_at) as f64;
+            self.course.metrics.event_pause(pause);
+            let aim = self.admitted.rule.pause_aim_millis;
+            if aim > 0 && self.admitted.ranked {
+                self.course.broker.paused(&self.admitted.service, pause / aim as f64);
+            }
         }
         self.last_at = now;
         self.passed_on += 1;
