--- a/crates/porthoist-proxy/src/control.rs
+++ b/crates/porthoist-proxy/src/control.rs
@@ -32,7 +32,7 @@
 const ROUTES_PAUSE_MILLIS: u64 = 100;
 /// Pause after a change of the targets, in milliseconds, so that many changes cost one question: a target that leaves
 /// must get nothing new after 2,000.
-const TARGETS_PAUSE_MILLIS: u64 = 500;
+const TARGETS_PAUSE_MILLIS: u64 = 800;
 /// Time in milliseconds beyond the wait in which an answer must come.
 const ANSWER_MILLIS: u64 = 900;
 /// First pause after a failed question, in milliseconds; it doubles up to [`MAX_PAUSE_MILLIS`].
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -37,9 +37,9 @@
 /// Processes that the slack is divided between: twice the most that any deployment runs now.
 const SLACK_PROCESSES: f64 = 100.0;
 
-/// How long questions to the table service wait. Two answers about routes come within the life of a proof, so that
-/// one may be lost; each question has its price.
-const WATCH: WatchSettings = WatchSettings { routes_wait_millis: 1_800, targets_wait_millis: 9_000 };
+/// How long questions to the table service wait; each has its price. An answer about routes that is lost is noticed 0.9 s
+/// after it was due, which leaves time for another question before the proof of 4.6 s no longer counts.
+const WATCH: WatchSettings = WatchSettings { routes_wait_millis: 3_000, targets_wait_millis: 9_000 };
 
 /// Addresses that a proxy listens on.
 #[derive(Debug, Clone, Copy)]
