Forget the memory of refused sessions

Cause: it should give a caller that comes back the next place. Ruled out: telling other entries of it (no gossip between them). Conclusion: removed.

--- a/crates/porthoist-policy/src/proxy/placement.rs
+++ b/crates/porthoist-policy/src/proxy/placement.rs
@@ -6,7 +6,6 @@
 use super::pace::GroupPace;
 use super::targets::{TargetBook, TargetRecord, TargetState};
 use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis, ZoneName};
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
@@ -270,8 +269,6 @@
 pub struct WaitRank {
     /// Rank of the request, 0 first.
     pub priority: u8,
-    /// Those that were refused before go first.
-    pub returned: Reverse<bool>,
     /// Order of arrival.
     pub arrival: u64,
 }
@@ -291,8 +288,8 @@
 
 impl<T> WaitList<T> {
     /// Adds a request; the rank takes it out again.
-    pub fn add(&mut self, priority: u8, returned: bool, item: T) -> WaitRank {
-        let rank = WaitRank { priority, returned: Reverse(returned), arrival: self.arrivals };
+    pub fn add(&mut self, priority: u8, item: T) -> WaitRank {
+        let rank = WaitRank { priority, arrival: self.arrivals };
         self.arrivals += 1;
         self.waiting.insert(rank, item);
         rank
--- a/crates/porthoist-policy/tests/policy/proxy.rs
+++ b/crates/porthoist-policy/tests/policy/proxy.rs
@@ -212,15 +212,15 @@
 }
 
 #[test]
-fn who_waits_is_served_by_priority_then_return_then_arrival() {
+fn who_waits_is_served_by_priority_then_arrival() {
     let mut list = WaitList::default();
-    list.add(2, false, "low");
-    list.add(1, false, "first");
-    let gone = list.add(1, false, "gone");
-    list.add(1, true, "returned");
+    list.add(2, "low");
+    list.add(1, "first");
+    let gone = list.add(1, "gone");
+    list.add(1, "second");
     assert_eq!(list.remove(gone), Some("gone"));
     let order: Vec<&str> = std::iter::from_fn(|| list.pop()).collect();
-    assert_eq!(order, ["returned", "first", "low"]);
+    assert_eq!(order, ["first", "second", "low"]);
 }
 
 /// Windows of 250 ms, each with this longest pause, from a time on; returns the limit after them.
--- a/crates/porthoist-proxy/src/broker.rs
+++ b/crates/porthoist-proxy/src/broker.rs
@@ -29,8 +29,6 @@
     pub work: RequestWork,
     /// Rank among requests, 0 first.
     pub priority: u8,
-    /// Whether it was refused before.
-    pub returned: bool,
     /// Targets that it was sent to already.
     pub tried: Vec<TargetName>,
 }
@@ -139,7 +137,7 @@
                 return Err(PlaceError::Full);
             }
             let (reply, receiver) = oneshot::channel();
-            list.add(demand.priority, demand.returned, Waiter { demand, reply });
+            list.add(demand.priority, Waiter { demand, reply });
             receiver
         };
         // A target whose time out has ended may be free although nothing was released.
--- a/crates/porthoist-proxy/src/course.rs
+++ b/crates/porthoist-proxy/src/course.rs
@@ -61,9 +61,6 @@
     /// be served in time elsewhere.
     #[builder(default = 0.24)]
     pub wait_part: f64,
-    /// The same for a request that was refused before: refusing it twice is worse than being late.
-    #[builder(default = 0.6)]
-    pub returned_wait_part: f64,
 }
 
 /// What all courses of a process share.
@@ -74,7 +71,6 @@
     broker: PlaceBroker,
     pool: ConnectionPool,
     shares: RefCell<HashMap<ServiceName, RetryShare>>,
-    refused: RefCell<HashMap<u64, UnixDeadline>>,
     answered: RefCell<HashMap<ServiceName, UnixMillis>>,
     in_flight: Cell<u64>,
     stopping: Cell<bool>,
@@ -100,7 +96,6 @@
     ranked: bool,
     arrival: UnixMillis,
     deadline: UnixDeadline,
-    returned: bool,
 }
 
 impl AdmittedRequest {
@@ -214,7 +209,6 @@
             broker,
             pool,
             shares: RefCell::default(),
-            refused: RefCell::default(),
             answered: RefCell::default(),
             in_flight: Cell::new(0),
             stopping: Cell::new(false),
@@ -340,15 +334,13 @@
         record: &SendRecord,
     ) -> Result<TargetPlace, CourseRefusal> {
         let now = self.clock.now();
-        let part = if admitted.returned { self.settings.returned_wait_part } else { self.settings.wait_part };
-        let patience = (admitted.rule.target_latency_millis as f64 * part) as u64;
+        let patience = (admitted.rule.target_latency_millis as f64 * self.settings.wait_part) as u64;
         let wait = UnixDeadline::after(admitted.arrival, patience).min(admitted.deadline);
         let demand = PlaceDemand {
             service: admitted.service.clone(),
             ranked: admitted.ranked,
             work: admitted.work(),
             priority: admitted.priority(),
-            returned: admitted.returned,
             tried: record.tried.clone(),
         };
         // A repeat may wait as long again.
@@ -378,10 +370,6 @@
         if record.may_have_run {
             return CourseRefusal::unknown(reason, StatusCode::BAD_GATEWAY);
         }
-        if let Some(session) = admitted.facts.session {
-            let remembered = UnixDeadline::after(self.clock.now(), admitted.rule.timeout_millis);
-            self.refused.borrow_mut().insert(session, remembered);
-        }
         CourseRefusal::later(reason, self.retry_millis(&admitted.service))
     }
 
--- a/crates/porthoist-proxy/src/course/admission.rs
+++ b/crates/porthoist-proxy/src/course/admission.rs
@@ -34,8 +34,7 @@
         let wait = facts.remaining_millis.unwrap_or(rule.timeout_millis).min(rule.timeout_millis);
         let deadline = UnixDeadline::after(arrival, wait);
         let body = self.read_body(body, body_bytes, deadline).await?;
-        let returned = self.was_refused(facts.session);
-        Ok(AdmittedRequest { facts, head, body, rule, grant, service, ranked, arrival, deadline, returned })
+        Ok(AdmittedRequest { facts, head, body, rule, grant, service, ranked, arrival, deadline })
     }
 
     fn route(
@@ -117,18 +116,4 @@
             }
         }
     }
-
-    /// Whether the session was refused a short while ago; it is forgotten with the question.
-    fn was_refused(&self, session: Option<u64>) -> bool {
-        let now = self.clock.now();
-        let mut refused = self.refused.borrow_mut();
-        if refused.len() > MAX_REFUSED {
-            refused.retain(|_session, deadline| !deadline.passed(now));
-        }
-        let Some(deadline) = session.and_then(|session| refused.remove(&session)) else { return false };
-        !deadline.passed(now)
-    }
 }
-
-/// Refused sessions remembered before old ones are dropped; at 100 refusals a second, 40 s worth.
-const MAX_REFUSED: usize = 4_096;
