--- a/crates/porthoist-proxy/src/course.rs
+++ b/crates/porthoist-proxy/src/course.rs
@@ -4,21 +4,18 @@
 use crate::broker::{PlaceBroker, PlaceDemand, PlaceError, TargetPlace};
 use crate::control::ControlState;
 use crate::exchange::{ConnectionPool, OpenAnswer, SendFailure};
-use crate::reply::{Reply, own_reply, piecewise_reply, relayed_headers, strip_hop_headers, whole_reply};
-use crate::wire::{RequestFacts, SendFacts, WireCodec};
-use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, Limited};
+use crate::reply::{Reply, own_reply, piecewise_reply, relayed_headers, whole_reply};
+use crate::wire::WireCodec;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, StatusCode};
 use porthoist_core::{
     ClockSource, RefusalReason, RetryReason, RunVerdict, ServiceName, TargetName, UnixDeadline, UnixMillis,
 };
 use porthoist_metrics::MetricsHub;
-use porthoist_policy::proxy::placement::{RequestWork, SendOutcome};
 use porthoist_policy::proxy::retry_share::{RetryShare, ShareSettings};
-use porthoist_policy::proxy::routes::{RouteError, RouteRule, TeamGrant};
+use porthoist_policy::proxy::routes::RouteError;
 use slog::{Logger, info};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -28,8 +25,11 @@
 use tokio::sync::watch;
 
 mod admission;
+mod parts;
 mod relay;
+mod sending;
 
+use parts::{AdmittedRequest, CourseRefusal, SendRecord, TargetAnswer, WholeAnswer};
 use relay::EventRelay;
 
 /// Where a resumed stream goes on; also what callers send.
@@ -85,93 +85,6 @@
     }
 }
 
-/// A request that is allowed, with its body read.
-struct AdmittedRequest {
-    facts: RequestFacts,
-    head: Parts,
-    body: Bytes,
-    rule: Arc<RouteRule>,
-    grant: Option<TeamGrant>,
-    service: ServiceName,
-    ranked: bool,
-    arrival: UnixMillis,
-    deadline: UnixDeadline,
-}
-
-impl AdmittedRequest {
-    fn priority(&self) -> u8 {
-        self.grant.as_ref().and_then(|grant| grant.priority).unwrap_or(self.rule.priority)
-    }
-
-    fn work(&self) -> RequestWork {
-        RequestWork { prompt_tokens: self.facts.prompt_tokens }
-    }
-
-    fn once(&self) -> bool {
-        !self.rule.kind.repeatable()
-    }
-}
-
-/// An end without a target's answer.
-#[derive(Debug, Clone, Copy)]
-struct CourseRefusal {
-    reason: RefusalReason,
-    status: StatusCode,
-    verdict: RunVerdict,
-    retry_millis: Option<u64>,
-}
-
-impl CourseRefusal {
-    /// A refusal of a request that the caller must change.
-    fn denied(reason: RefusalReason) -> Self {
-        let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_REQUEST);
-        Self { reason, status, verdict: RunVerdict::NotRun, retry_millis: None }
-    }
-
-    /// A refusal of a request that did not run and may come back.
-    fn later(reason: RefusalReason, retry_millis: u64) -> Self {
-        Self {
-            reason,
-            status: StatusCode::SERVICE_UNAVAILABLE,
-            verdict: RunVerdict::NotRun,
-            retry_millis: Some(retry_millis),
-        }
-    }
-
-    /// The end of a request that may have run.
-    fn unknown(reason: RefusalReason, status: StatusCode) -> Self {
-        Self { reason, status, verdict: RunVerdict::MayHaveRun, retry_millis: None }
-    }
-}
-
-/// An answer of a target that was read to its end.
-struct WholeAnswer {
-    status: StatusCode,
-    headers: HeaderMap,
-    body: Bytes,
-}
-
-/// A target's answer to one send.
-enum TargetAnswer {
-    Whole(WholeAnswer),
-    Events(OpenAnswer),
-}
-
-/// Sends of one request so far.
-#[derive(Debug, Default)]
-struct SendRecord {
-    tried: Vec<TargetName>,
-    may_have_run: bool,
-    last_reason: Option<RetryReason>,
-}
-
-impl SendRecord {
-    fn failed(&mut self, failure: &SendFailure) {
-        self.may_have_run |= failure.verdict != RunVerdict::NotRun;
-        self.last_reason = Some(failure.reason);
-    }
-}
-
 /// Says in the log that the caller left, unless the course came to its end.
 struct CourseGuard {
     course: Rc<RequestCourse>,
@@ -191,7 +104,6 @@
 
 impl RequestCourse {
     /// Joins the parts of a course.
-    #[allow(clippy::too_many_arguments, reason = "each is one collaborator, named at the single call")]
     pub fn new(
         settings: CourseSettings,
         codec: Rc<dyn WireCodec>,
@@ -392,126 +304,6 @@
         }
     }
 
-    /// One send and what its answer proves.
-    async fn send(
-        &self,
-        admitted: &AdmittedRequest,
-        place: &TargetPlace,
-        after_event: Option<u64>,
-        record: &mut SendRecord,
-    ) -> Result<TargetAnswer, SendFailure> {
-        let began = self.clock.now();
-        let request = self.outgoing(admitted, place, after_event, began);
-        if record.tried.is_empty() {
-            self.share_of(&admitted.service, |share| share.first(began));
-        }
-        record.tried.push(place.record.id.clone());
-        let answer = self.pool.send(&place.record, request, admitted.once(), admitted.deadline).await;
-        let answer = match answer {
-            Ok(open) => self.read_answer(admitted, open).await,
-            Err(failure) => Err(failure),
-        };
-        let millis = self.clock.now().since(began) as f64;
-        match &answer {
-            Ok(TargetAnswer::Whole(whole)) if whole.status.is_server_error() => {
-                place.ended(SendOutcome::Failed);
-            }
-            Ok(_answer) => {
-                self.note_answer(&admitted.service);
-                place.ended(SendOutcome::Answered(millis));
-            }
-            Err(failure) => {
-                let shed = failure.reason == RetryReason::Refused;
-                place.ended(if shed { SendOutcome::Shed } else { SendOutcome::Failed });
-                info!(self.logger, "send failed"; "event" => "send_failed",
-                    "request" => &*admitted.facts.attempt, "target" => place.record.id.to_string(),
-                    "reason" => failure.reason.as_str(), "verdict" => failure.verdict.as_str(),
-                    "detail" => &failure.detail, "took_ms" => millis);
-            }
-        }
-        answer
-    }
-
-    fn outgoing(
-        &self,
-        admitted: &AdmittedRequest,
-        place: &TargetPlace,
-        after_event: Option<u64>,
-        now: UnixMillis,
-    ) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(admitted.body.clone()));
-        *request.method_mut() = admitted.head.method.clone();
-        *request.uri_mut() = admitted.head.uri.clone();
-        let mut headers = admitted.head.headers.clone();
-        strip_hop_headers(&mut headers);
-        headers.remove(CONTENT_LENGTH);
-        if !admitted.body.is_empty() {
-            headers.insert(CONTENT_LENGTH, HeaderValue::from(admitted.body.len()));
-        }
-        if let Some(id) = after_event {
-            headers.insert(LAST_EVENT_ID, HeaderValue::from(id));
-        }
-        let facts = SendFacts {
-            target: &place.record.id,
-            team: admitted.grant.as_ref().map(|grant| &grant.team),
-            remaining_millis: admitted.deadline.0.since(now),
-            priority: admitted.priority().min(9),
-        };
-        self.codec.write_send(&mut headers, &facts);
-        *request.headers_mut() = headers;
-        request
-    }
-
-    async fn read_answer(
-        &self,
-        admitted: &AdmittedRequest,
-        answer: OpenAnswer,
-    ) -> Result<TargetAnswer, SendFailure> {
-        let status = answer.head.status;
-        let facts = self.codec.answer_facts(&admitted.facts.attempt, status, &answer.head.headers);
-        if facts.own == Some(false) {
-            return Err(SendFailure::lost("the answer names another request"));
-        }
-        if facts.not_executed {
-            let whole = self.read_whole(admitted, answer).await;
-            let detail =
-                whole.map_or_else(|failure| failure.detail, |whole| format!("status {}", whole.status));
-            return Err(SendFailure { verdict: RunVerdict::NotRun, reason: RetryReason::Refused, detail });
-        }
-        if status.is_success() && !(facts.signed && facts.own == Some(true)) {
-            return Err(SendFailure::lost("a success without signature or request"));
-        }
-        if status.is_success() && admitted.rule.kind.streams() {
-            return Ok(TargetAnswer::Events(answer));
-        }
-        let promise = matches!(
-            status,
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS | StatusCode::REQUEST_TIMEOUT
-        );
-        if promise {
-            // Callers take these for a promise that the target has not given.
-            return Err(SendFailure::lost(format!("status {} without proof", status.as_u16())));
-        }
-        self.read_whole(admitted, answer).await.map(TargetAnswer::Whole)
-    }
-
-    async fn read_whole(
-        &self,
-        admitted: &AdmittedRequest,
-        answer: OpenAnswer,
-    ) -> Result<WholeAnswer, SendFailure> {
-        let OpenAnswer { head, body, lease } = answer;
-        let patience = admitted.deadline.remaining(self.clock.now());
-        let reading = Limited::new(body, MAX_WHOLE_ANSWER_BYTES).collect();
-        let collected = tokio::time::timeout(patience, reading).await;
-        let body = collected
-            .map_err(|_elapsed| SendFailure::lost("the answer was not whole in time"))?
-            .map_err(SendFailure::lost)?
-            .to_bytes();
-        lease.give_back(&head.headers);
-        Ok(WholeAnswer { status: head.status, headers: head.headers, body })
-    }
-
     fn relay_whole(&self, admitted: &AdmittedRequest, place: &TargetPlace, answer: WholeAnswer) -> Reply {
         let millis = self.clock.now().since(admitted.arrival);
         self.metrics.answer(millis as f64);
--- a/crates/porthoist-proxy/src/course/admission.rs
+++ b/crates/porthoist-proxy/src/course/admission.rs
@@ -1,6 +1,7 @@
 //! Whether a request is allowed: a route, a key, proof that both are current, and a body within bounds.
 
-use super::{AdmittedRequest, CourseRefusal, RequestCourse, UNREADY_RETRY_MILLIS, host_of, key_error};
+use super::parts::{AdmittedRequest, CourseRefusal};
+use super::{RequestCourse, UNREADY_RETRY_MILLIS, host_of, key_error};
 use crate::wire::RequestFacts;
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
--- a/crates/porthoist-proxy/src/course/relay.rs
+++ b/crates/porthoist-proxy/src/course/relay.rs
@@ -1,6 +1,7 @@
 //! Passes a stream on, event by event, and goes on at another target after its last event where that is allowed.
 
-use super::{AdmittedRequest, CourseGuard, RequestCourse, SendRecord, TargetAnswer};
+use super::parts::{AdmittedRequest, SendRecord, TargetAnswer};
+use super::{CourseGuard, RequestCourse};
 use crate::broker::TargetPlace;
 use crate::events::{EventSplitter, WholeEvent};
 use crate::exchange::{OpenAnswer, SendFailure};
--- /dev/null
+++ b/crates/porthoist-proxy/src/course/sending.rs
@@ -0,0 +1,137 @@
+//! One send of a request to a target: what goes out, and what the answer proves.
+
+use super::parts::{AdmittedRequest, SendRecord, TargetAnswer, WholeAnswer};
+use super::{LAST_EVENT_ID, MAX_WHOLE_ANSWER_BYTES, RequestCourse};
+use crate::broker::TargetPlace;
+use crate::exchange::{OpenAnswer, SendFailure};
+use crate::reply::strip_hop_headers;
+use crate::wire::SendFacts;
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::header::{CONTENT_LENGTH, HeaderValue};
+use hyper::{Request, StatusCode};
+use porthoist_core::{RetryReason, RunVerdict, UnixMillis};
+use porthoist_policy::proxy::placement::SendOutcome;
+use slog::info;
+
+impl RequestCourse {
+    /// One send and what its answer proves.
+    pub(super) async fn send(
+        &self,
+        admitted: &AdmittedRequest,
+        place: &TargetPlace,
+        after_event: Option<u64>,
+        record: &mut SendRecord,
+    ) -> Result<TargetAnswer, SendFailure> {
+        let began = self.clock.now();
+        let request = self.outgoing(admitted, place, after_event, began);
+        if record.tried.is_empty() {
+            self.share_of(&admitted.service, |share| share.first(began));
+        }
+        record.tried.push(place.record.id.clone());
+        let answer = self.pool.send(&place.record, request, admitted.once(), admitted.deadline).await;
+        let answer = match answer {
+            Ok(open) => self.read_answer(admitted, open).await,
+            Err(failure) => Err(failure),
+        };
+        let millis = self.clock.now().since(began) as f64;
+        match &answer {
+            Ok(TargetAnswer::Whole(whole)) if whole.status.is_server_error() => {
+                place.ended(SendOutcome::Failed);
+            }
+            Ok(_answer) => {
+                self.note_answer(&admitted.service);
+                place.ended(SendOutcome::Answered(millis));
+            }
+            Err(failure) => {
+                let shed = failure.reason == RetryReason::Refused;
+                place.ended(if shed { SendOutcome::Shed } else { SendOutcome::Failed });
+                info!(self.logger, "send failed"; "event" => "send_failed",
+                    "request" => &*admitted.facts.attempt, "target" => place.record.id.to_string(),
+                    "reason" => failure.reason.as_str(), "verdict" => failure.verdict.as_str(),
+                    "detail" => &failure.detail, "took_ms" => millis);
+            }
+        }
+        answer
+    }
+
+    fn outgoing(
+        &self,
+        admitted: &AdmittedRequest,
+        place: &TargetPlace,
+        after_event: Option<u64>,
+        now: UnixMillis,
+    ) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(admitted.body.clone()));
+        *request.method_mut() = admitted.head.method.clone();
+        *request.uri_mut() = admitted.head.uri.clone();
+        let mut headers = admitted.head.headers.clone();
+        strip_hop_headers(&mut headers);
+        headers.remove(CONTENT_LENGTH);
+        if !admitted.body.is_empty() {
+            headers.insert(CONTENT_LENGTH, HeaderValue::from(admitted.body.len()));
+        }
+        if let Some(id) = after_event {
+            headers.insert(LAST_EVENT_ID, HeaderValue::from(id));
+        }
+        let facts = SendFacts {
+            target: &place.record.id,
+            team: admitted.grant.as_ref().map(|grant| &grant.team),
+            remaining_millis: admitted.deadline.0.since(now),
+            priority: admitted.priority().min(9),
+        };
+        self.codec.write_send(&mut headers, &facts);
+        *request.headers_mut() = headers;
+        request
+    }
+
+    async fn read_answer(
+        &self,
+        admitted: &AdmittedRequest,
+        answer: OpenAnswer,
+    ) -> Result<TargetAnswer, SendFailure> {
+        let status = answer.head.status;
+        let facts = self.codec.answer_facts(&admitted.facts.attempt, status, &answer.head.headers);
+        if facts.own == Some(false) {
+            return Err(SendFailure::lost("the answer names another request"));
+        }
+        if facts.not_executed {
+            let whole = self.read_whole(admitted, answer).await;
+            let detail =
+                whole.map_or_else(|failure| failure.detail, |whole| format!("status {}", whole.status));
+            return Err(SendFailure { verdict: RunVerdict::NotRun, reason: RetryReason::Refused, detail });
+        }
+        if status.is_success() && !(facts.signed && facts.own == Some(true)) {
+            return Err(SendFailure::lost("a success without signature or request"));
+        }
+        if status.is_success() && admitted.rule.kind.streams() {
+            return Ok(TargetAnswer::Events(answer));
+        }
+        let promise = matches!(
+            status,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS | StatusCode::REQUEST_TIMEOUT
+        );
+        if promise {
+            // Callers take these for a promise that the target has not given.
+            return Err(SendFailure::lost(format!("status {} without proof", status.as_u16())));
+        }
+        self.read_whole(admitted, answer).await.map(TargetAnswer::Whole)
+    }
+
+    async fn read_whole(
+        &self,
+        admitted: &AdmittedRequest,
+        answer: OpenAnswer,
+    ) -> Result<WholeAnswer, SendFailure> {
+        let OpenAnswer { head, body, lease } = answer;
+        let patience = admitted.deadline.remaining(self.clock.now());
+        let reading = Limited::new(body, MAX_WHOLE_ANSWER_BYTES).collect();
+        let collected = tokio::time::timeout(patience, reading).await;
+        let body = collected
+            .map_err(|_elapsed| SendFailure::lost("the answer was not whole in time"))?
+            .map_err(SendFailure::lost)?
+            .to_bytes();
+        lease.give_back(&head.headers);
+        Ok(WholeAnswer { status: head.status, headers: head.headers, body })
+    }
+}
