--- a/porthoistd/src/lib.rs
+++ b/porthoistd/src/lib.rs
@@ -12,7 +12,8 @@
 use settings::proxy::ProxySettings;
 use settings::rank::RankSettings;
 use settings::{DaemonCommand, DaemonRole, DaemonSettings, LogFormat};
-use slog::Logger;
+use slog::{Level, Logger};
+use std::io;
 
 /// A daemon that is ready to run.
 #[derive(Debug)]
@@ -47,23 +48,26 @@
             Self::Proxy(args) => {
                 let check = args.check;
                 let settings = ProxySettings::load(args, environment)?;
-                if check {
-                    println!("the settings are valid");
-                    return Ok(());
-                }
-                let logger = logging::logger(LogFormat::Json, settings.log_level);
-                role::proxy::run(settings, &logger).into_diagnostic()
+                run_checked(check, settings.log_level, |logger| role::proxy::run(settings, logger))
             }
             Self::Rank(args) => {
                 let check = args.check;
                 let settings = RankSettings::load(args, environment)?;
-                if check {
-                    println!("the settings are valid");
-                    return Ok(());
-                }
-                let logger = logging::logger(LogFormat::Json, settings.log_level);
-                role::rank::run(settings, &logger).into_diagnostic()
+                run_checked(check, settings.log_level, |logger| role::rank::run(settings, logger))
             }
         }
     }
 }
+
+/// Runs a role whose settings are valid, unless they were only to be checked.
+fn run_checked<R>(check: bool, level: Level, role: R) -> miette::Result<()>
+where
+    R: FnOnce(&Logger) -> io::Result<()>,
+{
+    if check {
+        println!("the settings are valid");
+        return Ok(());
+    }
+    let logger = logging::logger(LogFormat::Json, level);
+    role(&logger).into_diagnostic()
+}
