Read a body that is too long to its end before refusing it

The entry answered 413 and closed with unread bytes, which resets the connection; a caller that is still sending may never see why. Ruled out: load alone: a test that sends 6 MB fails on an idle machine too (broken pipe), at the proxy as at the entry. Change: one read_body in porthoist-http for both, which discards what is beyond the limit, 64 MiB at most.

--- a/crates/porthoist-caller/src/server.rs
+++ b/crates/porthoist-caller/src/server.rs
@@ -7,14 +7,14 @@
 use crate::request::{RequestDefaults, authorized_team, read_request};
 use bytes::Bytes;
 use futures::StreamExt as _;
-use http_body_util::{BodyExt as _, LengthLimitError, Limited, StreamBody};
+use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use porthoist_core::{
     AnswerHead, AttemptId, IncarnationId, RefusalReason, RequestId, ServiceName, TicketText, UnixDeadline,
 };
-use porthoist_http::{HttpResponse, full_body, json_response, text_response};
+use porthoist_http::{BodyError, HttpResponse, full_body, json_response, read_body, text_response};
 use serde::{Deserialize, Serialize};
 use std::io;
 use std::sync::Arc;
@@ -173,16 +173,14 @@
 
     async fn read_body(&self, body: Incoming) -> Result<Bytes, CallerRefusal> {
         let limit = self.shared.settings.body_bytes;
-        match Limited::new(body, limit).collect().await {
-            Ok(collected) => Ok(collected.to_bytes()),
-            Err(error) if error.is::<LengthLimitError>() => {
-                let detail = format!("the body is longer than {limit} bytes");
-                Err(CallerRefusal::not_run(RefusalReason::BodyTooLong, detail))
+        read_body(body, limit).await.map_err(|error| match error {
+            BodyError::TooLong(_limit) => {
+                CallerRefusal::not_run(RefusalReason::BodyTooLong, error.to_string())
             }
-            Err(error) => {
-                Err(CallerRefusal::not_run(RefusalReason::Malformed, format!("the body broke off: {error}")))
+            BodyError::Broken(error) => {
+                CallerRefusal::not_run(RefusalReason::Malformed, format!("the body broke off: {error}"))
             }
-        }
+        })
     }
 
     async fn tickets(
--- a/crates/porthoist-http/src/lib.rs
+++ b/crates/porthoist-http/src/lib.rs
@@ -6,6 +6,6 @@
 pub mod client;
 pub mod server;
 
-pub use body::{HttpBody, HttpResponse, full_body, json_response, text_response};
+pub use body::{BodyError, HttpBody, HttpResponse, full_body, json_response, read_body, text_response};
 pub use client::{CallError, HttpClient};
 pub use server::{ServerSettings, serve_until};
--- a/crates/porthoist-proxy/src/course/admission.rs
+++ b/crates/porthoist-proxy/src/course/admission.rs
@@ -4,11 +4,11 @@
 use super::{RequestCourse, UNREADY_RETRY_MILLIS, host_of, key_error};
 use crate::wire::RequestFacts;
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use porthoist_core::{RefusalReason, ServiceName, UnixDeadline, UnixMillis};
+use porthoist_http::{BodyError, read_body};
 use porthoist_policy::proxy::routes::{RouteRule, RouteTable, TeamGrant};
 use slog::info;
 use std::sync::Arc;
@@ -98,19 +98,14 @@
         body_bytes: usize,
         deadline: UnixDeadline,
     ) -> Result<Bytes, CourseRefusal> {
-        let reading = Limited::new(body, body_bytes).collect();
-        let collected = tokio::time::timeout(self.patience(deadline), reading).await;
-        let Ok(collected) = collected else {
-            return Err(CourseRefusal {
-                status: StatusCode::REQUEST_TIMEOUT,
-                ..CourseRefusal::denied(RefusalReason::DeadlinePassed)
-            });
+        let read = tokio::time::timeout(self.patience(deadline), read_body(body, body_bytes)).await;
+        let Ok(read) = read else {
+            let denied = CourseRefusal::denied(RefusalReason::DeadlinePassed);
+            return Err(CourseRefusal { status: StatusCode::REQUEST_TIMEOUT, ..denied });
         };
-        match collected {
-            Ok(collected) => Ok(collected.to_bytes()),
-            Err(error) if error.is::<LengthLimitError>() => {
-                Err(CourseRefusal::denied(RefusalReason::BodyTooLong))
-            }
+        match read {
+            Ok(bytes) => Ok(bytes),
+            Err(BodyError::TooLong(_limit)) => Err(CourseRefusal::denied(RefusalReason::BodyTooLong)),
             Err(error) => {
                 info!(self.logger, "unreadable body"; "event" => "malformed", "error" => error.to_string());
                 Err(CourseRefusal::denied(RefusalReason::Malformed))
