Size plans of expert maps by the observed times of copies and switches

Cause: a rank copies its new experts one after the other, so a plan with up to four for a rank took 0.5 to 1.4 s where a copy takes 0.4 s, and every stream was late meanwhile (skew 2.5 to 3.4).

Ruled out: a fixed number. One copy a rank is best at 0.4 s a copy, three at 0.1 s.

Change: CopyTimes keeps the median of what copies and switches took; a plan gives a rank the root of (copies wanted x switch / copy). The first plan gives one. The rest of a shift follows in the next plans.

--- a/crates/porthoist-group/src/held.rs
+++ b/crates/porthoist-group/src/held.rs
@@ -5,6 +5,7 @@
 use futures::future::{LocalBoxFuture, join_all};
 use porthoist_http::CallError;
 use porthoist_policy::forward::{EngineOrder, ForwardDriver, ForwardRules, GroupEpoch, RankState, RankView};
+use porthoist_policy::placement::copying::CopyTimes;
 use porthoist_policy::placement::demand::{DemandEstimator, DemandNews};
 use porthoist_policy::placement::even::{EvenBounds, EvenMap, EvenPlan, improve};
 use porthoist_policy::placement::map::ExpertId;
@@ -13,6 +14,7 @@
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Time in milliseconds within which a rank's process must answer; some ten times the way to the farthest zone.
 const ANSWER_MILLIS: u64 = 150;
@@ -123,6 +125,15 @@
     map: EvenMap,
 }
 
+/// What a switch under way spends its time on.
+#[derive(Debug, Clone, Copy)]
+enum TimedStage {
+    /// Ranks copy since then, the busiest so many experts.
+    Copying { copies: usize, since: Instant },
+    /// All copies are there since then.
+    Switching { since: Instant },
+}
+
 /// Plans and switches the expert map of one group.
 #[derive(Debug)]
 pub struct HeldPlanner {
@@ -131,6 +142,9 @@
     demand: DemandEstimator,
     known: Option<KnownMap>,
     next: Option<KnownMap>,
+    copy_times: CopyTimes,
+    /// The stage of the switch under way that is being timed.
+    timed: Option<TimedStage>,
     gathered: Vec<u64>,
     shifting: bool,
     requests: Vec<u32>,
@@ -149,6 +163,8 @@
             demand: DemandEstimator::new(shape.sets, shape.experts),
             known: None,
             next: None,
+            copy_times: CopyTimes::default(),
+            timed: None,
             gathered: vec![0; shape.sets * shape.experts],
             shifting: false,
             requests: Vec::new(),
@@ -292,8 +308,12 @@
         if let Some(next) = self.next.take_if(|next| in_force(next)) {
             info!(self.logger, "expert map in force"; "event" => "map_in_force", "version" => next.version.0,
                 "step" => views[0].step.0);
+            if let Some(TimedStage::Switching { since }) = self.timed.take() {
+                self.copy_times.switched(millis_since(since));
+            }
             self.known = Some(next);
         }
+        self.time_copies(views);
         if self.known.as_ref().is_some_and(|known| !in_force(known)) && self.next.is_none() {
             self.known = None;
         }
@@ -302,6 +322,19 @@
         }
     }
 
+    /// Notes when all copies of a plan are there.
+    fn time_copies(&mut self, views: &[RankView]) {
+        let Some(next) = &self.next else {
+            self.timed = None;
+            return;
+        };
+        let Some(TimedStage::Copying { copies, since }) = self.timed else { return };
+        if views.iter().all(|view| view.prepared == Some(next.version)) {
+            self.copy_times.copied(copies, millis_since(since));
+            self.timed = Some(TimedStage::Switching { since: Instant::now() });
+        }
+    }
+
     /// Reads the map in force from all ranks unless it is known.
     async fn learn_map(&mut self, links: &[Rc<dyn HeldLink>], views: &[RankView]) -> bool {
         if self.known.is_some() {
@@ -332,10 +365,14 @@
         if self.shifting && known.version != MapVersion(0) {
             return;
         }
-        let plan = improve(&known.map, self.demand.demand(), &self.shape.bounds);
+        let wanted = self.shape.bounds.new_a_rank;
+        let bounds = EvenBounds { new_a_rank: self.copy_times.copies_a_rank(wanted), ..self.shape.bounds };
+        let plan = improve(&known.map, self.demand.demand(), &bounds);
+        let copies = (0..views.len()).map(|rank| plan.map.new_to(&known.map, rank)).max().unwrap_or_default();
         if plan.skew_before - plan.skew_after < MIN_GAIN * plan.skew_before {
             return;
         }
+        self.timed = Some(TimedStage::Copying { copies, since: Instant::now() });
         let version = self.driver.begin(views, fresh);
         self.log_plan(&plan, version, views);
         self.next = Some(KnownMap { epoch: views[0].epoch, version, map: plan.map });
@@ -404,6 +441,10 @@
     }
 }
 
+fn millis_since(start: Instant) -> f64 {
+    start.elapsed().as_secs_f64() * 1_000.0
+}
+
 async fn in_time<T>(millis: u64, call: RankFuture<'_, T>) -> Option<T> {
     let answered = tokio::time::timeout(Duration::from_millis(millis), call).await;
     answered.ok()?.ok()
--- a/crates/porthoist-policy/src/placement.rs
+++ b/crates/porthoist-policy/src/placement.rs
@@ -3,6 +3,7 @@
 //! The planner changes the map in force by the best few replicas, and only when the step time won over a horizon
 //! is worth more than the bytes moved. Shares between replicas are set anew at no cost.
 
+pub mod copying;
 pub mod demand;
 pub mod estimate;
 pub mod even;
--- a/crates/porthoist-policy/tests/policy.rs
+++ b/crates/porthoist-policy/tests/policy.rs
@@ -4,6 +4,8 @@
 mod admission;
 #[path = "policy/configuration.rs"]
 mod configuration;
+#[path = "policy/copying.rs"]
+mod copying;
 #[path = "policy/demand.rs"]
 mod demand;
 #[path = "policy/even.rs"]
