Follow the loads of every group of a service

Cause: the loads duty followed one planning process a service. Where a service has three groups of 24 ranks, one group's loads were known and two were placed by the entry's own sends, so that these were overfilled (30 requests counted in one group beside 220 and 270 in the others).

Ruled out: asking all ranks (72 questions for 3 answers). A target that no followed group tells of is asked who plans for its group, until all are told of.

Change: one task a planning process; reports go through a bounded ring instead of a cell that keeps one; a rank without a report counts as the mean of those with one, so that its group is neither preferred nor starved.

Both tests failed before: a group was missing, and the ranks without a report took three each.

--- a/crates/porthoist-policy/src/proxy/placement.rs
+++ b/crates/porthoist-policy/src/proxy/placement.rs
@@ -74,9 +74,15 @@
         }
     }
 
-    /// Requests there of all processes that are known of, and whether all are.
-    fn requests(&self, now: UnixMillis) -> KnownRequests {
-        match self.others.and_then(|others| others.requests(now)) {
+    /// Others' requests there, while a report counts.
+    fn others(&self, now: UnixMillis) -> Option<u32> {
+        self.others.and_then(|others| others.requests(now))
+    }
+
+    /// Requests there of all processes that are known of, and whether all are. Where no report counts for the target but
+    /// some do for others of its service, the others' requests are taken to be `assumed`.
+    fn requests(&self, assumed: Option<u32>, now: UnixMillis) -> KnownRequests {
+        match self.others(now).or(assumed) {
             Some(others) => KnownRequests { count: self.in_flight + others, all: true },
             None => KnownRequests { count: self.in_flight, all: false },
         }
@@ -104,19 +110,19 @@
         &self,
         settings: &BoardSettings,
         service: &ServiceName,
-        ranked: bool,
+        group: GroupView,
         tried: &[TargetName],
         now: UnixMillis,
     ) -> bool {
         self.record.service == *service
             && self.open(now)
-            && self.has_room(settings, ranked, now)
+            && self.has_room(settings, group, now)
             && !tried.contains(&self.record.id)
     }
 
-    fn has_room(&self, settings: &BoardSettings, ranked: bool, now: UnixMillis) -> bool {
-        let known = self.requests(now);
-        match (ranked, known.all) {
+    fn has_room(&self, settings: &BoardSettings, group: GroupView, now: UnixMillis) -> bool {
+        let known = self.requests(group.assumed, now);
+        match (group.ranked, known.all) {
             (true, true) => known.count < settings.rank_limit.min(self.record.slots),
             (true, false) => known.count < settings.per_rank,
             (false, _) => self.in_flight < self.record.slots,
@@ -124,14 +130,14 @@
     }
 
     /// What one more request costs there, in units of a request in flight.
-    fn cost(&self, own_zone: &ZoneName, usual: Option<f64>, now: UnixMillis) -> f64 {
+    fn cost(&self, own_zone: &ZoneName, usual: Option<f64>, group: GroupView, now: UnixMillis) -> f64 {
         let zone = if self.record.zone == *own_zone { 0.0 } else { ZONE_COST };
         let slowness = match (self.mean_millis, usual) {
             (Some(mean), Some(usual)) if mean > usual * SLOW_FACTOR => mean / usual,
             _ => 1.0,
         };
         let tokens = self.tokens as f64 / TOKENS_OF_A_REQUEST;
-        (f64::from(self.requests(now).count) + tokens + 1.0) * slowness + zone
+        (f64::from(self.requests(group.assumed, now).count) + tokens + 1.0) * slowness + zone
     }
 
     fn failed(&mut self, now: UnixMillis) -> bool {
@@ -147,6 +153,16 @@
     }
 }
 
+/// What is known of all targets of a service together.
+#[derive(Debug, Clone, Copy)]
+struct GroupView {
+    /// Whether they are ranks of groups.
+    ranked: bool,
+    /// Others' requests at a target that no report counts for: the mean of those with one. A group whose report is missing
+    /// is then neither preferred nor starved.
+    assumed: Option<u32>,
+}
+
 /// Requests at a target.
 #[derive(Debug, Clone, Copy)]
 struct KnownRequests {
@@ -232,7 +248,8 @@
         tried: &[TargetName],
         now: UnixMillis,
     ) -> Option<ChosenTarget> {
-        let reported = ranked && self.reported(service, now);
+        let group = GroupView { ranked, assumed: if ranked { self.mean_others(service, now) } else { None } };
+        let reported = group.assumed.is_some();
         if ranked && !reported && self.in_flight_at(service) >= self.group_limit(service) {
             return None;
         }
@@ -241,10 +258,10 @@
         let mut candidates: Vec<&mut TargetLoad> = {
             let settings = &self.settings;
             let loads = self.loads.values_mut();
-            loads.filter(|load| load.fits(settings, service, ranked, tried, now)).collect()
+            loads.filter(|load| load.fits(settings, service, group, tried, now)).collect()
         };
         let costs: Vec<f64> =
-            candidates.iter().map(|load| load.cost(&self.settings.zone, usual, now)).collect();
+            candidates.iter().map(|load| load.cost(&self.settings.zone, usual, group, now)).collect();
         let best = if reported {
             choose_by_level(&costs, random_point(self.settings.seed, self.turn))?
         } else {
@@ -313,10 +330,12 @@
         }
     }
 
-    /// Whether the loads of a service's targets are known.
-    fn reported(&self, service: &ServiceName, now: UnixMillis) -> bool {
-        let mut loads = self.loads.values().filter(|load| load.record.service == *service);
-        loads.any(|load| load.requests(now).all)
+    /// Mean of the others' requests at a service's targets that a report counts for; nothing without any.
+    fn mean_others(&self, service: &ServiceName, now: UnixMillis) -> Option<u32> {
+        let loads = self.loads.values().filter(|load| load.record.service == *service);
+        let known: Vec<u32> = loads.filter_map(|load| load.others(now)).collect();
+        let ranks = u32::try_from(known.len()).ok().filter(|ranks| *ranks > 0)?;
+        Some((known.iter().sum::<u32>() + ranks / 2) / ranks)
     }
 
     fn group_limit(&self, service: &ServiceName) -> u32 {
--- a/crates/porthoist-policy/tests/policy/loads.rs
+++ b/crates/porthoist-policy/tests/policy/loads.rs
@@ -111,3 +111,15 @@
     assert!(most <= 10, "{after:?}");
     assert!(after[0] > before[0], "the empty rank gets some");
 }
+
+#[test]
+fn a_rank_without_a_report_counts_as_the_mean_of_the_others() {
+    let mut board = board(4, 1);
+    board.take_loads(&GroupLoads { ranks: loads(&[4, 2]).ranks, ..GroupLoads::default() }, UnixMillis(0));
+    let mut placed = [0; 4];
+    while let Some(rank) = place(&mut board, 10) {
+        placed[rank] += 1;
+    }
+    let taken = |others: u32| (RANK_LIMIT - others) as usize;
+    assert_eq!(placed, [taken(4), taken(2), taken(3), taken(3)]);
+}
--- a/porthoistd/src/duty/loads.rs
+++ b/porthoistd/src/duty/loads.rs
@@ -1,5 +1,8 @@
-//! The loads duty: asks the process that plans for a group what runs and waits at each rank, so that this process places
+//! The loads duty: asks the processes that plan for groups what runs and waits at each rank, so that this process places
 //! requests by the loads of all and not only by its own.
+//!
+//! A service may have several groups, each with a process that plans for it. A target that no followed group tells of is
+//! asked who plans for its group, until all are told of.
 
 use porthoist_core::ServiceName;
 use porthoist_fleet::{LoadsAnswer, RankPeer};
@@ -7,116 +10,125 @@
 use porthoist_policy::proxy::loads::{GroupLoads, LoadRevision};
 use porthoist_proxy::ControlState;
 use rand::seq::IteratorRandom as _;
-use slog::{Logger, info};
-use std::collections::HashMap;
-use std::net::{IpAddr, SocketAddr};
+use slog::{Logger, info, warn};
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::mpsc::error::TrySendError;
+use tokio::sync::{mpsc, watch};
 
 /// Time in milliseconds within which a process that plans has something new; its rounds take up to 350.
 const ANSWER_MILLIS: u64 = 1_000;
-/// Pause after a question that led nowhere, in milliseconds.
+/// Pause between two looks for groups that nothing is known of, in milliseconds.
 const PAUSE_MILLIS: u64 = 300;
-/// How often the services are looked at, in milliseconds.
-const SERVICES_MILLIS: u64 = 1_000;
 
-/// Follows the loads of every service whose targets are ranks of a group.
+/// Follows the loads of all groups.
 #[derive(Debug, Clone)]
 pub struct LoadsDuty {
     /// Port on which the processes beside engines listen.
     pub rank_port: u16,
     /// What this process believes of services and targets.
     pub state: watch::Receiver<ControlState>,
-    /// The newest loads of any group.
-    pub loads: watch::Sender<GroupLoads>,
+    /// Takes each report of any group; one that finds it full is dropped, since a newer one follows.
+    pub loads: mpsc::Sender<GroupLoads>,
     /// The log.
     pub logger: Logger,
 }
 
+/// Hosts that each followed process tells of.
+type ToldHosts = Rc<RefCell<HashMap<SocketAddr, HashSet<Ipv4Addr>>>>;
+
 impl LoadsDuty {
     /// Runs for ever.
     pub async fn run(self) {
-        let mut followed: HashMap<ServiceName, tokio::task::JoinHandle<()>> = HashMap::new();
+        let told = ToldHosts::default();
         loop {
-            let services = self.ranked_services();
-            followed.retain(|service, task| {
-                let known = services.contains(service);
-                if !known {
-                    task.abort();
-                }
-                known
-            });
-            for service in services {
-                let duty = self.clone();
-                let follow = |service: ServiceName| tokio::task::spawn_local(duty.follow_service(service));
-                followed.entry(service).or_insert_with_key(|service| follow(service.clone()));
+            let found = match self.untold_process(&told) {
+                Some(address) => self.find_planner(address).await,
+                None => None,
+            };
+            let Some(planner) = found else {
+                tokio::time::sleep(Duration::from_millis(PAUSE_MILLIS)).await;
+                continue;
+            };
+            if told.borrow().contains_key(&planner) {
+                // It does not tell of this host yet: the group forms anew.
+                tokio::time::sleep(Duration::from_millis(PAUSE_MILLIS)).await;
+                continue;
             }
-            tokio::time::sleep(Duration::from_millis(SERVICES_MILLIS)).await;
+            told.borrow_mut().insert(planner, HashSet::new());
+            let (duty, told) = (self.clone(), Rc::clone(&told));
+            tokio::task::spawn_local(async move {
+                duty.follow_process(planner, &told).await;
+                told.borrow_mut().remove(&planner);
+            });
         }
     }
 
-    fn ranked_services(&self) -> Vec<ServiceName> {
+    /// The process beside any target of a group that nothing is known of.
+    fn untold_process(&self, told: &ToldHosts) -> Option<SocketAddr> {
         let state = self.state.borrow();
-        let Some(routes) = &state.routes else { return Vec::new() };
-        let ranked = routes.services.values().filter(|spec| spec.engine.is_some());
-        ranked.map(|spec| spec.name.clone()).collect()
+        let services = &state.routes.as_ref()?.services;
+        let ranked = |service: &ServiceName| services.get(service).is_some_and(|spec| spec.engine.is_some());
+        let told = told.borrow();
+        let known = |host: &Ipv4Addr| told.values().any(|hosts| hosts.contains(host));
+        let targets = state.targets.records().filter(|record| ranked(&record.service));
+        let hosts = targets.filter_map(|record| match record.address.ip() {
+            IpAddr::V4(host) => Some(host),
+            IpAddr::V6(_host) => None,
+        });
+        let host = hosts.filter(|host| !known(host)).choose(&mut rand::rng())?;
+        Some(SocketAddr::from((host, self.rank_port)))
     }
 
-    /// The process beside any target of a service.
-    fn any_process(&self, service: &ServiceName) -> Option<SocketAddr> {
-        let state = self.state.borrow();
-        let targets = state.targets.records().filter(|record| record.service == *service);
-        let chosen = targets.choose(&mut rand::rng())?;
-        Some(SocketAddr::new(chosen.address.ip(), self.rank_port))
-    }
-
-    async fn follow_service(self, service: ServiceName) {
-        let mut next = None;
-        loop {
-            let Some(address) = next.take().or_else(|| self.any_process(&service)) else {
-                tokio::time::sleep(Duration::from_millis(PAUSE_MILLIS)).await;
-                continue;
-            };
-            match self.follow_process(&service, address).await {
-                Ok(Some(planner)) if planner != address => next = Some(planner),
-                _nowhere => tokio::time::sleep(Duration::from_millis(PAUSE_MILLIS)).await,
-            }
+    /// The process that plans for the group of the engine beside another process.
+    async fn find_planner(&self, address: SocketAddr) -> Option<SocketAddr> {
+        let peer = RankPeer::new(address);
+        let asked = peer.loads(LoadRevision::default());
+        // No answer is usual where a host or group is down.
+        let answer = tokio::time::timeout(Duration::from_millis(ANSWER_MILLIS), asked).await.ok()?.ok()?;
+        match answer {
+            LoadsAnswer::Loads(_loads) => Some(address),
+            LoadsAnswer::Elsewhere(host) => host.map(|host| SocketAddr::from((host, self.rank_port))),
         }
     }
 
-    /// Publishes the loads that a process tells until it does not plan any more; then the one that does, if it is known.
-    async fn follow_process(
-        &self,
-        service: &ServiceName,
-        address: SocketAddr,
-    ) -> Result<Option<SocketAddr>, CallError> {
+    /// Publishes the loads that a process tells until it does not plan any more.
+    async fn follow_process(&self, address: SocketAddr, told: &ToldHosts) {
         let peer = RankPeer::new(address);
         let mut known = LoadRevision::default();
-        let outcome = loop {
+        let end = loop {
             let asked = tokio::time::timeout(Duration::from_millis(ANSWER_MILLIS), peer.loads(known)).await;
             match asked {
                 Ok(Ok(LoadsAnswer::Loads(loads))) => {
                     if known == LoadRevision::default() {
                         info!(self.logger, "loads are known"; "event" => "dependency_regained",
-                            "dependency" => "loads", "service" => service.to_string(),
-                            "process" => address.to_string(), "ranks" => loads.ranks.len());
+                            "dependency" => "loads", "process" => address.to_string(),
+                            "ranks" => loads.ranks.len());
                     }
                     known = loads.revision;
-                    self.loads.send_replace(loads);
-                }
-                Ok(Ok(LoadsAnswer::Elsewhere(host))) => {
-                    let planner = host.map(|host| SocketAddr::new(IpAddr::V4(host), self.rank_port));
-                    break Ok(planner);
+                    let hosts = loads.ranks.iter().map(|rank| rank.host).collect();
+                    told.borrow_mut().insert(address, hosts);
+                    self.publish(loads);
                 }
-                Ok(Err(error)) => break Err(error),
-                Err(_elapsed) => break Err(CallError::unknown("no loads in time")),
+                Ok(Ok(LoadsAnswer::Elsewhere(_host))) => break None,
+                Ok(Err(error)) => break Some(error),
+                Err(_elapsed) => break Some(CallError::unknown("no loads in time")),
             }
         };
         if known > LoadRevision::default() {
             info!(self.logger, "loads are unknown"; "event" => "dependency_lost", "dependency" => "loads",
-                "service" => service.to_string(), "process" => address.to_string(),
-                "revision" => known.0, "error" => outcome.as_ref().err().map(ToString::to_string));
+                "process" => address.to_string(), "revision" => known.0,
+                "error" => end.as_ref().map(ToString::to_string));
+        }
+    }
+
+    fn publish(&self, loads: GroupLoads) {
+        if let Err(TrySendError::Full(dropped)) = self.loads.try_send(loads) {
+            warn!(self.logger, "a report of loads is dropped"; "event" => "loads_dropped",
+                "revision" => dropped.revision.0);
         }
-        outcome
     }
 }
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -25,7 +25,7 @@
 use std::sync::atomic::AtomicBool;
 use std::thread::JoinHandle;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 /// Kept from the time within which a key that was taken away must run nothing, in milliseconds: the local clock is
 /// placed on the table service's with an error of some milliseconds.
@@ -40,6 +40,10 @@
 /// Processes that the slack is divided between: twice the most that any deployment runs now.
 const SLACK_PROCESSES: f64 = 100.0;
 
+/// Reports of loads that wait for the callers' duty at most: each of some ten groups sends twelve a second, and the duty
+/// takes them within milliseconds.
+const LOADS_RING: usize = 64;
+
 /// How long questions to the table service wait; each has its price. An answer about routes that is lost is noticed 0.9 s
 /// after it was due, which leaves 0.4 s for another question before the proof of 4.6 s no longer counts. The question
 /// about targets needs no such end: it is asked anew when the other one fails.
@@ -81,7 +85,6 @@
         metrics: Arc::new(MetricsHub::new().map_err(io::Error::other)?),
         clock: Arc::new(AnchoredClock::new()),
         state: watch::Sender::new(ControlState::default()),
-        loads: watch::Sender::new(GroupLoads::default()),
         proof: ProofRule {
             max_age_millis: settings.revoke_millis.saturating_sub(PROOF_MARGIN_MILLIS),
             needed_to_run: settings.refuse_unproven,
@@ -91,9 +94,9 @@
         logger,
     };
     process.start_control()?;
-    process.start_loads()?;
+    let loads = process.start_loads()?;
     process.start_status(ready_listener, metrics_listener)?;
-    let callers = process.start_callers(callers_listener)?;
+    let callers = process.start_callers(callers_listener, loads)?;
     Ok((addresses, callers))
 }
 
@@ -103,7 +106,6 @@
     metrics: Arc<MetricsHub>,
     clock: Arc<dyn ClockSource>,
     state: watch::Sender<ControlState>,
-    loads: watch::Sender<GroupLoads>,
     proof: ProofRule,
     stopping: watch::Sender<bool>,
     logger: Logger,
@@ -121,16 +123,12 @@
     }
 
     /// Follows the loads of groups, where the processes beside their engines are to be found.
-    fn start_loads(&self) -> io::Result<()> {
-        let Some(rank_port) = self.settings.rank_port else { return Ok(()) };
-        let duty = LoadsDuty {
-            rank_port,
-            state: self.state.subscribe(),
-            loads: self.loads.clone(),
-            logger: self.logger.clone(),
-        };
+    fn start_loads(&self) -> io::Result<mpsc::Receiver<GroupLoads>> {
+        let (loads, reports) = mpsc::channel(LOADS_RING);
+        let Some(rank_port) = self.settings.rank_port else { return Ok(reports) };
+        let duty = LoadsDuty { rank_port, state: self.state.subscribe(), loads, logger: self.logger.clone() };
         spawn_duty("loads", move || duty.run())?;
-        Ok(())
+        Ok(reports)
     }
 
     fn start_status(&self, ready: StdListener, metrics: StdListener) -> io::Result<()> {
@@ -148,7 +146,11 @@
         Ok(())
     }
 
-    fn start_callers(self, listener: StdListener) -> io::Result<JoinHandle<()>> {
+    fn start_callers(
+        self,
+        listener: StdListener,
+        loads: mpsc::Receiver<GroupLoads>,
+    ) -> io::Result<JoinHandle<()>> {
         spawn_duty("callers", move || async move {
             let course = self.course();
             let counted = Rc::clone(&course);
@@ -165,7 +167,7 @@
                 counted.in_flight()
             }));
             tokio::task::spawn_local(follow_targets(Rc::clone(&course), self.state.subscribe()));
-            tokio::task::spawn_local(follow_loads(course, self.loads.subscribe()));
+            tokio::task::spawn_local(follow_loads(course, loads));
             let listener = TcpListener::from_std(listener).expect("a bound listener fits the runtime");
             serve_proxy(listener, server).await;
         })
@@ -208,9 +210,8 @@
 }
 
 /// Tells the course of the loads that groups report.
-async fn follow_loads(course: Rc<RequestCourse>, mut loads: watch::Receiver<GroupLoads>) {
-    while loads.changed().await.is_ok() {
-        let newest = loads.borrow_and_update().clone();
+async fn follow_loads(course: Rc<RequestCourse>, mut loads: mpsc::Receiver<GroupLoads>) {
+    while let Some(newest) = loads.recv().await {
         course.take_loads(&newest);
     }
 }
--- /dev/null
+++ b/porthoistd/tests/loads.rs
@@ -0,0 +1,133 @@
+//! The loads duty over processes on loopback addresses that tell the loads of several groups.
+
+use porthoist_core::ServiceName;
+use porthoist_fleet::{LoadsOutlet, serve_ranks};
+use porthoist_group::{HeldLink, OrderAnswer, RankFuture, RankLists, RankObservation};
+use porthoist_policy::forward::EngineOrder;
+use porthoist_policy::placement::even::EvenMap;
+use porthoist_policy::proxy::loads::{GroupLoads, LoadRevision, RankLoad};
+use porthoist_policy::proxy::routes::{CallerLimits, ConfigVersion, EngineModel, RouteTable, ServiceSpec};
+use porthoist_policy::proxy::targets::{TargetRecord, TargetState};
+use porthoist_proxy::ControlState;
+use porthoistd::duty::loads::LoadsDuty;
+use slog::{Discard, Logger, o};
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::LocalSet;
+
+/// Only a hang exceeds this.
+const PATIENCE: Duration = Duration::from_secs(20);
+const GROUPS: u8 = 3;
+/// Ranks of a group; the process beside its first rank plans.
+const RANKS: u8 = 2;
+
+/// A rank that is only asked for loads.
+#[derive(Debug)]
+struct LoadsOnly;
+
+impl HeldLink for LoadsOnly {
+    fn observe(&self, _counts: bool) -> RankFuture<'_, RankObservation> {
+        Box::pin(futures::future::pending())
+    }
+
+    fn lists(&self) -> RankFuture<'_, RankLists> {
+        Box::pin(futures::future::pending())
+    }
+
+    fn order<'a>(&'a self, _order: EngineOrder, _map: Option<&'a EvenMap>) -> RankFuture<'a, OrderAnswer> {
+        Box::pin(futures::future::pending())
+    }
+}
+
+fn host(group: u8, rank: u8) -> Ipv4Addr {
+    Ipv4Addr::new(127, 0, 1 + group, 1 + rank)
+}
+
+fn group_loads(group: u8) -> GroupLoads {
+    let ranks = (0..RANKS).map(|rank| RankLoad { host: host(group, rank), requests: 1 });
+    GroupLoads { revision: LoadRevision(1), ranks: ranks.collect() }
+}
+
+fn state() -> ControlState {
+    let service: ServiceName = "s".parse().expect("a name");
+    let engine = EngineModel {
+        slots: 4,
+        memory_tokens: 1_000,
+        step_millis: 1.0,
+        request_millis: 1.0,
+        stride: 1,
+        read_tokens_per_milli: 1.0,
+        sets: 1,
+        experts: 4,
+        places: 3,
+        spare: 1,
+        expert_share: 0.5,
+    };
+    let limits = CallerLimits { header_bytes: 1, body_bytes: 1, idle_millis: 1 };
+    let spec = ServiceSpec { name: service.clone(), engine: Some(engine) };
+    let routes = RouteTable::new(ConfigVersion(1), limits, vec![spec], Vec::new(), None);
+    let record = |group: u8, rank: u8| TargetRecord {
+        id: format!("t{group}-{rank}").parse().expect("a name"),
+        service: service.clone(),
+        address: (host(group, rank), 9).into(),
+        zone: "a".parse().expect("a name"),
+        slots: 4,
+        state: TargetState::Ready,
+    };
+    let mut state = ControlState { routes: Some(Arc::new(routes)), ..ControlState::default() };
+    let places = (0..GROUPS).flat_map(|group| (0..RANKS).map(move |rank| (group, rank)));
+    state.targets.listed(places.map(|(group, rank)| record(group, rank)).collect(), None);
+    state
+}
+
+/// Listens on the same port of all hosts.
+async fn listeners() -> Vec<(u8, u8, TcpListener)> {
+    let first = TcpListener::bind((host(0, 0), 0)).await.expect("a free port");
+    let port = first.local_addr().expect("a bound address").port();
+    let mut bound = vec![(0, 0, first)];
+    for group in 0..GROUPS {
+        for rank in 0..RANKS {
+            if (group, rank) != (0, 0) {
+                bound.push((
+                    group,
+                    rank,
+                    TcpListener::bind((host(group, rank), port)).await.expect("a free port"),
+                ));
+            }
+        }
+    }
+    bound
+}
+
+#[tokio::test]
+async fn the_loads_of_all_groups_of_a_service_are_known() {
+    let played = async {
+        let bound = listeners().await;
+        let rank_port = bound[0].2.local_addr().expect("a bound address").port();
+        let mut published = Vec::new();
+        for (group, rank, listener) in bound {
+            let loads = watch::Sender::new((rank == 0).then(|| group_loads(group)));
+            let outlet = LoadsOutlet::new(loads.subscribe());
+            tokio::task::spawn_local(serve_ranks(listener, Rc::new(LoadsOnly), outlet));
+            published.push(loads);
+        }
+        let (loads, mut reports) = mpsc::channel(16);
+        let state = watch::Sender::new(state());
+        let duty =
+            LoadsDuty { rank_port, state: state.subscribe(), loads, logger: Logger::root(Discard, o!()) };
+        tokio::task::spawn_local(duty.run());
+        let mut hosts = BTreeSet::new();
+        while hosts.len() < usize::from(GROUPS * RANKS) {
+            let report = reports.recv().await.expect("the duty runs");
+            hosts.extend(report.ranks.iter().map(|rank| rank.host));
+        }
+    };
+    let local = LocalSet::new();
+    let whole = local.run_until(played);
+    tokio::time::timeout(PATIENCE, whole).await.expect("all groups are told of");
+}
