Let a forecast decide who waits, who is refused, and when callers come back

Cause: every request without a place waited for 0.24 of its target latency and was then told to come back after 0.9 or 2.6 s, whatever was known; a group that stood still was sent all requests, so that 160 to 180 lay there when it went on, 25 at a rank of 12 slots, and all streams were late for 8 s more.

Change: ServiceForecast knows how long places and first events take and how long earlier spells of refusing lasted. A request waits only while it can still be on time, one that came back for a second at most and before the others; all others are refused at once. A group whose streams are silent for 0.6 s counts as down and gets two requests a second from a process, ten if it refuses at once. While loads are unknown a process keeps to its usual part of them. All of it stands in PlaceDesk, without I/O; the broker only asks it.

--- a/crates/porthoist-policy/src/proxy.rs
+++ b/crates/porthoist-policy/src/proxy.rs
@@ -1,9 +1,10 @@
 //! Decisions for requests that are passed on as they are: where one may run, whether the configuration held is fresh
 //! enough to say so, which target takes it next, and how many repeats the fleet can bear.
 
+pub mod desk;
+pub mod forecast;
 pub mod freshness;
 pub mod loads;
-pub mod pace;
 pub mod placement;
 pub mod retry_share;
 pub mod routes;
--- /dev/null
+++ b/crates/porthoist-policy/src/proxy/desk.rs
@@ -0,0 +1,235 @@
+//! Who gets a place, who waits for one and who is refused: the decisions of one process about all its requests.
+//!
+//! The caller of this module sends, waits and answers; it only asks here. The same code is driven by a load that is
+//! played in virtual time.
+
+use super::forecast::{PlaceAsk, PlaceForecast, ServiceForecast};
+use super::loads::GroupLoads;
+use super::placement::{BoardSettings, ChosenTarget, LoadBoard, RequestWork, SendOutcome, WaitList};
+use super::targets::TargetBook;
+use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis};
+use std::collections::HashMap;
+
+/// Requests of one service that wait at most; more are refused at once.
+const MAX_WAITING: usize = 512;
+
+/// What a request needs.
+#[derive(Debug, Clone)]
+pub struct PlaceDemand {
+    /// The service.
+    pub service: ServiceName,
+    /// Whether its targets are ranks of a group.
+    pub ranked: bool,
+    /// The work it brings.
+    pub work: RequestWork,
+    /// Rank among requests, 0 first.
+    pub priority: u8,
+    /// Targets that it was sent to already.
+    pub tried: Vec<TargetName>,
+    /// When it came.
+    pub arrival: UnixMillis,
+    /// Time in milliseconds within which its answer, or first event, is on time.
+    pub latency_millis: u64,
+    /// When nobody waits for it any more.
+    pub deadline: UnixDeadline,
+    /// Whether its caller comes back after a refusal, or it was sent already.
+    pub came_back: bool,
+}
+
+/// Why there is no place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum PlaceError {
+    /// Every target is busy, and none will be free in time.
+    #[error("all targets are busy")]
+    Busy,
+    /// The targets answer nothing, or refuse everything.
+    #[error("the targets are down")]
+    Down,
+    /// No target may take requests.
+    #[error("no target serves the service")]
+    NoTarget,
+    /// Too many requests wait.
+    #[error("too many requests wait")]
+    Full,
+}
+
+/// What becomes of a request.
+#[derive(Debug, Clone)]
+pub enum DeskAnswer {
+    /// It goes to this target now.
+    Place(ChosenTarget),
+    /// It waits until then at most, to be served in time.
+    Wait(UnixDeadline),
+    /// It is refused.
+    Refuse(PlaceError),
+}
+
+#[derive(Debug)]
+struct WaitingRequest<W> {
+    demand: PlaceDemand,
+    waiter: W,
+}
+
+/// The decisions of one process; `W` is what its caller needs to go on with a request that waited.
+#[derive(Debug)]
+pub struct PlaceDesk<W> {
+    board: LoadBoard,
+    waiting: HashMap<ServiceName, WaitList<WaitingRequest<W>>>,
+    forecasts: HashMap<ServiceName, ServiceForecast>,
+}
+
+impl<W> PlaceDesk<W> {
+    /// A desk without targets.
+    pub fn new(settings: BoardSettings) -> Self {
+        Self { board: LoadBoard::new(settings), waiting: HashMap::new(), forecasts: HashMap::new() }
+    }
+
+    /// Takes the targets believed in now.
+    pub fn sync(&mut self, book: &TargetBook) {
+        self.board.sync(book);
+    }
+
+    /// Takes the loads that the engines of a group reported.
+    pub fn take_loads(&mut self, loads: &GroupLoads, now: UnixMillis) {
+        self.board.take_loads(loads, now);
+    }
+
+    /// What becomes of a request now. One that is to wait is handed over with [`Self::keep`].
+    pub fn ask(&mut self, demand: &PlaceDemand, now: UnixMillis) -> DeskAnswer {
+        let service = &demand.service;
+        if demand.ranked && !self.forecast(service).may_send(now) {
+            return DeskAnswer::Refuse(PlaceError::Down);
+        }
+        let list = self.waiting.get(service);
+        let (waiting, ahead) =
+            list.map_or((0, 0), |list| (list.len(), list.ahead(demand.priority, !demand.came_back)));
+        if waiting == 0
+            && let Some(chosen) = self.choose(demand, now)
+        {
+            return DeskAnswer::Place(chosen);
+        }
+        if waiting >= MAX_WAITING {
+            return DeskAnswer::Refuse(PlaceError::Full);
+        }
+        if !self.board.serves(service, now) {
+            return DeskAnswer::Refuse(PlaceError::NoTarget);
+        }
+        let PlaceDemand { arrival, latency_millis, deadline, came_back, .. } = *demand;
+        let ask = PlaceAsk { ahead, arrival, latency_millis, deadline, came_back };
+        match self.forecast(service).ask(ask, now) {
+            PlaceForecast::Wait(until) => DeskAnswer::Wait(until),
+            PlaceForecast::Refuse => DeskAnswer::Refuse(PlaceError::Busy),
+        }
+    }
+
+    /// Lets a request wait.
+    pub fn keep(&mut self, demand: PlaceDemand, waiter: W) {
+        let list = self.waiting.entry(demand.service.clone()).or_default();
+        list.add(demand.priority, !demand.came_back, WaitingRequest { demand, waiter });
+    }
+
+    /// The next request that waited and has a place now. Those that `waits` says have gone are forgotten.
+    pub fn next_served(
+        &mut self,
+        service: &ServiceName,
+        waits: impl Fn(&W) -> bool,
+        now: UnixMillis,
+    ) -> Option<(W, ChosenTarget, RequestWork)> {
+        loop {
+            let first = self.waiting.get(service)?.first()?;
+            if !waits(&first.waiter) {
+                self.waiting.get_mut(service)?.pop();
+                continue;
+            }
+            let demand = first.demand.clone();
+            let chosen = self.choose(&demand, now)?;
+            let served = self.waiting.get_mut(service)?.pop()?;
+            return Some((served.waiter, chosen, demand.work));
+        }
+    }
+
+    /// Those that wait for a service that is down: they are to be refused now.
+    pub fn take_hopeless(&mut self, service: &ServiceName) -> Vec<W> {
+        if !self.forecast(service).down() {
+            return Vec::new();
+        }
+        let Some(mut list) = self.waiting.remove(service) else { return Vec::new() };
+        std::iter::from_fn(|| list.pop()).map(|waiting| waiting.waiter).collect()
+    }
+
+    /// Takes the end of a send that had a place for so many milliseconds.
+    pub fn ended(
+        &mut self,
+        service: &ServiceName,
+        target: &TargetName,
+        work: RequestWork,
+        outcome: SendOutcome,
+        held_millis: u64,
+        now: UnixMillis,
+    ) {
+        self.board.ended(target, work, outcome, now);
+        let answered = matches!(outcome, SendOutcome::Answered(_millis));
+        self.forecast(service).freed(answered.then_some(held_millis as f64));
+    }
+
+    /// Takes that a stream's first event, or an answer, came so many milliseconds after its request had a place.
+    pub fn began(&mut self, service: &ServiceName, millis: f64, now: UnixMillis) {
+        self.forecast(service).began(millis, now);
+    }
+
+    /// Takes that a stream brought an event.
+    pub fn heard(&mut self, service: &ServiceName, now: UnixMillis) {
+        self.forecast(service).heard(now);
+    }
+
+    /// Takes that a service refused or failed a request.
+    pub fn refused(&mut self, service: &ServiceName, now: UnixMillis) {
+        self.forecast(service).refused(now);
+    }
+
+    /// After how many milliseconds a caller that is refused should come back; `point` is random between 0 and 1.
+    pub fn return_millis(
+        &mut self,
+        service: &ServiceName,
+        deadline: UnixDeadline,
+        point: f64,
+        now: UnixMillis,
+    ) -> u64 {
+        self.forecast(service).return_millis(deadline, point, now)
+    }
+
+    /// Why a request that waited in vain is refused.
+    pub fn denial(&self, service: &ServiceName, now: UnixMillis) -> PlaceError {
+        if self.board.serves(service, now) { PlaceError::Busy } else { PlaceError::NoTarget }
+    }
+
+    /// Services that requests wait for.
+    pub fn awaited(&self) -> Vec<ServiceName> {
+        let lists = self.waiting.iter().filter(|(_service, list)| !list.is_empty());
+        lists.map(|(service, _list)| service.clone()).collect()
+    }
+
+    /// Requests that wait now.
+    pub fn waiting(&self) -> usize {
+        self.waiting.values().map(WaitList::len).sum()
+    }
+
+    /// Requests of this process at a target.
+    pub fn in_flight(&self, target: &TargetName) -> u32 {
+        self.board.in_flight(target)
+    }
+
+    fn choose(&mut self, demand: &PlaceDemand, now: UnixMillis) -> Option<ChosenTarget> {
+        let PlaceDemand { service, ranked, work, tried, .. } = demand;
+        let chosen = self.board.choose(service, *ranked, *work, tried, now)?;
+        self.forecast(service).placed(now);
+        Some(chosen)
+    }
+
+    fn forecast(&mut self, service: &ServiceName) -> &mut ServiceForecast {
+        if !self.forecasts.contains_key(service) {
+            self.forecasts.insert(service.clone(), ServiceForecast::default());
+        }
+        self.forecasts.get_mut(service).expect("it was added above")
+    }
+}
--- a/crates/porthoist-policy/src/proxy/placement.rs
+++ b/crates/porthoist-policy/src/proxy/placement.rs
@@ -4,7 +4,6 @@
 //! while, longer each time, and one request as a trial afterwards.
 
 use super::loads::{GroupLoads, OthersLoad};
-use super::pace::GroupPace;
 use super::spread::choose_by_level;
 use super::targets::{TargetBook, TargetRecord, TargetState};
 use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis, ZoneName};
@@ -28,6 +27,9 @@
 /// Weight of a new answer in the mean time of a target.
 const ANSWER_WEIGHT: f64 = 0.2;
 
+/// Weight of a new report in this process's part of all requests: reports come some ten times a second.
+const SHARE_WEIGHT: f64 = 0.05;
+
 /// Work that a request brings.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct RequestWork {
@@ -124,7 +126,7 @@
         let known = self.requests(group.assumed, now);
         match (group.ranked, known.all) {
             (true, true) => known.count < settings.rank_limit.min(self.record.slots),
-            (true, false) => known.count < settings.per_rank,
+            (true, false) => known.count < group.own_limit,
             (false, _) => self.in_flight < self.record.slots,
         }
     }
@@ -161,6 +163,8 @@
     /// Others' requests at a target that no report counts for: the mean of those with one. A group whose report is missing
     /// is then neither preferred nor starved.
     assumed: Option<u32>,
+    /// Requests of this process that a rank runs at once while no report counts.
+    own_limit: u32,
 }
 
 /// Requests at a target.
@@ -210,14 +214,15 @@
     settings: BoardSettings,
     /// In a fixed order, so that the same seed makes the same choices.
     loads: BTreeMap<TargetName, TargetLoad>,
-    paces: HashMap<ServiceName, GroupPace>,
+    /// Part of the requests in a service's groups that this process sent, as reports showed it.
+    shares: HashMap<ServiceName, f64>,
     turn: u64,
 }
 
 impl LoadBoard {
     /// A board without targets.
     pub fn new(settings: BoardSettings) -> Self {
-        Self { settings, loads: BTreeMap::new(), paces: HashMap::new(), turn: 0 }
+        Self { settings, loads: BTreeMap::new(), shares: HashMap::new(), turn: 0 }
     }
 
     /// Takes the targets believed in now. What is in flight at a target that is gone is still counted.
@@ -248,11 +253,12 @@
         tried: &[TargetName],
         now: UnixMillis,
     ) -> Option<ChosenTarget> {
-        let group = GroupView { ranked, assumed: if ranked { self.mean_others(service, now) } else { None } };
+        let group = GroupView {
+            ranked,
+            own_limit: self.own_limit(service),
+            assumed: if ranked { self.mean_others(service, now) } else { None },
+        };
         let reported = group.assumed.is_some();
-        if ranked && !reported && self.in_flight_at(service) >= self.group_limit(service) {
-            return None;
-        }
         let usual = self.usual_millis(service);
         self.turn = self.turn.wrapping_add(1);
         let mut candidates: Vec<&mut TargetLoad> = {
@@ -310,24 +316,28 @@
         loads.any(|load| load.record.service == *service && (load.open(now) || load.in_flight > 0))
     }
 
-    /// Takes a pause between two events of a stream, as a part of the longest that is on time.
-    pub fn paused(&mut self, service: &ServiceName, part: f64, now: UnixMillis) {
-        let in_flight = self.in_flight_at(service);
-        let most = self.most_at(service);
-        let pace = self.paces.entry(service.clone()).or_insert_with(|| GroupPace::new(most));
-        pace.paused(part, in_flight, now);
-    }
-
     /// Takes the loads that the engines of a group reported.
     pub fn take_loads(&mut self, loads: &GroupLoads, now: UnixMillis) {
         let by_host: HashMap<Ipv4Addr, u32> =
             loads.ranks.iter().map(|rank| (rank.host, rank.requests)).collect();
+        let (mut own, mut all, mut service) = (0, 0, None);
         for load in self.loads.values_mut() {
             let IpAddr::V4(host) = load.record.address.ip() else { continue };
             if let Some(requests) = by_host.get(&host) {
                 load.others = Some(OthersLoad::reported(*requests, load.in_flight, now));
+                own += load.in_flight;
+                all += requests;
+                service = Some(load.record.service.clone());
             }
         }
+        // A process that has just begun has no usual part yet.
+        if let Some(service) = service
+            && own > 0
+        {
+            let part = f64::from(own) / f64::from(own.max(all));
+            let share = self.shares.entry(service).or_insert(part);
+            *share += SHARE_WEIGHT * (part - *share);
+        }
     }
 
     /// Mean of the others' requests at a service's targets that a report counts for; nothing without any.
@@ -338,20 +348,12 @@
         Some((known.iter().sum::<u32>() + ranks / 2) / ranks)
     }
 
-    fn group_limit(&self, service: &ServiceName) -> u32 {
-        self.paces.get(service).map_or(u32::MAX, GroupPace::limit)
-    }
-
-    /// Requests of this process that all ranks of a service have room for.
-    fn most_at(&self, service: &ServiceName) -> u32 {
-        let ranks = self.loads.values().filter(|load| load.record.service == *service).count();
-        ranks as u32 * self.settings.per_rank
-    }
-
-    /// Requests in flight at all targets of a service.
-    fn in_flight_at(&self, service: &ServiceName) -> u32 {
-        let loads = self.loads.values().filter(|load| load.record.service == *service);
-        loads.map(|load| load.in_flight).sum()
+    /// This process's usual part of what the ranks run, while no report counts. Where the group stood still for 4 s and its
+    /// reports with it, three a rank from each of six processes overfilled it by half.
+    fn own_limit(&self, service: &ServiceName) -> u32 {
+        let Some(share) = self.shares.get(service) else { return self.settings.per_rank };
+        let own = share * f64::from(self.settings.rank_limit);
+        (own.ceil() as u32).clamp(1, self.settings.rank_limit)
     }
 
     /// Requests in flight at a target.
@@ -387,6 +389,9 @@
 pub struct WaitRank {
     /// Rank of the request, 0 first.
     pub priority: u8,
+    /// Whether its caller comes for the first time; one that was refused goes first, since a second refusal is worse for
+    /// a caller than a first.
+    pub first_try: bool,
     /// Order of arrival.
     pub arrival: u64,
 }
@@ -406,13 +411,19 @@
 
 impl<T> WaitList<T> {
     /// Adds a request; the rank takes it out again.
-    pub fn add(&mut self, priority: u8, item: T) -> WaitRank {
-        let rank = WaitRank { priority, arrival: self.arrivals };
+    pub fn add(&mut self, priority: u8, first_try: bool, item: T) -> WaitRank {
+        let rank = WaitRank { priority, first_try, arrival: self.arrivals };
         self.arrivals += 1;
         self.waiting.insert(rank, item);
         rank
     }
 
+    /// How many would go before one that is added now.
+    pub fn ahead(&self, priority: u8, first_try: bool) -> usize {
+        let rank = WaitRank { priority, first_try, arrival: self.arrivals };
+        self.waiting.range(..rank).count()
+    }
+
     /// Takes out one that gave up.
     pub fn remove(&mut self, rank: WaitRank) -> Option<T> {
         self.waiting.remove(&rank)
--- a/crates/porthoist-policy/tests/policy.rs
+++ b/crates/porthoist-policy/tests/policy.rs
@@ -10,6 +10,8 @@
 mod demand;
 #[path = "policy/even.rs"]
 mod even;
+#[path = "policy/forecast.rs"]
+mod forecast;
 #[path = "policy/forward.rs"]
 mod forward;
 #[path = "policy/gate.rs"]
--- /dev/null
+++ b/crates/porthoist-policy/tests/policy/forecast.rs
@@ -0,0 +1,94 @@
+//! Who waits, who is refused, and when refused callers come back.
+
+use porthoist_core::{UnixDeadline, UnixMillis};
+use porthoist_policy::proxy::forecast::{PatienceBook, PlaceAsk, PlaceForecast, ServiceForecast};
+use test_case::test_case;
+
+/// Ten places that are taken for two seconds each, first events after 200 ms, heard at 1,000.
+fn busy() -> ServiceForecast {
+    let mut forecast = ServiceForecast::default();
+    for _request in 0..11 {
+        forecast.placed(UnixMillis(0));
+    }
+    forecast.began(200.0, UnixMillis(1_000));
+    forecast.freed(Some(2_000.0));
+    forecast
+}
+
+fn ask(ahead: usize, arrival: u64, came_back: bool) -> PlaceAsk {
+    let arrival = UnixMillis(arrival);
+    let deadline = UnixDeadline::after(arrival, 8_000);
+    PlaceAsk { ahead, arrival, latency_millis: 500, deadline, came_back }
+}
+
+#[test_case(0, false, Some(1_300); "a place every 200 ms, and 300 to spare")]
+#[test_case(1, false, None; "the second place is free too late")]
+#[test_case(3, true, Some(2_000); "a caller who came back is late already and waits for the fourth")]
+#[test_case(5, true, None; "but no longer than a second")]
+fn a_request_waits_only_while_it_can_be_served_in_time(ahead: usize, came_back: bool, expected: Option<u64>) {
+    let expected =
+        expected.map_or(PlaceForecast::Refuse, |until| PlaceForecast::Wait(UnixDeadline(UnixMillis(until))));
+    assert_eq!(busy().ask(ask(ahead, 1_000, came_back), UnixMillis(1_000)), expected);
+}
+
+#[test]
+fn a_group_that_stands_still_gets_a_request_now_and_then() {
+    let mut forecast = busy();
+    let sent = |forecast: &mut ServiceForecast, from: u64, to: u64| {
+        (from..to).step_by(20).filter(|now| forecast.may_send(UnixMillis(*now))).count()
+    };
+    assert_eq!(sent(&mut forecast, 1_000, 1_600), 30, "up to 600 ms are a slow pass");
+    assert_eq!(sent(&mut forecast, 1_620, 3_620), 4, "two a second to one that answers nothing");
+    assert!(forecast.down());
+    assert_eq!(forecast.ask(ask(0, 3_700, true), UnixMillis(3_700)), PlaceForecast::Refuse);
+    forecast.heard(UnixMillis(4_000));
+    assert_eq!(sent(&mut forecast, 4_000, 4_200), 10, "it goes on");
+}
+
+#[test]
+fn a_group_that_refuses_at_once_is_tried_ten_times_a_second() {
+    let mut forecast = busy();
+    let mut sent = 0;
+    for now in (2_000..4_000).step_by(10) {
+        if forecast.may_send(UnixMillis(now)) {
+            sent += 1;
+            forecast.refused(UnixMillis(now + 2));
+        }
+    }
+    assert_eq!(sent, 19);
+}
+
+#[test]
+fn callers_come_back_when_spells_usually_end() {
+    let mut forecast = busy();
+    let deadline = UnixDeadline(UnixMillis(100_000));
+    let mut told = Vec::new();
+    for began in [2_000, 12_000, 22_000] {
+        assert!(forecast.may_send(UnixMillis(began)), "one tries it");
+        told.push(forecast.return_millis(deadline, 0.0, UnixMillis(began + 100)));
+        forecast.heard(UnixMillis(began + 1_000));
+    }
+    // Nothing was seen at first; then spells of a second.
+    assert_eq!(told, [2_500, 900, 900]);
+    forecast.may_send(UnixMillis(32_000));
+    assert_eq!(forecast.return_millis(deadline, 0.0, UnixMillis(37_000)), 5_000, "longer than all before");
+}
+
+#[test]
+fn callers_return_spread_and_with_time_left_to_be_served() {
+    let mut forecast = busy();
+    forecast.may_send(UnixMillis(2_000));
+    let mut told = |deadline: u64, point: f64| {
+        forecast.return_millis(UnixDeadline(UnixMillis(deadline)), point, UnixMillis(2_000))
+    };
+    assert_eq!([told(90_000, 0.0), told(90_000, 0.5), told(90_000, 1.0)], [2_500, 2_875, 3_250]);
+    assert_eq!(told(5_000, 0.0), 1_000, "a third of what is left");
+}
+
+#[test]
+fn callers_with_less_time_than_first_tries_came_back() {
+    let mut book = PatienceBook::default();
+    let came_back = [Some(8_000), Some(7_900), Some(5_400), None].map(|left| book.came_back("r", left));
+    assert_eq!(came_back, [false, false, true, false]);
+    assert!(!book.came_back("other", Some(1_500)));
+}
--- a/crates/porthoist-policy/tests/policy/loads.rs
+++ b/crates/porthoist-policy/tests/policy/loads.rs
@@ -123,3 +123,19 @@
     let taken = |others: u32| (RANK_LIMIT - others) as usize;
     assert_eq!(placed, [taken(4), taken(2), taken(3), taken(3)]);
 }
+
+/// One process of six, whose group stands still: it sends no more than its part until reports come again.
+#[test]
+fn without_reports_a_process_keeps_to_its_usual_part() {
+    let mut board = board(2, 1);
+    for _request in 0..4 {
+        place(&mut board, 0);
+    }
+    for report in 0..100 {
+        board.take_loads(&loads(&[12, 12]), UnixMillis(report * 100));
+    }
+    let gone = UnixMillis(10_000 + REPORT_MILLIS);
+    assert_eq!(place(&mut board, gone.0), None, "a sixth of {RANK_LIMIT} is two at each, and four are there");
+    board.ended(&"t0".parse().unwrap(), RequestWork::default(), SendOutcome::Abandoned, gone);
+    assert_eq!(place(&mut board, gone.0), Some(0));
+}
--- a/crates/porthoist-proxy/src/broker.rs
+++ b/crates/porthoist-proxy/src/broker.rs
@@ -1,67 +1,30 @@
-//! Gives each request a place at a target, or lets it wait for one in the order of the wait list.
+//! Gives each request a place at a target, or lets it wait for one, as the desk decides.
 
-use porthoist_core::{ClockSource, ServiceName, TargetName, UnixDeadline};
+use porthoist_core::{ClockSource, ServiceName, TargetName, UnixDeadline, UnixMillis};
+use porthoist_policy::proxy::desk::{DeskAnswer, PlaceDesk};
 use porthoist_policy::proxy::loads::GroupLoads;
 use porthoist_policy::proxy::placement::{
-    BoardSettings, ChosenTarget, LoadBoard, ReportedRequests, RequestWork, SendOutcome, WaitList,
+    BoardSettings, ChosenTarget, ReportedRequests, RequestWork, SendOutcome,
 };
 use porthoist_policy::proxy::targets::{TargetBook, TargetRecord};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::oneshot;
 
-/// Requests of one service that wait at most; more are refused at once.
-const MAX_WAITING: usize = 512;
+pub use porthoist_policy::proxy::desk::{PlaceDemand, PlaceError};
 
 /// Settings of a broker.
 pub type BrokerSettings = BoardSettings;
 
-/// What a request needs.
-#[derive(Debug, Clone)]
-pub struct PlaceDemand {
-    /// The service.
-    pub service: ServiceName,
-    /// Whether its targets are ranks of a group.
-    pub ranked: bool,
-    /// The work it brings.
-    pub work: RequestWork,
-    /// Rank among requests, 0 first.
-    pub priority: u8,
-    /// Targets that it was sent to already.
-    pub tried: Vec<TargetName>,
-}
-
-/// Why there is no place.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-pub enum PlaceError {
-    /// Every target was busy all the time.
-    #[error("all targets are busy")]
-    Busy,
-    /// No target may take requests.
-    #[error("no target serves the service")]
-    NoTarget,
-    /// Too many requests wait.
-    #[error("too many requests wait")]
-    Full,
-}
-
-struct Waiter {
-    demand: PlaceDemand,
-    reply: oneshot::Sender<TargetPlace>,
-}
-
-struct BrokerState {
-    board: LoadBoard,
-    waiting: HashMap<ServiceName, WaitList<Waiter>>,
-}
+/// Takes the target of a request that waited; dropped when the request is to be refused.
+type PlaceReply = oneshot::Sender<TargetPlace>;
 
 /// The broker; clones share one state.
 #[derive(Clone)]
 pub struct PlaceBroker {
-    state: Rc<RefCell<BrokerState>>,
+    desk: Rc<RefCell<PlaceDesk<PlaceReply>>>,
     clock: Arc<dyn ClockSource>,
 }
 
@@ -79,6 +42,8 @@
     pub in_flight: u32,
     /// What engines had reported of the target when it was chosen.
     pub report: Option<ReportedRequests>,
+    /// When it was given.
+    pub placed: UnixMillis,
     work: RequestWork,
     outcome: Cell<SendOutcome>,
     broker: PlaceBroker,
@@ -99,128 +64,128 @@
 
 impl Drop for TargetPlace {
     fn drop(&mut self) {
-        self.broker.release(&self.record, self.work, self.outcome.get());
+        self.broker.release(self);
     }
 }
 
 impl PlaceBroker {
     /// A broker without targets.
     pub fn new(settings: BrokerSettings, clock: Arc<dyn ClockSource>) -> Self {
-        let state = BrokerState { board: LoadBoard::new(settings), waiting: HashMap::new() };
-        Self { state: Rc::new(RefCell::new(state)), clock }
+        Self { desk: Rc::new(RefCell::new(PlaceDesk::new(settings))), clock }
     }
 
     /// Takes the targets believed in now, and serves those who waited for one.
     pub fn sync(&self, book: &TargetBook) {
-        self.state.borrow_mut().board.sync(book);
+        self.desk.borrow_mut().sync(book);
         self.serve_all_waiting();
     }
 
     /// Takes the loads that the engines of a group reported, and serves those who waited for room.
     pub fn take_loads(&self, loads: &GroupLoads) {
-        let now = self.clock.now();
-        self.state.borrow_mut().board.take_loads(loads, now);
+        self.desk.borrow_mut().take_loads(loads, self.clock.now());
         self.serve_all_waiting();
     }
 
-    /// Waits for a place until the deadline.
-    pub async fn place(
-        &self,
-        demand: PlaceDemand,
-        deadline: UnixDeadline,
-    ) -> Result<TargetPlace, PlaceError> {
+    /// A place, at once or after a wait that is expected to be worth it.
+    pub async fn place(&self, demand: PlaceDemand) -> Result<TargetPlace, PlaceError> {
         let service = demand.service.clone();
-        let receiver = {
-            let mut state = self.state.borrow_mut();
-            let blocked = state.waiting.get(&service).is_some_and(|list| !list.is_empty());
-            if !blocked && let Some(chosen) = self.choose(&mut state, &demand) {
-                return Ok(chosen);
+        let answer = self.desk.borrow_mut().ask(&demand, self.clock.now());
+        let (until, receiver) = match answer {
+            DeskAnswer::Place(chosen) => return Ok(self.place_at(chosen, demand.work)),
+            DeskAnswer::Refuse(error) => {
+                self.refuse_hopeless(&service);
+                return Err(error);
             }
-            let list = state.waiting.entry(service.clone()).or_default();
-            if list.len() >= MAX_WAITING {
-                return Err(PlaceError::Full);
+            DeskAnswer::Wait(until) => {
+                let (reply, receiver) = oneshot::channel();
+                self.desk.borrow_mut().keep(demand, reply);
+                (until, receiver)
             }
-            let (reply, receiver) = oneshot::channel();
-            list.add(demand.priority, Waiter { demand, reply });
-            receiver
         };
         // A target whose time out has ended may be free although nothing was released.
         self.serve_waiting(&service);
-        let patience = deadline.remaining(self.clock.now());
+        let patience = until.remaining(self.clock.now());
         match tokio::time::timeout(patience, receiver).await {
             Ok(Ok(place)) => Ok(place),
-            _ => Err(self.denial(&service)),
+            Ok(Err(_dropped)) => Err(PlaceError::Down),
+            Err(_elapsed) => Err(self.desk.borrow().denial(&service, self.clock.now())),
         }
     }
 
-    /// Takes a pause between two events of a stream, as a part of the longest that is on time.
-    pub fn paused(&self, service: &ServiceName, part: f64) {
-        let now = self.clock.now();
-        self.state.borrow_mut().board.paused(service, part, now);
+    /// After how many milliseconds a caller that is refused should come back.
+    pub fn return_millis(&self, service: &ServiceName, deadline: UnixDeadline) -> u64 {
+        self.desk.borrow_mut().return_millis(service, deadline, rand::random(), self.clock.now())
+    }
+
+    /// Takes that a stream's first event, or an answer, came so many milliseconds after its request had a place.
+    pub fn began(&self, service: &ServiceName, millis: f64) {
+        self.desk.borrow_mut().began(service, millis, self.clock.now());
+    }
+
+    /// Takes that a stream brought an event.
+    pub fn heard(&self, service: &ServiceName) {
+        self.desk.borrow_mut().heard(service, self.clock.now());
+    }
+
+    /// Takes that a service refused or failed a request.
+    pub fn refused(&self, service: &ServiceName) {
+        self.desk.borrow_mut().refused(service, self.clock.now());
+        self.refuse_hopeless(service);
     }
 
     /// Requests that wait now.
     pub fn waiting(&self) -> usize {
-        self.state.borrow().waiting.values().map(WaitList::len).sum()
+        self.desk.borrow().waiting()
     }
 
     /// Requests of this process at a target.
     pub fn in_flight(&self, target: &TargetName) -> u32 {
-        self.state.borrow().board.in_flight(target)
+        self.desk.borrow().in_flight(target)
     }
 
-    fn denial(&self, service: &ServiceName) -> PlaceError {
-        let state = self.state.borrow();
-        if state.board.serves(service, self.clock.now()) { PlaceError::Busy } else { PlaceError::NoTarget }
-    }
-
-    fn choose(&self, state: &mut BrokerState, demand: &PlaceDemand) -> Option<TargetPlace> {
-        let now = self.clock.now();
-        let PlaceDemand { service, ranked, work, tried, .. } = demand;
-        let ChosenTarget { record, in_flight, report } =
-            state.board.choose(service, *ranked, *work, tried, now)?;
-        Some(TargetPlace {
+    fn place_at(&self, chosen: ChosenTarget, work: RequestWork) -> TargetPlace {
+        let ChosenTarget { record, in_flight, report } = chosen;
+        TargetPlace {
             record,
             in_flight,
             report,
-            work: *work,
+            placed: self.clock.now(),
+            work,
             outcome: Cell::new(SendOutcome::Abandoned),
             broker: self.clone(),
-        })
+        }
     }
 
-    fn release(&self, record: &TargetRecord, work: RequestWork, outcome: SendOutcome) {
+    fn release(&self, place: &TargetPlace) {
+        let TargetPlace { record, work, placed, outcome, .. } = place;
         let now = self.clock.now();
-        self.state.borrow_mut().board.ended(&record.id, work, outcome, now);
+        let held = now.since(*placed);
+        self.desk.borrow_mut().ended(&record.service, &record.id, *work, outcome.get(), held, now);
         self.serve_waiting(&record.service);
     }
 
+    /// Refuses those that wait for a service that is down.
+    fn refuse_hopeless(&self, service: &ServiceName) {
+        let hopeless = self.desk.borrow_mut().take_hopeless(service);
+        drop(hopeless);
+    }
+
     fn serve_all_waiting(&self) {
-        let services: Vec<ServiceName> = self.state.borrow().waiting.keys().cloned().collect();
+        let services = self.desk.borrow().awaited();
         for service in services {
             self.serve_waiting(&service);
         }
     }
 
     fn serve_waiting(&self, service: &ServiceName) {
-        while let Some((waiter, place)) = self.next_served(service) {
+        while let Some((reply, chosen, work)) = self.next_served(service) {
             // A caller that left drops the place at once, which frees it for the next.
-            drop(waiter.reply.send(place));
+            drop(reply.send(self.place_at(chosen, work)));
         }
     }
 
-    fn next_served(&self, service: &ServiceName) -> Option<(Waiter, TargetPlace)> {
-        let mut state = self.state.borrow_mut();
-        loop {
-            let first = state.waiting.get(service)?.first()?;
-            if first.reply.is_closed() {
-                state.waiting.get_mut(service)?.pop();
-                continue;
-            }
-            let demand = first.demand.clone();
-            let place = self.choose(&mut state, &demand)?;
-            let waiter = state.waiting.get_mut(service)?.pop()?;
-            return Some((waiter, place));
-        }
+    fn next_served(&self, service: &ServiceName) -> Option<(PlaceReply, ChosenTarget, RequestWork)> {
+        let waits = |reply: &PlaceReply| !reply.is_closed();
+        self.desk.borrow_mut().next_served(service, waits, self.clock.now())
     }
 }
--- a/crates/porthoist-proxy/src/course.rs
+++ b/crates/porthoist-proxy/src/course.rs
@@ -14,6 +14,7 @@
     ClockSource, RefusalReason, RetryReason, RunVerdict, ServiceName, TargetName, UnixDeadline, UnixMillis,
 };
 use porthoist_metrics::MetricsHub;
+use porthoist_policy::proxy::forecast::PatienceBook;
 use porthoist_policy::proxy::freshness::ProofRule;
 use porthoist_policy::proxy::loads::GroupLoads;
 use porthoist_policy::proxy::retry_share::{RetryShare, ShareSettings};
@@ -38,16 +39,6 @@
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 /// Longest answer that is kept in memory before it is passed on, in bytes.
 const MAX_WHOLE_ANSWER_BYTES: usize = 8 * 1024 * 1024;
-/// When a caller should come back after a refusal for want of a place, in milliseconds: most bursts and switches of a
-/// group are over by then.
-const BUSY_RETRY_MILLIS: u64 = 900;
-/// When a caller should come back to a service that has answered nothing for a while, in milliseconds: a group forms
-/// anew within about a second after its cause has ended, and nobody knows when that is. Callers that wait less long
-/// anyway come back earlier.
-const SILENT_RETRY_MILLIS: u64 = 2_600;
-/// A service that had no answer for so long, in milliseconds, counts as silent; engines stall for 1,500 before they
-/// give requests back.
-const SILENT_MILLIS: u64 = 1_000;
 /// When a caller should come back to a process without configuration or proof, in milliseconds. The balancer needs
 /// two questions, a second apart, to take the process out.
 const UNREADY_RETRY_MILLIS: u64 = 1_000;
@@ -59,10 +50,6 @@
     pub proof: ProofRule,
     /// This process's share of repeats.
     pub share: ShareSettings,
-    /// Part of its target latency that a request waits for a place at most. Who is refused within a quarter can still
-    /// be served in time elsewhere.
-    #[builder(default = 0.24)]
-    pub wait_part: f64,
 }
 
 /// What all courses of a process share.
@@ -73,7 +60,7 @@
     broker: PlaceBroker,
     pool: ConnectionPool,
     shares: RefCell<HashMap<ServiceName, RetryShare>>,
-    answered: RefCell<HashMap<ServiceName, UnixMillis>>,
+    patience: RefCell<PatienceBook>,
     in_flight: Cell<u64>,
     stopping: Cell<bool>,
     clock: Arc<dyn ClockSource>,
@@ -123,7 +110,7 @@
             broker,
             pool,
             shares: RefCell::default(),
-            answered: RefCell::default(),
+            patience: RefCell::default(),
             in_flight: Cell::new(0),
             stopping: Cell::new(false),
             clock,
@@ -253,22 +240,19 @@
         record: &SendRecord,
     ) -> Result<TargetPlace, CourseRefusal> {
         let now = self.clock.now();
-        let patience = (admitted.rule.target_latency_millis as f64 * self.settings.wait_part) as u64;
-        let wait = UnixDeadline::after(admitted.arrival, patience).min(admitted.deadline);
+        let again = !record.tried.is_empty();
         let demand = PlaceDemand {
             service: admitted.service.clone(),
             ranked: admitted.ranked,
             work: admitted.work(),
             priority: admitted.priority(),
             tried: record.tried.clone(),
+            arrival: if again { now } else { admitted.arrival },
+            latency_millis: admitted.rule.target_latency_millis,
+            deadline: admitted.deadline,
+            came_back: again || admitted.came_back,
         };
-        // A repeat may wait as long again.
-        let wait = if record.tried.is_empty() {
-            wait
-        } else {
-            UnixDeadline::after(now, patience).min(admitted.deadline)
-        };
-        let placed = self.broker.place(demand, wait).await;
+        let placed = self.broker.place(demand).await;
         let waited = self.clock.now().since(now);
         self.metrics.queue_wait(waited as f64);
         match placed {
@@ -285,32 +269,13 @@
 
     fn no_place(&self, admitted: &AdmittedRequest, record: &SendRecord, error: PlaceError) -> CourseRefusal {
         let reason = match error {
-            PlaceError::Busy | PlaceError::Full => RefusalReason::Overloaded,
+            PlaceError::Busy | PlaceError::Full | PlaceError::Down => RefusalReason::Overloaded,
             PlaceError::NoTarget => RefusalReason::NoTarget,
         };
         if record.may_have_run {
             return CourseRefusal::unknown(reason, StatusCode::BAD_GATEWAY);
         }
-        CourseRefusal::later(reason, self.retry_millis(&admitted.service))
-    }
-
-    /// When a caller should come back to a service.
-    fn retry_millis(&self, service: &ServiceName) -> u64 {
-        let now = self.clock.now();
-        let answered = self.answered.borrow().get(service).copied();
-        let silent = answered.is_none_or(|answered| now.since(answered) > SILENT_MILLIS);
-        if silent { SILENT_RETRY_MILLIS } else { BUSY_RETRY_MILLIS }
-    }
-
-    /// Remembers that a service answers.
-    fn note_answer(&self, service: &ServiceName) {
-        let now = self.clock.now();
-        let mut answered = self.answered.borrow_mut();
-        if let Some(last) = answered.get_mut(service) {
-            *last = now;
-        } else {
-            answered.insert(service.clone(), now);
-        }
+        CourseRefusal::later(reason, self.broker.return_millis(&admitted.service, admitted.deadline))
     }
 
     fn relay_whole(&self, admitted: &AdmittedRequest, place: &TargetPlace, answer: WholeAnswer) -> Reply {
@@ -374,7 +339,7 @@
                     RetryReason::Unreachable => RefusalReason::Unreachable,
                     _ => RefusalReason::Overloaded,
                 };
-                CourseRefusal::later(reason, self.retry_millis(&admitted.service))
+                CourseRefusal::later(reason, self.broker.return_millis(&admitted.service, admitted.deadline))
             }
         })
     }
--- a/crates/porthoist-proxy/src/course/admission.rs
+++ b/crates/porthoist-proxy/src/course/admission.rs
@@ -33,9 +33,10 @@
         let routed = self.route(&facts, &head, arrival)?;
         let RoutedRequest { rule, grant, service, ranked, body_bytes } = routed;
         let wait = facts.remaining_millis.unwrap_or(rule.timeout_millis).min(rule.timeout_millis);
+        let came_back = self.patience.borrow_mut().came_back(&rule.name, facts.remaining_millis);
         let deadline = UnixDeadline::after(arrival, wait);
         let body = self.read_body(body, body_bytes, deadline).await?;
-        Ok(AdmittedRequest { facts, head, body, rule, grant, service, ranked, arrival, deadline })
+        Ok(AdmittedRequest { facts, head, body, rule, grant, service, ranked, arrival, deadline, came_back })
     }
 
     fn route(
--- a/crates/porthoist-proxy/src/course/parts.rs
+++ b/crates/porthoist-proxy/src/course/parts.rs
@@ -24,6 +24,8 @@
     pub(super) ranked: bool,
     pub(super) arrival: UnixMillis,
     pub(super) deadline: UnixDeadline,
+    /// Whether its caller was refused before.
+    pub(super) came_back: bool,
 }
 
 impl AdmittedRequest {
--- a/crates/porthoist-proxy/src/course/relay.rs
+++ b/crates/porthoist-proxy/src/course/relay.rs
@@ -145,15 +145,15 @@
         let now = self.course.clock.now();
         if self.first_at.is_none() {
             self.first_at = Some(now);
+            if let Some(source) = &self.source {
+                self.course.broker.began(&self.admitted.service, now.since(source.place.placed) as f64);
+            }
             let first = now.since(self.admitted.arrival) as f64;
             self.course.metrics.answer(first);
         } else {
             let pause = now.since(self.last_at) as f64;
             self.course.metrics.event_pause(pause);
-            let aim = self.admitted.rule.pause_aim_millis;
-            if aim > 0 && self.admitted.ranked {
-                self.course.broker.paused(&self.admitted.service, pause / aim as f64);
-            }
+            self.course.broker.heard(&self.admitted.service);
         }
         self.last_at = now;
         self.passed_on += 1;
--- a/crates/porthoist-proxy/src/course/sending.rs
+++ b/crates/porthoist-proxy/src/course/sending.rs
@@ -39,11 +39,13 @@
             Ok(TargetAnswer::Whole(whole)) if whole.status.is_server_error() => {
                 place.ended(SendOutcome::Failed);
             }
-            Ok(_answer) => {
-                self.note_answer(&admitted.service);
+            Ok(TargetAnswer::Whole(_whole)) => {
+                self.broker.began(&admitted.service, millis);
                 place.ended(SendOutcome::Answered(millis));
             }
+            Ok(TargetAnswer::Events(_answer)) => place.ended(SendOutcome::Answered(millis)),
             Err(failure) => {
+                self.broker.refused(&admitted.service);
                 let shed = failure.reason == RetryReason::Refused;
                 place.ended(if shed { SendOutcome::Shed } else { SendOutcome::Failed });
                 info!(self.logger, "send failed"; "event" => "send_failed",
