Say from logs what callers got, by service and second, and what groups did meanwhile

Change: porthoist report FILE... The admission's line names service, target latency, longest pause on time and whether the caller was refused before; a stream's last line its longest pause. No line more than before. Bad lines are counted and the first three named; logs without a line of ours are an error. Reading logs is one function for both commands now.

Ruled out: held time of groups by second: no process logs it, and a line for each hold would double the planner's lines.

--- a/crates/porthoist-proxy/src/course/admission.rs
+++ b/crates/porthoist-proxy/src/course/admission.rs
@@ -32,13 +32,28 @@
     ) -> Result<AdmittedRequest, CourseRefusal> {
         let routed = self.route(&facts, &head, arrival)?;
         let RoutedRequest { rule, grant, service, ranked, body_bytes } = routed;
+        let came_back = self.note_admitted(&facts, &rule, &service);
         let wait = facts.remaining_millis.unwrap_or(rule.timeout_millis).min(rule.timeout_millis);
-        let came_back = self.patience.borrow_mut().came_back(&rule.name, facts.remaining_millis);
         let deadline = UnixDeadline::after(arrival, wait);
         let body = self.read_body(body, body_bytes, deadline).await?;
         Ok(AdmittedRequest { facts, head, body, rule, grant, service, ranked, arrival, deadline, came_back })
     }
 
+    /// Logs that a request is allowed, with what makes its answer late; returns whether its caller was refused before.
+    fn note_admitted(&self, facts: &RequestFacts, rule: &RouteRule, service: &ServiceName) -> bool {
+        let came_back = self.patience.borrow_mut().came_back(&rule.name, facts.remaining_millis);
+        let (version, age) = {
+            let state = self.state.borrow();
+            let version = state.routes.as_ref().map(|routes| routes.version.0);
+            (version, state.proof.age(self.clock.now()))
+        };
+        info!(self.logger, "admitted"; "event" => "admitted", "request" => &*facts.attempt,
+            "route" => &*rule.name, "service" => service.as_str(), "version" => version, "proof_age_ms" => age,
+            "aim_ms" => rule.target_latency_millis, "pause_aim_ms" => rule.pause_aim_millis,
+            "returned" => came_back);
+        came_back
+    }
+
     fn route(
         &self,
         facts: &RequestFacts,
@@ -63,10 +78,6 @@
             }
             _ => {}
         }
-        if let Ok(allowed) = &decided {
-            info!(self.logger, "admitted"; "event" => "admitted", "request" => &*facts.attempt,
-                "route" => &*allowed.rule.name, "version" => routes.version.0, "proof_age_ms" => age);
-        }
         decided
     }
 
--- a/crates/porthoist-proxy/src/course/relay.rs
+++ b/crates/porthoist-proxy/src/course/relay.rs
@@ -26,6 +26,7 @@
     passed_on: u64,
     first_at: Option<UnixMillis>,
     last_at: UnixMillis,
+    longest_pause: u64,
     record: SendRecord,
     guard: CourseGuard,
 }
@@ -64,6 +65,7 @@
             passed_on: 0,
             first_at: None,
             last_at,
+            longest_pause: 0,
             record,
             guard,
         }
@@ -151,8 +153,9 @@
             let first = now.since(self.admitted.arrival) as f64;
             self.course.metrics.answer(first);
         } else {
-            let pause = now.since(self.last_at) as f64;
-            self.course.metrics.event_pause(pause);
+            let pause = now.since(self.last_at);
+            self.longest_pause = self.longest_pause.max(pause);
+            self.course.metrics.event_pause(pause as f64);
             self.course.broker.heard(&self.admitted.service);
         }
         self.last_at = now;
@@ -167,7 +170,7 @@
         let first = self.first_at.map(|first| first.since(self.admitted.arrival));
         info!(self.course.logger, "streamed"; "event" => "answered",
             "request" => &*self.admitted.facts.attempt, "target" => place.record.id.to_string(),
-            "events" => self.passed_on, "first_ms" => first,
+            "events" => self.passed_on, "first_ms" => first, "longest_pause_ms" => self.longest_pause,
             "took_ms" => self.course.clock.now().since(self.admitted.arrival));
         place.ended(SendOutcome::Answered(first.unwrap_or_default() as f64));
         answer.lease.give_back(&answer.head.headers);
--- a/porthoist-cli/src/cmd/explain.rs
+++ b/porthoist-cli/src/cmd/explain.rs
@@ -1,9 +1,9 @@
 //! `porthoist explain`.
 
-use super::{OutputFormat, json_text};
+use super::{OutputFormat, json_text, read_logs};
 use crate::client::OperatorClient;
 use crate::error::ToolError;
-use crate::story::{course_of, course_text, read_log};
+use crate::story::{course_of, course_text};
 use argh::FromArgs;
 use porthoist_policy::explain::{DecisionKind, DecisionRecord};
 use std::fmt::Write as _;
@@ -37,17 +37,7 @@
 
 /// The course of a request over all processes whose logs are given.
 fn explain_logs(request: &str, files: &[String]) -> Result<String, ToolError> {
-    let mut lines = Vec::new();
-    let mut skipped = 0;
-    for file in files {
-        let text = read_text(file).map_err(|error| ToolError::Missing(format!("{file}: {error}")))?;
-        let (read, unreadable) = read_log(&text);
-        lines.extend(read);
-        skipped += unreadable;
-    }
-    if skipped > 0 {
-        eprintln!("{skipped} lines are no log lines and were passed over");
-    }
+    let lines = read_logs(files)?;
     let course = course_of(request, lines);
     if course.is_empty() {
         return Err(ToolError::Missing(format!("no line of these logs is about request {request}")));
@@ -55,10 +45,6 @@
     Ok(course_text(&course))
 }
 
-fn read_text(file: &str) -> std::io::Result<String> {
-    if file == "-" { std::io::read_to_string(std::io::stdin()) } else { std::fs::read_to_string(file) }
-}
-
 /// The decisions for people, with milliseconds since the first.
 pub fn story_text(decisions: &[DecisionRecord]) -> String {
     let Some(first) = decisions.first() else {
--- a/porthoist-cli/src/lib.rs
+++ b/porthoist-cli/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod client;
 pub mod cmd;
 pub mod error;
+pub mod report;
 pub mod sheet;
 pub mod story;
 
@@ -35,6 +36,7 @@
     Table(cmd::table::TableArgs),
     Status(cmd::status::StatusArgs),
     Explain(cmd::explain::ExplainArgs),
+    Report(cmd::report::ReportArgs),
     Drain(cmd::drain::DrainArgs),
 }
 
@@ -51,6 +53,7 @@
         ToolCommand::Table(args) => cmd::table::run(&client, args).await,
         ToolCommand::Status(args) => cmd::status::run(&client, args).await,
         ToolCommand::Explain(args) => cmd::explain::run(&client, args).await,
+        ToolCommand::Report(args) => cmd::report::run(&args),
         ToolCommand::Drain(args) => cmd::drain::run(&client, args).await,
     }
 }
--- a/porthoist-cli/src/story.rs
+++ b/porthoist-cli/src/story.rs
@@ -28,14 +28,41 @@
     fields: Map<String, Value>,
 }
 
-/// Reads the lines of a log; lines that are no JSON objects with a time are counted, not kept.
-pub fn read_log(text: &str) -> (Vec<LogLine>, usize) {
+impl LogLine {
+    /// What kind of event it tells of.
+    pub fn event(&self) -> &str {
+        self.text("event")
+    }
+
+    /// A field that is text; empty if it is not there.
+    pub fn text(&self, name: &str) -> &str {
+        self.fields.get(name).and_then(Value::as_str).unwrap_or_default()
+    }
+
+    /// A field that is a whole number.
+    pub fn whole(&self, name: &str) -> Option<u64> {
+        self.fields.get(name).and_then(Value::as_u64)
+    }
+
+    /// A field that is a number.
+    pub fn number(&self, name: &str) -> Option<f64> {
+        self.fields.get(name).and_then(Value::as_f64)
+    }
+
+    /// A field that is true.
+    pub fn flag(&self, name: &str) -> bool {
+        self.fields.get(name).and_then(Value::as_bool).unwrap_or_default()
+    }
+}
+
+/// Reads the lines of a log, and the numbers (from 1) of lines that are no JSON objects with a time.
+pub fn read_log(text: &str) -> (Vec<LogLine>, Vec<usize>) {
     let mut lines = Vec::new();
-    let mut unreadable = 0;
-    for line in text.lines().filter(|line| !line.trim().is_empty()) {
+    let mut unreadable = Vec::new();
+    for (index, line) in text.lines().enumerate().filter(|(_index, line)| !line.trim().is_empty()) {
         match read_line(line) {
             Some(line) => lines.push(line),
-            None => unreadable += 1,
+            None => unreadable.push(index + 1),
         }
     }
     (lines, unreadable)
--- a/porthoist-cli/tests/story.rs
+++ b/porthoist-cli/tests/story.rs
@@ -14,7 +14,7 @@
 #[test]
 fn the_course_has_its_own_lines_in_order_and_what_its_host_learnt_before() {
     let (lines, unreadable) = read_log(LOG);
-    assert_eq!((lines.len(), unreadable), (5, 1));
+    assert_eq!((lines.len(), unreadable), (5, vec![7]));
     insta::assert_snapshot!(course_text(&course_of("r1", lines)), @r#"
       -1500 ms . entry-1  configuration in force  version=7
          +0 ms   entry-1  admitted  version=7
