Take a newer life at an address for the end of the older one

Cause: after all hosts had lost power, rows of the earlier lives of all targets stayed for up to 4 s beside the new ones, at the same addresses.

Ruled out: only learning from the 421: each of 32 entries would meet each of 72 old rows once.

Change: of rows with one address the newest counts (by version in listings, by order in changes); a target that answers for another gets nothing more; misdirected is a reason of its own and says nothing of the service.

Both tests failed before (the old life stayed in the book; a misdirected target was chosen again).

--- a/crates/porthoist-core/src/reason.rs
+++ b/crates/porthoist-core/src/reason.rs
@@ -112,6 +112,8 @@
     RetryReason {
         /// The target refused; the request did not run.
         Refused = "refused",
+        /// Another target has its address; the request did not run.
+        Misdirected = "misdirected",
         /// The target could not be reached; nothing was sent.
         Unreachable = "unreachable",
         /// The connection broke; the request may be repeated.
--- a/crates/porthoist-policy/src/proxy/placement.rs
+++ b/crates/porthoist-policy/src/proxy/placement.rs
@@ -46,6 +46,8 @@
     Shed,
     /// It failed.
     Failed,
+    /// Another target has its address: this life of it is over, whatever its row says.
+    Gone,
     /// The caller left; nothing is known of the target.
     Abandoned,
 }
@@ -59,6 +61,8 @@
     failures: u32,
     ejections: u32,
     closed_until: Option<UnixDeadline>,
+    /// Whether another target was found at its address.
+    gone: bool,
     mean_millis: Option<f64>,
 }
 
@@ -72,6 +76,7 @@
             failures: 0,
             ejections: 0,
             closed_until: None,
+            gone: false,
             mean_millis: None,
         }
     }
@@ -97,7 +102,7 @@
     }
 
     fn open(&self, now: UnixMillis) -> bool {
-        if self.record.state != TargetState::Ready {
+        if self.record.state != TargetState::Ready || self.gone {
             return false;
         }
         match self.closed_until {
@@ -306,6 +311,7 @@
                 false
             }
             SendOutcome::Failed => load.failed(now),
+            SendOutcome::Gone => !std::mem::replace(&mut load.gone, true),
             SendOutcome::Shed | SendOutcome::Abandoned => false,
         }
     }
--- a/crates/porthoist-policy/src/proxy/targets.rs
+++ b/crates/porthoist-policy/src/proxy/targets.rs
@@ -1,5 +1,8 @@
 //! The targets that serve a service, as the table last showed them.
 //!
+//! An address serves one life of a target at a time: a newer row at an address ends the older one's target, whose own row may
+//! stay for seconds. After all hosts had lost power, a third of all sends went to lives that were over.
+//!
 //! A row that is missing in a listing is gone, unless the table service was away just before: then the row gets a
 //! short grace, since the target may not have registered again yet.
 
@@ -62,13 +65,17 @@
 }
 
 impl TargetBook {
-    /// Takes a whole listing. Rows that it lacks are gone, or at `grace` where the service has just come back.
+    /// Takes a whole listing, older rows before newer ones. Rows that it lacks are gone, or at `grace` where the service has
+    /// just come back.
     pub fn listed(&mut self, rows: Vec<TargetRecord>, grace: Option<UnixDeadline>) {
+        let newest: HashMap<SocketAddr, TargetName> =
+            rows.iter().map(|record| (record.address, record.id.clone())).collect();
+        let alive = rows.into_iter().filter(|record| newest[&record.address] == record.id);
         let mut listed: HashMap<TargetName, Arc<TargetRecord>> =
-            rows.into_iter().map(|record| (record.id.clone(), Arc::new(record))).collect();
+            alive.map(|record| (record.id.clone(), Arc::new(record))).collect();
         self.missing.retain(|id, _deadline| !listed.contains_key(id));
         for (id, record) in self.records.drain() {
-            if listed.contains_key(&id) {
+            if listed.contains_key(&id) || newest.contains_key(&record.address) {
                 continue;
             }
             let Some(deadline) = grace else {
@@ -87,6 +94,7 @@
             match change {
                 TargetChange::Put(record) => {
                     self.missing.remove(&record.id);
+                    self.records.retain(|id, known| known.address != record.address || *id == record.id);
                     self.records.insert(record.id.clone(), Arc::new(record));
                 }
                 TargetChange::Gone(id) => self.removed(id, grace),
--- a/crates/porthoist-policy/tests/policy/proxy.rs
+++ b/crates/porthoist-policy/tests/policy/proxy.rs
@@ -123,13 +123,29 @@
     TargetRecord {
         id: name(id),
         service: name("s"),
-        address: "127.0.0.1:1".parse().unwrap(),
+        address: ([127, 0, 0, 1], id.trim_start_matches('t').parse().unwrap()).into(),
         zone: name("a"),
         slots: 2,
         state,
     }
 }
 
+#[test]
+fn a_newer_life_at_an_address_ends_the_older_one() {
+    let life = |id: &str| TargetRecord { id: name(id), ..record("t1", TargetState::Ready) };
+    let mut book = TargetBook::default();
+    book.listed(vec![life("old"), life("newer"), record("t2", TargetState::Ready)], None);
+    assert_eq!(ids(&book), ["newer", "t2"]);
+    book.changed(vec![TargetChange::Put(life("newest"))], None);
+    assert_eq!(ids(&book), ["newest", "t2"]);
+    // The older row's end says nothing of the newer one.
+    book.changed(vec![TargetChange::Gone(name("newer"))], None);
+    assert_eq!(ids(&book), ["newest", "t2"]);
+    // A row that lapses while the table service is away has no grace where another life has its address.
+    book.listed(vec![life("last")], Some(UnixDeadline(UnixMillis(100))));
+    assert_eq!(ids(&book), ["last", "t2"]);
+}
+
 fn ids(book: &TargetBook) -> Vec<String> {
     let mut ids: Vec<String> = book.records().map(|record| record.id.to_string()).collect();
     ids.sort();
@@ -199,6 +215,20 @@
     assert_eq!(choose(&mut board, 1).as_deref(), Some("t2"));
 }
 
+#[test]
+fn a_target_whose_address_another_one_has_gets_nothing_more() {
+    let mut board = board(vec![record("t1", TargetState::Ready), record("t2", TargetState::Ready)]);
+    let work = RequestWork::default();
+    assert!(choose(&mut board, 0).is_some() && choose(&mut board, 0).is_some());
+    assert!(board.ended(&name("t1"), work, SendOutcome::Gone, UnixMillis(1)));
+    board.ended(&name("t2"), work, SendOutcome::Answered(1.0), UnixMillis(1));
+    let later = |board: &mut LoadBoard| choose(board, 60_000);
+    assert_eq!(
+        [later(&mut board), later(&mut board), later(&mut board)],
+        [Some("t2".into()), Some("t2".into()), None]
+    );
+}
+
 #[test]
 fn a_draining_target_gets_nothing() {
     let mut board = board(vec![record("t1", TargetState::Draining)]);
--- a/crates/porthoist-proxy/src/course/sending.rs
+++ b/crates/porthoist-proxy/src/course/sending.rs
@@ -45,9 +45,14 @@
             }
             Ok(TargetAnswer::Events(_answer)) => place.ended(SendOutcome::Answered(millis)),
             Err(failure) => {
-                self.broker.refused(&admitted.service);
-                let shed = failure.reason == RetryReason::Refused;
-                place.ended(if shed { SendOutcome::Shed } else { SendOutcome::Failed });
+                if failure.reason != RetryReason::Misdirected {
+                    self.broker.refused(&admitted.service);
+                }
+                place.ended(match failure.reason {
+                    RetryReason::Refused => SendOutcome::Shed,
+                    RetryReason::Misdirected => SendOutcome::Gone,
+                    _ => SendOutcome::Failed,
+                });
                 info!(self.logger, "send failed"; "event" => "send_failed",
                     "request" => &*admitted.facts.attempt, "target" => place.record.id.to_string(),
                     "reason" => failure.reason.as_str(), "verdict" => failure.verdict.as_str(),
@@ -101,7 +106,8 @@
             let whole = self.read_whole(admitted, answer).await;
             let detail =
                 whole.map_or_else(|failure| failure.detail, |whole| format!("status {}", whole.status));
-            return Err(SendFailure { verdict: RunVerdict::NotRun, reason: RetryReason::Refused, detail });
+            let reason = if facts.misdirected { RetryReason::Misdirected } else { RetryReason::Refused };
+            return Err(SendFailure { verdict: RunVerdict::NotRun, reason, detail });
         }
         if status.is_success() && !(facts.signed && facts.own == Some(true)) {
             return Err(SendFailure::lost("a success without signature or request"));
--- a/crates/porthoist-proxy/src/wire.rs
+++ b/crates/porthoist-proxy/src/wire.rs
@@ -55,6 +55,8 @@
     pub signed: bool,
     /// Whether it says that the request did not run.
     pub not_executed: bool,
+    /// Whether that is because another target has the address.
+    pub misdirected: bool,
 }
 
 /// Reads and writes the facts. One implementation knows one spelling.
