--- a/crates/porthoist-policy/tests/policy/demand.rs
+++ b/crates/porthoist-policy/tests/policy/demand.rs
@@ -92,3 +92,21 @@
     assert_eq!(estimator.window(&[0; SETS * EXPERTS]), DemandNews::Steady);
     assert_eq!(estimator.demand(), before);
 }
+
+/// A shift that comes before the noise is known must not pass for it.
+#[test]
+fn a_shift_in_the_first_windows_does_not_hide_the_next() {
+    let mut random = Pcg64Mcg::seed_from_u64(4);
+    let mut estimator = DemandEstimator::new(SETS, EXPERTS);
+    for centre in [0, 30, 30, 30] {
+        estimator.window(&window(&mut random, centre));
+    }
+    let mut seen = 0;
+    for shift in 2..8 {
+        for _window in 0..12 {
+            let news = estimator.window(&window(&mut random, shift * 30));
+            seen += u32::from(news == DemandNews::Shifted);
+        }
+    }
+    assert_eq!(seen, 6);
+}
