Reset connections of sends that are given up

Cause: a send that is given up was closed in order, so that what a cut link or a frozen host still held up of it arrived when that ended, up to 1.6 s after the caller had left, and ran there.

Ruled out: a shorter wait for answers; the request is on its way by then.

--- a/crates/porthoist-proxy/src/exchange.rs
+++ b/crates/porthoist-proxy/src/exchange.rs
@@ -240,6 +240,9 @@
             .map_err(SendFailure::not_sent)?;
         // Small requests must not wait for an acknowledgement; an error here only costs latency.
         drop(stream.set_nodelay(true));
+        // A close resets the connection: what a cut link or a frozen host still holds up of a request that was given up is
+        // dropped then, and not delivered seconds later. An error here only loses that.
+        drop(stream.set_zero_linger());
         let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(SendFailure::not_sent)?;
         self.metrics.connection();
