Give slow ranks cold experts and few requests

Cause: all ranks of a group wait for the slowest. Nothing used the pace that engines report.

Only slow ranks (1.2 times) drop.

Change: the pace of a rank comes with its state (RankPace); the planner counts a slow rank's load as many times as its work takes longer, and a map may leave it without experts; the loads told to entries count the requests of a slow rank, and the step's fixed part, as long as they take, so that one that is 12 times slower gets none.

--- a/crates/porthoist-fleet/schema/rank.capnp
+++ b/crates/porthoist-fleet/schema/rank.capnp
@@ -24,6 +24,8 @@
   open @4 :Bool;
   # Running and waiting.
   requests @5 :UInt16;
+  # How many times longer than usual its work takes, in thousandths; 0 from a process that does not tell.
+  pace @6 :UInt16;
 }
 
 struct RankOrder {
--- a/crates/porthoist-fleet/src/rank_capnp.rs
+++ b/crates/porthoist-fleet/src/rank_capnp.rs
@@ -521,11 +521,15 @@
         pub fn get_requests(self) -> u16 {
             self.reader.get_data_field::<u16>(3)
         }
+        #[inline]
+        pub fn get_pace(self) -> u16 {
+            self.reader.get_data_field::<u16>(4)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -639,6 +643,14 @@
         pub fn set_requests(&mut self, value: u16)  {
             self.builder.set_data_field::<u16>(3, value);
         }
+        #[inline]
+        pub fn get_pace(self) -> u16 {
+            self.builder.get_data_field::<u16>(4)
+        }
+        #[inline]
+        pub fn set_pace(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(4, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -653,66 +665,73 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 123] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(68, 52, 118, 37, 197, 244, 114, 222),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(231, 165, 193, 224, 59, 166, 240, 212),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 97, 110, 107, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 82, 97, 110, 107, 83),
             ::capnp::word(116, 97, 116, 101, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 32, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(118, 105, 101, 119, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(74, 190, 197, 164, 64, 246, 123, 209),
@@ -762,6 +781,14 @@
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 99, 101, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -771,6 +798,7 @@
                 3 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -784,9 +812,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,4,2,5,3,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,4,6,2,5,3,0];
         pub(crate) const TYPE_ID: u64 = 0xde72_f4c5_2576_3444;
     }
 }
--- a/crates/porthoist-fleet/src/rank_convert.rs
+++ b/crates/porthoist-fleet/src/rank_convert.rs
@@ -4,7 +4,9 @@
 use crate::rank_capnp::{rank_order, rank_state, rank_view};
 use capnp::Error;
 use porthoist_group::RankObservation;
-use porthoist_policy::forward::{ArmedMap, EngineOrder, GroupEpoch, OrderSequence, RankState, RankView};
+use porthoist_policy::forward::{
+    ArmedMap, EngineOrder, GroupEpoch, OrderSequence, RankPace, RankState, RankView,
+};
 use porthoist_policy::placement::even::ListChange;
 use porthoist_policy::proxy::loads::{GroupLoads, LoadRevision, RankLoad};
 use porthoist_policy::switch::{MapVersion, StepNumber};
@@ -52,6 +54,7 @@
     builder.set_size(state.size as u16);
     builder.set_open(state.open);
     builder.set_requests(u16::try_from(state.requests).unwrap_or(u16::MAX));
+    builder.set_pace(u16::try_from(state.pace.0).unwrap_or(u16::MAX));
 }
 
 pub(crate) fn read_observation(
@@ -65,6 +68,7 @@
         size: usize::from(reader.get_size()),
         open: reader.get_open(),
         requests: u32::from(reader.get_requests()),
+        pace: RankPace(u32::from(reader.get_pace())).max(RankPace::USUAL),
     };
     Ok(RankObservation { state, counts })
 }
--- a/crates/porthoist-fleet/tests/rank.rs
+++ b/crates/porthoist-fleet/tests/rank.rs
@@ -4,7 +4,7 @@
 use porthoist_fleet::{LoadsAnswer, LoadsOutlet, RankPeer, serve_ranks};
 use porthoist_group::{HeldLink, OrderAnswer, RankFuture, RankLists, RankObservation};
 use porthoist_http::CallError;
-use porthoist_policy::forward::{EngineOrder, GroupEpoch, OrderSequence, RankState, RankView};
+use porthoist_policy::forward::{EngineOrder, GroupEpoch, OrderSequence, RankPace, RankState, RankView};
 use porthoist_policy::placement::even::EvenMap;
 use porthoist_policy::placement::map::ExpertId;
 use porthoist_policy::proxy::loads::{GroupLoads, LoadRevision, RankLoad};
@@ -35,8 +35,15 @@
 
 impl HeldLink for IdleLink {
     fn observe(&self, _counts: bool) -> RankFuture<'_, RankObservation> {
-        let state =
-            RankState { view: VIEW, group: "g".to_owned(), rank: 1, size: 2, open: true, requests: 5 };
+        let state = RankState {
+            view: VIEW,
+            group: "g".to_owned(),
+            rank: 1,
+            size: 2,
+            open: true,
+            requests: 5,
+            pace: RankPace(1_500),
+        };
         async move { Ok(RankObservation { state, counts: Vec::new() }) }.boxed_local()
     }
 
--- a/crates/porthoist-group/src/held.rs
+++ b/crates/porthoist-group/src/held.rs
@@ -4,7 +4,9 @@
 
 use futures::future::{LocalBoxFuture, join_all};
 use porthoist_http::CallError;
-use porthoist_policy::forward::{EngineOrder, ForwardDriver, ForwardRules, GroupEpoch, RankState, RankView};
+use porthoist_policy::forward::{
+    EngineOrder, ForwardDriver, ForwardRules, GroupEpoch, RankPace, RankState, RankView,
+};
 use porthoist_policy::placement::copying::CopyTimes;
 use porthoist_policy::placement::demand::{DemandEstimator, DemandNews};
 use porthoist_policy::placement::even::{EvenBounds, EvenMap, EvenPlan, improve};
@@ -148,6 +150,8 @@
     gathered: Vec<u64>,
     shifting: bool,
     requests: Vec<u32>,
+    /// How slow each rank is, as the last round saw it.
+    paces: Vec<RankPace>,
     /// The last view of each rank.
     views: Vec<RankView>,
     /// Whether the last round read all ranks.
@@ -168,6 +172,7 @@
             gathered: vec![0; shape.sets * shape.experts],
             shifting: false,
             requests: Vec::new(),
+            paces: Vec::new(),
             views: Vec::new(),
             seeing: true,
             shape,
@@ -225,6 +230,7 @@
         };
         self.note_read();
         self.requests = observed.iter().map(|rank| rank.state.requests).collect();
+        self.paces = observed.iter().map(|rank| rank.state.pace).collect();
         let whole = observed.iter().all(|rank| rank.state.open && rank.state.size == links.len());
         if !whole {
             return false;
@@ -282,6 +288,11 @@
         &self.requests
     }
 
+    /// How slow each rank is, as the last round saw it.
+    pub fn paces(&self) -> &[RankPace] {
+        &self.paces
+    }
+
     fn pace(&self, sent: usize) -> RoundOutcome {
         if self.views[0].held.is_some() || self.driver.holding() {
             return RoundOutcome::Holding;
@@ -367,7 +378,7 @@
         }
         let wanted = self.shape.bounds.new_a_rank;
         let bounds = EvenBounds { new_a_rank: self.copy_times.copies_a_rank(wanted), ..self.shape.bounds };
-        let plan = improve(&known.map, self.demand.demand(), &bounds);
+        let plan = improve(&known.map, self.demand.demand(), &self.paces, &bounds);
         let copies = (0..views.len()).map(|rank| plan.map.new_to(&known.map, rank)).max().unwrap_or_default();
         if plan.skew_before - plan.skew_after < MIN_GAIN * plan.skew_before {
             return;
@@ -382,7 +393,7 @@
         info!(self.logger, "expert map planned"; "event" => "map_planned", "version" => version.0,
             "moves" => plan.moves, "skew_before" => plan.skew_before, "skew_after" => plan.skew_after,
             "epoch" => views[0].epoch.0, "step" => views[0].step.0,
-            "requests" => self.requests.iter().sum::<u32>(), "most_requests" => self.requests.iter().max());
+            "slowest" => self.paces.iter().max().map(|pace| pace.factor()), "requests" => self.requests.iter().sum::<u32>(), "most_requests" => self.requests.iter().max());
     }
 
     /// Sends orders and takes the views that come with the answers.
--- a/crates/porthoist-group/tests/held.rs
+++ b/crates/porthoist-group/tests/held.rs
@@ -5,7 +5,9 @@
     GroupShape, HeldLink, HeldPlanner, OrderAnswer, RankFuture, RankLists, RankObservation, RoundOutcome,
 };
 use porthoist_http::CallError;
-use porthoist_policy::forward::{ArmedMap, EngineOrder, GroupEpoch, OrderSequence, RankState, RankView};
+use porthoist_policy::forward::{
+    ArmedMap, EngineOrder, GroupEpoch, OrderSequence, RankPace, RankState, RankView,
+};
 use porthoist_policy::placement::even::{EvenBounds, EvenMap, skew};
 use porthoist_policy::placement::map::ExpertId;
 use porthoist_policy::switch::{MapVersion, StepNumber};
@@ -50,6 +52,8 @@
     silent: bool,
     /// Longest time that a sender waited for an order that moves no experts.
     longest_wait: Duration,
+    /// How slow each rank is.
+    paces: [RankPace; RANKS],
 }
 
 fn first_map() -> EvenMap {
@@ -86,6 +90,7 @@
             before: 0,
             silent: false,
             longest_wait: Duration::ZERO,
+            paces: [RankPace::USUAL; RANKS],
         }
     }
 
@@ -218,6 +223,7 @@
             size: RANKS,
             open: true,
             requests: 1 + self.rank as u32,
+            pace: group.paces[self.rank],
         };
         let counts = if counts { group.window() } else { Vec::new() };
         async move { Ok(RankObservation { state, counts }) }.boxed_local()
--- a/crates/porthoist-policy/src/forward.rs
+++ b/crates/porthoist-policy/src/forward.rs
@@ -328,6 +328,37 @@
     StepNumber(newest + LEAD_STEPS)
 }
 
+/// How many times longer than usual a rank's work takes, in thousandths.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RankPace(pub u32);
+
+impl RankPace {
+    /// A healthy rank's.
+    pub const USUAL: Self = Self(1_000);
+
+    /// From a factor; what is no number or less than usual counts as usual.
+    pub fn from_factor(factor: f64) -> Self {
+        Self((factor * 1_000.0) as u32).max(Self::USUAL)
+    }
+
+    /// The factor.
+    pub fn factor(self) -> f64 {
+        f64::from(self.0) / 1_000.0
+    }
+}
+
+impl Default for RankPace {
+    fn default() -> Self {
+        Self::USUAL
+    }
+}
+
+impl fmt::Display for RankPace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.factor())
+    }
+}
+
 /// What an engine says of its rank and group beside the switch.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RankState {
@@ -343,4 +374,6 @@
     pub open: bool,
     /// Requests that run or wait at the rank.
     pub requests: u32,
+    /// How slow it is.
+    pub pace: RankPace,
 }
--- a/crates/porthoist-policy/src/placement/even.rs
+++ b/crates/porthoist-policy/src/placement/even.rs
@@ -1,8 +1,11 @@
 //! Expert maps whose replicas share an expert's tokens evenly, in several sets of layers.
 //!
-//! The planner improves the map in force by small moves: each rank can take only a few experts that are new to it.
+//! The planner improves the map in force by small moves: each rank can take only a few experts that are new to it. A slow
+//! rank's load counts as many times as its work takes longer, since all ranks wait for it: it ends with cold experts or
+//! none.
 
 use super::map::ExpertId;
+use crate::forward::RankPace;
 use serde::{Deserialize, Serialize};
 
 /// Experts looked at on the most loaded rank.
@@ -143,30 +146,38 @@
     copies
 }
 
+/// A rank whose work takes so many times longer is slow.
+const SLOW_PACE: f64 = 1.2;
+/// Least gain of a replica that is only dropped, which costs no copy: beyond rounding.
+const DROP_GAIN: f64 = 1e-3;
+
 /// One set while it is planned.
 struct SetPlan<'a> {
     original: &'a [Vec<ExpertId>],
     ranks: Vec<Vec<ExpertId>>,
     demand: &'a [f64],
+    /// How many times longer each rank's work takes.
+    paces: &'a [f64],
     loads: Vec<f64>,
     copies: Vec<u32>,
     new: Vec<usize>,
 }
 
-/// A further replica on a rank, in place of another where it is full.
+/// A further replica on a rank, in place of another where it is full, or a replica that is only dropped.
 #[derive(Debug, Clone, Copy)]
 struct ReplicaMove {
     rank: usize,
-    expert: ExpertId,
+    expert: Option<ExpertId>,
     evict: Option<ExpertId>,
     gain: f64,
 }
 
 impl<'a> SetPlan<'a> {
-    fn new(original: &'a [Vec<ExpertId>], demand: &'a [f64]) -> Self {
+    fn new(original: &'a [Vec<ExpertId>], demand: &'a [f64], paces: &'a [f64]) -> Self {
         let ranks: Vec<Vec<ExpertId>> = original.iter().map(|held| without_repeats(held)).collect();
-        let (loads, copies) = (rank_loads(&ranks, demand), copies(&ranks, demand.len()));
-        Self { original, ranks, demand, loads, copies, new: vec![0; original.len()] }
+        let loads = paced_loads(&ranks, demand, paces);
+        let copies = copies(&ranks, demand.len());
+        Self { original, ranks, demand, paces, loads, copies, new: vec![0; original.len()] }
     }
 
     fn demand(&self, expert: ExpertId) -> f64 {
@@ -190,14 +201,31 @@
             let homes = cool.iter().copied().filter(|rank| self.takes(*rank, expert, bounds, room));
             for rank in homes.take(COOL_RANKS) {
                 for evict in self.evictions(rank, expert, bounds) {
-                    let gain = self.gain(rank, expert, evict);
+                    let gain = self.gain(rank, Some(expert), evict);
                     if best.as_ref().is_none_or(|best| gain > best.gain) {
-                        best = Some(ReplicaMove { rank, expert, evict, gain });
+                        best = Some(ReplicaMove { rank, expert: Some(expert), evict, gain });
                     }
                 }
             }
         }
-        best
+        self.best_drop(hottest).or(best)
+    }
+
+    /// The replica that the most loaded rank, if it is slow, best gives up to those that others hold already. It costs no
+    /// copy, so it goes before any move that does. Healthy ranks keep theirs: after a shift of demand they are the copies
+    /// that need not be made.
+    fn best_drop(&self, hottest: usize) -> Option<ReplicaMove> {
+        if self.paces[hottest] < SLOW_PACE {
+            return None;
+        }
+        let spare = |held: &&ExpertId| self.copies[usize::from(held.0)] > 1;
+        let drops = self.ranks[hottest].iter().filter(spare).map(|held| ReplicaMove {
+            rank: hottest,
+            expert: None,
+            evict: Some(*held),
+            gain: self.gain(hottest, None, Some(*held)),
+        });
+        drops.max_by(|left, right| left.gain.total_cmp(&right.gain)).filter(|drop| drop.gain > DROP_GAIN)
     }
 
     fn takes(&self, rank: usize, expert: ExpertId, bounds: &EvenBounds, room: &[bool]) -> bool {
@@ -225,30 +253,32 @@
     }
 
     /// What a move lowers the norm of the loads by, in units of the mean load.
-    fn gain(&self, rank: usize, expert: ExpertId, evict: Option<ExpertId>) -> f64 {
+    fn gain(&self, rank: usize, expert: Option<ExpertId>, evict: Option<ExpertId>) -> f64 {
         let loads = self.loads_after(rank, expert, evict);
         norm(&self.loads) - norm(&loads)
     }
 
-    fn loads_after(&self, rank: usize, expert: ExpertId, evict: Option<ExpertId>) -> Vec<f64> {
+    fn loads_after(&self, rank: usize, expert: Option<ExpertId>, evict: Option<ExpertId>) -> Vec<f64> {
         let mut loads = self.loads.clone();
-        let copies = f64::from(self.copies[usize::from(expert.0)]);
-        let relief = self.demand(expert) / copies - self.demand(expert) / (copies + 1.0);
-        for (load, held) in loads.iter_mut().zip(&self.ranks) {
-            if held.contains(&expert) {
-                *load -= relief;
+        if let Some(expert) = expert {
+            let copies = f64::from(self.copies[usize::from(expert.0)]);
+            let relief = self.demand(expert) / copies - self.demand(expert) / (copies + 1.0);
+            for (index, (load, held)) in loads.iter_mut().zip(&self.ranks).enumerate() {
+                if held.contains(&expert) {
+                    *load -= relief * self.paces[index];
+                }
             }
+            loads[rank] += self.demand(expert) / (copies + 1.0) * self.paces[rank];
         }
-        loads[rank] += self.demand(expert) / (copies + 1.0);
         if let Some(evict) = evict {
             let copies = f64::from(self.copies[usize::from(evict.0)]);
             let burden = self.demand(evict) / (copies - 1.0) - self.demand(evict) / copies;
             for (index, (load, held)) in loads.iter_mut().zip(&self.ranks).enumerate() {
                 if index != rank && held.contains(&evict) {
-                    *load += burden;
+                    *load += burden * self.paces[index];
                 }
             }
-            loads[rank] -= self.demand(evict) / copies;
+            loads[rank] -= self.demand(evict) / copies * self.paces[rank];
         }
         loads
     }
@@ -260,8 +290,10 @@
             self.ranks[rank].retain(|held| *held != evict);
             self.copies[usize::from(evict.0)] -= 1;
         }
-        self.ranks[rank].push(expert);
-        self.copies[usize::from(expert.0)] += 1;
+        if let Some(expert) = expert {
+            self.ranks[rank].push(expert);
+            self.copies[usize::from(expert.0)] += 1;
+        }
         let original = &self.original[rank];
         self.new[rank] = self.ranks[rank].iter().filter(|held| !original.contains(held)).count();
     }
@@ -278,22 +310,32 @@
     once
 }
 
-/// A norm close to the highest load, in units of the mean load.
+/// A norm close to the highest load, in units of the mean load of healthy ranks.
 fn norm(loads: &[f64]) -> f64 {
-    let total: f64 = loads.iter().sum();
-    if total <= 0.0 {
-        return 1.0;
-    }
-    let mean = total / loads.len() as f64;
-    let sum: f64 = loads.iter().map(|load| (load / mean).powi(NORM)).sum();
-    (sum / loads.len() as f64).powf(1.0 / f64::from(NORM))
+    let ranks = loads.len() as f64;
+    let sum: f64 = loads.iter().map(|load| (load * ranks).powi(NORM)).sum();
+    (sum / ranks).powf(1.0 / f64::from(NORM))
+}
+
+/// Loads that count as many times as each rank's work takes longer.
+fn paced_loads(ranks: &[Vec<ExpertId>], demand: &[f64], paces: &[f64]) -> Vec<f64> {
+    rank_loads(ranks, demand).into_iter().zip(paces).map(|(load, pace)| load * pace).collect()
+}
+
+/// Mean over the sets of the most loaded rank's load, slow ranks' counted as long as they take, by the mean load.
+fn paced_skew(map: &EvenMap, demand: &[Vec<f64>], paces: &[f64]) -> f64 {
+    let most = |loads: Vec<f64>| loads.into_iter().fold(0.0, f64::max) * paces.len() as f64;
+    let peaks = map.sets.iter().zip(demand).map(|(ranks, demand)| most(paced_loads(ranks, demand, paces)));
+    peaks.sum::<f64>() / map.sets.len().max(1) as f64
 }
 
-/// Improves a map for a demand by set; each set's demand sums to 1.
-pub fn improve(map: &EvenMap, demand: &[Vec<f64>], bounds: &EvenBounds) -> EvenPlan {
+/// Improves a map for a demand by set; each set's demand sums to 1. Ranks whose pace is not given are healthy.
+pub fn improve(map: &EvenMap, demand: &[Vec<f64>], paces: &[RankPace], bounds: &EvenBounds) -> EvenPlan {
     let ranks = map.sets.first().map_or(0, Vec::len);
+    let factor = |rank: usize| paces.get(rank).copied().unwrap_or_default().factor();
+    let paces: Vec<f64> = (0..ranks).map(factor).collect();
     let mut plans: Vec<SetPlan<'_>> =
-        map.sets.iter().zip(demand).map(|(ranks, demand)| SetPlan::new(ranks, demand)).collect();
+        map.sets.iter().zip(demand).map(|(ranks, demand)| SetPlan::new(ranks, demand, &paces)).collect();
     let mut room = vec![bounds.new_a_rank > 0; ranks];
     let mut candidates: Vec<Option<ReplicaMove>> =
         plans.iter().map(|plan| plan.best_move(bounds, &room)).collect();
@@ -310,11 +352,13 @@
     }
     let moves = plans.iter().flat_map(|plan| &plan.new).sum();
     let better = EvenMap::new(plans.into_iter().map(|plan| plan.ranks).collect());
-    EvenPlan { moves, skew_before: skew(map, demand), skew_after: skew(&better, demand), map: better }
+    let (skew_before, skew_after) = (paced_skew(map, demand, &paces), paced_skew(&better, demand, &paces));
+    EvenPlan { moves, skew_before, skew_after, map: better }
 }
 
 fn best_candidate(candidates: &[Option<ReplicaMove>], price: f64) -> Option<(usize, ReplicaMove)> {
     let offers = candidates.iter().enumerate().filter_map(|(set, chosen)| chosen.map(|chosen| (set, chosen)));
     let best = offers.max_by(|left, right| left.1.gain.total_cmp(&right.1.gain))?;
-    (best.1.gain > price).then_some(best)
+    let least = if best.1.expert.is_some() { price } else { 0.0 };
+    (best.1.gain > least).then_some(best)
 }
--- a/crates/porthoist-policy/src/proxy/loads.rs
+++ b/crates/porthoist-policy/src/proxy/loads.rs
@@ -3,6 +3,7 @@
 //! A process alone knows only what it has sent itself. With a report it also knows what the others have there: what was
 //! reported less its own share at that moment.
 
+use crate::forward::RankPace;
 use porthoist_core::{UnixDeadline, UnixMillis};
 use std::net::Ipv4Addr;
 
@@ -23,6 +24,14 @@
     pub requests: u32,
 }
 
+/// Requests that load a healthy rank as these load a slow one: a step takes as long as so many requests more, and all
+/// of it is `pace` times as long. Entry processes that fill ranks by level then give a slow rank what it bears, and one
+/// that is 12 times slower nothing, since all ranks wait for it.
+pub fn weighed_requests(requests: u32, step_requests: f64, pace: RankPace) -> u32 {
+    let weighed = (f64::from(requests) + step_requests) * pace.factor() - step_requests;
+    (weighed.round() as u32).max(requests)
+}
+
 /// Loads of all ranks of one group.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct GroupLoads {
--- a/crates/porthoist-policy/tests/policy/even.rs
+++ b/crates/porthoist-policy/tests/policy/even.rs
@@ -1,5 +1,6 @@
 //! Expert maps whose replicas share evenly.
 
+use porthoist_policy::forward::RankPace;
 use porthoist_policy::placement::even::{EvenBounds, EvenMap, improve, rank_loads, skew};
 use porthoist_policy::placement::map::ExpertId;
 use proptest::prelude::*;
@@ -38,7 +39,7 @@
     let mut map = first_map(2);
     let before = skew(&map, &demand);
     for _plan in 0..4 {
-        map = improve(&map, &demand, &bounds(2, 3)).map;
+        map = improve(&map, &demand, &[], &bounds(2, 3)).map;
     }
     let after = skew(&map, &demand);
     assert!(before > 1.8 && after < 1.25, "{before} to {after}");
@@ -52,14 +53,14 @@
             .map(|rank| (0..3).map(|place| ExpertId((place * RANKS + rank) as u16)).collect())
             .collect(),
     ]);
-    let plan = improve(&even, &demand, &bounds(2, 3));
+    let plan = improve(&even, &demand, &[], &bounds(2, 3));
     assert_eq!((plan.moves, plan.map), (0, even));
 }
 
 #[test]
 fn changes_to_a_map_make_the_next_one() {
-    let first = improve(&first_map(2), &[skewed(3), skewed(11)], &bounds(2, 3)).map;
-    let next = improve(&first, &[skewed(4), skewed(11)], &bounds(2, 3)).map;
+    let first = improve(&first_map(2), &[skewed(3), skewed(11)], &[], &bounds(2, 3)).map;
+    let next = improve(&first, &[skewed(4), skewed(11)], &[], &bounds(2, 3)).map;
     assert_ne!(next, first);
     let changes = next.changes_from(Some(&first));
     assert!(changes.len() < 2 * RANKS, "only the lists that differ");
@@ -77,7 +78,7 @@
         let total = weights.iter().sum::<f64>().max(1e-9);
         let demand = vec![weights.iter().map(|weight| weight / total).collect::<Vec<f64>>(); 2];
         let first = first_map(2);
-        let plan = improve(&first, &demand, &bounds(spare, new_a_rank));
+        let plan = improve(&first, &demand, &[], &bounds(spare, new_a_rank));
         prop_assert!(plan.skew_after <= plan.skew_before + 1e-9);
         for (set, ranks) in plan.map.sets().iter().enumerate() {
             for expert in 0..EXPERTS {
@@ -93,3 +94,25 @@
         }
     }
 }
+
+/// All ranks wait for a slow one, so that it must end with next to no work; then it gets its part again.
+#[test]
+fn a_slow_rank_is_emptied_and_filled_again() {
+    let demand = [skewed(3), skewed(11)];
+    let ranks = first_map(2).sets()[0].len();
+    let slow: Vec<RankPace> =
+        (0..ranks).map(|rank| if rank == 1 { RankPace(12_000) } else { RankPace::USUAL }).collect();
+    let settled = |mut map: EvenMap, paces: &[RankPace]| {
+        for _plan in 0..12 {
+            map = improve(&map, &demand, paces, &bounds(2, 1)).map;
+        }
+        map
+    };
+    let healthy = settled(first_map(2), &[]);
+    let before = improve(&healthy, &demand, &slow, &bounds(2, 1)).skew_before;
+    let spared = settled(healthy, &slow);
+    let plan = improve(&spared, &demand, &slow, &bounds(2, 1));
+    assert!(before > 8.0, "{before}");
+    assert!(plan.skew_before < 2.2, "{}", plan.skew_before);
+    assert!(skew(&settled(spared, &[]), &demand) < 1.5);
+}
--- a/crates/porthoist-policy/tests/policy/loads.rs
+++ b/crates/porthoist-policy/tests/policy/loads.rs
@@ -1,12 +1,14 @@
 //! Placement by the loads that a group's engines report.
 
 use porthoist_core::{ServiceName, UnixMillis};
-use porthoist_policy::proxy::loads::{GroupLoads, LoadRevision, REPORT_MILLIS, RankLoad};
+use porthoist_policy::forward::RankPace;
+use porthoist_policy::proxy::loads::{GroupLoads, LoadRevision, REPORT_MILLIS, RankLoad, weighed_requests};
 use porthoist_policy::proxy::placement::{
     BoardSettings, LoadBoard, ReportedRequests, RequestWork, SendOutcome,
 };
 use porthoist_policy::proxy::targets::{TargetBook, TargetRecord, TargetState};
 use std::net::Ipv4Addr;
+use test_case::test_case;
 
 const PER_RANK: u32 = 3;
 const RANK_LIMIT: u32 = 8;
@@ -139,3 +141,12 @@
     board.ended(&"t0".parse().unwrap(), RequestWork::default(), SendOutcome::Abandoned, gone);
     assert_eq!(place(&mut board, gone.0), Some(0));
 }
+
+/// A step takes as long as five requests more: what a slow rank is shown as bearing.
+#[test_case(4, 1_000, 4; "healthy")]
+#[test_case(0, 1_600, 3; "somewhat slow")]
+#[test_case(4, 1_600, 9; "somewhat slow and busy")]
+#[test_case(0, 12_000, 55; "so slow that it gets nothing")]
+fn a_slow_rank_counts_as_fuller(requests: u32, pace: u32, expected: u32) {
+    assert_eq!(weighed_requests(requests, 5.0, RankPace(pace)), expected);
+}
--- a/porthoistd/src/duty/rank.rs
+++ b/porthoistd/src/duty/rank.rs
@@ -11,7 +11,7 @@
 use porthoist_http::CallError;
 use porthoist_policy::forward::{EngineOrder, RankState};
 use porthoist_policy::placement::even::{EvenBounds, EvenMap};
-use porthoist_policy::proxy::loads::{GroupLoads, LoadRevision, RankLoad};
+use porthoist_policy::proxy::loads::{GroupLoads, LoadRevision, RankLoad, weighed_requests};
 use porthoist_policy::switch::MapVersion;
 use porthoist_proxy::{ControlState, ControlWatch};
 use slog::{Logger, info};
@@ -131,6 +131,8 @@
     /// The peers of the other ranks, by rank, once all are known.
     ranks: BTreeMap<usize, Rc<RankPeer>>,
     planner: Option<HeldPlanner>,
+    /// Requests that make a step as long as its fixed part, by the engines' operators.
+    step_requests: f64,
 }
 
 impl RankDuty {
@@ -158,6 +160,7 @@
             members: HashSet::new(),
             ranks: BTreeMap::new(),
             planner: None,
+            step_requests: 0.0,
         }
     }
 
@@ -239,8 +242,11 @@
         let Some(planner) = &self.planner else { return };
         let own = self.settings.rank_listen.ip();
         let hosts = std::iter::once(own).chain(self.ranks.values().map(|peer| peer.address().ip()));
-        let ranks = hosts.zip(planner.requests()).filter_map(|(host, requests)| match host {
-            IpAddr::V4(host) => Some(RankLoad { host, requests: *requests }),
+        let loads = planner.requests().iter().zip(planner.paces());
+        let ranks = hosts.zip(loads).filter_map(|(host, (requests, pace))| match host {
+            IpAddr::V4(host) => {
+                Some(RankLoad { host, requests: weighed_requests(*requests, self.step_requests, *pace) })
+            }
             IpAddr::V6(_host) => None,
         });
         let ranks = ranks.collect();
@@ -303,7 +309,7 @@
         Some(own.service.clone())
     }
 
-    fn shape(&self, ranks: usize) -> Option<GroupShape> {
+    fn shape(&mut self, ranks: usize) -> Option<GroupShape> {
         let state = self.state.borrow();
         let service = self.own_service(&state)?;
         let engine = state.routes.as_ref()?.services.get(&service)?.engine.as_ref()?;
@@ -313,6 +319,7 @@
             new_a_rank: self.settings.new_a_rank,
             move_price: self.settings.move_price / ranks.max(1) as f64,
         };
+        self.step_requests = engine.step_millis / engine.request_millis.max(f64::MIN_POSITIVE);
         Some(GroupShape { sets: engine.sets, experts: engine.experts, bounds })
     }
 
--- a/porthoistd/tests/rank.rs
+++ b/porthoistd/tests/rank.rs
@@ -5,7 +5,7 @@
 use porthoist_fleet::{LoadsOutlet, serve_ranks};
 use porthoist_group::{ChoiceCounts, HeldEngine, HeldLink as _, RankFuture, RankLists};
 use porthoist_http::CallError;
-use porthoist_policy::forward::{EngineOrder, GroupEpoch, OrderSequence, RankState, RankView};
+use porthoist_policy::forward::{EngineOrder, GroupEpoch, OrderSequence, RankPace, RankState, RankView};
 use porthoist_policy::placement::even::EvenMap;
 use porthoist_policy::proxy::routes::{CallerLimits, ConfigVersion, EngineModel, RouteTable, ServiceSpec};
 use porthoist_policy::proxy::targets::{TargetChange, TargetRecord, TargetState};
@@ -100,8 +100,15 @@
             held: None,
             busy: false,
         };
-        let state =
-            RankState { view, group: "g".to_owned(), rank: self.rank, size: RANKS, open: true, requests: 0 };
+        let state = RankState {
+            view,
+            group: "g".to_owned(),
+            rank: self.rank,
+            size: RANKS,
+            open: true,
+            requests: 0,
+            pace: RankPace::USUAL,
+        };
         async move { Ok(state) }.boxed_local()
     }
 
