--- a/crates/porthoist-group/src/held.rs
+++ b/crates/porthoist-group/src/held.rs
@@ -2,18 +2,16 @@
 //!
 //! The process beside the first rank plans and switches; the others observe their own engine and pass orders on to it.
 
-use futures::future::{LocalBoxFuture, join_all};
-use porthoist_http::CallError;
+use crate::links::{HeldLink, OrderAnswer, RankFuture, RankLists, RankObservation};
+use futures::future::join_all;
 use porthoist_policy::forward::{
     EngineOrder, ForwardDriver, ForwardRules, GroupEpoch, RankPace, RankState, RankView,
 };
 use porthoist_policy::placement::copying::CopyTimes;
 use porthoist_policy::placement::demand::{DemandEstimator, DemandNews};
 use porthoist_policy::placement::even::{EvenBounds, EvenMap, EvenPlan, improve};
-use porthoist_policy::placement::map::ExpertId;
 use porthoist_policy::switch::MapVersion;
 use slog::{Logger, info, warn};
-use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -34,65 +32,6 @@
 /// Chosen experts that a window must hold to be worth an estimate: 20 for each expert of a usual set.
 const MIN_CHOICES: u64 = 1_500;
 
-/// What an engine's own requests chose since it started, by set and expert.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct ChoiceCounts {
-    /// Counts, set after set.
-    pub counts: Vec<u64>,
-}
-
-/// The map in use and one rank's experts by set.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct RankLists {
-    /// The map's version.
-    pub version: MapVersion,
-    /// Experts by set.
-    pub experts: Vec<Vec<ExpertId>>,
-}
-
-/// The pending answer of an engine or of the process beside it.
-pub type RankFuture<'a, T> = LocalBoxFuture<'a, Result<T, CallError>>;
-
-/// The engine beside this process.
-pub trait HeldEngine: fmt::Debug {
-    /// What it reports of itself.
-    fn state(&self) -> RankFuture<'_, RankState>;
-    /// What its requests chose since it started.
-    fn counts(&self) -> RankFuture<'_, ChoiceCounts>;
-    /// Its experts.
-    fn lists(&self) -> RankFuture<'_, RankLists>;
-    /// Gives an order, with the map that a prepare is about; `false` if it was refused.
-    fn order<'a>(&'a self, order: EngineOrder, map: Option<&'a EvenMap>) -> RankFuture<'a, bool>;
-}
-
-/// One observation of a rank.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RankObservation {
-    /// The engine's state.
-    pub state: RankState,
-    /// What its requests chose since the last observation with counts, by set and expert.
-    pub counts: Vec<u32>,
-}
-
-/// How an engine took an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct OrderAnswer {
-    /// Whether it was taken, or what it asks for holds already.
-    pub taken: bool,
-    /// What the engine reported right after it; nothing if it did not answer.
-    pub view: Option<RankView>,
-}
-
-/// The way to the process beside a rank.
-pub trait HeldLink: fmt::Debug {
-    /// Observes the rank.
-    fn observe(&self, counts: bool) -> RankFuture<'_, RankObservation>;
-    /// The rank's experts.
-    fn lists(&self) -> RankFuture<'_, RankLists>;
-    /// Passes an order on.
-    fn order<'a>(&'a self, order: EngineOrder, map: Option<&'a EvenMap>) -> RankFuture<'a, OrderAnswer>;
-}
-
 /// The shape of a group's experts, from its operators.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct GroupShape {
--- a/crates/porthoist-group/src/lib.rs
+++ b/crates/porthoist-group/src/lib.rs
@@ -5,14 +5,13 @@
 pub mod engine;
 pub mod held;
 pub mod leader;
+pub mod links;
 pub mod planner;
 pub mod rank;
 
 pub use engine::{GroupEngine, HttpGroupEngine, RankOrder};
-pub use held::{
-    ChoiceCounts, GroupShape, HeldEngine, HeldLink, HeldPlanner, OrderAnswer, RankFuture, RankLists,
-    RankObservation, RoundOutcome,
-};
+pub use held::{GroupShape, HeldPlanner, RoundOutcome};
 pub use leader::{RankLink, SwitchError, SwitchOutcome, switch_group};
+pub use links::{ChoiceCounts, HeldEngine, HeldLink, OrderAnswer, RankFuture, RankLists, RankObservation};
 pub use planner::{ExpertWindow, GroupPlanner};
 pub use rank::{MapSource, RankDriver};
--- /dev/null
+++ b/crates/porthoist-group/src/links.rs
@@ -0,0 +1,69 @@
+//! The ways to the engines of a group that hold it themselves: to the one beside this process, and over the processes
+//! beside the others.
+
+use futures::future::LocalBoxFuture;
+use porthoist_http::CallError;
+use porthoist_policy::forward::{EngineOrder, RankState, RankView};
+use porthoist_policy::placement::even::EvenMap;
+use porthoist_policy::placement::map::ExpertId;
+use porthoist_policy::switch::MapVersion;
+use std::fmt;
+
+/// What an engine's own requests chose since it started, by set and expert.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ChoiceCounts {
+    /// Counts, set after set.
+    pub counts: Vec<u64>,
+}
+
+/// The map in use and one rank's experts by set.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RankLists {
+    /// The map's version.
+    pub version: MapVersion,
+    /// Experts by set.
+    pub experts: Vec<Vec<ExpertId>>,
+}
+
+/// The pending answer of an engine or of the process beside it.
+pub type RankFuture<'a, T> = LocalBoxFuture<'a, Result<T, CallError>>;
+
+/// The engine beside this process.
+pub trait HeldEngine: fmt::Debug {
+    /// What it reports of itself.
+    fn state(&self) -> RankFuture<'_, RankState>;
+    /// What its requests chose since it started.
+    fn counts(&self) -> RankFuture<'_, ChoiceCounts>;
+    /// Its experts.
+    fn lists(&self) -> RankFuture<'_, RankLists>;
+    /// Gives an order, with the map that a prepare is about; `false` if it was refused.
+    fn order<'a>(&'a self, order: EngineOrder, map: Option<&'a EvenMap>) -> RankFuture<'a, bool>;
+}
+
+/// One observation of a rank.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RankObservation {
+    /// The engine's state.
+    pub state: RankState,
+    /// What its requests chose since the last observation with counts, by set and expert.
+    pub counts: Vec<u32>,
+}
+
+/// How an engine took an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OrderAnswer {
+    /// Whether it was taken, or what it asks for holds already.
+    pub taken: bool,
+    /// What the engine reported right after it; nothing if it did not answer.
+    pub view: Option<RankView>,
+}
+
+/// The way to the process beside a rank.
+pub trait HeldLink: fmt::Debug {
+    /// Observes the rank.
+    fn observe(&self, counts: bool) -> RankFuture<'_, RankObservation>;
+    /// The rank's experts.
+    fn lists(&self) -> RankFuture<'_, RankLists>;
+    /// Passes an order on.
+    fn order<'a>(&'a self, order: EngineOrder, map: Option<&'a EvenMap>) -> RankFuture<'a, OrderAnswer>;
+}
--- a/crates/porthoist-policy/src/proxy.rs
+++ b/crates/porthoist-policy/src/proxy.rs
@@ -10,3 +10,4 @@
 pub mod routes;
 mod spread;
 pub mod targets;
+pub mod waiting;
--- a/crates/porthoist-policy/src/proxy/desk.rs
+++ b/crates/porthoist-policy/src/proxy/desk.rs
@@ -5,10 +5,9 @@
 
 use super::forecast::{PlaceAsk, PlaceForecast, ServiceForecast};
 use super::loads::GroupLoads;
-use super::placement::{
-    BoardSettings, ChosenTarget, LoadBoard, RequestTurn, RequestWork, SendOutcome, WaitList,
-};
+use super::placement::{BoardSettings, ChosenTarget, LoadBoard, RequestWork, SendOutcome};
 use super::targets::TargetBook;
+use super::waiting::{RequestTurn, WaitList};
 use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis};
 use std::collections::HashMap;
 
--- a/crates/porthoist-policy/src/proxy/forecast.rs
+++ b/crates/porthoist-policy/src/proxy/forecast.rs
@@ -5,7 +5,7 @@
 //! target latency; all others are refused at once. The load that this answers is a group of ranks near what it bears,
 //! whose streams slow each other down, and one that is down for seconds.
 
-use super::placement::RequestTurn;
+use super::waiting::RequestTurn;
 use porthoist_core::{UnixDeadline, UnixMillis};
 use std::collections::{HashMap, VecDeque};
 
--- a/crates/porthoist-policy/tests/policy/forecast.rs
+++ b/crates/porthoist-policy/tests/policy/forecast.rs
@@ -2,7 +2,7 @@
 
 use porthoist_core::{UnixDeadline, UnixMillis};
 use porthoist_policy::proxy::forecast::{PatienceBook, PlaceAsk, PlaceForecast, ServiceForecast};
-use porthoist_policy::proxy::placement::RequestTurn::{self, First, Repeated, Returned};
+use porthoist_policy::proxy::waiting::RequestTurn::{self, First, Repeated, Returned};
 use test_case::test_case;
 
 /// Ten places that are taken for 1.5 s each, first events after 200 ms, heard at 1,000.
--- a/crates/porthoist-policy/tests/policy/proxy.rs
+++ b/crates/porthoist-policy/tests/policy/proxy.rs
@@ -2,14 +2,13 @@
 
 use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis};
 use porthoist_policy::proxy::freshness::{FreshnessProof, StampedAnswer};
-use porthoist_policy::proxy::placement::{
-    BoardSettings, LoadBoard, RequestTurn, RequestWork, SendOutcome, WaitList,
-};
+use porthoist_policy::proxy::placement::{BoardSettings, LoadBoard, RequestWork, SendOutcome};
 use porthoist_policy::proxy::retry_share::{RetryShare, ShareSettings};
 use porthoist_policy::proxy::routes::{
     CallerLimits, ConfigVersion, RouteError, RouteKind, RouteRule, RouteTable, TeamGrant, WeightedService,
 };
 use porthoist_policy::proxy::targets::{TargetBook, TargetChange, TargetRecord, TargetState, lapse_grace};
+use porthoist_policy::proxy::waiting::{RequestTurn, WaitList};
 use std::collections::HashMap;
 use test_case::test_case;
 
