Bound what is remembered of callers' patience

Cause: found while reading: the longest time that callers of a route had left is kept by route, and routes come and go with configurations. Ruled out: dropping routes with each configuration (the first returned callers after it would pass for first tries). Change: at most 4,096 routes. Test: 5,000 routes.

--- a/crates/porthoist-policy/src/proxy/forecast.rs
+++ b/crates/porthoist-policy/src/proxy/forecast.rs
@@ -38,6 +38,8 @@
 const AWAY_PART: u64 = 3;
 /// Time in milliseconds that first tries of a route may differ by in what they have left.
 const FIRST_TRY_MILLIS: u64 = 200;
+/// Routes whose callers' patience is remembered, in the largest configurations some 1,000; more are of routes that are gone.
+const MAX_ROUTES: usize = 4_096;
 /// Callers are told times that differ by up to this part, so that they don't return together.
 const SPREAD_PART: f64 = 0.3;
 
@@ -77,6 +79,9 @@
     pub fn came_back(&mut self, route: &str, remaining_millis: Option<u64>) -> bool {
         let Some(remaining) = remaining_millis else { return false };
         let Some(longest) = self.longest.get_mut(route) else {
+            if self.longest.len() >= MAX_ROUTES {
+                self.longest.clear();
+            }
             self.longest.insert(route.into(), remaining);
             return false;
         };
--- a/crates/porthoist-policy/tests/policy/forecast.rs
+++ b/crates/porthoist-policy/tests/policy/forecast.rs
@@ -97,4 +97,9 @@
     let came_back = [Some(8_000), Some(7_900), Some(5_400), None].map(|left| book.came_back("r", left));
     assert_eq!(came_back, [false, false, true, false]);
     assert!(!book.came_back("other", Some(1_500)));
+    // What is remembered is bounded, whatever routes come and go.
+    for route in 0..5_000 {
+        book.came_back(&format!("r{route}"), Some(8_000));
+    }
+    assert!(!book.came_back("r", Some(5_400)), "forgotten");
 }
