Measure and log how old what is believed of targets is

Cause: nothing said how old the belief about targets is; an entry that learns nothing looked like one to which nothing happens. Change: a gauge for routes and targets, the age in the line of a listing, and a line when the belief about targets passes 4.7 s. No change of logic.

--- a/crates/porthoist-metrics/src/lib.rs
+++ b/crates/porthoist-metrics/src/lib.rs
@@ -33,6 +33,7 @@
     connections: Counter<u64>,
     broken_streams: Counter<u64>,
     table_calls: Counter<u64>,
+    belief_age: Gauge<u64>,
 }
 
 impl MetricsHub {
@@ -66,6 +67,7 @@
             connections: meter.u64_counter("porthoist_target_connections").build(),
             broken_streams: meter.u64_counter("porthoist_broken_streams").build(),
             table_calls: meter.u64_counter("porthoist_table_calls").build(),
+            belief_age: meter.u64_gauge("porthoist_belief_age_milliseconds").build(),
             registry,
             _provider: provider,
         };
@@ -107,6 +109,11 @@
         self.table_calls.add(1, &[]);
     }
 
+    /// Sets how old what is believed of a table is, in milliseconds: the time since an answer showed it to be the newest.
+    pub fn belief_age(&self, table: &'static str, millis: u64) {
+        self.belief_age.record(millis, &[KeyValue::new("table", table)]);
+    }
+
     /// Records how long a request waited for a place, in milliseconds.
     pub fn queue_wait(&self, millis: f64) {
         self.queue_wait.record(millis, &[]);
--- a/crates/porthoist-proxy/src/control.rs
+++ b/crates/porthoist-proxy/src/control.rs
@@ -5,6 +5,7 @@
 
 use futures::future::LocalBoxFuture;
 use porthoist_core::{ClockSource, UnixDeadline, UnixMillis};
+use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::freshness::{FreshnessProof, StampedAnswer};
 use porthoist_policy::proxy::routes::RouteTable;
 use porthoist_policy::proxy::targets::{TargetBook, TargetChange, TargetRecord, lapse_grace};
@@ -35,6 +36,9 @@
 const TARGETS_PAUSE_MILLIS: u64 = 800;
 /// Time in milliseconds beyond the wait in which an answer must come.
 const ANSWER_MILLIS: u64 = 900;
+/// Age in milliseconds up to which what is believed of targets counts as current: operators allow 3,000 to notice that a
+/// connection is gone and 2,000 for a target that leaves, less 300 for the way.
+const BELIEF_MILLIS: u64 = 4_700;
 /// First pause after a failed question, in milliseconds; it doubles up to [`MAX_PAUSE_MILLIS`].
 const PAUSE_MILLIS: u64 = 60;
 /// Longest pause after a failed question: readiness must return within a second of the source's return.
@@ -90,45 +94,37 @@
     pub targets_listed: bool,
     /// Proof that the routes are the newest.
     pub proof: FreshnessProof,
+    /// Proof that the targets are the newest.
+    pub targets_proof: FreshnessProof,
 }
 
 /// Keeps a [`ControlState`] current.
-#[derive(Debug)]
+#[derive(Debug, bon::Builder)]
 pub struct ControlWatch {
+    /// How long questions wait.
     settings: WatchSettings,
+    /// Answers them.
     source: Rc<dyn ControlSource>,
+    /// Takes what they bring.
     state: watch::Sender<ControlState>,
     clock: Arc<dyn ClockSource>,
+    metrics: Arc<MetricsHub>,
     logger: Logger,
     /// Counts failures of the routes' questions: the targets' watch lists anew when it changes.
+    #[builder(skip = watch::Sender::new(0))]
     breaks: watch::Sender<u64>,
+    #[builder(skip)]
     returned: Cell<Option<UnixMillis>>,
+    #[builder(skip)]
     away: Cell<bool>,
+    /// Whether what is believed of targets was too old when that was last looked at.
+    #[builder(skip)]
+    outdated: Cell<bool>,
+    #[builder(skip = RefCell::new(PAUSE_MILLIS))]
     pause: RefCell<u64>,
 }
 
 impl ControlWatch {
-    /// A watch that publishes into `state`.
-    pub fn new(
-        settings: WatchSettings,
-        source: Rc<dyn ControlSource>,
-        state: watch::Sender<ControlState>,
-        clock: Arc<dyn ClockSource>,
-        logger: Logger,
-    ) -> Self {
-        Self {
-            settings,
-            source,
-            state,
-            clock,
-            logger,
-            breaks: watch::Sender::new(0),
-            returned: Cell::new(None),
-            away: Cell::new(false),
-            pause: RefCell::new(PAUSE_MILLIS),
-        }
-    }
-
     /// Runs for ever.
     pub async fn run(&self) {
         tokio::join!(self.watch_routes(), self.watch_targets(), self.expire_targets());
@@ -172,6 +168,7 @@
         let mut revision = None;
         loop {
             breaks.mark_unchanged();
+            let sent = self.clock.now();
             let question = async {
                 match revision {
                     None => within(0, self.source.list_targets()).await.map(TargetNews::listed),
@@ -194,7 +191,7 @@
                 Ok(answer) => {
                     revision = Some(answer.revision);
                     let changed = !answer.value.is_empty();
-                    self.take_targets(answer.value);
+                    self.take_targets(answer, sent);
                     if changed {
                         tokio::time::sleep(Duration::from_millis(TARGETS_PAUSE_MILLIS)).await;
                     }
@@ -215,6 +212,7 @@
         loop {
             tokio::time::sleep(Duration::from_millis(100)).await;
             let now = self.clock.now();
+            self.record_ages(now);
             let due = self.state.borrow().targets.next_expiry().is_some_and(|deadline| deadline.passed(now));
             if !due {
                 continue;
@@ -227,6 +225,22 @@
         }
     }
 
+    /// Records how old what is believed of routes and of targets is, and says when that of targets gets too old.
+    fn record_ages(&self, now: UnixMillis) {
+        let state = self.state.borrow();
+        for (table, proof) in [("routes", state.proof), ("targets", state.targets_proof)] {
+            if let Some(age) = proof.age(now) {
+                self.metrics.belief_age(table, age);
+            }
+        }
+        let Some(age) = state.targets_proof.age(now) else { return };
+        let too_old = age > BELIEF_MILLIS;
+        if self.outdated.replace(too_old) != too_old {
+            info!(self.logger, "age of what is believed of targets"; "event" => "targets_age", "age_ms" => age,
+                "outdated" => too_old);
+        }
+    }
+
     /// Takes an answer to a question about routes: newer routes come into force, older ones never.
     fn adopt(&self, answer: Stamped<Option<RouteTable>>, sent: UnixMillis) {
         let stamped = StampedAnswer { sent, received: self.clock.now(), stamp: answer.stamp };
@@ -245,21 +259,26 @@
         });
     }
 
-    fn take_targets(&self, news: TargetNews) {
+    fn take_targets(&self, answer: Stamped<TargetNews>, sent: UnixMillis) {
         let grace = self.grace();
-        self.state.send_modify(|state| match news {
-            TargetNews::Listed(rows) => {
-                info!(self.logger, "targets listed"; "event" => "targets_listed", "count" => rows.len(),
-                    "after_outage" => grace.is_some());
-                state.targets.listed(rows, grace);
-                state.targets_listed = true;
-            }
-            TargetNews::Changed(changes) => {
-                for change in &changes {
-                    self.log_change(change, grace);
+        let received = self.clock.now();
+        let stamped = StampedAnswer { sent, received, stamp: answer.stamp };
+        self.state.send_modify(|state| {
+            match answer.value {
+                TargetNews::Listed(rows) => {
+                    info!(self.logger, "targets listed"; "event" => "targets_listed", "count" => rows.len(),
+                        "after_outage" => grace.is_some(), "age_ms" => state.targets_proof.age(received));
+                    state.targets.listed(rows, grace);
+                    state.targets_listed = true;
+                }
+                TargetNews::Changed(changes) => {
+                    for change in &changes {
+                        self.log_change(change, grace);
+                    }
+                    state.targets.changed(changes, grace);
                 }
-                state.targets.changed(changes, grace);
             }
+            state.targets_proof.answered(stamped);
         });
     }
 
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -116,8 +116,9 @@
         let (table, metrics) = (self.settings.table, Arc::clone(&self.metrics));
         let (state, clock, logger) = (self.state.clone(), Arc::clone(&self.clock), self.logger.clone());
         spawn_duty("control", move || async move {
-            let source = TuristSource::new(StoreClient::new(table, metrics), logger.clone());
-            ControlWatch::new(WATCH, Rc::new(source), state, clock, logger).run().await;
+            let source = TuristSource::new(StoreClient::new(table, Arc::clone(&metrics)), logger.clone());
+            let watch = ControlWatch::builder().settings(WATCH).source(Rc::new(source)).state(state);
+            watch.clock(clock).metrics(metrics).logger(logger).build().run().await;
         })?;
         Ok(())
     }
--- a/porthoistd/src/role/rank.rs
+++ b/porthoistd/src/role/rank.rs
@@ -46,9 +46,15 @@
         tokio::task::spawn_local(serve_ranks(listener, Rc::<OwnRank>::clone(&own), outlet));
         tokio::task::spawn_local(watch_reloads(logger.clone()));
         tokio::task::spawn_local(watch_signals(stopping, logger.clone(), || 0));
-        let source = TuristSource::new(StoreClient::new(settings.table, metrics), logger.clone());
-        let control =
-            ControlWatch::new(WATCH, Rc::new(source), state.clone(), Arc::clone(&clock), logger.clone());
+        let store = StoreClient::new(settings.table, Arc::clone(&metrics));
+        let control = ControlWatch::builder()
+            .settings(WATCH)
+            .source(Rc::new(TuristSource::new(store, logger.clone())))
+            .state(state.clone())
+            .clock(Arc::clone(&clock))
+            .metrics(metrics)
+            .logger(logger.clone())
+            .build();
         let duty = RankDuty::new(settings, own, control, state.subscribe(), loads, clock, logger.clone());
         duty.run(stop).await;
         info!(logger, "stopped"; "event" => "stopped");
--- a/porthoistd/tests/rank.rs
+++ b/porthoistd/tests/rank.rs
@@ -5,6 +5,7 @@
 use porthoist_fleet::{LoadsOutlet, serve_ranks};
 use porthoist_group::{ChoiceCounts, HeldEngine, HeldLink as _, RankFuture, RankLists};
 use porthoist_http::CallError;
+use porthoist_metrics::MetricsHub;
 use porthoist_policy::forward::{EngineOrder, GroupEpoch, OrderSequence, RankPace, RankState, RankView};
 use porthoist_policy::placement::even::EvenMap;
 use porthoist_policy::proxy::routes::{CallerLimits, ConfigVersion, EngineModel, RouteTable, ServiceSpec};
@@ -232,8 +233,14 @@
         let clock: Arc<dyn ClockSource> = Arc::new(AnchoredClock::new());
         let state = watch::Sender::new(group_state());
         let wait = WatchSettings { routes_wait_millis: 1, targets_wait_millis: 1 };
-        let control =
-            ControlWatch::new(wait, Rc::new(NoSource), state.clone(), Arc::clone(&clock), logger.clone());
+        let control = ControlWatch::builder()
+            .settings(wait)
+            .source(Rc::new(NoSource))
+            .state(state.clone())
+            .clock(Arc::clone(&clock))
+            .metrics(Arc::new(MetricsHub::new().expect("metrics")))
+            .logger(logger.clone())
+            .build();
         let own = Rc::new(OwnRank::new(CountedEngine::new(0, u32::MAX)));
         let loads = watch::Sender::new(None);
         let duty = RankDuty::new(settings, own, control, state.subscribe(), loads, clock, logger);
