Bound how long a silent connection passes for "no change"

Cause: the question about targets waited 25 s on a connection that had fallen silent, and an entry went on sending to targets that had left. Besides, found by tests on virtual time: the grace for rows that lapsed in an outage was counted from the first answer only, so that a row removed after a silence was kept for 1.66 s of the 2 s; and it was missing where the listing of targets came before the routes. Ruled out: a sum of the pause after a change, a slow answer and a connection (tests at every phase with answers of 300 ms). Change: both questions wait 3.3 s; either answer ends a gap; the grace is over when a belief from before the gap is too old; a call that fails or is given up leaves the pool of idle connections; all sockets probe an idle peer and bound unacknowledged bytes (control 2 s, targets 1 s, callers 10 s).

--- a/crates/porthoist-fleet/src/server.rs
+++ b/crates/porthoist-fleet/src/server.rs
@@ -16,6 +16,7 @@
 use porthoist_core::{
     AnswerFrame, LoadReport, OfferOutcome, RequestOffer, TeamName, TicketText, UnixDeadline,
 };
+use porthoist_http::{SocketPeer, bound_silence};
 use porthoist_policy::limits::keeper::{SettleAsk, SettleTold};
 use porthoist_policy::switch::{LeaderMessage, RankReply};
 use std::fmt;
@@ -184,8 +185,8 @@
 }
 
 pub(crate) fn vat_network(stream: TcpStream, side: Side) -> VatNetwork<impl futures::AsyncRead + Unpin> {
-    // Small messages must not wait for an acknowledgement; an error here only costs latency.
-    drop(stream.set_nodelay(true));
+    // An error here only costs latency, and time until a silent peer is noticed.
+    drop(bound_silence(&stream, SocketPeer::Control));
     let (reader, writer) = stream.into_split();
     let reader = futures::io::BufReader::new(reader.compat());
     let writer = futures::io::BufWriter::new(writer.compat_write());
--- a/crates/porthoist-http/src/client.rs
+++ b/crates/porthoist-http/src/client.rs
@@ -1,5 +1,6 @@
 //! The HTTP client; its errors say whether the request may have run.
 
+use crate::socket::{PROBE_AFTER, PROBE_EVERY, PROBES, SocketPeer};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -7,9 +8,11 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use parking_lot::Mutex;
 use porthoist_core::RunVerdict;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Largest answer that is read whole, in bytes.
@@ -39,10 +42,12 @@
     }
 }
 
-/// A client with a pool of connections; it never sends a request twice.
+type PooledClient = Client<HttpConnector, Full<Bytes>>;
+
+/// A client with a pool of connections; it never sends a request twice. Clones share the pool.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Arc<Mutex<PooledClient>>,
 }
 
 impl Default for HttpClient {
@@ -51,33 +56,61 @@
     }
 }
 
+/// Leaves the pool behind unless its call was answered.
+struct CallGuard<'a> {
+    client: &'a HttpClient,
+    answered: bool,
+}
+
+impl Drop for CallGuard<'_> {
+    fn drop(&mut self) {
+        if !self.answered {
+            *self.client.client.lock() = pooled_client();
+        }
+    }
+}
+
+fn pooled_client() -> PooledClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIME));
+    connector.set_keepalive(Some(PROBE_AFTER));
+    connector.set_keepalive_interval(Some(PROBE_EVERY));
+    connector.set_keepalive_retries(Some(PROBES));
+    #[cfg(target_os = "linux")]
+    connector.set_tcp_user_timeout(Some(SocketPeer::Control.unacknowledged()));
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE_TIME)
+        .retry_canceled_requests(false)
+        .build(connector)
+}
+
 impl HttpClient {
     /// A client with an empty pool.
     pub fn new() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIME));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIME)
-            .retry_canceled_requests(false)
-            .build(connector);
-        Self { client }
+        Self { client: Arc::new(Mutex::new(pooled_client())) }
     }
 
     /// Sends a request and returns the answer's head with its body unread.
     pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallError> {
-        self.client.request(request).await.map_err(|error| {
+        let client = self.client.lock().clone();
+        client.request(request).await.map_err(|error| {
             let message = describe(&error);
             if error.is_connect() { CallError::not_sent(message) } else { CallError::unknown(message) }
         })
     }
 
     /// Sends a request and reads the whole answer.
+    ///
+    /// A call that fails or is given up takes the idle connections with it: what made its connection silent may have made
+    /// those silent too, and each would cost the next call its time.
     pub async fn fetch(&self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, CallError> {
+        let mut guard = CallGuard { client: self, answered: false };
         let (head, body) = self.send(request).await?.into_parts();
         let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
         let bytes = collected.map_err(|error| CallError::unknown(error.to_string()))?.to_bytes();
+        guard.answered = true;
         Ok(Response::from_parts(head, bytes))
     }
 
--- a/crates/porthoist-http/src/lib.rs
+++ b/crates/porthoist-http/src/lib.rs
@@ -1,11 +1,14 @@
 //! Shared use of hyper.
 //!
-//! It holds a server loop with graceful stop, a pooled client whose errors carry a verdict, and JSON helpers.
+//! It holds a server loop with graceful stop, a pooled client whose errors carry a verdict, JSON helpers, and the bounds of a
+//! silent socket.
 
 pub mod body;
 pub mod client;
 pub mod server;
+pub mod socket;
 
 pub use body::{BodyError, HttpBody, HttpResponse, full_body, json_response, read_body, text_response};
 pub use client::{CallError, HttpClient};
 pub use server::{ServerSettings, serve_until};
+pub use socket::{SocketPeer, bound_silence};
--- a/crates/porthoist-http/src/server.rs
+++ b/crates/porthoist-http/src/server.rs
@@ -3,6 +3,7 @@
 //! When told to stop it accepts no more connections, lets requests in flight finish, and returns.
 
 use crate::body::HttpResponse;
+use crate::socket::{SocketPeer, bound_silence};
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -50,8 +51,8 @@
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
-        // Small answers must not wait for an acknowledgement; an error here only costs latency.
-        drop(stream.set_nodelay(true));
+        // An error here only costs latency, and time until a silent caller is noticed.
+        drop(bound_silence(&stream, SocketPeer::Caller));
         let handler = handler.clone();
         let service = service_fn(move |request| {
             let answer = handler(request);
--- a/crates/porthoist-policy/src/proxy/targets.rs
+++ b/crates/porthoist-policy/src/proxy/targets.rs
@@ -15,11 +15,32 @@
 /// lapsed meanwhile are back within two seconds, and a target that left must get nothing new after two seconds.
 const LAPSE_MILLIS: u64 = 1_700;
 
-/// The end of the grace for a row that vanishes now, after the table service has returned; nothing if it is over. It
-/// counts from the return: a row that vanishes later may have lapsed before, but must be back by the same time.
-pub fn lapse_grace(returned: UnixMillis, now: UnixMillis) -> Option<UnixDeadline> {
-    let end = UnixDeadline::after(returned, LAPSE_MILLIS);
-    (!end.passed(now)).then_some(end)
+/// How old what is believed of targets may be, in milliseconds, and still be current: operators allow 3,000 to notice that a
+/// connection is gone and 2,000 for a target that leaves; 400 are for a new connection to the target, 200 for timers.
+pub const BELIEF_MILLIS: u64 = 4_400;
+
+/// A time in which no answer of the table service came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerGap {
+    /// When the last question without an answer was sent. The service, or just the connection, was away from some moment
+    /// behind it.
+    pub asked: UnixMillis,
+    /// When the first answer came.
+    pub returned: UnixMillis,
+}
+
+impl AnswerGap {
+    /// The end of the grace for a row that vanishes now; nothing if it is over.
+    ///
+    /// It counts from the first answer: a row that vanishes later may have lapsed before, but must be back by the same
+    /// time. It is over as well once a belief from before the gap would be too old: a gap may be no more than a connection
+    /// that fell silent, behind which a target has left. Without that, a target whose row was removed 3.4 s after a silence
+    /// was believed in for 1.66 s, and a send took up to 0.4 more of the 2 s.
+    pub fn grace(&self, now: UnixMillis) -> Option<UnixDeadline> {
+        let back = UnixDeadline::after(self.returned, LAPSE_MILLIS);
+        let end = back.min(UnixDeadline::after(self.asked, BELIEF_MILLIS));
+        (!end.passed(now)).then_some(end)
+    }
 }
 
 /// Whether a target takes new work.
--- a/crates/porthoist-policy/tests/policy/proxy.rs
+++ b/crates/porthoist-policy/tests/policy/proxy.rs
@@ -7,7 +7,7 @@
 use porthoist_policy::proxy::routes::{
     CallerLimits, ConfigVersion, RouteError, RouteKind, RouteRule, RouteTable, TeamGrant, WeightedService,
 };
-use porthoist_policy::proxy::targets::{TargetBook, TargetChange, TargetRecord, TargetState, lapse_grace};
+use porthoist_policy::proxy::targets::{AnswerGap, TargetBook, TargetChange, TargetRecord, TargetState};
 use porthoist_policy::proxy::waiting::{RequestTurn, WaitList};
 use std::collections::HashMap;
 use test_case::test_case;
@@ -178,14 +178,24 @@
     assert_eq!(ids(&book), ["t2"]);
 }
 
-/// The service returned at 10 s. A target that left at 10.2 s must get nothing new after 12.2 s, whenever its row's
-/// removal is read.
+/// The service returned at 10 s, and the last question without an answer was sent at 9.5 s. A target that left at 10.2 s
+/// must get nothing new after 12.2 s, whenever its row's removal is read.
 #[test_case(10_000 => Some(11_700); "missing in the first listing")]
 #[test_case(10_800 => Some(11_700); "removed just after the return")]
 #[test_case(11_699 => Some(11_700); "removed at its end")]
 #[test_case(11_700 => None; "removed later")]
 fn grace_after_an_outage_counts_from_the_return(now: u64) -> Option<u64> {
-    lapse_grace(UnixMillis(10_000), UnixMillis(now)).map(|end| end.0.0)
+    let gap = AnswerGap { asked: UnixMillis(9_500), returned: UnixMillis(10_000) };
+    gap.grace(UnixMillis(now)).map(|end| end.0.0)
+}
+
+/// A question sent at 6 s had no answer until 10 s: its connection may have been silent since 6 s. A target that left at
+/// 9 s must get nothing new after 11 s, of which a new connection may take 0.4 s.
+#[test_case(10_000 => Some(10_400); "missing in the first listing")]
+#[test_case(10_400 => None; "removed later")]
+fn grace_ends_when_a_belief_from_before_the_gap_would_be_too_old(now: u64) -> Option<u64> {
+    let gap = AnswerGap { asked: UnixMillis(6_000), returned: UnixMillis(10_000) };
+    gap.grace(UnixMillis(now)).map(|end| end.0.0)
 }
 
 fn board(records: Vec<TargetRecord>) -> LoadBoard {
--- a/crates/porthoist-proxy/src/control.rs
+++ b/crates/porthoist-proxy/src/control.rs
@@ -8,7 +8,7 @@
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::freshness::{FreshnessProof, StampedAnswer};
 use porthoist_policy::proxy::routes::RouteTable;
-use porthoist_policy::proxy::targets::{TargetBook, TargetChange, TargetRecord, lapse_grace};
+use porthoist_policy::proxy::targets::{AnswerGap, BELIEF_MILLIS, TargetBook, TargetChange, TargetRecord};
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
 use std::fmt;
@@ -17,17 +17,14 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// How long questions wait for a change.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct WatchSettings {
-    /// Wait for a change of the routes, in milliseconds. Each answer renews the proof that the routes held are the
-    /// newest.
-    pub routes_wait_millis: u64,
-    /// Wait for a change of the targets, in milliseconds; a link that was cut in silence is noticed by the other
-    /// question.
-    pub targets_wait_millis: u64,
-}
-
+/// How long a question waits for a change, in milliseconds, after which the source answers that there is none.
+///
+/// It bounds how long a connection that fell silent passes for "no change": with [`ANSWER_MILLIS`], 4.2 s, after which all is
+/// listed anew. For targets that is within [`BELIEF_MILLIS`]; with 25 s, requests reached targets that had left 2.0 to 2.5 s
+/// before (the most that is allowed is 2). For routes it leaves 0.4 s for another question before a proof of 4.6 s no
+/// longer counts. It costs 0.6 calls a second for each process.
+const WAIT_MILLIS: u64 = 3_300;
+const WAIT: Duration = Duration::from_millis(WAIT_MILLIS);
 /// Pause after a change of the routes, in milliseconds: versions may come every 80, and each must be in force within
 /// 2,000.
 const ROUTES_PAUSE_MILLIS: u64 = 100;
@@ -36,9 +33,6 @@
 const TARGETS_PAUSE_MILLIS: u64 = 800;
 /// Time in milliseconds beyond the wait in which an answer must come.
 const ANSWER_MILLIS: u64 = 900;
-/// Age in milliseconds up to which what is believed of targets counts as current: operators allow 3,000 to notice that a
-/// connection is gone and 2,000 for a target that leaves, less 300 for the way.
-const BELIEF_MILLIS: u64 = 4_700;
 /// First pause after a failed question, in milliseconds; it doubles up to [`MAX_PAUSE_MILLIS`].
 const PAUSE_MILLIS: u64 = 60;
 /// Longest pause after a failed question: readiness must return within a second of the source's return.
@@ -101,8 +95,6 @@
 /// Keeps a [`ControlState`] current.
 #[derive(Debug, bon::Builder)]
 pub struct ControlWatch {
-    /// How long questions wait.
-    settings: WatchSettings,
     /// Answers them.
     source: Rc<dyn ControlSource>,
     /// Takes what they bring.
@@ -113,10 +105,12 @@
     /// Counts failures of the routes' questions: the targets' watch lists anew when it changes.
     #[builder(skip = watch::Sender::new(0))]
     breaks: watch::Sender<u64>,
+    /// When the last question that failed was sent, until an answer comes.
     #[builder(skip)]
-    returned: Cell<Option<UnixMillis>>,
+    unanswered: Cell<Option<UnixMillis>>,
+    /// The last time without answers that has ended.
     #[builder(skip)]
-    away: Cell<bool>,
+    gap: Cell<Option<AnswerGap>>,
     /// Whether what is believed of targets was too old when that was last looked at.
     #[builder(skip)]
     outdated: Cell<bool>,
@@ -134,14 +128,11 @@
         let mut revision = None;
         loop {
             let sent = self.clock.now();
-            let question = match revision {
-                None => self.source.list_routes(),
-                Some(revision) => self
-                    .source
-                    .routes_after(revision, Duration::from_millis(self.settings.routes_wait_millis)),
+            let answer = match revision {
+                None => within(0, self.source.list_routes()).await,
+                Some(revision) => within(WAIT_MILLIS, self.source.routes_after(revision, WAIT)).await,
             };
-            let wait = if revision.is_some() { self.settings.routes_wait_millis } else { 0 };
-            match within(wait, question).await {
+            match answer {
                 Ok(answer) => {
                     revision = Some(answer.revision);
                     self.heard();
@@ -157,7 +148,8 @@
                 }
                 Err(error) => {
                     revision = None;
-                    self.failed("routes", &error).await;
+                    self.breaks.send_modify(|breaks| *breaks += 1);
+                    self.failed("routes", sent, &error).await;
                 }
             }
         }
@@ -173,9 +165,8 @@
                 match revision {
                     None => within(0, self.source.list_targets()).await.map(TargetNews::listed),
                     Some(revision) => {
-                        let wait = Duration::from_millis(self.settings.targets_wait_millis);
-                        let question = self.source.targets_after(revision, wait);
-                        within(self.settings.targets_wait_millis, question).await.map(TargetNews::changed)
+                        let question = self.source.targets_after(revision, WAIT);
+                        within(WAIT_MILLIS, question).await.map(TargetNews::changed)
                     }
                 }
             };
@@ -190,6 +181,7 @@
             match answer {
                 Ok(answer) => {
                     revision = Some(answer.revision);
+                    self.heard();
                     let changed = !answer.value.is_empty();
                     self.take_targets(answer, sent);
                     if changed {
@@ -202,7 +194,7 @@
                 }
                 Err(error) => {
                     revision = None;
-                    self.failed("targets", &error).await;
+                    self.failed("targets", sent, &error).await;
                 }
             }
         }
@@ -297,26 +289,25 @@
 
     /// The end of the grace for rows that vanish now; nothing unless the source has just come back.
     fn grace(&self) -> Option<UnixDeadline> {
-        lapse_grace(self.returned.get()?, self.clock.now())
+        self.gap.get()?.grace(self.clock.now())
     }
 
+    /// Notes an answer. Either question's ends a gap, before what it brought is taken: rows that lapsed in an outage were
+    /// dropped at once where the listing of targets came before the routes.
     fn heard(&self) {
         self.pause.replace(PAUSE_MILLIS);
-        if self.away.replace(false) {
-            self.returned.set(Some(self.clock.now()));
+        if let Some(asked) = self.unanswered.take() {
+            self.gap.set(Some(AnswerGap { asked, returned: self.clock.now() }));
             info!(self.logger, "table service answers again"; "event" => "dependency_regained",
                 "dependency" => "table");
         }
     }
 
-    async fn failed(&self, question: &'static str, error: &SourceError) {
-        if !self.away.replace(true) {
+    async fn failed(&self, question: &'static str, sent: UnixMillis, error: &SourceError) {
+        if self.unanswered.replace(self.unanswered.get().max(Some(sent))).is_none() {
             warn!(self.logger, "table service does not answer"; "event" => "dependency_lost",
                 "dependency" => "table", "question" => question, "error" => error.to_string());
         }
-        if question == "routes" {
-            self.breaks.send_modify(|breaks| *breaks += 1);
-        }
         let pause = *self.pause.borrow();
         self.pause.replace((pause * 2).min(MAX_PAUSE_MILLIS));
         // Processes that failed together must not ask again together.
--- a/crates/porthoist-proxy/src/exchange.rs
+++ b/crates/porthoist-proxy/src/exchange.rs
@@ -12,6 +12,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use porthoist_core::{ClockSource, RetryReason, RunVerdict, TargetName, UnixDeadline, UnixMillis};
+use porthoist_http::{SocketPeer, bound_silence};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::targets::TargetRecord;
 use std::cell::RefCell;
@@ -238,8 +239,8 @@
         let stream = connected
             .map_err(|_elapsed| SendFailure::not_sent("no connection in time"))?
             .map_err(SendFailure::not_sent)?;
-        // Small requests must not wait for an acknowledgement; an error here only costs latency.
-        drop(stream.set_nodelay(true));
+        // An error here only costs latency, and time until a silent target is noticed.
+        drop(bound_silence(&stream, SocketPeer::Target));
         // A close resets the connection: what a cut link or a frozen host still holds up of a request that was given up is
         // dropped then, and not delivered seconds later. An error here only loses that.
         drop(stream.set_zero_linger());
--- /dev/null
+++ b/crates/porthoist-proxy/tests/control.rs
@@ -0,0 +1,333 @@
+//! The control watch against a source on virtual time, whose questions hang or fail.
+
+use porthoist_core::{ClockSource, TargetName, UnixMillis};
+use porthoist_metrics::MetricsHub;
+use porthoist_policy::proxy::routes::RouteTable;
+use porthoist_policy::proxy::targets::{TargetChange, TargetRecord, TargetState};
+use porthoist_proxy::control::SourceFuture;
+use porthoist_proxy::{ControlSource, ControlState, ControlWatch, SourceError, Stamped};
+use slog::{Discard, Logger, o};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use test_case::test_case;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+use tokio::time::{Instant, sleep};
+
+/// Time in milliseconds within which a target that leaves must be known to do so.
+const LEAVING_MILLIS: u64 = 2_000;
+/// Time in milliseconds that operators allow a host to notice that its connections are gone.
+const NOTICE_MILLIS: u64 = 3_000;
+/// What a send takes at most once its target is chosen, in milliseconds: a new connection.
+const SEND_MILLIS: u64 = 400;
+
+/// Time of the runtime, from some moment on.
+#[derive(Debug)]
+struct RuntimeClock(Instant);
+
+impl ClockSource for RuntimeClock {
+    fn now(&self) -> UnixMillis {
+        UnixMillis(1_000_000 + self.0.elapsed().as_millis() as u64)
+    }
+}
+
+/// What is wrong with the source.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SourceFault {
+    None,
+    /// Questions are refused.
+    Refusing,
+    /// Questions have no answer, and get none later.
+    Silent,
+}
+
+/// A source with targets; the routes never change.
+#[derive(Debug)]
+struct TableSource {
+    began: Instant,
+    rows: RefCell<Vec<TargetRecord>>,
+    /// Changes with their revisions.
+    history: RefCell<Vec<(u64, TargetChange)>>,
+    revision: watch::Sender<u64>,
+    fault: Cell<SourceFault>,
+    /// Increases when questions about routes that wait lose their connection in silence.
+    routes_lost: watch::Sender<u64>,
+    targets_lost: watch::Sender<u64>,
+    /// How long an answer takes.
+    answer_millis: Cell<u64>,
+}
+
+impl TableSource {
+    fn new(targets: &[&str]) -> Rc<Self> {
+        Rc::new(Self {
+            began: Instant::now(),
+            rows: RefCell::new(targets.iter().map(|id| record(id, TargetState::Ready)).collect()),
+            history: RefCell::default(),
+            revision: watch::Sender::new(1),
+            fault: Cell::new(SourceFault::None),
+            routes_lost: watch::Sender::new(0),
+            targets_lost: watch::Sender::new(0),
+            answer_millis: Cell::new(4),
+        })
+    }
+
+    fn put(&self, id: &str, state: TargetState) {
+        self.remove_row(id);
+        self.rows.borrow_mut().push(record(id, state));
+        self.note(TargetChange::Put(record(id, state)));
+    }
+
+    fn remove(&self, id: &str) {
+        self.remove_row(id);
+        self.note(TargetChange::Gone(id.parse().unwrap()));
+    }
+
+    fn remove_row(&self, id: &str) {
+        self.rows.borrow_mut().retain(|row| row.id.as_str() != id);
+    }
+
+    fn note(&self, change: TargetChange) {
+        let revision = *self.revision.borrow() + 1;
+        self.history.borrow_mut().push((revision, change));
+        self.revision.send_replace(revision);
+    }
+
+    fn stamped<T>(&self, value: T) -> Stamped<T> {
+        let stamp = self.began.elapsed().as_millis() as u64;
+        Stamped { value, revision: *self.revision.borrow(), stamp }
+    }
+
+    /// Takes the question; it goes on if the source answers at all.
+    async fn taken(&self) -> Result<(), SourceError> {
+        sleep(Duration::from_millis(self.answer_millis.get())).await;
+        match self.fault.get() {
+            SourceFault::None => Ok(()),
+            SourceFault::Refusing => Err(SourceError::Refused(503)),
+            SourceFault::Silent => std::future::pending().await,
+        }
+    }
+
+    /// Waits for a revision after another, or the end of the wait.
+    async fn newer(&self, revision: u64, wait: Duration) {
+        let mut revisions = self.revision.subscribe();
+        let newer = revisions.wait_for(|newest| *newest > revision);
+        // The end of the wait is an answer too.
+        let _waited = tokio::time::timeout(wait, newer).await;
+    }
+
+    fn changes_after(&self, revision: u64) -> Vec<TargetChange> {
+        let history = self.history.borrow();
+        history.iter().filter(|(known, _)| *known > revision).map(|(_, change)| change.clone()).collect()
+    }
+}
+
+/// The answer, unless the connection falls silent first.
+async fn unless_lost<T>(lost: &watch::Sender<u64>, answer: impl Future<Output = T>) -> T {
+    let mut lost = lost.subscribe();
+    tokio::select! {
+        biased;
+        _lost = lost.changed() => std::future::pending().await,
+        answer = answer => answer,
+    }
+}
+
+impl ControlSource for TableSource {
+    fn list_routes(&self) -> SourceFuture<'_, Option<RouteTable>> {
+        Box::pin(unless_lost(&self.routes_lost, async {
+            self.taken().await?;
+            Ok(self.stamped(None))
+        }))
+    }
+
+    fn routes_after(&self, _revision: u64, wait: Duration) -> SourceFuture<'_, Option<RouteTable>> {
+        Box::pin(unless_lost(&self.routes_lost, async move {
+            self.taken().await?;
+            sleep(wait).await;
+            Ok(self.stamped(None))
+        }))
+    }
+
+    fn list_targets(&self) -> SourceFuture<'_, Vec<TargetRecord>> {
+        Box::pin(unless_lost(&self.targets_lost, async {
+            self.taken().await?;
+            Ok(self.stamped(self.rows.borrow().clone()))
+        }))
+    }
+
+    fn targets_after(&self, revision: u64, wait: Duration) -> SourceFuture<'_, Vec<TargetChange>> {
+        Box::pin(unless_lost(&self.targets_lost, async move {
+            self.newer(revision, wait).await;
+            self.taken().await?;
+            Ok(self.stamped(self.changes_after(revision)))
+        }))
+    }
+}
+
+fn record(id: &str, state: TargetState) -> TargetRecord {
+    let number: u16 = id.trim_start_matches('t').parse().unwrap();
+    TargetRecord {
+        id: id.parse().unwrap(),
+        service: "records".parse().unwrap(),
+        address: ([10, 0, 0, 1], 8_000 + number).into(),
+        zone: "a".parse().unwrap(),
+        slots: 6,
+        state,
+    }
+}
+
+/// A watch under way.
+struct WatchedTable {
+    source: Rc<TableSource>,
+    state: watch::Receiver<ControlState>,
+}
+
+impl WatchedTable {
+    /// Follows a source for ten seconds, so that both questions wait.
+    async fn start(targets: &[&str]) -> Self {
+        let source = TableSource::new(targets);
+        let state = watch::Sender::new(ControlState::default());
+        let watched = Self { source: Rc::clone(&source), state: state.subscribe() };
+        let control = ControlWatch::builder()
+            .source(source)
+            .state(state)
+            .clock(Arc::new(RuntimeClock(Instant::now())))
+            .metrics(Arc::new(MetricsHub::new().unwrap()))
+            .logger(Logger::root(Discard, o!()))
+            .build();
+        tokio::task::spawn_local(async move { control.run().await });
+        sleep(Duration::from_secs(10)).await;
+        watched
+    }
+
+    /// Whether requests may go to a target.
+    fn takes(&self, id: &str) -> bool {
+        let id: TargetName = id.parse().unwrap();
+        let state = self.state.borrow();
+        let mut records = state.targets.records();
+        records.any(|record| record.id == id && record.state == TargetState::Ready)
+    }
+
+    /// Lets a target leave and says after how many milliseconds that is known.
+    async fn leave(&self, id: &str, how: Leaving) -> u64 {
+        match how {
+            Leaving::Said => self.source.put(id, TargetState::Draining),
+            Leaving::Removed => self.source.remove(id),
+        }
+        let left = Instant::now();
+        while self.takes(id) {
+            sleep(Duration::from_millis(10)).await;
+        }
+        left.elapsed().as_millis() as u64
+    }
+}
+
+/// How a target leaves.
+#[derive(Debug, Clone, Copy)]
+enum Leaving {
+    /// Its row says so.
+    Said,
+    /// Its row is removed.
+    Removed,
+}
+
+/// Which waiting questions lose their connection.
+#[derive(Debug, Clone, Copy)]
+enum Lost {
+    Routes,
+    Targets,
+    Both,
+}
+
+impl Lost {
+    fn befall(self, source: &TableSource) {
+        let fall_silent = |lost: &watch::Sender<u64>| lost.send_modify(|count| *count += 1);
+        if !matches!(self, Self::Targets) {
+            fall_silent(&source.routes_lost);
+        }
+        if !matches!(self, Self::Routes) {
+            fall_silent(&source.targets_lost);
+        }
+    }
+}
+
+/// Requests reached a target 2.0 to 2.5 s after it had said that it leaves: the question about targets waited on a
+/// connection that had fallen silent, and after 25 s without an answer the belief still counted. Leaving is due 3 s after
+/// a silence at the earliest, at any phase of the questions that wait.
+#[test_case(Lost::Targets, Leaving::Said)]
+#[test_case(Lost::Targets, Leaving::Removed)]
+#[test_case(Lost::Routes, Leaving::Said)]
+#[test_case(Lost::Routes, Leaving::Removed)]
+#[test_case(Lost::Both, Leaving::Said)]
+#[test_case(Lost::Both, Leaving::Removed)]
+#[tokio::test(start_paused = true)]
+async fn a_leaving_target_is_known_although_a_connection_fell_silent(lost: Lost, how: Leaving) {
+    let played = async {
+        for phase in (0..4_000).step_by(250) {
+            let watched = WatchedTable::start(&["t1", "t2"]).await;
+            sleep(Duration::from_millis(phase)).await;
+            lost.befall(&watched.source);
+            sleep(Duration::from_millis(NOTICE_MILLIS)).await;
+            let known = watched.leave("t1", how).await;
+            assert!(known + SEND_MILLIS <= LEAVING_MILLIS, "{known} ms at phase {phase}");
+            assert!(watched.takes("t2"));
+        }
+    };
+    LocalSet::new().run_until(played).await;
+}
+
+/// A row that vanishes after a silence of a connection has not lapsed in an outage: it is not kept as if it had.
+#[tokio::test(start_paused = true)]
+async fn a_silent_connection_is_no_outage_for_rows_that_vanish_later() {
+    let played = async {
+        for pause in [3_000, 4_000, 5_000, 6_000, 7_000] {
+            let watched = WatchedTable::start(&["t1", "t2"]).await;
+            Lost::Both.befall(&watched.source);
+            sleep(Duration::from_millis(pause)).await;
+            let known = watched.leave("t1", Leaving::Removed).await;
+            assert!(known + SEND_MILLIS <= LEAVING_MILLIS, "{known} ms, {pause} ms after the silence");
+        }
+    };
+    LocalSet::new().run_until(played).await;
+}
+
+/// Rows lapse while the table service is away and are back 1.5 s after its return; requests go to their targets meanwhile.
+#[test_case(SourceFault::Refusing)]
+#[test_case(SourceFault::Silent)]
+#[tokio::test(start_paused = true)]
+async fn rows_that_lapsed_in_an_outage_are_kept_until_they_can_be_back(fault: SourceFault) {
+    let played = async {
+        let watched = WatchedTable::start(&["t1", "t2"]).await;
+        watched.source.fault.set(fault);
+        sleep(Duration::from_secs(7)).await;
+        watched.source.remove("t1");
+        watched.source.fault.set(SourceFault::None);
+        for _step in 0..15 {
+            sleep(Duration::from_millis(100)).await;
+            assert!(watched.takes("t1"), "t1 lives; its row lapsed");
+        }
+        watched.source.put("t1", TargetState::Ready);
+        sleep(Duration::from_secs(3)).await;
+        assert!(watched.takes("t1"));
+    };
+    LocalSet::new().run_until(played).await;
+}
+
+/// A leaving that comes within the pause after another change, with slow answers of the source.
+#[test_case(4; "usual answers")]
+#[test_case(300; "slow answers")]
+#[tokio::test(start_paused = true)]
+async fn a_leaving_within_the_pause_after_a_change_is_known_in_time(answer_millis: u64) {
+    let played = async {
+        for pause in (0..1_200).step_by(100) {
+            let watched = WatchedTable::start(&["t1", "t2"]).await;
+            watched.source.answer_millis.set(answer_millis);
+            watched.source.put("t3", TargetState::Ready);
+            sleep(Duration::from_millis(pause)).await;
+            let known = watched.leave("t1", Leaving::Said).await;
+            assert!(known + SEND_MILLIS <= LEAVING_MILLIS, "{known} ms, {pause} ms after a change");
+        }
+    };
+    LocalSet::new().run_until(played).await;
+}
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -12,7 +12,6 @@
 use porthoist_policy::proxy::loads::GroupLoads;
 use porthoist_policy::proxy::placement::BoardSettings;
 use porthoist_policy::proxy::retry_share::ShareSettings;
-use porthoist_proxy::control::WatchSettings;
 use porthoist_proxy::{
     ControlState, ControlWatch, CourseSettings, PlaceBroker, ProxyServer, RequestCourse, serve_proxy,
 };
@@ -44,11 +43,6 @@
 /// takes them within milliseconds.
 const LOADS_RING: usize = 64;
 
-/// How long questions to the table service wait; each has its price. An answer about routes that is lost is noticed 0.9 s
-/// after it was due, which leaves 0.4 s for another question before the proof of 4.6 s no longer counts. The question
-/// about targets needs no such end: it is asked anew when the other one fails.
-const WATCH: WatchSettings = WatchSettings { routes_wait_millis: 3_300, targets_wait_millis: 25_000 };
-
 /// Addresses that a proxy listens on.
 #[derive(Debug, Clone, Copy)]
 pub struct ProxyAddresses {
@@ -117,7 +111,7 @@
         let (state, clock, logger) = (self.state.clone(), Arc::clone(&self.clock), self.logger.clone());
         spawn_duty("control", move || async move {
             let source = TuristSource::new(StoreClient::new(table, Arc::clone(&metrics)), logger.clone());
-            let watch = ControlWatch::builder().settings(WATCH).source(Rc::new(source)).state(state);
+            let watch = ControlWatch::builder().source(Rc::new(source)).state(state);
             watch.clock(clock).metrics(metrics).logger(logger).build().run().await;
         })?;
         Ok(())
--- a/porthoistd/src/role/rank.rs
+++ b/porthoistd/src/role/rank.rs
@@ -9,7 +9,6 @@
 use porthoist_core::{AnchoredClock, ClockSource};
 use porthoist_fleet::{LoadsOutlet, serve_ranks};
 use porthoist_metrics::MetricsHub;
-use porthoist_proxy::control::WatchSettings;
 use porthoist_proxy::{ControlState, ControlWatch};
 use porthoist_turist::{StoreClient, TuristEngine, TuristSource};
 use slog::{Logger, info, o};
@@ -19,10 +18,6 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-/// How long one question to the table service waits for a change: the process needs the group's shape and the other
-/// ranks' addresses, which seldom change.
-const WATCH: WatchSettings = WatchSettings { routes_wait_millis: 25_000, targets_wait_millis: 25_000 };
-
 /// Runs the role until it is told to stop.
 pub fn run(settings: RankSettings, logger: &Logger) -> io::Result<()> {
     let (rank_listener, rank_address) = bind(settings.rank_listen)?;
@@ -48,7 +43,6 @@
         tokio::task::spawn_local(watch_signals(stopping, logger.clone(), || 0));
         let store = StoreClient::new(settings.table, Arc::clone(&metrics));
         let control = ControlWatch::builder()
-            .settings(WATCH)
             .source(Rc::new(TuristSource::new(store, logger.clone())))
             .state(state.clone())
             .clock(Arc::clone(&clock))
--- a/porthoistd/tests/rank.rs
+++ b/porthoistd/tests/rank.rs
@@ -11,7 +11,7 @@
 use porthoist_policy::proxy::routes::{CallerLimits, ConfigVersion, EngineModel, RouteTable, ServiceSpec};
 use porthoist_policy::proxy::targets::{TargetChange, TargetRecord, TargetState};
 use porthoist_policy::switch::{MapVersion, StepNumber};
-use porthoist_proxy::control::{ControlSource, SourceFuture, WatchSettings};
+use porthoist_proxy::control::{ControlSource, SourceFuture};
 use porthoist_proxy::{ControlState, ControlWatch};
 use porthoistd::duty::rank::{OwnRank, RankDuty};
 use porthoistd::settings::rank::{RankArgs, RankSettings};
@@ -232,9 +232,7 @@
         let logger = Logger::root(Discard, o!());
         let clock: Arc<dyn ClockSource> = Arc::new(AnchoredClock::new());
         let state = watch::Sender::new(group_state());
-        let wait = WatchSettings { routes_wait_millis: 1, targets_wait_millis: 1 };
         let control = ControlWatch::builder()
-            .settings(wait)
             .source(Rc::new(NoSource))
             .state(state.clone())
             .clock(Arc::clone(&clock))
