Bound readings of the engine beside a process

Change: state with counts, and lists, are given up after 120 ms; the next reading takes a new connection; lost and regained engines are logged. Test: a_reading_of_a_silent_engine_is_given_up failed before (10 s and longer).

--- a/crates/porthoist-http/src/socket.rs
+++ b/crates/porthoist-http/src/socket.rs
@@ -33,7 +33,7 @@
     pub const fn unacknowledged(self) -> Duration {
         match self {
             Self::Control => Duration::from_secs(2),
-            Self::Target => Duration::from_secs(1),
+            Self::Target => Duration::from_millis(400),
             Self::Caller => Duration::from_secs(10),
         }
     }
--- a/porthoistd/src/duty/rank.rs
+++ b/porthoistd/src/duty/rank.rs
@@ -14,7 +14,7 @@
 use porthoist_policy::proxy::loads::{GroupLoads, LoadRevision, RankLoad, weighed_requests};
 use porthoist_policy::switch::MapVersion;
 use porthoist_proxy::{ControlState, ControlWatch};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
@@ -47,6 +47,10 @@
 /// Time in milliseconds within which the engine beside this process must answer an order; it takes some milliseconds.
 /// One without an answer may be carried out all the same, and is given again.
 const ENGINE_MILLIS: u64 = 40;
+/// Time in milliseconds within which the engine beside this process must tell its state and counts, or its lists; it takes some
+/// milliseconds. It is less than the 150 that a process which plans waits for another rank's, and bounds how long a
+/// connection that fell silent keeps this process from planning; the next reading takes a new one.
+const READING_MILLIS: u64 = 120;
 /// Least time in milliseconds between two reports of the group's loads: one to each of some 40 entry processes takes 20
 /// of a small host's link.
 const LOADS_MILLIS: u64 = 80;
@@ -87,15 +91,15 @@
 
 impl HeldLink for OwnRank {
     fn observe(&self, counts: bool) -> RankFuture<'_, RankObservation> {
-        Box::pin(async move {
+        Box::pin(read_in_time(async move {
             let state = self.engine.state().await?;
             let counts = if counts { self.new_counts().await? } else { Vec::new() };
             Ok(RankObservation { state, counts })
-        })
+        }))
     }
 
     fn lists(&self) -> RankFuture<'_, RankLists> {
-        self.engine.lists()
+        Box::pin(read_in_time(self.engine.lists()))
     }
 
     fn order<'a>(&'a self, order: EngineOrder, map: Option<&'a EvenMap>) -> RankFuture<'a, OrderAnswer> {
@@ -110,6 +114,11 @@
     }
 }
 
+async fn read_in_time<T>(reading: impl Future<Output = Result<T, CallError>>) -> Result<T, CallError> {
+    let read = tokio::time::timeout(Duration::from_millis(READING_MILLIS), reading).await;
+    read.unwrap_or_else(|_elapsed| Err(CallError::not_sent("the engine did not tell its state in time")))
+}
+
 /// Plans for the group while this process stands beside its first rank.
 #[derive(Debug)]
 pub struct RankDuty {
@@ -133,6 +142,8 @@
     /// The peers of the other ranks, by rank, once all are known.
     ranks: BTreeMap<usize, Rc<RankPeer>>,
     planner: Option<HeldPlanner>,
+    /// Whether the engine beside this process answered when it was last read.
+    engine_heard: bool,
     /// Requests that make a step as long as its fixed part, by the engines' operators.
     step_requests: f64,
 }
@@ -163,6 +174,7 @@
             members: HashSet::new(),
             ranks: BTreeMap::new(),
             planner: None,
+            engine_heard: true,
             step_requests: 0.0,
         }
     }
@@ -181,7 +193,15 @@
 
     /// One turn; returns the pause before the next in milliseconds.
     async fn turn(&mut self) -> u64 {
-        let Ok(own) = self.own.observe(false).await else { return IDLE_MILLIS };
+        let own = match self.own.observe(false).await {
+            Ok(own) => own,
+            Err(error) => {
+                self.note_unread(&error);
+                // A group that is held must not wait for long.
+                return if self.planner.is_some() { WAIT_MILLIS } else { IDLE_MILLIS };
+            }
+        };
+        self.note_read();
         if own.state.rank != 0 || !own.state.open {
             self.planner = None;
             self.loads.send_if_modified(|loads| loads.take().is_some());
@@ -204,6 +224,20 @@
         self.pause_after(outcome, own.state.size as u64)
     }
 
+    fn note_unread(&mut self, error: &CallError) {
+        if std::mem::replace(&mut self.engine_heard, false) {
+            warn!(self.logger, "the engine can't be read"; "event" => "dependency_lost", "dependency" => "engine",
+                "error" => error.to_string());
+        }
+    }
+
+    fn note_read(&mut self) {
+        if !std::mem::replace(&mut self.engine_heard, true) {
+            info!(self.logger, "the engine is read again"; "event" => "dependency_regained",
+                "dependency" => "engine");
+        }
+    }
+
     /// One round of the planner; it reads counts where they are due.
     async fn round(&mut self, links: &[Rc<dyn HeldLink>]) -> Option<RoundOutcome> {
         let fresh = self.fresh_version();
--- a/porthoistd/tests/rank.rs
+++ b/porthoistd/tests/rank.rs
@@ -29,6 +29,10 @@
 /// orders may be lost, and every round of repeats takes so long.
 const UNANSWERED_MILLIS: u128 = 50;
 
+/// Longest time in milliseconds that an unanswered reading may keep its reader: less than the 150 that a process which plans
+/// waits for another rank's.
+const READING_MILLIS: u128 = 140;
+
 /// Carries nothing out and answers nothing.
 #[derive(Debug)]
 struct SilentEngine;
@@ -70,6 +74,25 @@
     );
 }
 
+/// A read that its engine never answers, as over a connection that fell silent, kept the process beside it from planning
+/// for good: nothing but the end of the connection ended the wait.
+#[tokio::test(start_paused = true)]
+async fn a_reading_of_a_silent_engine_is_given_up() {
+    let rank = OwnRank::new(Rc::new(SilentEngine));
+    for reading in ["state", "state and counts", "lists"] {
+        let began = tokio::time::Instant::now();
+        let read = async {
+            match reading {
+                "lists" => rank.lists().await.map(|_lists| ()),
+                _ => rank.observe(reading != "state").await.map(|_observed| ()),
+            }
+        };
+        let read = tokio::time::timeout(Duration::from_secs(10), read).await;
+        assert!(read.expect("the reading is given up").is_err(), "nothing was answered");
+        assert!(began.elapsed().as_millis() <= READING_MILLIS, "{reading}: {:?}", began.elapsed());
+    }
+}
+
 /// An engine in memory; from some reading on it says nothing more.
 #[derive(Debug)]
 struct CountedEngine {
