Leave a connection that brought no reading of a rank at once

Cause: after connections between hosts fell silent the process that plans asked all ranks for their place with a patience of 0.6 s before it left the silent ones. Change: a reading that misses its time (0.15 s and 6 ms a rank) leaves that rank's connection behind; the others keep theirs with the map sent over them.

--- a/crates/porthoist-fleet/src/rank.rs
+++ b/crates/porthoist-fleet/src/rank.rs
@@ -225,12 +225,6 @@
         CallError::unknown(error.to_string())
     }
 
-    /// Forgets the connection, for example because a call had no answer in time.
-    pub fn reset(&self) {
-        self.connected.borrow_mut().take();
-        self.sent.borrow_mut().take();
-    }
-
     /// The address of the process.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -325,4 +319,9 @@
     fn order<'a>(&'a self, order: EngineOrder, map: Option<&'a EvenMap>) -> RankFuture<'a, OrderAnswer> {
         Box::pin(self.pass_order(order, map))
     }
+
+    fn reset(&self) {
+        self.connected.borrow_mut().take();
+        self.sent.borrow_mut().take();
+    }
 }
--- a/crates/porthoist-group/src/held.rs
+++ b/crates/porthoist-group/src/held.rs
@@ -379,7 +379,11 @@
         let patience = Duration::from_millis(ANSWER_MILLIS + ANSWER_MILLIS_A_RANK * links.len() as u64);
         match tokio::time::timeout(patience, links[rank].observe(counts)).await {
             Ok(observed) => observed.map_err(|error| UnreadRank { rank, error: error.to_string() }),
-            Err(_elapsed) => Err(UnreadRank { rank, error: "no answer in time".to_owned() }),
+            Err(_elapsed) => {
+                // The connection may be silent for good. Only this rank's: the others keep the map sent over theirs.
+                links[rank].reset();
+                Err(UnreadRank { rank, error: "no answer in time".to_owned() })
+            }
         }
     };
     let first = read(0).await?;
--- a/crates/porthoist-group/src/links.rs
+++ b/crates/porthoist-group/src/links.rs
@@ -66,4 +66,6 @@
     fn lists(&self) -> RankFuture<'_, RankLists>;
     /// Passes an order on.
     fn order<'a>(&'a self, order: EngineOrder, map: Option<&'a EvenMap>) -> RankFuture<'a, OrderAnswer>;
+    /// Leaves the present connection behind, if there is one: it did not bring a reading in time.
+    fn reset(&self) {}
 }
