--- a/crates/porthoist-proxy/src/control.rs
+++ b/crates/porthoist-proxy/src/control.rs
@@ -3,15 +3,14 @@
 //! One watch follows the routes, another the targets. Each lists once and then waits for changes; when the source has
 //! forgotten its history, was silent, or answered with an error, it lists anew.
 
-use futures::future::LocalBoxFuture;
+use crate::source::{ControlSource, SourceError, SourceFuture, Stamped};
 use porthoist_core::{ClockSource, UnixDeadline, UnixMillis};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::freshness::{FreshnessProof, StampedAnswer};
 use porthoist_policy::proxy::routes::RouteTable;
 use porthoist_policy::proxy::targets::{AnswerGap, BeliefBound, TargetBook, TargetChange, TargetRecord};
 use slog::{Logger, info, warn};
-use std::cell::{Cell, RefCell};
-use std::fmt;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -37,45 +36,8 @@
 const PAUSE_MILLIS: u64 = 60;
 /// Longest pause after a failed question: readiness must return within a second of the source's return.
 const MAX_PAUSE_MILLIS: u64 = 480;
-/// An answer of the source.
-#[derive(Debug, Clone)]
-pub struct Stamped<T> {
-    /// What it says.
-    pub value: T,
-    /// Revision from which the next question goes on.
-    pub revision: u64,
-    /// The source's steady clock, in milliseconds.
-    pub stamp: u64,
-}
-
-/// A question without an answer.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-pub enum SourceError {
-    /// The source has forgotten the changes after the revision.
-    #[error("the history is gone")]
-    HistoryGone,
-    /// The source refused the question.
-    #[error("refused with status {0}")]
-    Refused(u16),
-    /// No answer, or one that can't be read.
-    #[error("{0}")]
-    Unavailable(String),
-}
-
-/// The pending answer of a source.
-pub type SourceFuture<'a, T> = LocalBoxFuture<'a, Result<Stamped<T>, SourceError>>;
-
-/// The service that holds routes and targets.
-pub trait ControlSource: fmt::Debug {
-    /// The newest routes; nothing if there are none yet.
-    fn list_routes(&self) -> SourceFuture<'_, Option<RouteTable>>;
-    /// The routes if they have changed after a revision, else nothing after the wait.
-    fn routes_after(&self, revision: u64, wait: Duration) -> SourceFuture<'_, Option<RouteTable>>;
-    /// All targets.
-    fn list_targets(&self) -> SourceFuture<'_, Vec<TargetRecord>>;
-    /// Changes of targets after a revision, none after the wait.
-    fn targets_after(&self, revision: u64, wait: Duration) -> SourceFuture<'_, Vec<TargetChange>>;
-}
+/// Pause between two looks at graces that end and at the age of what is believed, in milliseconds.
+const LOOK_MILLIS: u64 = 100;
 
 /// What a process believes now.
 #[derive(Debug, Clone, Default)]
@@ -117,8 +79,9 @@
     /// Whether what is believed of targets was too old when that was last looked at.
     #[builder(skip)]
     outdated: Cell<bool>,
-    #[builder(skip = RefCell::new(PAUSE_MILLIS))]
-    pause: RefCell<u64>,
+    /// Pause after the next failed question, in milliseconds.
+    #[builder(skip = Cell::new(PAUSE_MILLIS))]
+    pause: Cell<u64>,
 }
 
 impl ControlWatch {
@@ -217,9 +180,10 @@
         Duration::from_millis(wait.max(MIN_TARGETS_WAIT_MILLIS))
     }
 
+    /// Drops targets whose grace has ended, and tells how old what is believed is.
     async fn expire_targets(&self) {
         loop {
-            tokio::time::sleep(Duration::from_millis(100)).await;
+            tokio::time::sleep(Duration::from_millis(LOOK_MILLIS)).await;
             let now = self.clock.now();
             self.record_ages(now);
             let due = self.state.borrow().targets.next_expiry().is_some_and(|deadline| deadline.passed(now));
@@ -312,7 +276,7 @@
     /// Notes an answer. Either question's ends a gap, before what it brought is taken: rows that lapsed in an outage were
     /// dropped at once where the listing of targets came before the routes.
     fn heard(&self) {
-        self.pause.replace(PAUSE_MILLIS);
+        self.pause.set(PAUSE_MILLIS);
         if let Some(asked) = self.unanswered.take() {
             self.gap.set(Some(AnswerGap { asked, returned: self.clock.now() }));
             info!(self.logger, "table service answers again"; "event" => "dependency_regained",
@@ -325,8 +289,8 @@
             warn!(self.logger, "table service does not answer"; "event" => "dependency_lost",
                 "dependency" => "table", "question" => question, "error" => error.to_string());
         }
-        let pause = *self.pause.borrow();
-        self.pause.replace((pause * 2).min(MAX_PAUSE_MILLIS));
+        let pause = self.pause.get();
+        self.pause.set((pause * 2).min(MAX_PAUSE_MILLIS));
         // Processes that failed together must not ask again together.
         let jitter = rand::random::<f64>().mul_add(0.5, 0.75);
         tokio::time::sleep(Duration::from_millis((pause as f64 * jitter) as u64)).await;
--- a/crates/porthoist-proxy/src/lib.rs
+++ b/crates/porthoist-proxy/src/lib.rs
@@ -11,10 +11,12 @@
 pub mod exchange;
 pub mod reply;
 pub mod server;
+pub mod source;
 pub mod wire;
 
 pub use broker::{BrokerSettings, PlaceBroker};
-pub use control::{ControlSource, ControlState, ControlWatch, SourceError, Stamped};
+pub use control::{ControlState, ControlWatch};
 pub use course::{CourseSettings, RequestCourse};
 pub use server::{ProxyServer, serve_proxy};
+pub use source::{ControlSource, SourceError, SourceFuture, Stamped};
 pub use wire::{AnswerFacts, FactsError, RequestFacts, SendFacts, WireCodec};
--- a/crates/porthoist-proxy/tests/control.rs
+++ b/crates/porthoist-proxy/tests/control.rs
@@ -4,7 +4,7 @@
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::routes::RouteTable;
 use porthoist_policy::proxy::targets::{TargetChange, TargetRecord, TargetState};
-use porthoist_proxy::control::SourceFuture;
+use porthoist_proxy::SourceFuture;
 use porthoist_proxy::{ControlSource, ControlState, ControlWatch, SourceError, Stamped};
 use slog::{Discard, Logger, o};
 use std::cell::{Cell, RefCell};
--- a/porthoistd/tests/rank.rs
+++ b/porthoistd/tests/rank.rs
@@ -11,7 +11,7 @@
 use porthoist_policy::proxy::routes::{CallerLimits, ConfigVersion, EngineModel, RouteTable, ServiceSpec};
 use porthoist_policy::proxy::targets::{TargetChange, TargetRecord, TargetState};
 use porthoist_policy::switch::{MapVersion, StepNumber};
-use porthoist_proxy::control::{ControlSource, SourceFuture};
+use porthoist_proxy::{ControlSource, SourceFuture};
 use porthoist_proxy::{ControlState, ControlWatch};
 use porthoistd::duty::rank::{OwnRank, RankDuty};
 use porthoistd::settings::rank::{RankArgs, RankSettings};
