--- a/crates/porthoist-proxy/tests/control.rs
+++ b/crates/porthoist-proxy/tests/control.rs
@@ -247,7 +247,7 @@
 }
 
 impl Lost {
-    fn befall(self, source: &TableSource) {
+    fn silence(self, source: &TableSource) {
         let fall_silent = |lost: &watch::Sender<u64>| lost.send_modify(|count| *count += 1);
         if !matches!(self, Self::Targets) {
             fall_silent(&source.routes_lost);
@@ -273,7 +273,7 @@
         for phase in (0..4_000).step_by(250) {
             let watched = WatchedTable::start(&["t1", "t2"]).await;
             sleep(Duration::from_millis(phase)).await;
-            lost.befall(&watched.source);
+            lost.silence(&watched.source);
             sleep(Duration::from_millis(NOTICE_MILLIS)).await;
             let known = watched.leave("t1", how).await;
             assert!(known + SEND_MILLIS <= LEAVING_MILLIS, "{known} ms at phase {phase}");
@@ -306,7 +306,7 @@
     let played = async {
         for pause in [3_000, 4_000, 5_000, 6_000, 7_000] {
             let watched = WatchedTable::start(&["t1", "t2"]).await;
-            Lost::Both.befall(&watched.source);
+            Lost::Both.silence(&watched.source);
             sleep(Duration::from_millis(pause)).await;
             let known = watched.leave("t1", Leaving::Removed).await;
             assert!(known + SEND_MILLIS <= LEAVING_MILLIS, "{known} ms, {pause} ms after the silence");
