Search the switch through relays

Cause: ranks are read and ordered through others now; the searched model knew no such way.

Change: a relay reads the other ranks in any order, answers without some of them (the driver then keeps what it knew of these and sends them no prepares, as the planner does), begins anew at any moment, and earlier answers of it may come again. Orders on their way were lost, doubled, late and reordered in the model already.

Mutants caught: a rank that counts twice; an earlier answer that says only that its ranks are armed.

--- a/crates/porthoist-spec/src/models.rs
+++ b/crates/porthoist-spec/src/models.rs
@@ -62,6 +62,8 @@
         forward_model(large),
         held_model(),
         epoch_model(),
+        relay_model(),
+        relay_formation_model(),
     ]
 }
 
@@ -206,6 +208,7 @@
         restarts: 1,
         formations: 0,
         single_reads: true,
+        relay: None,
     }
 }
 
@@ -278,3 +281,61 @@
         mutants: vec![mutant("an order of an earlier formation is carried out", false)],
     }
 }
+
+fn relay_bounds(relay: forward::RelayRules) -> forward::ForwardModel {
+    forward::ForwardModel {
+        ranks: 3,
+        steps: 4,
+        plans: 1,
+        restarts: 0,
+        formations: 1,
+        single_reads: false,
+        relay: Some(relay),
+        ..forward_bounds(false)
+    }
+}
+
+fn relay_model() -> CheckedModel {
+    let mutant = |rule, relay| Mutant::new(rule, move |limit| search(&relay_bounds(relay), limit));
+    let sound = forward::RelayRules::SOUND;
+    CheckedModel {
+        name: "a group reached through a relay",
+        bounds: "3 ranks, two of them through a relay that reads in any order, answers in part and begins anew; 4 passes, 1 map, \
+                 1 new formation, orders lost, doubled and late without bound",
+        sound: mutant("none", sound),
+        mutants: vec![mutant("a rank counts twice", forward::RelayRules { ranks_named: false, ..sound })],
+    }
+}
+
+/// A relay that passed an order of an earlier formation on as one of the present would do what an engine does that does not
+/// look at the formation: see the mutant of [`epoch_model`].
+fn relay_formation_model() -> CheckedModel {
+    let mutant = |rule, relay| {
+        let bounds =
+            forward::ForwardModel { ranks: 2, steps: 5, plans: 2, restarts: 1, ..relay_bounds(relay) };
+        Mutant::new(rule, move |limit| search(&bounds, limit))
+    };
+    // Old answers of the same formation are harmless: whatever the driver is told may be old.
+    let sound = forward::RelayRules { answers_repeat: true, ..forward::RelayRules::SOUND };
+    CheckedModel {
+        name: "a new formation of a group that is reached through a relay",
+        bounds: "2 ranks, one of them through a relay whose earlier answers may come again; 5 passes, 2 maps, 1 restart of the \
+                 driver, 1 new formation, orders lost, doubled and late without bound",
+        sound: mutant("none", sound),
+        mutants: vec![Mutant::new(
+            "an earlier answer is trusted, which says only that its ranks are armed",
+            move |limit| {
+                let relay = forward::RelayRules { states_verbatim: false, ..sound };
+                // Two switches need more passes, and neither restarts nor formations.
+                let bounds = forward::ForwardModel {
+                    ranks: 2,
+                    steps: 8,
+                    plans: 2,
+                    formations: 0,
+                    ..relay_bounds(relay)
+                };
+                search(&bounds, limit)
+            },
+        )],
+    }
+}
--- a/crates/porthoist-spec/src/models/forward.rs
+++ b/crates/porthoist-spec/src/models/forward.rs
@@ -3,6 +3,9 @@
 //! The driver is the daemon's own. Its reports are read rank by rank while the group goes on; once it switches, a single
 //! rank's report, as it comes with an answer to an order, is enough for it to act beside older reports of the others.
 //! It may die at any moment; the orders of all its lives stay on their way for ever.
+//!
+//! The other ranks may be read and ordered through a relay, which reads them in any order, answers without some of them, and
+//! may begin anew at any moment. Orders on their way are lost, doubled, delayed and reordered there as anywhere.
 
 use crate::search::{EventVisitor, ProtocolModel, SearchReport};
 use porthoist_policy::forward::{
@@ -30,6 +33,24 @@
     pub formations: u8,
     /// Whether the driver acts on single ranks' reports while it switches.
     pub single_reads: bool,
+    /// How the other ranks are reached through a relay; nothing if each is asked straight.
+    pub relay: Option<RelayRules>,
+}
+
+/// What a relay may do, and rules that the model checker breaks one at a time.
+#[derive(Debug, Clone, Copy)]
+pub struct RelayRules {
+    /// An earlier answer may come again for a later question.
+    pub answers_repeat: bool,
+    /// States in an answer name their formation, and the map and pass that a rank is armed for.
+    pub states_verbatim: bool,
+    /// Each state in an answer stands for the rank that it is of.
+    pub ranks_named: bool,
+}
+
+impl RelayRules {
+    /// The rules in force.
+    pub const SOUND: Self = Self { answers_repeat: false, states_verbatim: true, ranks_named: true };
 }
 
 /// One rank's engine.
@@ -99,6 +120,10 @@
     heard: Vec<RankView>,
     /// The last report of each rank while the driver switches; else none.
     kept: Vec<RankView>,
+    /// What the relay has read for the present question, by rank but for the first.
+    relayed: Vec<Option<RankView>>,
+    /// An earlier whole answer of the relay, where one may come again: the last that shows an armed rank.
+    answered: Vec<RankView>,
     orders: BTreeSet<(usize, EngineOrder)>,
     plans: u8,
     restarts: u8,
@@ -120,8 +145,10 @@
         }
     }
 
-    fn keep_while_switching(&mut self) {
-        if !self.driver.holding() {
+    fn keep_while_switching(&mut self, relayed: bool) {
+        // Through a relay, ranks may be missing at any stage of a switch.
+        let wanted = if relayed { self.driver.target().is_some() } else { self.driver.holding() };
+        if !wanted {
             self.kept.clear();
         }
     }
@@ -131,6 +158,14 @@
     }
 }
 
+/// What is left of a rank's state where an answer says only that it is armed, and not for what.
+fn unnamed(view: &mut RankView, first: &RankView, target: Option<MapVersion>) {
+    let (Some(version), Some(step), Some(_armed)) = (target, first.held, view.armed) else { return };
+    view.epoch = first.epoch;
+    view.prepared = Some(version);
+    view.armed = Some(ArmedMap { version, step });
+}
+
 fn epoch_of(order: EngineOrder) -> GroupEpoch {
     match order {
         EngineOrder::Prepare { epoch, .. }
@@ -148,7 +183,11 @@
     }
 
     fn driver_events(&self, state: &ForwardState, visit: EventVisitor<'_, ForwardState>) {
-        if state.heard.len() < self.ranks {
+        if let Some(rules) = self.relay
+            && state.heard.len() < self.ranks
+        {
+            self.relay_events(rules, state, visit);
+        } else if state.heard.len() < self.ranks {
             let mut next = state.clone();
             let rank = next.heard.len();
             next.heard.push(state.view(rank));
@@ -171,17 +210,17 @@
                 visit(format_args!("the driver drops its switch"), dropped);
             }
             next.orders.extend(next.driver.next(&views));
-            if self.single_reads {
+            if self.single_reads || self.relay.is_some() {
                 next.kept = views;
-                next.keep_while_switching();
+                next.keep_while_switching(self.relay.is_some());
             }
             visit(format_args!("the driver acts"), next);
         }
-        for rank in 0..state.kept.len() {
+        for rank in 0..if self.single_reads { state.kept.len() } else { 0 } {
             let mut next = state.clone();
             next.kept[rank] = state.view(rank);
             next.orders.extend(next.driver.next(&next.kept));
-            next.keep_while_switching();
+            next.keep_while_switching(false);
             visit(format_args!("the driver reads rank {rank} alone and acts"), next);
         }
         if state.restarts < self.restarts {
@@ -190,13 +229,97 @@
             next.driver = ForwardDriver::new(self.rules);
             next.heard.clear();
             next.kept.clear();
+            next.relayed.clear();
             visit(format_args!("the driver restarts"), next);
         }
     }
 
+    /// One question to the ranks: the first is read by the driver, the others by the relay.
+    fn relay_events(&self, rules: RelayRules, state: &ForwardState, visit: EventVisitor<'_, ForwardState>) {
+        if state.heard.is_empty() {
+            let mut next = state.clone();
+            next.heard.push(state.view(0));
+            next.relayed = vec![None; self.ranks - 1];
+            visit(format_args!("the driver reads rank 0 and asks the relay"), next);
+            return;
+        }
+        for (index, read) in state.relayed.iter().enumerate() {
+            if read.is_none() {
+                let mut next = state.clone();
+                next.relayed[index] = Some(state.view(index + 1));
+                visit(format_args!("the relay reads rank {}", index + 1), next);
+            }
+        }
+        let whole: Option<Vec<RankView>> = state.relayed.iter().copied().collect();
+        if let Some(views) = whole {
+            visit(format_args!("the relay answers"), self.relay_answered(state, views));
+        } else {
+            self.answer_in_part(state, visit);
+        }
+        if rules.answers_repeat && !state.answered.is_empty() {
+            let mut views = state.answered.clone();
+            if !rules.states_verbatim {
+                for view in &mut views {
+                    unnamed(view, &state.heard[0], state.driver.target());
+                }
+            }
+            visit(format_args!("the relay's last answer comes again"), self.relay_answered(state, views));
+        }
+        if !rules.ranks_named
+            && let Some(first) = state.relayed[0]
+        {
+            let views = vec![first; self.ranks - 1];
+            visit(format_args!("the relay answers with rank 1 for all"), self.relay_answered(state, views));
+        }
+        let mut lost = state.clone();
+        lost.heard.clear();
+        lost.relayed.clear();
+        visit(format_args!("the relay begins anew and its answer is lost"), lost);
+    }
+
+    fn relay_answered(&self, state: &ForwardState, views: Vec<RankView>) -> ForwardState {
+        let mut next = state.clone();
+        next.relayed.clear();
+        // The driver may be misled into a release only by an answer that shows armed ranks.
+        let armed = views.iter().all(|view| view.armed.is_some());
+        if self.relay.is_some_and(|rules| rules.answers_repeat) && armed {
+            next.answered.clone_from(&views);
+        }
+        next.heard.extend(views);
+        next
+    }
+
+    /// The relay answers without the ranks that it has not read: the driver keeps what it knew of them, and sends them no
+    /// prepares.
+    fn answer_in_part(&self, state: &ForwardState, visit: EventVisitor<'_, ForwardState>) {
+        let mut next = state.clone();
+        let first = next.heard.remove(0);
+        let read = std::mem::take(&mut next.relayed);
+        if next.kept.len() == self.ranks {
+            next.kept[0] = first;
+            for (view, read) in next.kept[1..].iter_mut().zip(&read) {
+                *view = read.unwrap_or(*view);
+            }
+            let heard = |rank: usize| rank == 0 || read[rank - 1].is_some();
+            let orders = next.driver.next(&next.kept);
+            next.orders.extend(
+                orders
+                    .into_iter()
+                    .filter(|(rank, order)| heard(*rank) || !matches!(order, EngineOrder::Prepare { .. })),
+            );
+            next.keep_while_switching(true);
+        }
+        visit(format_args!("the relay answers in part and the driver acts"), next);
+    }
+
+    /// Whether an engine takes an order for the present formation's.
+    fn reaches(&self, order: EngineOrder, epoch: GroupEpoch) -> bool {
+        !self.epochs_checked || epoch_of(order) == epoch
+    }
+
     fn group_events(&self, state: &ForwardState, visit: EventVisitor<'_, ForwardState>) {
         for &(rank, order) in &state.orders {
-            if self.epochs_checked && epoch_of(order) != state.epoch {
+            if !self.reaches(order, state.epoch) {
                 continue;
             }
             let mut next = state.clone();
@@ -238,6 +361,8 @@
             driver: ForwardDriver::new(self.rules),
             heard: Vec::new(),
             kept: Vec::new(),
+            relayed: Vec::new(),
+            answered: Vec::new(),
             orders: BTreeSet::new(),
             plans: 0,
             restarts: 0,
@@ -263,7 +388,7 @@
         // Where epochs are not looked at, a rank that crashes may yet take what it refuses now.
         let settled = self.epochs_checked || state.formations >= self.formations;
         state.orders.retain(|(rank, order)| {
-            if self.epochs_checked && epoch_of(*order) != epoch {
+            if !self.reaches(*order, epoch) {
                 return false;
             }
             match order {
--- a/crates/porthoist-spec/tests/spec.rs
+++ b/crates/porthoist-spec/tests/spec.rs
@@ -13,6 +13,8 @@
 #[test_case(5; "roll-forward switch")]
 #[test_case(6; "held groups")]
 #[test_case(7; "formations")]
+#[test_case(8; "relays")]
+#[test_case(9; "relays and formations")]
 fn holds(index: usize) {
     let model = &all_models(false)[index];
     let report = model.sound.search(LIMIT);
@@ -28,6 +30,8 @@
 #[test_case(5; "roll-forward switch")]
 #[test_case(6; "held groups")]
 #[test_case(7; "formations")]
+#[test_case(8; "relays")]
+#[test_case(9; "relays and formations")]
 fn mutants_are_caught(index: usize) {
     let model = &all_models(false)[index];
     for mutant in &model.mutants {
