--- a/porthoistd/src/settings/proxy.rs
+++ b/porthoistd/src/settings/proxy.rs
@@ -1,7 +1,7 @@
 //! Settings of the proxy role.
 
 use super::reader::{SettingError, SettingReader};
-use super::{ADDRESS, DaemonRole, MILLIS};
+use super::{ADDRESS, DaemonRole};
 use argh::FromArgs;
 use porthoist_core::{HostName, ZoneName};
 use porthoist_policy::proxy::targets::BeliefBound;
@@ -141,10 +141,10 @@
                 ADDRESS,
             )?,
             table: reader.value("table", args.table, None, ADDRESS)?,
-            revoke_millis: reader.value("revoke-ms", args.revoke_ms, Some("5000"), MILLIS)?,
+            revoke_millis: reader.millis("revoke-ms", args.revoke_ms, "5000")?,
             bound: BeliefBound::new(
-                reader.value("notice-ms", args.notice_ms, Some("3000"), MILLIS)?,
-                reader.value("leaving-ms", args.leaving_ms, Some("2000"), MILLIS)?,
+                reader.millis("notice-ms", args.notice_ms, "3000")?,
+                reader.millis("leaving-ms", args.leaving_ms, "2000")?,
             ),
             refuse_unproven: reader.value(
                 "refuse-unproven",
--- a/porthoistd/src/settings/reader.rs
+++ b/porthoistd/src/settings/reader.rs
@@ -7,6 +7,9 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
+/// The longest time that a setting may name, in milliseconds: an hour. Sums of some stay far from the largest number.
+const MOST_MILLIS: u64 = 3_600_000;
+
 /// A setting that can't be used.
 #[derive(Debug, thiserror::Error, Diagnostic)]
 #[error("setting --{flag} ({variable}): {given}")]
@@ -56,6 +59,19 @@
         text.parse().map_err(|_parse| Self::error(flag, format!("{text:?} given"), expected))
     }
 
+    /// A time in milliseconds of up to [`MOST_MILLIS`].
+    pub(super) fn millis(
+        &self,
+        flag: &'static str,
+        given: Option<String>,
+        default: &str,
+    ) -> Result<u64, SettingError> {
+        let expected = "milliseconds from 0 to 3600000";
+        let text = self.text(flag, given).unwrap_or_else(|| default.to_owned());
+        let in_range = text.parse().ok().filter(|millis| *millis <= MOST_MILLIS);
+        in_range.ok_or_else(|| Self::error(flag, format!("{text:?} given"), expected))
+    }
+
     /// A setting that may be left out.
     pub(super) fn optional<T: FromStr>(
         &self,
--- a/porthoistd/tests/settings.rs
+++ b/porthoistd/tests/settings.rs
@@ -1,5 +1,6 @@
 //! Settings in flags and environment variables.
 
+use porthoistd::settings::proxy::{ProxyArgs, ProxySettings};
 use porthoistd::settings::{DaemonArgs, DaemonSettings};
 use test_case::test_case;
 
@@ -51,3 +52,26 @@
     });
     assert_eq!(error.unwrap_err().to_string(), "setting --backend (PORTHOIST_BACKEND): not given");
 }
+
+/// Times near the largest number added up to a small one, or ended the process.
+#[test_case("notice-ms", ProxyArgs { notice_ms: Some(u64::MAX.to_string()), ..proxy_args() }; "notice")]
+#[test_case("leaving-ms", ProxyArgs { leaving_ms: Some((u64::MAX - 1).to_string()), ..proxy_args() }; "leaving")]
+#[test_case("revoke-ms", ProxyArgs { revoke_ms: Some("3600001".to_owned()), ..proxy_args() }; "revoke")]
+#[test_case("notice-ms", ProxyArgs { notice_ms: Some("-1".to_owned()), ..proxy_args() }; "negative")]
+fn a_time_that_is_out_of_range_is_an_error(flag: &str, args: ProxyArgs) {
+    let error = ProxySettings::load(args, |_name| None).unwrap_err().to_string();
+    assert!(error.starts_with(&format!("setting --{flag} ")), "{error}");
+    assert!(error.contains("given"), "{error}");
+}
+
+#[test]
+fn an_hour_is_in_range() {
+    let hour = Some("3600000".to_owned());
+    let args = ProxyArgs { notice_ms: hour.clone(), leaving_ms: hour, ..proxy_args() };
+    let settings = ProxySettings::load(args, |_name| None).unwrap();
+    assert_eq!(settings.bound.millis, 7_200_000 - 600);
+}
+
+fn proxy_args() -> ProxyArgs {
+    ProxyArgs { zone: Some("a".to_owned()), table: Some("127.0.0.1:9".to_owned()), ..ProxyArgs::default() }
+}
