Name the package of the operators' table by what it is; build a request's course by names

porthoist-platform, the client and wire of the table of the product's own operators, stood beside the folder platform/ and was taken for it: it is porthoist-table now. RequestCourse, with seven parts, has a builder. A rank's process that stops planning forgets its group's hosts.

--- a/crates/porthoist-fleet/src/digest.rs
+++ b/crates/porthoist-fleet/src/digest.rs
@@ -1,8 +1,8 @@
 //! What two entries tell each other in one exchange.
 
 use porthoist_core::{TargetName, ZoneName};
-use porthoist_platform::HostEntry;
 use porthoist_policy::adoption::ConfigChange;
+use porthoist_table::HostEntry;
 
 /// A bounded summary of what one process knows.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/porthoist-operator/src/edit.rs
+++ b/crates/porthoist-operator/src/edit.rs
@@ -1,9 +1,9 @@
 //! Edits of the operators' table: conditional, whole or not at all, and read back when the answer is lost.
 
 use porthoist_core::RunVerdict;
-use porthoist_platform::{CONFIG_PREFIX, CallError, PlatformClient, TableWrite, TransactAnswer, WriteResult};
 use porthoist_policy::adoption::ConfigChange;
 use porthoist_policy::table::{CellError, RowCells, RowKey, TableRow};
+use porthoist_table::{CONFIG_PREFIX, CallError, PlatformClient, TableWrite, TransactAnswer, WriteResult};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -177,7 +177,7 @@
 }
 
 /// Reads a change of configuration from the table's feed; rows that can't be read are left as they are in force.
-pub fn config_change(feed: porthoist_platform::ChangeFeed) -> (ConfigChange, Vec<String>) {
+pub fn config_change(feed: porthoist_table::ChangeFeed) -> (ConfigChange, Vec<String>) {
     let mut rows = Vec::with_capacity(feed.items.len());
     let mut unreadable = Vec::new();
     for item in feed.items {
--- a/crates/porthoist-proxy/src/course.rs
+++ b/crates/porthoist-proxy/src/course.rs
@@ -95,8 +95,10 @@
     }
 }
 
+#[bon::bon]
 impl RequestCourse {
     /// Joins the parts of a course.
+    #[builder]
     pub fn new(
         settings: CourseSettings,
         codec: Rc<dyn WireCodec>,
@@ -123,7 +125,9 @@
             logger,
         })
     }
+}
 
+impl RequestCourse {
     /// Requests whose answer is not at its end.
     pub fn in_flight(&self) -> u64 {
         self.in_flight.get()
--- a/crates/porthoist-scenario/src/backend.rs
+++ b/crates/porthoist-scenario/src/backend.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use porthoist_core::{AnswerHead, RefusalReason, RunVerdict};
-use porthoist_platform::CallError;
+use porthoist_table::CallError;
 use porthoist_target::runner::{DONE_MARK, EnginePace};
 use porthoist_target::{BackendRunner, LogEnd, RunJob};
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/crates/porthoist-scenario/src/platform.rs
+++ b/crates/porthoist-scenario/src/platform.rs
@@ -1,7 +1,7 @@
 //! The platform in memory: a table with outages, lost answers and a network that can be cut.
 
 use bytes::Bytes;
-use porthoist_platform::{
+use porthoist_table::{
     CallError, ChangeFeed, HostEntry, HostFeed, ItemRead, PlatformClient, PlatformFuture, TableWrite,
     TransactAnswer, WriteResult,
 };
--- a/crates/porthoist-scenario/src/world/ports.rs
+++ b/crates/porthoist-scenario/src/world/ports.rs
@@ -15,11 +15,11 @@
     TargetName, TeamName, TicketText, UnixDeadline,
 };
 use porthoist_operator::edit::config_change;
-use porthoist_platform::{CLAIM_PREFIX, CONFIG_PREFIX, PlatformClient, TableWrite, WriteResult};
 use porthoist_policy::adoption::ConfigState;
 use porthoist_policy::claim::{ClaimEvent, ClaimRow, VersionedClaim};
 use porthoist_policy::router::{RouteQuery, Router};
 use porthoist_policy::table::{RowKey, RowKind, ServiceRow, TableRow, TeamRow};
+use porthoist_table::{CLAIM_PREFIX, CONFIG_PREFIX, PlatformClient, TableWrite, WriteResult};
 use porthoist_target::log::LogNews;
 use porthoist_target::offers::{MintTickets, OfferAbandoned, OfferRequest};
 use porthoist_target::{LogEnd, LogFollower};
--- a/crates/porthoist-standin/src/platform.rs
+++ b/crates/porthoist-standin/src/platform.rs
@@ -7,10 +7,8 @@
 use hyper::{Method, Request, StatusCode};
 use porthoist_http::body::typed_response;
 use porthoist_http::{HttpResponse, json_response, text_response};
-use porthoist_platform::wire::TransactRequest;
-use porthoist_platform::{
-    ChangeFeed, HostEntry, HostFeed, ItemRead, TableWrite, TransactAnswer, WriteResult,
-};
+use porthoist_table::wire::TransactRequest;
+use porthoist_table::{ChangeFeed, HostEntry, HostFeed, ItemRead, TableWrite, TransactAnswer, WriteResult};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::BTreeMap;
--- a/crates/porthoist-platform/src/lib.rs
+++ b/crates/porthoist-table/src/lib.rs
@@ -1,4 +1,5 @@
-//! The platform as a peer: table service, object store and host list.
+//! The table of the product's own operators as a peer: table service, object store and host list, as the roles `entry`, `target`
+//! and `local` speak to them. The Rambursa Turist platform is another one: see the package porthoist-turist.
 //!
 //! Everything that must last lives there. The service is behind the [`PlatformClient`] trait, so that another wire
 //! changes this package only.
--- a/porthoistd/src/duty/entry_fleet.rs
+++ b/porthoistd/src/duty/entry_fleet.rs
@@ -18,7 +18,7 @@
 };
 use porthoist_fleet::{FleetError, FleetPeer};
 use porthoist_metrics::MetricsHub;
-use porthoist_platform::{HostEntry, HostRole};
+use porthoist_table::{HostEntry, HostRole};
 use slog::Logger;
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
--- a/porthoistd/src/duty/entry_fleet/gossip.rs
+++ b/porthoistd/src/duty/entry_fleet/gossip.rs
@@ -7,10 +7,10 @@
 use porthoist_core::{LoadReport, RequestOffer, TeamName, TicketText, UnixDeadline};
 use porthoist_core::{OfferOutcome, RefusalReason, RunVerdict, TargetName};
 use porthoist_fleet::{FleetDigest, FleetError, FleetHandler, FleetPeer, FrameOutlet, HandlerFuture};
-use porthoist_platform::HostEntry;
 use porthoist_policy::adoption::AdoptOutcome;
 use porthoist_policy::limits::keeper::{SettleAsk, SettleTold};
 use porthoist_policy::switch::{LeaderMessage, RankReply};
+use porthoist_table::HostEntry;
 use slog::info;
 use std::time::Duration;
 
--- a/porthoistd/src/duty/entry_fleet/targets.rs
+++ b/porthoistd/src/duty/entry_fleet/targets.rs
@@ -5,9 +5,9 @@
 use porthoist_core::offer::TargetHello;
 use porthoist_core::{TargetName, UnixMillis};
 use porthoist_fleet::{FleetDigest, FleetError, FleetPeer};
-use porthoist_platform::{HostEntry, HostState};
 use porthoist_policy::membership::{MemberDigest, MemberTable, ProcessLife};
 use porthoist_policy::router::RouteTarget;
+use porthoist_table::{HostEntry, HostState};
 use slog::{info, warn};
 use std::time::Duration;
 
--- a/porthoistd/src/duty/entry_fleet/view.rs
+++ b/porthoistd/src/duty/entry_fleet/view.rs
@@ -4,7 +4,7 @@
 use porthoist_core::offer::TargetHello;
 use porthoist_core::{LoadReport, TargetName, ZoneName};
 use porthoist_operator::{NodeStatus, TargetStatus};
-use porthoist_platform::{HostEntry, HostRole};
+use porthoist_table::{HostEntry, HostRole};
 use std::collections::BTreeMap;
 
 #[derive(Debug, Default)]
--- a/porthoistd/src/duty/group.rs
+++ b/porthoistd/src/duty/group.rs
@@ -12,10 +12,10 @@
 use porthoist_group::{
     GroupEngine as _, GroupPlanner, HttpGroupEngine, MapSource, RankLink, SwitchOutcome, switch_group,
 };
-use porthoist_platform::{CallError, HttpPlatform, PlatformClient as _};
 use porthoist_policy::placement::map::ExpertMap;
 use porthoist_policy::switch::{KeptRank, LeaderBallot, LeaderMessage, MapVersion, RankReply};
 use porthoist_policy::table::{PolicyRow, RowKey, RowKind, TableRow};
+use porthoist_table::{CallError, HttpPlatform, PlatformClient as _};
 use slog::{Logger, info, warn};
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/porthoistd/src/duty/platform.rs
+++ b/porthoistd/src/duty/platform.rs
@@ -3,9 +3,9 @@
 use crate::config::ConfigHub;
 use porthoist_core::{RunVerdict, TargetName};
 use porthoist_operator::edit::config_change;
-use porthoist_platform::{CONFIG_PREFIX, HostEntry, HostRole, PlatformClient, SNAPSHOT_OBJECT};
 use porthoist_policy::adoption::{AdoptOutcome, ConfigChange};
 use porthoist_policy::membership::rendezvous_score;
+use porthoist_table::{CONFIG_PREFIX, HostEntry, HostRole, PlatformClient, SNAPSHOT_OBJECT};
 use rand::RngExt as _;
 use slog::{Logger, info, warn};
 use std::sync::Arc;
--- a/porthoistd/src/duty/rank.rs
+++ b/porthoistd/src/duty/rank.rs
@@ -199,6 +199,7 @@
         self.note_read();
         if own.state.rank != 0 || !own.state.open {
             self.planner = None;
+            self.group = None;
             self.loads.send_if_modified(|loads| loads.take().is_some());
             return if own.state.rank == 0 { WAIT_MILLIS } else { IDLE_MILLIS };
         }
--- a/porthoistd/src/role.rs
+++ b/porthoistd/src/role.rs
@@ -12,7 +12,7 @@
 use porthoist_core::IncarnationId;
 use porthoist_metrics::MetricsHub;
 use porthoist_operator::{OperatorServer, TableEditor};
-use porthoist_platform::{HostEntry, HostRole, HostState, HttpPlatform};
+use porthoist_table::{HostEntry, HostRole, HostState, HttpPlatform};
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::sync::Arc;
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -196,15 +196,15 @@
             window_millis: self.settings.retry_window_millis,
         };
         let settings = CourseSettings::builder().proof(self.proof).share(share).build();
-        RequestCourse::new(
-            settings,
-            Rc::new(TuristCodec),
-            self.state.subscribe(),
-            PlaceBroker::new(board, Arc::clone(&self.clock)),
-            Arc::clone(&self.clock),
-            Arc::clone(&self.metrics),
-            self.logger.clone(),
-        )
+        RequestCourse::builder()
+            .settings(settings)
+            .codec(Rc::new(TuristCodec))
+            .state(self.state.subscribe())
+            .broker(PlaceBroker::new(board, Arc::clone(&self.clock)))
+            .clock(Arc::clone(&self.clock))
+            .metrics(Arc::clone(&self.metrics))
+            .logger(self.logger.clone())
+            .build()
     }
 }
 
--- a/porthoistd/src/role/target.rs
+++ b/porthoistd/src/role/target.rs
@@ -15,10 +15,10 @@
 use porthoist_fleet::serve_fleet;
 use porthoist_group::{HttpGroupEngine, RankDriver};
 use porthoist_metrics::MetricsHub;
-use porthoist_platform::{HostEntry, HostRole, HttpPlatform};
 use porthoist_policy::admission::AdmissionSettings;
 use porthoist_policy::explain::DecisionLog;
 use porthoist_policy::placement::map::RankId;
+use porthoist_table::{HostEntry, HostRole, HttpPlatform};
 use porthoist_target::{HttpRunner, OffersActor, OffersSettings};
 use slog::{Logger, info, o};
 use std::io;
