--- a/crates/porthoist-proxy/tests/shared.rs
+++ b/crates/porthoist-proxy/tests/shared.rs
@@ -605,3 +605,33 @@
     })
     .await;
 }
+
+/// Questions that went out in the last moments of a silent outage get no answer, though the service is back. A change that
+/// was accepted then must be in force within what operators allow after the return.
+const IN_FORCE_MILLIS: u64 = 2_000;
+
+#[test_case(0; "entries that ask for themselves")]
+#[test_case(2; "entries that ask others")]
+#[tokio::test(start_paused = true)]
+async fn a_change_of_the_last_moments_of_a_silence_is_in_force_in_time(readers: usize) {
+    play(async || {
+        for outage in [1_300, 2_700, 3_300, 3_900, 4_700, 6_100] {
+            let zone = Deployment::start(6, readers).await;
+            zone.service.set_silent(true);
+            sleep(Duration::from_millis(outage)).await;
+            zone.service.put("a", b"changed");
+            let newest = *zone.service.version.borrow();
+            sleep(Duration::from_millis(40)).await;
+            zone.service.set_silent(false);
+            let adopted = |entry: &Entry| {
+                let state = entry.state.borrow();
+                state.routes.as_ref().is_some_and(|routes| routes.version == ConfigVersion(newest))
+            };
+            let took = zone.until_all(adopted).await;
+            // A question that waits when its connection falls silent is given up after 4.2 s.
+            let waited = 4_200_u64.saturating_sub(outage);
+            assert!(took <= IN_FORCE_MILLIS + waited, "{took} ms after an outage of {outage} ms");
+        }
+    })
+    .await;
+}
