--- a/crates/porthoist-group/src/reach.rs
+++ b/crates/porthoist-group/src/reach.rs
@@ -87,22 +87,29 @@
     pub prepares: RefCell<AnswerPatience>,
     /// Other orders.
     pub orders: RefCell<AnswerPatience>,
+    order_floor: Duration,
 }
 
 impl Default for GroupPatience {
     fn default() -> Self {
-        let reading = || RefCell::new(AnswerPatience::new(READING_FLOOR));
+        Self::at_least(READING_FLOOR, ORDER_FLOOR)
+    }
+}
+
+impl GroupPatience {
+    /// Patience of at least so long with readings, and with orders that move no experts.
+    pub fn at_least(reading_floor: Duration, order_floor: Duration) -> Self {
+        let reading = || RefCell::new(AnswerPatience::new(reading_floor));
         Self {
             states: reading(),
             counts: reading(),
             lists: reading(),
             prepares: reading(),
-            orders: RefCell::new(AnswerPatience::without_doubling(ORDER_FLOOR)),
+            orders: RefCell::new(AnswerPatience::without_doubling(order_floor)),
+            order_floor,
         }
     }
-}
 
-impl GroupPatience {
     /// That with a question about states.
     pub fn with_states(&self, counts: bool) -> &RefCell<AnswerPatience> {
         if counts { &self.counts } else { &self.states }
@@ -117,7 +124,7 @@
         // An order goes the way of a question about states, and asks the engine twice. Without that, orders that always
         // took longer than the least time would teach nothing.
         let reading = self.states.borrow().usual() * 2;
-        self.orders.borrow_mut().set_floor(ORDER_FLOOR.max(reading));
+        self.orders.borrow_mut().set_floor(self.order_floor.max(reading));
         &self.orders
     }
 }
@@ -135,6 +142,12 @@
         Self { links, patience: GroupPatience::default() }
     }
 
+    /// The same with another patience.
+    #[must_use]
+    pub fn with_patience(self, patience: GroupPatience) -> Self {
+        Self { patience, ..self }
+    }
+
     /// Waits for the answers of some ranks; of those that do not come in time the connection is left.
     async fn ask<T>(
         &self,
