--- a/crates/porthoist-lab/src/capacity.rs
+++ b/crates/porthoist-lab/src/capacity.rs
@@ -16,6 +16,8 @@
 use porthoist_policy::gate::{GateKey, GateMachine, GateOffer};
 use porthoist_policy::limits::keeper::{LimitKeeper, SettleAsk};
 use porthoist_policy::limits::{EntryLimiter, TeamLimit};
+use porthoist_policy::placement::even::{EvenBounds, EvenMap, improve};
+use porthoist_policy::placement::map::ExpertId;
 use porthoist_policy::placement::{GroupEstimate, PlannerSettings, place_anew, plan};
 use porthoist_policy::router::{PREFIX_CAPACITY, RouteQuery, RouteTarget, Router, RouterSettings};
 use porthoist_policy::table::{RowKey, RowKind, TableRow, TeamRow};
@@ -324,5 +326,42 @@
     let planned = micros_each(5, |_round| {
         black_box(plan(&map, &estimate, &settings));
     });
-    vec![slope("placement: plan for 64 ranks and 128 experts after a jump", "us", planned)]
+    let mut slopes = vec![slope("placement: plan for 64 ranks and 128 experts after a jump", "us", planned)];
+    slopes.extend(even_maps());
+    slopes
+}
+
+/// Ranks of the groups that expert maps are planned for.
+const GROUP_RANKS: [(usize, &str); 3] = [
+    (24, "expert maps: plan for 24 ranks after a shift, 16 sets of 258 experts"),
+    (63, "expert maps: plan for 63 ranks after a shift, 16 sets of 258 experts"),
+    (129, "expert maps: plan for 129 ranks after a shift, 16 sets of 258 experts"),
+];
+/// Sets, and experts in each.
+const SETS: usize = 16;
+const SET_EXPERTS: usize = 258;
+
+/// One plan after half of the demand went to other experts, with two copies a rank.
+fn even_maps() -> Vec<CapacitySlope> {
+    let timed = |(ranks, name): (usize, &'static str)| {
+        let places = SET_EXPERTS.div_ceil(ranks) + 1;
+        let held = |rank: usize| {
+            (0..places).map(|place| ExpertId(((place * ranks + rank) % SET_EXPERTS) as u16)).collect()
+        };
+        let map = EvenMap::new(vec![(0..ranks).map(held).collect(); SETS]);
+        let demand: Vec<Vec<f64>> = (0..SETS).map(shifted_demand).collect();
+        let bounds = EvenBounds { places, spare: 2, new_a_rank: 2, move_price: 0.6 / ranks as f64 };
+        let micros = micros_each(5, |_round| {
+            black_box(improve(&map, &demand, &[], &bounds));
+        });
+        slope(name, "us", micros)
+    };
+    GROUP_RANKS.into_iter().map(timed).collect()
+}
+
+/// A few experts of a set get much of its demand.
+fn shifted_demand(set: usize) -> Vec<f64> {
+    let weight = |expert: usize| 1.0 / (1.0 + ((expert * 7 + set * 31) % SET_EXPERTS) as f64);
+    let total: f64 = (0..SET_EXPERTS).map(weight).sum();
+    (0..SET_EXPERTS).map(|expert| weight(expert) / total).collect()
 }
