--- a/crates/porthoist-core/src/quantity.rs
+++ b/crates/porthoist-core/src/quantity.rs
@@ -54,6 +54,13 @@
     "tok"
 );
 
+count_type!(
+    /// When one life of a target began, in Unix milliseconds by its own clock.
+    BirthMillis,
+    "start in Unix milliseconds",
+    "ms"
+);
+
 /// Requests a second.
 #[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
 pub struct RequestRate(pub f64);
--- a/crates/porthoist-group/src/links.rs
+++ b/crates/porthoist-group/src/links.rs
@@ -2,6 +2,7 @@
 //! beside the others.
 
 use futures::future::LocalBoxFuture;
+use porthoist_core::BirthMillis;
 use porthoist_http::CallError;
 use porthoist_policy::forward::{EngineOrder, RankState, RankView};
 use porthoist_policy::placement::even::EvenMap;
@@ -12,6 +13,8 @@
 /// What an engine's own requests chose since it started, by set and expert.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ChoiceCounts {
+    /// When this life of the engine began.
+    pub born: BirthMillis,
     /// Counts, set after set.
     pub counts: Vec<u64>,
 }
--- a/crates/porthoist-lab/src/overload/rule.rs
+++ b/crates/porthoist-lab/src/overload/rule.rs
@@ -3,7 +3,7 @@
 use super::callers::PlayedCaller;
 use super::group::KnownLoads;
 use super::{LATENCY_MILLIS, deadline};
-use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis};
+use porthoist_core::{BirthMillis, ServiceName, TargetName, UnixDeadline, UnixMillis};
 use porthoist_policy::proxy::desk::{DeskAnswer, PlaceDemand, PlaceDesk};
 use porthoist_policy::proxy::loads::{GroupLoads, LoadRevision, RankLoad};
 use porthoist_policy::proxy::placement::{BoardSettings, RequestWork, SendOutcome};
@@ -132,6 +132,7 @@
             BoardSettings::builder().zone(zone.clone()).per_rank(3).rank_limit(slots).seed(seed).build();
         let record = |rank: usize| TargetRecord {
             id: target(rank),
+            born: BirthMillis::default(),
             service: service.clone(),
             address: (host(rank), 9).into(),
             zone: zone.clone(),
@@ -139,7 +140,7 @@
             state: TargetState::Ready,
         };
         let mut book = TargetBook::default();
-        book.listed((0..ranks).map(record).collect(), None);
+        book.listed((0..ranks).map(record), None);
         let mut desk = PlaceDesk::new(settings);
         desk.sync(&book);
         let random = Pcg64Mcg::seed_from_u64(seed);
@@ -199,7 +200,7 @@
         let outcome =
             if answered { SendOutcome::Answered(held_millis as f64) } else { SendOutcome::Abandoned };
         let service = self.service.clone();
-        self.desk.ended(&service, &target(rank), RequestWork::default(), outcome, held_millis, now);
+        self.desk.ended(&service, &target(rank).into(), RequestWork::default(), outcome, held_millis, now);
     }
 
     fn began(&mut self, millis: u64, now: UnixMillis) {
@@ -213,7 +214,7 @@
     fn returned(&mut self, rank: usize, now: UnixMillis) {
         self.desk.refused(&self.service, now);
         let service = self.service.clone();
-        self.desk.ended(&service, &target(rank), RequestWork::default(), SendOutcome::Shed, 0, now);
+        self.desk.ended(&service, &target(rank).into(), RequestWork::default(), SendOutcome::Shed, 0, now);
     }
 
     fn return_millis(&mut self, deadline: UnixDeadline, now: UnixMillis) -> u64 {
--- a/crates/porthoist-policy/src/proxy/desk.rs
+++ b/crates/porthoist-policy/src/proxy/desk.rs
@@ -6,7 +6,7 @@
 use super::forecast::{PlaceAsk, PlaceForecast, ServiceForecast};
 use super::loads::GroupLoads;
 use super::placement::{BoardSettings, ChosenTarget, LoadBoard, RequestWork, SendOutcome};
-use super::targets::TargetBook;
+use super::targets::{TargetBook, TargetLife};
 use super::waiting::{RequestTurn, WaitList};
 use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis};
 use std::collections::HashMap;
@@ -162,7 +162,7 @@
     pub fn ended(
         &mut self,
         service: &ServiceName,
-        target: &TargetName,
+        target: &TargetLife,
         work: RequestWork,
         outcome: SendOutcome,
         held_millis: u64,
@@ -216,7 +216,7 @@
     }
 
     /// Requests of this process at a target.
-    pub fn in_flight(&self, target: &TargetName) -> u32 {
+    pub fn in_flight(&self, target: &TargetLife) -> u32 {
         self.board.in_flight(target)
     }
 
--- a/crates/porthoist-policy/src/proxy/placement.rs
+++ b/crates/porthoist-policy/src/proxy/placement.rs
@@ -5,7 +5,7 @@
 
 use super::loads::{GroupLoads, OthersLoad};
 use super::spread::choose_by_level;
-use super::targets::{TargetBook, TargetRecord, TargetState};
+use super::targets::{TargetBook, TargetLife, TargetRecord, TargetState};
 use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis, ZoneName};
 use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, Ipv4Addr};
@@ -218,7 +218,7 @@
 pub struct LoadBoard {
     settings: BoardSettings,
     /// In a fixed order, so that the same seed makes the same choices.
-    loads: BTreeMap<TargetName, TargetLoad>,
+    loads: BTreeMap<TargetLife, TargetLoad>,
     /// Part of the requests in a service's groups that this process sent, as reports showed it.
     shares: HashMap<ServiceName, f64>,
     turn: u64,
@@ -230,22 +230,22 @@
         Self { settings, loads: BTreeMap::new(), shares: HashMap::new(), turn: 0 }
     }
 
-    /// Takes the targets believed in now. What is in flight at a target that is gone is still counted.
+    /// Takes the targets believed in now. What is in flight at a target that is gone, or at an earlier life of one, is still
+    /// counted there.
     pub fn sync(&mut self, book: &TargetBook) {
-        let known: HashMap<&TargetName, &Arc<TargetRecord>> =
-            book.records().map(|record| (&record.id, record)).collect();
-        self.loads.retain(|id, load| known.contains_key(id) || load.in_flight > 0);
-        for (id, load) in &mut self.loads {
-            if let Some(record) = known.get(id) {
+        let known: HashMap<TargetLife, &Arc<TargetRecord>> =
+            book.records().map(|record| (record.life(), record)).collect();
+        self.loads.retain(|life, load| known.contains_key(life) || load.in_flight > 0);
+        for (life, load) in &mut self.loads {
+            if let Some(record) = known.get(life) {
                 load.record = Arc::clone(record);
                 continue;
             }
             let record = TargetRecord { state: TargetState::Draining, ..(*load.record).clone() };
             load.record = Arc::new(record);
         }
-        for record in book.records() {
-            let load = || TargetLoad::new(Arc::clone(record));
-            self.loads.entry(record.id.clone()).or_insert_with(load);
+        for (life, record) in known {
+            self.loads.entry(life).or_insert_with(|| TargetLoad::new(Arc::clone(record)));
         }
     }
 
@@ -293,12 +293,12 @@
     /// Takes the end of a send. Returns whether the target gets nothing for a while from now on.
     pub fn ended(
         &mut self,
-        id: &TargetName,
+        life: &TargetLife,
         work: RequestWork,
         outcome: SendOutcome,
         now: UnixMillis,
     ) -> bool {
-        let Some(load) = self.loads.get_mut(id) else { return false };
+        let Some(load) = self.loads.get_mut(life) else { return false };
         load.in_flight = load.in_flight.saturating_sub(1);
         load.tokens = load.tokens.saturating_sub(work.prompt_tokens);
         match outcome {
@@ -363,8 +363,8 @@
     }
 
     /// Requests in flight at a target.
-    pub fn in_flight(&self, id: &TargetName) -> u32 {
-        self.loads.get(id).map_or(0, |load| load.in_flight)
+    pub fn in_flight(&self, life: &TargetLife) -> u32 {
+        self.loads.get(life).map_or(0, |load| load.in_flight)
     }
 
     /// Median of the targets' mean answer times.
--- a/crates/porthoist-policy/src/proxy/targets.rs
+++ b/crates/porthoist-policy/src/proxy/targets.rs
@@ -1,13 +1,16 @@
 //! The targets that serve a service, as the table last showed them.
 //!
 //! An address serves one life of a target at a time: a newer row at an address ends the older one's target, whose own row may
-//! stay for seconds. After all hosts had lost power, a third of all sends went to lives that were over.
+//! stay for seconds. After all hosts had lost power, a third of all sends went to lives that were over. Rows of other
+//! writers end nobody: where services are known, only a row of one of them does.
+//!
+//! A target may start again under the identifier that it had. That is another life, of which nothing is known.
 //!
 //! A row that is missing in a listing is gone, unless the table service was away just before: then the row gets a
 //! short grace, since the target may not have registered again yet.
 
-use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis, ZoneName};
-use std::collections::HashMap;
+use porthoist_core::{BirthMillis, ServiceName, TargetName, UnixDeadline, UnixMillis, ZoneName};
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -74,11 +77,29 @@
     Draining,
 }
 
+/// Names one life of a target: what was seen of another life says nothing of it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TargetLife {
+    /// The target.
+    pub id: TargetName,
+    /// When this life began.
+    pub born: BirthMillis,
+}
+
+impl From<TargetName> for TargetLife {
+    /// The only life of a target whose restarts have new identifiers.
+    fn from(id: TargetName) -> Self {
+        Self { id, born: BirthMillis::default() }
+    }
+}
+
 /// One life of a target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetRecord {
-    /// Identifier of this life; a restart has a new one.
+    /// Identifier; a restart may have the same one.
     pub id: TargetName,
+    /// When this life began; the same for all where a restart always has a new identifier.
+    pub born: BirthMillis,
     /// The service it runs.
     pub service: ServiceName,
     /// Where it listens.
@@ -91,6 +112,13 @@
     pub state: TargetState,
 }
 
+impl TargetRecord {
+    /// The life that it is about.
+    pub fn life(&self) -> TargetLife {
+        TargetLife { id: self.id.clone(), born: self.born }
+    }
+}
+
 /// A change of one row.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TargetChange {
@@ -98,6 +126,24 @@
     Put(TargetRecord),
     /// The row was removed.
     Gone(TargetName),
+    /// The row can't be read: it names no target to use, and unlike one that is missing it has no grace.
+    Unusable(TargetName),
+}
+
+impl From<TargetRecord> for TargetChange {
+    fn from(record: TargetRecord) -> Self {
+        Self::Put(record)
+    }
+}
+
+impl TargetChange {
+    /// The target.
+    pub fn id(&self) -> &TargetName {
+        match self {
+            Self::Put(record) => &record.id,
+            Self::Gone(id) | Self::Unusable(id) => id,
+        }
+    }
 }
 
 /// What a process believes of all targets.
@@ -105,46 +151,58 @@
 pub struct TargetBook {
     records: HashMap<TargetName, Arc<TargetRecord>>,
     missing: HashMap<TargetName, UnixDeadline>,
+    /// Services that routes are known for; empty while none are.
+    named: HashSet<ServiceName>,
 }
 
 impl TargetBook {
+    /// Takes the services that are configured from now on. Returns whether others were named before and a target of none of
+    /// them is known: what its row ended may hold after all.
+    pub fn name_services(&mut self, services: impl IntoIterator<Item = ServiceName>) -> bool {
+        let services: HashSet<ServiceName> = services.into_iter().collect();
+        let news = services != self.named;
+        self.named = services;
+        news && self.records.values().any(|record| !self.named.contains(&record.service))
+    }
+
     /// Takes a whole listing, older rows before newer ones. Rows that it lacks are gone, or at `grace` where the service has
     /// just come back.
-    pub fn listed(&mut self, rows: Vec<TargetRecord>, grace: Option<UnixDeadline>) {
-        let newest: HashMap<SocketAddr, TargetName> =
-            rows.iter().map(|record| (record.address, record.id.clone())).collect();
-        let alive = rows.into_iter().filter(|record| newest[&record.address] == record.id);
-        let mut listed: HashMap<TargetName, Arc<TargetRecord>> =
-            alive.map(|record| (record.id.clone(), Arc::new(record))).collect();
-        self.missing.retain(|id, _deadline| !listed.contains_key(id));
-        for (id, record) in self.records.drain() {
-            if listed.contains_key(&id) || newest.contains_key(&record.address) {
-                continue;
-            }
-            let Some(deadline) = grace else {
-                self.missing.remove(&id);
-                continue;
-            };
-            self.missing.entry(id.clone()).or_insert(deadline);
-            listed.insert(id, record);
+    pub fn listed<R>(&mut self, rows: impl IntoIterator<Item = R>, grace: Option<UnixDeadline>)
+    where
+        R: Into<TargetChange>,
+    {
+        let rows: Vec<TargetChange> = rows.into_iter().map(Into::into).collect();
+        let seen: HashSet<TargetName> = rows.iter().map(TargetChange::id).cloned().collect();
+        let lacking: Vec<TargetName> =
+            self.records.keys().filter(|id| !seen.contains(*id)).cloned().collect();
+        for id in lacking {
+            self.removed(id, grace);
         }
-        self.records = listed;
+        // A row that the listing lacks does not outlive another life at its address.
+        self.changed(rows, grace);
     }
 
     /// Takes changes in their order. `grace` is as in [`Self::listed`].
     pub fn changed(&mut self, changes: Vec<TargetChange>, grace: Option<UnixDeadline>) {
         for change in changes {
             match change {
-                TargetChange::Put(record) => {
-                    self.missing.remove(&record.id);
-                    self.records.retain(|id, known| known.address != record.address || *id == record.id);
-                    self.records.insert(record.id.clone(), Arc::new(record));
-                }
+                TargetChange::Put(record) => self.put(record),
                 TargetChange::Gone(id) => self.removed(id, grace),
+                TargetChange::Unusable(id) => self.removed(id, None),
             }
         }
     }
 
+    fn put(&mut self, record: TargetRecord) {
+        self.missing.remove(&record.id);
+        if self.named.is_empty() || self.named.contains(&record.service) {
+            let ended = |known: &TargetRecord| known.address == record.address && known.id != record.id;
+            self.missing.retain(|id, _deadline| !self.records.get(id).is_some_and(|known| ended(known)));
+            self.records.retain(|_id, known| !ended(known));
+        }
+        self.records.insert(record.id.clone(), Arc::new(record));
+    }
+
     fn removed(&mut self, id: TargetName, grace: Option<UnixDeadline>) {
         if let Some(deadline) = grace
             && self.records.contains_key(&id)
--- a/crates/porthoist-policy/tests/policy/loads.rs
+++ b/crates/porthoist-policy/tests/policy/loads.rs
@@ -1,12 +1,12 @@
 //! Placement by the loads that a group's engines report.
 
-use porthoist_core::{ServiceName, UnixMillis};
+use porthoist_core::{BirthMillis, ServiceName, TargetName, UnixMillis};
 use porthoist_policy::forward::RankPace;
 use porthoist_policy::proxy::loads::{GroupLoads, LoadRevision, REPORT_MILLIS, RankLoad, weighed_requests};
 use porthoist_policy::proxy::placement::{
     BoardSettings, LoadBoard, ReportedRequests, RequestWork, SendOutcome,
 };
-use porthoist_policy::proxy::targets::{TargetBook, TargetRecord, TargetState};
+use porthoist_policy::proxy::targets::{TargetBook, TargetLife, TargetRecord, TargetState};
 use std::net::Ipv4Addr;
 use test_case::test_case;
 
@@ -21,9 +21,14 @@
     Ipv4Addr::new(10, 0, 0, rank as u8)
 }
 
+fn life(id: &str) -> TargetLife {
+    TargetLife::from(id.parse::<TargetName>().unwrap())
+}
+
 fn board(ranks: usize, seed: u64) -> LoadBoard {
     let record = |rank: usize| TargetRecord {
         id: format!("t{rank}").parse().unwrap(),
+        born: BirthMillis::default(),
         service: service(),
         address: (host(rank), 80).into(),
         zone: "a".parse().unwrap(),
@@ -31,7 +36,7 @@
         state: TargetState::Ready,
     };
     let mut book = TargetBook::default();
-    book.listed((0..ranks).map(record).collect(), None);
+    book.listed((0..ranks).map(record), None);
     let settings = BoardSettings::builder()
         .zone("a".parse().unwrap())
         .per_rank(PER_RANK)
@@ -70,8 +75,7 @@
     assert_eq!(place(&mut board, 0), Some(0));
     board.take_loads(&loads(&[RANK_LIMIT]), UnixMillis(10));
     assert_eq!(place(&mut board, 10), None);
-    let id = "t0".parse().unwrap();
-    board.ended(&id, RequestWork::default(), SendOutcome::Answered(1.0), UnixMillis(20));
+    board.ended(&life("t0"), RequestWork::default(), SendOutcome::Answered(1.0), UnixMillis(20));
     assert_eq!(place(&mut board, 20), Some(0), "the others have seven there");
     assert_eq!(place(&mut board, 20), None);
 }
@@ -138,7 +142,7 @@
     }
     let gone = UnixMillis(10_000 + REPORT_MILLIS);
     assert_eq!(place(&mut board, gone.0), None, "a sixth of {RANK_LIMIT} is two at each, and four are there");
-    board.ended(&"t0".parse().unwrap(), RequestWork::default(), SendOutcome::Abandoned, gone);
+    board.ended(&life("t0"), RequestWork::default(), SendOutcome::Abandoned, gone);
     assert_eq!(place(&mut board, gone.0), Some(0));
 }
 
--- a/crates/porthoist-policy/tests/policy/proxy.rs
+++ b/crates/porthoist-policy/tests/policy/proxy.rs
@@ -1,6 +1,6 @@
 //! Decisions for requests that are passed on as they are.
 
-use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis};
+use porthoist_core::{BirthMillis, ServiceName, TargetName, UnixDeadline, UnixMillis};
 use porthoist_policy::proxy::freshness::{FreshnessProof, StampedAnswer};
 use porthoist_policy::proxy::placement::{BoardSettings, LoadBoard, RequestWork, SendOutcome};
 use porthoist_policy::proxy::retry_share::{RetryShare, ShareSettings};
@@ -8,7 +8,7 @@
     CallerLimits, ConfigVersion, RouteError, RouteKind, RouteRule, RouteTable, TeamGrant, WeightedService,
 };
 use porthoist_policy::proxy::targets::{
-    AnswerGap, BeliefBound, TargetBook, TargetChange, TargetRecord, TargetState,
+    AnswerGap, BeliefBound, TargetBook, TargetChange, TargetLife, TargetRecord, TargetState,
 };
 use porthoist_policy::proxy::waiting::{RequestTurn, WaitList};
 use std::collections::HashMap;
@@ -120,9 +120,14 @@
     assert!(!share.take(UnixMillis(1_501)));
 }
 
+fn life(id: &str) -> TargetLife {
+    TargetLife::from(name::<TargetName>(id))
+}
+
 fn record(id: &str, state: TargetState) -> TargetRecord {
     TargetRecord {
         id: name(id),
+        born: BirthMillis::default(),
         service: name("s"),
         address: ([127, 0, 0, 1], id.trim_start_matches('t').parse().unwrap()).into(),
         zone: name("a"),
@@ -133,17 +138,17 @@
 
 #[test]
 fn a_newer_life_at_an_address_ends_the_older_one() {
-    let life = |id: &str| TargetRecord { id: name(id), ..record("t1", TargetState::Ready) };
+    let row = |id: &str| TargetRecord { id: name(id), ..record("t1", TargetState::Ready) };
     let mut book = TargetBook::default();
-    book.listed(vec![life("old"), life("newer"), record("t2", TargetState::Ready)], None);
+    book.listed(vec![row("old"), row("newer"), record("t2", TargetState::Ready)], None);
     assert_eq!(ids(&book), ["newer", "t2"]);
-    book.changed(vec![TargetChange::Put(life("newest"))], None);
+    book.changed(vec![TargetChange::Put(row("newest"))], None);
     assert_eq!(ids(&book), ["newest", "t2"]);
     // The older row's end says nothing of the newer one.
     book.changed(vec![TargetChange::Gone(name("newer"))], None);
     assert_eq!(ids(&book), ["newest", "t2"]);
     // A row that lapses while the table service is away has no grace where another life has its address.
-    book.listed(vec![life("last")], Some(UnixDeadline(UnixMillis(100))));
+    book.listed(vec![row("last")], Some(UnixDeadline(UnixMillis(100))));
     assert_eq!(ids(&book), ["last", "t2"]);
 }
 
@@ -167,7 +172,7 @@
 fn a_row_that_is_missing_after_an_outage_has_a_grace() {
     let grace = Some(UnixDeadline(UnixMillis(100)));
     let mut book = TargetBook::default();
-    book.listed(["t1", "t2", "t3"].map(|id| record(id, TargetState::Ready)).into(), None);
+    book.listed(["t1", "t2", "t3"].map(|id| record(id, TargetState::Ready)), None);
     book.listed(vec![record("t1", TargetState::Ready)], grace);
     book.changed(vec![TargetChange::Gone(name("t1"))], grace);
     assert_eq!(ids(&book), ["t1", "t2", "t3"]);
@@ -222,7 +227,7 @@
     chosen.sort();
     assert_eq!(chosen, ["t1", "t1", "t2", "t2"]);
     assert_eq!(choose(&mut board, 0), None);
-    board.ended(&name("t2"), RequestWork::default(), SendOutcome::Answered(1.0), UnixMillis(1));
+    board.ended(&life("t2"), RequestWork::default(), SendOutcome::Answered(1.0), UnixMillis(1));
     assert_eq!(choose(&mut board, 1).as_deref(), Some("t2"));
 }
 
@@ -231,8 +236,8 @@
     let mut board = board(vec![record("t1", TargetState::Ready), record("t2", TargetState::Ready)]);
     let work = RequestWork::default();
     assert!(choose(&mut board, 0).is_some() && choose(&mut board, 0).is_some());
-    assert!(board.ended(&name("t1"), work, SendOutcome::Gone, UnixMillis(1)));
-    board.ended(&name("t2"), work, SendOutcome::Answered(1.0), UnixMillis(1));
+    assert!(board.ended(&life("t1"), work, SendOutcome::Gone, UnixMillis(1)));
+    board.ended(&life("t2"), work, SendOutcome::Answered(1.0), UnixMillis(1));
     let later = |board: &mut LoadBoard| choose(board, 60_000);
     assert_eq!(
         [later(&mut board), later(&mut board), later(&mut board)],
@@ -251,7 +256,7 @@
     let mut board = board(vec![record("t1", TargetState::Ready)]);
     let fail = |board: &mut LoadBoard, now: u64| {
         assert!(choose(board, now).is_some());
-        board.ended(&name("t1"), RequestWork::default(), SendOutcome::Failed, UnixMillis(now))
+        board.ended(&life("t1"), RequestWork::default(), SendOutcome::Failed, UnixMillis(now))
     };
     assert_eq!([fail(&mut board, 0), fail(&mut board, 0), fail(&mut board, 0)], [false, false, true]);
     assert_eq!(choose(&mut board, 799), None);
@@ -260,10 +265,77 @@
     assert_eq!(choose(&mut board, 2_399), None);
     assert!(choose(&mut board, 2_400).is_some());
     assert_eq!(choose(&mut board, 2_400), None);
-    board.ended(&name("t1"), RequestWork::default(), SendOutcome::Answered(1.0), UnixMillis(2_500));
+    board.ended(&life("t1"), RequestWork::default(), SendOutcome::Answered(1.0), UnixMillis(2_500));
     assert!(choose(&mut board, 2_500).is_some() && choose(&mut board, 2_500).is_some());
 }
 
+fn born(id: &str, born: u64) -> TargetRecord {
+    TargetRecord { born: BirthMillis(born), ..record(id, TargetState::Ready) }
+}
+
+/// Nothing of an earlier life counts: neither its time out, nor its load, nor its times, nor that it was gone.
+#[test_case(SendOutcome::Failed; "after failures")]
+#[test_case(SendOutcome::Gone; "after another target was found at its address")]
+#[test_case(SendOutcome::Answered(9_000.0); "after slow answers")]
+fn a_new_life_under_the_same_identifier_begins_with_nothing(outcome: SendOutcome) {
+    let mut book = TargetBook::default();
+    book.listed([born("t1", 100)], None);
+    let settings = BoardSettings::builder().zone(name("a")).per_rank(3).rank_limit(12).seed(1).build();
+    let mut board = LoadBoard::new(settings);
+    board.sync(&book);
+    let old = born("t1", 100).life();
+    // As often as it is still chosen.
+    for _send in 0..3 {
+        if choose(&mut board, 0).is_none() {
+            break;
+        }
+        board.ended(&old, RequestWork::default(), outcome, UnixMillis(0));
+    }
+    // One more is still under way there.
+    let open = choose(&mut board, 0).is_some();
+    book.changed([TargetChange::Put(born("t1", 200))].into(), None);
+    board.sync(&book);
+    let new = born("t1", 200).life();
+    assert_eq!((board.in_flight(&old), board.in_flight(&new)), (u32::from(open), 0));
+    assert!((0..2).all(|_slot| choose(&mut board, 1).is_some()), "both slots are free");
+    assert_eq!(choose(&mut board, 1), None);
+    board.ended(&old, RequestWork::default(), SendOutcome::Failed, UnixMillis(2));
+    assert_eq!(board.in_flight(&new), 2, "the end of the earlier life's request frees nothing");
+}
+
+/// Once services are known, a row of none of them ends nobody, and a worker's own row does.
+#[test]
+fn a_row_of_an_unknown_service_ends_nobody() {
+    let foreign =
+        TargetRecord { id: name("x"), service: name("unnamed"), ..record("t1", TargetState::Ready) };
+    let mut book = TargetBook::default();
+    book.listed([record("t1", TargetState::Ready)], None);
+    assert!(!book.name_services([name("s")]), "all that is known is named");
+    book.changed(vec![TargetChange::Put(foreign.clone())], None);
+    assert_eq!(ids(&book), ["t1", "x"]);
+    book.changed(
+        vec![TargetChange::Put(TargetRecord { id: name("t9"), ..record("t1", TargetState::Ready) })],
+        None,
+    );
+    assert_eq!(ids(&book), ["t9"]);
+    // Before services are known, it may have ended a target: then all are to be listed anew.
+    let mut early = TargetBook::default();
+    early.listed([record("t1", TargetState::Ready), foreign], None);
+    assert!(early.name_services([name("s")]));
+}
+
+#[test]
+fn a_row_that_became_unusable_has_no_grace() {
+    let grace = Some(UnixDeadline(UnixMillis(100)));
+    let mut book = TargetBook::default();
+    book.listed(["t1", "t2", "t3"].map(|id| record(id, TargetState::Ready)), None);
+    book.changed(vec![TargetChange::Unusable(name("t1"))], grace);
+    assert_eq!(ids(&book), ["t2", "t3"]);
+    book.listed([TargetChange::Unusable(name("t2")), record("t3", TargetState::Ready).into()], grace);
+    assert_eq!(ids(&book), ["t3"]);
+    assert_eq!(book.next_expiry(), None);
+}
+
 #[test]
 fn who_waits_is_served_by_priority_then_turn_then_arrival() {
     let mut list = WaitList::default();
--- a/crates/porthoist-proxy/src/broker.rs
+++ b/crates/porthoist-proxy/src/broker.rs
@@ -1,12 +1,12 @@
 //! Gives each request a place at a target, or lets it wait for one, as the desk decides.
 
-use porthoist_core::{ClockSource, ServiceName, TargetName, UnixDeadline, UnixMillis};
+use porthoist_core::{ClockSource, ServiceName, UnixDeadline, UnixMillis};
 use porthoist_policy::proxy::desk::{DeskAnswer, PlaceDesk};
 use porthoist_policy::proxy::loads::GroupLoads;
 use porthoist_policy::proxy::placement::{
     BoardSettings, ChosenTarget, ReportedRequests, RequestWork, SendOutcome,
 };
-use porthoist_policy::proxy::targets::{TargetBook, TargetRecord};
+use porthoist_policy::proxy::targets::{TargetBook, TargetLife, TargetRecord};
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::rc::Rc;
@@ -139,7 +139,7 @@
     }
 
     /// Requests of this process at a target.
-    pub fn in_flight(&self, target: &TargetName) -> u32 {
+    pub fn in_flight(&self, target: &TargetLife) -> u32 {
         self.desk.borrow().in_flight(target)
     }
 
@@ -160,7 +160,7 @@
         let TargetPlace { record, work, placed, outcome, .. } = place;
         let now = self.clock.now();
         let held = now.since(*placed);
-        self.desk.borrow_mut().ended(&record.service, &record.id, *work, outcome.get(), held, now);
+        self.desk.borrow_mut().ended(&record.service, &record.life(), *work, outcome.get(), held, now);
         self.serve_waiting(&record.service);
     }
 
--- a/crates/porthoist-proxy/src/control.rs
+++ b/crates/porthoist-proxy/src/control.rs
@@ -8,7 +8,7 @@
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::freshness::{FreshnessProof, StampedAnswer};
 use porthoist_policy::proxy::routes::RouteTable;
-use porthoist_policy::proxy::targets::{AnswerGap, BeliefBound, TargetBook, TargetChange, TargetRecord};
+use porthoist_policy::proxy::targets::{AnswerGap, BeliefBound, TargetBook, TargetChange};
 use slog::{Logger, info, warn};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -69,7 +69,7 @@
     clock: Arc<dyn ClockSource>,
     metrics: Arc<MetricsHub>,
     logger: Logger,
-    /// Counts failures of the routes' questions: the targets' watch lists anew when it changes.
+    /// Counts reasons to list targets anew: failures of the routes' questions, and news of services.
     #[builder(skip = watch::Sender::new(0))]
     breaks: watch::Sender<u64>,
     /// When the last question that failed was sent, until an answer comes.
@@ -145,7 +145,7 @@
             };
             let answer = tokio::select! {
                 answer = question => answer,
-                // The routes' question failed: this one may hang on a connection that is gone.
+                // Where the routes' question failed, this one may hang on a connection that is gone.
                 _changed = breaks.changed(), if revision.is_some() => {
                     revision = None;
                     continue;
@@ -231,6 +231,10 @@
             {
                 info!(self.logger, "configuration in force"; "event" => "config_adopted",
                     "version" => table.version.0, "routes" => table.route_count());
+                if state.targets.name_services(table.services.keys().cloned()) {
+                    // A row of another writer may have ended a target at its address while services were not known.
+                    self.breaks.send_modify(|breaks| *breaks += 1);
+                }
                 state.routes = Some(Arc::new(table));
             }
             state.proof.answered(stamped);
@@ -270,6 +274,10 @@
                 info!(self.logger, "target removed"; "event" => "target_gone", "target" => id.to_string(),
                     "grace" => grace.is_some());
             }
+            TargetChange::Unusable(id) => {
+                info!(self.logger, "target names nothing to use"; "event" => "target_unusable",
+                    "target" => id.to_string());
+            }
         }
     }
 
@@ -303,7 +311,7 @@
 }
 
 enum TargetNews {
-    Listed(Vec<TargetRecord>),
+    Listed(Vec<TargetChange>),
     Changed(Vec<TargetChange>),
 }
 
@@ -315,7 +323,7 @@
         }
     }
 
-    fn listed(answer: Stamped<Vec<TargetRecord>>) -> Stamped<Self> {
+    fn listed(answer: Stamped<Vec<TargetChange>>) -> Stamped<Self> {
         let Stamped { value, revision, stamp } = answer;
         Stamped { value: Self::Listed(value), revision, stamp }
     }
--- a/crates/porthoist-proxy/src/course.rs
+++ b/crates/porthoist-proxy/src/course.rs
@@ -11,7 +11,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, StatusCode};
 use porthoist_core::{
-    ClockSource, RefusalReason, RetryReason, RunVerdict, ServiceName, TargetName, UnixDeadline, UnixMillis,
+    ClockSource, RefusalReason, RetryReason, RunVerdict, ServiceName, UnixDeadline, UnixMillis,
 };
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::forecast::PatienceBook;
@@ -19,10 +19,11 @@
 use porthoist_policy::proxy::loads::GroupLoads;
 use porthoist_policy::proxy::retry_share::{RetryShare, ShareSettings};
 use porthoist_policy::proxy::routes::RouteError;
+use porthoist_policy::proxy::targets::TargetLife;
 use porthoist_policy::proxy::waiting::RequestTurn;
 use slog::{Logger, info};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -143,9 +144,8 @@
         let state = self.state.borrow();
         self.targets_taken.set(state.targets_listed);
         self.broker.sync(&state.targets);
-        let known: std::collections::HashSet<&TargetName> =
-            state.targets.records().map(|record| &record.id).collect();
-        self.pool.tidy(|id| known.contains(id));
+        let known: HashSet<TargetLife> = state.targets.records().map(|record| record.life()).collect();
+        self.pool.tidy(|life| known.contains(life));
     }
 
     /// Takes the loads that the engines of a group reported.
--- a/crates/porthoist-proxy/src/exchange.rs
+++ b/crates/porthoist-proxy/src/exchange.rs
@@ -11,10 +11,10 @@
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use porthoist_core::{ClockSource, RetryReason, RunVerdict, TargetName, UnixDeadline, UnixMillis};
+use porthoist_core::{ClockSource, RetryReason, RunVerdict, UnixDeadline, UnixMillis};
 use porthoist_http::{SocketPeer, bound_silence};
 use porthoist_metrics::MetricsHub;
-use porthoist_policy::proxy::targets::TargetRecord;
+use porthoist_policy::proxy::targets::{TargetLife, TargetRecord};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt;
@@ -75,7 +75,7 @@
 /// Connections to targets that wait for their next request.
 #[derive(Clone)]
 pub struct ConnectionPool {
-    idle: Rc<RefCell<HashMap<TargetName, Vec<IdleConnection>>>>,
+    idle: Rc<RefCell<HashMap<TargetLife, Vec<IdleConnection>>>>,
     clock: Arc<dyn ClockSource>,
     metrics: Arc<MetricsHub>,
 }
@@ -90,7 +90,7 @@
 pub struct ConnectionLease {
     sender: Option<SendRequest<Full<Bytes>>>,
     task: AbortHandle,
-    target: TargetName,
+    target: TargetLife,
     pool: ConnectionPool,
 }
 
@@ -177,8 +177,9 @@
         deadline: UnixDeadline,
     ) -> Result<OpenAnswer, SendFailure> {
         let mut request = request;
+        let life = target.life();
         // An idle connection that its target has closed hands the request back unsent.
-        while let Some(mut lease) = self.idle_lease(&target.id, once) {
+        while let Some(mut lease) = self.idle_lease(&life, once) {
             match self.exchange(&mut lease, request, deadline).await {
                 Ok(answer) => return Ok(open(answer, lease)),
                 Err(ExchangeFailure::Unsent(unsent)) => request = *unsent,
@@ -194,7 +195,7 @@
     }
 
     /// Closes what has been idle too long, and all connections to targets that are not kept.
-    pub fn tidy(&self, keep: impl Fn(&TargetName) -> bool) {
+    pub fn tidy(&self, keep: impl Fn(&TargetLife) -> bool) {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         for (target, connections) in idle.iter_mut() {
@@ -210,7 +211,7 @@
         idle.retain(|_target, connections| !connections.is_empty());
     }
 
-    fn idle_lease(&self, target: &TargetName, once: bool) -> Option<ConnectionLease> {
+    fn idle_lease(&self, target: &TargetLife, once: bool) -> Option<ConnectionLease> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(target)?;
@@ -254,7 +255,7 @@
         Ok(ConnectionLease {
             sender: Some(sender),
             task: task.abort_handle(),
-            target: target.id.clone(),
+            target: target.life(),
             pool: self.clone(),
         })
     }
--- a/crates/porthoist-proxy/src/source.rs
+++ b/crates/porthoist-proxy/src/source.rs
@@ -2,7 +2,7 @@
 
 use futures::future::LocalBoxFuture;
 use porthoist_policy::proxy::routes::RouteTable;
-use porthoist_policy::proxy::targets::{TargetChange, TargetRecord};
+use porthoist_policy::proxy::targets::TargetChange;
 use std::fmt;
 use std::time::Duration;
 
@@ -40,8 +40,8 @@
     fn list_routes(&self) -> SourceFuture<'_, Option<RouteTable>>;
     /// The routes if they have changed after a revision, else nothing after the wait.
     fn routes_after(&self, revision: u64, wait: Duration) -> SourceFuture<'_, Option<RouteTable>>;
-    /// All targets.
-    fn list_targets(&self) -> SourceFuture<'_, Vec<TargetRecord>>;
+    /// All rows of targets, older ones first; none of them removed.
+    fn list_targets(&self) -> SourceFuture<'_, Vec<TargetChange>>;
     /// Changes of targets after a revision, none after the wait.
     fn targets_after(&self, revision: u64, wait: Duration) -> SourceFuture<'_, Vec<TargetChange>>;
 }
--- a/crates/porthoist-proxy/tests/control.rs
+++ b/crates/porthoist-proxy/tests/control.rs
@@ -1,6 +1,6 @@
 //! The control watch against a source on virtual time, whose questions hang or fail.
 
-use porthoist_core::{ClockSource, TargetName, UnixMillis};
+use porthoist_core::{BirthMillis, ClockSource, TargetName, UnixMillis};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::routes::RouteTable;
 use porthoist_policy::proxy::targets::{TargetChange, TargetRecord, TargetState};
@@ -152,10 +152,10 @@
         }))
     }
 
-    fn list_targets(&self) -> SourceFuture<'_, Vec<TargetRecord>> {
+    fn list_targets(&self) -> SourceFuture<'_, Vec<TargetChange>> {
         Box::pin(unless_lost(&self.targets_lost, async {
             self.taken().await?;
-            Ok(self.stamped(self.rows.borrow().clone()))
+            Ok(self.stamped(self.rows.borrow().iter().cloned().map(TargetChange::from).collect()))
         }))
     }
 
@@ -175,6 +175,7 @@
     let number: u16 = id.trim_start_matches('t').parse().unwrap();
     TargetRecord {
         id: id.parse().unwrap(),
+        born: BirthMillis::default(),
         service: "records".parse().unwrap(),
         address: ([10, 0, 0, 1], 8_000 + number).into(),
         zone: "a".parse().unwrap(),
--- a/porthoistd/src/duty/rank.rs
+++ b/porthoistd/src/duty/rank.rs
@@ -5,8 +5,8 @@
 use porthoist_core::{ClockSource, ServiceName, UnixDeadline};
 use porthoist_fleet::RankPeer;
 use porthoist_group::{
-    GroupShape, HeldEngine, HeldLink, HeldPlanner, OrderAnswer, RankFuture, RankLists, RankObservation,
-    RoundOutcome,
+    ChoiceCounts, GroupShape, HeldEngine, HeldLink, HeldPlanner, OrderAnswer, RankFuture, RankLists,
+    RankObservation, RoundOutcome,
 };
 use porthoist_http::CallError;
 use porthoist_policy::forward::{EngineOrder, RankState};
@@ -63,7 +63,7 @@
 #[derive(Debug)]
 pub struct OwnRank {
     engine: Rc<dyn HeldEngine>,
-    told: RefCell<Vec<u64>>,
+    told: RefCell<ChoiceCounts>,
 }
 
 impl OwnRank {
@@ -75,16 +75,17 @@
     /// What was chosen since the last call, nothing at the first: what an engine counted before this process began may
     /// be minutes old. A restarted engine counts anew.
     async fn new_counts(&self) -> Result<Vec<u32>, CallError> {
-        let counts = self.engine.counts().await?.counts;
+        let newest = self.engine.counts().await?;
         let mut told = self.told.borrow_mut();
-        if told.is_empty() {
-            told.clone_from(&counts);
+        if told.counts.is_empty() {
+            told.clone_from(&newest);
         }
-        let known =
-            told.len() == counts.len() && counts.iter().zip(told.iter()).all(|(now, then)| now >= then);
-        let since = |index: usize| counts[index] - if known { told[index] } else { 0 };
-        let new = (0..counts.len()).map(|index| u32::try_from(since(index)).unwrap_or(u32::MAX)).collect();
-        *told = counts;
+        let known = told.counts.len() == newest.counts.len() && told.born == newest.born;
+        let known = known && newest.counts.iter().zip(&told.counts).all(|(now, then)| now >= then);
+        let since = |index: usize| newest.counts[index] - if known { told.counts[index] } else { 0 };
+        let new =
+            (0..newest.counts.len()).map(|index| u32::try_from(since(index)).unwrap_or(u32::MAX)).collect();
+        *told = newest;
         Ok(new)
     }
 }
--- a/porthoistd/tests/loads.rs
+++ b/porthoistd/tests/loads.rs
@@ -1,6 +1,6 @@
 //! The loads duty over processes on loopback addresses that tell the loads of several groups.
 
-use porthoist_core::ServiceName;
+use porthoist_core::{BirthMillis, ServiceName};
 use porthoist_fleet::{LoadsOutlet, serve_ranks};
 use porthoist_group::{HeldLink, OrderAnswer, RankFuture, RankLists, RankObservation};
 use porthoist_policy::forward::EngineOrder;
@@ -73,6 +73,7 @@
     let routes = RouteTable::new(ConfigVersion(1), limits, vec![spec], Vec::new(), None);
     let record = |group: u8, rank: u8| TargetRecord {
         id: format!("t{group}-{rank}").parse().expect("a name"),
+        born: BirthMillis::default(),
         service: service.clone(),
         address: (host(group, rank), 9).into(),
         zone: "a".parse().expect("a name"),
@@ -81,7 +82,7 @@
     };
     let mut state = ControlState { routes: Some(Arc::new(routes)), ..ControlState::default() };
     let places = (0..GROUPS).flat_map(|group| (0..RANKS).map(move |rank| (group, rank)));
-    state.targets.listed(places.map(|(group, rank)| record(group, rank)).collect(), None);
+    state.targets.listed(places.map(|(group, rank)| record(group, rank)), None);
     state
 }
 
--- a/porthoistd/tests/rank.rs
+++ b/porthoistd/tests/rank.rs
@@ -1,7 +1,7 @@
 //! The process beside an engine, over an engine in memory.
 
 use futures::FutureExt as _;
-use porthoist_core::{AnchoredClock, ClockSource, ServiceName};
+use porthoist_core::{AnchoredClock, BirthMillis, ClockSource, ServiceName};
 use porthoist_fleet::{LoadsOutlet, serve_ranks};
 use porthoist_group::{ChoiceCounts, HeldEngine, HeldLink as _, RankFuture, RankLists};
 use porthoist_http::CallError;
@@ -137,7 +137,7 @@
     }
 
     fn counts(&self) -> RankFuture<'_, ChoiceCounts> {
-        async { Ok(ChoiceCounts { counts: vec![0; EXPERTS] }) }.boxed_local()
+        async { Ok(ChoiceCounts { counts: vec![0; EXPERTS], ..ChoiceCounts::default() }) }.boxed_local()
     }
 
     fn lists(&self) -> RankFuture<'_, RankLists> {
@@ -197,6 +197,7 @@
     let routes = RouteTable::new(ConfigVersion(1), limits, vec![spec], Vec::new(), None);
     let record = |rank: usize| TargetRecord {
         id: format!("t{rank}").parse().expect("a name"),
+        born: BirthMillis::default(),
         service: service.clone(),
         address: engine_address(rank),
         zone: "a".parse().expect("a name"),
@@ -204,7 +205,7 @@
         state: TargetState::Ready,
     };
     let mut state = ControlState { routes: Some(Arc::new(routes)), ..ControlState::default() };
-    state.targets.listed((0..RANKS).map(record).collect(), None);
+    state.targets.listed((0..RANKS).map(record), None);
     state
 }
 
@@ -225,7 +226,7 @@
         futures::future::pending().boxed_local()
     }
 
-    fn list_targets(&self) -> SourceFuture<'_, Vec<TargetRecord>> {
+    fn list_targets(&self) -> SourceFuture<'_, Vec<TargetChange>> {
         futures::future::pending().boxed_local()
     }
 
--- a/scripts/play-days.sh
+++ b/scripts/play-days.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the days under tests/days on deployments and names what broke.
+# Plays the days under deploy/days on deployments and names what broke.
 #
 #   scripts/play-days.sh FLEETBENCH WHY SEED SITE...
 #
@@ -29,7 +29,7 @@
 export -f play
 
 for site in "$@"; do
-    for day in tests/days/${DAYS:-*}.toml; do
+    for day in deploy/days/${DAYS:-*}.toml; do
         printf '%s\0%s\0' "$site" "$day"
     done
 done | xargs -0 -P "${JOBS:-4}" -n 2 bash -c 'play "$@"' play "$bench" "$why" "$seed" "$logs" | sort | tee "$logs/summary"
