Count the time in which a host is suspended in every age, deadline and lease

Cause: the one clock stood on the steady time, which does not count suspended time, and the rows that processes of a zone pass on were judged by the runtime's timers. A host that woke took a proof from before for fresh, and could run a key that was taken away meanwhile. Ruled out: that the proof's rule is at fault (it is a function of the clock it is given); steps of the time of day (still read once only). Change: AnchoredClock is carried on by the time since boot; SharedRows uses it; a place that is given after the deadline passed in a suspension is not used. Tests: the clock with a reading of its own, apart from the runtime's; beliefs of entries that were suspended for 6 s at ten phases of their questions, with the process that they asked awake and frozen: renewed within 1.3 s. Left: loads that a rank's process tells count for 1 s by a timer; they only choose places.

--- a/crates/porthoist-core/src/deadline.rs
+++ b/crates/porthoist-core/src/deadline.rs
@@ -2,10 +2,11 @@
 //!
 //! Deadlines are stored as points in time, never as durations, so that a delayed message can't extend one.
 
+use nix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::str::FromStr;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// A point in time in milliseconds since the Unix epoch.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -71,23 +72,43 @@
     fn now(&self) -> UnixMillis;
 }
 
-/// Wall time read once at construction and carried on by the monotonic clock.
+/// Wall time read once at construction and carried on by the clock of the time since the host booted.
 ///
-/// A step of the host's wall clock can't move it back, so a used ticket is never forgotten before its deadline.
+/// A step of the host's wall clock can't move it back, so a used ticket is never forgotten before its deadline. It counts the
+/// time in which the host was suspended, which the runtime's own timers do not: with them alone, a host that wakes after
+/// seconds would take a proof, a lease or a kept connection from before for fresh.
 #[derive(Debug)]
 pub struct AnchoredClock {
     wall: UnixMillis,
-    start: Instant,
+    start: Duration,
+    reading: fn() -> Duration,
 }
 
 impl AnchoredClock {
     /// Reads the wall clock.
     pub fn new() -> Self {
+        Self::carried_on_by(since_boot)
+    }
+
+    /// With another reading of a time that only grows.
+    pub fn carried_on_by(reading: fn() -> Duration) -> Self {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { wall: UnixMillis(since_epoch.as_millis() as u64), start: Instant::now() }
+        Self { wall: UnixMillis(since_epoch.as_millis() as u64), start: reading(), reading }
     }
 }
 
+/// The time since the host booted, with that in which it was suspended.
+#[cfg(target_os = "linux")]
+fn since_boot() -> Duration {
+    clock_gettime(ClockId::CLOCK_BOOTTIME).expect("the clock is there since Linux 2.6.39").into()
+}
+
+/// The steady time; other systems are for development only.
+#[cfg(not(target_os = "linux"))]
+fn since_boot() -> Duration {
+    clock_gettime(ClockId::CLOCK_MONOTONIC).expect("the clock is there on each Unix").into()
+}
+
 impl Default for AnchoredClock {
     fn default() -> Self {
         Self::new()
@@ -96,6 +117,7 @@
 
 impl ClockSource for AnchoredClock {
     fn now(&self) -> UnixMillis {
-        self.wall.plus(self.start.elapsed().as_millis() as u64)
+        let elapsed = (self.reading)().saturating_sub(self.start);
+        self.wall.plus(elapsed.as_millis() as u64)
     }
 }
--- a/crates/porthoist-core/tests/core.rs
+++ b/crates/porthoist-core/tests/core.rs
@@ -2,6 +2,8 @@
 
 use porthoist_core::*;
 use proptest::prelude::*;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 use test_case::test_case;
 
 #[test_case("refunds" => true; "plain")]
@@ -12,6 +14,33 @@
     text.parse::<TargetName>().is_ok()
 }
 
+/// Milliseconds that the clock of the time since the host booted shows.
+static SINCE_BOOT: AtomicU64 = AtomicU64::new(7_000);
+
+#[test]
+fn the_clock_counts_suspended_time_whatever_the_time_of_day() {
+    let clock = AnchoredClock::carried_on_by(|| Duration::from_millis(SINCE_BOOT.load(Ordering::Relaxed)));
+    let before = clock.now();
+    // The runtime's time stands still, and so does the time of day for all that the clock reads of it.
+    SINCE_BOOT.store(12_500, Ordering::Relaxed);
+    assert_eq!(clock.now().since(before), 5_500);
+    assert!(UnixDeadline::after(before, 5_000).passed(clock.now()));
+}
+
+#[cfg(target_os = "linux")]
+#[test]
+fn the_usual_clock_is_that_of_the_time_since_boot() {
+    let uptime = || {
+        let text = std::fs::read_to_string("/proc/uptime").unwrap();
+        text.split(' ').next().unwrap().parse::<f64>().unwrap() * 1_000.0
+    };
+    let clock = AnchoredClock::new();
+    let (before, began) = (uptime(), clock.now());
+    std::thread::sleep(Duration::from_millis(50));
+    let (uptime, clock) = (uptime() - before, clock.now().since(began) as f64);
+    assert!((uptime - clock).abs() < 40.0, "{uptime} and {clock} ms");
+}
+
 #[test]
 fn ticket_is_bound_to_team_and_key() {
     let key = TicketKey::new([7; 32]);
--- a/crates/porthoist-proxy/src/course.rs
+++ b/crates/porthoist-proxy/src/course.rs
@@ -278,12 +278,26 @@
         self.take_leave(admitted, record)?;
         let place = self.find_place(admitted, record).await?;
         self.take_leave(admitted, record)?;
+        self.check_deadline(admitted, record)?;
         if let Some(suspect) = &mut record.suspect {
             suspect.at(&place.record.id);
         }
         Ok(place)
     }
 
+    /// Whether there is time left. The end of a wait for a place does not tell: the runtime's timers stand still while the host
+    /// is suspended.
+    fn check_deadline(&self, admitted: &AdmittedRequest, record: &SendRecord) -> Result<(), CourseRefusal> {
+        if !admitted.deadline.passed(self.clock.now()) {
+            return Ok(());
+        }
+        if record.may_have_run {
+            return Err(CourseRefusal::unknown(RefusalReason::DeadlinePassed, StatusCode::GATEWAY_TIMEOUT));
+        }
+        let retry_millis = self.broker.return_millis(&admitted.service, admitted.deadline);
+        Err(CourseRefusal::later(RefusalReason::DeadlinePassed, retry_millis))
+    }
+
     fn take_leave(&self, admitted: &AdmittedRequest, record: &mut SendRecord) -> Result<(), CourseRefusal> {
         if record.suspect.is_some() {
             return Ok(());
--- a/crates/porthoist-proxy/src/shared.rs
+++ b/crates/porthoist-proxy/src/shared.rs
@@ -7,6 +7,7 @@
 use crate::rows::{ControlTable, RowSource, RowValue, TableRow, answer_within};
 use crate::source::{AnswerOrigin, SourceError, SourceFuture, Stamped};
 use futures::future::LocalBoxFuture;
+use porthoist_core::{ClockSource, UnixDeadline, UnixMillis};
 use porthoist_metrics::MetricsHub;
 use slog::{Logger, info};
 use std::cell::{Cell, RefCell};
@@ -16,7 +17,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// How long another process may hold its answer back. One that says nothing for longer is frozen or cut off.
 const HOLD: Duration = Duration::from_secs(1);
@@ -90,28 +90,24 @@
 /// its question was sent.
 #[derive(Debug, Clone, Copy)]
 struct ClockOffset {
-    sent: Instant,
+    sent: UnixMillis,
     stamp: u64,
 }
 
 impl ClockOffset {
-    fn new(sent: Instant, stamp: u64) -> Self {
+    fn new(sent: UnixMillis, stamp: u64) -> Self {
         Self { sent, stamp }
     }
 
     /// With another answer: the one that places the clock latest counts.
-    fn tightened(self, sent: Instant, stamp: u64) -> Self {
+    fn tightened(self, sent: UnixMillis, stamp: u64) -> Self {
         let other = Self { sent, stamp };
         if other.local(stamp) > self.local(stamp) { other } else { self }
     }
 
     /// When a moment of the table service's clock was, or earlier.
-    fn local(self, stamp: u64) -> Instant {
-        if stamp >= self.stamp {
-            return self.sent + Duration::from_millis(stamp - self.stamp);
-        }
-        let before = Duration::from_millis(self.stamp - stamp);
-        self.sent.checked_sub(before).unwrap_or(self.sent)
+    fn local(self, stamp: u64) -> UnixMillis {
+        UnixMillis((self.sent.0 + stamp).saturating_sub(self.stamp))
     }
 }
 
@@ -125,13 +121,15 @@
     targets: TableCopy,
     crashes: TableCopy,
     /// When the table service may be asked again after it failed.
-    probe_at: Cell<Option<Instant>>,
+    probe_at: Cell<Option<UnixDeadline>>,
     /// The next pause where no other process tries.
     pause: Cell<Duration>,
     /// How the table service's clock lies to this process's; nothing before its first answer.
     clocks: Cell<Option<ClockOffset>>,
     /// Processes that are not asked for a while.
-    avoided: RefCell<HashMap<Ipv4Addr, Instant>>,
+    avoided: RefCell<HashMap<Ipv4Addr, UnixDeadline>>,
+    /// Counts the time in which the host was suspended, which the runtime's timers do not.
+    clock: Arc<dyn ClockSource>,
     logger: Logger,
 }
 
@@ -140,6 +138,7 @@
     pub fn new(
         table_service: Rc<dyn RowSource>,
         peers: Rc<dyn NewsPeers>,
+        clock: Arc<dyn ClockSource>,
         metrics: Arc<MetricsHub>,
         logger: Logger,
     ) -> Rc<Self> {
@@ -154,6 +153,7 @@
             pause: Cell::new(PAUSE),
             clocks: Cell::new(None),
             avoided: RefCell::default(),
+            clock,
             logger,
         })
     }
@@ -168,19 +168,21 @@
 
     /// The first process that is not avoided.
     fn peer(&self) -> Option<Ipv4Addr> {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut avoided = self.avoided.borrow_mut();
-        avoided.retain(|_host, until| *until > now);
+        avoided.retain(|_host, until| !until.passed(now));
         self.peers.hosts().into_iter().find(|host| !avoided.contains_key(host))
     }
 
     /// Whether a process is asked, that is not avoided.
     fn asked(&self, host: Ipv4Addr) -> bool {
-        self.avoided.borrow().get(&host).is_none_or(|until| *until <= Instant::now())
+        let now = self.clock.now();
+        self.avoided.borrow().get(&host).is_none_or(|until| until.passed(now))
     }
 
     fn avoid(&self, host: Ipv4Addr) {
-        self.avoided.borrow_mut().insert(host, Instant::now() + AVOIDED);
+        let until = self.after(AVOIDED);
+        self.avoided.borrow_mut().insert(host, until);
     }
 
     /// What other processes know after a revision, once it is newer. An error says that the table service is to be asked.
@@ -189,12 +191,12 @@
         table: ControlTable,
         after: u64,
         wait: Duration,
-        until: Instant,
+        until: UnixDeadline,
     ) -> Result<Stamped<Vec<TableRow>>, AskReason> {
         let copy = self.copy(table);
         let mut reason = AskReason::Outdated;
         loop {
-            let left = until.saturating_duration_since(Instant::now());
+            let left = until.remaining(self.clock.now());
             if left.is_zero() {
                 return Err(reason);
             }
@@ -232,7 +234,7 @@
         wait: Duration,
         reason: AskReason,
     ) -> Result<Stamped<Vec<TableRow>>, SourceError> {
-        let sent = Instant::now();
+        let sent = self.clock.now();
         self.metrics.table_asked(reason.as_str());
         info!(self.logger, "the table service itself is asked"; "event" => "table_asked",
             "table" => table.as_str(), "reason" => reason.as_str(), "wait_ms" => wait.as_millis() as u64);
@@ -248,7 +250,7 @@
             )));
         }
         let failed = matches!(&answer, Err(error) if *error != SourceError::HistoryGone);
-        self.probe_at.set(failed.then(|| Instant::now() + self.pause()));
+        self.probe_at.set(failed.then(|| self.after(self.pause())));
         if !failed {
             self.pause.set(PAUSE);
         }
@@ -298,10 +300,9 @@
             return self.list_itself(table, AskReason::Start).await;
         };
         // Others try for this process too, and only changes are needed of them.
-        let heard = self.ask_peers(table, revision, PROBE, Instant::now() + PROBE * 2);
+        let heard = self.ask_peers(table, revision, PROBE, self.after(PROBE * 2));
         let listed = async {
-            let at = probe_at.unwrap_or_else(|| Instant::now() + ANSWER_TIME);
-            tokio::time::sleep_until(at).await;
+            self.sleep_until(probe_at.or_else(|| Some(self.after(ANSWER_TIME)))).await;
             self.list_itself(table, AskReason::Probe).await
         };
         tokio::pin!(heard, listed);
@@ -332,12 +333,16 @@
         Ok(answer)
     }
 
-    async fn sleep_until(&self, moment: Option<Instant>) {
+    async fn sleep_until(&self, moment: Option<UnixDeadline>) {
         if let Some(moment) = moment {
-            tokio::time::sleep_until(moment).await;
+            tokio::time::sleep(moment.remaining(self.clock.now())).await;
         }
     }
 
+    fn after(&self, time: Duration) -> UnixDeadline {
+        UnixDeadline::after(self.clock.now(), time.as_millis() as u64)
+    }
+
     async fn changes_shared(
         &self,
         table: ControlTable,
@@ -346,12 +351,13 @@
     ) -> Result<Stamped<Vec<TableRow>>, SourceError> {
         // News may have been on their way for long: the wait counts from the moment that the last ones prove.
         let known = self.clocks.get().map(|clocks| clocks.local(self.copy(table).stamp.get()));
-        let end = known.unwrap_or_else(Instant::now).min(Instant::now()) + wait;
+        let now = self.clock.now();
+        let end = UnixDeadline::after(known.unwrap_or(now).min(now), wait.as_millis() as u64);
         let answer = match self.ask_peers(table, revision, wait, end).await {
             Ok(answer) => answer,
             Err(reason) => {
                 // Where others could not be asked at all, the question waits as long as it may.
-                let left = end.saturating_duration_since(Instant::now());
+                let left = end.remaining(self.clock.now());
                 self.ask_itself(table, Some(revision), left, reason).await?
             }
         };
--- a/crates/porthoist-proxy/tests/shared.rs
+++ b/crates/porthoist-proxy/tests/shared.rs
@@ -15,6 +15,7 @@
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use test_case::test_case;
 use tokio::sync::watch;
@@ -34,11 +35,23 @@
 
 /// Time of the runtime, from some moment on, which may be set apart from that of other processes.
 #[derive(Debug)]
-struct RuntimeClock(Instant, u64);
+struct RuntimeClock {
+    began: Instant,
+    ahead: u64,
+    /// Milliseconds in which the host was suspended: its timers stood still, its clock did not.
+    suspended: AtomicU64,
+}
+
+impl RuntimeClock {
+    fn ahead(millis: u64) -> Arc<Self> {
+        Arc::new(Self { began: Instant::now(), ahead: millis, suspended: AtomicU64::new(0) })
+    }
+}
 
 impl ClockSource for RuntimeClock {
     fn now(&self) -> UnixMillis {
-        UnixMillis(1_000_000 + self.1 + self.0.elapsed().as_millis() as u64)
+        let suspended = self.suspended.load(Ordering::Relaxed);
+        UnixMillis(1_000_000 + self.ahead + suspended + self.began.elapsed().as_millis() as u64)
     }
 }
 
@@ -57,6 +70,8 @@
     reset: watch::Sender<u64>,
     calls: Cell<usize>,
     answer_millis: Cell<u64>,
+    /// Milliseconds that its clock went on while the processes' timers stood still.
+    ahead: Cell<u64>,
 }
 
 impl TableService {
@@ -71,6 +86,7 @@
             reset: watch::Sender::new(0),
             calls: Cell::new(0),
             answer_millis: Cell::new(4),
+            ahead: Cell::new(0),
         });
         service.put("a", b"first");
         service.put("b", b"first");
@@ -108,7 +124,11 @@
             })
             .collect();
         fitting.sort_by_key(|row| row.version);
-        Stamped::of(fitting, *self.version.borrow(), self.began.elapsed().as_millis() as u64)
+        Stamped::of(
+            fitting,
+            *self.version.borrow(),
+            self.began.elapsed().as_millis() as u64 + self.ahead.get(),
+        )
     }
 
     async fn taken(&self) -> Result<(), SourceError> {
@@ -213,7 +233,7 @@
     fn reader(way: &Rc<ServiceWay>) -> Rc<TableReader> {
         let source: Rc<dyn RowSource> = Rc::<ServiceWay>::clone(way);
         // Its time of day is an hour ahead of the entries'.
-        TableReader::new(source, Arc::new(RuntimeClock(Instant::now(), 3_600_000)), logger())
+        TableReader::new(source, RuntimeClock::ahead(3_600_000), logger())
     }
 
     /// It begins anew and knows nothing.
@@ -334,10 +354,17 @@
 impl Entry {
     fn start(service: &Rc<TableService>, zone: &Rc<Zone>) -> Self {
         let way = ServiceWay::new(service);
-        let clock = Arc::new(RuntimeClock(Instant::now(), 0));
+        let clock = RuntimeClock::ahead(0);
         let metrics = Arc::new(MetricsHub::new().unwrap());
         let peers: Rc<dyn NewsPeers> = Rc::<Zone>::clone(zone);
-        let rows = SharedRows::new(Rc::<ServiceWay>::clone(&way), peers, Arc::clone(&metrics), logger());
+        let shared_clock: Arc<dyn ClockSource> = Arc::<RuntimeClock>::clone(&clock);
+        let rows = SharedRows::new(
+            Rc::<ServiceWay>::clone(&way),
+            peers,
+            shared_clock,
+            Arc::clone(&metrics),
+            logger(),
+        );
         let sender = watch::Sender::new(ControlState::default());
         let state = sender.subscribe();
         let watch = ControlWatch::builder()
@@ -473,6 +500,31 @@
     .await;
 }
 
+/// Hosts are suspended and wake: what they believed is as old as it is at once, and is renewed by their next question, not at
+/// the end of the one that they had asked before.
+#[tokio::test(start_paused = true)]
+async fn suspended_time_makes_beliefs_old() {
+    play(async || {
+        for (phase, frozen) in (0..10).flat_map(|phase| [(phase, false), (phase, true)]) {
+            let millis = 6_000;
+            let zone = Deployment::start(4, 1).await;
+            sleep(Duration::from_millis(phase * 300)).await;
+            // The process that they asked does not wake with them.
+            zone.reader(0).fault.set(if frozen { ReaderFault::Frozen } else { ReaderFault::None });
+            zone.service.ahead.set(millis);
+            for entry in &zone.entries {
+                entry.clock.suspended.store(millis, Ordering::Relaxed);
+                let (routes, targets) = entry.ages();
+                assert!(routes >= millis && targets >= millis, "{routes} and {targets} ms old");
+            }
+            // The question that another process holds back ends by a timer.
+            sleep(Duration::from_millis(1_320)).await;
+            zone.stay_fresh(Duration::from_secs(6)).await;
+        }
+    })
+    .await;
+}
+
 /// A process that knows less than an entry changes nothing of what the entry knows.
 #[tokio::test(start_paused = true)]
 async fn old_news_never_follow_newer_ones() {
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -133,7 +133,7 @@
                 Some(port) => {
                     let peers = PeerPool::new(port, ControlTraffic::default());
                     let peers = Rc::new(ZonePeers::new(zone, state.subscribe(), peers));
-                    SharedRows::new(store, peers, Arc::clone(&metrics), logger.clone())
+                    SharedRows::new(store, peers, Arc::clone(&clock), Arc::clone(&metrics), logger.clone())
                 }
                 None => store,
             };
