Show and lift requests that are kept from targets: porthoist quarantine

The command reads the table of deaths, judges it by the decisions of the entries, and removes the rows of one request by the first digits of its mark, which logs show too. A failed write is tried again at most each 2 s (0.48): each has its price; that deaths are not heard is said once, not with each question.

--- a/crates/porthoist-policy/src/proxy/quarantine.rs
+++ b/crates/porthoist-policy/src/proxy/quarantine.rs
@@ -107,6 +107,9 @@
     pub by: Box<str>,
 }
 
+/// The table of deaths.
+pub type CrashRows = HashMap<CrashKey, CrashReport>;
+
 /// A death in the book.
 #[derive(Debug, Clone)]
 struct KnownDeath {
@@ -317,12 +320,7 @@
 
     /// Takes the whole table of deaths. `first` says that nothing was known of it before: only then do the clocks of other
     /// hosts count, all later news are of this moment.
-    pub fn told(
-        &mut self,
-        rows: &HashMap<CrashKey, CrashReport>,
-        first: bool,
-        now: UnixMillis,
-    ) -> ToldChanges {
+    pub fn told(&mut self, rows: &CrashRows, first: bool, now: UnixMillis) -> ToldChanges {
         let mut changes = ToldChanges::default();
         self.drop_removed(rows, &mut changes);
         let mut heard = HashSet::new();
@@ -354,7 +352,7 @@
         changes
     }
 
-    fn drop_removed(&mut self, rows: &HashMap<CrashKey, CrashReport>, changes: &mut ToldChanges) {
+    fn drop_removed(&mut self, rows: &CrashRows, changes: &mut ToldChanges) {
         self.records.retain(|mark, record| {
             record.deaths.retain(|target, death| {
                 !death.told || rows.contains_key(&CrashKey { mark: *mark, target: target.clone() })
--- a/crates/porthoist-policy/tests/policy/quarantine.rs
+++ b/crates/porthoist-policy/tests/policy/quarantine.rs
@@ -2,12 +2,12 @@
 
 use porthoist_core::{MarkedHead, RequestMark, UnixMillis};
 use porthoist_policy::proxy::quarantine::{
-    CERTAIN_DEATHS, CrashKey, CrashReport, DeathVerdict, HOLD_MILLIS, MOST_MARKS, QUARANTINE_MILLIS,
-    QuarantineBook, QuarantineRules, SendLeave, SuspicionLevel,
+    CERTAIN_DEATHS, CrashKey, CrashReport, CrashRows, DeathVerdict, HOLD_MILLIS, MOST_MARKS,
+    QUARANTINE_MILLIS, QuarantineBook, QuarantineRules, SendLeave, SuspicionLevel,
 };
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use test_case::test_case;
 
 fn mark(body: &str) -> RequestMark {
@@ -78,14 +78,14 @@
 #[test]
 fn what_others_saw_counts_and_a_removed_row_lifts_it() {
     let mut book = QuarantineBook::default();
-    let mut rows: HashMap<CrashKey, CrashReport> = HashMap::new();
+    let mut rows: CrashRows = CrashRows::new();
     for target in ["t0", "t1", "t2"] {
         rows.insert(key("x", target), report(0, true));
     }
     let changes = book.told(&rows, true, at(500));
     assert_eq!(changes.heard, [(mark("x"), SuspicionLevel::Quarantined, 3)]);
     // An operator removes them.
-    let changes = book.told(&HashMap::new(), false, at(900));
+    let changes = book.told(&CrashRows::new(), false, at(900));
     assert_eq!(changes.lifted, [mark("x")]);
     assert_eq!(book.begin(&mark("x"), at(900)), Ok(SendLeave::Clear));
 }
@@ -94,10 +94,10 @@
 fn an_own_death_stands_until_the_table_has_shown_it() {
     let mut book = QuarantineBook::default();
     book.died(&key("x", "t0"), report(0, true), at(0));
-    book.told(&HashMap::new(), true, at(10));
+    book.told(&CrashRows::new(), true, at(10));
     assert_eq!(level(&book, "x", 10), Some(SuspicionLevel::Held), "the table service was away");
-    book.told(&HashMap::from([(key("x", "t0"), report(0, true))]), false, at(20));
-    book.told(&HashMap::new(), false, at(30));
+    book.told(&CrashRows::from([(key("x", "t0"), report(0, true))]), false, at(20));
+    book.told(&CrashRows::new(), false, at(30));
     assert_eq!(level(&book, "x", 30), None);
 }
 
@@ -107,7 +107,7 @@
 fn clocks_of_other_hosts_shift_little(first: bool, died: u64, until: u64) {
     let mut book = QuarantineBook::default();
     let report = CrashReport { died: UnixMillis(died), ..report(0, true) };
-    book.told(&HashMap::from([(key("x", "t0"), report)]), first, at(500));
+    book.told(&CrashRows::from([(key("x", "t0"), report)]), first, at(500));
     let kept = book.standing(&mark("x"), at(500)).unwrap();
     let spread = kept.until.0.since(UnixMillis(until));
     assert!(kept.until.0 >= UnixMillis(until) && spread <= HOLD_MILLIS / 2, "{kept:?}");
@@ -116,7 +116,7 @@
 #[test]
 fn what_no_longer_counts_is_removed_by_its_writer_and_later_by_others() {
     let mut book = QuarantineBook::default();
-    let rows = HashMap::from([(key("x", "t0"), report(0, true))]);
+    let rows = CrashRows::from([(key("x", "t0"), report(0, true))]);
     book.told(&rows, true, at(0));
     let forgotten = 2 * book.standing(&mark("x"), at(0)).unwrap().until.0.since(at(0));
     assert_eq!(book.lapsed("a", 0.5, at(forgotten - 1)), []);
@@ -165,7 +165,7 @@
     books: Vec<QuarantineBook>,
     /// When each host hears of the table again, at most [`HEAR_MILLIS`] after a change.
     hears: Vec<u64>,
-    rows: HashMap<CrashKey, CrashReport>,
+    rows: CrashRows,
     /// When the target at each place is back, and its life.
     targets: Vec<(u64, u32)>,
     now: u64,
@@ -189,7 +189,7 @@
             random: Pcg64Mcg::seed_from_u64(seed),
             books: (0..HOSTS).map(|_host| QuarantineBook::new(rules)).collect(),
             hears: vec![0; HOSTS],
-            rows: HashMap::new(),
+            rows: CrashRows::new(),
             targets: vec![(0, 0); TARGETS],
             now: 0,
             killed: Vec::new(),
--- a/crates/porthoist-proxy/src/crashes.rs
+++ b/crates/porthoist-proxy/src/crashes.rs
@@ -6,10 +6,10 @@
 use crate::rows::{ControlTable, RowChange, RowSource, RowValue, RowWriter, TableRow, answer_within};
 use crate::source::{SourceError, Stamped};
 use porthoist_metrics::MetricsHub;
-use porthoist_policy::proxy::quarantine::{CrashKey, CrashReport};
+use porthoist_policy::proxy::quarantine::{CrashKey, CrashReport, CrashRows};
 use serde::{Deserialize, Serialize};
 use slog::{Logger, info, warn};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,8 +22,10 @@
 const CHANGE_PAUSE: Duration = Duration::from_millis(50);
 /// First pause after a failed question; it doubles up to [`MAX_PAUSE`].
 const PAUSE: Duration = Duration::from_millis(60);
-/// Longest pause after a failed question or write: a process must become ready within a second of the service's return.
+/// Longest pause after a failed question: a process must become ready within a second of the service's return.
 const MAX_PAUSE: Duration = Duration::from_millis(480);
+/// Longest pause after a failed write: each try has its price, and others must know within 3 s of the service's return.
+const MAX_WRITE_PAUSE: Duration = Duration::from_secs(2);
 /// How long deaths are gathered before they are written: those of one target are noted within milliseconds, and each
 /// write has its price.
 const GATHER: Duration = Duration::from_millis(20);
@@ -42,7 +44,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct CrashNews {
     /// Its rows.
-    pub rows: Arc<HashMap<CrashKey, CrashReport>>,
+    pub rows: Arc<CrashRows>,
     /// Whether it was listed at all.
     pub listed: bool,
 }
@@ -82,12 +84,14 @@
     pub async fn run(&self) {
         let mut revision = None;
         let mut pause = PAUSE;
+        let mut failing = false;
         let mut unreadable = HashSet::new();
         loop {
             let answer = self.ask(revision).await;
             match answer {
                 Ok(answer) => {
                     pause = PAUSE;
+                    failing = false;
                     let whole = revision.replace(answer.revision).is_none();
                     if !answer.value.is_empty() || whole {
                         self.take(&answer.value, whole, &mut unreadable);
@@ -97,8 +101,10 @@
                 Err(SourceError::HistoryGone) => revision = None,
                 Err(error) => {
                     revision = None;
-                    info!(self.logger, "deaths are not told"; "event" => "crashes_unheard",
-                        "error" => error.to_string());
+                    if !std::mem::replace(&mut failing, true) {
+                        info!(self.logger, "deaths are not told"; "event" => "crashes_unheard",
+                            "error" => error.to_string());
+                    }
                     if !self.source.paces_itself() {
                         tokio::time::sleep(jittered(pause)).await;
                         pause = (pause * 2).min(MAX_PAUSE);
@@ -123,7 +129,7 @@
 
     fn take(&self, rows: &[TableRow], whole: bool, unreadable: &mut HashSet<(String, u64)>) {
         self.news.send_modify(|news| {
-            let known = if whole { HashMap::new() } else { (*news.rows).clone() };
+            let known = if whole { CrashRows::new() } else { (*news.rows).clone() };
             let known = rows.iter().fold(known, |mut known, row| {
                 match read_row(row) {
                     Ok((key, Some(report))) => drop(known.insert(key, report)),
@@ -146,7 +152,8 @@
     }
 }
 
-fn read_row(row: &TableRow) -> Result<(CrashKey, Option<CrashReport>), String> {
+/// Reads a row of the table: a death, or that it was removed; says why it can't be read.
+pub fn read_row(row: &TableRow) -> Result<(CrashKey, Option<CrashReport>), String> {
     let key = row.key.parse::<CrashKey>().map_err(|error| error.to_string())?;
     match &row.value {
         RowValue::Removed => Ok((key, None)),
@@ -201,7 +208,7 @@
                     warn!(self.logger, "deaths were not written"; "event" => "crashes_unwritten",
                         "error" => error.to_string(), "rows" => self.pending.len());
                     tokio::time::sleep(jittered(pause)).await;
-                    pause = (pause * 2).min(MAX_PAUSE);
+                    pause = (pause * 2).min(MAX_WRITE_PAUSE);
                 }
             }
         }
--- a/porthoist-cli/src/cmd.rs
+++ b/porthoist-cli/src/cmd.rs
@@ -2,6 +2,7 @@
 
 pub mod drain;
 pub mod explain;
+pub mod quarantine;
 pub mod report;
 pub mod status;
 pub mod table;
--- a/porthoist-cli/src/lib.rs
+++ b/porthoist-cli/src/lib.rs
@@ -38,6 +38,7 @@
     Explain(cmd::explain::ExplainArgs),
     Report(cmd::report::ReportArgs),
     Drain(cmd::drain::DrainArgs),
+    Quarantine(cmd::quarantine::QuarantineArgs),
 }
 
 const DEFAULT_OPERATOR: &str = "http://127.0.0.1:8081";
@@ -55,5 +56,6 @@
         ToolCommand::Explain(args) => cmd::explain::run(&client, args).await,
         ToolCommand::Report(args) => cmd::report::run(&args),
         ToolCommand::Drain(args) => cmd::drain::run(&client, args).await,
+        ToolCommand::Quarantine(args) => cmd::quarantine::run(args).await,
     }
 }
--- /dev/null
+++ b/porthoist-cli/tests/quarantine.rs
@@ -0,0 +1,41 @@
+//! The requests that targets died under, as operators see them.
+
+use porthoist_cli::cmd::quarantine::{find_mark, quarantine_text};
+use porthoist_core::UnixMillis;
+use porthoist_policy::proxy::quarantine::{CrashKey, CrashReport, CrashRows};
+
+const FIRST: &str = "0123456789abcdef0123456789abcdef0000000000000001";
+const OTHER: &str = "0177777789abcdef0123456789abcdef0000000000000002";
+
+fn rows() -> CrashRows {
+    let row = |mark: &str, target: &str, died: u64| {
+        let key: CrashKey = format!("{mark}/{target}").parse().unwrap();
+        (key, CrashReport { died: UnixMillis(died), ranked: true, by: "entry-1".into() })
+    };
+    CrashRows::from([
+        row(OTHER, "i-9@0", 95_000),
+        row(FIRST, "i-1@0", 90_000),
+        row(FIRST, "i-2@0", 98_000),
+        row(FIRST, "i-3@0", 99_000),
+    ])
+}
+
+#[test]
+fn the_most_deaths_stand_first() {
+    insta::assert_snapshot!(quarantine_text(&rows(), UnixMillis(100_000)), @r"
+    request       level       deaths  kept (s)  targets that died
+    0123456789ab  quarantined      3       599  i-1@0 i-2@0 i-3@0
+    0177777789ab  held             1        56  i-9@0
+    ");
+    assert_eq!(quarantine_text(&rows(), UnixMillis(99_000_000)), "nothing is held against any request\n");
+}
+
+#[test]
+fn the_first_digits_name_a_request_if_they_name_one() {
+    assert_eq!(find_mark(&rows(), "0123").unwrap(), FIRST.parse().unwrap());
+    assert_eq!(find_mark(&rows(), "01").unwrap_err().to_string(), "\"01\" begins the marks of 2 requests");
+    for digits in ["ff", ""] {
+        let problem = find_mark(&rows(), digits).unwrap_err().to_string();
+        assert_eq!(problem, format!("nothing is held against a request {digits:?}"));
+    }
+}
