--- a/crates/porthoist-lab/src/capacity.rs
+++ b/crates/porthoist-lab/src/capacity.rs
@@ -4,9 +4,9 @@
 
 use crate::report::rounded;
 use porthoist_core::{
-    AttemptId, ByteSize, ClockSource, IncarnationId, LoadReport, OfferOutcome, RefusalReason, RepeatPolicy,
-    RequestId, RequestOffer, RequestPriority, RequestRate, RunVerdict, ServiceKind, ServiceName, TargetName,
-    TeamName, UnixDeadline, UnixMillis, ZoneName,
+    AttemptId, ByteSize, ClockSource, IncarnationId, LoadReport, MarkedHead, OfferOutcome, RefusalReason,
+    RepeatPolicy, RequestId, RequestOffer, RequestPriority, RequestRate, RunVerdict, ServiceKind,
+    ServiceName, TargetName, TeamName, UnixDeadline, UnixMillis, ZoneName,
 };
 use porthoist_fleet::FleetDigest;
 use porthoist_fleet::convert::{read_offer, write_asks, write_digest, write_offer, write_outcome};
@@ -19,6 +19,7 @@
 use porthoist_policy::placement::even::{EvenBounds, EvenMap, improve};
 use porthoist_policy::placement::map::ExpertId;
 use porthoist_policy::placement::{GroupEstimate, PlannerSettings, place_anew, plan};
+use porthoist_policy::proxy::quarantine::{CrashKey, CrashReport, MOST_MARKS, QuarantineBook};
 use porthoist_policy::router::{PREFIX_CAPACITY, RouteQuery, RouteTarget, Router, RouterSettings};
 use porthoist_policy::table::{RowKey, RowKind, TableRow, TeamRow};
 use serde::Serialize;
@@ -99,6 +100,7 @@
     slopes.extend(routing());
     slopes.extend(messages());
     slopes.extend(placement());
+    slopes.extend(marks());
     slopes
 }
 
@@ -331,6 +333,45 @@
     slopes
 }
 
+/// Bodies whose marks are timed: a usual one, the longest whose answer is remembered, and the longest that entries take.
+const MARKED_BODIES: [(usize, &str); 3] = [
+    (3 * 1024, "marks: of a request with a body of 3 KB"),
+    (16 * 1024, "marks: of a request with a body of 16 KB"),
+    (4 * 1024 * 1024, "marks: of a request with a body of 4 MB"),
+];
+
+/// The price of telling whether a request is one that targets died under.
+fn marks() -> Vec<CapacitySlope> {
+    let head = |body_bytes| MarkedHead {
+        host: "refunds.example",
+        path: "/receipts/read?market=7",
+        team: Some("border"),
+        body_bytes,
+    };
+    let unknown = micros_each(10_000, |index| {
+        black_box(head(index).digest());
+    });
+    let mut slopes = vec![slope("marks: of a request without its body", "us", unknown)];
+    slopes.extend(MARKED_BODIES.map(|(bytes, name)| {
+        let body = vec![7; bytes];
+        let micros = micros_each(20, |_round| {
+            black_box(head(bytes).mark(&body));
+        });
+        slope(name, "us", micros)
+    }));
+    let mut book = QuarantineBook::default();
+    let report = CrashReport { died: UnixMillis(1_000), ranked: true, by: "entry-1".into() };
+    for index in 0..MOST_MARKS {
+        let mark = head(index).mark(&[]);
+        book.died(&CrashKey { mark, target: "t".into() }, report.clone(), UnixMillis(1_000));
+    }
+    let asked = micros_each(1_000, |index| {
+        black_box(book.knows_head(index as u64));
+    });
+    slopes.push(slope("marks: a request asked about in a full book", "us", asked));
+    slopes
+}
+
 /// Ranks of the groups that expert maps are planned for.
 const GROUP_RANKS: [(usize, &str); 3] = [
     (24, "expert maps: plan for 24 ranks after a shift, 16 sets of 258 experts"),
--- a/crates/porthoist-proxy/src/quarantine.rs
+++ b/crates/porthoist-proxy/src/quarantine.rs
@@ -16,7 +16,7 @@
 use tokio::sync::{mpsc, watch};
 
 /// Longest body, in bytes, whose whole answer is remembered although nothing is held against its request. Its digest takes
-/// some 10 microseconds of a core; requests that come many times a second have small bodies.
+/// 13 microseconds of a core; requests that come many times a second have small bodies.
 const TRUSTED_BODY_BYTES: usize = 16 * 1024;
 
 /// A request that can be marked.
