--- a/crates/porthoist-proxy/src/course.rs
+++ b/crates/porthoist-proxy/src/course.rs
@@ -3,7 +3,7 @@
 
 use crate::broker::{PlaceBroker, PlaceDemand, PlaceError, TargetPlace};
 use crate::control::ControlState;
-use crate::exchange::{ConnectionPool, OpenAnswer, SendFailure, TargetPulse};
+use crate::exchange::{ConnectionPool, OpenAnswer, SendFailure};
 use crate::quarantine::QuarantineDesk;
 use crate::reply::{Reply, own_reply, piecewise_reply, relayed_headers, whole_reply};
 use crate::wire::WireCodec;
@@ -12,7 +12,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, StatusCode};
 use porthoist_core::{
-    ClockSource, RefusalReason, RetryReason, RunVerdict, ServiceName, TargetName, UnixDeadline, UnixMillis,
+    ClockSource, RefusalReason, RetryReason, RunVerdict, ServiceName, UnixDeadline, UnixMillis,
 };
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::forecast::PatienceBook;
@@ -20,7 +20,7 @@
 use porthoist_policy::proxy::loads::GroupLoads;
 use porthoist_policy::proxy::retry_share::{RetryShare, ShareSettings};
 use porthoist_policy::proxy::routes::RouteError;
-use porthoist_policy::proxy::targets::{TargetLife, TargetRecord, TargetState};
+use porthoist_policy::proxy::targets::TargetLife;
 use porthoist_policy::proxy::waiting::RequestTurn;
 use slog::{Logger, info};
 use std::cell::{Cell, RefCell};
@@ -31,6 +31,7 @@
 use tokio::sync::watch;
 
 mod admission;
+mod leave;
 mod parts;
 mod relay;
 mod sending;
@@ -269,80 +270,6 @@
         }
     }
 
-    /// Leave to send a request, and a place for it. What is heard of it while it waits for one counts too.
-    async fn leave_and_place(
-        &self,
-        admitted: &AdmittedRequest,
-        record: &mut SendRecord,
-    ) -> Result<TargetPlace, CourseRefusal> {
-        self.take_leave(admitted, record)?;
-        let place = self.find_place(admitted, record).await?;
-        self.take_leave(admitted, record)?;
-        self.check_deadline(admitted, record)?;
-        if let Some(suspect) = &mut record.suspect {
-            suspect.at(&place.record.id);
-        }
-        Ok(place)
-    }
-
-    /// Whether there is time left. The end of a wait for a place does not tell: the runtime's timers stand still while the host
-    /// is suspended.
-    fn check_deadline(&self, admitted: &AdmittedRequest, record: &SendRecord) -> Result<(), CourseRefusal> {
-        if !admitted.deadline.passed(self.clock.now()) {
-            return Ok(());
-        }
-        if record.may_have_run {
-            return Err(CourseRefusal::unknown(RefusalReason::DeadlinePassed, StatusCode::GATEWAY_TIMEOUT));
-        }
-        let retry_millis = self.broker.return_millis(&admitted.service, admitted.deadline);
-        Err(CourseRefusal::later(RefusalReason::DeadlinePassed, retry_millis))
-    }
-
-    fn take_leave(&self, admitted: &AdmittedRequest, record: &mut SendRecord) -> Result<(), CourseRefusal> {
-        if record.suspect.is_some() {
-            return Ok(());
-        }
-        match self.quarantine.begin(admitted) {
-            Ok(run) => {
-                record.suspect = run;
-                Ok(())
-            }
-            Err(_kept) if record.may_have_run => {
-                Err(CourseRefusal::unknown(RefusalReason::Quarantined, StatusCode::BAD_GATEWAY))
-            }
-            Err(kept) => {
-                let retry_millis = kept.until.0.since(self.clock.now());
-                Err(CourseRefusal::later(RefusalReason::Quarantined, retry_millis))
-            }
-        }
-    }
-
-    /// Finds out whether a target whose connection ended has died, which is held against the request.
-    async fn note_lost(
-        &self,
-        admitted: &AdmittedRequest,
-        target: &TargetRecord,
-        failure: &SendFailure,
-        record: &mut SendRecord,
-    ) {
-        record.suspect = None;
-        if !failure.closed || self.leaves(target) {
-            return;
-        }
-        let pulse = self.pool.pulse(target).await;
-        if pulse == TargetPulse::Dead {
-            self.broker.died(&target.life());
-        }
-        self.quarantine.lost(admitted, target, pulse);
-    }
-
-    /// Whether a target is known to leave, so that its end is no surprise.
-    fn leaves(&self, target: &TargetRecord) -> bool {
-        let state = self.state.borrow();
-        let known = state.targets.records().find(|record| record.life() == target.life());
-        known.is_none_or(|record| record.state == TargetState::Draining)
-    }
-
     async fn find_place(
         &self,
         admitted: &AdmittedRequest,
@@ -381,19 +308,6 @@
         }
     }
 
-    /// Targets that a request was sent to, and for a suspected one those with others of its kind, unless there are no more.
-    fn places_to_avoid(&self, admitted: &AdmittedRequest, record: &SendRecord) -> Vec<TargetName> {
-        let tried = record.tried.clone();
-        if record.suspect.is_none() {
-            return tried;
-        }
-        let avoided = [tried.clone(), self.quarantine.occupied()].concat();
-        let state = self.state.borrow();
-        let mut targets = state.targets.records().filter(|target| target.service == admitted.service);
-        let free = targets.any(|target| target.state == TargetState::Ready && !avoided.contains(&target.id));
-        if free { avoided } else { tried }
-    }
-
     fn no_place(&self, admitted: &AdmittedRequest, record: &SendRecord, error: PlaceError) -> CourseRefusal {
         let reason = match error {
             PlaceError::Busy | PlaceError::Full | PlaceError::Down => RefusalReason::Overloaded,
--- a/crates/porthoist-proxy/src/crashes.rs
+++ b/crates/porthoist-proxy/src/crashes.rs
@@ -101,7 +101,6 @@
                         self.take(&answer.value, whole, &mut unreadable);
                         tokio::time::sleep(CHANGE_PAUSE).await;
                     }
-                    self.until_served().await;
                 }
                 Err(SourceError::HistoryGone) => revision = None,
                 Err(error) => {
@@ -116,14 +115,6 @@
         }
     }
 
-    /// Without routes and targets nothing dies, and no other process is known that could be asked. Of 149 entries
-    /// that asked as soon as targets were listed, 118 to 149 asked twice in vain before traffic: 267 calls.
-    async fn until_served(&self) {
-        let known = |state: &ControlState| state.routes.is_some() && state.targets.records().next().is_some();
-        // The process stops where nobody tells of targets any more.
-        drop(self.state.clone().wait_for(known).await);
-    }
-
     /// Waits until the service has answered a question about routes that is asked anyway, so that an outage costs no further
     /// calls.
     async fn until_routes_answer(&self) {
