--- /dev/null
+++ b/crates/porthoist-proxy/tests/shared/harness.rs
@@ -0,0 +1,456 @@
+//! A zone of entries and of processes that follow the tables for them, with faults, on virtual time.
+
+use futures::future::LocalBoxFuture;
+use porthoist_core::{BirthMillis, ClockSource, UnixMillis};
+use porthoist_metrics::MetricsHub;
+use porthoist_policy::proxy::routes::{CallerLimits, ConfigVersion, RouteTable};
+use porthoist_policy::proxy::targets::{TargetChange, TargetRecord, TargetState};
+use porthoist_proxy::{
+    ControlSource, ControlState, ControlTable, ControlWatch, NewsAsk, NewsPeers, RowSource, RowValue,
+    SharedRows, SourceError, SourceFuture, Stamped, TableNews, TableReader, TableRow,
+};
+use slog::{Discard, Logger, o};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+use tokio::time::{Instant, sleep, timeout};
+
+/// How old a proof of routes may be at most where keys that are taken away must run nothing after 5 s.
+pub const PROOF_MILLIS: u64 = 4_600;
+/// The same for targets, where operators allow 3 s to notice a loss and 2 s until a leaving target gets nothing new.
+pub const TARGETS_MILLIS: u64 = 4_400;
+/// Entries of the zone.
+pub const ENTRIES: usize = 30;
+
+pub fn logger() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+/// Time of the runtime, from some moment on, which may be set apart from that of other processes.
+#[derive(Debug)]
+pub struct RuntimeClock {
+    pub began: Instant,
+    pub ahead: u64,
+    /// Milliseconds in which the host was suspended: its timers stood still, its clock did not.
+    pub suspended: AtomicU64,
+}
+
+impl RuntimeClock {
+    pub fn ahead(millis: u64) -> Arc<Self> {
+        Arc::new(Self { began: Instant::now(), ahead: millis, suspended: AtomicU64::new(0) })
+    }
+}
+
+impl ClockSource for RuntimeClock {
+    fn now(&self) -> UnixMillis {
+        let suspended = self.suspended.load(Ordering::Relaxed);
+        UnixMillis(1_000_000 + self.ahead + suspended + self.began.elapsed().as_millis() as u64)
+    }
+}
+
+/// The table service, or the way of one process to it.
+#[derive(Debug)]
+pub struct TableService {
+    pub began: Instant,
+    pub rows: RefCell<BTreeMap<String, (RowValue, u64)>>,
+    pub version: watch::Sender<u64>,
+    /// No question is answered, or each is refused.
+    pub silent: Cell<bool>,
+    pub refusing: Cell<bool>,
+    /// Questions that wait are lost when it increases.
+    pub lost: watch::Sender<u64>,
+    /// Questions that wait fail when it increases.
+    pub reset: watch::Sender<u64>,
+    pub calls: Cell<usize>,
+    pub answer_millis: Cell<u64>,
+    /// Milliseconds that its clock went on while the processes' timers stood still.
+    pub ahead: Cell<u64>,
+}
+
+impl TableService {
+    pub fn new() -> Rc<Self> {
+        let service = Rc::new(Self {
+            began: Instant::now(),
+            rows: RefCell::default(),
+            version: watch::Sender::new(1),
+            silent: Cell::new(false),
+            refusing: Cell::new(false),
+            lost: watch::Sender::new(0),
+            reset: watch::Sender::new(0),
+            calls: Cell::new(0),
+            answer_millis: Cell::new(4),
+            ahead: Cell::new(0),
+        });
+        service.put("a", b"first");
+        service.put("b", b"first");
+        service
+    }
+
+    pub fn change(&self, key: &str, value: RowValue) {
+        let version = *self.version.borrow() + 1;
+        self.rows.borrow_mut().insert(key.to_owned(), (value, version));
+        self.version.send_replace(version);
+    }
+
+    pub fn put(&self, key: &str, bytes: &[u8]) {
+        self.change(key, RowValue::Bytes(bytes.to_vec()));
+    }
+
+    pub fn remove(&self, key: &str) {
+        self.change(key, RowValue::Removed);
+    }
+
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.set(silent);
+        self.lost.send_modify(|lost| *lost += 1);
+    }
+
+    pub fn rows(&self, fits: impl Fn(&RowValue, u64) -> bool) -> Stamped<Vec<TableRow>> {
+        let rows = self.rows.borrow();
+        let mut fitting: Vec<TableRow> = rows
+            .iter()
+            .filter(|(_key, (value, version))| fits(value, *version))
+            .map(|(key, (value, version))| TableRow {
+                key: key.clone(),
+                value: value.clone(),
+                version: *version,
+            })
+            .collect();
+        fitting.sort_by_key(|row| row.version);
+        Stamped::of(
+            fitting,
+            *self.version.borrow(),
+            self.began.elapsed().as_millis() as u64 + self.ahead.get(),
+        )
+    }
+
+    pub async fn taken(&self) -> Result<(), SourceError> {
+        self.calls.set(self.calls.get() + 1);
+        sleep(Duration::from_millis(self.answer_millis.get())).await;
+        if self.silent.get() {
+            std::future::pending::<()>().await;
+        }
+        if self.refusing.get() { Err(SourceError::Refused(503)) } else { Ok(()) }
+    }
+}
+
+/// One process's way to the service, which may be cut for it alone.
+#[derive(Debug)]
+pub struct ServiceWay {
+    pub service: Rc<TableService>,
+    pub cut: Cell<bool>,
+    /// Each question over it fails at once.
+    pub reset: Cell<bool>,
+    pub calls: Cell<usize>,
+}
+
+impl ServiceWay {
+    pub fn new(service: &Rc<TableService>) -> Rc<Self> {
+        Rc::new(Self {
+            service: Rc::clone(service),
+            cut: Cell::new(false),
+            reset: Cell::new(false),
+            calls: Cell::new(0),
+        })
+    }
+
+    pub async fn unless_lost<T>(
+        &self,
+        answer: impl Future<Output = Result<T, SourceError>>,
+    ) -> Result<T, SourceError> {
+        self.calls.set(self.calls.get() + 1);
+        let mut lost = self.service.lost.subscribe();
+        let mut reset = self.service.reset.subscribe();
+        if self.cut.get() {
+            std::future::pending::<()>().await;
+        }
+        if self.reset.get() {
+            sleep(Duration::from_millis(1)).await;
+            return Err(SourceError::Unavailable("reset".to_owned()));
+        }
+        tokio::select! {
+            biased;
+            _lost = lost.changed() => std::future::pending().await,
+            _reset = reset.changed() => Err(SourceError::Unavailable("reset".to_owned())),
+            answer = answer => answer,
+        }
+    }
+}
+
+impl RowSource for ServiceWay {
+    fn list(&self, _table: ControlTable) -> SourceFuture<'_, Vec<TableRow>> {
+        Box::pin(self.unless_lost(async {
+            self.service.taken().await?;
+            Ok(self.service.rows(|value, _version| *value != RowValue::Removed))
+        }))
+    }
+
+    fn after(&self, _table: ControlTable, revision: u64, wait: Duration) -> SourceFuture<'_, Vec<TableRow>> {
+        Box::pin(self.unless_lost(async move {
+            self.service.taken().await?;
+            let mut versions = self.service.version.subscribe();
+            let newer = versions.wait_for(|version| *version > revision);
+            // The end of the wait is an answer too.
+            let _waited = timeout(wait, newer).await;
+            if self.service.silent.get() {
+                std::future::pending::<()>().await;
+            }
+            Ok(self.service.rows(|_value, version| version > revision))
+        }))
+    }
+}
+
+/// What is wrong with a process that follows the tables for others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReaderFault {
+    None,
+    /// It answers nothing, and is connected to all the same.
+    Frozen,
+    /// Connections to it fail at once.
+    Gone,
+    /// It answers after so many milliseconds.
+    Slow(u64),
+    /// It says again and again what it said first.
+    Repeating,
+    /// It says that there is more than it passes on.
+    Full,
+}
+
+#[derive(Debug)]
+pub struct ReaderProcess {
+    pub reader: RefCell<Rc<TableReader>>,
+    pub way: Rc<ServiceWay>,
+    pub fault: Cell<ReaderFault>,
+    pub first: RefCell<Option<TableNews>>,
+}
+
+impl ReaderProcess {
+    pub fn new(service: &Rc<TableService>) -> Rc<Self> {
+        let way = ServiceWay::new(service);
+        let reader = Self::reader(&way);
+        Rc::new(Self {
+            reader: RefCell::new(reader),
+            way,
+            fault: Cell::new(ReaderFault::None),
+            first: RefCell::default(),
+        })
+    }
+
+    pub fn reader(way: &Rc<ServiceWay>) -> Rc<TableReader> {
+        let source: Rc<dyn RowSource> = Rc::<ServiceWay>::clone(way);
+        // Its time of day is an hour ahead of the entries'.
+        TableReader::new(source, RuntimeClock::ahead(3_600_000), logger())
+    }
+
+    /// It begins anew and knows nothing.
+    pub fn restart(&self) {
+        *self.reader.borrow_mut() = Self::reader(&self.way);
+    }
+
+    pub async fn news(&self, ask: NewsAsk) -> Result<TableNews, String> {
+        match self.fault.get() {
+            ReaderFault::Frozen => std::future::pending().await,
+            ReaderFault::Gone => return Err("connection refused".to_owned()),
+            ReaderFault::Slow(millis) => sleep(Duration::from_millis(millis)).await,
+            ReaderFault::Full => return Ok(TableNews::TooMuch),
+            ReaderFault::None | ReaderFault::Repeating => {}
+        }
+        let first = self.first.borrow().clone();
+        if self.fault.get() == ReaderFault::Repeating
+            && let Some(first) = first
+        {
+            sleep(Duration::from_millis(50)).await;
+            return Ok(first);
+        }
+        let reader = Rc::clone(&self.reader.borrow());
+        let news = reader.news(ask).await;
+        if self.fault.get() == ReaderFault::Frozen {
+            std::future::pending::<()>().await;
+        }
+        let mut first = self.first.borrow_mut();
+        first.get_or_insert_with(|| news.clone());
+        Ok(news)
+    }
+}
+
+/// The processes that an entry may ask, with the way to each.
+#[derive(Debug)]
+pub struct Zone(pub Vec<Rc<ReaderProcess>>);
+
+impl NewsPeers for Zone {
+    fn hosts(&self) -> Vec<Ipv4Addr> {
+        (0..self.0.len()).map(|index| Ipv4Addr::new(10, 0, 0, index as u8)).collect()
+    }
+
+    fn news(&self, host: Ipv4Addr, ask: NewsAsk) -> LocalBoxFuture<'_, Result<TableNews, String>> {
+        Box::pin(self.0[usize::from(host.octets()[3])].news(ask))
+    }
+}
+
+/// Reads a row's key as a target, and the row `config` as routes.
+#[derive(Debug)]
+pub struct PlainSource(pub Rc<dyn RowSource>);
+
+impl PlainSource {
+    pub fn change(row: &TableRow) -> TargetChange {
+        let id: porthoist_core::TargetName = row.key.parse().unwrap();
+        match &row.value {
+            RowValue::Bytes(bytes) => TargetChange::Put(TargetRecord {
+                id,
+                born: BirthMillis::default(),
+                service: "s".parse().unwrap(),
+                address: ([10, 1, 0, row.key.as_bytes()[0]], 80).into(),
+                zone: "z".parse().unwrap(),
+                slots: 1,
+                state: if bytes.starts_with(b"leaving") { TargetState::Draining } else { TargetState::Ready },
+            }),
+            RowValue::Unreadable(_) => TargetChange::Unusable(id),
+            RowValue::Removed => TargetChange::Gone(id),
+        }
+    }
+
+    pub fn routes(rows: &[TableRow]) -> Option<RouteTable> {
+        let row = rows.iter().rfind(|row| row.key == "a")?;
+        let limits = CallerLimits { header_bytes: 1, body_bytes: 1, idle_millis: 1 };
+        Some(RouteTable::new(ConfigVersion(row.version), limits, Vec::new(), Vec::new(), None))
+    }
+}
+
+impl ControlSource for PlainSource {
+    fn list_routes(&self) -> SourceFuture<'_, Option<RouteTable>> {
+        Box::pin(async { Ok(self.0.list(ControlTable::Routes).await?.map(|rows| Self::routes(&rows))) })
+    }
+
+    fn routes_after(&self, revision: u64, wait: Duration) -> SourceFuture<'_, Option<RouteTable>> {
+        Box::pin(async move {
+            let rows = self.0.after(ControlTable::Routes, revision, wait).await?;
+            Ok(rows.map(|rows| Self::routes(&rows)))
+        })
+    }
+
+    fn list_targets(&self) -> SourceFuture<'_, Vec<TargetChange>> {
+        Box::pin(async {
+            let rows = self.0.list(ControlTable::Targets).await?;
+            Ok(rows.map(|rows| rows.iter().map(Self::change).collect()))
+        })
+    }
+
+    fn targets_after(&self, revision: u64, wait: Duration) -> SourceFuture<'_, Vec<TargetChange>> {
+        Box::pin(async move {
+            let rows = self.0.after(ControlTable::Targets, revision, wait).await?;
+            Ok(rows.map(|rows| rows.iter().map(Self::change).collect()))
+        })
+    }
+
+    fn paces_itself(&self) -> bool {
+        self.0.paces_itself()
+    }
+
+    fn patience(&self, wait: Duration) -> Duration {
+        self.0.patience(wait)
+    }
+}
+
+/// An entry of the zone.
+pub struct Entry {
+    pub state: watch::Receiver<ControlState>,
+    pub way: Rc<ServiceWay>,
+    pub clock: Arc<RuntimeClock>,
+}
+
+impl Entry {
+    pub fn start(service: &Rc<TableService>, zone: &Rc<Zone>) -> Self {
+        let way = ServiceWay::new(service);
+        let clock = RuntimeClock::ahead(0);
+        let metrics = Arc::new(MetricsHub::new().unwrap());
+        let peers: Rc<dyn NewsPeers> = Rc::<Zone>::clone(zone);
+        let shared_clock: Arc<dyn ClockSource> = Arc::<RuntimeClock>::clone(&clock);
+        let rows = SharedRows::new(
+            Rc::<ServiceWay>::clone(&way),
+            peers,
+            shared_clock,
+            Arc::clone(&metrics),
+            logger(),
+        );
+        let sender = watch::Sender::new(ControlState::default());
+        let state = sender.subscribe();
+        let watch = ControlWatch::builder()
+            .source(Rc::new(PlainSource(rows)))
+            .state(sender)
+            .clock(Arc::<RuntimeClock>::clone(&clock))
+            .metrics(metrics)
+            .logger(logger())
+            .build();
+        tokio::task::spawn_local(async move { watch.run().await });
+        Self { state, way, clock }
+    }
+
+    pub fn targets(&self) -> HashMap<String, TargetState> {
+        let state = self.state.borrow();
+        state.targets.records().map(|record| (record.id.to_string(), record.state)).collect()
+    }
+
+    /// How old the proofs of routes and of targets are; as old as anything without one.
+    pub fn ages(&self) -> (u64, u64) {
+        let state = self.state.borrow();
+        let age = |proof: &porthoist_policy::proxy::freshness::FreshnessProof| {
+            proof.age(self.clock.now()).unwrap_or(u64::MAX)
+        };
+        (age(&state.proof), age(&state.targets_proof))
+    }
+}
+
+/// A zone of entries with some processes that may follow the tables for them.
+pub struct Deployment {
+    pub service: Rc<TableService>,
+    pub zone: Rc<Zone>,
+    pub entries: Vec<Entry>,
+}
+
+impl Deployment {
+    pub async fn start(entries: usize, readers: usize) -> Self {
+        let service = TableService::new();
+        let zone = Rc::new(Zone((0..readers).map(|_reader| ReaderProcess::new(&service)).collect()));
+        let entries = (0..entries).map(|_entry| Entry::start(&service, &zone)).collect();
+        let deployment = Self { service, zone, entries };
+        sleep(Duration::from_secs(5)).await;
+        deployment
+    }
+
+    pub fn reader(&self, index: usize) -> &ReaderProcess {
+        &self.zone.0[index]
+    }
+
+    /// Watches for a time that no entry's proofs get too old.
+    pub async fn stay_fresh(&self, time: Duration) {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            for (number, entry) in self.entries.iter().enumerate() {
+                let (routes, targets) = entry.ages();
+                assert!(routes <= PROOF_MILLIS, "entry {number}: the proof of routes is {routes} ms old");
+                assert!(targets <= TARGETS_MILLIS, "entry {number}: that of targets is {targets} ms old");
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Waits until all entries see it; returns the milliseconds that this took.
+    pub async fn until_all(&self, seen: impl Fn(&Entry) -> bool) -> u64 {
+        let began = Instant::now();
+        while !self.entries.iter().all(&seen) {
+            assert!(began.elapsed() < Duration::from_secs(30), "not all entries see it");
+            sleep(Duration::from_millis(10)).await;
+        }
+        began.elapsed().as_millis() as u64
+    }
+}
+
+pub async fn play(test: impl AsyncFnOnce()) {
+    LocalSet::new().run_until(test()).await;
+}
