--- a/crates/porthoist-policy/src/proxy.rs
+++ b/crates/porthoist-policy/src/proxy.rs
@@ -9,7 +9,7 @@
 pub mod quarantine;
 pub mod retry_share;
 pub mod routes;
-pub mod sound;
 mod spread;
 pub mod targets;
+pub mod trusted;
 pub mod waiting;
--- a/crates/porthoist-policy/src/proxy/quarantine.rs
+++ b/crates/porthoist-policy/src/proxy/quarantine.rs
@@ -16,7 +16,7 @@
 //!
 //! What the book says follows from the set of deaths that it knows, not from the order in which it heard of them.
 
-use crate::proxy::sound::SoundMarks;
+use crate::proxy::trusted::TrustedMarks;
 use porthoist_core::{RequestMark, UnixDeadline, UnixMillis};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -156,9 +156,9 @@
     }
 }
 
-/// Leave to send a request.
+/// Permission to send a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SendLeave {
+pub enum SendPermit {
     /// Nothing is held against it.
     Clear,
     /// It is suspected; the book counts its run until [`QuarantineBook::ended`].
@@ -208,7 +208,7 @@
 pub struct QuarantineBook {
     rules: QuarantineRules,
     records: HashMap<RequestMark, SuspectRecord>,
-    sound: SoundMarks,
+    trusted: TrustedMarks,
 }
 
 impl QuarantineBook {
@@ -276,9 +276,9 @@
         Some(KeptBack { level, deaths, until })
     }
 
-    /// Asks to send a request. With [`SendLeave::Suspected`] its run counts until [`Self::ended`].
-    pub fn begin(&mut self, mark: &RequestMark, now: UnixMillis) -> Result<SendLeave, KeptBack> {
-        let Some(kept) = self.standing(mark, now) else { return Ok(SendLeave::Clear) };
+    /// Asks to send a request. With [`SendPermit::Suspected`] its run counts until [`Self::ended`].
+    pub fn begin(&mut self, mark: &RequestMark, now: UnixMillis) -> Result<SendPermit, KeptBack> {
+        let Some(kept) = self.standing(mark, now) else { return Ok(SendPermit::Clear) };
         if !kept.until.passed(now) {
             return Err(kept);
         }
@@ -287,7 +287,7 @@
             return Err(KeptBack { until: UnixDeadline::after(now, ALONE_RETRY_MILLIS), ..kept });
         }
         record.running += 1;
-        Ok(SendLeave::Suspected)
+        Ok(SendPermit::Suspected)
     }
 
     /// Takes that a run of a suspected request ended, in whatever way.
@@ -299,7 +299,7 @@
 
     /// Takes that a target died while this request was at it.
     pub fn died(&mut self, key: &CrashKey, report: CrashReport, now: UnixMillis) -> DeathVerdict {
-        if self.rules.trust && self.sound.speaks_for(&key.mark, now) {
+        if self.rules.trust && self.trusted.trusts(&key.mark, now) {
             return DeathVerdict::Trusted;
         }
         let record = self.records.entry(key.mark).or_default();
@@ -313,7 +313,7 @@
 
     /// Takes that a target answered a request whole; returns the rows to remove.
     pub fn answered(&mut self, mark: &RequestMark, now: UnixMillis) -> Vec<CrashKey> {
-        self.sound.answered(*mark, now);
+        self.trusted.answered(*mark, now);
         let Some(record) = self.records.remove(mark) else { return Vec::new() };
         record.deaths.into_keys().map(|target| CrashKey { mark: *mark, target }).collect()
     }
@@ -325,7 +325,7 @@
         self.drop_removed(rows, &mut changes);
         let mut heard = HashSet::new();
         for (key, report) in rows {
-            if self.rules.trust && self.sound.speaks_for(&key.mark, now) {
+            if self.rules.trust && self.trusted.trusts(&key.mark, now) {
                 changes.remove.push(key.clone());
                 continue;
             }
--- a/crates/porthoist-policy/src/proxy/sound.rs
+++ b/crates/porthoist-policy/src/proxy/trusted.rs
@@ -8,23 +8,23 @@
 /// not much longer than a second send would take to come.
 const TRUSTED_MILLIS: u64 = 20_000;
 /// Requests that are remembered at most, some 80 bytes each: 20 s of 200 answers a second.
-const MOST_SOUND: usize = 4_096;
+const MOST_TRUSTED: usize = 4_096;
 
 /// The requests that were answered.
 #[derive(Debug, Default)]
-pub struct SoundMarks {
+pub struct TrustedMarks {
     until: HashMap<RequestMark, UnixDeadline>,
     order: VecDeque<(RequestMark, UnixDeadline)>,
 }
 
-impl SoundMarks {
+impl TrustedMarks {
     /// Takes that a target answered a request whole.
     pub fn answered(&mut self, mark: RequestMark, now: UnixMillis) {
         let until = UnixDeadline::after(now, TRUSTED_MILLIS);
         self.until.insert(mark, until);
         self.order.push_back((mark, until));
         while let Some((oldest, end)) = self.order.front().copied() {
-            if !end.passed(now) && self.order.len() <= MOST_SOUND {
+            if !end.passed(now) && self.order.len() <= MOST_TRUSTED {
                 break;
             }
             self.order.pop_front();
@@ -36,7 +36,7 @@
     }
 
     /// Whether a whole answer of the last seconds speaks for a request.
-    pub fn speaks_for(&self, mark: &RequestMark, now: UnixMillis) -> bool {
+    pub fn trusts(&self, mark: &RequestMark, now: UnixMillis) -> bool {
         self.until.get(mark).is_some_and(|until| !until.passed(now))
     }
 }
--- a/crates/porthoist-policy/tests/policy/quarantine.rs
+++ b/crates/porthoist-policy/tests/policy/quarantine.rs
@@ -3,7 +3,7 @@
 use porthoist_core::{MarkedHead, RequestMark, UnixMillis};
 use porthoist_policy::proxy::quarantine::{
     CERTAIN_DEATHS, CrashKey, CrashReport, CrashRows, DeathVerdict, HOLD_MILLIS, MOST_MARKS,
-    QUARANTINE_MILLIS, QuarantineBook, QuarantineRules, SendLeave, SuspicionLevel,
+    QUARANTINE_MILLIS, QuarantineBook, QuarantineRules, SendPermit, SuspicionLevel,
 };
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
@@ -56,15 +56,15 @@
     let after = book.begin(&mark("x"), at(kept));
     assert!(after.is_ok(), "{after:?}");
     if expected.is_some() {
-        assert_eq!(after, Ok(SendLeave::Suspected));
+        assert_eq!(after, Ok(SendPermit::Suspected));
         assert!(book.begin(&mark("x"), at(kept)).is_err(), "one run at a time");
         book.ended(&mark("x"));
-        assert_eq!(book.begin(&mark("x"), at(kept)), Ok(SendLeave::Suspected));
+        assert_eq!(book.begin(&mark("x"), at(kept)), Ok(SendPermit::Suspected));
     }
 }
 
 #[test]
-fn one_whole_answer_clears_and_speaks_for_some_time() {
+fn one_whole_answer_clears_and_trusts_some_time() {
     let mut book = QuarantineBook::default();
     book.died(&key("hot", "t0"), report(0, true), at(0));
     assert_eq!(book.answered(&mark("hot"), at(10)), [key("hot", "t0")]);
@@ -87,7 +87,7 @@
     // An operator removes them.
     let changes = book.told(&CrashRows::new(), false, at(900));
     assert_eq!(changes.lifted, [mark("x")]);
-    assert_eq!(book.begin(&mark("x"), at(900)), Ok(SendLeave::Clear));
+    assert_eq!(book.begin(&mark("x"), at(900)), Ok(SendPermit::Clear));
 }
 
 #[test]
@@ -120,7 +120,7 @@
     book.told(&rows, true, at(0));
     let forgotten = 2 * book.standing(&mark("x"), at(0)).unwrap().until.0.since(at(0));
     assert_eq!(book.lapsed("a", 0.5, at(forgotten - 1)), []);
-    assert_eq!(book.begin(&mark("x"), at(forgotten)), Ok(SendLeave::Clear));
+    assert_eq!(book.begin(&mark("x"), at(forgotten)), Ok(SendPermit::Clear));
     assert_eq!(book.lapsed("b", 0.5, at(forgotten + 29_999)), []);
     assert_eq!(book.lapsed("a", 0.5, at(forgotten)), [key("x", "t0")]);
     assert_eq!(book.lapsed("a", 0.5, at(forgotten + 1)), [], "once");
@@ -216,7 +216,7 @@
     /// Who of these may be sent by a host, and whether it was suspected.
     fn leave(&mut self, host: usize, body: &str) -> Option<bool> {
         match self.books[host].begin(&mark(body), at(self.now)) {
-            Ok(leave) => Some(leave == SendLeave::Suspected),
+            Ok(leave) => Some(leave == SendPermit::Suspected),
             Err(kept) => {
                 if kept.level == SuspicionLevel::Quarantined && body != "killer" {
                     self.accused.insert(body.to_owned());
--- a/crates/porthoist-proxy/src/course.rs
+++ b/crates/porthoist-proxy/src/course.rs
@@ -31,8 +31,8 @@
 use tokio::sync::watch;
 
 mod admission;
-mod leave;
 mod parts;
+mod permit;
 mod relay;
 mod sending;
 
@@ -230,7 +230,7 @@
     ) -> Result<Reply, (CourseRefusal, CourseGuard)> {
         let mut record = SendRecord::default();
         loop {
-            let place = match self.leave_and_place(&admitted, &mut record).await {
+            let place = match self.permit_and_place(&admitted, &mut record).await {
                 Ok(place) => place,
                 Err(refusal) => return Err((refusal, guard)),
             };
--- a/crates/porthoist-proxy/src/course/leave.rs
+++ b/crates/porthoist-proxy/src/course/permit.rs
@@ -3,21 +3,21 @@
 use super::RequestCourse;
 use super::parts::{AdmittedRequest, CourseRefusal, SendRecord};
 use crate::broker::TargetPlace;
-use crate::exchange::{SendFailure, TargetPulse};
+use crate::exchange::{SendFailure, TargetLiveness};
 use hyper::StatusCode;
 use porthoist_core::{RefusalReason, TargetName};
 use porthoist_policy::proxy::targets::{TargetRecord, TargetState};
 
 impl RequestCourse {
-    /// Leave to send a request, and a place for it. What is heard of it while it waits for one counts too.
-    pub(super) async fn leave_and_place(
+    /// Permission to send a request, and a place for it. What is heard of it while it waits for one counts too.
+    pub(super) async fn permit_and_place(
         &self,
         admitted: &AdmittedRequest,
         record: &mut SendRecord,
     ) -> Result<TargetPlace, CourseRefusal> {
-        self.take_leave(admitted, record)?;
+        self.take_permit(admitted, record)?;
         let place = self.find_place(admitted, record).await?;
-        self.take_leave(admitted, record)?;
+        self.take_permit(admitted, record)?;
         self.check_deadline(admitted, record)?;
         if let Some(suspect) = &mut record.suspect {
             suspect.at(&place.record.id);
@@ -38,7 +38,7 @@
         Err(CourseRefusal::later(RefusalReason::DeadlinePassed, retry_millis))
     }
 
-    fn take_leave(&self, admitted: &AdmittedRequest, record: &mut SendRecord) -> Result<(), CourseRefusal> {
+    fn take_permit(&self, admitted: &AdmittedRequest, record: &mut SendRecord) -> Result<(), CourseRefusal> {
         if record.suspect.is_some() {
             return Ok(());
         }
@@ -66,18 +66,18 @@
         record: &mut SendRecord,
     ) {
         record.suspect = None;
-        if !failure.closed || self.leaves(target) {
+        if !failure.closed || self.is_leaving(target) {
             return;
         }
-        let pulse = self.pool.pulse(target).await;
-        if pulse == TargetPulse::Dead {
+        let liveness = self.pool.probe(target).await;
+        if liveness == TargetLiveness::Dead {
             self.broker.died(&target.life());
         }
-        self.quarantine.lost(admitted, target, pulse);
+        self.quarantine.lost(admitted, target, liveness);
     }
 
     /// Whether a target is known to leave, so that its end is no surprise.
-    fn leaves(&self, target: &TargetRecord) -> bool {
+    fn is_leaving(&self, target: &TargetRecord) -> bool {
         let state = self.state.borrow();
         let known = state.targets.records().find(|record| record.life() == target.life());
         known.is_none_or(|record| record.state == TargetState::Draining)
--- a/crates/porthoist-proxy/src/course/relay.rs
+++ b/crates/porthoist-proxy/src/course/relay.rs
@@ -200,7 +200,7 @@
             if self.course.allow_repeat(&self.admitted, &self.record, &failure).is_err() {
                 return Err(self.give_up(&failure.detail));
             }
-            let placed = self.course.leave_and_place(&self.admitted, &mut self.record).await;
+            let placed = self.course.permit_and_place(&self.admitted, &mut self.record).await;
             let Ok(place) = placed else {
                 return Err(self.give_up("no place to go on"));
             };
--- a/crates/porthoist-proxy/src/exchange.rs
+++ b/crates/porthoist-proxy/src/exchange.rs
@@ -29,7 +29,7 @@
 /// Time in milliseconds for a new connection; some hundred times the way between availability zones.
 const CONNECT_MILLIS: u64 = 400;
 /// Time in milliseconds for a connection that shows whether a target lives: a refusal takes two ways through the network.
-const PULSE_MILLIS: u64 = 200;
+const PROBE_MILLIS: u64 = 200;
 /// How long an idle connection is used again where its target announces no limit, in milliseconds.
 const IDLE_MILLIS: u64 = 4_000;
 /// Kept from an announced limit, in milliseconds, for the way and for rounding to whole seconds.
@@ -84,7 +84,7 @@
 
 /// Whether a target that closed a connection is still there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum TargetPulse {
+pub enum TargetLiveness {
     /// It takes connections.
     Alive,
     /// Nothing listens at its address: its process has ended.
@@ -105,7 +105,7 @@
 pub struct ConnectionPool {
     idle: Rc<RefCell<HashMap<TargetLife, Vec<IdleConnection>>>>,
     /// What connections showed of targets that closed one; of those that live only while it is being found out.
-    pulses: Rc<RefCell<HashMap<TargetLife, Rc<OnceCell<TargetPulse>>>>>,
+    probes: Rc<RefCell<HashMap<TargetLife, Rc<OnceCell<TargetLiveness>>>>>,
     clock: Arc<dyn ClockSource>,
     metrics: Arc<MetricsHub>,
 }
@@ -195,7 +195,7 @@
 impl ConnectionPool {
     /// An empty pool.
     pub fn new(clock: Arc<dyn ClockSource>, metrics: Arc<MetricsHub>) -> Self {
-        Self { idle: Rc::default(), pulses: Rc::default(), clock, metrics }
+        Self { idle: Rc::default(), probes: Rc::default(), clock, metrics }
     }
 
     /// Sends a request and waits for the head of its answer until the deadline.
@@ -239,7 +239,7 @@
             });
         }
         idle.retain(|_target, connections| !connections.is_empty());
-        self.pulses.borrow_mut().retain(|target, _pulse| keep(target));
+        self.probes.borrow_mut().retain(|target, _pulse| keep(target));
     }
 
     fn idle_lease(&self, target: &TargetLife, once: bool) -> Option<ConnectionLease> {
@@ -271,37 +271,43 @@
         let stream = connected
             .map_err(|_elapsed| SendFailure::not_sent("no connection in time"))?
             .map_err(SendFailure::not_sent)?;
-        self.greet(target, stream).await
+        self.handshake(target, stream).await
     }
 
     /// Whether a target whose connection ended is still there: a process that has died refuses connections, one that just
     /// closed a connection or dropped a request takes the next. That one is kept for the next request.
-    pub async fn pulse(&self, target: &TargetRecord) -> TargetPulse {
+    pub async fn probe(&self, target: &TargetRecord) -> TargetLiveness {
         let life = target.life();
-        let pulse = Rc::clone(self.pulses.borrow_mut().entry(life.clone()).or_default());
-        let found = *pulse.get_or_init(|| self.feel(target)).await;
-        if found != TargetPulse::Dead {
+        let liveness = Rc::clone(self.probes.borrow_mut().entry(life.clone()).or_default());
+        let found = *liveness.get_or_init(|| self.connect_probe(target)).await;
+        if found != TargetLiveness::Dead {
             // The next loss asks anew; a life that is over stays so.
-            self.pulses.borrow_mut().remove(&life);
+            self.probes.borrow_mut().remove(&life);
         }
         found
     }
 
-    async fn feel(&self, target: &TargetRecord) -> TargetPulse {
-        let patience = Duration::from_millis(PULSE_MILLIS);
+    async fn connect_probe(&self, target: &TargetRecord) -> TargetLiveness {
+        let patience = Duration::from_millis(PROBE_MILLIS);
         let stream = match tokio::time::timeout(patience, TcpStream::connect(target.address)).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => return TargetPulse::Dead,
-            Ok(Err(_)) | Err(_) => return TargetPulse::Unknown,
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return TargetLiveness::Dead;
+            }
+            Ok(Err(_)) | Err(_) => return TargetLiveness::Unknown,
         };
-        match self.greet(target, stream).await {
+        match self.handshake(target, stream).await {
             Ok(lease) => lease.give_back(&HeaderMap::new()),
-            Err(_failure) => return TargetPulse::Unknown,
+            Err(_failure) => return TargetLiveness::Unknown,
         }
-        TargetPulse::Alive
+        TargetLiveness::Alive
     }
 
-    async fn greet(&self, target: &TargetRecord, stream: TcpStream) -> Result<ConnectionLease, SendFailure> {
+    async fn handshake(
+        &self,
+        target: &TargetRecord,
+        stream: TcpStream,
+    ) -> Result<ConnectionLease, SendFailure> {
         // An error here only costs latency, and time until a silent target is noticed.
         drop(bound_silence(&stream, SocketPeer::Target));
         // A close resets the connection: what a cut link or a frozen host still holds up of a request that was given up is
--- a/crates/porthoist-proxy/src/quarantine.rs
+++ b/crates/porthoist-proxy/src/quarantine.rs
@@ -1,11 +1,11 @@
 //! Keeps requests from targets that die of them: what the courses of one process ask of the book, and what they tell it.
 
 use crate::crashes::{CrashChange, CrashNews};
-use crate::exchange::TargetPulse;
+use crate::exchange::TargetLiveness;
 use porthoist_core::{ClockSource, HostName, RequestMark, TargetName};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::quarantine::{
-    CrashKey, CrashReport, DeathVerdict, KeptBack, QuarantineBook, QuarantineRules, SendLeave, ToldChanges,
+    CrashKey, CrashReport, DeathVerdict, KeptBack, QuarantineBook, QuarantineRules, SendPermit, ToldChanges,
 };
 use porthoist_policy::proxy::targets::TargetRecord;
 use slog::{Logger, info, warn};
@@ -127,10 +127,10 @@
             return Ok(None);
         }
         let mark = request.mark();
-        let leave = self.book.borrow_mut().begin(&mark, self.clock.now());
-        match leave {
-            Ok(SendLeave::Clear) => Ok(None),
-            Ok(SendLeave::Suspected) => {
+        let permit = self.book.borrow_mut().begin(&mark, self.clock.now());
+        match permit {
+            Ok(SendPermit::Clear) => Ok(None),
+            Ok(SendPermit::Suspected) => {
                 info!(self.logger, "a suspected request is sent alone"; "event" => "suspect_sent",
                     "request" => request.attempt(), "mark" => mark.short());
                 Ok(Some(SuspectRun { desk: Rc::clone(self), mark, target: None }))
@@ -152,8 +152,8 @@
     }
 
     /// Takes that a connection to a target ended under a request, and what the target showed since.
-    pub fn lost(&self, request: &impl MarkedRequest, target: &TargetRecord, pulse: TargetPulse) {
-        if pulse != TargetPulse::Dead {
+    pub fn lost(&self, request: &impl MarkedRequest, target: &TargetRecord, liveness: TargetLiveness) {
+        if liveness != TargetLiveness::Dead {
             return;
         }
         let now = self.clock.now();
