Probe a target anew at each loss

Cause: a dead target's result was kept for the rest of its life; a target that tells no birth and begins again under its identifier passed for dead at its next lost connection, and that was held against the request.

--- a/crates/porthoist-proxy/src/exchange.rs
+++ b/crates/porthoist-proxy/src/exchange.rs
@@ -104,7 +104,7 @@
 #[derive(Clone)]
 pub struct ConnectionPool {
     idle: Rc<RefCell<HashMap<TargetLife, Vec<IdleConnection>>>>,
-    /// What connections showed of targets that closed one; of those that live only while it is being found out.
+    /// Probes that are under way: requests that were lost together share one.
     probes: Rc<RefCell<HashMap<TargetLife, Rc<OnceCell<TargetLiveness>>>>>,
     clock: Arc<dyn ClockSource>,
     metrics: Arc<MetricsHub>,
@@ -239,7 +239,6 @@
             });
         }
         idle.retain(|_target, connections| !connections.is_empty());
-        self.probes.borrow_mut().retain(|target, _pulse| keep(target));
     }
 
     fn idle_lease(&self, target: &TargetLife, once: bool) -> Option<ConnectionLease> {
@@ -280,10 +279,8 @@
         let life = target.life();
         let liveness = Rc::clone(self.probes.borrow_mut().entry(life.clone()).or_default());
         let found = *liveness.get_or_init(|| self.connect_probe(target)).await;
-        if found != TargetLiveness::Dead {
-            // The next loss asks anew; a life that is over stays so.
-            self.probes.borrow_mut().remove(&life);
-        }
+        // The next loss asks anew: another process may have begun under the same life where targets tell no birth.
+        self.probes.borrow_mut().remove(&life);
         found
     }
 
