Ask anew for a suspect's permit after its wait for a place

Cause, found by reading the diff: a suspected request that waited for a place kept the permit that it had got before, although three deaths may have been heard of meanwhile. Change: the run ends and is asked for again; a test of the process's desk.

--- a/crates/porthoist-proxy/src/course/permit.rs
+++ b/crates/porthoist-proxy/src/course/permit.rs
@@ -39,9 +39,8 @@
     }
 
     fn take_permit(&self, admitted: &AdmittedRequest, record: &mut SendRecord) -> Result<(), CourseRefusal> {
-        if record.suspect.is_some() {
-            return Ok(());
-        }
+        // A run that was permitted before a wait ends, so that it is asked for anew with what was heard since.
+        record.suspect = None;
         match self.quarantine.begin(admitted) {
             Ok(run) => {
                 record.suspect = run;
--- /dev/null
+++ b/crates/porthoist-proxy/tests/quarantine.rs
@@ -0,0 +1,100 @@
+//! What the courses of one process are told of requests that targets died under.
+
+use porthoist_core::{ClockSource, MarkedHead, RequestMark, UnixMillis};
+use porthoist_metrics::MetricsHub;
+use porthoist_policy::proxy::quarantine::{CrashKey, CrashReport, CrashRows, SuspicionLevel};
+use porthoist_proxy::quarantine::MarkedRequest;
+use porthoist_proxy::{CrashChange, CrashNews, QuarantineDesk};
+use slog::{Discard, Logger, o};
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::sync::{mpsc, watch};
+
+#[derive(Debug)]
+struct FixedClock;
+
+impl ClockSource for FixedClock {
+    fn now(&self) -> UnixMillis {
+        UnixMillis(1_000_000)
+    }
+}
+
+/// A request whose body is all that tells it from others.
+struct Request(&'static str);
+
+impl Request {
+    fn head(&self) -> MarkedHead<'_> {
+        MarkedHead { host: "h", path: "/p", team: None, body_bytes: self.0.len() }
+    }
+}
+
+impl MarkedRequest for Request {
+    fn head_digest(&self) -> u64 {
+        self.head().digest()
+    }
+
+    fn mark(&self) -> RequestMark {
+        self.head().mark(self.0.as_bytes())
+    }
+
+    fn body_bytes(&self) -> usize {
+        self.0.len()
+    }
+
+    fn attempt(&self) -> &str {
+        "a"
+    }
+
+    fn ranked(&self) -> bool {
+        false
+    }
+}
+
+fn desk(news: &watch::Sender<CrashNews>) -> (Rc<QuarantineDesk>, mpsc::Receiver<CrashChange>) {
+    let (changes, noted) = mpsc::channel(16);
+    let desk = QuarantineDesk::builder()
+        .host("h".parse().unwrap())
+        .news(news.subscribe())
+        .changes(changes)
+        .clock(Arc::new(FixedClock))
+        .metrics(Arc::new(MetricsHub::new().unwrap()))
+        .logger(Logger::root(Discard, o!()))
+        .build();
+    (desk, noted)
+}
+
+fn tell(news: &watch::Sender<CrashNews>, deaths: usize) {
+    let report = CrashReport { died: UnixMillis(1_000_000), ranked: false, by: "other".into() };
+    let row = |index: usize| {
+        (CrashKey { mark: Request("x").mark(), target: format!("t{index}").into() }, report.clone())
+    };
+    let rows: CrashRows = (0..deaths).map(row).collect();
+    news.send_replace(CrashNews { rows: Arc::new(rows), listed: true });
+}
+
+#[test]
+fn a_permit_that_is_asked_for_anew_after_a_wait_knows_what_was_heard_since() {
+    let news = watch::Sender::new(CrashNews::default());
+    let (desk, _noted) = desk(&news);
+    tell(&news, 1);
+    let run = desk.begin(&Request("x")).unwrap();
+    assert!(run.is_some(), "one death of a plain target: it may run, alone");
+    assert_eq!(desk.begin(&Request("x")).unwrap_err().level, SuspicionLevel::Watched);
+    tell(&news, 3);
+    drop(run);
+    assert_eq!(desk.begin(&Request("x")).unwrap_err().level, SuspicionLevel::Quarantined);
+    assert!(desk.begin(&Request("y")).unwrap().is_none());
+}
+
+#[test]
+fn a_whole_answer_removes_the_rows_of_a_request() {
+    let news = watch::Sender::new(CrashNews::default());
+    let (desk, mut noted) = desk(&news);
+    tell(&news, 2);
+    desk.take_news();
+    desk.answered(&Request("x"));
+    let removed: Vec<CrashChange> = std::iter::from_fn(|| noted.try_recv().ok()).collect();
+    assert_eq!(removed.len(), 2);
+    assert!(removed.iter().all(|change| matches!(change, CrashChange::Remove(_))), "{removed:?}");
+    assert!(desk.begin(&Request("x")).unwrap().is_none());
+}
