--- a/crates/porthoist-proxy/tests/quarantine.rs
+++ b/crates/porthoist-proxy/tests/quarantine.rs
@@ -42,7 +42,7 @@
     }
 
     fn attempt(&self) -> &str {
-        "a"
+        self.0
     }
 
     fn ranked(&self) -> bool {
