--- a/crates/porthoist-fleet/tests/branches.rs
+++ b/crates/porthoist-fleet/tests/branches.rs
@@ -213,6 +213,12 @@
 /// rank asked straight.
 const BYTES_A_ROOT: f64 = 6_000.0;
 
+/// Places of a list at which nothing was heard.
+fn missing<T>(heard: &[Option<T>]) -> Vec<usize> {
+    let silent = heard.iter().enumerate().filter(|(_place, heard)| heard.is_none());
+    silent.map(|(place, _heard)| place).collect()
+}
+
 #[test_case(31, 12; "12 ranks")]
 #[test_case(32, 24; "24 ranks")]
 #[test_case(33, 63; "63 ranks")]
@@ -329,14 +335,14 @@
         let reach = group.branched();
         if call == "sweep" {
             let reading = reach.observe(true).await;
-            let missing: Vec<usize> = (0..60).filter(|rank| reading.states[*rank].is_none()).collect();
+            let missing = missing(&reading.states);
             assert_eq!(missing, [1]);
             assert_eq!(reading.counts, vec![59; SETS * EXPERTS]);
         } else {
             let hold = EngineOrder::Hold { epoch: GroupEpoch(1), step: StepNumber(9) };
             let orders: Vec<(usize, EngineOrder)> = (0..60).map(|rank| (rank, hold)).collect();
             let answers = reach.order(&orders, None).await;
-            let missing: Vec<usize> = (0..60).filter(|rank| answers[*rank].is_none()).collect();
+            let missing = missing(&answers);
             assert_eq!(missing, [1]);
         }
     };
@@ -354,7 +360,7 @@
             group.processes[rank].engine.silent.set(true);
         }
         let reading = reach.observe(true).await;
-        let missing: Vec<usize> = (0..60).filter(|rank| reading.states[*rank].is_none()).collect();
+        let missing = missing(&reading.states);
         assert_eq!(missing, [1, 30]);
         assert_eq!(reading.counts, vec![58; SETS * EXPERTS]);
     };
