Read what targets say of themselves in answers, and log its changes

Cause: a target in need names a limit, a time of rest or that it leaves in its answers. No code read any of the three, and neither logs nor counters could tell whether an entry was told, knew and went on, or forgot.

Change: the answer's facts carry the target's word; the board keeps the limit of each life; a line says when it is first named, changes or ends, at most one a second and target, and a counter counts all. Placement does not use it yet. What can't be read changes nothing. An answer that names another request, or of another target at the address, says nothing; only one that names this request ends a limit by lacking it.

Conclusion: sight only; the fault is as before.

--- a/crates/porthoist-metrics/src/lib.rs
+++ b/crates/porthoist-metrics/src/lib.rs
@@ -22,6 +22,8 @@
     "dropped",
     "unwritten",
 ];
+/// What can change in what a target says of itself.
+const NEED_CHANGES: [&str; 5] = ["limited", "lifted", "resting", "leaving", "unreadable"];
 /// Bounds of the latency histogram's buckets, in milliseconds.
 const LATENCY_BOUNDS: [f64; 12] = [0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 250.0, 500.0, 1400.0, 5000.0];
 
@@ -47,6 +49,7 @@
     connections: Counter<u64>,
     broken_streams: Counter<u64>,
     crash_events: Counter<u64>,
+    need_changes: Counter<u64>,
     suspects: Gauge<u64>,
     table_calls: Counter<u64>,
     table_asked: Counter<u64>,
@@ -84,6 +87,7 @@
             connections: meter.u64_counter("porthoist_target_connections").build(),
             broken_streams: meter.u64_counter("porthoist_broken_streams").build(),
             crash_events: meter.u64_counter("porthoist_crash_events").build(),
+            need_changes: meter.u64_counter("porthoist_target_need_changes").build(),
             suspects: meter.u64_gauge("porthoist_suspected_requests").build(),
             table_calls: meter.u64_counter("porthoist_table_calls").build(),
             table_asked: meter.u64_counter("porthoist_table_asked").build(),
@@ -115,6 +119,9 @@
         for event in CRASH_EVENTS {
             self.crash_events.add(0, &[KeyValue::new("event", event)]);
         }
+        for change in NEED_CHANGES {
+            self.need_changes.add(0, &[KeyValue::new("change", change)]);
+        }
         self.suspects.record(0, &[]);
     }
 
@@ -133,6 +140,11 @@
         self.crash_events.add(1, &[KeyValue::new("event", event)]);
     }
 
+    /// Counts a change of what a target says of itself.
+    pub fn need_change(&self, change: &'static str) {
+        self.need_changes.add(1, &[KeyValue::new("change", change)]);
+    }
+
     /// Sets how many requests something is held against.
     pub fn suspects(&self, requests: u64) {
         self.suspects.record(requests, &[]);
--- a/crates/porthoist-policy/src/proxy.rs
+++ b/crates/porthoist-policy/src/proxy.rs
@@ -7,6 +7,7 @@
 pub mod freshness;
 pub mod loads;
 pub mod moving;
+pub mod needs;
 pub mod paces;
 pub mod pass_time;
 pub mod placement;
--- a/crates/porthoist-policy/src/proxy/desk.rs
+++ b/crates/porthoist-policy/src/proxy/desk.rs
@@ -6,6 +6,7 @@
 use super::forecast::{PlaceAsk, PlaceForecast, ServiceForecast};
 use super::loads::GroupLoads;
 use super::moving::{KnownWays, LEAST_WAIT_MILLIS, MoveCause, WaitingSend, move_cause};
+use super::needs::{NotedChange, TargetWord};
 use super::paces::GroupChoice;
 use super::placement::{BoardSettings, ChosenTarget, LoadBoard, RequestWork, SendOutcome};
 use super::targets::{TargetBook, TargetLife, TargetRecord};
@@ -229,6 +230,11 @@
         self.board.died(life, now);
     }
 
+    /// Takes what a target says of itself in an answer.
+    pub fn told(&mut self, life: &TargetLife, word: &TargetWord, now: UnixMillis) -> Vec<NotedChange> {
+        self.board.told(life, word, now)
+    }
+
     /// Takes that a stream brought an event from a target.
     pub fn heard(&mut self, target: &TargetRecord, now: UnixMillis) {
         self.board.heard(target, now);
--- a/crates/porthoist-policy/src/proxy/placement.rs
+++ b/crates/porthoist-policy/src/proxy/placement.rs
@@ -5,6 +5,7 @@
 
 use super::domains::{DomainBook, GroupIndex};
 use super::loads::{GroupLoads, RankLoad};
+use super::needs::{NotedChange, TargetWord};
 use super::paces::{GroupChoice, ServicePaces};
 use super::pass_time::GroupPass;
 use super::spread::choose_by_level;
@@ -185,6 +186,11 @@
         load.died(now);
     }
 
+    /// Takes what a target says of itself in an answer.
+    pub fn told(&mut self, life: &TargetLife, word: &TargetWord, now: UnixMillis) -> Vec<NotedChange> {
+        self.loads.get_mut(life).map_or_else(Vec::new, |load| load.need.take(word, now))
+    }
+
     /// Whether any target of the service may take requests, now or when it has room.
     pub fn serves(&self, service: &ServiceName, now: UnixMillis) -> bool {
         let mut loads = self.loads.values();
--- a/crates/porthoist-policy/src/proxy/target_load.rs
+++ b/crates/porthoist-policy/src/proxy/target_load.rs
@@ -2,6 +2,7 @@
 
 use super::domains::GroupIndex;
 use super::loads::{OthersLoad, RankLoad};
+use super::needs::TargetNeed;
 use super::paces::ServicePaces;
 use super::placement::{BoardSettings, ReportedRequests, RequestWork, SendOutcome};
 use super::targets::{TargetRecord, TargetState};
@@ -49,6 +50,8 @@
     /// Whether another target was found at its address.
     gone: bool,
     pub(super) mean_millis: Option<f64>,
+    /// What it said of itself.
+    pub(super) need: TargetNeed,
 }
 
 impl TargetLoad {
@@ -65,6 +68,7 @@
             full_until: None,
             gone: false,
             mean_millis: None,
+            need: TargetNeed::default(),
         }
     }
 
--- a/crates/porthoist-proxy/src/broker.rs
+++ b/crates/porthoist-proxy/src/broker.rs
@@ -4,6 +4,7 @@
 use porthoist_policy::proxy::desk::{DeskAnswer, PlaceDesk};
 use porthoist_policy::proxy::loads::GroupLoads;
 use porthoist_policy::proxy::moving::{MoveCause, WaitingSend};
+use porthoist_policy::proxy::needs::{NotedChange, TargetWord};
 use porthoist_policy::proxy::paces::GroupChoice;
 use porthoist_policy::proxy::placement::{
     BoardSettings, ChosenTarget, ReportedRequests, RequestWork, SendOutcome,
@@ -135,6 +136,11 @@
         self.desk.borrow_mut().began(target, millis, self.clock.now());
     }
 
+    /// Takes what a target says of itself in an answer.
+    pub fn told(&self, target: &TargetRecord, word: &TargetWord) -> Vec<NotedChange> {
+        self.desk.borrow_mut().told(&target.life(), word, self.clock.now())
+    }
+
     /// Takes that a stream brought an event from a target.
     pub fn heard(&self, target: &TargetRecord) {
         self.desk.borrow_mut().heard(target, self.clock.now());
--- a/crates/porthoist-proxy/src/course/sending.rs
+++ b/crates/porthoist-proxy/src/course/sending.rs
@@ -11,7 +11,9 @@
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::{Request, StatusCode};
 use porthoist_core::{RetryReason, RunVerdict, UnixMillis};
+use porthoist_policy::proxy::needs::{NeedChange, NotedChange, TargetWord};
 use porthoist_policy::proxy::placement::SendOutcome;
+use porthoist_policy::proxy::targets::TargetRecord;
 use slog::info;
 
 impl RequestCourse {
@@ -31,7 +33,7 @@
         record.tried.push(place.record.id.clone());
         let sent = async {
             let open = self.pool.send(&place.record, request, admitted.once(), admitted.deadline).await?;
-            self.read_answer(admitted, open).await
+            self.read_answer(admitted, place, open).await
         };
         let answer = tokio::select! {
             answer = sent => answer,
@@ -103,6 +105,7 @@
     async fn read_answer(
         &self,
         admitted: &AdmittedRequest,
+        place: &TargetPlace,
         answer: OpenAnswer,
     ) -> Result<TargetAnswer, SendFailure> {
         let status = answer.head.status;
@@ -110,6 +113,9 @@
         if facts.own == Some(false) {
             return Err(SendFailure::lost("the answer names another request"));
         }
+        if !facts.misdirected {
+            self.note_word(&place.record, &facts.word);
+        }
         if facts.not_executed {
             let whole = self.read_whole(admitted, answer).await;
             let detail =
@@ -134,6 +140,24 @@
         self.read_whole(admitted, answer).await.map(TargetAnswer::Whole)
     }
 
+    /// Takes what a target says of itself. An answer to another request, or of another target at the address, says nothing of it.
+    fn note_word(&self, target: &TargetRecord, word: &TargetWord) {
+        for NotedChange { change, logged } in self.broker.told(target, word) {
+            self.metrics.need_change(change.as_str());
+            if !logged {
+                continue;
+            }
+            let (limit, lasted) = match change {
+                NeedChange::Limited(rate) => (Some(rate.to_string()), None),
+                NeedChange::Lifted(millis) => (None, Some(millis)),
+                NeedChange::Resting(_) | NeedChange::Leaving | NeedChange::Unreadable => (None, None),
+            };
+            info!(self.logger, "a target says something new of itself"; "event" => "target_need",
+                "target" => target.id.to_string(), "change" => change.as_str(), "limit" => limit,
+                "lasted_ms" => lasted);
+        }
+    }
+
     async fn read_whole(
         &self,
         admitted: &AdmittedRequest,
--- a/crates/porthoist-proxy/src/wire.rs
+++ b/crates/porthoist-proxy/src/wire.rs
@@ -3,6 +3,7 @@
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
 use porthoist_core::{TargetName, TeamName};
+use porthoist_policy::proxy::needs::TargetWord;
 use std::fmt;
 use std::sync::Arc;
 
@@ -47,7 +48,7 @@
 }
 
 /// What a target's headers and status say.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct AnswerFacts {
     /// Whether the answer names the attempt that was sent; nothing if it names none.
     pub own: Option<bool>,
@@ -57,6 +58,8 @@
     pub not_executed: bool,
     /// Whether that is because another target has the address.
     pub misdirected: bool,
+    /// What the target says of itself.
+    pub word: TargetWord,
 }
 
 /// Reads and writes the facts. One implementation knows one spelling.
