--- a/crates/porthoist-core/src/reason.rs
+++ b/crates/porthoist-core/src/reason.rs
@@ -72,6 +72,8 @@
         ConcurrencyLimit = "concurrency_limit",
         /// A bounded ring or queue was full.
         Overloaded = "overloaded",
+        /// All targets named limits that leave no place in time.
+        TargetLimits = "target_limits",
         /// No target serves the service.
         NoTarget = "no_target",
         /// The target is leaving.
@@ -148,6 +150,7 @@
             Self::DeadlinePassed | Self::DeadlineUnreachable => 504,
             Self::TicketForeign | Self::TicketSpent | Self::KeyClosed | Self::AnswerGone => 409,
             Self::Overloaded
+            | Self::TargetLimits
             | Self::NoTarget
             | Self::Draining
             | Self::ShuttingDown
@@ -165,6 +168,7 @@
             self,
             Self::DeadlineUnreachable
                 | Self::Overloaded
+                | Self::TargetLimits
                 | Self::NoTarget
                 | Self::Draining
                 | Self::ShuttingDown
--- a/crates/porthoist-fleet/schema/rank.capnp
+++ b/crates/porthoist-fleet/schema/rank.capnp
@@ -97,6 +97,8 @@
   stamp @2 :UInt64;
   holdMillis @3 :UInt32;
   waitMillis @4 :UInt32;
+  # Names the entry that asks, over its restarts; 0 for a process that is none.
+  entry @5 :UInt64;
 }
 
 struct TableNews {
@@ -118,6 +120,9 @@
     nothing @8 :Bool;
     tooMuch @9 :Void;
   }
+  # Entries that ask this process, and how many of them come before the one that asks; 0 entries while they are not known.
+  entries @10 :UInt32;
+  entriesBefore @11 :UInt32;
 }
 
 struct BranchMap {
--- a/crates/porthoist-fleet/src/rank/news.rs
+++ b/crates/porthoist-fleet/src/rank/news.rs
@@ -5,6 +5,8 @@
 use capnp::Error;
 use miniz_oxide::deflate::compress_to_vec_zlib;
 use miniz_oxide::inflate::decompress_to_vec_zlib_with_limit;
+use porthoist_policy::proxy::entries::EntryId;
+use porthoist_policy::proxy::turns::EntryPlace;
 use porthoist_proxy::{ControlTable, GapAges, NewsAsk, Stamped, TableNews, TableRow};
 use std::time::Duration;
 
@@ -18,7 +20,28 @@
 /// it. Whoever lacks more asks the table service, whose link carries hundreds of times as much.
 const MOST_BYTES: usize = 16 * 1024;
 
-pub(super) fn write_ask(mut builder: news_ask::Builder<'_>, ask: &NewsAsk) {
+/// What a process knows of a table, and which place the entry that asked has among those that ask it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlacedNews {
+    /// What it knows.
+    pub news: TableNews,
+    /// The place; nothing while it is not known.
+    pub place: Option<EntryPlace>,
+}
+
+pub(super) fn write_place(mut builder: table_news::Builder<'_>, place: Option<EntryPlace>) {
+    let Some(EntryPlace { index, entries }) = place else { return };
+    builder.set_entries(entries);
+    builder.set_entries_before(index);
+}
+
+pub(super) fn read_place(reader: table_news::Reader<'_>) -> Option<EntryPlace> {
+    let (index, entries) = (reader.get_entries_before(), reader.get_entries());
+    (index < entries).then_some(EntryPlace { index, entries })
+}
+
+pub(super) fn write_ask(mut builder: news_ask::Builder<'_>, ask: &NewsAsk, entry: EntryId) {
+    builder.set_entry(entry.0);
     builder.set_table(match ask.table {
         ControlTable::Routes => 0,
         ControlTable::Targets => 1,
--- a/crates/porthoist-fleet/src/rank/peer.rs
+++ b/crates/porthoist-fleet/src/rank/peer.rs
@@ -6,7 +6,7 @@
     write_order,
 };
 use super::maps::PeerMaps;
-use super::news::{read_news, write_ask};
+use super::news::{PlacedNews, read_news, read_place, write_ask};
 use super::traffic::ControlTraffic;
 use crate::rank_capnp::rank_process;
 use crate::server::vat_network;
@@ -18,9 +18,10 @@
 use porthoist_policy::forward::{EngineOrder, RankState};
 use porthoist_policy::placement::even::EvenMap;
 use porthoist_policy::placement::map::ExpertId;
+use porthoist_policy::proxy::entries::EntryId;
 use porthoist_policy::proxy::loads::{GroupLoads, LoadRevision};
 use porthoist_policy::switch::MapVersion;
-use porthoist_proxy::{NewsAsk, TableNews};
+use porthoist_proxy::NewsAsk;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::fmt;
@@ -136,11 +137,15 @@
         answered.await.map_err(|error: Error| self.lost(&error))
     }
 
-    /// What the process knows of a table.
-    pub async fn news(&self, ask: NewsAsk) -> Result<TableNews, CallError> {
+    /// What the process knows of a table, asked by an entry.
+    pub async fn news(&self, ask: NewsAsk, entry: EntryId) -> Result<PlacedNews, CallError> {
         let mut request = self.client().await?.news_request();
-        write_ask(request.get().init_ask(), &ask);
-        let answered = async { read_news(request.send().promise.await?.get()?.get_news()?) };
+        write_ask(request.get().init_ask(), &ask, entry);
+        let answered = async {
+            let answer = request.send().promise.await?;
+            let reader = answer.get()?.get_news()?;
+            Ok(PlacedNews { news: read_news(reader)?, place: read_place(reader) })
+        };
         answered.await.map_err(|error: Error| self.lost(&error))
     }
 
--- a/crates/porthoist-fleet/src/rank/server.rs
+++ b/crates/porthoist-fleet/src/rank/server.rs
@@ -5,7 +5,7 @@
     read_hosts, read_order, unpack, write_loads, write_state, write_view,
 };
 use super::maps::MapShelf;
-use super::news::{PackedRows, read_ask, write_news};
+use super::news::{PackedRows, read_ask, write_news, write_place};
 use super::outlet::LoadsOutlet;
 use super::peer::{MemberOrder, PeerPool};
 use super::traffic::ControlTraffic;
@@ -16,15 +16,19 @@
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, new_client};
 use futures::future::join_all;
+use porthoist_core::ClockSource;
 use porthoist_group::{GroupReading, HeldLink, RankFuture};
 use porthoist_policy::forward::EngineOrder;
 use porthoist_policy::placement::even::EvenMap;
+use porthoist_policy::proxy::entries::{EntryId, EntryRoll};
 use porthoist_policy::proxy::loads::LoadRevision;
+use porthoist_policy::proxy::turns::EntryPlace;
 use porthoist_proxy::TableReader;
 use std::cell::RefCell;
 use std::fmt;
 use std::net::{IpAddr, Ipv4Addr};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 
@@ -51,9 +55,20 @@
     /// The hosts that it was last told loads of.
     #[builder(skip)]
     hosts: RefCell<NamedHosts>,
+    /// The entries that ask it about tables.
+    #[builder(skip)]
+    entries: RefCell<EntryRoll>,
+    /// Counts the time in which the host was suspended.
+    clock: Option<Arc<dyn ClockSource>>,
 }
 
 impl RankServing {
+    /// The place of an entry that asks about a table.
+    fn place_of(&self, entry: EntryId) -> Option<EntryPlace> {
+        let now = self.clock.as_ref()?.now();
+        self.entries.borrow_mut().asked(entry, now)
+    }
+
     /// The members of a branch that this process stands for, itself first.
     fn branch(&self, others: &[Ipv4Addr]) -> Vec<Rc<dyn HeldLink>> {
         let own: Rc<dyn HeldLink> = Rc::clone(&self.link);
@@ -263,11 +278,15 @@
         params: rank_process::NewsParams,
         mut results: rank_process::NewsResults,
     ) -> Result<(), Error> {
-        let ask = read_ask(params.get()?.get_ask()?)?;
+        let reader = params.get()?.get_ask()?;
+        let (ask, entry) = (read_ask(reader)?, reader.get_entry());
+        let place = (entry != 0).then(|| self.serving.place_of(EntryId(entry))).flatten();
         let reader = self.serving.reader.as_ref();
         let reader = reader.ok_or_else(|| Error::failed("this process follows no tables".to_owned()))?;
         let news = reader.news(ask).await;
-        write_news(results.get().init_news(), &news, &mut self.serving.packed.borrow_mut());
+        let mut builder = results.get().init_news();
+        write_place(builder.reborrow(), place);
+        write_news(builder, &news, &mut self.serving.packed.borrow_mut());
         Ok(())
     }
 }
--- a/crates/porthoist-fleet/src/rank_capnp.rs
+++ b/crates/porthoist-fleet/src/rank_capnp.rs
@@ -6466,11 +6466,15 @@
         pub fn get_wait_millis(self) -> u32 {
             self.reader.get_data_field::<u32>(6)
         }
+        #[inline]
+        pub fn get_entry(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6560,6 +6564,14 @@
         pub fn set_wait_millis(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(6, value);
         }
+        #[inline]
+        pub fn get_entry(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_entry(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6571,59 +6583,66 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 109] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(255, 9, 110, 161, 50, 62, 0, 194),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(231, 165, 193, 224, 59, 166, 240, 212),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 97, 110, 107, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 78, 101, 119, 115, 65),
             ::capnp::word(115, 107, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(116, 97, 98, 108, 101, 0, 0, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6666,6 +6685,14 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 116, 114, 121, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -6674,6 +6701,7 @@
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6687,9 +6715,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,2,0,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,5,3,2,0,4];
         pub(crate) const TYPE_ID: u64 = 0xc200_3e32_a16e_09ff;
     }
 }
@@ -6758,6 +6786,14 @@
             self.reader.total_size()
         }
         #[inline]
+        pub fn get_entries(self) -> u32 {
+            self.reader.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn get_entries_before(self) -> u32 {
+            self.reader.get_data_field::<u32>(10)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(9) {
                 0 => {
@@ -6782,7 +6818,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6855,6 +6891,22 @@
             self.builder.set_data_field::<u16>(9, 2);
         }
         #[inline]
+        pub fn get_entries(self) -> u32 {
+            self.builder.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn set_entries(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(5, value);
+        }
+        #[inline]
+        pub fn get_entries_before(self) -> u32 {
+            self.builder.get_data_field::<u32>(10)
+        }
+        #[inline]
+        pub fn set_entries_before(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(10, value);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(9) {
                 0 => {
@@ -6886,45 +6938,59 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 55] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 86] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(81, 11, 28, 137, 101, 192, 250, 143),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(231, 165, 193, 224, 59, 166, 240, 212),
             ::capnp::word(2, 0, 7, 0, 0, 0, 3, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 97, 110, 107, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 84, 97, 98, 108, 101),
             ::capnp::word(78, 101, 119, 115, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(178, 63, 181, 36, 212, 150, 51, 242),
-            ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 254, 255, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 101, 119, 101, 114, 0, 0, 0),
             ::capnp::word(110, 111, 116, 104, 105, 110, 103, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
@@ -6942,12 +7008,31 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 116, 114, 105, 101, 115, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 116, 114, 105, 101, 115, 66),
+            ::capnp::word(101, 102, 111, 114, 101, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <crate::rank_capnp::table_news::newer::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 2 => <() as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6961,9 +7046,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,4,0,1,2];
         pub(crate) const TYPE_ID: u64 = 0x8ffa_c065_891c_0b51;
     }
     pub enum Which<A0> {
@@ -7079,7 +7164,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7223,7 +7308,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 144] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(178, 63, 181, 36, 212, 150, 51, 242),
-                ::capnp::word(21, 0, 0, 0, 1, 0, 5, 0),
+                ::capnp::word(21, 0, 0, 0, 1, 0, 6, 0),
                 ::capnp::word(81, 11, 28, 137, 101, 192, 250, 143),
                 ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
--- a/crates/porthoist-policy/src/proxy.rs
+++ b/crates/porthoist-policy/src/proxy.rs
@@ -3,6 +3,7 @@
 
 pub mod desk;
 pub mod domains;
+pub mod entries;
 pub mod forecast;
 pub mod freshness;
 pub mod loads;
@@ -18,4 +19,5 @@
 mod target_load;
 pub mod targets;
 pub mod trusted;
+pub mod turns;
 pub mod waiting;
--- a/crates/porthoist-policy/src/proxy/desk.rs
+++ b/crates/porthoist-policy/src/proxy/desk.rs
@@ -10,6 +10,7 @@
 use super::paces::GroupChoice;
 use super::placement::{BoardSettings, ChosenTarget, LoadBoard, RequestWork, SendOutcome};
 use super::targets::{TargetBook, TargetLife, TargetRecord};
+use super::turns::EntryPlace;
 use super::waiting::{RequestTurn, WaitList};
 use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis};
 use std::collections::HashMap;
@@ -55,6 +56,9 @@
     /// Too many requests wait.
     #[error("too many requests wait")]
     Full,
+    /// All targets name limits that leave no place in time.
+    #[error("the targets take no more requests a second")]
+    Limited,
 }
 
 /// What becomes of a request.
@@ -129,9 +133,11 @@
             return DeskAnswer::Refuse(PlaceError::NoTarget);
         }
         let PlaceDemand { arrival, latency_millis, deadline, turn, .. } = *demand;
-        let ask = PlaceAsk { ahead, arrival, latency_millis, deadline, turn };
+        let limited_millis = self.board.limited_supply(service, now).map(|supply| supply.millis);
+        let ask = PlaceAsk { ahead, arrival, latency_millis, deadline, turn, limited_millis };
         match self.forecast(service).ask(ask, now) {
             PlaceForecast::Wait(until) => DeskAnswer::Wait(until),
+            PlaceForecast::Refuse if limited_millis.is_some() => DeskAnswer::Refuse(PlaceError::Limited),
             PlaceForecast::Refuse => DeskAnswer::Refuse(PlaceError::Busy),
         }
     }
@@ -254,12 +260,29 @@
         point: f64,
         now: UnixMillis,
     ) -> u64 {
-        self.forecast(service).return_millis(deadline, point, now)
+        let supply = self.board.limited_supply(service, now);
+        let waiting = self.waiting.get(service).map_or(0, WaitList::len);
+        let least = supply.map_or(0.0, |supply| supply.millis * (waiting + 1) as f64);
+        self.forecast(service).return_millis(deadline, least, point, now)
     }
 
     /// Why a request that waited in vain is refused.
     pub fn denial(&self, service: &ServiceName, now: UnixMillis) -> PlaceError {
-        if self.board.serves(service, now) { PlaceError::Busy } else { PlaceError::NoTarget }
+        match (self.board.serves(service, now), self.board.limited_supply(service, now)) {
+            (false, _) => PlaceError::NoTarget,
+            (true, Some(_supply)) => PlaceError::Limited,
+            (true, None) => PlaceError::Busy,
+        }
+    }
+
+    /// When the next request of a service that waits may be sent although nothing was released.
+    pub fn next_turn(&self, service: &ServiceName, now: UnixMillis) -> Option<UnixDeadline> {
+        self.board.limited_supply(service, now).map(|supply| supply.next)
+    }
+
+    /// Takes this process's place among the entries of its zone.
+    pub fn set_place(&mut self, place: Option<EntryPlace>) {
+        self.board.set_place(place);
     }
 
     /// Services that requests wait for.
--- a/crates/porthoist-policy/src/proxy/forecast.rs
+++ b/crates/porthoist-policy/src/proxy/forecast.rs
@@ -57,6 +57,8 @@
     pub deadline: UnixDeadline,
     /// Its turn.
     pub turn: RequestTurn,
+    /// Mean time in milliseconds between two sends of this process, where all targets name limits.
+    pub limited_millis: Option<f64>,
 }
 
 /// What becomes of a request that finds no place.
@@ -258,7 +260,10 @@
             RequestTurn::Returned => return PlaceForecast::Refuse,
         };
         let until = UnixDeadline::after(ask.arrival, wait).min(ask.deadline);
-        let expected = self.expected_wait(ask.ahead);
+        let expected = match ask.limited_millis {
+            Some(millis) => millis * (ask.ahead + 1) as f64,
+            None => self.expected_wait(ask.ahead),
+        };
         if expected < WAIT_PART * until.0.since(now) as f64 {
             PlaceForecast::Wait(until)
         } else {
@@ -272,16 +277,22 @@
         hold * (ahead + 1) as f64 / f64::from(self.in_flight.max(1))
     }
 
-    /// Takes that a request is refused; says after how many milliseconds its caller should come back. `point` is random
-    /// between 0 and 1.
-    pub fn return_millis(&mut self, deadline: UnixDeadline, point: f64, now: UnixMillis) -> u64 {
+    /// Takes that a request is refused; says after how many milliseconds its caller should come back: not before `least_millis`,
+    /// as far as its deadline bears. `point` is random between 0 and 1.
+    pub fn return_millis(
+        &mut self,
+        deadline: UnixDeadline,
+        least_millis: f64,
+        point: f64,
+        now: UnixMillis,
+    ) -> u64 {
         if now.since(self.jam.last) > JAM_GAP_MILLIS {
             let last = self.jam.last;
             self.jam.end(last);
         }
         self.jam.begin(now);
         let spell = if self.down() { &self.outage } else { &self.jam };
-        let rest = spell.expected_rest(now) * (1.0 + SPREAD_PART * point);
+        let rest = spell.expected_rest(now).max(least_millis) * (1.0 + SPREAD_PART * point);
         let left = deadline.0.since(now) / AWAY_PART;
         (rest as u64).min(left).max(1)
     }
--- a/crates/porthoist-policy/src/proxy/needs.rs
+++ b/crates/porthoist-policy/src/proxy/needs.rs
@@ -8,6 +8,12 @@
 /// Time in milliseconds between two log lines about one target's words; one may name a limit in every second answer.
 const LOG_MILLIS: u64 = 1_000;
 
+/// A target that nothing certain was heard of for so long, in milliseconds, is tried although others have room: only an answer can
+/// tell that it takes more again.
+const UNHEARD_MILLIS: u64 = 4_000;
+/// Time in milliseconds in which load comes back to a target that takes more again; many processes may hear of it together.
+const RETURN_MILLIS: u64 = 3_000;
+
 /// A value that an answer may name.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub enum NamedValue<T> {
@@ -83,6 +89,10 @@
 #[derive(Debug, Clone, Default)]
 pub struct TargetNeed {
     limit: Option<HeardLimit>,
+    /// When its last certain answer came.
+    heard: UnixMillis,
+    /// When it took its limit back.
+    lifted: Option<UnixMillis>,
     unreadable: bool,
     log_due: UnixDeadline,
 }
@@ -90,6 +100,9 @@
 impl TargetNeed {
     /// Takes what an answer says.
     pub fn take(&mut self, word: &TargetWord, now: UnixMillis) -> Vec<NotedChange> {
+        if word.certain {
+            self.heard = now;
+        }
         let changes = [self.take_limit(word, now), self.take_readable(word)];
         changes.into_iter().flatten().map(|change| self.noted(change, now)).collect()
     }
@@ -99,6 +112,18 @@
         self.limit
     }
 
+    /// Whether nothing certain was heard of it for long.
+    pub fn unheard(&self, now: UnixMillis) -> bool {
+        now.since(self.heard) >= UNHEARD_MILLIS
+    }
+
+    /// Part of the time that is left until it takes as much as others again, 1 right after it took its limit back.
+    pub fn returning(&self, now: UnixMillis) -> f64 {
+        let Some(lifted) = self.lifted else { return 0.0 };
+        let left = RETURN_MILLIS.saturating_sub(now.since(lifted));
+        left as f64 / RETURN_MILLIS as f64
+    }
+
     fn take_limit(&mut self, word: &TargetWord, now: UnixMillis) -> Option<NeedChange> {
         match word.limit {
             NamedValue::Named(rate) => {
@@ -109,6 +134,7 @@
             }
             NamedValue::Absent if word.certain => {
                 let known = self.limit.take()?;
+                self.lifted = Some(now);
                 Some(NeedChange::Lifted(now.since(known.since)))
             }
             NamedValue::Absent | NamedValue::Unreadable => None,
--- a/crates/porthoist-policy/src/proxy/placement.rs
+++ b/crates/porthoist-policy/src/proxy/placement.rs
@@ -9,9 +9,10 @@
 use super::paces::{GroupChoice, ServicePaces};
 use super::pass_time::GroupPass;
 use super::spread::choose_by_level;
-use super::target_load::{GroupView, TargetLoad};
+use super::target_load::{GroupView, SendTier, TargetLoad};
 use super::targets::{TargetBook, TargetLife, TargetRecord, TargetState};
-use porthoist_core::{ServiceName, TargetName, UnixMillis, ZoneName};
+use super::turns::{EntryPlace, SendTurns, SenderPlace};
+use porthoist_core::{RequestRate, ServiceName, TargetName, UnixDeadline, UnixMillis, ZoneName};
 use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, Ipv4Addr};
 use std::sync::Arc;
@@ -65,6 +66,17 @@
     pub report: Option<ReportedRequests>,
     /// How its group did, if it is known to be a rank of one.
     pub group: Option<GroupChoice>,
+    /// The limit that it names, within which it was chosen.
+    pub limit: Option<RequestRate>,
+}
+
+/// What this process may send to the targets of a service that all name limits.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitedSupply {
+    /// Mean time in milliseconds between two of its requests.
+    pub millis: f64,
+    /// When the next may be sent.
+    pub next: UnixDeadline,
 }
 
 /// Requests of all processes at a target, as this process believed when it chose.
@@ -86,14 +98,21 @@
     domains: DomainBook,
     /// Part of the requests in a service's groups that this process sent, as reports showed it.
     shares: HashMap<ServiceName, f64>,
+    /// This process's place among the entries of its zone, once it was told.
+    place: Option<EntryPlace>,
+    /// Its place among all that send, by the zones of all targets.
+    sender: SenderPlace,
     turn: u64,
 }
 
 impl LoadBoard {
     /// A board without targets.
     pub fn new(settings: BoardSettings) -> Self {
+        let sender = SenderPlace::new(None, &settings.zone, &[], settings.seed);
         Self {
             settings,
+            place: None,
+            sender,
             loads: BTreeMap::new(),
             domains: DomainBook::default(),
             shares: HashMap::new(),
@@ -118,6 +137,21 @@
         for (life, record) in known {
             self.loads.entry(life).or_insert_with(|| TargetLoad::new(Arc::clone(record)));
         }
+        self.sync_sender();
+    }
+
+    /// Takes this process's place among the entries of its zone.
+    pub fn set_place(&mut self, place: Option<EntryPlace>) {
+        self.place = place;
+        self.sync_sender();
+    }
+
+    fn sync_sender(&mut self) {
+        let mut zones: Vec<ZoneName> = self.loads.values().map(|load| load.record.zone.clone()).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        let BoardSettings { zone, seed, .. } = &self.settings;
+        self.sender = SenderPlace::new(self.place, zone, &zones, *seed);
     }
 
     /// The best target that has room for one more request, counted as in flight from now on.
@@ -139,10 +173,11 @@
         let paces = self.paces(service, now);
         self.turn = self.turn.wrapping_add(1);
         let mut candidates: Vec<&mut TargetLoad> = {
-            let settings = &self.settings;
+            let (settings, sender) = (&self.settings, self.sender);
             let loads = self.loads.values_mut();
             let fits = |load: &&mut TargetLoad| load.fits(settings, service, group, tried, now);
-            loads.filter(fits).filter(|load| paces.open(load.group)).collect()
+            let open = loads.filter(fits).filter(|load| paces.open(load.group));
+            preferred(open, sender, tried.is_empty(), now)
         };
         let costs: Vec<f64> =
             candidates.iter().map(|load| load.cost(&self.settings.zone, usual, group, &paces, now)).collect();
@@ -158,13 +193,14 @@
         };
         let best = candidates.swap_remove(best);
         let (in_flight, report) = (best.in_flight, best.report(now));
-        best.take(work);
+        let limit = best.limit();
+        best.take(work, now);
         let group = best.group.and_then(|index| Some(GroupChoice { index, pace: paces.pace(index)? }));
         let record = Arc::clone(&best.record);
         if let Some(GroupChoice { index, .. }) = group.filter(|group| group.pace.probe_due) {
             self.domains.probed(index, now);
         }
-        Some(ChosenTarget { record, in_flight, report, group })
+        Some(ChosenTarget { record, in_flight, report, group, limit })
     }
 
     /// Takes the end of a send. Returns whether the target gets nothing for a while from now on.
@@ -197,6 +233,16 @@
         loads.any(|load| load.record.service == *service && (load.open(now) || load.in_flight > 0))
     }
 
+    /// What this process may send, where all targets that take requests of the service name limits.
+    pub fn limited_supply(&self, service: &ServiceName, now: UnixMillis) -> Option<LimitedSupply> {
+        let loads = self.loads.values().filter(|load| load.record.service == *service && load.open(now));
+        let turns: Option<Vec<&SendTurns>> = loads.map(TargetLoad::turns).collect();
+        let turns = turns?;
+        let rate: f64 = turns.iter().filter_map(|turns| Some(1.0 / turns.millis()?)).sum();
+        let next = turns.iter().filter_map(|turns| turns.next(now)).min()?;
+        Some(LimitedSupply { millis: 1.0 / rate, next })
+    }
+
     /// How the groups of a service do.
     pub fn paces(&self, service: &ServiceName, now: UnixMillis) -> ServicePaces {
         let loads = || self.loads.values().filter(|load| load.record.service == *service);
@@ -210,11 +256,13 @@
         };
         let paces = ServicePaces::new(running.iter().enumerate().map(pace).collect());
         let (mut taken, mut slots) = (0, 0);
-        for load in loads().filter(|load| load.group.is_some_and(|group| paces.goes_on(group))) {
+        // A target in need takes none of what leaves others.
+        let usable = loads().filter(|load| load.limit().is_none());
+        for load in usable.filter(|load| load.group.is_some_and(|group| paces.goes_on(group))) {
             taken += load.requests(None, now).count;
             slots += self.settings.rank_limit.min(load.record.slots);
         }
-        paces.with_taken(f64::from(taken) / f64::from(slots.max(1)))
+        paces.with_taken(if slots == 0 { 1.0 } else { f64::from(taken) / f64::from(slots) })
     }
 
     /// Services whose groups are known.
@@ -313,6 +361,24 @@
     }
 }
 
+/// Those that are to get a request before the others: targets in need get none while others have room, but for a first send now
+/// and then that asks how they do.
+fn preferred<'a>(
+    open: impl Iterator<Item = &'a mut TargetLoad>,
+    sender: SenderPlace,
+    first_send: bool,
+    now: UnixMillis,
+) -> Vec<&'a mut TargetLoad> {
+    let tiered = open.filter_map(|load| {
+        load.set_turns(sender, now);
+        Some((load.tier(first_send, now)?, load))
+    });
+    let tiered: Vec<(SendTier, &mut TargetLoad)> = tiered.collect();
+    let best = tiered.iter().map(|(tier, _load)| *tier).min();
+    let best = tiered.into_iter().filter(|(tier, _load)| Some(*tier) == best);
+    best.map(|(_tier, load)| load).collect()
+}
+
 /// A number between 0 and 1 that changes from choice to choice.
 fn random_point(seed: u64, turn: u64) -> f64 {
     let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&turn.to_le_bytes(), seed);
--- a/crates/porthoist-policy/src/proxy/target_load.rs
+++ b/crates/porthoist-policy/src/proxy/target_load.rs
@@ -6,7 +6,8 @@
 use super::paces::ServicePaces;
 use super::placement::{BoardSettings, ReportedRequests, RequestWork, SendOutcome};
 use super::targets::{TargetRecord, TargetState};
-use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis, ZoneName};
+use super::turns::{SendTurns, SenderPlace, TurnRound};
+use porthoist_core::{RequestRate, ServiceName, TargetName, UnixDeadline, UnixMillis, ZoneName};
 use std::sync::Arc;
 
 /// Failures in a row after which a target gets nothing for a while. One alone is common: a reset of an idle
@@ -28,11 +29,24 @@
 /// A rank that said it is full gets nothing for so long in milliseconds, or until its next report: while reports were 0.7 s
 /// old, requests went to the same full ranks again and were refused for it.
 const FULL_MILLIS: u64 = 300;
+/// Requests that a target counts for more right after it took its limit back.
+const RETURN_REQUESTS: f64 = 4.0;
 /// How much slower than the service's mean a target's answers must be to count as a slow one.
 const SLOW_FACTOR: f64 = 2.5;
 /// Weight of a new answer in the mean time of a target.
 const ANSWER_WEIGHT: f64 = 0.2;
 
+/// Which targets a request is sent to first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum SendTier {
+    /// It names a limit, and is to be asked whether it still does.
+    Asked,
+    /// It takes what it has room for.
+    Free,
+    /// It names a limit, within which it may get one.
+    Limited,
+}
+
 /// What is known of one target.
 #[derive(Debug, Clone)]
 pub(super) struct TargetLoad {
@@ -52,6 +66,8 @@
     pub(super) mean_millis: Option<f64>,
     /// What it said of itself.
     pub(super) need: TargetNeed,
+    /// When this process may send to it while it names a limit.
+    turns: SendTurns,
 }
 
 impl TargetLoad {
@@ -69,6 +85,7 @@
             gone: false,
             mean_millis: None,
             need: TargetNeed::default(),
+            turns: SendTurns::default(),
         }
     }
 
@@ -123,6 +140,34 @@
             && !tried.contains(&self.record.id)
     }
 
+    /// Which requests it may get now, of those that it has room for; nothing while its limit leaves none for this process.
+    pub(super) fn tier(&self, first_send: bool, now: UnixMillis) -> Option<SendTier> {
+        if self.need.limit().is_none() {
+            return Some(SendTier::Free);
+        }
+        // A request that was sent in vain already is not the one to ask with.
+        let asked = first_send && self.need.unheard(now);
+        let tier = if asked { SendTier::Asked } else { SendTier::Limited };
+        self.turns.free(now).then_some(tier)
+    }
+
+    /// Takes by which rounds this process keeps its limit.
+    pub(super) fn set_turns(&mut self, sender: SenderPlace, now: UnixMillis) {
+        if let Some(limit) = self.need.limit() {
+            self.turns.set(TurnRound::new(limit.rate, sender, &self.record.life()), now);
+        }
+    }
+
+    /// This process's turns, while it names a limit.
+    pub(super) fn turns(&self) -> Option<&SendTurns> {
+        self.need.limit().map(|_limit| &self.turns)
+    }
+
+    /// The limit that it names.
+    pub(super) fn limit(&self) -> Option<RequestRate> {
+        self.need.limit().map(|limit| limit.rate)
+    }
+
     fn has_room(&self, settings: &BoardSettings, group: GroupView, now: UnixMillis) -> bool {
         if self.full_until.is_some_and(|deadline| !deadline.passed(now)) {
             return false;
@@ -154,8 +199,9 @@
         let slowness = slowness * paces.factor(self.group);
         let silence = if self.silent(now) { SILENT_REQUESTS } else { 0.0 };
         let lateness = if paces.late(self.group) { LATE_REQUESTS } else { 0.0 };
-        (f64::from(self.requests(group.assumed, now).count) + tokens + silence + lateness + 1.0) * slowness
-            + zone
+        let returning = RETURN_REQUESTS * self.need.returning(now);
+        let requests = f64::from(self.requests(group.assumed, now).count);
+        (requests + tokens + silence + lateness + returning + 1.0) * slowness + zone
     }
 
     /// Takes the end of a send. Returns whether the target gets nothing for a while from now on.
@@ -184,9 +230,12 @@
     }
 
     /// Counts a request there.
-    pub(super) fn take(&mut self, work: RequestWork) {
+    pub(super) fn take(&mut self, work: RequestWork, now: UnixMillis) {
         self.in_flight += 1;
         self.tokens += work.prompt_tokens;
+        if self.limit().is_some() {
+            self.turns.take(now);
+        }
     }
 
     /// Takes what a report says of it.
--- a/crates/porthoist-policy/tests/policy.rs
+++ b/crates/porthoist-policy/tests/policy.rs
@@ -24,6 +24,10 @@
 mod loads;
 #[path = "policy/moving.rs"]
 mod moving;
+#[path = "policy/needs.rs"]
+mod needs;
+#[path = "policy/needy_fleet.rs"]
+mod needy_fleet;
 #[path = "policy/pass_time.rs"]
 mod pass_time;
 #[path = "policy/placement.rs"]
--- a/crates/porthoist-policy/tests/policy/forecast.rs
+++ b/crates/porthoist-policy/tests/policy/forecast.rs
@@ -19,7 +19,7 @@
 fn ask(ahead: usize, arrival: u64, turn: RequestTurn) -> PlaceAsk {
     let arrival = UnixMillis(arrival);
     let deadline = UnixDeadline::after(arrival, 8_000);
-    PlaceAsk { ahead, arrival, latency_millis: 500, deadline, turn }
+    PlaceAsk { ahead, arrival, latency_millis: 500, deadline, turn, limited_millis: None }
 }
 
 #[test_case(0, First, Some(1_300); "a place every 150 ms, and 300 to spare")]
@@ -71,13 +71,17 @@
     let mut told = Vec::new();
     for began in [2_000, 12_000, 22_000] {
         assert!(forecast.may_send(UnixMillis(began)), "one tries it");
-        told.push(forecast.return_millis(deadline, 0.0, UnixMillis(began + 100)));
+        told.push(forecast.return_millis(deadline, 0.0, 0.0, UnixMillis(began + 100)));
         forecast.heard(UnixMillis(began + 1_000));
     }
     // Nothing was seen at first; then spells of a second.
     assert_eq!(told, [2_500, 900, 900]);
     forecast.may_send(UnixMillis(32_000));
-    assert_eq!(forecast.return_millis(deadline, 0.0, UnixMillis(37_000)), 5_000, "longer than all before");
+    assert_eq!(
+        forecast.return_millis(deadline, 0.0, 0.0, UnixMillis(37_000)),
+        5_000,
+        "longer than all before"
+    );
 }
 
 #[test]
@@ -85,7 +89,7 @@
     let mut forecast = busy();
     forecast.may_send(UnixMillis(2_000));
     let mut told = |deadline: u64, point: f64| {
-        forecast.return_millis(UnixDeadline(UnixMillis(deadline)), point, UnixMillis(2_000))
+        forecast.return_millis(UnixDeadline(UnixMillis(deadline)), 0.0, point, UnixMillis(2_000))
     };
     assert_eq!([told(90_000, 0.0), told(90_000, 0.5), told(90_000, 1.0)], [2_500, 2_875, 3_250]);
     assert_eq!(told(5_000, 0.0), 1_000, "a third of what is left");
--- /dev/null
+++ b/crates/porthoist-policy/tests/policy/needs.rs
@@ -0,0 +1,208 @@
+//! What targets say of themselves: limits over all entries, how they end, and what is left for callers.
+
+use crate::needy_fleet::{EntryCount, FleetReport, FleetSettings, PlayedNeed, play};
+use porthoist_core::{BirthMillis, RequestRate, UnixMillis};
+use porthoist_policy::proxy::entries::{BelievedPlace, EntryId, EntryRoll};
+use porthoist_policy::proxy::loads::{GroupLoads, RankLoad};
+use porthoist_policy::proxy::needs::{NamedValue, NeedChange, NotedChange, TargetNeed, TargetWord};
+use porthoist_policy::proxy::placement::{BoardSettings, LoadBoard, RequestWork};
+use porthoist_policy::proxy::targets::{TargetBook, TargetRecord, TargetState};
+use porthoist_policy::proxy::turns::EntryPlace;
+use test_case::test_case;
+
+const TARGETS: usize = 9;
+
+/// One and a half times what a limit allows in 4 s, and five.
+fn allowed(limit: f64) -> usize {
+    (6.0 * limit + 5.0).floor() as usize
+}
+
+fn needs(targets: usize, limit: f64, from: u64, until: u64) -> Vec<PlayedNeed> {
+    (0..targets).map(|target| PlayedNeed { target, limit, from, until }).collect()
+}
+
+/// Ten requests a second at each entry.
+fn rate(entries: usize) -> f64 {
+    10.0 * entries as f64
+}
+
+fn most(report: &FleetReport, needs: &[PlayedNeed]) -> usize {
+    needs.iter().map(|need| report.most(*need)).max().unwrap()
+}
+
+/// Requests a second at all targets together.
+fn used(report: &FleetReport, from: u64, until: u64) -> f64 {
+    (0..TARGETS).map(|target| report.rate(target, from, until)).sum()
+}
+
+/// Entries and zones of deployments now, and in two years.
+#[test_case(3, 1; "three entries")]
+#[test_case(7, 3; "seven entries in unequal zones")]
+#[test_case(42, 3; "42 entries")]
+#[test_case(570, 9; "570 entries")]
+fn limits_of_all_targets_hold_and_are_used(entries: usize, zones: usize) {
+    for limit in [0.0, 0.5, 1.0, 6.0, 40.0] {
+        let limited = needs(TARGETS, limit, 2_000, 30_000);
+        let settings = FleetSettings::builder().entries(entries).zones(zones).targets(TARGETS);
+        let settings = settings.rate(rate(entries)).needs(limited.clone()).millis(30_000).build();
+        let report = play(&settings);
+        let most = most(&report, &limited);
+        assert!(most <= allowed(limit), "limit {limit}: {most} in 4 s");
+        let (used, all) = (used(&report, 10_000, 28_000), TARGETS as f64 * limit);
+        assert!(used >= 0.6 * all.min(rate(entries)), "limit {limit}: {used} a second of {all}");
+    }
+}
+
+#[test_case(EntryCount::Known, 0, false, 0; "each knows its place")]
+#[test_case(EntryCount::Unknown, 0, false, 0; "their number is not known")]
+#[test_case(EntryCount::Known, 10, false, 0; "some stand still")]
+#[test_case(EntryCount::Known, 0, true, 0; "they begin anew one after the other")]
+#[test_case(EntryCount::Known, 0, false, 5_000; "their clocks are apart")]
+fn a_limit_holds(count: EntryCount, frozen: usize, restarts: bool, clocks_apart: u64) {
+    for seed in 1..=5 {
+        let limited = needs(TARGETS, 1.0, 2_000, 40_000);
+        let settings = FleetSettings::builder().entries(42).zones(3).targets(TARGETS).rate(rate(42));
+        let settings = settings.needs(limited.clone()).millis(40_000).seed(seed).count(count);
+        let settings = settings.frozen(frozen).restarts(restarts).clocks_apart(clocks_apart).build();
+        let most = most(&play(&settings), &limited);
+        assert!(most <= allowed(1.0), "seed {seed}: {most} in 4 s");
+    }
+}
+
+/// The check sees entries that keep a limit each for itself.
+#[test]
+fn a_limit_kept_by_each_alone_does_not_hold() {
+    let limited = needs(TARGETS, 1.0, 2_000, 40_000);
+    let settings = FleetSettings::builder().entries(42).zones(1).targets(TARGETS).rate(rate(42));
+    let settings = settings.needs(limited.clone()).millis(40_000).count(EntryCount::Alone).build();
+    assert!(most(&play(&settings), &limited) > 2 * allowed(1.0));
+}
+
+/// Where some targets are in need, the others take what callers send, and those in need are asked now and then.
+#[test_case(7, 3, 30_000; "seven entries")]
+#[test_case(42, 3, 70_000; "42 entries")]
+fn others_take_the_load_until_a_limit_ends(entries: usize, zones: usize, back_by: u64) {
+    let limited = needs(2, 1.0, 2_000, 22_000);
+    let settings = FleetSettings::builder().entries(entries).zones(zones).targets(TARGETS);
+    let settings = settings.rate(rate(entries)).needs(limited.clone()).millis(22_000 + back_by).build();
+    let report = play(&settings);
+    assert_eq!(report.refused, 0);
+    for need in limited {
+        let asked = report.most(need);
+        assert!((1..=5).contains(&asked), "{asked} in 4 s while it names a limit");
+        let back = report.rate(need.target, 22_000 + back_by - 4_000, 22_000 + back_by);
+        let fair = rate(entries) / TARGETS as f64;
+        assert!(back > 0.5 * fair, "{back} a second of {fair} after its end");
+    }
+}
+
+fn word(limit: NamedValue<RequestRate>, certain: bool) -> TargetWord {
+    TargetWord { limit, certain, ..TargetWord::default() }
+}
+
+fn named(rate: f64) -> NamedValue<RequestRate> {
+    NamedValue::Named(RequestRate(rate))
+}
+
+#[test_case(word(named(2.0), false), Some(2.0); "another limit")]
+#[test_case(word(NamedValue::Absent, true), None; "an answer without one")]
+#[test_case(word(NamedValue::Absent, false), Some(1.0); "an answer that names no request")]
+#[test_case(word(NamedValue::Unreadable, true), Some(1.0); "a value that can't be read")]
+fn a_limit_is_what_the_last_certain_answer_said(then: TargetWord, limit: Option<f64>) {
+    let mut need = TargetNeed::default();
+    need.take(&word(named(1.0), true), UnixMillis(1_000));
+    need.take(&then, UnixMillis(2_000));
+    assert_eq!(need.limit().map(|limit| limit.rate.0), limit);
+}
+
+#[test]
+fn changes_in_quick_succession_are_counted_and_rarely_logged() {
+    let mut need = TargetNeed::default();
+    let words = [word(named(1.0), true), word(NamedValue::Absent, true)];
+    let changes: Vec<NotedChange> =
+        (0..100).flat_map(|step| need.take(&words[step % 2], UnixMillis(10_000 + 9 * step as u64))).collect();
+    assert_eq!((changes.len(), changes.iter().filter(|change| change.logged).count()), (100, 1));
+    assert_eq!(changes[0].change, NeedChange::Limited(RequestRate(1.0)));
+    assert_eq!(changes[1].change, NeedChange::Lifted(9));
+}
+
+fn record(born: u64) -> TargetRecord {
+    TargetRecord {
+        id: "t".parse().unwrap(),
+        born: BirthMillis(born),
+        service: "s".parse().unwrap(),
+        address: "10.0.0.1:1".parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        slots: 12,
+        state: TargetState::Ready,
+    }
+}
+
+fn board(book: &TargetBook) -> LoadBoard {
+    let settings = BoardSettings::builder().zone("a".parse().unwrap()).per_rank(3).rank_limit(12).seed(1);
+    let mut board = LoadBoard::new(settings.build());
+    board.sync(book);
+    board
+}
+
+/// Whether the only target gets a request outside of this process's turns.
+fn gets_one(board: &mut LoadBoard, now: u64) -> bool {
+    let work = RequestWork::default();
+    let chosen = board.choose(&"s".parse().unwrap(), true, work, &[], UnixMillis(now));
+    chosen.is_some_and(|chosen| chosen.limit.is_none())
+}
+
+#[test]
+fn neither_a_listing_nor_a_report_lifts_a_limit_and_a_new_life_has_none() {
+    let mut book = TargetBook::default();
+    book.listed([record(1)], None);
+    let mut board = board(&book);
+    assert!(gets_one(&mut board, 1_000));
+    board.told(&record(1).life(), &word(named(0.0), true), UnixMillis(1_100));
+    assert!(!gets_one(&mut board, 1_200));
+    book.listed([record(1)], None);
+    board.sync(&book);
+    let rank = RankLoad { host: "10.0.0.1".parse().unwrap(), requests: 1, silent: false };
+    let loads = GroupLoads { ranks: vec![rank], ..GroupLoads::default() };
+    board.take_loads(&loads, UnixMillis(1_300));
+    assert!(!gets_one(&mut board, 1_400));
+    book.changed(vec![record(2).into()], None);
+    board.sync(&book);
+    assert!(gets_one(&mut board, 1_500));
+}
+
+fn place(index: u32, entries: u32) -> EntryPlace {
+    EntryPlace { index, entries }
+}
+
+#[test]
+fn entries_are_counted_once_all_have_asked() {
+    let mut roll = EntryRoll::default();
+    let mut ask = |entry: u64, at: u64| roll.asked(EntryId(entry), UnixMillis(at));
+    assert_eq!(ask(5, 100_000), None);
+    assert_eq!(ask(9, 101_000), None, "others may not have asked yet");
+    assert_eq!(ask(5, 103_000), Some(place(0, 2)));
+    assert_eq!(ask(7, 104_000), Some(place(1, 3)));
+    assert_eq!(ask(7, 105_000), Some(place(1, 3)), "an entry that began anew is the same");
+    assert_eq!(ask(5, 112_000), Some(place(0, 2)), "one that asks no more is gone after 10 s");
+    assert_eq!(ask(5, 140_000), None, "a process that stood still counts anew");
+}
+
+#[test]
+fn fewer_entries_are_believed_in_after_a_while() {
+    let mut believed = BelievedPlace::default();
+    let mut told = |place, at| {
+        believed.told(place, UnixMillis(at));
+        believed.place()
+    };
+    assert_eq!(told(None, 1_000), None);
+    assert_eq!(told(Some(place(1, 14)), 2_000), Some(place(1, 14)));
+    assert_eq!(
+        told(Some(place(0, 2)), 3_000),
+        Some(place(1, 14)),
+        "entries ask another process, one after the other"
+    );
+    assert_eq!(told(None, 4_000), Some(place(1, 14)), "that process counts anew");
+    assert_eq!(told(Some(place(1, 15)), 5_000), Some(place(1, 15)));
+    assert_eq!(told(Some(place(0, 2)), 35_000), Some(place(0, 2)));
+}
--- /dev/null
+++ b/crates/porthoist-policy/tests/policy/needy_fleet.rs
@@ -0,0 +1,317 @@
+//! Entries before targets that ask for less, in virtual time: each entry decides by itself, with the code that is in use.
+
+use porthoist_core::{BirthMillis, RequestRate, ServiceName, UnixDeadline, UnixMillis, ZoneName};
+use porthoist_policy::proxy::desk::{DeskAnswer, PlaceDemand, PlaceDesk, PlaceError};
+use porthoist_policy::proxy::needs::{NamedValue, TargetWord};
+use porthoist_policy::proxy::placement::{BoardSettings, ChosenTarget, RequestWork, SendOutcome};
+use porthoist_policy::proxy::targets::{TargetBook, TargetLife, TargetRecord, TargetState};
+use porthoist_policy::proxy::turns::EntryPlace;
+use porthoist_policy::proxy::waiting::RequestTurn;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+
+/// How long a target takes for a request, in milliseconds.
+const RUN_MILLIS: u64 = 30;
+/// Requests that a target runs at once.
+const SLOTS: u32 = 6;
+/// Moment at which the fleet begins, in milliseconds.
+const BEGIN: u64 = 1_700_000_000_000;
+/// Time in milliseconds that callers have.
+const PATIENCE: u64 = 8_000;
+/// Time in milliseconds within which answers are on time.
+const LATENCY: u64 = 500;
+
+/// What one target says, and when.
+#[derive(Debug, Clone, Copy)]
+pub struct PlayedNeed {
+    pub target: usize,
+    /// Requests a second.
+    pub limit: f64,
+    /// In milliseconds from the start.
+    pub from: u64,
+    pub until: u64,
+}
+
+/// What entries believe of their number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EntryCount {
+    /// What it is.
+    Known,
+    /// Nothing.
+    Unknown,
+    /// Each that it is the only one.
+    Alone,
+}
+
+#[derive(Debug, Clone, bon::Builder)]
+pub struct FleetSettings {
+    pub entries: usize,
+    pub zones: usize,
+    pub targets: usize,
+    /// Requests a second of all callers.
+    pub rate: f64,
+    pub needs: Vec<PlayedNeed>,
+    pub millis: u64,
+    #[builder(default = EntryCount::Known)]
+    pub count: EntryCount,
+    /// Entries that stand still from 8 to 12 s.
+    #[builder(default)]
+    pub frozen: usize,
+    /// Entries that begin anew every 3 s, one after the other, and know nothing then.
+    #[builder(default)]
+    pub restarts: bool,
+    /// By how much entries' clocks differ at most, in milliseconds.
+    #[builder(default)]
+    pub clocks_apart: u64,
+    #[builder(default = 1)]
+    pub seed: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum FleetEvent {
+    Caller,
+    Answer { entry: usize, target: usize, life: u64, sent: u64 },
+    Turn { entry: usize },
+    Restart { entry: usize },
+}
+
+/// A request that reached a target.
+#[derive(Debug, Clone, Copy)]
+struct Arrival {
+    at: u64,
+    /// Whether its entry had been told of the target's limit half a second before.
+    told: bool,
+}
+
+/// What became of all requests.
+#[derive(Debug, Default, Clone)]
+pub struct FleetReport {
+    pub served: usize,
+    pub served_urgent: usize,
+    pub refused: usize,
+    pub refused_limited: usize,
+    arrivals: Vec<Vec<Arrival>>,
+}
+
+impl FleetReport {
+    /// The most requests that a target got in any 4 s, from entries that it had told, while it named a limit for 3 s.
+    pub fn most(&self, need: PlayedNeed) -> usize {
+        let counted = self.arrivals[need.target].iter().filter(|arrival| arrival.told);
+        let times: Vec<u64> = counted.map(|arrival| arrival.at).collect();
+        let within = |from: &u64| times.iter().filter(|at| **at >= *from && **at < from + 4_000).count();
+        let begins = times.iter().filter(|at| **at >= need.from + 3_000 && **at + 4_000 < need.until);
+        begins.map(within).max().unwrap_or_default()
+    }
+
+    /// Requests a second that a target got between two moments.
+    pub fn rate(&self, target: usize, from: u64, until: u64) -> f64 {
+        let within = self.arrivals[target].iter().filter(|arrival| arrival.at >= from && arrival.at < until);
+        within.count() as f64 * 1_000.0 / (until - from) as f64
+    }
+}
+
+struct PlayedEntry {
+    desk: PlaceDesk<u64>,
+    clock_ahead: u64,
+    frozen_until: u64,
+    /// When each target first told it of its limit.
+    told: HashMap<usize, u64>,
+    life: u64,
+}
+
+struct Fleet {
+    settings: FleetSettings,
+    entries: Vec<PlayedEntry>,
+    book: TargetBook,
+    targets: BTreeMap<TargetLife, usize>,
+    service: ServiceName,
+    events: BinaryHeap<Reverse<(u64, u64, FleetEvent)>>,
+    sequence: u64,
+    random: Pcg64Mcg,
+    report: FleetReport,
+}
+
+fn zone_name(index: usize) -> ZoneName {
+    format!("z{index}").parse().unwrap()
+}
+
+/// Plays the fleet.
+pub fn play(settings: &FleetSettings) -> FleetReport {
+    let mut fleet = Fleet::new(settings.clone());
+    fleet.at(0, FleetEvent::Caller);
+    if settings.restarts {
+        for (index, entry) in (0..settings.entries).enumerate() {
+            fleet.at(3_000 * (index as u64 + 1), FleetEvent::Restart { entry });
+        }
+    }
+    while let Some(Reverse((at, _sequence, event))) = fleet.events.pop() {
+        if at >= settings.millis {
+            break;
+        }
+        fleet.take(event, at);
+    }
+    fleet.report
+}
+
+impl Fleet {
+    fn new(settings: FleetSettings) -> Self {
+        let service: ServiceName = "s".parse().unwrap();
+        let records = (0..settings.targets).map(|index| TargetRecord {
+            id: format!("t{index}").parse().unwrap(),
+            born: BirthMillis::default(),
+            service: service.clone(),
+            address: format!("10.0.{}.{}:1", index / 250, index % 250).parse().unwrap(),
+            zone: zone_name(index % settings.zones),
+            slots: SLOTS,
+            state: TargetState::Ready,
+        });
+        let records: Vec<TargetRecord> = records.collect();
+        let targets = records.iter().enumerate().map(|(index, record)| (record.life(), index)).collect();
+        let mut book = TargetBook::default();
+        book.listed(records, None);
+        let report = FleetReport { arrivals: vec![Vec::new(); settings.targets], ..FleetReport::default() };
+        let mut fleet = Self {
+            entries: Vec::new(),
+            book,
+            targets,
+            service,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            random: Pcg64Mcg::seed_from_u64(settings.seed),
+            report,
+            settings,
+        };
+        fleet.entries = (0..fleet.settings.entries).map(|index| fleet.entry(index, 0)).collect();
+        fleet
+    }
+
+    fn entry(&mut self, index: usize, life: u64) -> PlayedEntry {
+        let (zones, entries) = (self.settings.zones, self.settings.entries);
+        let zone = index % zones;
+        let in_zone = (entries - zone).div_ceil(zones) as u32;
+        let place = match self.settings.count {
+            EntryCount::Known => Some(EntryPlace { index: (index / zones) as u32, entries: in_zone }),
+            EntryCount::Unknown => None,
+            EntryCount::Alone => Some(EntryPlace { index: 0, entries: 1 }),
+        };
+        let settings = BoardSettings::builder().zone(zone_name(zone)).per_rank(3).rank_limit(12);
+        let mut desk = PlaceDesk::new(settings.seed(index as u64).build());
+        desk.sync(&self.book);
+        desk.set_place(place);
+        let clock_ahead = self.random.random_range(0..=self.settings.clocks_apart);
+        let frozen_until = if index < self.settings.frozen { 12_000 } else { 0 };
+        PlayedEntry { desk, clock_ahead, frozen_until, told: HashMap::new(), life }
+    }
+
+    fn at(&mut self, at: u64, event: FleetEvent) {
+        self.sequence += 1;
+        self.events.push(Reverse((at, self.sequence, event)));
+    }
+
+    fn clock(&self, entry: usize, at: u64) -> UnixMillis {
+        UnixMillis(BEGIN + at + self.entries[entry].clock_ahead)
+    }
+
+    fn take(&mut self, event: FleetEvent, at: u64) {
+        match event {
+            FleetEvent::Caller => self.caller(at),
+            FleetEvent::Answer { entry, target, life, sent } => self.answer(entry, target, life, sent, at),
+            FleetEvent::Turn { entry } => self.serve_waiting(entry, at),
+            FleetEvent::Restart { entry } => {
+                let life = self.entries[entry].life + 1;
+                self.entries[entry] = self.entry(entry, life);
+            }
+        }
+    }
+
+    fn caller(&mut self, at: u64) {
+        let entry = self.random.random_range(0..self.settings.entries);
+        let pause = -(1_000.0 / self.settings.rate) * (1.0 - self.random.random::<f64>()).ln();
+        // Several callers may come in one millisecond.
+        let next = (at as f64 + pause + self.random.random::<f64>()) as u64;
+        self.at(next, FleetEvent::Caller);
+        let frozen = (8_000..self.entries[entry].frozen_until).contains(&at);
+        let at = if frozen { self.entries[entry].frozen_until } else { at };
+        let now = self.clock(entry, at);
+        let priority = u8::from(self.random.random::<f64>() > 0.2) + 1;
+        let demand = PlaceDemand {
+            service: self.service.clone(),
+            ranked: false,
+            work: RequestWork::default(),
+            priority,
+            tried: Vec::new(),
+            arrival: now,
+            latency_millis: LATENCY,
+            deadline: UnixDeadline::after(now, PATIENCE),
+            turn: RequestTurn::First,
+        };
+        let desk = &mut self.entries[entry].desk;
+        match desk.ask(&demand, now) {
+            DeskAnswer::Place(chosen) => self.send(entry, &chosen, priority, at),
+            DeskAnswer::Wait(_until) => {
+                desk.keep(demand, at + LATENCY);
+                self.next_turn(entry, at);
+            }
+            DeskAnswer::Refuse(error) => {
+                self.report.refused += 1;
+                self.report.refused_limited += usize::from(error == PlaceError::Limited);
+            }
+        }
+    }
+
+    fn next_turn(&mut self, entry: usize, at: u64) {
+        let now = self.clock(entry, at);
+        if let Some(turn) = self.entries[entry].desk.next_turn(&self.service, now) {
+            self.at(at + turn.0.since(now), FleetEvent::Turn { entry });
+        }
+    }
+
+    fn serve_waiting(&mut self, entry: usize, at: u64) {
+        let now = self.clock(entry, at);
+        let waits = |until: &u64| *until > at;
+        while let Some((_until, chosen, _work)) =
+            self.entries[entry].desk.next_served(&self.service, waits, now)
+        {
+            self.send(entry, &chosen, 0, at);
+        }
+        if self.entries[entry].desk.waiting() > 0 {
+            self.next_turn(entry, at);
+        }
+    }
+
+    fn send(&mut self, entry: usize, chosen: &ChosenTarget, priority: u8, at: u64) {
+        let target = self.targets[&chosen.record.life()];
+        let told = self.entries[entry].told.get(&target).is_some_and(|told| told + 500 <= at);
+        self.report.arrivals[target].push(Arrival { at, told });
+        self.report.served += 1;
+        self.report.served_urgent += usize::from(priority == 1);
+        let life = self.entries[entry].life;
+        self.at(at + RUN_MILLIS, FleetEvent::Answer { entry, target, life, sent: at });
+    }
+
+    fn answer(&mut self, entry: usize, target: usize, life: u64, sent: u64, at: u64) {
+        if self.entries[entry].life != life {
+            return;
+        }
+        let named = self
+            .settings
+            .needs
+            .iter()
+            .find(|need| need.target == target && (need.from..need.until).contains(&at));
+        let limit = named.map_or(NamedValue::Absent, |need| NamedValue::Named(RequestRate(need.limit)));
+        let word = TargetWord { limit, certain: true, ..TargetWord::default() };
+        let now = self.clock(entry, at);
+        let record = self.book.records().find(|record| self.targets[&record.life()] == target);
+        let target_life = record.expect("targets stay").life();
+        let played = &mut self.entries[entry];
+        if named.is_some() {
+            played.told.entry(target).or_insert(at);
+        }
+        played.desk.told(&target_life, &word, now);
+        let outcome = SendOutcome::Answered((at - sent) as f64);
+        played.desk.ended(&self.service, &target_life, RequestWork::default(), outcome, at - sent, now);
+        self.serve_waiting(entry, at);
+    }
+}
--- a/crates/porthoist-proxy/src/broker.rs
+++ b/crates/porthoist-proxy/src/broker.rs
@@ -1,6 +1,6 @@
 //! Gives each request a place at a target, or lets it wait for one, as the desk decides.
 
-use porthoist_core::{ClockSource, ServiceName, UnixDeadline, UnixMillis};
+use porthoist_core::{ClockSource, RequestRate, ServiceName, UnixDeadline, UnixMillis};
 use porthoist_policy::proxy::desk::{DeskAnswer, PlaceDesk};
 use porthoist_policy::proxy::loads::GroupLoads;
 use porthoist_policy::proxy::moving::{MoveCause, WaitingSend};
@@ -10,6 +10,7 @@
     BoardSettings, ChosenTarget, ReportedRequests, RequestWork, SendOutcome,
 };
 use porthoist_policy::proxy::targets::{TargetBook, TargetLife, TargetRecord};
+use porthoist_policy::proxy::turns::EntryPlace;
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::rc::Rc;
@@ -47,6 +48,8 @@
     pub report: Option<ReportedRequests>,
     /// How the target's group did when it was chosen, if it is known to be a rank of one.
     pub group: Option<GroupChoice>,
+    /// The limit that the target named, within which it was chosen.
+    pub limit: Option<RequestRate>,
     /// When it was given.
     pub placed: UnixMillis,
     work: RequestWork,
@@ -117,14 +120,37 @@
         };
         // A target whose time out has ended may be free although nothing was released.
         self.serve_waiting(&service);
-        let patience = until.remaining(self.clock.now());
-        match tokio::time::timeout(patience, receiver).await {
-            Ok(Ok(place)) => Ok(place),
-            Ok(Err(_dropped)) => Err(PlaceError::Down),
-            Err(_elapsed) => Err(self.desk.borrow().denial(&service, self.clock.now())),
+        match self.await_place(&service, until, receiver).await {
+            Some(Ok(place)) => Ok(place),
+            Some(Err(_dropped)) => Err(PlaceError::Down),
+            None => Err(self.desk.borrow().denial(&service, self.clock.now())),
         }
     }
 
+    /// Waits for a place until a deadline. Where all targets name limits, time alone makes one free.
+    async fn await_place(
+        &self,
+        service: &ServiceName,
+        until: UnixDeadline,
+        mut receiver: oneshot::Receiver<TargetPlace>,
+    ) -> Option<Result<TargetPlace, oneshot::error::RecvError>> {
+        loop {
+            let now = self.clock.now();
+            let turn = self.desk.borrow().next_turn(service, now).filter(|turn| *turn < until);
+            let patience = turn.unwrap_or(until).remaining(now);
+            match tokio::time::timeout(patience, &mut receiver).await {
+                Ok(place) => return Some(place),
+                Err(_elapsed) if turn.is_some() => self.serve_waiting(service),
+                Err(_elapsed) => return None,
+            }
+        }
+    }
+
+    /// Takes this process's place among the entries of its zone.
+    pub fn set_place(&self, place: Option<EntryPlace>) {
+        self.desk.borrow_mut().set_place(place);
+    }
+
     /// After how many milliseconds a caller that is refused should come back.
     pub fn return_millis(&self, service: &ServiceName, deadline: UnixDeadline) -> u64 {
         self.desk.borrow_mut().return_millis(service, deadline, rand::random(), self.clock.now())
@@ -178,12 +204,13 @@
     }
 
     fn place_at(&self, chosen: ChosenTarget, work: RequestWork) -> TargetPlace {
-        let ChosenTarget { record, in_flight, report, group } = chosen;
+        let ChosenTarget { record, in_flight, report, group, limit } = chosen;
         TargetPlace {
             record,
             in_flight,
             report,
             group,
+            limit,
             placed: self.clock.now(),
             work,
             outcome: Cell::new(SendOutcome::Abandoned),
--- a/crates/porthoist-proxy/src/course.rs
+++ b/crates/porthoist-proxy/src/course.rs
@@ -22,6 +22,7 @@
 use porthoist_policy::proxy::retry_share::{RetryShare, ShareSettings};
 use porthoist_policy::proxy::routes::RouteError;
 use porthoist_policy::proxy::targets::TargetLife;
+use porthoist_policy::proxy::turns::EntryPlace;
 use slog::{Logger, info};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -177,6 +178,15 @@
         self.quarantine.remove_lapsed();
     }
 
+    /// Takes this process's place among the entries of its zone.
+    pub fn set_place(&self, place: Option<EntryPlace>) {
+        if let Some(EntryPlace { index, entries }) = place {
+            info!(self.logger, "the entries of the zone are counted"; "event" => "entry_place", "index" => index,
+                "entries" => entries);
+        }
+        self.broker.set_place(place);
+    }
+
     /// Takes the loads that the engines of a group reported.
     pub fn take_loads(&self, loads: &GroupLoads) {
         self.broker.take_loads(loads);
--- a/crates/porthoist-proxy/src/course/placing.rs
+++ b/crates/porthoist-proxy/src/course/placing.rs
@@ -42,7 +42,8 @@
                     "group" => place.group.map(|group| group.index.place()),
                     "pass_ms" => place.group.map(|group| group.pace.millis), "in_flight" => place.in_flight,
                     "reported" => place.report.map(|report| report.requests),
-                    "report_age_ms" => place.report.map(|report| report.age_millis), "waited_ms" => waited);
+                    "report_age_ms" => place.report.map(|report| report.age_millis), "waited_ms" => waited,
+                    "limit" => place.limit.map(|limit| limit.to_string()));
                 Ok(place)
             }
             Err(error) => Err(self.no_place(admitted, record, error)),
@@ -52,6 +53,7 @@
     fn no_place(&self, admitted: &AdmittedRequest, record: &SendRecord, error: PlaceError) -> CourseRefusal {
         let reason = match error {
             PlaceError::Busy | PlaceError::Full | PlaceError::Down => RefusalReason::Overloaded,
+            PlaceError::Limited => RefusalReason::TargetLimits,
             PlaceError::NoTarget => RefusalReason::NoTarget,
         };
         if record.may_have_run {
--- a/porthoistd/src/duty/news.rs
+++ b/porthoistd/src/duty/news.rs
@@ -1,10 +1,15 @@
-//! Whom this process asks about the platform's tables: processes beside ranks in its own zone.
+//! Whom this process asks about the platform's tables: processes beside ranks in its own zone. They tell it besides which place
+//! it has among the entries of the zone.
 
 use futures::future::LocalBoxFuture;
-use porthoist_core::ZoneName;
-use porthoist_fleet::PeerPool;
+use porthoist_core::{ClockSource, HostName, ZoneName};
+use porthoist_fleet::{PeerPool, PlacedNews};
+use porthoist_policy::proxy::entries::{BelievedPlace, EntryId};
+use porthoist_policy::proxy::turns::EntryPlace;
 use porthoist_proxy::{ControlState, NewsAsk, NewsPeers, TableNews};
+use std::cell::Cell;
 use std::net::{IpAddr, Ipv4Addr};
+use std::sync::Arc;
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -13,17 +18,33 @@
 const READERS: usize = 3;
 
 /// The processes beside ranks in one zone.
-#[derive(Debug)]
+#[derive(Debug, bon::Builder)]
 pub struct ZonePeers {
     zone: ZoneName,
+    /// The host of this process.
+    host: HostName,
+    /// What this process believes of services and targets.
     state: watch::Receiver<ControlState>,
     peers: PeerPool,
+    clock: Arc<dyn ClockSource>,
+    /// Takes the place of this process among the entries of the zone.
+    place: watch::Sender<Option<EntryPlace>>,
+    #[builder(skip)]
+    believed: Cell<BelievedPlace>,
 }
 
 impl ZonePeers {
-    /// Those of a zone, as far as `state` knows its targets.
-    pub fn new(zone: ZoneName, state: watch::Receiver<ControlState>, peers: PeerPool) -> Self {
-        Self { zone, state, peers }
+    /// Never 0, which names nobody.
+    fn entry(&self) -> EntryId {
+        EntryId(xxh3_64(self.host.as_str().as_bytes()).max(1))
+    }
+
+    fn take_place(&self, told: Option<EntryPlace>) {
+        let mut believed = self.believed.get();
+        if believed.told(told, self.clock.now()) {
+            self.place.send_replace(believed.place());
+        }
+        self.believed.set(believed);
     }
 }
 
@@ -47,6 +68,11 @@
 
     fn news(&self, host: Ipv4Addr, ask: NewsAsk) -> LocalBoxFuture<'_, Result<TableNews, String>> {
         let peer = self.peers.get(host);
-        Box::pin(async move { peer.news(ask).await.map_err(|error| error.to_string()) })
+        Box::pin(async move {
+            let PlacedNews { news, place } =
+                peer.news(ask, self.entry()).await.map_err(|error| error.to_string())?;
+            self.take_place(place);
+            Ok(news)
+        })
     }
 }
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -14,6 +14,7 @@
 use porthoist_policy::proxy::loads::GroupLoads;
 use porthoist_policy::proxy::placement::BoardSettings;
 use porthoist_policy::proxy::retry_share::ShareSettings;
+use porthoist_policy::proxy::turns::EntryPlace;
 use porthoist_proxy::{
     ControlState, ControlWatch, CourseSettings, CrashChange, CrashJournal, CrashNews, CrashWatch,
     PlaceBroker, ProxyServer, QuarantineDesk, RequestCourse, RowSource, SharedRows, serve_proxy,
@@ -88,6 +89,7 @@
         clock: Arc::new(AnchoredClock::new()),
         state: watch::Sender::new(ControlState::default()),
         crashes: watch::Sender::new(CrashNews::default()),
+        place: watch::Sender::new(None),
         proof: ProofRule {
             max_age_millis: settings.revoke_millis.saturating_sub(PROOF_MARGIN_MILLIS),
             needed_to_run: settings.refuse_unproven,
@@ -110,6 +112,8 @@
     clock: Arc<dyn ClockSource>,
     state: watch::Sender<ControlState>,
     crashes: watch::Sender<CrashNews>,
+    /// This process's place among the entries of its zone.
+    place: watch::Sender<Option<EntryPlace>>,
     proof: ProofRule,
     stopping: watch::Sender<bool>,
     logger: Logger,
@@ -122,7 +126,7 @@
         let (state, clock, logger) = (self.state.clone(), Arc::clone(&self.clock), self.logger.clone());
         let (bound, zone, rank_port) =
             (self.settings.bound, self.settings.zone.clone(), self.settings.rank_port);
-        let crashes = self.crashes.clone();
+        let (crashes, place, host) = (self.crashes.clone(), self.place.clone(), self.settings.host.clone());
         let (changes, noted) = mpsc::channel(CRASHES_RING);
         spawn_duty("control", move || async move {
             let store = Rc::new(StoreClient::new(table, Arc::clone(&metrics)));
@@ -132,8 +136,15 @@
             let rows = match rank_port {
                 Some(port) => {
                     let peers = PeerPool::new(port, ControlTraffic::default());
-                    let peers = Rc::new(ZonePeers::new(zone, state.subscribe(), peers));
-                    SharedRows::new(store, peers, Arc::clone(&clock), Arc::clone(&metrics), logger.clone())
+                    let zone_peers = ZonePeers::builder().zone(zone).host(host).state(state.subscribe());
+                    let zone_peers = zone_peers.peers(peers).clock(Arc::clone(&clock)).place(place).build();
+                    SharedRows::new(
+                        store,
+                        Rc::new(zone_peers),
+                        Arc::clone(&clock),
+                        Arc::clone(&metrics),
+                        logger.clone(),
+                    )
                 }
                 None => store,
             };
@@ -197,6 +208,7 @@
             }));
             tokio::task::spawn_local(follow_targets(Rc::clone(&course), self.state.subscribe()));
             tokio::task::spawn_local(follow_crashes(Rc::clone(&course), self.crashes.subscribe()));
+            tokio::task::spawn_local(follow_place(Rc::clone(&course), self.place.subscribe()));
             tokio::task::spawn_local(follow_loads(course, loads));
             let listener = TcpListener::from_std(listener).expect("a bound listener fits the runtime");
             serve_proxy(listener, server).await;
@@ -261,6 +273,18 @@
     }
 }
 
+/// Tells the course which place this process has among the entries of its zone. What was told before this task began counts
+/// too.
+async fn follow_place(course: Rc<RequestCourse>, mut place: watch::Receiver<Option<EntryPlace>>) {
+    loop {
+        let newest = *place.borrow_and_update();
+        course.set_place(newest);
+        if place.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Tells the course of the loads that groups report.
 async fn follow_loads(course: Rc<RequestCourse>, mut loads: mpsc::Receiver<GroupLoads>) {
     while let Some(newest) = loads.recv().await {
--- a/porthoistd/src/role/rank.rs
+++ b/porthoistd/src/role/rank.rs
@@ -51,6 +51,7 @@
             .peers(Rc::clone(&peers))
             .traffic(traffic.clone())
             .reader(reader)
+            .clock(Arc::clone(&clock))
             .build();
         tokio::task::spawn_local(serve_ranks(listener, Rc::new(serving)));
         tokio::task::spawn_local(record_traffic(traffic, Arc::clone(&metrics)));
