Send nothing to a target in a rest that it has asked for

What callers saw: up to half of a class was refused though two thirds of the targets had room; operators saw 6 requests of one entry reach a target in 3 s of rest that it had asked it for, where two are allowed.

Cause: a target's time of rest was not read. One that refuses has nothing in flight and so was the cheapest; each refusal used up one of the caller's attempts. Ruled out: that requests which already had their place are the cause; those are a few milliseconds old.

Change: a target gets nothing from an entry before its rest ends; ends differ by up to a tenth between entries and load returns over 3 s. The place that a request was given is looked at again right before the send. A refusal for rest does not count against the route's attempts (three at most), nor as a sign that the service is down. Where all rest, callers are refused at once with the time until the first rest ends. What was said outlasts a row that lapses and returns.

Why it holds: choosing is the one way to a target, and asks the rest, which only its end or the target's next life ends. A shorter rest or a late answer does not end it sooner.

--- a/crates/porthoist-core/src/reason.rs
+++ b/crates/porthoist-core/src/reason.rs
@@ -74,6 +74,8 @@
         Overloaded = "overloaded",
         /// All targets named limits that leave no place in time.
         TargetLimits = "target_limits",
+        /// All targets have asked for rest.
+        TargetsResting = "targets_resting",
         /// No target serves the service.
         NoTarget = "no_target",
         /// The target is leaving.
@@ -116,6 +118,8 @@
     RetryReason {
         /// The target refused; the request did not run.
         Refused = "refused",
+        /// The target asked for rest; the request did not run.
+        Resting = "resting",
         /// Another target has its address; the request did not run.
         Misdirected = "misdirected",
         /// The target could not be reached; nothing was sent.
@@ -151,6 +155,7 @@
             Self::TicketForeign | Self::TicketSpent | Self::KeyClosed | Self::AnswerGone => 409,
             Self::Overloaded
             | Self::TargetLimits
+            | Self::TargetsResting
             | Self::NoTarget
             | Self::Draining
             | Self::ShuttingDown
@@ -169,6 +174,7 @@
             Self::DeadlineUnreachable
                 | Self::Overloaded
                 | Self::TargetLimits
+                | Self::TargetsResting
                 | Self::NoTarget
                 | Self::Draining
                 | Self::ShuttingDown
--- a/crates/porthoist-metrics/src/lib.rs
+++ b/crates/porthoist-metrics/src/lib.rs
@@ -23,7 +23,7 @@
     "unwritten",
 ];
 /// What can change in what a target says of itself.
-const NEED_CHANGES: [&str; 5] = ["limited", "lifted", "resting", "leaving", "unreadable"];
+const NEED_CHANGES: [&str; 6] = ["limited", "lifted", "resting", "rested", "leaving", "unreadable"];
 /// Bounds of the latency histogram's buckets, in milliseconds.
 const LATENCY_BOUNDS: [f64; 12] = [0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 250.0, 500.0, 1400.0, 5000.0];
 
--- a/crates/porthoist-policy/src/proxy/desk.rs
+++ b/crates/porthoist-policy/src/proxy/desk.rs
@@ -12,7 +12,7 @@
 use super::targets::{TargetBook, TargetLife, TargetRecord};
 use super::turns::EntryPlace;
 use super::waiting::{RequestTurn, WaitList};
-use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis};
+use porthoist_core::{RequestRate, ServiceName, TargetName, UnixDeadline, UnixMillis};
 use std::collections::HashMap;
 
 /// Requests of one service that wait at most; more are refused at once.
@@ -59,6 +59,9 @@
     /// All targets name limits that leave no place in time.
     #[error("the targets take no more requests a second")]
     Limited,
+    /// All targets have asked for rest.
+    #[error("the targets rest")]
+    Resting,
 }
 
 /// What becomes of a request.
@@ -115,6 +118,9 @@
     /// What becomes of a request now. One that is to wait is handed over with [`Self::keep`].
     pub fn ask(&mut self, demand: &PlaceDemand, now: UnixMillis) -> DeskAnswer {
         let service = &demand.service;
+        if self.board.rest_end(service, now).is_some() {
+            return DeskAnswer::Refuse(PlaceError::Resting);
+        }
         if demand.ranked && !self.forecast(service).may_send(now) {
             return DeskAnswer::Refuse(PlaceError::Down);
         }
@@ -262,12 +268,17 @@
     ) -> u64 {
         let supply = self.board.limited_supply(service, now);
         let waiting = self.waiting.get(service).map_or(0, WaitList::len);
-        let least = supply.map_or(0.0, |supply| supply.millis * (waiting + 1) as f64);
+        let limited = supply.map_or(0.0, |supply| supply.millis * (waiting + 1) as f64);
+        let resting = self.board.rest_end(service, now).map_or(0, |end| end.0.since(now));
+        let least = limited.max(resting as f64);
         self.forecast(service).return_millis(deadline, least, point, now)
     }
 
     /// Why a request that waited in vain is refused.
     pub fn denial(&self, service: &ServiceName, now: UnixMillis) -> PlaceError {
+        if self.board.rest_end(service, now).is_some() {
+            return PlaceError::Resting;
+        }
         match (self.board.serves(service, now), self.board.limited_supply(service, now)) {
             (false, _) => PlaceError::NoTarget,
             (true, Some(_supply)) => PlaceError::Limited,
@@ -275,6 +286,11 @@
         }
     }
 
+    /// Whether a request that was given a place at a target may still be sent there.
+    pub fn stands(&self, life: &TargetLife, limit: Option<RequestRate>, now: UnixMillis) -> bool {
+        self.board.stands(life, limit, now)
+    }
+
     /// When the next request of a service that waits may be sent although nothing was released.
     pub fn next_turn(&self, service: &ServiceName, now: UnixMillis) -> Option<UnixDeadline> {
         self.board.limited_supply(service, now).map(|supply| supply.next)
--- a/crates/porthoist-policy/src/proxy/needs.rs
+++ b/crates/porthoist-policy/src/proxy/needs.rs
@@ -3,7 +3,9 @@
 //! It is newer than its row and any report, and only the target itself takes it back. What can't be read changes nothing:
 //! taken for none it would lift a limit, taken for 0 it would close a sound target.
 
+use super::targets::TargetLife;
 use porthoist_core::{RequestRate, UnixDeadline, UnixMillis};
+use std::collections::VecDeque;
 
 /// Time in milliseconds between two log lines about one target's words; one may name a limit in every second answer.
 const LOG_MILLIS: u64 = 1_000;
@@ -11,9 +13,14 @@
 /// A target that nothing certain was heard of for so long, in milliseconds, is tried although others have room: only an answer can
 /// tell that it takes more again.
 const UNHEARD_MILLIS: u64 = 4_000;
+/// Part of a rest by which its end differs between processes, so that they don't come back together.
+const REST_SPREAD: f64 = 0.1;
 /// Time in milliseconds in which load comes back to a target that takes more again; many processes may hear of it together.
 const RETURN_MILLIS: u64 = 3_000;
 
+/// Lives whose needs are remembered after their rows have gone, at most.
+const MAX_VANISHED: usize = 1_024;
+
 /// A value that an answer may name.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub enum NamedValue<T> {
@@ -46,8 +53,10 @@
     Limited(RequestRate),
     /// It names none any more, after so many milliseconds.
     Lifted(u64),
-    /// It wants nothing until then.
-    Resting(UnixDeadline),
+    /// It wants nothing for so many milliseconds.
+    Resting(u64),
+    /// It answers after a rest that it had asked for, and asks for none.
+    Rested,
     /// It leaves.
     Leaving,
     /// What it names can't be read.
@@ -60,7 +69,8 @@
         match self {
             Self::Limited(_rate) => "limited",
             Self::Lifted(_millis) => "lifted",
-            Self::Resting(_until) => "resting",
+            Self::Resting(_millis) => "resting",
+            Self::Rested => "rested",
             Self::Leaving => "leaving",
             Self::Unreadable => "unreadable",
         }
@@ -91,22 +101,40 @@
     limit: Option<HeardLimit>,
     /// When its last certain answer came.
     heard: UnixMillis,
-    /// When it took its limit back.
-    lifted: Option<UnixMillis>,
+    /// Until when it wants nothing from this process.
+    rest_until: Option<UnixDeadline>,
+    /// When it began to take requests again.
+    returned: Option<UnixMillis>,
     unreadable: bool,
     log_due: UnixDeadline,
 }
 
 impl TargetNeed {
-    /// Takes what an answer says.
-    pub fn take(&mut self, word: &TargetWord, now: UnixMillis) -> Vec<NotedChange> {
+    /// Takes what an answer says. `spread`, from 0 to 1, tells this process's rests from those of others.
+    pub fn take(&mut self, word: &TargetWord, spread: f64, now: UnixMillis) -> Vec<NotedChange> {
         if word.certain {
             self.heard = now;
         }
-        let changes = [self.take_limit(word, now), self.take_readable(word)];
+        let changes =
+            [self.take_limit(word, now), self.take_rest(word, spread, now), self.take_readable(word)];
         changes.into_iter().flatten().map(|change| self.noted(change, now)).collect()
     }
 
+    /// Until when it wants nothing, if that is not over.
+    pub fn rest(&self, now: UnixMillis) -> Option<UnixDeadline> {
+        self.rest_until.filter(|until| !until.passed(now))
+    }
+
+    /// Whether it must get nothing now, whatever its row says.
+    pub fn closed(&self, now: UnixMillis) -> bool {
+        self.rest(now).is_some()
+    }
+
+    /// Whether there is anything that another life of the process must not be taken for.
+    pub(super) fn is_any(&self) -> bool {
+        self.limit.is_some() || self.rest_until.is_some()
+    }
+
     /// The limit that it names.
     pub fn limit(&self) -> Option<HeardLimit> {
         self.limit
@@ -117,10 +145,11 @@
         now.since(self.heard) >= UNHEARD_MILLIS
     }
 
-    /// Part of the time that is left until it takes as much as others again, 1 right after it took its limit back.
+    /// Part of the time that is left until it takes as much as others again, 1 right after the end of a limit or rest.
     pub fn returning(&self, now: UnixMillis) -> f64 {
-        let Some(lifted) = self.lifted else { return 0.0 };
-        let left = RETURN_MILLIS.saturating_sub(now.since(lifted));
+        let rested = self.rest_until.filter(|until| until.passed(now)).map(|until| until.0);
+        let Some(returned) = self.returned.max(rested) else { return 0.0 };
+        let left = RETURN_MILLIS.saturating_sub(now.since(returned));
         left as f64 / RETURN_MILLIS as f64
     }
 
@@ -134,13 +163,27 @@
             }
             NamedValue::Absent if word.certain => {
                 let known = self.limit.take()?;
-                self.lifted = Some(now);
+                self.returned = Some(now);
                 Some(NeedChange::Lifted(now.since(known.since)))
             }
             NamedValue::Absent | NamedValue::Unreadable => None,
         }
     }
 
+    fn take_rest(&mut self, word: &TargetWord, spread: f64, now: UnixMillis) -> Option<NeedChange> {
+        let known = self.rest(now);
+        let NamedValue::Named(millis) = word.rest_millis else {
+            let over = self.rest_until.is_some() && known.is_none() && word.certain;
+            let ended = over.then(|| self.rest_until.take()).flatten()?;
+            self.returned = self.returned.max(Some(ended.0));
+            return Some(NeedChange::Rested);
+        };
+        let spread_millis = millis as f64 * REST_SPREAD * spread;
+        let until = UnixDeadline::after(now, millis.saturating_add(spread_millis as u64));
+        self.rest_until = self.rest_until.max(Some(until));
+        (millis > 0 && known.is_none()).then_some(NeedChange::Resting(millis))
+    }
+
     fn take_readable(&mut self, word: &TargetWord) -> Option<NeedChange> {
         let unreadable = word.limit == NamedValue::Unreadable || word.rest_millis == NamedValue::Unreadable;
         let before = std::mem::replace(&mut self.unreadable, unreadable);
@@ -155,3 +198,29 @@
         NotedChange { change, logged }
     }
 }
+
+/// What targets had said of themselves whose rows have gone: rows lapse in an outage of the table service and come back, and the
+/// same life needs what it needed before.
+#[derive(Debug, Clone, Default)]
+pub struct VanishedNeeds {
+    needs: VecDeque<(TargetLife, TargetNeed)>,
+}
+
+impl VanishedNeeds {
+    /// Keeps what a target said, if that was anything; the oldest make room.
+    pub(super) fn keep(&mut self, life: TargetLife, need: TargetNeed) {
+        if !need.is_any() {
+            return;
+        }
+        if self.needs.len() == MAX_VANISHED {
+            self.needs.pop_front();
+        }
+        self.needs.push_back((life, need));
+    }
+
+    /// What a life had said.
+    pub(super) fn take(&mut self, life: &TargetLife) -> TargetNeed {
+        let known = self.needs.iter().position(|(known, _need)| known == life);
+        known.and_then(|place| self.needs.remove(place)).map(|(_life, need)| need).unwrap_or_default()
+    }
+}
--- a/crates/porthoist-policy/src/proxy/placement.rs
+++ b/crates/porthoist-policy/src/proxy/placement.rs
@@ -5,7 +5,7 @@
 
 use super::domains::{DomainBook, GroupIndex};
 use super::loads::{GroupLoads, RankLoad};
-use super::needs::{NotedChange, TargetWord};
+use super::needs::{NotedChange, TargetWord, VanishedNeeds};
 use super::paces::{GroupChoice, ServicePaces};
 use super::pass_time::GroupPass;
 use super::spread::choose_by_level;
@@ -94,6 +94,8 @@
     settings: BoardSettings,
     /// In a fixed order, so that the same seed makes the same choices.
     loads: BTreeMap<TargetLife, TargetLoad>,
+    /// What targets had said whose rows have gone.
+    vanished: VanishedNeeds,
     /// What is known of the groups that targets are ranks of.
     domains: DomainBook,
     /// Part of the requests in a service's groups that this process sent, as reports showed it.
@@ -114,6 +116,7 @@
             place: None,
             sender,
             loads: BTreeMap::new(),
+            vanished: VanishedNeeds::default(),
             domains: DomainBook::default(),
             shares: HashMap::new(),
             turn: 0,
@@ -125,7 +128,10 @@
     pub fn sync(&mut self, book: &TargetBook) {
         let known: HashMap<TargetLife, &Arc<TargetRecord>> =
             book.records().map(|record| (record.life(), record)).collect();
-        self.loads.retain(|life, load| known.contains_key(life) || load.in_flight > 0);
+        let kept = |life: &TargetLife, load: &TargetLoad| known.contains_key(life) || load.in_flight > 0;
+        for (life, load) in self.loads.extract_if(.., |life, load| !kept(life, load)) {
+            self.vanished.keep(life, load.need);
+        }
         for (life, load) in &mut self.loads {
             if let Some(record) = known.get(life) {
                 load.record = Arc::clone(record);
@@ -135,7 +141,10 @@
             load.record = Arc::new(record);
         }
         for (life, record) in known {
-            self.loads.entry(life).or_insert_with(|| TargetLoad::new(Arc::clone(record)));
+            if !self.loads.contains_key(&life) {
+                let need = self.vanished.take(&life);
+                self.loads.insert(life, TargetLoad::new(Arc::clone(record), need));
+            }
         }
         self.sync_sender();
     }
@@ -224,7 +233,20 @@
 
     /// Takes what a target says of itself in an answer.
     pub fn told(&mut self, life: &TargetLife, word: &TargetWord, now: UnixMillis) -> Vec<NotedChange> {
-        self.loads.get_mut(life).map_or_else(Vec::new, |load| load.need.take(word, now))
+        let spread = random_point(self.settings.seed, self.turn);
+        self.loads.get_mut(life).map_or_else(Vec::new, |load| load.need.take(word, spread, now))
+    }
+
+    /// Whether a request that was given a place at a target may still be sent there.
+    pub fn stands(&self, life: &TargetLife, limit: Option<RequestRate>, now: UnixMillis) -> bool {
+        self.loads.get(life).is_some_and(|load| load.stands(limit, now))
+    }
+
+    /// When the first rest ends, where nothing but rests keeps a service's requests from its targets.
+    pub fn rest_end(&self, service: &ServiceName, now: UnixMillis) -> Option<UnixDeadline> {
+        let loads = || self.loads.values().filter(|load| load.record.service == *service);
+        let open = loads().any(|load| load.open(now));
+        if open { None } else { loads().filter_map(|load| load.rest(now)).min() }
     }
 
     /// Whether any target of the service may take requests, now or when it has room.
@@ -257,7 +279,7 @@
         let paces = ServicePaces::new(running.iter().enumerate().map(pace).collect());
         let (mut taken, mut slots) = (0, 0);
         // A target in need takes none of what leaves others.
-        let usable = loads().filter(|load| load.limit().is_none());
+        let usable = loads().filter(|load| load.limit().is_none() && !load.need.closed(now));
         for load in usable.filter(|load| load.group.is_some_and(|group| paces.goes_on(group))) {
             taken += load.requests(None, now).count;
             slots += self.settings.rank_limit.min(load.record.slots);
--- a/crates/porthoist-policy/src/proxy/target_load.rs
+++ b/crates/porthoist-policy/src/proxy/target_load.rs
@@ -71,7 +71,7 @@
 }
 
 impl TargetLoad {
-    pub(super) fn new(record: Arc<TargetRecord>) -> Self {
+    pub(super) fn new(record: Arc<TargetRecord>, need: TargetNeed) -> Self {
         Self {
             record,
             in_flight: 0,
@@ -84,7 +84,7 @@
             full_until: None,
             gone: false,
             mean_millis: None,
-            need: TargetNeed::default(),
+            need,
             turns: SendTurns::default(),
         }
     }
@@ -115,7 +115,7 @@
     }
 
     pub(super) fn open(&self, now: UnixMillis) -> bool {
-        if self.record.state != TargetState::Ready || self.gone {
+        if self.record.state != TargetState::Ready || self.gone || self.need.closed(now) {
             return false;
         }
         match self.closed_until {
@@ -140,6 +140,17 @@
             && !tried.contains(&self.record.id)
     }
 
+    /// Until when it rests, where that alone keeps requests from it.
+    pub(super) fn rest(&self, now: UnixMillis) -> Option<UnixDeadline> {
+        let ready = self.record.state == TargetState::Ready && !self.gone;
+        self.need.rest(now).filter(|_until| ready)
+    }
+
+    /// Whether a request that was given a place here may still be sent: what the target said meanwhile counts.
+    pub(super) fn stands(&self, limit: Option<RequestRate>, now: UnixMillis) -> bool {
+        !self.need.closed(now) && (limit.is_some() || self.limit().is_none())
+    }
+
     /// Which requests it may get now, of those that it has room for; nothing while its limit leaves none for this process.
     pub(super) fn tier(&self, first_send: bool, now: UnixMillis) -> Option<SendTier> {
         if self.need.limit().is_none() {
--- a/crates/porthoist-policy/tests/policy/needs.rs
+++ b/crates/porthoist-policy/tests/policy/needs.rs
@@ -1,13 +1,15 @@
 //! What targets say of themselves: limits over all entries, how they end, and what is left for callers.
 
 use crate::needy_fleet::{EntryCount, FleetReport, FleetSettings, PlayedNeed, play};
-use porthoist_core::{BirthMillis, RequestRate, UnixMillis};
+use porthoist_core::{BirthMillis, RequestRate, ServiceName, UnixDeadline, UnixMillis};
+use porthoist_policy::proxy::desk::{DeskAnswer, PlaceDemand, PlaceDesk};
 use porthoist_policy::proxy::entries::{BelievedPlace, EntryId, EntryRoll};
 use porthoist_policy::proxy::loads::{GroupLoads, RankLoad};
 use porthoist_policy::proxy::needs::{NamedValue, NeedChange, NotedChange, TargetNeed, TargetWord};
 use porthoist_policy::proxy::placement::{BoardSettings, LoadBoard, RequestWork};
 use porthoist_policy::proxy::targets::{TargetBook, TargetRecord, TargetState};
 use porthoist_policy::proxy::turns::EntryPlace;
+use porthoist_policy::proxy::waiting::RequestTurn;
 use test_case::test_case;
 
 const TARGETS: usize = 9;
@@ -110,8 +112,8 @@
 #[test_case(word(NamedValue::Unreadable, true), Some(1.0); "a value that can't be read")]
 fn a_limit_is_what_the_last_certain_answer_said(then: TargetWord, limit: Option<f64>) {
     let mut need = TargetNeed::default();
-    need.take(&word(named(1.0), true), UnixMillis(1_000));
-    need.take(&then, UnixMillis(2_000));
+    need.take(&word(named(1.0), true), 0.0, UnixMillis(1_000));
+    need.take(&then, 0.0, UnixMillis(2_000));
     assert_eq!(need.limit().map(|limit| limit.rate.0), limit);
 }
 
@@ -119,8 +121,9 @@
 fn changes_in_quick_succession_are_counted_and_rarely_logged() {
     let mut need = TargetNeed::default();
     let words = [word(named(1.0), true), word(NamedValue::Absent, true)];
-    let changes: Vec<NotedChange> =
-        (0..100).flat_map(|step| need.take(&words[step % 2], UnixMillis(10_000 + 9 * step as u64))).collect();
+    let changes: Vec<NotedChange> = (0..100)
+        .flat_map(|step| need.take(&words[step % 2], 0.0, UnixMillis(10_000 + 9 * step as u64)))
+        .collect();
     assert_eq!((changes.len(), changes.iter().filter(|change| change.logged).count()), (100, 1));
     assert_eq!(changes[0].change, NeedChange::Limited(RequestRate(1.0)));
     assert_eq!(changes[1].change, NeedChange::Lifted(9));
@@ -171,6 +174,95 @@
     assert!(gets_one(&mut board, 1_500));
 }
 
+fn rest(millis: u64) -> TargetWord {
+    TargetWord { rest_millis: NamedValue::Named(millis), ..TargetWord::default() }
+}
+
+#[test]
+fn a_rest_lasts_until_its_end_whatever_is_said_meanwhile() {
+    let mut need = TargetNeed::default();
+    let mut take = |word: TargetWord, at| {
+        let changes = need.take(&word, 0.0, UnixMillis(at));
+        let changes: Vec<&str> = changes.iter().map(|noted| noted.change.as_str()).collect();
+        (changes.join(" "), need.rest(UnixMillis(at)).map(|until| until.0.0))
+    };
+    let answer = word(NamedValue::Absent, true);
+    assert_eq!(take(rest(3_000), 1_000), ("resting".to_owned(), Some(4_000)));
+    assert_eq!(take(rest(500), 1_100), (String::new(), Some(4_000)), "a shorter one does not end it");
+    assert_eq!(take(answer, 1_200), (String::new(), Some(4_000)), "nor does an answer to an earlier request");
+    assert_eq!(take(rest(3_000), 2_000), (String::new(), Some(5_000)));
+    assert_eq!(take(answer, 5_000), ("rested".to_owned(), None));
+}
+
+#[test]
+fn rests_end_at_different_moments_for_different_processes() {
+    let end = |spread: f64| {
+        let mut need = TargetNeed::default();
+        need.take(&rest(3_000), spread, UnixMillis(0));
+        need.rest(UnixMillis(1)).unwrap().0.0
+    };
+    assert_eq!((end(0.0), end(0.5), end(1.0)), (3_000, 3_150, 3_300));
+}
+
+#[test]
+fn a_target_whose_row_lapses_and_returns_still_rests() {
+    let mut book = TargetBook::default();
+    book.listed([record(1)], None);
+    let mut board = board(&book);
+    board.told(&record(1).life(), &rest(3_000), UnixMillis(1_000));
+    board.sync(&TargetBook::default());
+    board.sync(&book);
+    assert!(!gets_one(&mut board, 2_000));
+    assert!(gets_one(&mut board, 4_500));
+}
+
+#[test]
+fn a_place_given_before_a_target_asks_for_less_no_longer_stands() {
+    let mut book = TargetBook::default();
+    book.listed([record(1)], None);
+    for (word, stands) in
+        [(word(named(1.0), true), false), (rest(2_000), false), (word(NamedValue::Absent, true), true)]
+    {
+        let mut board = board(&book);
+        let work = RequestWork::default();
+        let chosen = board.choose(&"s".parse().unwrap(), true, work, &[], UnixMillis(900)).unwrap();
+        board.told(&record(1).life(), &word, UnixMillis(1_000));
+        assert_eq!(board.stands(&chosen.record.life(), chosen.limit, UnixMillis(1_100)), stands, "{word:?}");
+    }
+}
+
+/// Ranks of a group that all rest say nothing of the group: it is not down, and callers come back when the first rest ends.
+#[test]
+fn where_all_rest_callers_are_told_when_the_first_rest_ends() {
+    let mut book = TargetBook::default();
+    book.listed([record(1)], None);
+    let settings = BoardSettings::builder().zone("a".parse().unwrap()).per_rank(3).rank_limit(12).seed(1);
+    let mut desk: PlaceDesk<()> = PlaceDesk::new(settings.build());
+    desk.sync(&book);
+    let service: ServiceName = "s".parse().unwrap();
+    let demand = |at: u64| PlaceDemand {
+        service: service.clone(),
+        ranked: true,
+        work: RequestWork::default(),
+        priority: 1,
+        tried: Vec::new(),
+        arrival: UnixMillis(at),
+        latency_millis: 500,
+        deadline: UnixDeadline(UnixMillis(at + 9_000)),
+        turn: RequestTurn::First,
+    };
+    let ask = |desk: &mut PlaceDesk<()>, at: u64| match desk.ask(&demand(at), UnixMillis(at)) {
+        DeskAnswer::Place(_chosen) => "placed".to_owned(),
+        DeskAnswer::Wait(_until) => "waits".to_owned(),
+        DeskAnswer::Refuse(error) => error.to_string(),
+    };
+    desk.told(&record(1).life(), &rest(2_000), UnixMillis(1_000));
+    assert_eq!(ask(&mut desk, 1_500), "the targets rest");
+    let told = desk.return_millis(&service, UnixDeadline(UnixMillis(10_500)), 0.0, UnixMillis(1_500));
+    assert!((1_500..=3_000).contains(&told), "{told}");
+    assert_eq!(ask(&mut desk, 3_300), "placed");
+}
+
 fn place(index: u32, entries: u32) -> EntryPlace {
     EntryPlace { index, entries }
 }
--- a/crates/porthoist-proxy/src/broker.rs
+++ b/crates/porthoist-proxy/src/broker.rs
@@ -151,6 +151,11 @@
         self.desk.borrow_mut().set_place(place);
     }
 
+    /// Whether a request may still be sent to the target that it was given a place at.
+    pub fn stands(&self, place: &TargetPlace) -> bool {
+        self.desk.borrow().stands(&place.record.life(), place.limit, self.clock.now())
+    }
+
     /// After how many milliseconds a caller that is refused should come back.
     pub fn return_millis(&self, service: &ServiceName, deadline: UnixDeadline) -> u64 {
         self.desk.borrow_mut().return_millis(service, deadline, rand::random(), self.clock.now())
--- a/crates/porthoist-proxy/src/course/moving.rs
+++ b/crates/porthoist-proxy/src/course/moving.rs
@@ -26,7 +26,7 @@
         since: UnixMillis,
         events: u64,
     ) -> MoveCause {
-        let attempts_left = (record.tried.len() as u32) < admitted.rule.max_attempts;
+        let attempts_left = record.attempts() < admitted.rule.max_attempts;
         if !attempts_left || admitted.once() || !admitted.ranked || record.suspect.is_some() {
             return future::pending().await;
         }
--- a/crates/porthoist-proxy/src/course/parts.rs
+++ b/crates/porthoist-proxy/src/course/parts.rs
@@ -18,6 +18,9 @@
 use std::cell::OnceCell;
 use std::sync::Arc;
 
+/// Sends that don't count against the route's attempts, at most.
+const MAX_RESTED: u32 = 3;
+
 /// A request that is allowed, with its body read.
 pub(super) struct AdmittedRequest {
     pub(super) facts: RequestFacts,
@@ -132,6 +135,8 @@
 pub(super) struct SendRecord {
     pub(super) tried: Vec<TargetName>,
     pub(super) may_have_run: bool,
+    /// Sends that targets turned away which asked for rest.
+    rested: u32,
     pub(super) last_reason: Option<RetryReason>,
     /// The run of a suspected request.
     pub(super) suspect: Option<SuspectRun>,
@@ -141,5 +146,12 @@
     pub(super) fn failed(&mut self, failure: &SendFailure) {
         self.may_have_run |= failure.verdict != RunVerdict::NotRun;
         self.last_reason = Some(failure.reason);
+        self.rested += u32::from(failure.reason == RetryReason::Resting);
+    }
+
+    /// Sends that count against the route's attempts. Targets that begin to rest together would otherwise use up the attempts of
+    /// callers whom others have room for.
+    pub(super) fn attempts(&self) -> u32 {
+        self.tried.len() as u32 - self.rested.min(MAX_RESTED)
     }
 }
--- a/crates/porthoist-proxy/src/course/permit.rs
+++ b/crates/porthoist-proxy/src/course/permit.rs
@@ -16,9 +16,15 @@
         record: &mut SendRecord,
     ) -> Result<TargetPlace, CourseRefusal> {
         self.take_permit(admitted, record)?;
-        let place = self.find_place(admitted, record).await?;
-        self.take_permit(admitted, record)?;
-        self.check_deadline(admitted, record)?;
+        let place = loop {
+            let place = self.find_place(admitted, record).await?;
+            self.take_permit(admitted, record)?;
+            self.check_deadline(admitted, record)?;
+            // The target may have asked for less between the place and now.
+            if self.broker.stands(&place) {
+                break place;
+            }
+        };
         if let Some(suspect) = &mut record.suspect {
             suspect.at(&place.record.id);
         }
--- a/crates/porthoist-proxy/src/course/placing.rs
+++ b/crates/porthoist-proxy/src/course/placing.rs
@@ -54,6 +54,7 @@
         let reason = match error {
             PlaceError::Busy | PlaceError::Full | PlaceError::Down => RefusalReason::Overloaded,
             PlaceError::Limited => RefusalReason::TargetLimits,
+            PlaceError::Resting => RefusalReason::TargetsResting,
             PlaceError::NoTarget => RefusalReason::NoTarget,
         };
         if record.may_have_run {
--- a/crates/porthoist-proxy/src/course/repeating.rs
+++ b/crates/porthoist-proxy/src/course/repeating.rs
@@ -11,7 +11,7 @@
 impl RequestCourse {
     /// Whether one more send is within the route's attempts and the deadline.
     pub(super) fn may_repeat(&self, admitted: &AdmittedRequest, record: &SendRecord) -> bool {
-        let attempts = record.tried.len() as u32;
+        let attempts = record.attempts();
         let in_time = !admitted.deadline.passed(self.clock.now());
         let now = self.clock.now();
         attempts < admitted.rule.max_attempts
--- a/crates/porthoist-proxy/src/course/sending.rs
+++ b/crates/porthoist-proxy/src/course/sending.rs
@@ -11,7 +11,7 @@
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::{Request, StatusCode};
 use porthoist_core::{RetryReason, RunVerdict, UnixMillis};
-use porthoist_policy::proxy::needs::{NeedChange, NotedChange, TargetWord};
+use porthoist_policy::proxy::needs::{NamedValue, NeedChange, NotedChange, TargetWord};
 use porthoist_policy::proxy::placement::SendOutcome;
 use porthoist_policy::proxy::targets::TargetRecord;
 use slog::info;
@@ -55,11 +55,12 @@
             }
             Ok(TargetAnswer::Events(_answer)) => place.ended(SendOutcome::Answered(millis)),
             Err(failure) => {
-                if failure.reason != RetryReason::Misdirected {
+                // A service whose targets rest is not down.
+                if !matches!(failure.reason, RetryReason::Misdirected | RetryReason::Resting) {
                     self.broker.refused(&admitted.service);
                 }
                 place.ended(match failure.reason {
-                    RetryReason::Refused => SendOutcome::Shed,
+                    RetryReason::Refused | RetryReason::Resting => SendOutcome::Shed,
                     RetryReason::Misdirected => SendOutcome::Gone,
                     _ => SendOutcome::Failed,
                 });
@@ -120,7 +121,11 @@
             let whole = self.read_whole(admitted, answer).await;
             let detail =
                 whole.map_or_else(|failure| failure.detail, |whole| format!("status {}", whole.status));
-            let reason = if facts.misdirected { RetryReason::Misdirected } else { RetryReason::Refused };
+            let reason = match (facts.misdirected, facts.word.rest_millis) {
+                (true, _) => RetryReason::Misdirected,
+                (false, NamedValue::Named(_millis)) => RetryReason::Resting,
+                (false, NamedValue::Absent | NamedValue::Unreadable) => RetryReason::Refused,
+            };
             return Err(SendFailure { verdict: RunVerdict::NotRun, reason, detail, closed: false });
         }
         if status.is_success() && !(facts.signed && facts.own == Some(true)) {
@@ -147,14 +152,12 @@
             if !logged {
                 continue;
             }
-            let (limit, lasted) = match change {
-                NeedChange::Limited(rate) => (Some(rate.to_string()), None),
-                NeedChange::Lifted(millis) => (None, Some(millis)),
-                NeedChange::Resting(_) | NeedChange::Leaving | NeedChange::Unreadable => (None, None),
-            };
+            let limit = if let NeedChange::Limited(rate) = change { Some(rate.to_string()) } else { None };
+            let rest = if let NeedChange::Resting(millis) = change { Some(millis) } else { None };
+            let lasted = if let NeedChange::Lifted(millis) = change { Some(millis) } else { None };
             info!(self.logger, "a target says something new of itself"; "event" => "target_need",
                 "target" => target.id.to_string(), "change" => change.as_str(), "limit" => limit,
-                "lasted_ms" => lasted);
+                "rest_ms" => rest, "lasted_ms" => lasted);
         }
     }
 
