Send nothing new to a target that says in its answers that it leaves

What callers saw: nothing in the records; requests reached targets that had said they leave later than the 2 s after which they must get nothing.

Cause: the word of leaving was not read. A target's row may still call it ready then, or be taken away without ever saying so. Ruled out: late rows alone; the test's rows stay ready throughout.

Change: the word ends the target's life for new requests of the entry that was told, at once; a row, listing or report of the same life does not take it back. Streams that run there go on. Its end is then no death that is held against a request.

Why it holds: choosing asks it on the one way to a target, and it is kept with the life, also while the row is away. Another life is another target.

Conclusion: mended for entries that were told; others still go by the row.

--- a/crates/porthoist-policy/src/proxy/desk.rs
+++ b/crates/porthoist-policy/src/proxy/desk.rs
@@ -258,6 +258,11 @@
         self.forecast(service).refused(now);
     }
 
+    /// Whether a target has said that it leaves.
+    pub fn leaves(&self, life: &TargetLife) -> bool {
+        self.board.leaves(life)
+    }
+
     /// After how many milliseconds a caller that is refused should come back; `point` is random between 0 and 1.
     pub fn return_millis(
         &mut self,
--- a/crates/porthoist-policy/src/proxy/needs.rs
+++ b/crates/porthoist-policy/src/proxy/needs.rs
@@ -103,6 +103,8 @@
     heard: UnixMillis,
     /// Until when it wants nothing from this process.
     rest_until: Option<UnixDeadline>,
+    /// Whether this life of it leaves: a row that calls it ready is older, and it may never have another.
+    leaving: bool,
     /// When it began to take requests again.
     returned: Option<UnixMillis>,
     unreadable: bool,
@@ -115,8 +117,12 @@
         if word.certain {
             self.heard = now;
         }
-        let changes =
-            [self.take_limit(word, now), self.take_rest(word, spread, now), self.take_readable(word)];
+        let changes = [
+            self.take_limit(word, now),
+            self.take_rest(word, spread, now),
+            self.take_leaving(word),
+            self.take_readable(word),
+        ];
         changes.into_iter().flatten().map(|change| self.noted(change, now)).collect()
     }
 
@@ -127,12 +133,17 @@
 
     /// Whether it must get nothing now, whatever its row says.
     pub fn closed(&self, now: UnixMillis) -> bool {
-        self.rest(now).is_some()
+        self.leaving || self.rest(now).is_some()
+    }
+
+    /// Whether it leaves.
+    pub fn leaves(&self) -> bool {
+        self.leaving
     }
 
     /// Whether there is anything that another life of the process must not be taken for.
     pub(super) fn is_any(&self) -> bool {
-        self.limit.is_some() || self.rest_until.is_some()
+        self.leaving || self.limit.is_some() || self.rest_until.is_some()
     }
 
     /// The limit that it names.
@@ -184,6 +195,12 @@
         (millis > 0 && known.is_none()).then_some(NeedChange::Resting(millis))
     }
 
+    fn take_leaving(&mut self, word: &TargetWord) -> Option<NeedChange> {
+        let news = word.leaving && !self.leaving;
+        self.leaving |= word.leaving;
+        news.then_some(NeedChange::Leaving)
+    }
+
     fn take_readable(&mut self, word: &TargetWord) -> Option<NeedChange> {
         let unreadable = word.limit == NamedValue::Unreadable || word.rest_millis == NamedValue::Unreadable;
         let before = std::mem::replace(&mut self.unreadable, unreadable);
--- a/crates/porthoist-policy/src/proxy/placement.rs
+++ b/crates/porthoist-policy/src/proxy/placement.rs
@@ -242,6 +242,11 @@
         self.loads.get(life).is_some_and(|load| load.stands(limit, now))
     }
 
+    /// Whether a target has said that it leaves.
+    pub fn leaves(&self, life: &TargetLife) -> bool {
+        self.loads.get(life).is_some_and(|load| load.need.leaves())
+    }
+
     /// When the first rest ends, where nothing but rests keeps a service's requests from its targets.
     pub fn rest_end(&self, service: &ServiceName, now: UnixMillis) -> Option<UnixDeadline> {
         let loads = || self.loads.values().filter(|load| load.record.service == *service);
--- a/crates/porthoist-policy/src/proxy/target_load.rs
+++ b/crates/porthoist-policy/src/proxy/target_load.rs
@@ -142,7 +142,7 @@
 
     /// Until when it rests, where that alone keeps requests from it.
     pub(super) fn rest(&self, now: UnixMillis) -> Option<UnixDeadline> {
-        let ready = self.record.state == TargetState::Ready && !self.gone;
+        let ready = self.record.state == TargetState::Ready && !self.gone && !self.need.leaves();
         self.need.rest(now).filter(|_until| ready)
     }
 
--- a/crates/porthoist-policy/tests/policy/needs.rs
+++ b/crates/porthoist-policy/tests/policy/needs.rs
@@ -216,6 +216,24 @@
     assert!(gets_one(&mut board, 4_500));
 }
 
+#[test]
+fn a_target_that_leaves_is_gone_for_this_life() {
+    let mut book = TargetBook::default();
+    book.listed([record(1)], None);
+    let mut board = board(&book);
+    let leaving = TargetWord { leaving: true, ..TargetWord::default() };
+    board.told(&record(1).life(), &leaving, UnixMillis(1_000));
+    board.told(&record(1).life(), &word(NamedValue::Absent, true), UnixMillis(1_100));
+    assert!(!gets_one(&mut board, 60_000), "an answer to an earlier request does not take it back");
+    board.sync(&TargetBook::default());
+    board.sync(&book);
+    assert!(!gets_one(&mut board, 61_000), "nor does its row");
+    assert_eq!(board.rest_end(&"s".parse().unwrap(), UnixMillis(61_000)), None);
+    book.changed(vec![record(2).into()], None);
+    board.sync(&book);
+    assert!(gets_one(&mut board, 62_000), "another life is another target");
+}
+
 #[test]
 fn a_place_given_before_a_target_asks_for_less_no_longer_stands() {
     let mut book = TargetBook::default();
--- a/crates/porthoist-proxy/src/broker.rs
+++ b/crates/porthoist-proxy/src/broker.rs
@@ -156,6 +156,11 @@
         self.desk.borrow().stands(&place.record.life(), place.limit, self.clock.now())
     }
 
+    /// Whether a target has said that it leaves.
+    pub fn leaves(&self, target: &TargetLife) -> bool {
+        self.desk.borrow().leaves(target)
+    }
+
     /// After how many milliseconds a caller that is refused should come back.
     pub fn return_millis(&self, service: &ServiceName, deadline: UnixDeadline) -> u64 {
         self.desk.borrow_mut().return_millis(service, deadline, rand::random(), self.clock.now())
--- a/crates/porthoist-proxy/src/course/permit.rs
+++ b/crates/porthoist-proxy/src/course/permit.rs
@@ -83,8 +83,12 @@
 
     /// Whether a target is known to leave, so that its end is no surprise.
     fn is_leaving(&self, target: &TargetRecord) -> bool {
+        let life = target.life();
+        if self.broker.leaves(&life) {
+            return true;
+        }
         let state = self.state.borrow();
-        let known = state.targets.records().find(|record| record.life() == target.life());
+        let known = state.targets.records().find(|record| record.life() == life);
         known.is_none_or(|record| record.state == TargetState::Draining)
     }
 
