--- a/crates/porthoist-policy/src/proxy/placement.rs
+++ b/crates/porthoist-policy/src/proxy/placement.rs
@@ -5,19 +5,24 @@
 
 use super::domains::{DomainBook, GroupIndex};
 use super::loads::{GroupLoads, RankLoad};
-use super::needs::{NotedChange, TargetWord, VanishedNeeds};
-use super::notes::TargetNote;
+use super::needs::VanishedNeeds;
 use super::paces::{GroupChoice, ServicePaces};
 use super::pass_time::GroupPass;
 use super::spread::choose_by_level;
-use super::target_load::{GroupView, SendTier, TargetLoad};
+use super::target_load::{GroupView, TargetLoad};
 use super::targets::{TargetBook, TargetLife, TargetRecord, TargetState};
-use super::turns::{EntryPlace, SendTurns, SenderPlace};
-use porthoist_core::{RequestRate, ServiceName, TargetName, UnixDeadline, UnixMillis, ZoneName};
+use super::turns::{EntryPlace, SenderPlace};
+use porthoist_core::{RequestRate, ServiceName, TargetName, UnixMillis, ZoneName};
 use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, Ipv4Addr};
 use std::sync::Arc;
 
+mod asked;
+mod tiers;
+
+pub use asked::LimitedSupply;
+use tiers::preferred;
+
 /// Weight of a new report in this process's part of all requests: reports come some ten times a second.
 const SHARE_WEIGHT: f64 = 0.05;
 
@@ -71,15 +76,6 @@
     pub limit: Option<RequestRate>,
 }
 
-/// What this process may send to the targets of a service that all name limits.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct LimitedSupply {
-    /// Mean time in milliseconds between two of its requests.
-    pub millis: f64,
-    /// When the next may be sent.
-    pub next: UnixDeadline,
-}
-
 /// Requests of all processes at a target, as this process believed when it chose.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReportedRequests {
@@ -150,20 +146,6 @@
         self.sync_sender();
     }
 
-    /// Takes this process's place among the entries of its zone.
-    pub fn set_place(&mut self, place: Option<EntryPlace>) {
-        self.place = place;
-        self.sync_sender();
-    }
-
-    fn sync_sender(&mut self) {
-        let mut zones: Vec<ZoneName> = self.loads.values().map(|load| load.record.zone.clone()).collect();
-        zones.sort_unstable();
-        zones.dedup();
-        let BoardSettings { zone, seed, .. } = &self.settings;
-        self.sender = SenderPlace::new(self.place, zone, &zones, *seed);
-    }
-
     /// The best target that has room for one more request, counted as in flight from now on.
     pub fn choose(
         &mut self,
@@ -232,56 +214,12 @@
         load.died(now);
     }
 
-    /// Takes what a target says of itself in the answer to a request that was sent at a moment.
-    pub fn told(
-        &mut self,
-        life: &TargetLife,
-        word: &TargetWord,
-        sent: UnixMillis,
-        now: UnixMillis,
-    ) -> Vec<NotedChange> {
-        let spread = random_point(self.settings.seed, self.turn);
-        self.loads.get_mut(life).map_or_else(Vec::new, |load| load.need.take(word, sent, spread, now))
-    }
-
-    /// Takes what another entry tells of a target.
-    pub fn told_by_other(&mut self, note: &TargetNote, now: UnixMillis) -> Option<NotedChange> {
-        self.loads.get_mut(&note.life)?.need.take_note(note, now)
-    }
-
-    /// Whether a request that was given a place at a target may still be sent there.
-    pub fn stands(&self, life: &TargetLife, limit: Option<RequestRate>, now: UnixMillis) -> bool {
-        self.loads.get(life).is_some_and(|load| load.stands(limit, now))
-    }
-
-    /// Whether a target has said that it leaves.
-    pub fn leaves(&self, life: &TargetLife) -> bool {
-        self.loads.get(life).is_some_and(|load| load.need.leaves())
-    }
-
-    /// When the first rest ends, where nothing but rests keeps a service's requests from its targets.
-    pub fn rest_end(&self, service: &ServiceName, now: UnixMillis) -> Option<UnixDeadline> {
-        let loads = || self.loads.values().filter(|load| load.record.service == *service);
-        let open = loads().any(|load| load.open(now));
-        if open { None } else { loads().filter_map(|load| load.rest(now)).min() }
-    }
-
     /// Whether any target of the service may take requests, now or when it has room.
     pub fn serves(&self, service: &ServiceName, now: UnixMillis) -> bool {
         let mut loads = self.loads.values();
         loads.any(|load| load.record.service == *service && (load.open(now) || load.in_flight > 0))
     }
 
-    /// What this process may send, where all targets that take requests of the service name limits.
-    pub fn limited_supply(&self, service: &ServiceName, now: UnixMillis) -> Option<LimitedSupply> {
-        let loads = self.loads.values().filter(|load| load.record.service == *service && load.open(now));
-        let turns: Option<Vec<&SendTurns>> = loads.map(TargetLoad::turns).collect();
-        let turns = turns?;
-        let rate: f64 = turns.iter().filter_map(|turns| Some(1.0 / turns.millis()?)).sum();
-        let next = turns.iter().filter_map(|turns| turns.next(now)).min()?;
-        Some(LimitedSupply { millis: 1.0 / rate, next })
-    }
-
     /// How the groups of a service do.
     pub fn paces(&self, service: &ServiceName, now: UnixMillis) -> ServicePaces {
         let loads = || self.loads.values().filter(|load| load.record.service == *service);
@@ -400,24 +338,6 @@
     }
 }
 
-/// Those that are to get a request before the others: targets in need get none while others have room, but for a first send now
-/// and then that asks how they do.
-fn preferred<'a>(
-    open: impl Iterator<Item = &'a mut TargetLoad>,
-    sender: SenderPlace,
-    first_send: bool,
-    now: UnixMillis,
-) -> Vec<&'a mut TargetLoad> {
-    let tiered = open.filter_map(|load| {
-        load.set_turns(sender, now);
-        Some((load.tier(first_send, now)?, load))
-    });
-    let tiered: Vec<(SendTier, &mut TargetLoad)> = tiered.collect();
-    let best = tiered.iter().map(|(tier, _load)| *tier).min();
-    let best = tiered.into_iter().filter(|(tier, _load)| Some(*tier) == best);
-    best.map(|(_tier, load)| load).collect()
-}
-
 /// A number between 0 and 1 that changes from choice to choice.
 fn random_point(seed: u64, turn: u64) -> f64 {
     let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&turn.to_le_bytes(), seed);
