--- a/crates/porthoist-lab/src/cmd.rs
+++ b/crates/porthoist-lab/src/cmd.rs
@@ -5,6 +5,7 @@
 pub mod groups;
 pub mod limits;
 pub mod load;
+pub mod needs;
 pub mod overload;
 pub mod route;
 pub mod storm;
@@ -26,6 +27,7 @@
     Groups(groups::GroupsArgs),
     Limits(limits::LimitsArgs),
     Load(load::LoadArgs),
+    Needs(needs::NeedsArgs),
     Overload(overload::OverloadArgs),
     Route(route::RouteArgs),
     Storm(storm::StormArgs),
@@ -39,6 +41,7 @@
         LabCommand::Groups(args) => groups::run(&args),
         LabCommand::Limits(args) => limits::run(&args),
         LabCommand::Load(args) => load::run(&args),
+        LabCommand::Needs(args) => needs::run(&args),
         LabCommand::Overload(args) => overload::run(&args),
         LabCommand::Route(args) => route::run(&args),
         LabCommand::Storm(args) => storm::run(&args),
--- /dev/null
+++ b/crates/porthoist-lab/src/cmd/needs.rs
@@ -0,0 +1,59 @@
+//! `porthoist-lab needs`.
+
+use crate::needs::{LimitWay, NeedsReport, NeedsSettings, play};
+use crate::report::ReportFormat;
+use argh::FromArgs;
+use porthoist_core::RequestRate;
+use serde::Serialize;
+use std::fmt::Write as _;
+
+/// Measure ways to keep a limit that a target names over 3 to 600 entries that can't hear each other.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "needs")]
+pub struct NeedsArgs {
+    /// seed (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// the limit, in requests a second (default 1)
+    #[argh(option, default = "RequestRate(1.0)")]
+    limit: RequestRate,
+    /// simulated seconds (default 300)
+    #[argh(option, default = "300")]
+    seconds: u64,
+    /// by how many milliseconds clocks differ at most (default 0)
+    #[argh(option, default = "0")]
+    clocks_apart: u64,
+    /// text or json
+    #[argh(option, default = "ReportFormat::Text")]
+    format: ReportFormat,
+}
+
+/// Numbers of entries: now, and in two years.
+const ENTRIES: [u32; 5] = [3, 7, 42, 149, 600];
+
+#[derive(Debug, Serialize)]
+struct EntriesCase {
+    entries: u32,
+    ways: Vec<NeedsReport>,
+}
+
+/// Runs the command.
+pub fn run(args: &NeedsArgs) -> miette::Result<String> {
+    let cases = ENTRIES.map(|entries| {
+        let settings = NeedsSettings::builder().seed(args.seed).entries(entries).limit(args.limit);
+        let settings = settings.seconds(args.seconds).clocks_apart(args.clocks_apart).build();
+        EntriesCase { entries, ways: LimitWay::ALL.map(|way| play(&settings, way)).into() }
+    });
+    Ok(args.format.show(&cases, || text(args, &cases)))
+}
+
+fn text(args: &NeedsArgs, cases: &[EntriesCase]) -> String {
+    let mut text = format!("seed {}, limit {}: most in 4 s (allowed), part used\n", args.seed, args.limit);
+    for EntriesCase { entries, ways } in cases {
+        for NeedsReport { way, most, allowed, used } in ways {
+            writeln!(text, "  {entries:>4} entries  {:<24} {most:>5} ({allowed})  {used:.3}", way.as_str())
+                .expect("writing to a string can't fail");
+        }
+    }
+    text
+}
--- a/crates/porthoist-lab/src/lib.rs
+++ b/crates/porthoist-lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod experts;
 pub mod limits;
 pub mod load;
+pub mod needs;
 pub mod overload;
 pub mod plot;
 pub mod report;
--- a/crates/porthoist-lab/tests/lab.rs
+++ b/crates/porthoist-lab/tests/lab.rs
@@ -1,7 +1,9 @@
 //! The experiments come to the same for a seed, and to what their pages say in kind.
 
+use porthoist_core::RequestRate;
 use porthoist_lab::experts::{ExpertsSettings, report, run};
 use porthoist_lab::limits::{LimitSettings, run as run_limits};
+use porthoist_lab::needs::{LimitWay, NeedsSettings, play};
 use porthoist_lab::overload::callers::CallerLoad;
 use porthoist_lab::overload::groups::{GroupFault, compare as compare_groups};
 use porthoist_lab::overload::{OverloadSettings, compare as compare_rules};
@@ -37,6 +39,25 @@
     assert!(case.over_admission < 0.02 && case.unused < 0.05, "{case:?}");
 }
 
+/// A limit of 1 a second holds by turns at every size, also with clocks 5 s apart, and up to 149 entries where their number is
+/// not known. Buckets of one request each brought 42 requests in 4 s at 42 entries, where 11 are allowed.
+#[test]
+fn turns_keep_a_limit_at_every_size() {
+    for clocks_apart in [0, 5_000] {
+        for entries in [3, 7, 42, 149, 600] {
+            let settings = NeedsSettings::builder().seed(1).entries(entries).limit(RequestRate(1.0));
+            let settings = settings.seconds(100).clocks_apart(clocks_apart).build();
+            let turns = play(&settings, LimitWay::Turns);
+            assert!(turns.most <= turns.allowed && turns.used >= 0.6, "{entries} entries: {turns:?}");
+            let uncounted = play(&settings, LimitWay::TurnsUncounted);
+            assert!(entries > 149 || uncounted.most <= uncounted.allowed, "{entries} entries: {uncounted:?}");
+        }
+    }
+    let settings = NeedsSettings::builder().seed(1).entries(42).limit(RequestRate(1.0)).seconds(100).build();
+    let buckets = play(&settings, LimitWay::Buckets);
+    assert!(buckets.most > buckets.allowed, "{buckets:?}");
+}
+
 /// Longest time in milliseconds that a request may wait which is then refused, at the 99th percentile.
 const REFUSED_WAIT_MILLIS: f64 = 20.0;
 
--- a/crates/porthoist-policy/src/proxy/turns.rs
+++ b/crates/porthoist-policy/src/proxy/turns.rs
@@ -15,8 +15,8 @@
 const LEAST_RATE: f64 = 0.25;
 /// Time in milliseconds after which a turn lapses.
 const TURN_MILLIS: u64 = 1_000;
-/// Processes that are taken for granted where their number is not known: twice the most that any deployment runs now.
-const ASSUMED_SENDERS: f64 = 100.0;
+/// Processes that are taken for granted where their number is not known: more than any deployment runs now, which is 149.
+const ASSUMED_SENDERS: f64 = 200.0;
 
 /// A process's place among the entry processes of its availability zone, by an order that all agree on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
