Let a setting say how many entries there are where nobody counts them

Those that wait are refused at once when all targets of their service rest, not at the end of their wait. Ruled out: assuming few by default, which passes the limits of a large fleet.

--- a/crates/porthoist-lab/src/needs.rs
+++ b/crates/porthoist-lab/src/needs.rs
@@ -4,7 +4,9 @@
 
 use porthoist_core::{RequestRate, UnixMillis, ZoneName};
 use porthoist_policy::proxy::targets::TargetLife;
-use porthoist_policy::proxy::turns::{EntryPlace, SendTurns, SenderPlace, TurnRound};
+use porthoist_policy::proxy::turns::{
+    ASSUMED_ENTRIES, EntryPlace, SendTurns, SenderPlace, TurnRound, UncountedEntry,
+};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::Serialize;
@@ -145,8 +147,8 @@
     let turns = |place: Option<EntryPlace>| {
         let zone: ZoneName = "z".parse().expect("a valid name");
         let life = TargetLife::from("t".parse::<porthoist_core::TargetName>().expect("a valid name"));
-        let sender =
-            SenderPlace::new(place, &zone, std::slice::from_ref(&zone), seed * 1_000 + u64::from(index));
+        let uncounted = UncountedEntry { entries: ASSUMED_ENTRIES, seed: seed * 1_000 + u64::from(index) };
+        let sender = SenderPlace::new(place, &zone, std::slice::from_ref(&zone), uncounted);
         let mut turns = SendTurns::default();
         turns.set(TurnRound::new(limit, sender, &life), now);
         SendGate::Turns(turns)
--- a/crates/porthoist-lab/src/overload/rule.rs
+++ b/crates/porthoist-lab/src/overload/rule.rs
@@ -231,7 +231,7 @@
     }
 
     fn refuse_waiting(&mut self, now: UnixMillis) -> Vec<(usize, u64)> {
-        let hopeless = self.desk.take_hopeless(&self.service);
+        let hopeless = self.desk.take_hopeless(&self.service, now);
         let over = self.waiting.iter().filter(|(_caller, until)| until.passed(now));
         let refused: Vec<usize> = over.map(|(caller, _until)| *caller).chain(hopeless).collect();
         self.waiting.retain(|(caller, _until)| !refused.contains(caller));
--- a/crates/porthoist-policy/src/proxy/desk.rs
+++ b/crates/porthoist-policy/src/proxy/desk.rs
@@ -175,9 +175,9 @@
         }
     }
 
-    /// Those that wait for a service that is down: they are to be refused now.
-    pub fn take_hopeless(&mut self, service: &ServiceName) -> Vec<W> {
-        if !self.forecast(service).down() {
+    /// Those that wait for a service that is down, or whose targets all rest: they are to be refused now.
+    pub fn take_hopeless(&mut self, service: &ServiceName, now: UnixMillis) -> Vec<W> {
+        if !self.forecast(service).down() && self.board.rest_end(service, now).is_none() {
             return Vec::new();
         }
         let Some(mut list) = self.waiting.remove(service) else { return Vec::new() };
--- a/crates/porthoist-policy/src/proxy/placement.rs
+++ b/crates/porthoist-policy/src/proxy/placement.rs
@@ -11,7 +11,7 @@
 use super::spread::choose_by_level;
 use super::target_load::{GroupView, TargetLoad};
 use super::targets::{TargetBook, TargetLife, TargetRecord, TargetState};
-use super::turns::{EntryPlace, SenderPlace};
+use super::turns::{ASSUMED_ENTRIES, EntryPlace, SenderPlace, UncountedEntry};
 use porthoist_core::{RequestRate, ServiceName, TargetName, UnixMillis, ZoneName};
 use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, Ipv4Addr};
@@ -57,10 +57,19 @@
     pub per_rank: u32,
     /// Requests of all processes that a rank of a group runs at once, while they are known.
     pub rank_limit: u32,
+    /// Entry processes that send to the same targets, while nobody counts them.
+    #[builder(default = ASSUMED_ENTRIES)]
+    pub entries: u32,
     /// Makes the choices of this process differ from those of others that see the same loads.
     pub seed: u64,
 }
 
+impl BoardSettings {
+    fn uncounted(&self) -> UncountedEntry {
+        UncountedEntry { entries: self.entries, seed: self.seed }
+    }
+}
+
 /// A target chosen for a request.
 #[derive(Debug, Clone)]
 pub struct ChosenTarget {
@@ -107,7 +116,7 @@
 impl LoadBoard {
     /// A board without targets.
     pub fn new(settings: BoardSettings) -> Self {
-        let sender = SenderPlace::new(None, &settings.zone, &[], settings.seed);
+        let sender = SenderPlace::new(None, &settings.zone, &[], settings.uncounted());
         Self {
             settings,
             place: None,
--- a/crates/porthoist-policy/src/proxy/placement/asked.rs
+++ b/crates/porthoist-policy/src/proxy/placement/asked.rs
@@ -3,7 +3,6 @@
 use super::{LoadBoard, random_point};
 use crate::proxy::needs::{NotedChange, TargetWord};
 use crate::proxy::notes::TargetNote;
-use crate::proxy::placement::BoardSettings;
 use crate::proxy::target_load::TargetLoad;
 use crate::proxy::targets::TargetLife;
 use crate::proxy::turns::{EntryPlace, SendTurns, SenderPlace};
@@ -29,8 +28,7 @@
         let mut zones: Vec<ZoneName> = self.loads.values().map(|load| load.record.zone.clone()).collect();
         zones.sort_unstable();
         zones.dedup();
-        let BoardSettings { zone, seed, .. } = &self.settings;
-        self.sender = SenderPlace::new(self.place, zone, &zones, *seed);
+        self.sender = SenderPlace::new(self.place, &self.settings.zone, &zones, self.settings.uncounted());
     }
 
     /// Takes what a target says of itself in the answer to a request that was sent at a moment.
--- a/crates/porthoist-policy/src/proxy/turns.rs
+++ b/crates/porthoist-policy/src/proxy/turns.rs
@@ -15,8 +15,9 @@
 const LEAST_RATE: f64 = 0.25;
 /// Time in milliseconds after which a turn lapses.
 const TURN_MILLIS: u64 = 1_000;
-/// Processes that are taken for granted where their number is not known: more than any deployment runs now, which is 149.
-const ASSUMED_SENDERS: f64 = 200.0;
+/// Entries that are taken for granted where nobody counts them and no setting tells: more than any deployment runs now, which is
+/// 149.
+pub const ASSUMED_ENTRIES: u32 = 200;
 
 /// A process's place among the entry processes of its availability zone, by an order that all agree on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,6 +28,15 @@
     pub entries: u32,
 }
 
+/// What an entry goes by while nobody has told it its place.
+#[derive(Debug, Clone, Copy)]
+pub struct UncountedEntry {
+    /// All entries that send to the same targets.
+    pub entries: u32,
+    /// Tells this entry from others.
+    pub seed: u64,
+}
+
 /// A process's place among all that send to the same targets.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SenderPlace {
@@ -37,23 +47,26 @@
 }
 
 impl SenderPlace {
-    /// The place of an entry of `zone`, with targets in `zones`, which are in order. `seed` tells it from others while its place
-    /// is not known.
-    pub fn new(place: Option<EntryPlace>, zone: &ZoneName, zones: &[ZoneName], seed: u64) -> Self {
+    /// The place of an entry of `zone`, with targets in `zones`, which are in order.
+    pub fn new(
+        place: Option<EntryPlace>,
+        zone: &ZoneName,
+        zones: &[ZoneName],
+        uncounted: UncountedEntry,
+    ) -> Self {
+        let Some(EntryPlace { index: before, entries }) = place.filter(|place| place.index < place.entries)
+        else {
+            let UncountedEntry { entries, seed } = uncounted;
+            let phase = unit(xxhash_rust::xxh3::xxh3_64(&seed.to_le_bytes()));
+            return Self { count: f64::from(entries.max(1)), phase };
+        };
         // A zone without targets takes a share as well; it counts as one more.
         let (index, known) = match zones.binary_search(zone) {
             Ok(index) => (index, zones.len()),
             Err(index) => (index, zones.len() + 1),
         };
-        match place.filter(|place| place.index < place.entries) {
-            Some(EntryPlace { index: before, entries }) => {
-                let (zones, entries) = (known as f64, f64::from(entries));
-                Self { count: zones * entries, phase: (f64::from(before) + index as f64 / zones) / entries }
-            }
-            None => {
-                Self { count: ASSUMED_SENDERS, phase: unit(xxhash_rust::xxh3::xxh3_64(&seed.to_le_bytes())) }
-            }
-        }
+        let (zones, entries) = (known as f64, f64::from(entries));
+        Self { count: zones * entries, phase: (f64::from(before) + index as f64 / zones) / entries }
     }
 }
 
--- a/crates/porthoist-policy/tests/policy/needs.rs
+++ b/crates/porthoist-policy/tests/policy/needs.rs
@@ -290,6 +290,21 @@
     assert!(gets_one(&mut board, 62_000), "another life is another target");
 }
 
+#[test]
+fn those_that_wait_are_refused_once_all_targets_rest() {
+    let mut book = TargetBook::default();
+    book.listed([record(1)], None);
+    let settings = BoardSettings::builder().zone("a".parse().unwrap()).per_rank(3).rank_limit(12).seed(1);
+    let mut desk: PlaceDesk<&str> = PlaceDesk::new(settings.build());
+    desk.sync(&book);
+    let service: ServiceName = "s".parse().unwrap();
+    desk.keep(demand(&service, 1_000), "waits");
+    assert!(desk.take_hopeless(&service, UnixMillis(1_100)).is_empty());
+    desk.told(&record(1).life(), &rest(2_000), UnixMillis(1_150), UnixMillis(1_200));
+    assert_eq!(desk.take_hopeless(&service, UnixMillis(1_200)), ["waits"]);
+    assert_eq!(desk.denial(&service, UnixMillis(1_200)).to_string(), "the targets rest");
+}
+
 #[test]
 fn a_place_given_before_a_target_asks_for_less_no_longer_stands() {
     let mut book = TargetBook::default();
@@ -305,16 +320,8 @@
     }
 }
 
-/// Ranks of a group that all rest say nothing of the group: it is not down, and callers come back when the first rest ends.
-#[test]
-fn where_all_rest_callers_are_told_when_the_first_rest_ends() {
-    let mut book = TargetBook::default();
-    book.listed([record(1)], None);
-    let settings = BoardSettings::builder().zone("a".parse().unwrap()).per_rank(3).rank_limit(12).seed(1);
-    let mut desk: PlaceDesk<()> = PlaceDesk::new(settings.build());
-    desk.sync(&book);
-    let service: ServiceName = "s".parse().unwrap();
-    let demand = |at: u64| PlaceDemand {
+fn demand(service: &ServiceName, at: u64) -> PlaceDemand {
+    PlaceDemand {
         service: service.clone(),
         ranked: true,
         work: RequestWork::default(),
@@ -324,8 +331,19 @@
         latency_millis: 500,
         deadline: UnixDeadline(UnixMillis(at + 9_000)),
         turn: RequestTurn::First,
-    };
-    let ask = |desk: &mut PlaceDesk<()>, at: u64| match desk.ask(&demand(at), UnixMillis(at)) {
+    }
+}
+
+/// Ranks of a group that all rest say nothing of the group: it is not down, and callers come back when the first rest ends.
+#[test]
+fn where_all_rest_callers_are_told_when_the_first_rest_ends() {
+    let mut book = TargetBook::default();
+    book.listed([record(1)], None);
+    let settings = BoardSettings::builder().zone("a".parse().unwrap()).per_rank(3).rank_limit(12).seed(1);
+    let mut desk: PlaceDesk<()> = PlaceDesk::new(settings.build());
+    desk.sync(&book);
+    let service: ServiceName = "s".parse().unwrap();
+    let ask = |desk: &mut PlaceDesk<()>, at: u64| match desk.ask(&demand(&service, at), UnixMillis(at)) {
         DeskAnswer::Place(_chosen) => "placed".to_owned(),
         DeskAnswer::Wait(_until) => "waits".to_owned(),
         DeskAnswer::Refuse(error) => error.to_string(),
--- a/crates/porthoist-proxy/src/broker.rs
+++ b/crates/porthoist-proxy/src/broker.rs
@@ -4,7 +4,7 @@
 use porthoist_policy::proxy::desk::{DeskAnswer, PlaceDesk};
 use porthoist_policy::proxy::loads::GroupLoads;
 use porthoist_policy::proxy::moving::{MoveCause, WaitingSend};
-use porthoist_policy::proxy::needs::{NotedChange, TargetWord};
+use porthoist_policy::proxy::needs::{NeedChange, NotedChange, TargetWord};
 use porthoist_policy::proxy::notes::TargetNote;
 use porthoist_policy::proxy::paces::GroupChoice;
 use porthoist_policy::proxy::placement::{
@@ -123,7 +123,7 @@
         self.serve_waiting(&service);
         match self.await_place(&service, until, receiver).await {
             Some(Ok(place)) => Ok(place),
-            Some(Err(_dropped)) => Err(PlaceError::Down),
+            Some(Err(_dropped)) => Err(self.hopeless(&service)),
             None => Err(self.desk.borrow().denial(&service, self.clock.now())),
         }
     }
@@ -175,7 +175,11 @@
 
     /// Takes what a target says of itself in the answer to a request that was sent at a moment.
     pub fn told(&self, target: &TargetRecord, word: &TargetWord, sent: UnixMillis) -> Vec<NotedChange> {
-        self.desk.borrow_mut().told(&target.life(), word, sent, self.clock.now())
+        let changes = self.desk.borrow_mut().told(&target.life(), word, sent, self.clock.now());
+        if changes.iter().any(|noted| matches!(noted.change, NeedChange::Resting(_))) {
+            self.refuse_hopeless(&target.service);
+        }
+        changes
     }
 
     /// Takes what another entry tells of a target.
@@ -242,9 +246,17 @@
         self.serve_waiting(&record.service);
     }
 
-    /// Refuses those that wait for a service that is down.
+    /// Why those that waited for a service are refused before their time.
+    fn hopeless(&self, service: &ServiceName) -> PlaceError {
+        match self.desk.borrow().denial(service, self.clock.now()) {
+            PlaceError::Resting => PlaceError::Resting,
+            _other => PlaceError::Down,
+        }
+    }
+
+    /// Refuses those that wait for a service that is down, or whose targets all rest.
     fn refuse_hopeless(&self, service: &ServiceName) {
-        let hopeless = self.desk.borrow_mut().take_hopeless(service);
+        let hopeless = self.desk.borrow_mut().take_hopeless(service, self.clock.now());
         drop(hopeless);
     }
 
--- a/porthoistd/src/settings.rs
+++ b/porthoistd/src/settings.rs
@@ -95,6 +95,7 @@
 /// Roles with settings of their own.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
+#[expect(clippy::large_enum_variant, reason = "there is one, read at the start")]
 pub enum DaemonCommand {
     /// Passes requests on as they are.
     Proxy(ProxyArgs),
--- a/porthoistd/src/settings/proxy.rs
+++ b/porthoistd/src/settings/proxy.rs
@@ -66,6 +66,9 @@
     /// port of the processes beside engines, which tell the loads of a group; without it, they are not known
     #[argh(option)]
     pub rank_port: Option<String>,
+    /// entry processes that send to the same targets, for limits that targets name, while no process beside an engine counts them
+    #[argh(option)]
+    pub entries: Option<String>,
     /// debug, info, warning or error
     #[argh(option)]
     pub log_level: Option<String>,
@@ -106,6 +109,8 @@
     pub rank_limit: u32,
     /// Port of the processes beside engines.
     pub rank_port: Option<u16>,
+    /// Entry processes that send to the same targets, while nobody counts them.
+    pub entries: u32,
     /// What is logged.
     pub log_level: Level,
 }
@@ -164,6 +169,7 @@
             rank_limit: reader.value("rank-limit", args.rank_limit, Some("12"), "a whole number")?,
             rank_port: reader.optional("rank-port", args.rank_port, "a port")?,
             per_rank: reader.value("per-rank", args.per_rank, Some("3"), "a whole number")?,
+            entries: reader.value("entries", args.entries, Some("200"), "a whole number")?,
             log_level: reader.value(
                 "log-level",
                 args.log_level,
