--- a/crates/porthoist-core/src/reason.rs
+++ b/crates/porthoist-core/src/reason.rs
@@ -74,8 +74,12 @@
         Overloaded = "overloaded",
         /// All targets named limits that leave no place in time.
         TargetLimits = "target_limits",
+        /// All targets are cold and bear no more in time.
+        TargetsCold = "targets_cold",
         /// All targets have asked for rest.
         TargetsResting = "targets_resting",
+        /// Operators have emptied the zones of all targets.
+        ZonesEmptied = "zones_emptied",
         /// No target serves the service.
         NoTarget = "no_target",
         /// The target is leaving.
@@ -156,6 +160,8 @@
             Self::Overloaded
             | Self::TargetLimits
             | Self::TargetsResting
+            | Self::TargetsCold
+            | Self::ZonesEmptied
             | Self::NoTarget
             | Self::Draining
             | Self::ShuttingDown
@@ -175,6 +181,8 @@
                 | Self::Overloaded
                 | Self::TargetLimits
                 | Self::TargetsResting
+                | Self::TargetsCold
+                | Self::ZonesEmptied
                 | Self::NoTarget
                 | Self::Draining
                 | Self::ShuttingDown
--- a/crates/porthoist-lab/src/needs.rs
+++ b/crates/porthoist-lab/src/needs.rs
@@ -5,7 +5,7 @@
 use porthoist_core::{RequestRate, UnixMillis, ZoneName};
 use porthoist_policy::proxy::targets::TargetLife;
 use porthoist_policy::proxy::turns::{
-    ASSUMED_ENTRIES, EntryPlace, SendTurns, SenderPlace, TurnRound, UncountedEntry,
+    ASSUMED_ENTRIES, EntryPlace, RateSource, SendTurns, SenderPlace, TargetRate, TurnRound, UncountedEntry,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -150,7 +150,8 @@
         let uncounted = UncountedEntry { entries: ASSUMED_ENTRIES, seed: seed * 1_000 + u64::from(index) };
         let sender = SenderPlace::new(place, &zone, std::slice::from_ref(&zone), uncounted);
         let mut turns = SendTurns::default();
-        turns.set(TurnRound::new(limit, sender, &life), now);
+        let rate = TargetRate { rate: limit, source: RateSource::Named };
+        turns.set(TurnRound::new(rate, sender, &life), now);
         SendGate::Turns(turns)
     };
     match way {
--- a/crates/porthoist-lab/src/overload/groups/entry.rs
+++ b/crates/porthoist-lab/src/overload/groups/entry.rs
@@ -4,6 +4,7 @@
 use super::super::{LATENCY_MILLIS, deadline};
 use super::{GROUPS, RANKS};
 use porthoist_core::{BirthMillis, ServiceName, TargetName, UnixDeadline, UnixMillis};
+use porthoist_policy::proxy::cold::ColdWord;
 use porthoist_policy::proxy::desk::{DeskAnswer, PlaceDemand, PlaceDesk};
 use porthoist_policy::proxy::loads::{GroupLoads, LoadRevision, RankLoad};
 use porthoist_policy::proxy::moving::{SPREAD_MILLIS, WaitingSend};
@@ -69,6 +70,7 @@
         zone: format!("z{}", place / RANKS).parse().expect("a valid name"),
         slots,
         state: TargetState::Ready,
+        cold: ColdWord::Unsaid,
     }
 }
 
--- a/crates/porthoist-lab/src/overload/rule.rs
+++ b/crates/porthoist-lab/src/overload/rule.rs
@@ -4,6 +4,7 @@
 use super::group::KnownLoads;
 use super::{LATENCY_MILLIS, deadline};
 use porthoist_core::{BirthMillis, ServiceName, TargetName, UnixDeadline, UnixMillis};
+use porthoist_policy::proxy::cold::ColdWord;
 use porthoist_policy::proxy::desk::{DeskAnswer, PlaceDemand, PlaceDesk};
 use porthoist_policy::proxy::loads::{GroupLoads, LoadRevision, RankLoad};
 use porthoist_policy::proxy::placement::{BoardSettings, RequestWork, SendOutcome};
@@ -140,6 +141,7 @@
             zone: zone.clone(),
             slots,
             state: TargetState::Ready,
+            cold: ColdWord::Unsaid,
         };
         let mut book = TargetBook::default();
         book.listed((0..ranks).map(record), None);
--- a/crates/porthoist-metrics/src/lib.rs
+++ b/crates/porthoist-metrics/src/lib.rs
@@ -50,6 +50,8 @@
     broken_streams: Counter<u64>,
     crash_events: Counter<u64>,
     need_changes: Counter<u64>,
+    cold_targets: Gauge<u64>,
+    zones_emptied: Gauge<u64>,
     suspects: Gauge<u64>,
     table_calls: Counter<u64>,
     table_asked: Counter<u64>,
@@ -88,6 +90,8 @@
             broken_streams: meter.u64_counter("porthoist_broken_streams").build(),
             crash_events: meter.u64_counter("porthoist_crash_events").build(),
             need_changes: meter.u64_counter("porthoist_target_need_changes").build(),
+            cold_targets: meter.u64_gauge("porthoist_cold_targets").build(),
+            zones_emptied: meter.u64_gauge("porthoist_zone_emptied").build(),
             suspects: meter.u64_gauge("porthoist_suspected_requests").build(),
             table_calls: meter.u64_counter("porthoist_table_calls").build(),
             table_asked: meter.u64_counter("porthoist_table_asked").build(),
@@ -123,6 +127,17 @@
             self.need_changes.add(0, &[KeyValue::new("change", change)]);
         }
         self.suspects.record(0, &[]);
+        self.cold_targets.record(0, &[]);
+    }
+
+    /// Sets how many targets count as cold.
+    pub fn cold_targets(&self, targets: u64) {
+        self.cold_targets.record(targets, &[]);
+    }
+
+    /// Sets whether operators have emptied a zone.
+    pub fn zone_emptied(&self, zone: &str, emptied: bool) {
+        self.zones_emptied.record(u64::from(emptied), &[KeyValue::new("zone", zone.to_owned())]);
     }
 
     /// Counts a new connection to a target.
--- a/crates/porthoist-policy/src/proxy.rs
+++ b/crates/porthoist-policy/src/proxy.rs
@@ -1,6 +1,7 @@
 //! Decisions for requests that are passed on as they are: where one may run, whether the configuration held is fresh
 //! enough to say so, which target takes it next, and how many repeats the fleet can bear.
 
+pub mod cold;
 pub mod desk;
 pub mod domains;
 pub mod entries;
@@ -22,3 +23,4 @@
 pub mod trusted;
 pub mod turns;
 pub mod waiting;
+pub mod zones;
--- a/crates/porthoist-policy/src/proxy/desk.rs
+++ b/crates/porthoist-policy/src/proxy/desk.rs
@@ -3,6 +3,7 @@
 //! The caller of this module sends, waits and answers; it only asks here. The same code is driven by a load that is
 //! played in virtual time.
 
+use super::cold::ColdRule;
 use super::forecast::{PlaceAsk, PlaceForecast, ServiceForecast};
 use super::loads::GroupLoads;
 use super::moving::{KnownWays, LEAST_WAIT_MILLIS, MoveCause, WaitingSend, move_cause};
@@ -11,9 +12,10 @@
 use super::paces::GroupChoice;
 use super::placement::{BoardSettings, ChosenTarget, LoadBoard, RequestWork, SendOutcome};
 use super::targets::{TargetBook, TargetLife, TargetRecord};
-use super::turns::EntryPlace;
+use super::turns::{EntryPlace, RateSource, TargetRate};
 use super::waiting::{RequestTurn, WaitList};
-use porthoist_core::{RequestRate, ServiceName, TargetName, UnixDeadline, UnixMillis};
+use super::zones::EmptiedZones;
+use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis};
 use std::collections::HashMap;
 
 /// Requests of one service that wait at most; more are refused at once.
@@ -60,9 +62,24 @@
     /// All targets name limits that leave no place in time.
     #[error("the targets take no more requests a second")]
     Limited,
+    /// All targets are cold, and leave no place in time.
+    #[error("the targets are cold")]
+    Cold,
     /// All targets have asked for rest.
     #[error("the targets rest")]
     Resting,
+    /// Operators have emptied the zones of all targets.
+    #[error("the targets' zones are emptied")]
+    Emptied,
+}
+
+impl From<RateSource> for PlaceError {
+    fn from(source: RateSource) -> Self {
+        match source {
+            RateSource::Named => Self::Limited,
+            RateSource::Cold => Self::Cold,
+        }
+    }
 }
 
 /// What becomes of a request.
@@ -119,8 +136,8 @@
     /// What becomes of a request now. One that is to wait is handed over with [`Self::keep`].
     pub fn ask(&mut self, demand: &PlaceDemand, now: UnixMillis) -> DeskAnswer {
         let service = &demand.service;
-        if self.board.rest_end(service, now).is_some() {
-            return DeskAnswer::Refuse(PlaceError::Resting);
+        if let Some(error) = self.closed(service, now) {
+            return DeskAnswer::Refuse(error);
         }
         if demand.ranked && !self.forecast(service).may_send(now) {
             return DeskAnswer::Refuse(PlaceError::Down);
@@ -140,13 +157,23 @@
             return DeskAnswer::Refuse(PlaceError::NoTarget);
         }
         let PlaceDemand { arrival, latency_millis, deadline, turn, .. } = *demand;
-        let limited_millis = self.board.limited_supply(service, now).map(|supply| supply.millis);
+        let supply = self.board.limited_supply(service, now);
+        let limited_millis = supply.map(|supply| supply.millis);
         let ask = PlaceAsk { ahead, arrival, latency_millis, deadline, turn, limited_millis };
         match self.forecast(service).ask(ask, now) {
             PlaceForecast::Wait(until) => DeskAnswer::Wait(until),
-            PlaceForecast::Refuse if limited_millis.is_some() => DeskAnswer::Refuse(PlaceError::Limited),
-            PlaceForecast::Refuse => DeskAnswer::Refuse(PlaceError::Busy),
+            PlaceForecast::Refuse => {
+                DeskAnswer::Refuse(supply.map_or(PlaceError::Busy, |supply| supply.source.into()))
+            }
+        }
+    }
+
+    /// Why no target may get a request of the service now, whatever room they have.
+    fn closed(&self, service: &ServiceName, now: UnixMillis) -> Option<PlaceError> {
+        if self.board.rest_end(service, now).is_some() {
+            return Some(PlaceError::Resting);
         }
+        self.board.emptied(service, now).then_some(PlaceError::Emptied)
     }
 
     /// Lets a request wait.
@@ -175,9 +202,9 @@
         }
     }
 
-    /// Those that wait for a service that is down, or whose targets all rest: they are to be refused now.
+    /// Those that wait for a service that is down, or whose targets may get nothing: they are to be refused now.
     pub fn take_hopeless(&mut self, service: &ServiceName, now: UnixMillis) -> Vec<W> {
-        if !self.forecast(service).down() && self.board.rest_end(service, now).is_none() {
+        if !self.forecast(service).down() && self.closed(service, now).is_none() {
             return Vec::new();
         }
         let Some(mut list) = self.waiting.remove(service) else { return Vec::new() };
@@ -293,19 +320,34 @@
 
     /// Why a request that waited in vain is refused.
     pub fn denial(&self, service: &ServiceName, now: UnixMillis) -> PlaceError {
-        if self.board.rest_end(service, now).is_some() {
-            return PlaceError::Resting;
+        if let Some(error) = self.closed(service, now) {
+            return error;
         }
         match (self.board.serves(service, now), self.board.limited_supply(service, now)) {
             (false, _) => PlaceError::NoTarget,
-            (true, Some(_supply)) => PlaceError::Limited,
+            (true, Some(supply)) => supply.source.into(),
             (true, None) => PlaceError::Busy,
         }
     }
 
     /// Whether a request that was given a place at a target may still be sent there.
-    pub fn stands(&self, life: &TargetLife, limit: Option<RequestRate>, now: UnixMillis) -> bool {
-        self.board.stands(life, limit, now)
+    pub fn stands(&self, life: &TargetLife, rate: Option<TargetRate>, now: UnixMillis) -> bool {
+        self.board.stands(life, rate, now)
+    }
+
+    /// Takes what services' operators say of cold targets.
+    pub fn set_cold_rules(&mut self, rules: HashMap<ServiceName, ColdRule>) {
+        self.board.set_cold_rules(rules);
+    }
+
+    /// Takes the zones that operators have emptied.
+    pub fn set_emptied(&mut self, zones: &EmptiedZones, now: UnixMillis) {
+        self.board.set_emptied(zones, now);
+    }
+
+    /// Targets that count as cold now.
+    pub fn cold(&self, now: UnixMillis) -> usize {
+        self.board.cold(now)
     }
 
     /// When the next request of a service that waits may be sent although nothing was released.
--- a/crates/porthoist-policy/src/proxy/freshness.rs
+++ b/crates/porthoist-policy/src/proxy/freshness.rs
@@ -28,6 +28,14 @@
 impl FreshnessProof {
     /// Takes an answer that showed the newest configuration, or that there is none newer.
     pub fn answered(&mut self, answer: StampedAnswer) {
+        let offset = self.place_clock(answer);
+        let proven = u64::try_from(offset + i128::from(answer.stamp)).unwrap_or_default();
+        let proven = UnixMillis(proven.min(answer.received.0));
+        self.proven = Some(self.proven.map_or(proven, |known| known.max(proven)));
+    }
+
+    /// Takes how the service's clock lies to this process's, from an answer of the service about anything; returns the offset.
+    pub fn place_clock(&mut self, answer: StampedAnswer) -> i128 {
         let earliest = i128::from(answer.sent.0) - i128::from(answer.stamp);
         let latest = i128::from(answer.received.0) - i128::from(answer.stamp);
         let offset = match self.offset {
@@ -36,9 +44,7 @@
             _ => earliest,
         };
         self.offset = Some(offset);
-        let proven = u64::try_from(offset + i128::from(answer.stamp)).unwrap_or_default();
-        let proven = UnixMillis(proven.min(answer.received.0));
-        self.proven = Some(self.proven.map_or(proven, |known| known.max(proven)));
+        offset
     }
 
     /// Takes an answer that the service gave to another process, which passed it on with the service's clock. It may have been
--- a/crates/porthoist-policy/src/proxy/needs.rs
+++ b/crates/porthoist-policy/src/proxy/needs.rs
@@ -3,8 +3,10 @@
 //! It is newer than its row and any report, and only the target itself takes it back. What can't be read changes nothing:
 //! taken for none it would lift a limit, taken for 0 it would close a sound target.
 
+use super::cold::{ColdRule, ColdWord, TargetCold};
 use super::notes::TargetNote;
 use super::targets::TargetLife;
+use super::turns::{RateSource, TargetRate};
 use porthoist_core::{RequestRate, UnixDeadline, UnixMillis};
 use std::collections::VecDeque;
 
@@ -45,6 +47,8 @@
     pub rest_millis: NamedValue<u64>,
     /// Whether it leaves.
     pub leaving: bool,
+    /// Milliseconds for which it stays cold.
+    pub cold_millis: NamedValue<u64>,
     /// Whether the answer names the request that it is to: only then does what it lacks end anything.
     pub certain: bool,
 }
@@ -108,6 +112,8 @@
     heard: UnixMillis,
     /// Until when it wants nothing from this process.
     rest_until: Option<UnixDeadline>,
+    /// Whether it is cold.
+    cold: TargetCold,
     /// Whether this life of it leaves: a row that calls it ready is older, and it may never have another.
     leaving: bool,
     /// When it began to take requests again.
@@ -126,8 +132,10 @@
         spread: f64,
         now: UnixMillis,
     ) -> Vec<NotedChange> {
+        self.cold.take_answer(word.cold_millis, now);
         if word.certain {
             self.heard = now;
+            self.cold.answered(now);
         }
         let changes = [
             self.take_limit(word, sent, now),
@@ -166,7 +174,38 @@
 
     /// Whether there is anything that another life of the process must not be taken for.
     pub(super) fn is_any(&self) -> bool {
-        self.leaving || self.limit.is_some() || self.rest_until.is_some()
+        self.leaving || self.limit.is_some() || self.rest_until.is_some() || self.cold.is_any()
+    }
+
+    /// Takes what its service's operators say of cold targets.
+    pub(super) fn set_cold_rule(&mut self, rule: Option<ColdRule>) {
+        self.cold.set_rule(rule);
+    }
+
+    /// Takes what its row says. One that is seen for the first time may just have started.
+    pub(super) fn take_row(&mut self, word: ColdWord, first_seen: bool) {
+        self.cold.take_row(word, first_seen);
+    }
+
+    /// Takes that it may have started again.
+    pub(super) fn suspect_start(&mut self) {
+        self.cold.suspect();
+    }
+
+    /// Takes that its zone gets requests again: it may just have become cold, and all entries come back to it together.
+    pub(super) fn restored(&mut self, now: UnixMillis) {
+        self.cold.start(now);
+        self.returned = Some(now);
+    }
+
+    /// What it takes from all processes together, while anything bounds that.
+    pub fn rate(&self, now: UnixMillis) -> Option<TargetRate> {
+        let named = self.limit.map(|limit| TargetRate { rate: limit.rate, source: RateSource::Named });
+        let cold = self.cold.rate(now).map(|rate| TargetRate { rate, source: RateSource::Cold });
+        match (named, cold) {
+            (Some(named), Some(cold)) if cold.rate < named.rate => Some(cold),
+            (named, cold) => named.or(cold),
+        }
     }
 
     /// The limit that it names.
@@ -231,7 +270,9 @@
     }
 
     fn take_readable(&mut self, word: &TargetWord) -> Option<NeedChange> {
-        let unreadable = word.limit == NamedValue::Unreadable || word.rest_millis == NamedValue::Unreadable;
+        let unreadable = word.limit == NamedValue::Unreadable
+            || word.rest_millis == NamedValue::Unreadable
+            || word.cold_millis == NamedValue::Unreadable;
         let before = std::mem::replace(&mut self.unreadable, unreadable);
         (unreadable && !before).then_some(NeedChange::Unreadable)
     }
--- a/crates/porthoist-policy/src/proxy/placement.rs
+++ b/crates/porthoist-policy/src/proxy/placement.rs
@@ -3,6 +3,7 @@
 //! The board counts what this process has sent and has not seen end. Targets that fail in a row get nothing for a
 //! while, longer each time, and one request as a trial afterwards.
 
+use super::cold::ColdRule;
 use super::domains::{DomainBook, GroupIndex};
 use super::loads::{GroupLoads, RankLoad};
 use super::needs::VanishedNeeds;
@@ -11,8 +12,9 @@
 use super::spread::choose_by_level;
 use super::target_load::{GroupView, TargetLoad};
 use super::targets::{TargetBook, TargetLife, TargetRecord, TargetState};
-use super::turns::{ASSUMED_ENTRIES, EntryPlace, SenderPlace, UncountedEntry};
-use porthoist_core::{RequestRate, ServiceName, TargetName, UnixMillis, ZoneName};
+use super::turns::{ASSUMED_ENTRIES, EntryPlace, SenderPlace, TargetRate, UncountedEntry};
+use super::zones::EmptiedZones;
+use porthoist_core::{ServiceName, TargetName, UnixMillis, ZoneName};
 use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, Ipv4Addr};
 use std::sync::Arc;
@@ -42,6 +44,8 @@
     Shed,
     /// It failed.
     Failed,
+    /// Its connection broke or could not be made, or it stood still: it may have started again since.
+    Lost,
     /// Another target has its address: this life of it is over, whatever its row says.
     Gone,
     /// The caller left; nothing is known of the target.
@@ -81,8 +85,8 @@
     pub report: Option<ReportedRequests>,
     /// How its group did, if it is known to be a rank of one.
     pub group: Option<GroupChoice>,
-    /// The limit that it names, within which it was chosen.
-    pub limit: Option<RequestRate>,
+    /// What bounds the requests that it takes, within which it was chosen.
+    pub rate: Option<TargetRate>,
 }
 
 /// Requests of all processes at a target, as this process believed when it chose.
@@ -106,6 +110,10 @@
     domains: DomainBook,
     /// Part of the requests in a service's groups that this process sent, as reports showed it.
     shares: HashMap<ServiceName, f64>,
+    /// What services' operators say of cold targets.
+    cold_rules: HashMap<ServiceName, ColdRule>,
+    /// Zones whose targets get nothing new.
+    emptied: EmptiedZones,
     /// This process's place among the entries of its zone, once it was told.
     place: Option<EntryPlace>,
     /// Its place among all that send, by the zones of all targets.
@@ -125,6 +133,8 @@
             vanished: VanishedNeeds::default(),
             domains: DomainBook::default(),
             shares: HashMap::new(),
+            cold_rules: HashMap::new(),
+            emptied: EmptiedZones::default(),
             turn: 0,
         }
     }
@@ -140,7 +150,7 @@
         }
         for (life, load) in &mut self.loads {
             if let Some(record) = known.get(life) {
-                load.record = Arc::clone(record);
+                load.take_row(record, self.cold_rules.get(&record.service).copied(), false);
                 continue;
             }
             let record = TargetRecord { state: TargetState::Draining, ..(*load.record).clone() };
@@ -149,7 +159,10 @@
         for (life, record) in known {
             if !self.loads.contains_key(&life) {
                 let need = self.vanished.take(&life);
-                self.loads.insert(life, TargetLoad::new(Arc::clone(record), need));
+                let mut load = TargetLoad::new(Arc::clone(record), need);
+                load.take_row(record, self.cold_rules.get(&record.service).copied(), true);
+                load.set_emptied(self.emptied.contains(&record.zone), UnixMillis::default());
+                self.loads.insert(life, load);
             }
         }
         self.sync_sender();
@@ -194,14 +207,14 @@
         };
         let best = candidates.swap_remove(best);
         let (in_flight, report) = (best.in_flight, best.report(now));
-        let limit = best.limit();
+        let rate = best.rate(now);
         best.take(work, now);
         let group = best.group.and_then(|index| Some(GroupChoice { index, pace: paces.pace(index)? }));
         let record = Arc::clone(&best.record);
         if let Some(GroupChoice { index, .. }) = group.filter(|group| group.pace.probe_due) {
             self.domains.probed(index, now);
         }
-        Some(ChosenTarget { record, in_flight, report, group, limit })
+        Some(ChosenTarget { record, in_flight, report, group, rate })
     }
 
     /// Takes the end of a send. Returns whether the target gets nothing for a while from now on.
@@ -243,7 +256,7 @@
         let paces = ServicePaces::new(running.iter().enumerate().map(pace).collect());
         let (mut taken, mut slots) = (0, 0);
         // A target in need takes none of what leaves others.
-        let usable = loads().filter(|load| load.limit().is_none() && !load.need.closed(now));
+        let usable = loads().filter(|load| load.rate(now).is_none() && !load.closed(now));
         for load in usable.filter(|load| load.group.is_some_and(|group| paces.goes_on(group))) {
             taken += load.requests(None, now).count;
             slots += self.settings.rank_limit.min(load.record.slots);
@@ -295,6 +308,8 @@
             if let Some(rank) = by_host.get(&host) {
                 load.group = Some(group);
                 if loads.pass == GroupPass::Broken {
+                    // Some rank of it may start again.
+                    load.need.suspect_start();
                     // Its loads are old; taken anew, they would hide what this process has sent since.
                     continue;
                 }
--- a/crates/porthoist-policy/src/proxy/placement/asked.rs
+++ b/crates/porthoist-policy/src/proxy/placement/asked.rs
@@ -1,20 +1,24 @@
-//! What targets ask for on the board: taken from their answers and from other entries, and asked before each send.
+//! What keeps requests from targets on the board: their own words, other entries', and operators'; asked before each send.
 
 use super::{LoadBoard, random_point};
+use crate::proxy::cold::ColdRule;
 use crate::proxy::needs::{NotedChange, TargetWord};
 use crate::proxy::notes::TargetNote;
-use crate::proxy::target_load::TargetLoad;
 use crate::proxy::targets::TargetLife;
-use crate::proxy::turns::{EntryPlace, SendTurns, SenderPlace};
-use porthoist_core::{RequestRate, ServiceName, UnixDeadline, UnixMillis, ZoneName};
+use crate::proxy::turns::{EntryPlace, RateSource, SendTurns, SenderPlace, TargetRate};
+use crate::proxy::zones::EmptiedZones;
+use porthoist_core::{ServiceName, UnixDeadline, UnixMillis, ZoneName};
+use std::collections::HashMap;
 
-/// What this process may send to the targets of a service that all name limits.
+/// What this process may send to the targets of a service where each bears only so much.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LimitedSupply {
     /// Mean time in milliseconds between two of its requests.
     pub millis: f64,
     /// When the next may be sent.
     pub next: UnixDeadline,
+    /// What bounds most of them.
+    pub source: RateSource,
 }
 
 impl LoadBoard {
@@ -49,8 +53,8 @@
     }
 
     /// Whether a request that was given a place at a target may still be sent there.
-    pub fn stands(&self, life: &TargetLife, limit: Option<RequestRate>, now: UnixMillis) -> bool {
-        self.loads.get(life).is_some_and(|load| load.stands(limit, now))
+    pub fn stands(&self, life: &TargetLife, rate: Option<TargetRate>, now: UnixMillis) -> bool {
+        self.loads.get(life).is_some_and(|load| load.stands(rate, now))
     }
 
     /// Whether a target has said that it leaves.
@@ -65,13 +69,46 @@
         if open { None } else { loads().filter_map(|load| load.rest(now)).min() }
     }
 
-    /// What this process may send, where all targets that take requests of the service name limits.
+    /// Takes what services' operators say of cold targets.
+    pub fn set_cold_rules(&mut self, rules: HashMap<ServiceName, ColdRule>) {
+        for load in self.loads.values_mut() {
+            load.need.set_cold_rule(rules.get(&load.record.service).copied());
+        }
+        self.cold_rules = rules;
+    }
+
+    /// Takes the zones that operators have emptied.
+    pub fn set_emptied(&mut self, zones: &EmptiedZones, now: UnixMillis) {
+        if self.emptied == *zones {
+            return;
+        }
+        for load in self.loads.values_mut() {
+            load.set_emptied(zones.contains(&load.record.zone), now);
+        }
+        self.emptied = zones.clone();
+    }
+
+    /// Whether nothing but emptied zones keeps a service's requests from its targets.
+    pub fn emptied(&self, service: &ServiceName, now: UnixMillis) -> bool {
+        let loads = || self.loads.values().filter(|load| load.record.service == *service);
+        !loads().any(|load| load.open(now)) && loads().any(|load| load.only_emptied(now))
+    }
+
+    /// Targets that count as cold now.
+    pub fn cold(&self, now: UnixMillis) -> usize {
+        let cold = |rate: TargetRate| rate.source == RateSource::Cold;
+        self.loads.values().filter(|load| load.rate(now).is_some_and(cold)).count()
+    }
+
+    /// What this process may send, where something bounds what each target takes that is open to the service.
     pub fn limited_supply(&self, service: &ServiceName, now: UnixMillis) -> Option<LimitedSupply> {
-        let loads = self.loads.values().filter(|load| load.record.service == *service && load.open(now));
-        let turns: Option<Vec<&SendTurns>> = loads.map(TargetLoad::turns).collect();
+        let loads = || self.loads.values().filter(|load| load.record.service == *service && load.open(now));
+        let turns: Option<Vec<&SendTurns>> = loads().map(|load| load.turns(now)).collect();
         let turns = turns?;
+        let named = loads().filter_map(|load| load.rate(now)).filter(|rate| rate.source == RateSource::Named);
+        let source = if 2 * named.count() > turns.len() { RateSource::Named } else { RateSource::Cold };
         let rate: f64 = turns.iter().filter_map(|turns| Some(1.0 / turns.millis()?)).sum();
         let next = turns.iter().filter_map(|turns| turns.next(now)).min()?;
-        Some(LimitedSupply { millis: 1.0 / rate, next })
+        Some(LimitedSupply { millis: 1.0 / rate, next, source })
     }
 }
--- a/crates/porthoist-policy/src/proxy/routes.rs
+++ b/crates/porthoist-policy/src/proxy/routes.rs
@@ -2,6 +2,7 @@
 //!
 //! A table is immutable; a newer version replaces it as a whole.
 
+use super::cold::ColdRule;
 use porthoist_core::{ServiceName, TeamName};
 use std::collections::HashMap;
 use std::fmt;
@@ -130,6 +131,8 @@
     pub name: ServiceName,
     /// Timing where its targets are ranks of a group.
     pub engine: Option<EngineModel>,
+    /// What its targets take while they are cold; nothing where they never are.
+    pub cold: Option<ColdRule>,
 }
 
 /// Bounds on what a caller may send.
--- a/crates/porthoist-policy/src/proxy/target_load.rs
+++ b/crates/porthoist-policy/src/proxy/target_load.rs
@@ -1,13 +1,14 @@
 //! What one process knows of one target: its own requests there, others' as reported, and how its answers were.
 
+use super::cold::ColdRule;
 use super::domains::GroupIndex;
 use super::loads::{OthersLoad, RankLoad};
 use super::needs::TargetNeed;
 use super::paces::ServicePaces;
 use super::placement::{BoardSettings, ReportedRequests, RequestWork, SendOutcome};
 use super::targets::{TargetRecord, TargetState};
-use super::turns::{SendTurns, SenderPlace, TurnRound};
-use porthoist_core::{RequestRate, ServiceName, TargetName, UnixDeadline, UnixMillis, ZoneName};
+use super::turns::{RateSource, SendTurns, SenderPlace, TargetRate, TurnRound};
+use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis, ZoneName};
 use std::sync::Arc;
 
 /// Failures in a row after which a target gets nothing for a while. One alone is common: a reset of an idle
@@ -41,7 +42,7 @@
 pub(super) enum SendTier {
     /// It names a limit, and is to be asked whether it still does.
     Asked,
-    /// It takes what it has room for.
+    /// It takes what it has room for, or is cold and it is this process's turn: a cold target bears more than its usual share.
     Free,
     /// It names a limit, within which it may get one.
     Limited,
@@ -66,7 +67,9 @@
     pub(super) mean_millis: Option<f64>,
     /// What it said of itself.
     pub(super) need: TargetNeed,
-    /// When this process may send to it while it names a limit.
+    /// Whether operators have emptied its zone.
+    emptied: bool,
+    /// When this process may send to it while something bounds what it takes.
     turns: SendTurns,
 }
 
@@ -85,6 +88,7 @@
             gone: false,
             mean_millis: None,
             need,
+            emptied: false,
             turns: SendTurns::default(),
         }
     }
@@ -115,7 +119,7 @@
     }
 
     pub(super) fn open(&self, now: UnixMillis) -> bool {
-        if self.record.state != TargetState::Ready || self.gone || self.need.closed(now) {
+        if self.record.state != TargetState::Ready || self.gone || self.closed(now) {
             return false;
         }
         match self.closed_until {
@@ -140,43 +144,70 @@
             && !tried.contains(&self.record.id)
     }
 
+    /// Whether it must get nothing now, whatever its row says.
+    pub(super) fn closed(&self, now: UnixMillis) -> bool {
+        self.emptied || self.need.closed(now)
+    }
+
+    /// Whether nothing but its zone, which operators have emptied, keeps requests from it.
+    pub(super) fn only_emptied(&self, now: UnixMillis) -> bool {
+        self.emptied && self.record.state == TargetState::Ready && !self.gone && !self.need.closed(now)
+    }
+
+    /// Takes whether operators have emptied its zone.
+    pub(super) fn set_emptied(&mut self, emptied: bool, now: UnixMillis) {
+        let before = std::mem::replace(&mut self.emptied, emptied);
+        if before && !emptied {
+            self.need.restored(now);
+        }
+    }
+
+    /// Takes its row, and what its service's operators say of cold targets.
+    pub(super) fn take_row(&mut self, record: &Arc<TargetRecord>, rule: Option<ColdRule>, first_seen: bool) {
+        self.need.set_cold_rule(rule);
+        self.need.take_row(record.cold, first_seen);
+        self.record = Arc::clone(record);
+    }
+
     /// Until when it rests, where that alone keeps requests from it.
     pub(super) fn rest(&self, now: UnixMillis) -> Option<UnixDeadline> {
-        let ready = self.record.state == TargetState::Ready && !self.gone && !self.need.leaves();
+        let ready = self.record.state == TargetState::Ready && !self.gone && !self.emptied;
+        let ready = ready && !self.need.leaves();
         self.need.rest(now).filter(|_until| ready)
     }
 
     /// Whether a request that was given a place here may still be sent: what the target said meanwhile counts.
-    pub(super) fn stands(&self, limit: Option<RequestRate>, now: UnixMillis) -> bool {
-        !self.need.closed(now) && (limit.is_some() || self.limit().is_none())
+    pub(super) fn stands(&self, rate: Option<TargetRate>, now: UnixMillis) -> bool {
+        !self.closed(now) && (rate.is_some() || self.rate(now).is_none())
     }
 
-    /// Which requests it may get now, of those that it has room for; nothing while its limit leaves none for this process.
+    /// Which requests it may get now, of those that it has room for; nothing while its rate leaves none for this process.
     pub(super) fn tier(&self, first_send: bool, now: UnixMillis) -> Option<SendTier> {
-        if self.need.limit().is_none() {
-            return Some(SendTier::Free);
-        }
-        // A request that was sent in vain already is not the one to ask with.
-        let asked = first_send && self.need.unheard(now);
-        let tier = if asked { SendTier::Asked } else { SendTier::Limited };
+        let Some(TargetRate { source, .. }) = self.rate(now) else { return Some(SendTier::Free) };
+        let tier = match source {
+            RateSource::Cold => SendTier::Free,
+            // A request that was sent in vain already is not the one to ask with.
+            RateSource::Named if first_send && self.need.unheard(now) => SendTier::Asked,
+            RateSource::Named => SendTier::Limited,
+        };
         self.turns.free(now).then_some(tier)
     }
 
-    /// Takes by which rounds this process keeps its limit.
+    /// Takes by which rounds this process keeps its rate.
     pub(super) fn set_turns(&mut self, sender: SenderPlace, now: UnixMillis) {
-        if let Some(limit) = self.need.limit() {
-            self.turns.set(TurnRound::new(limit.rate, sender, &self.record.life()), now);
+        if let Some(rate) = self.rate(now) {
+            self.turns.set(TurnRound::new(rate, sender, &self.record.life()), now);
         }
     }
 
-    /// This process's turns, while it names a limit.
-    pub(super) fn turns(&self) -> Option<&SendTurns> {
-        self.need.limit().map(|_limit| &self.turns)
+    /// This process's turns, while something bounds what it takes.
+    pub(super) fn turns(&self, now: UnixMillis) -> Option<&SendTurns> {
+        self.rate(now).map(|_rate| &self.turns)
     }
 
-    /// The limit that it names.
-    pub(super) fn limit(&self) -> Option<RequestRate> {
-        self.need.limit().map(|limit| limit.rate)
+    /// What it takes from all processes together, while anything bounds that.
+    pub(super) fn rate(&self, now: UnixMillis) -> Option<TargetRate> {
+        self.need.rate(now)
     }
 
     fn has_room(&self, settings: &BoardSettings, group: GroupView, now: UnixMillis) -> bool {
@@ -225,6 +256,10 @@
                 false
             }
             SendOutcome::Failed => self.failed(now),
+            SendOutcome::Lost => {
+                self.need.suspect_start();
+                self.failed(now)
+            }
             SendOutcome::Gone => !std::mem::replace(&mut self.gone, true),
             SendOutcome::Shed => {
                 self.full_until = self.group.map(|_group| UnixDeadline::after(now, FULL_MILLIS));
@@ -237,6 +272,7 @@
     /// Takes that the target's process has ended.
     pub(super) fn died(&mut self, now: UnixMillis) {
         self.failures = self.failures.max(FAILURES_TO_EJECT - 1);
+        self.need.suspect_start();
         self.failed(now);
     }
 
@@ -244,7 +280,7 @@
     pub(super) fn take(&mut self, work: RequestWork, now: UnixMillis) {
         self.in_flight += 1;
         self.tokens += work.prompt_tokens;
-        if self.limit().is_some() {
+        if self.rate(now).is_some() {
             self.turns.take(now);
         }
     }
@@ -252,6 +288,9 @@
     /// Takes what a report says of it.
     pub(super) fn take_report(&mut self, rank: &RankLoad, now: UnixMillis) {
         self.others = Some(OthersLoad::reported(rank, self.in_flight, now));
+        if rank.silent {
+            self.need.suspect_start();
+        }
         self.full_until = None;
     }
 
--- a/crates/porthoist-policy/src/proxy/targets.rs
+++ b/crates/porthoist-policy/src/proxy/targets.rs
@@ -9,6 +9,7 @@
 //! A row that is missing in a listing is gone, unless the table service was away just before: then the row gets a
 //! short grace, since the target may not have registered again yet.
 
+use super::cold::ColdWord;
 use porthoist_core::{BirthMillis, ServiceName, TargetName, UnixDeadline, UnixMillis, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
@@ -111,6 +112,8 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: TargetState,
+    /// How long it is cold, as far as its row says.
+    pub cold: ColdWord,
 }
 
 impl TargetRecord {
--- a/crates/porthoist-policy/src/proxy/turns.rs
+++ b/crates/porthoist-policy/src/proxy/turns.rs
@@ -1,23 +1,27 @@
-//! When this process may send to a target that names a limit, so that all processes together keep to it.
+//! When this process may send to a target that bears only so many requests a second, so that all processes together keep to
+//! its rate.
 //!
-//! The limit holds for all processes together, and none of them can hear the others in time. Time is cut into rounds, in
+//! The rate holds for all processes together, and none of them can hear the others in time. Time is cut into rounds, in
 //! which each process has one turn, at a moment that follows from its place among them. A turn that is not used lapses, so that
 //! the turns of many processes never come to one burst. Whoever does not know its place takes many others for granted: an
 //! error sends less, never more.
 
 use super::targets::TargetLife;
 use porthoist_core::{RequestRate, UnixDeadline, UnixMillis, ZoneName};
+use std::fmt;
 
 /// Part of a limit that is given out: the rest bears processes that are not counted yet, and clocks that are apart.
 const GIVEN_PART: f64 = 0.75;
 /// Requests a second that all processes together may send to a target at least, whatever it names: one that nothing is sent to
 /// could never say that it takes more again.
 const LEAST_RATE: f64 = 0.25;
-/// Time in milliseconds after which a turn lapses.
-const TURN_MILLIS: u64 = 1_000;
-/// Entries that are taken for granted where nobody counts them and no setting tells: more than any deployment runs now, which is
-/// 149.
-pub const ASSUMED_ENTRIES: u32 = 200;
+/// Time in milliseconds after which a turn at a target that names a limit lapses.
+const NAMED_LAPSE_MILLIS: u64 = 1_000;
+/// Time in milliseconds after which a turn at a cold target lapses: it is counted by the second, and turns that were saved up may
+/// come on top of a second's.
+const COLD_LAPSE_MILLIS: u64 = 600;
+/// Entries that are taken for granted where nobody counts them and no setting tells: twice as many as the largest deployment has.
+pub const ASSUMED_ENTRIES: u32 = 1_000;
 
 /// A process's place among the entry processes of its availability zone, by an order that all agree on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -75,19 +79,66 @@
     hash as f64 / u64::MAX as f64
 }
 
+/// Why a target takes only so many requests a second.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RateSource {
+    /// It names a limit in its answers.
+    Named,
+    /// It is cold.
+    Cold,
+}
+
+impl RateSource {
+    /// Its name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Named => "named",
+            Self::Cold => "cold",
+        }
+    }
+
+    fn lapse_millis(self) -> u64 {
+        match self {
+            Self::Named => NAMED_LAPSE_MILLIS,
+            Self::Cold => COLD_LAPSE_MILLIS,
+        }
+    }
+}
+
+/// Requests that a target takes from all processes together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TargetRate {
+    /// How many.
+    pub rate: RequestRate,
+    /// Why not more.
+    pub source: RateSource,
+}
+
+impl fmt::Display for TargetRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.rate, self.source.as_str())
+    }
+}
+
 /// The rounds of one target, as one process sees them.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct TurnRound {
     millis: f64,
     phase: f64,
+    lapse_millis: u64,
 }
 
 impl TurnRound {
-    /// The rounds of a target that names a limit. Different targets' rounds begin at different moments.
-    pub fn new(limit: RequestRate, sender: SenderPlace, life: &TargetLife) -> Self {
-        let rate = (GIVEN_PART * limit.0).max(LEAST_RATE);
+    /// The rounds of a target that bears a rate. Different targets' rounds begin at different moments.
+    pub fn new(rate: TargetRate, sender: SenderPlace, life: &TargetLife) -> Self {
+        let TargetRate { rate: RequestRate(allowed), source } = rate;
+        let given = (GIVEN_PART * allowed).max(LEAST_RATE);
         let target = xxhash_rust::xxh3::xxh3_64_with_seed(life.id.as_str().as_bytes(), life.born.0);
-        Self { millis: 1_000.0 * sender.count / rate, phase: (sender.phase + unit(target)).fract() }
+        Self {
+            millis: 1_000.0 * sender.count / given,
+            phase: (sender.phase + unit(target)).fract(),
+            lapse_millis: source.lapse_millis(),
+        }
     }
 
     /// Mean time in milliseconds between two turns of this process.
@@ -128,7 +179,7 @@
         let Some(round) = self.round else { return false };
         // Rounds that change often must not bring turns closer together.
         let apart = now.since(self.used_at) as f64 >= round.millis / 2.0;
-        let spaced = round.millis <= TURN_MILLIS as f64 || apart;
+        let spaced = round.millis <= round.lapse_millis as f64 || apart;
         spaced && round.begun(now) > self.lapsed(round, now)
     }
 
@@ -151,7 +202,7 @@
 
     /// Turns that were used or have lapsed.
     fn lapsed(&self, round: TurnRound, now: UnixMillis) -> u64 {
-        let before = UnixMillis(now.0.saturating_sub(TURN_MILLIS));
+        let before = UnixMillis(now.0.saturating_sub(round.lapse_millis));
         self.used.max(round.begun(before))
     }
 }
--- a/crates/porthoist-policy/tests/policy.rs
+++ b/crates/porthoist-policy/tests/policy.rs
@@ -2,6 +2,10 @@
 
 #[path = "policy/admission.rs"]
 mod admission;
+#[path = "policy/cold.rs"]
+mod cold;
+#[path = "policy/cold_fleet.rs"]
+mod cold_fleet;
 #[path = "policy/configuration.rs"]
 mod configuration;
 #[path = "policy/copying.rs"]
--- /dev/null
+++ b/crates/porthoist-policy/tests/policy/cold.rs
@@ -0,0 +1,212 @@
+//! Cold targets and emptied zones: what targets get, summed over all entries, and what callers are told.
+
+use crate::cold_fleet::{ALLOWED, ColdSettings, play};
+use porthoist_core::{BirthMillis, RequestRate, ServiceName, UnixDeadline, UnixMillis, ZoneName};
+use porthoist_policy::proxy::cold::{ColdRule, ColdWord};
+use porthoist_policy::proxy::desk::{DeskAnswer, PlaceDemand, PlaceDesk};
+use porthoist_policy::proxy::needs::{NamedValue, TargetWord};
+use porthoist_policy::proxy::placement::{BoardSettings, RequestWork, SendOutcome};
+use porthoist_policy::proxy::targets::{TargetBook, TargetRecord, TargetState};
+use porthoist_policy::proxy::turns::EntryPlace;
+use porthoist_policy::proxy::waiting::RequestTurn;
+use porthoist_policy::proxy::zones::{EmptiedZones, ZoneChange, ZoneNews};
+use std::collections::HashMap;
+use test_case::test_case;
+
+/// What operators saw: a target that came back got 32 requests in a second from 42 entries, of 30.5 allowed. In order: its row
+/// returns; each entry finds it empty, and sends.
+///
+/// Cause: no entry read that it was cold. Evidence: without a rule the same play brings more than is allowed at each size.
+#[test_case(6, 1; "one target before 6 entries")]
+#[test_case(42, 1; "one target before 42 entries")]
+#[test_case(600, 1; "one target before 600 entries")]
+#[test_case(6, 4; "a zone before 6 entries")]
+#[test_case(42, 4; "a zone before 42 entries")]
+#[test_case(600, 4; "a zone before 600 entries")]
+#[test_case(42, 12; "all targets before 42 entries")]
+fn a_cold_target_gets_no_more_than_it_bears(entries: usize, cold: usize) {
+    for seed in 1..4 {
+        let report = play(&ColdSettings::builder().entries(entries).cold(cold).seed(seed).build());
+        assert!(report.most() as f64 <= ALLOWED, "seed {seed}: {} in a second", report.most());
+        assert!(report.used() >= 0.6, "seed {seed}: {} of the rate used", report.used());
+    }
+}
+
+#[test_case(14, 0, 0; "entries are killed")]
+#[test_case(0, 14, 0; "entries are cut off")]
+#[test_case(14, 14, 5_000; "both while clocks are apart")]
+fn it_holds_also_while(killed: usize, cut_off: usize, clocks_apart: u64) {
+    for seed in 1..4 {
+        let settings = ColdSettings::builder().entries(42).cold(4).seed(seed).killed(killed);
+        let report = play(&settings.cut_off(cut_off).clocks_apart(clocks_apart).build());
+        assert!(report.most() as f64 <= ALLOWED, "seed {seed}: {} in a second", report.most());
+        assert!(report.used() >= 0.4, "seed {seed}: {} of the rate used", report.used());
+    }
+}
+
+#[test]
+fn a_target_whose_connections_broke_counts_as_cold_before_its_row_says_so() {
+    // Those whose connections broke hold back; the others go on as before, at 8 requests a second and target.
+    let report = play(&ColdSettings::builder().entries(42).cold(4).rate(2.3).rows(false).build());
+    assert!(report.most() as f64 <= ALLOWED, "{} in a second", report.most());
+}
+
+fn service() -> ServiceName {
+    "s".parse().unwrap()
+}
+
+fn zone(name: &str) -> ZoneName {
+    name.parse().unwrap()
+}
+
+fn record(name: &str, born: u64, cold: ColdWord) -> TargetRecord {
+    TargetRecord {
+        id: name.parse().unwrap(),
+        born: BirthMillis(born),
+        service: service(),
+        address: format!("10.0.0.{}:1", name.as_bytes()[0]).parse().unwrap(),
+        zone: zone(name),
+        slots: 12,
+        state: TargetState::Ready,
+        cold,
+    }
+}
+
+/// A process that is alone before targets, each in a zone with its name.
+struct Alone {
+    desk: PlaceDesk<()>,
+    book: TargetBook,
+    zones: EmptiedZones,
+}
+
+impl Alone {
+    fn new(records: impl IntoIterator<Item = TargetRecord>) -> Self {
+        let settings = BoardSettings::builder().zone(zone("a")).per_rank(3).rank_limit(12).seed(1).build();
+        let mut book = TargetBook::default();
+        book.listed(records, None);
+        let mut desk = PlaceDesk::new(settings);
+        let rule = ColdRule { rate: RequestRate(4.0), millis: 3_000 };
+        desk.set_cold_rules(HashMap::from([(service(), rule)]));
+        desk.set_place(Some(EntryPlace { index: 0, entries: 1 }));
+        desk.sync(&book);
+        Self { desk, book, zones: EmptiedZones::default() }
+    }
+
+    fn zones(&mut self, news: ZoneNews, at: u64) {
+        self.zones.take(news, UnixMillis(at));
+        self.desk.set_emptied(&self.zones, UnixMillis(at));
+    }
+
+    fn ask(&mut self, at: u64) -> String {
+        let demand = PlaceDemand {
+            service: service(),
+            ranked: false,
+            work: RequestWork::default(),
+            priority: 1,
+            tried: Vec::new(),
+            arrival: UnixMillis(at),
+            latency_millis: 500,
+            deadline: UnixDeadline::after(UnixMillis(at), 8_000),
+            turn: RequestTurn::First,
+        };
+        match self.desk.ask(&demand, UnixMillis(at)) {
+            DeskAnswer::Place(chosen) => chosen.record.id.to_string(),
+            DeskAnswer::Wait(_until) => "waits".to_owned(),
+            DeskAnswer::Refuse(error) => error.to_string(),
+        }
+    }
+
+    /// How often a target is chosen of a hundred requests within a second.
+    fn count(&mut self, target: &str, from: u64) -> usize {
+        (0..100).filter(|index| self.ask(from + 10 * index) == target).count()
+    }
+}
+
+#[test]
+fn a_zone_that_is_emptied_gets_nothing_and_comes_back_as_cold() {
+    let mut alone = Alone::new([record("a", 0, ColdWord::Warm), record("b", 0, ColdWord::Warm)]);
+    let chosen = alone.ask(1_000);
+    let place = alone.book.records().find(|record| record.id.as_str() == chosen).unwrap().life();
+    assert!(alone.desk.stands(&place, None, UnixMillis(1_000)));
+    alone.zones(ZoneNews::Changed(vec![ZoneChange::Emptied(place.id.as_str().parse().unwrap())]), 1_100);
+    assert!(!alone.desk.stands(&place, None, UnixMillis(1_101)), "a place given before no longer stands");
+    assert_eq!(alone.count(&chosen, 1_200), 0);
+    let mut later = Alone::new([record("a", 0, ColdWord::Warm), record("b", 0, ColdWord::Warm)]);
+    later.zones(ZoneNews::Listed(vec![zone("a")]), 1_000);
+    later.zones(ZoneNews::Changed(vec![ZoneChange::Restored(zone("a"))]), 20_000);
+    let cold = later.count("a", 20_010);
+    assert!((1..=4).contains(&cold), "{cold} requests in the first second after its return");
+    assert_eq!(later.desk.cold(UnixMillis(22_000)), 1);
+    assert_eq!(later.desk.cold(UnixMillis(23_500)), 0);
+}
+
+#[test]
+fn where_all_zones_are_emptied_callers_are_refused_at_once_also_those_that_wait() {
+    let mut alone = Alone::new([record("a", 0, ColdWord::Warm), record("b", 0, ColdWord::Warm)]);
+    alone.zones(ZoneNews::Listed(vec![zone("a"), zone("b"), zone("unknown")]), 1_000);
+    assert_eq!(alone.ask(1_001), "the targets' zones are emptied");
+    assert_eq!(
+        alone.desk.denial(&service(), UnixMillis(1_002)).to_string(),
+        "the targets' zones are emptied"
+    );
+    alone.zones(ZoneNews::Listed(vec![zone("b")]), 2_000);
+    assert!((0..10).any(|step| alone.ask(2_900 + 100 * step) == "a"), "it gets requests again");
+}
+
+#[test]
+fn zones_are_emptied_and_taken_back_once_each() {
+    let mut zones = EmptiedZones::default();
+    let emptied = ZoneChange::Emptied(zone("a"));
+    let restored = ZoneChange::Restored(zone("a"));
+    let all = vec![emptied.clone(), emptied.clone(), restored.clone(), restored.clone(), emptied.clone()];
+    let effective = zones.take(ZoneNews::Changed(all), UnixMillis(1));
+    assert_eq!(effective, [emptied.clone(), restored.clone(), emptied]);
+    assert_eq!(zones.take(ZoneNews::Listed(Vec::new()), UnixMillis(2)), [restored]);
+    assert!(ZoneNews::default().is_empty());
+    assert!(!ZoneNews::Listed(Vec::new()).is_empty(), "a listing may take zones back");
+}
+
+/// What makes a target cold, and when it is warm again: `rate` is what it bears at a moment.
+#[test]
+fn only_time_makes_a_target_warm() {
+    let until = |at| ColdWord::Until(UnixDeadline(UnixMillis(at)));
+    let mut alone = Alone::new([record("a", 1, until(2_000))]);
+    let cold = |alone: &Alone, at: u64| alone.desk.cold(UnixMillis(at)) == 1;
+    assert_eq!([1_000, 1_999, 2_000].map(|at| cold(&alone, at)), [true, true, false]);
+    // The row of the same life says that it became cold again, then that it is warm.
+    for (word, cold_until) in [(until(6_000), 6_000), (ColdWord::Warm, 6_000), (ColdWord::Unsaid, 6_000)] {
+        alone.book.changed(vec![record("a", 1, word).into()], None);
+        alone.desk.sync(&alone.book);
+        assert_eq!([cold_until - 1, cold_until].map(|at| cold(&alone, at)), [true, false], "{word:?}");
+    }
+    // Its own answer says so.
+    let answer = TargetWord { cold_millis: NamedValue::Named(500), ..TargetWord::default() };
+    let life = record("a", 1, ColdWord::Warm).life();
+    alone.desk.told(&life, &answer, UnixMillis(7_000), UnixMillis(7_000));
+    assert_eq!([7_499, 7_500].map(|at| cold(&alone, at)), [true, false]);
+    // A connection broke: it may have started again at any time until it answers, and is cold from then on.
+    alone.desk.ended(&service(), &life, RequestWork::default(), SendOutcome::Lost, 10, UnixMillis(8_000));
+    let certain = TargetWord { certain: true, ..TargetWord::default() };
+    assert!(cold(&alone, 60_000));
+    alone.desk.told(&life, &certain, UnixMillis(61_000), UnixMillis(61_000));
+    assert_eq!([63_999, 64_000].map(|at| cold(&alone, at)), [true, false]);
+    // Another life whose row says nothing.
+    alone.book.changed(vec![record("a", 2, ColdWord::Unsaid).into()], None);
+    alone.desk.sync(&alone.book);
+    assert!(cold(&alone, 70_000));
+}
+
+#[test]
+fn a_service_without_a_rule_is_never_cold() {
+    let mut alone = Alone::new([record("a", 1, ColdWord::Until(UnixDeadline(UnixMillis(9_000))))]);
+    alone.desk.set_cold_rules(HashMap::new());
+    assert_eq!(alone.desk.cold(UnixMillis(1_000)), 0);
+    assert_eq!(alone.ask(1_000), "a");
+}
+
+#[test]
+fn numbers_are_bounded() {
+    assert_eq!(ColdWord::remaining(0, UnixMillis(5)), ColdWord::Warm);
+    let huge = ColdWord::remaining(u64::MAX, UnixMillis(5));
+    assert_eq!(huge, ColdWord::Until(UnixDeadline(UnixMillis(600_005))));
+}
--- /dev/null
+++ b/crates/porthoist-policy/tests/policy/cold_fleet.rs
@@ -0,0 +1,332 @@
+//! Entries before targets that start again, in virtual time: each entry decides by itself, with the code that is in use.
+
+use porthoist_core::{BirthMillis, RequestRate, ServiceName, UnixDeadline, UnixMillis, ZoneName};
+use porthoist_policy::proxy::cold::{ColdRule, ColdWord};
+use porthoist_policy::proxy::desk::{DeskAnswer, PlaceDemand, PlaceDesk, PlaceError};
+use porthoist_policy::proxy::placement::{BoardSettings, ChosenTarget, RequestWork, SendOutcome};
+use porthoist_policy::proxy::targets::{TargetBook, TargetLife, TargetRecord, TargetState};
+use porthoist_policy::proxy::turns::EntryPlace;
+use porthoist_policy::proxy::waiting::RequestTurn;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+
+/// How long a target takes for a request, in milliseconds.
+const RUN_MILLIS: u64 = 200;
+/// Requests of one entry that a target runs at once.
+const SLOTS: u32 = 1;
+/// Moment at which the fleet begins, in milliseconds.
+const BEGIN: u64 = 1_700_000_000_000;
+/// When targets start again, in milliseconds from the beginning.
+pub const START: u64 = 6_000;
+/// How long they are cold, in milliseconds.
+pub const COLD: u64 = 3_000;
+/// Requests a second that a cold target bears.
+pub const RATE: f64 = 17.0;
+/// Requests in a second that break the users' rule: one and a half times the rate, and five.
+pub const ALLOWED: f64 = 1.5 * RATE + 5.0;
+/// Longest time in milliseconds until an entry learns of a row.
+const ROW_MILLIS: u64 = 800;
+
+#[derive(Debug, Clone, bon::Builder)]
+pub struct ColdSettings {
+    pub entries: usize,
+    #[builder(default = 3)]
+    pub zones: usize,
+    #[builder(default = 12)]
+    pub targets: usize,
+    /// Targets that start again, those of the first zone first.
+    pub cold: usize,
+    /// Requests a second that callers send to each entry; more than all targets have room for, if nothing is said.
+    #[builder(default = 80.0)]
+    pub rate: f64,
+    /// Whether their rows tell, or the entries only see their connections break.
+    #[builder(default = true)]
+    pub rows: bool,
+    /// Entries that begin anew while targets are cold, and know no place for a second.
+    #[builder(default)]
+    pub killed: usize,
+    /// Entries that hear nothing of rows and places from then on.
+    #[builder(default)]
+    pub cut_off: usize,
+    /// By how much entries' clocks differ at most, in milliseconds.
+    #[builder(default)]
+    pub clocks_apart: u64,
+    #[builder(default = 1)]
+    pub seed: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum ColdEvent {
+    Caller {
+        entry: usize,
+    },
+    Answer {
+        entry: usize,
+        target: usize,
+        life: u64,
+        lost: bool,
+    },
+    Turn {
+        entry: usize,
+    },
+    /// A row reaches an entry.
+    Row {
+        entry: usize,
+    },
+    Kill {
+        entry: usize,
+    },
+    Place {
+        entry: usize,
+    },
+}
+
+/// What became of all requests.
+#[derive(Debug, Default, Clone)]
+pub struct ColdReport {
+    pub served: usize,
+    pub refused_cold: usize,
+    pub held_in_vain: usize,
+    /// Times at which each target that started again got requests, while it was cold.
+    arrivals: BTreeMap<usize, Vec<u64>>,
+}
+
+impl ColdReport {
+    /// The most requests that a cold target got in any second.
+    pub fn most(&self) -> usize {
+        let most = |times: &Vec<u64>| {
+            let within = |from: &u64| times.iter().filter(|at| **at >= *from && **at < from + 1_000).count();
+            times.iter().map(within).max().unwrap_or_default()
+        };
+        self.arrivals.values().map(most).max().unwrap_or_default()
+    }
+
+    /// Part of the rate that cold targets got in their last two seconds.
+    pub fn used(&self) -> f64 {
+        let late = |times: &Vec<u64>| times.iter().filter(|at| **at >= START + COLD - 2_000).count() as f64;
+        let all: f64 = self.arrivals.values().map(late).sum();
+        all / (2.0 * RATE * self.arrivals.len() as f64)
+    }
+}
+
+struct PlayedEntry {
+    desk: PlaceDesk<u64>,
+    clock_ahead: u64,
+    life: u64,
+}
+
+struct ColdFleet {
+    settings: ColdSettings,
+    entries: Vec<PlayedEntry>,
+    /// The targets before the start.
+    records: Vec<TargetRecord>,
+    service: ServiceName,
+    events: BinaryHeap<Reverse<(u64, u64, ColdEvent)>>,
+    sequence: u64,
+    random: Pcg64Mcg,
+    report: ColdReport,
+}
+
+/// Plays a fleet from before its targets start again until they are warm.
+pub fn play(settings: &ColdSettings) -> ColdReport {
+    let mut fleet = ColdFleet::new(settings.clone());
+    while let Some(Reverse((at, _sequence, event))) = fleet.events.pop() {
+        if at >= START + COLD {
+            break;
+        }
+        fleet.take(event, at);
+    }
+    fleet.report
+}
+
+fn zone_name(index: usize) -> ZoneName {
+    format!("z{index}").parse().unwrap()
+}
+
+impl ColdFleet {
+    fn new(settings: ColdSettings) -> Self {
+        let service: ServiceName = "s".parse().unwrap();
+        let in_zone = settings.targets / settings.zones;
+        let record = |index: usize| TargetRecord {
+            id: format!("t{index}").parse().unwrap(),
+            born: BirthMillis::default(),
+            service: service.clone(),
+            address: format!("10.0.{}.{}:1", index / 250, index % 250).parse().unwrap(),
+            zone: zone_name(index / in_zone),
+            slots: SLOTS,
+            state: TargetState::Ready,
+            cold: ColdWord::Warm,
+        };
+        let records: Vec<TargetRecord> = (0..settings.targets).map(record).collect();
+        let arrivals = (0..settings.cold).map(|index| (index, Vec::new())).collect();
+        let mut fleet = Self {
+            entries: Vec::new(),
+            records,
+            service,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            random: Pcg64Mcg::seed_from_u64(settings.seed),
+            report: ColdReport { arrivals, ..ColdReport::default() },
+            settings,
+        };
+        for index in 0..fleet.settings.entries {
+            let entry = fleet.entry(index, 0);
+            fleet.entries.push(entry);
+            fleet.tell_rows(index, 0);
+            fleet.at(0, ColdEvent::Caller { entry: index });
+            fleet.at(0, ColdEvent::Place { entry: index });
+            let learnt = START + fleet.random.random_range(0..ROW_MILLIS);
+            if index >= fleet.settings.cut_off {
+                fleet.at(learnt, ColdEvent::Row { entry: index });
+            }
+        }
+        for index in 0..fleet.settings.killed {
+            fleet.at(START + 1_000 + 40 * index as u64, ColdEvent::Kill { entry: index });
+        }
+        fleet
+    }
+
+    fn entry(&mut self, index: usize, life: u64) -> PlayedEntry {
+        let zone = zone_name(index % self.settings.zones);
+        let settings = BoardSettings::builder().zone(zone).per_rank(3).rank_limit(12);
+        let mut desk = PlaceDesk::new(settings.seed(index as u64).build());
+        let rule = ColdRule { rate: RequestRate(RATE), millis: COLD };
+        desk.set_cold_rules(HashMap::from([(self.service.clone(), rule)]));
+        let clock_ahead = self.random.random_range(0..=self.settings.clocks_apart);
+        PlayedEntry { desk, clock_ahead, life }
+    }
+
+    /// Tells an entry what rows say at a moment.
+    fn tell_rows(&mut self, entry: usize, at: u64) {
+        let now = self.clock(entry, at);
+        let mut records = self.records.clone();
+        if at >= START && self.settings.rows {
+            for record in &mut records[..self.settings.cold] {
+                record.born = BirthMillis(1);
+                record.cold = ColdWord::remaining((START + COLD).saturating_sub(at), now);
+            }
+        }
+        let mut book = TargetBook::default();
+        book.listed(records, None);
+        self.entries[entry].desk.sync(&book);
+    }
+
+    fn at(&mut self, at: u64, event: ColdEvent) {
+        self.sequence += 1;
+        self.events.push(Reverse((at, self.sequence, event)));
+    }
+
+    fn clock(&self, entry: usize, at: u64) -> UnixMillis {
+        UnixMillis(BEGIN + at + self.entries[entry].clock_ahead)
+    }
+
+    fn take(&mut self, event: ColdEvent, at: u64) {
+        match event {
+            ColdEvent::Caller { entry } => self.caller(entry, at),
+            ColdEvent::Answer { entry, target, life, lost } => self.answer(entry, target, life, lost, at),
+            ColdEvent::Turn { entry } => self.serve_waiting(entry, at),
+            ColdEvent::Row { entry } => self.tell_rows(entry, at),
+            ColdEvent::Place { entry } => {
+                let (zones, entries) = (self.settings.zones, self.settings.entries);
+                let in_zone = (entries - entry % zones).div_ceil(zones) as u32;
+                let place = EntryPlace { index: (entry / zones) as u32, entries: in_zone };
+                self.entries[entry].desk.set_place(Some(place));
+            }
+            ColdEvent::Kill { entry } => {
+                let life = self.entries[entry].life + 1;
+                self.entries[entry] = self.entry(entry, life);
+                self.tell_rows(entry, at);
+                self.at(at + 1_000, ColdEvent::Place { entry });
+            }
+        }
+    }
+
+    fn caller(&mut self, entry: usize, at: u64) {
+        let pause = -(1_000.0 / self.settings.rate) * (1.0 - self.random.random::<f64>()).ln();
+        let next = at as f64 + pause + self.random.random::<f64>();
+        self.at(next as u64, ColdEvent::Caller { entry });
+        let now = self.clock(entry, at);
+        let demand = PlaceDemand {
+            service: self.service.clone(),
+            ranked: false,
+            work: RequestWork::default(),
+            priority: 1,
+            tried: Vec::new(),
+            arrival: now,
+            latency_millis: 500,
+            deadline: UnixDeadline::after(now, 8_000),
+            turn: RequestTurn::First,
+        };
+        let desk = &mut self.entries[entry].desk;
+        match desk.ask(&demand, now) {
+            DeskAnswer::Place(chosen) => self.send(entry, &chosen, at),
+            DeskAnswer::Wait(until) => {
+                desk.keep(demand, at + until.0.since(now));
+                self.next_turn(entry, at);
+            }
+            DeskAnswer::Refuse(error) => self.report.refused_cold += usize::from(error == PlaceError::Cold),
+        }
+    }
+
+    fn place(&self, life: &TargetLife) -> usize {
+        let place = self.records.iter().position(|record| record.id == life.id);
+        place.expect("targets stay")
+    }
+
+    fn next_turn(&mut self, entry: usize, at: u64) {
+        let now = self.clock(entry, at);
+        if let Some(turn) = self.entries[entry].desk.next_turn(&self.service, now) {
+            self.at(at + turn.0.since(now), ColdEvent::Turn { entry });
+        }
+    }
+
+    fn serve_waiting(&mut self, entry: usize, at: u64) {
+        let now = self.clock(entry, at);
+        let vain = std::cell::Cell::new(0);
+        let waits = |until: &u64| {
+            vain.set(vain.get() + usize::from(*until <= at));
+            *until > at
+        };
+        while let Some((_until, chosen, _work)) =
+            self.entries[entry].desk.next_served(&self.service, waits, now)
+        {
+            self.send(entry, &chosen, at);
+        }
+        self.report.held_in_vain += vain.get();
+        if self.entries[entry].desk.waiting() > 0 {
+            self.next_turn(entry, at);
+        }
+    }
+
+    fn send(&mut self, entry: usize, chosen: &ChosenTarget, at: u64) {
+        let target = self.place(&chosen.record.life());
+        let starts = target < self.settings.cold;
+        // What runs when a target ends is lost, as is what reaches the life that has ended.
+        let newest = chosen.record.born == BirthMillis(u64::from(starts && self.settings.rows));
+        let ends = if at < START { at + RUN_MILLIS >= START } else { !newest };
+        let lost = starts && ends;
+        if starts && at >= START && newest {
+            self.report.arrivals.entry(target).or_default().push(at);
+        }
+        self.report.served += usize::from(!lost);
+        let life = self.entries[entry].life;
+        self.at(at + RUN_MILLIS, ColdEvent::Answer { entry, target, life, lost });
+    }
+
+    fn answer(&mut self, entry: usize, target: usize, life: u64, lost: bool, at: u64) {
+        if self.entries[entry].life != life {
+            return;
+        }
+        let now = self.clock(entry, at);
+        let outcome = if lost { SendOutcome::Lost } else { SendOutcome::Answered(RUN_MILLIS as f64) };
+        let id = self.records[target].id.clone();
+        let lives = [0, 1].map(|born| TargetLife { id: id.clone(), born: BirthMillis(born) });
+        let desk = &mut self.entries[entry].desk;
+        if let Some(life) = lives.iter().find(|life| desk.in_flight(life) > 0) {
+            desk.ended(&self.service, life, RequestWork::default(), outcome, RUN_MILLIS, now);
+        }
+        self.serve_waiting(entry, at);
+    }
+}
--- a/crates/porthoist-policy/tests/policy/domains.rs
+++ b/crates/porthoist-policy/tests/policy/domains.rs
@@ -1,6 +1,7 @@
 //! Groups judged as one: which group a request goes to when one of several is slow, silent or broken.
 
 use porthoist_core::{BirthMillis, ServiceName, UnixMillis};
+use porthoist_policy::proxy::cold::ColdWord;
 use porthoist_policy::proxy::loads::{GroupLoads, LoadRevision, RankLoad};
 use porthoist_policy::proxy::pass_time::GroupPass;
 use porthoist_policy::proxy::placement::{BoardSettings, LoadBoard, RequestWork, SendOutcome};
@@ -30,6 +31,7 @@
         zone: "a".parse().expect("a name"),
         slots: RANK_LIMIT,
         state: TargetState::Ready,
+        cold: ColdWord::Unsaid,
     }
 }
 
--- a/crates/porthoist-policy/tests/policy/loads.rs
+++ b/crates/porthoist-policy/tests/policy/loads.rs
@@ -2,6 +2,7 @@
 
 use porthoist_core::{BirthMillis, ServiceName, TargetName, UnixMillis};
 use porthoist_policy::forward::RankPace;
+use porthoist_policy::proxy::cold::ColdWord;
 use porthoist_policy::proxy::loads::{GroupLoads, LoadRevision, REPORT_MILLIS, RankLoad, weighed_requests};
 use porthoist_policy::proxy::pass_time::GroupPass;
 use porthoist_policy::proxy::placement::{
@@ -35,6 +36,7 @@
         zone: "a".parse().unwrap(),
         slots: 12,
         state: TargetState::Ready,
+        cold: ColdWord::Unsaid,
     };
     let mut book = TargetBook::default();
     book.listed((0..ranks).map(record), None);
--- a/crates/porthoist-policy/tests/policy/needs.rs
+++ b/crates/porthoist-policy/tests/policy/needs.rs
@@ -2,6 +2,7 @@
 
 use crate::needy_fleet::{EntryCount, FleetReport, FleetSettings, PlayedNeed, play};
 use porthoist_core::{BirthMillis, RequestRate, ServiceName, UnixDeadline, UnixMillis};
+use porthoist_policy::proxy::cold::ColdWord;
 use porthoist_policy::proxy::desk::{DeskAnswer, PlaceDemand, PlaceDesk};
 use porthoist_policy::proxy::entries::{BelievedPlace, EntryId, EntryRoll};
 use porthoist_policy::proxy::loads::{GroupLoads, RankLoad};
@@ -194,6 +195,7 @@
         zone: "a".parse().unwrap(),
         slots: 12,
         state: TargetState::Ready,
+        cold: ColdWord::Unsaid,
     }
 }
 
@@ -208,7 +210,7 @@
 fn gets_one(board: &mut LoadBoard, now: u64) -> bool {
     let work = RequestWork::default();
     let chosen = board.choose(&"s".parse().unwrap(), true, work, &[], UnixMillis(now));
-    chosen.is_some_and(|chosen| chosen.limit.is_none())
+    chosen.is_some_and(|chosen| chosen.rate.is_none())
 }
 
 #[test]
@@ -316,7 +318,7 @@
         let work = RequestWork::default();
         let chosen = board.choose(&"s".parse().unwrap(), true, work, &[], UnixMillis(900)).unwrap();
         board.told(&record(1).life(), &word, UnixMillis(1_000), UnixMillis(1_000));
-        assert_eq!(board.stands(&chosen.record.life(), chosen.limit, UnixMillis(1_100)), stands, "{word:?}");
+        assert_eq!(board.stands(&chosen.record.life(), chosen.rate, UnixMillis(1_100)), stands, "{word:?}");
     }
 }
 
--- a/crates/porthoist-policy/tests/policy/needy_fleet.rs
+++ b/crates/porthoist-policy/tests/policy/needy_fleet.rs
@@ -1,6 +1,7 @@
 //! Entries before targets that ask for less, in virtual time: each entry decides by itself, with the code that is in use.
 
 use porthoist_core::{BirthMillis, RequestRate, ServiceName, UnixDeadline, UnixMillis, ZoneName};
+use porthoist_policy::proxy::cold::ColdWord;
 use porthoist_policy::proxy::desk::{DeskAnswer, PlaceDemand, PlaceDesk, PlaceError};
 use porthoist_policy::proxy::needs::{NamedValue, NeedChange, TargetWord};
 use porthoist_policy::proxy::notes::{NoteBoard, TargetNote};
@@ -192,6 +193,7 @@
             zone: zone_name(index % settings.zones),
             slots: SLOTS,
             state: TargetState::Ready,
+            cold: ColdWord::Unsaid,
         });
         let records: Vec<TargetRecord> = records.collect();
         let targets = records.iter().enumerate().map(|(index, record)| (record.life(), index)).collect();
--- a/crates/porthoist-policy/tests/policy/proxy.rs
+++ b/crates/porthoist-policy/tests/policy/proxy.rs
@@ -1,6 +1,7 @@
 //! Decisions for requests that are passed on as they are.
 
 use porthoist_core::{BirthMillis, ServiceName, TargetName, UnixDeadline, UnixMillis};
+use porthoist_policy::proxy::cold::ColdWord;
 use porthoist_policy::proxy::freshness::{FreshnessProof, StampedAnswer};
 use porthoist_policy::proxy::placement::{BoardSettings, LoadBoard, RequestWork, SendOutcome};
 use porthoist_policy::proxy::retry_share::{RetryShare, ShareSettings};
@@ -133,6 +134,7 @@
         zone: name("a"),
         slots: 2,
         state,
+        cold: ColdWord::Unsaid,
     }
 }
 
--- a/crates/porthoist-proxy/src/broker.rs
+++ b/crates/porthoist-proxy/src/broker.rs
@@ -1,6 +1,7 @@
 //! Gives each request a place at a target, or lets it wait for one, as the desk decides.
 
-use porthoist_core::{ClockSource, RequestRate, ServiceName, UnixDeadline, UnixMillis};
+use porthoist_core::{ClockSource, ServiceName, UnixDeadline, UnixMillis};
+use porthoist_policy::proxy::cold::ColdRule;
 use porthoist_policy::proxy::desk::{DeskAnswer, PlaceDesk};
 use porthoist_policy::proxy::loads::GroupLoads;
 use porthoist_policy::proxy::moving::{MoveCause, WaitingSend};
@@ -11,8 +12,10 @@
     BoardSettings, ChosenTarget, ReportedRequests, RequestWork, SendOutcome,
 };
 use porthoist_policy::proxy::targets::{TargetBook, TargetLife, TargetRecord};
-use porthoist_policy::proxy::turns::EntryPlace;
+use porthoist_policy::proxy::turns::{EntryPlace, TargetRate};
+use porthoist_policy::proxy::zones::EmptiedZones;
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -49,8 +52,8 @@
     pub report: Option<ReportedRequests>,
     /// How the target's group did when it was chosen, if it is known to be a rank of one.
     pub group: Option<GroupChoice>,
-    /// The limit that the target named, within which it was chosen.
-    pub limit: Option<RequestRate>,
+    /// What bounds the requests that the target takes, within which it was chosen.
+    pub rate: Option<TargetRate>,
     /// When it was given.
     pub placed: UnixMillis,
     work: RequestWork,
@@ -83,12 +86,28 @@
         Self { desk: Rc::new(RefCell::new(PlaceDesk::new(settings))), clock }
     }
 
-    /// Takes the targets believed in now, and serves those who waited for one.
-    pub fn sync(&self, book: &TargetBook) {
-        self.desk.borrow_mut().sync(book);
+    /// Takes the targets believed in now, what operators say of them, and serves those who waited for one.
+    pub fn sync(&self, book: &TargetBook, rules: HashMap<ServiceName, ColdRule>, zones: &EmptiedZones) {
+        let mut desk = self.desk.borrow_mut();
+        desk.set_cold_rules(rules);
+        desk.set_emptied(zones, self.clock.now());
+        desk.sync(book);
+        drop(desk);
+        for service in self.awaited() {
+            self.refuse_hopeless(&service);
+        }
         self.serve_all_waiting();
     }
 
+    /// Targets that count as cold now.
+    pub fn cold(&self) -> usize {
+        self.desk.borrow().cold(self.clock.now())
+    }
+
+    fn awaited(&self) -> Vec<ServiceName> {
+        self.desk.borrow().awaited()
+    }
+
     /// Takes the loads that the engines of a group reported, and serves those who waited for room.
     pub fn take_loads(&self, loads: &GroupLoads) {
         self.desk.borrow_mut().take_loads(loads, self.clock.now());
@@ -128,7 +147,7 @@
         }
     }
 
-    /// Waits for a place until a deadline. Where all targets name limits, time alone makes one free.
+    /// Waits for a place until a deadline. Where something bounds what all targets take, time alone makes one free.
     async fn await_place(
         &self,
         service: &ServiceName,
@@ -154,7 +173,7 @@
 
     /// Whether a request may still be sent to the target that it was given a place at.
     pub fn stands(&self, place: &TargetPlace) -> bool {
-        self.desk.borrow().stands(&place.record.life(), place.limit, self.clock.now())
+        self.desk.borrow().stands(&place.record.life(), place.rate, self.clock.now())
     }
 
     /// Whether a target has said that it leaves.
@@ -224,13 +243,13 @@
     }
 
     fn place_at(&self, chosen: ChosenTarget, work: RequestWork) -> TargetPlace {
-        let ChosenTarget { record, in_flight, report, group, limit } = chosen;
+        let ChosenTarget { record, in_flight, report, group, rate } = chosen;
         TargetPlace {
             record,
             in_flight,
             report,
             group,
-            limit,
+            rate,
             placed: self.clock.now(),
             work,
             outcome: Cell::new(SendOutcome::Abandoned),
@@ -249,20 +268,19 @@
     /// Why those that waited for a service are refused before their time.
     fn hopeless(&self, service: &ServiceName) -> PlaceError {
         match self.desk.borrow().denial(service, self.clock.now()) {
-            PlaceError::Resting => PlaceError::Resting,
+            error @ (PlaceError::Resting | PlaceError::Emptied) => error,
             _other => PlaceError::Down,
         }
     }
 
-    /// Refuses those that wait for a service that is down, or whose targets all rest.
+    /// Refuses those that wait for a service that is down, or whose targets may get nothing.
     fn refuse_hopeless(&self, service: &ServiceName) {
         let hopeless = self.desk.borrow_mut().take_hopeless(service, self.clock.now());
         drop(hopeless);
     }
 
     fn serve_all_waiting(&self) {
-        let services = self.desk.borrow().awaited();
-        for service in services {
+        for service in self.awaited() {
             self.serve_waiting(&service);
         }
     }
--- a/crates/porthoist-proxy/src/control.rs
+++ b/crates/porthoist-proxy/src/control.rs
@@ -5,12 +5,13 @@
 
 use crate::reader::GapAges;
 use crate::rows::{ANSWER_MILLIS, answer_within};
-use crate::source::{AnswerOrigin, ControlSource, SourceError, Stamped};
+use crate::source::{AnswerOrigin, ControlSource, OperatorNews, SourceError, Stamped};
 use porthoist_core::{ClockSource, UnixDeadline, UnixMillis};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::freshness::{FreshnessProof, StampedAnswer};
 use porthoist_policy::proxy::routes::RouteTable;
 use porthoist_policy::proxy::targets::{AnswerGap, BeliefBound, TargetBook, TargetChange};
+use porthoist_policy::proxy::zones::{EmptiedZones, ZoneChange, ZoneNews};
 use slog::{Logger, info, warn};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -46,6 +47,8 @@
 pub struct ControlState {
     /// The routes in force.
     pub routes: Option<Arc<RouteTable>>,
+    /// Zones whose targets get nothing new.
+    pub emptied: EmptiedZones,
     /// The targets.
     pub targets: TargetBook,
     /// Whether they were listed at all.
@@ -108,7 +111,7 @@
                     revision = Some(answer.revision);
                     self.heard();
                     self.take_gap(answer.origin);
-                    let changed = answer.value.is_some();
+                    let changed = !answer.value.is_empty();
                     self.adopt(answer, sent);
                     if changed {
                         tokio::time::sleep(Duration::from_millis(ROUTES_PAUSE_MILLIS)).await;
@@ -226,14 +229,16 @@
         }
     }
 
-    /// Takes an answer to a question about routes: newer routes come into force, older ones never.
-    fn adopt(&self, answer: Stamped<Option<RouteTable>>, sent: UnixMillis) {
+    /// Takes what operators say: newer routes come into force, older ones never.
+    fn adopt(&self, answer: Stamped<OperatorNews>, sent: UnixMillis) {
         let stamped = StampedAnswer { sent, received: self.clock.now(), stamp: answer.stamp };
         let newer = |state: &ControlState, table: &RouteTable| {
             state.routes.as_ref().is_none_or(|held| table.version > held.version)
         };
+        let OperatorNews { routes, zones } = answer.value;
         self.state.send_modify(|state| {
-            if let Some(table) = answer.value
+            self.take_zones(state, zones);
+            if let Some(table) = routes
                 && newer(state, &table)
             {
                 info!(self.logger, "configuration in force"; "event" => "config_adopted",
@@ -245,12 +250,27 @@
                 state.routes = Some(Arc::new(table));
             }
             match answer.origin {
-                AnswerOrigin::Source => state.proof.answered(stamped),
+                AnswerOrigin::Source => {
+                    state.proof.answered(stamped);
+                    state.targets_proof.place_clock(stamped);
+                }
                 AnswerOrigin::Peer { .. } => state.proof.passed_on(stamped),
             }
         });
     }
 
+    fn take_zones(&self, state: &mut ControlState, news: ZoneNews) {
+        for change in state.emptied.take(news, self.clock.now()) {
+            let (zone, emptied) = match &change {
+                ZoneChange::Emptied(zone) => (zone, true),
+                ZoneChange::Restored(zone) => (zone, false),
+            };
+            self.metrics.zone_emptied(zone.as_str(), emptied);
+            info!(self.logger, "operators empty a zone or take it back"; "event" => "zone_emptied",
+                "zone" => zone.as_str(), "emptied" => emptied);
+        }
+    }
+
     fn take_targets(&self, answer: Stamped<TargetNews>, sent: UnixMillis) {
         let grace = self.grace();
         let received = self.clock.now();
@@ -271,7 +291,10 @@
                 }
             }
             match answer.origin {
-                AnswerOrigin::Source => state.targets_proof.answered(stamped),
+                AnswerOrigin::Source => {
+                    state.targets_proof.answered(stamped);
+                    state.proof.place_clock(stamped);
+                }
                 AnswerOrigin::Peer { .. } => state.targets_proof.passed_on(stamped),
             }
         });
--- a/crates/porthoist-proxy/src/course.rs
+++ b/crates/porthoist-proxy/src/course.rs
@@ -83,6 +83,8 @@
     /// Whether targets that were listed have been taken.
     targets_taken: Cell<bool>,
     stopping: Cell<bool>,
+    /// Targets that counted as cold when that was last looked at.
+    cold: Cell<usize>,
     /// When changes of groups are looked for again.
     paces_due: Cell<UnixDeadline>,
     clock: Arc<dyn ClockSource>,
@@ -142,6 +144,7 @@
             in_flight: Cell::new(0),
             targets_taken: Cell::new(false),
             stopping: Cell::new(false),
+            cold: Cell::new(0),
             paces_due: Cell::default(),
             clock,
             metrics,
@@ -170,9 +173,21 @@
     pub fn sync_targets(&self) {
         let state = self.state.borrow();
         self.targets_taken.set(state.targets_listed);
-        self.broker.sync(&state.targets);
+        let services = state.routes.iter().flat_map(|routes| routes.services.values());
+        let rules = services.filter_map(|spec| Some((spec.name.clone(), spec.cold?))).collect();
+        self.broker.sync(&state.targets, rules, &state.emptied);
         let known: HashSet<TargetLife> = state.targets.records().map(|record| record.life()).collect();
         self.pool.tidy(|life| known.contains(life));
+        self.note_cold();
+    }
+
+    /// Says how many targets count as cold, where that has changed.
+    fn note_cold(&self) {
+        let cold = self.broker.cold();
+        if self.cold.replace(cold) != cold {
+            self.metrics.cold_targets(cold as u64);
+            info!(self.logger, "targets count as cold"; "event" => "targets_cold", "count" => cold);
+        }
     }
 
     /// Takes what the table of deaths says.
@@ -202,6 +217,7 @@
             return;
         }
         self.paces_due.set(UnixDeadline::after(now, PACES_MILLIS));
+        self.note_cold();
         for GroupChoice { index, pace } in self.broker.group_changes() {
             let (group, standing, pass) = (index.place(), pace.standing, pace.millis);
             info!(self.logger, "a group stands or goes on again"; "event" => "group_pace", "group" => group,
--- a/crates/porthoist-proxy/src/course/moving.rs
+++ b/crates/porthoist-proxy/src/course/moving.rs
@@ -61,7 +61,7 @@
         since: UnixMillis,
     ) -> SendFailure {
         if cause == MoveCause::TargetSilent {
-            place.ended(SendOutcome::Failed);
+            place.ended(SendOutcome::Lost);
             self.broker.died(&place.record.life());
         }
         info!(self.logger, "left a target"; "event" => "moved", "request" => &*admitted.facts.attempt,
--- a/crates/porthoist-proxy/src/course/placing.rs
+++ b/crates/porthoist-proxy/src/course/placing.rs
@@ -43,7 +43,7 @@
                     "pass_ms" => place.group.map(|group| group.pace.millis), "in_flight" => place.in_flight,
                     "reported" => place.report.map(|report| report.requests),
                     "report_age_ms" => place.report.map(|report| report.age_millis), "waited_ms" => waited,
-                    "limit" => place.limit.map(|limit| limit.to_string()));
+                    "rate" => place.rate.map(|rate| rate.to_string()));
                 Ok(place)
             }
             Err(error) => Err(self.no_place(admitted, record, error)),
@@ -54,7 +54,9 @@
         let reason = match error {
             PlaceError::Busy | PlaceError::Full | PlaceError::Down => RefusalReason::Overloaded,
             PlaceError::Limited => RefusalReason::TargetLimits,
+            PlaceError::Cold => RefusalReason::TargetsCold,
             PlaceError::Resting => RefusalReason::TargetsResting,
+            PlaceError::Emptied => RefusalReason::ZonesEmptied,
             PlaceError::NoTarget => RefusalReason::NoTarget,
         };
         if record.may_have_run {
--- a/crates/porthoist-proxy/src/course/relay.rs
+++ b/crates/porthoist-proxy/src/course/relay.rs
@@ -195,7 +195,7 @@
         let mut target = None;
         if let Some(source) = self.source.take() {
             if failure.reason != RetryReason::Moved {
-                source.place.ended(SendOutcome::Failed);
+                source.place.ended(SendOutcome::Lost);
             }
             info!(self.course.logger, "stream broke"; "event" => "stream_broken",
                 "request" => &*self.admitted.facts.attempt, "target" => source.place.record.id.to_string(),
--- a/crates/porthoist-proxy/src/course/sending.rs
+++ b/crates/porthoist-proxy/src/course/sending.rs
@@ -61,7 +61,7 @@
                 place.ended(match failure.reason {
                     RetryReason::Refused | RetryReason::Resting => SendOutcome::Shed,
                     RetryReason::Misdirected => SendOutcome::Gone,
-                    _ => SendOutcome::Failed,
+                    _ => SendOutcome::Lost,
                 });
                 info!(self.logger, "send failed"; "event" => "send_failed",
                     "request" => &*admitted.facts.attempt, "target" => place.record.id.to_string(),
--- a/crates/porthoist-proxy/src/source.rs
+++ b/crates/porthoist-proxy/src/source.rs
@@ -5,6 +5,7 @@
 use futures::future::LocalBoxFuture;
 use porthoist_policy::proxy::routes::RouteTable;
 use porthoist_policy::proxy::targets::TargetChange;
+use porthoist_policy::proxy::zones::ZoneNews;
 use std::fmt;
 use std::time::Duration;
 
@@ -63,12 +64,34 @@
 /// The pending answer of a source.
 pub type SourceFuture<'a, T> = LocalBoxFuture<'a, Result<Stamped<T>, SourceError>>;
 
+/// What operators say.
+#[derive(Debug, Default)]
+pub struct OperatorNews {
+    /// The newest routes, if they are new.
+    pub routes: Option<RouteTable>,
+    /// Zones that are to get nothing new.
+    pub zones: ZoneNews,
+}
+
+impl OperatorNews {
+    /// Whether it says nothing new.
+    pub fn is_empty(&self) -> bool {
+        self.routes.is_none() && self.zones.is_empty()
+    }
+}
+
+impl From<Option<RouteTable>> for OperatorNews {
+    fn from(routes: Option<RouteTable>) -> Self {
+        Self { routes, zones: ZoneNews::default() }
+    }
+}
+
 /// The service that holds routes and targets.
 pub trait ControlSource: fmt::Debug {
-    /// The newest routes; nothing if there are none yet.
-    fn list_routes(&self) -> SourceFuture<'_, Option<RouteTable>>;
-    /// The routes if they have changed after a revision, else nothing after the wait.
-    fn routes_after(&self, revision: u64, wait: Duration) -> SourceFuture<'_, Option<RouteTable>>;
+    /// The newest routes, if there are any, and all emptied zones.
+    fn list_routes(&self) -> SourceFuture<'_, OperatorNews>;
+    /// What operators have changed after a revision, nothing after the wait.
+    fn routes_after(&self, revision: u64, wait: Duration) -> SourceFuture<'_, OperatorNews>;
     /// All rows of targets, older ones first; none of them removed.
     fn list_targets(&self) -> SourceFuture<'_, Vec<TargetChange>>;
     /// Changes of targets after a revision, none after the wait.
--- a/crates/porthoist-proxy/tests/control.rs
+++ b/crates/porthoist-proxy/tests/control.rs
@@ -2,10 +2,10 @@
 
 use porthoist_core::{BirthMillis, ClockSource, TargetName, UnixMillis};
 use porthoist_metrics::MetricsHub;
-use porthoist_policy::proxy::routes::RouteTable;
+use porthoist_policy::proxy::cold::ColdWord;
 use porthoist_policy::proxy::targets::{TargetChange, TargetRecord, TargetState};
 use porthoist_proxy::SourceFuture;
-use porthoist_proxy::{ControlSource, ControlState, ControlWatch, SourceError, Stamped};
+use porthoist_proxy::{ControlSource, ControlState, ControlWatch, OperatorNews, SourceError, Stamped};
 use slog::{Discard, Logger, o};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -137,18 +137,18 @@
 }
 
 impl ControlSource for TableSource {
-    fn list_routes(&self) -> SourceFuture<'_, Option<RouteTable>> {
+    fn list_routes(&self) -> SourceFuture<'_, OperatorNews> {
         Box::pin(unless_lost(&self.routes_lost, async {
             self.taken().await?;
-            Ok(self.stamped(None))
+            Ok(self.stamped(OperatorNews::default()))
         }))
     }
 
-    fn routes_after(&self, _revision: u64, wait: Duration) -> SourceFuture<'_, Option<RouteTable>> {
+    fn routes_after(&self, _revision: u64, wait: Duration) -> SourceFuture<'_, OperatorNews> {
         Box::pin(unless_lost(&self.routes_lost, async move {
             self.taken().await?;
             sleep(wait).await;
-            Ok(self.stamped(None))
+            Ok(self.stamped(OperatorNews::default()))
         }))
     }
 
@@ -181,6 +181,7 @@
         zone: "a".parse().unwrap(),
         slots: 6,
         state,
+        cold: ColdWord::Unsaid,
     }
 }
 
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -159,7 +159,7 @@
             let deaths = CrashWatch::builder().source(Rc::clone(&rows)).news(crashes);
             let deaths =
                 deaths.state(state.subscribe()).clock(Arc::clone(&clock)).logger(logger.clone()).build();
-            let source = TuristSource::new(rows, logger.clone());
+            let source = TuristSource::new(rows, Arc::clone(&clock), logger.clone());
             let watch = ControlWatch::builder().bound(bound).source(Rc::new(source)).state(state);
             let watch = watch.clock(clock).metrics(metrics).logger(logger).build();
             tokio::join!(watch.run(), deaths.run(), journal.run());
--- a/porthoistd/src/role/rank.rs
+++ b/porthoistd/src/role/rank.rs
@@ -58,7 +58,7 @@
         tokio::task::spawn_local(watch_reloads(logger.clone()));
         tokio::task::spawn_local(watch_signals(stopping, logger.clone(), || 0));
         let control = ControlWatch::builder()
-            .source(Rc::new(TuristSource::new(store, logger.clone())))
+            .source(Rc::new(TuristSource::new(store, Arc::clone(&clock), logger.clone())))
             .state(state.clone())
             .clock(Arc::clone(&clock))
             .metrics(metrics)
--- a/porthoistd/tests/loads.rs
+++ b/porthoistd/tests/loads.rs
@@ -5,6 +5,7 @@
 use porthoist_group::{HeldLink, OrderAnswer, RankFuture, RankLists, RankObservation};
 use porthoist_policy::forward::EngineOrder;
 use porthoist_policy::placement::even::EvenMap;
+use porthoist_policy::proxy::cold::ColdWord;
 use porthoist_policy::proxy::loads::{GroupLoads, LoadRevision, RankLoad};
 use porthoist_policy::proxy::routes::{CallerLimits, ConfigVersion, EngineModel, RouteTable, ServiceSpec};
 use porthoist_policy::proxy::targets::{TargetRecord, TargetState};
@@ -69,7 +70,7 @@
         expert_share: 0.5,
     };
     let limits = CallerLimits { header_bytes: 1, body_bytes: 1, idle_millis: 1 };
-    let spec = ServiceSpec { name: service.clone(), engine: Some(engine) };
+    let spec = ServiceSpec { name: service.clone(), engine: Some(engine), cold: None };
     let routes = RouteTable::new(ConfigVersion(1), limits, vec![spec], Vec::new(), None);
     let record = |group: u8, rank: u8| TargetRecord {
         id: format!("t{group}-{rank}").parse().expect("a name"),
@@ -79,6 +80,7 @@
         zone: "a".parse().expect("a name"),
         slots: 4,
         state: TargetState::Ready,
+        cold: ColdWord::Unsaid,
     };
     let mut state = ControlState { routes: Some(Arc::new(routes)), ..ControlState::default() };
     let places = (0..GROUPS).flat_map(|group| (0..RANKS).map(move |rank| (group, rank)));
--- a/porthoistd/tests/rank.rs
+++ b/porthoistd/tests/rank.rs
@@ -8,10 +8,11 @@
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::forward::{EngineOrder, GroupEpoch, OrderSequence, RankPace, RankState, RankView};
 use porthoist_policy::placement::even::EvenMap;
+use porthoist_policy::proxy::cold::ColdWord;
 use porthoist_policy::proxy::routes::{CallerLimits, ConfigVersion, EngineModel, RouteTable, ServiceSpec};
 use porthoist_policy::proxy::targets::{TargetChange, TargetRecord, TargetState};
 use porthoist_policy::switch::{MapVersion, StepNumber};
-use porthoist_proxy::{ControlSource, SourceFuture};
+use porthoist_proxy::{ControlSource, OperatorNews, SourceFuture};
 use porthoist_proxy::{ControlState, ControlWatch};
 use porthoistd::duty::rank::{OwnRank, RankDuty};
 use porthoistd::settings::rank::{RankArgs, RankSettings};
@@ -198,7 +199,7 @@
         expert_share: 0.5,
     };
     let limits = CallerLimits { header_bytes: 1, body_bytes: 1, idle_millis: 1 };
-    let spec = ServiceSpec { name: service.clone(), engine: Some(engine) };
+    let spec = ServiceSpec { name: service.clone(), engine: Some(engine), cold: None };
     let routes = RouteTable::new(ConfigVersion(1), limits, vec![spec], Vec::new(), None);
     let record = |rank: usize| TargetRecord {
         id: format!("t{rank}").parse().expect("a name"),
@@ -208,6 +209,7 @@
         zone: "a".parse().expect("a name"),
         slots: 4,
         state: TargetState::Ready,
+        cold: ColdWord::Unsaid,
     };
     let mut state = ControlState { routes: Some(Arc::new(routes)), ..ControlState::default() };
     state.targets.listed((0..RANKS).map(record), None);
@@ -223,11 +225,11 @@
 struct NoSource;
 
 impl ControlSource for NoSource {
-    fn list_routes(&self) -> SourceFuture<'_, Option<RouteTable>> {
+    fn list_routes(&self) -> SourceFuture<'_, OperatorNews> {
         futures::future::pending().boxed_local()
     }
 
-    fn routes_after(&self, _revision: u64, _wait: Duration) -> SourceFuture<'_, Option<RouteTable>> {
+    fn routes_after(&self, _revision: u64, _wait: Duration) -> SourceFuture<'_, OperatorNews> {
         futures::future::pending().boxed_local()
     }
 
