Show what entries believe, those that are behind first

Cause: operators could not see which entries know that a zone is emptied, and since when, nor which of many hosts is behind.

Ruled out: reading the table alone: it says what operators asked for, not what entries go by.

The gauge of emptied zones holds since when; the revision in force is set at a proxy too.

--- a/crates/porthoist-metrics/src/lib.rs
+++ b/crates/porthoist-metrics/src/lib.rs
@@ -91,7 +91,7 @@
             crash_events: meter.u64_counter("porthoist_crash_events").build(),
             need_changes: meter.u64_counter("porthoist_target_need_changes").build(),
             cold_targets: meter.u64_gauge("porthoist_cold_targets").build(),
-            zones_emptied: meter.u64_gauge("porthoist_zone_emptied").build(),
+            zones_emptied: meter.u64_gauge("porthoist_zone_emptied_since_milliseconds").build(),
             suspects: meter.u64_gauge("porthoist_suspected_requests").build(),
             table_calls: meter.u64_counter("porthoist_table_calls").build(),
             table_asked: meter.u64_counter("porthoist_table_asked").build(),
@@ -135,9 +135,9 @@
         self.cold_targets.record(targets, &[]);
     }
 
-    /// Sets whether operators have emptied a zone.
-    pub fn zone_emptied(&self, zone: &str, emptied: bool) {
-        self.zones_emptied.record(u64::from(emptied), &[KeyValue::new("zone", zone.to_owned())]);
+    /// Sets since which Unix millisecond operators have emptied a zone, as far as this process knows; 0 where they have not.
+    pub fn zone_emptied(&self, zone: &str, since: u64) {
+        self.zones_emptied.record(since, &[KeyValue::new("zone", zone.to_owned())]);
     }
 
     /// Counts a new connection to a target.
--- a/crates/porthoist-proxy/src/control.rs
+++ b/crates/porthoist-proxy/src/control.rs
@@ -245,6 +245,7 @@
             {
                 info!(self.logger, "configuration in force"; "event" => "config_adopted",
                     "version" => table.version.0, "routes" => table.route_count());
+                self.metrics.revision(table.version.0);
                 if state.targets.name_services(table.services.keys().cloned()) {
                     // A row of another writer may have ended a target at its address while services were not known.
                     self.breaks.send_modify(|breaks| *breaks += 1);
@@ -267,7 +268,7 @@
                 ZoneChange::Emptied(zone) => (zone, true),
                 ZoneChange::Restored(zone) => (zone, false),
             };
-            self.metrics.zone_emptied(zone.as_str(), emptied);
+            self.metrics.zone_emptied(zone.as_str(), if emptied { self.clock.now().0 } else { 0 });
             info!(self.logger, "operators empty a zone or take it back"; "event" => "zone_emptied",
                 "zone" => zone.as_str(), "emptied" => emptied);
         }
--- a/porthoist-cli/src/cmd.rs
+++ b/porthoist-cli/src/cmd.rs
@@ -1,6 +1,7 @@
 //! The subcommands, a file for each.
 
 pub mod drain;
+pub mod entries;
 pub mod explain;
 pub mod quarantine;
 pub mod report;
--- a/porthoist-cli/src/lib.rs
+++ b/porthoist-cli/src/lib.rs
@@ -39,6 +39,7 @@
     Report(cmd::report::ReportArgs),
     Drain(cmd::drain::DrainArgs),
     Quarantine(cmd::quarantine::QuarantineArgs),
+    Entries(cmd::entries::EntriesArgs),
 }
 
 const DEFAULT_OPERATOR: &str = "http://127.0.0.1:8081";
@@ -57,5 +58,6 @@
         ToolCommand::Report(args) => cmd::report::run(&args),
         ToolCommand::Drain(args) => cmd::drain::run(&client, args).await,
         ToolCommand::Quarantine(args) => cmd::quarantine::run(args).await,
+        ToolCommand::Entries(args) => cmd::entries::run(&args).await,
     }
 }
--- /dev/null
+++ b/porthoist-cli/tests/entries.rs
@@ -0,0 +1,56 @@
+//! What entries believe, as operators see it.
+
+use porthoist_cli::cmd::entries::{EmptiedSince, EntryBelief, entries_text, read_metrics};
+use porthoist_core::UnixMillis;
+use porthoist_metrics::MetricsHub;
+
+const METRICS: &str = r#"# HELP porthoist_config_revision
+# TYPE porthoist_config_revision gauge
+porthoist_config_revision{otel_scope_name="porthoist"} 12
+porthoist_belief_age_milliseconds{table="routes",otel_scope_name="porthoist"} 910
+porthoist_belief_age_milliseconds{table="targets",otel_scope_name="porthoist"} 1200
+porthoist_table_asked_total{reason="start",otel_scope_name="porthoist"} 2
+porthoist_table_asked_total{reason="probe",otel_scope_name="porthoist"} 3
+porthoist_cold_targets{otel_scope_name="porthoist"} 4
+porthoist_zone_emptied_since_milliseconds{zone="b",otel_scope_name="porthoist"} 88000
+porthoist_zone_emptied_since_milliseconds{zone="c",otel_scope_name="porthoist"} 0
+porthoist_first_byte_milliseconds_sum NaN
+"#;
+
+#[test]
+fn those_that_are_behind_stand_first() {
+    let belief = read_metrics(METRICS);
+    let behind = EntryBelief { version: 11, ..belief.clone() };
+    let old = EntryBelief { routes_age: Some(4_000), emptied: Vec::new(), ..belief.clone() };
+    let entries = vec![
+        ("10.0.0.1:9464".parse().unwrap(), Ok(belief)),
+        ("10.0.0.2:9464".parse().unwrap(), Ok(behind)),
+        ("10.0.0.3:9464".parse().unwrap(), Ok(old)),
+        ("10.0.0.4:9464".parse().unwrap(), Err("no answer in time".to_owned())),
+        ("10.0.0.5:9464".parse().unwrap(), Ok(read_metrics("nothing that is a metric"))),
+    ];
+    insta::assert_snapshot!(entries_text(entries, UnixMillis(100_000)), @r"
+    entry                  version  routes (ms)  targets (ms)  own questions  cold  emptied zones
+    10.0.0.4:9464          no answer in time
+    10.0.0.5:9464                0            -             -              0     0  -
+    10.0.0.2:9464               11          910          1200              5     4  b for 12 s
+    10.0.0.3:9464               12         4000          1200              5     4  -
+    10.0.0.1:9464               12          910          1200              5     4  b for 12 s
+    ");
+}
+
+#[test]
+fn what_an_entry_exports_is_read() {
+    let hub = MetricsHub::new().unwrap();
+    hub.revision(5);
+    hub.belief_age("routes", 70);
+    hub.belief_age("targets", 80);
+    hub.table_asked("start");
+    hub.cold_targets(3);
+    hub.zone_emptied("a", 77_000);
+    hub.zone_emptied("b", 0);
+    let emptied = vec![EmptiedSince { zone: "a".to_owned(), since: UnixMillis(77_000) }];
+    let expected =
+        EntryBelief { version: 5, routes_age: Some(70), targets_age: Some(80), asked: 1, cold: 3, emptied };
+    assert_eq!(read_metrics(&hub.text()), expected);
+}
