Follow a group's loads at two processes at most

Cause: while a group forms, reports lack ranks, and an entry asks the processes beside those too; each that tells of the group was followed for ever.

Ruled out: one process. Where it stands still, loads are old for a second.

Change: a process that tells nothing which two others don't is left, those of other zones first.

--- a/crates/porthoist-policy/src/proxy/freshness.rs
+++ b/crates/porthoist-policy/src/proxy/freshness.rs
@@ -29,9 +29,7 @@
     /// Takes an answer that showed the newest configuration, or that there is none newer.
     pub fn answered(&mut self, answer: StampedAnswer) {
         let offset = self.place_clock(answer);
-        let proven = u64::try_from(offset + i128::from(answer.stamp)).unwrap_or_default();
-        let proven = UnixMillis(proven.min(answer.received.0));
-        self.proven = Some(self.proven.map_or(proven, |known| known.max(proven)));
+        self.prove(offset, answer);
     }
 
     /// Takes how the service's clock lies to this process's, from an answer of the service about anything; returns the offset.
@@ -51,7 +49,12 @@
     /// on its way for any time, so it tells nothing of how the clocks lie to each other; an answer of the service itself
     /// must have come before.
     pub fn passed_on(&mut self, answer: StampedAnswer) {
-        let Some(offset) = self.offset else { return };
+        if let Some(offset) = self.offset {
+            self.prove(offset, answer);
+        }
+    }
+
+    fn prove(&mut self, offset: i128, answer: StampedAnswer) {
         let proven = u64::try_from(offset + i128::from(answer.stamp)).unwrap_or_default();
         let proven = UnixMillis(proven.min(answer.received.0));
         self.proven = Some(self.proven.map_or(proven, |known| known.max(proven)));
--- a/porthoistd/src/duty/loads.rs
+++ b/porthoistd/src/duty/loads.rs
@@ -22,6 +22,8 @@
 
 /// Time in milliseconds within which a process that plans has something new; its rounds take up to 350.
 const ANSWER_MILLIS: u64 = 1_000;
+/// Processes that are followed for one group at most: one may stand still, and each tells as much as the others.
+const FOLLOWED: usize = 2;
 /// Pause between two looks for groups that nothing is known of, in milliseconds.
 const PAUSE_MILLIS: u64 = 300;
 
@@ -117,6 +119,9 @@
                     known = loads.revision;
                     let hosts = loads.ranks.iter().map(|rank| rank.host).collect();
                     told.borrow_mut().insert(address, hosts);
+                    if self.is_spare(address, &told.borrow()) {
+                        return;
+                    }
                     self.publish(loads);
                 }
                 Ok(Ok(LoadsAnswer::Elsewhere(_host))) => break None,
@@ -131,6 +136,23 @@
         }
     }
 
+    /// Whether enough other processes tell of all hosts that a process tells of: while a group forms, reports lack ranks, and the
+    /// processes beside those are found too. Those of other zones are left first.
+    fn is_spare(&self, address: SocketAddr, told: &HashMap<SocketAddr, HashSet<Ipv4Addr>>) -> bool {
+        let Some(hosts) = told.get(&address) else { return false };
+        let order = |address: &SocketAddr| (!self.is_near(address), *address);
+        let same = told.iter().filter(|(other, others)| {
+            order(other) < order(&address) && hosts.iter().all(|host| others.contains(host))
+        });
+        !hosts.is_empty() && same.count() >= FOLLOWED
+    }
+
+    fn is_near(&self, address: &SocketAddr) -> bool {
+        let state = self.state.borrow();
+        let mut near = state.targets.records().filter(|record| record.zone == self.zone);
+        near.any(|record| record.address.ip() == address.ip())
+    }
+
     fn publish(&self, loads: GroupLoads) {
         if let Err(TrySendError::Full(dropped)) = self.loads.try_send(loads) {
             warn!(self.logger, "a report of loads is dropped"; "event" => "loads_dropped",
--- a/porthoistd/tests/loads.rs
+++ b/porthoistd/tests/loads.rs
@@ -137,3 +137,51 @@
     let whole = local.run_until(played);
     tokio::time::timeout(PATIENCE, whole).await.expect("all groups are told of");
 }
+
+/// Rounds in which each process tells a new report.
+const ROUNDS: u64 = 50;
+/// Pause between two of them.
+const ROUND: Duration = Duration::from_millis(50);
+
+/// What operators saw: each of 531 entries followed 11 processes that told of 4 groups, 30 KB a second of the same.
+///
+/// Cause: while a group forms, reports lack ranks, and an entry asked the processes beside those as well; it followed all for ever.
+#[tokio::test]
+async fn a_group_is_not_followed_at_more_than_two_processes() {
+    let played = async {
+        let bound = listeners().await;
+        let rank_port = bound[0].2.local_addr().expect("a bound address").port();
+        let all: Vec<Ipv4Addr> = bound.iter().map(|(group, rank, _listener)| host(*group, *rank)).collect();
+        // The group forms: the first reports lack ranks, whose processes are asked too.
+        let told = |revision: u64| {
+            let ranks = all.iter().take(1 + revision as usize / 8).map(|host| RankLoad {
+                host: *host,
+                requests: 1,
+                silent: false,
+            });
+            GroupLoads { revision: LoadRevision(revision), ranks: ranks.collect(), ..GroupLoads::default() }
+        };
+        let loads = watch::Sender::new(Some(told(1)));
+        for (_group, _rank, listener) in bound {
+            let outlet = LoadsOutlet::new(loads.subscribe());
+            let peers = Rc::new(PeerPool::new(rank_port, ControlTraffic::default()));
+            let serving = RankServing::builder().link(Rc::new(LoadsOnly)).outlet(outlet).peers(peers).build();
+            tokio::task::spawn_local(serve_ranks(listener, Rc::new(serving)));
+        }
+        let (sender, mut reports) = mpsc::channel(1_000);
+        let state = watch::Sender::new(state());
+        let zone = "a".parse().expect("a name");
+        let logger = Logger::root(Discard, o!());
+        let duty = LoadsDuty { rank_port, zone, state: state.subscribe(), loads: sender, logger };
+        tokio::task::spawn_local(duty.run());
+        let mut counts = Vec::new();
+        for revision in 2..2 + 2 * ROUNDS {
+            loads.send_replace(Some(told(revision)));
+            tokio::time::sleep(ROUND).await;
+            counts.push(std::iter::from_fn(|| reports.try_recv().ok()).count());
+        }
+        let later: usize = counts[ROUNDS as usize..].iter().sum();
+        assert!((ROUNDS as usize / 2..=2 * ROUNDS as usize + 2).contains(&later), "{counts:?}");
+    };
+    LocalSet::new().run_until(played).await;
+}
