Keep a start beside others from waiting long for deaths

Cause: a process that starts while others serve waited up to 6 s for the zone's news of deaths where the process it asked held its question, as one does that the table service turns away; it is not ready before it has them.

Ruled out: listing them at once as before: 531 calls at a restart of all.

Change: the wait ends with the 0.3 s that such a start allows.

The tests of starts pass as before.

--- a/crates/porthoist-proxy/src/shared.rs
+++ b/crates/porthoist-proxy/src/shared.rs
@@ -389,7 +389,8 @@
                 until = self.after(if self.began_late.get() { LATE_START_TIME } else { START_TIME });
             }
             if known && self.peer().is_some() {
-                let answer = self.ask_peers(table, 0, PROBE, self.after(START_TIME)).await;
+                let patience = if self.began_late.get() { until } else { self.after(START_TIME) };
+                let answer = self.ask_peers(table, 0, PROBE, patience).await;
                 if let Ok(answer) = answer {
                     self.take(table, &answer, true);
                     return Some(answer);
