--- a/crates/porthoist-fleet/src/rank/news.rs
+++ b/crates/porthoist-fleet/src/rank/news.rs
@@ -13,8 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// How hard rows are compressed: the least. They are text that repeats its keys, and a host beside a rank has little of a
-/// core. Without compression each of 149 entries asked for itself twice before traffic and at each change of the routes:
-/// 1,859 calls on a calm day, 1,472 with it.
+/// core. Compressed, all targets of a large deployment take a few pieces.
 const COMPRESSION: u8 = 1;
 /// Bytes that rows may have once they are decompressed: some ten thousand targets.
 const MOST_UNPACKED_BYTES: usize = 4 * 1024 * 1024;
--- a/crates/porthoist-policy/src/proxy/freshness.rs
+++ b/crates/porthoist-policy/src/proxy/freshness.rs
@@ -73,8 +73,7 @@
 
 /// What operators ask of the proof.
 ///
-/// Where keys that were taken away may run on for a while, an old proof is no reason to refuse: on a day with the table
-/// service silent for 8 s, 795 of 1,730 refusals had no other.
+/// Where keys that were taken away may run on for a while, an old proof is no reason to refuse.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ProofRule {
     /// Age in milliseconds at which a proof no longer counts.
--- a/crates/porthoist-policy/src/proxy/loads.rs
+++ b/crates/porthoist-policy/src/proxy/loads.rs
@@ -23,8 +23,8 @@
     pub host: Ipv4Addr,
     /// Requests that run or wait there, of all processes.
     pub requests: u32,
-    /// Whether the process beside it is not heard: its host may stand still. Requests that reached such hosts lay there for
-    /// 3 s, and 18 of 24 ran when their hosts woke, after their callers had left.
+    /// Whether the process beside it is not heard: its host may stand still. What reaches such a host lies there, and
+    /// runs when the host wakes, after its callers have left.
     pub silent: bool,
 }
 
--- a/crates/porthoist-policy/src/proxy/placement.rs
+++ b/crates/porthoist-policy/src/proxy/placement.rs
@@ -230,7 +230,7 @@
     }
 
     /// Takes that a target's process has ended. Unlike after a failure, which may be the request's own, it gets nothing for a
-    /// while from now on: of 15 requests at four targets, 2 lost their second send to a target that others knew was dead.
+    /// while from now on: others' second sends would go to it, idle as it seems.
     pub fn died(&mut self, life: &TargetLife, now: UnixMillis) {
         let Some(load) = self.loads.get_mut(life) else { return };
         load.died(now);
--- a/crates/porthoist-policy/src/proxy/quarantine.rs
+++ b/crates/porthoist-policy/src/proxy/quarantine.rs
@@ -1,8 +1,7 @@
 //! Which requests are kept from targets, because targets die of them.
 //!
-//! A request that kills the target that runs it comes again at any entry, as another attempt. On a recorded day a group of 12
-//! ranks died 18 times in 82 s of a few such requests, 4 to 5 s apart, which is the time that it takes to form again; 710 of
-//! 3,074 requests of others were answered in time. So a death is held against each request that was at the target, all entries
+//! A request that kills the target that runs it comes again at any entry, as another attempt. A few such requests keep a
+//! group of ranks down, which takes seconds to form again, and with it the requests of all others. So a death is held against each request that was at the target, all entries
 //! are told, and the book decides whether the same request may be sent once more:
 //!
 //! - after one death, in a group: not before [`HOLD_MILLIS`] have passed. A send that kills costs a group some 5 s of all its
--- a/crates/porthoist-policy/src/proxy/target_load.rs
+++ b/crates/porthoist-policy/src/proxy/target_load.rs
@@ -27,8 +27,8 @@
 const SILENT_REQUESTS: f64 = 4.0;
 /// Requests that a rank counts for more whose group is late and another is not: it serves late, where the others are full.
 const LATE_REQUESTS: f64 = 4.0;
-/// A rank that said it is full gets nothing for so long in milliseconds, or until its next report: while reports were 0.7 s
-/// old, requests went to the same full ranks again and were refused for it.
+/// A rank that said it is full gets nothing for so long in milliseconds, or until its next report: an older one makes a
+/// full rank seem free.
 const FULL_MILLIS: u64 = 300;
 /// Requests that a target counts for more right after it took its limit back.
 const RETURN_REQUESTS: f64 = 4.0;
--- a/crates/porthoist-policy/src/proxy/targets.rs
+++ b/crates/porthoist-policy/src/proxy/targets.rs
@@ -1,7 +1,7 @@
 //! The targets that serve a service, as the table last showed them.
 //!
 //! An address serves one life of a target at a time: a newer row at an address ends the older one's target, whose own row may
-//! stay for seconds. After all hosts had lost power, a third of all sends went to lives that were over. Rows of other
+//! stay for seconds. Rows of other
 //! writers end nobody: where services are known, only a row of one of them does.
 //!
 //! A target may start again under the identifier that it had. That is another life, of which nothing is known.
@@ -61,8 +61,7 @@
     ///
     /// It counts from the first answer: a row that vanishes later may have lapsed before, but must be back by the same
     /// time. It is over as well once a belief from before the gap would be too old: a gap may be no more than a connection
-    /// that fell silent, behind which a target has left. Without that, a target whose row was removed 3.4 s after a silence
-    /// was believed in for 1.66 s, and a send took up to 0.4 more of the 2 s.
+    /// that fell silent, behind which a target has left.
     pub fn grace(&self, bound: BeliefBound, now: UnixMillis) -> Option<UnixDeadline> {
         let back = UnixDeadline::after(self.returned, LAPSE_MILLIS);
         let end = back.min(UnixDeadline::after(self.asked, bound.millis));
--- a/crates/porthoist-policy/src/proxy/waiting.rs
+++ b/crates/porthoist-policy/src/proxy/waiting.rs
@@ -4,8 +4,8 @@
 
 /// Turns of requests that wait, in their order.
 ///
-/// First tries go before returned ones, since they can still be on time. Played against the other order at 1.4 times what
-/// a group bears, callers get 0.747 of the credit and not 0.502 (late counting half, a second refusal as -0.3).
+/// First tries go before returned ones, since they can still be on time; the other order makes all late while more come than
+/// targets bear.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RequestTurn {
     /// It was sent already and is to be repeated or resumed.
--- a/crates/porthoist-proxy/src/control.rs
+++ b/crates/porthoist-proxy/src/control.rs
@@ -188,8 +188,8 @@
     /// How long the question about targets waits for a change.
     ///
     /// A connection that fell silent passes for "no change" until the wait is over, and everything is listed anew when an
-    /// answer is then missing: in time for what the bound allows. With a wait of 25 s, requests reached targets that had
-    /// left 2.0 to 2.5 s before, where 2 s were allowed. The connection may have fallen silent in the pause before the
+    /// answer is then missing: in time for what the bound allows. With the longest wait that the
+    /// source takes, requests would reach targets that have left. The connection may have fallen silent in the pause before the
     /// question, which is taken off.
     fn targets_wait(&self, paused: Duration) -> Duration {
         let wait = self.bound.millis.saturating_sub(ANSWER_MILLIS + LIST_MILLIS);
--- a/crates/porthoist-proxy/src/course.rs
+++ b/crates/porthoist-proxy/src/course.rs
@@ -228,8 +228,8 @@
     /// Serves one request.
     pub async fn serve(self: Rc<Self>, request: Request<Incoming>) -> Reply {
         let arrival = self.clock.now();
-        // The process may say that it is ready before this thread has learnt of the first listing: 12 of 400 first requests,
-        // on a busy machine, were refused for want of a target.
+        // The process may say that it is ready before this thread has learnt of the first listing, and its first callers
+        // would be refused for want of a target.
         if !self.targets_taken.get() {
             self.sync_targets();
         }
--- a/crates/porthoist-proxy/src/quarantine.rs
+++ b/crates/porthoist-proxy/src/quarantine.rs
@@ -145,8 +145,8 @@
         }
     }
 
-    /// Targets at which suspected requests of this process run: another one goes elsewhere if it can. Of 15 requests of others at
-    /// four targets, 5 and more lost both of their sends to the one that kills, where all chose the same second target.
+    /// Targets at which suspected requests of this process run: another one goes elsewhere if it can: where all
+    /// choose the same second target, others lose both of their sends to a request that kills.
     pub fn occupied(&self) -> Vec<TargetName> {
         self.occupied.borrow().clone()
     }
--- a/crates/porthoist-proxy/src/shared.rs
+++ b/crates/porthoist-proxy/src/shared.rs
@@ -1,7 +1,7 @@
 //! Rows of the tables by way of a process that follows them for its whole zone, or from the table service itself.
 //!
-//! A process asks itself at its start, where no other one answers, and before what it holds would be too old. Each of 149
-//! entries that asked for itself made 5,083 calls on a calm day.
+//! A process asks itself at its start, where no other one answers, and before what it holds would be too old: calls
+//! then grow with zones and not with entries.
 
 use crate::reader::{NewsAsk, NewsRow, TableNews};
 use crate::rows::{ControlTable, RowSource, RowValue, TableRow, answer_within};
@@ -370,7 +370,7 @@
             answer = &mut listed => return answer,
         };
         // A host that is cut off from the service hears from others that there is much to fetch, and must not try at once again and
-        // again: 45 such hosts tried 27,787 times in 8 s.
+        // again.
         if reason == AskReason::History && probe_at.is_none() {
             return self.list_itself(table, reason).await;
         }
@@ -413,7 +413,7 @@
     }
 
     /// How long others are given to tell of a table before it is listed. Deaths are rare, and others need them as much: with the
-    /// time for routes, entries listed them 338 times on a day with outages.
+    /// time for routes, each entry would list them in every outage.
     fn peers_time(table: ControlTable) -> Duration {
         match table {
             ControlTable::Routes | ControlTable::Targets => ANSWER_TIME,
--- a/porthoistd/src/duty/rank.rs
+++ b/porthoistd/src/duty/rank.rs
@@ -53,8 +53,8 @@
 /// milliseconds. It is less than the 150 that a process which plans waits for another rank's, and bounds how long a
 /// connection that fell silent keeps this process from planning; the next reading takes a new one.
 const READING_MILLIS: u64 = 120;
-/// Least time in milliseconds between two reports of the group's loads. Told ten times more seldom, callers of a group of
-/// 129 ranks got 0.21 less of their credit on a calm day.
+/// Least time in milliseconds between two reports of the group's loads. Told much more seldom, entries send to the same
+/// ranks at once, which seem idle to all of them.
 const LOADS_MILLIS: u64 = 80;
 /// Start of the clock that versions come from, in Unix milliseconds: the beginning of 2026.
 const VERSION_EPOCH_MILLIS: u64 = 1_767_225_600_000;
@@ -156,7 +156,7 @@
     #[builder(skip)]
     counts_due: UnixDeadline,
     /// Hosts that a rank of this group ran on, with their zones. Their rows may be missing for a while after an outage,
-    /// when their ranks run again already: the table showed some 0.6 s late.
+    /// when their ranks run again already.
     #[builder(skip)]
     members: BTreeMap<Ipv4Addr, ZoneName>,
     #[builder(skip)]
