Log restores of the table service from a backup

The gauge porthoist_table_era shows the era. A configuration older than the one in force is logged (event config_older), and config_adopted includes the revision. No decision depends on any of these values yet.

--- a/crates/porthoist-metrics/src/lib.rs
+++ b/crates/porthoist-metrics/src/lib.rs
@@ -56,6 +56,7 @@
     table_calls: Counter<u64>,
     table_asked: Counter<u64>,
     belief_age: Gauge<u64>,
+    table_era: Gauge<u64>,
 }
 
 impl MetricsHub {
@@ -96,6 +97,7 @@
             table_calls: meter.u64_counter("porthoist_table_calls").build(),
             table_asked: meter.u64_counter("porthoist_table_asked").build(),
             belief_age: meter.u64_gauge("porthoist_belief_age_milliseconds").build(),
+            table_era: meter.u64_gauge("porthoist_table_era").build(),
             registry,
             _provider: provider,
         };
@@ -180,6 +182,11 @@
         self.belief_age.record(millis, &[KeyValue::new("table", table)]);
     }
 
+    /// Sets the era of the table service, which increases by one each time the service is restored from a backup.
+    pub fn table_era(&self, era: u64) {
+        self.table_era.record(era, &[]);
+    }
+
     /// Records how long a request waited for a place, in milliseconds.
     pub fn queue_wait(&self, millis: f64) {
         self.queue_wait.record(millis, &[]);
--- a/crates/porthoist-proxy/src/control.rs
+++ b/crates/porthoist-proxy/src/control.rs
@@ -234,17 +234,22 @@
     /// Takes what operators say: newer routes come into force, older ones never.
     fn adopt(&self, answer: Stamped<OperatorNews>, sent: UnixMillis) {
         let stamped = StampedAnswer { sent, received: self.clock.now(), stamp: answer.stamp };
-        let newer = |state: &ControlState, table: &RouteTable| {
-            state.routes.as_ref().is_none_or(|held| table.version > held.version)
-        };
         let OperatorNews { routes, zones } = answer.value;
         self.state.send_modify(|state| {
             self.take_zones(state, zones);
+            let in_force = state.routes.as_ref().map(|routes| routes.version);
+            if let (Some(table), Some(in_force)) = (&routes, in_force)
+                && table.version < in_force
+            {
+                info!(self.logger, "ignored configuration older than the one in force"; "event" => "config_older",
+                    "version" => table.version.0, "in_force" => in_force.0, "revision" => answer.revision);
+            }
             if let Some(table) = routes
-                && newer(state, &table)
+                && in_force.is_none_or(|in_force| table.version > in_force)
             {
                 info!(self.logger, "configuration in force"; "event" => "config_adopted",
-                    "version" => table.version.0, "routes" => table.route_count());
+                    "version" => table.version.0, "routes" => table.route_count(),
+                    "revision" => answer.revision);
                 self.metrics.revision(table.version.0);
                 if state.targets.name_services(table.services.keys().cloned()) {
                     // A row of another writer may have ended a target at its address while services were not known.
--- a/porthoist-cli/src/cmd/quarantine.rs
+++ b/porthoist-cli/src/cmd/quarantine.rs
@@ -8,6 +8,7 @@
 use porthoist_proxy::crashes::read_row;
 use porthoist_proxy::{ControlTable, RowChange, RowSource, RowWriter, SourceError};
 use porthoist_turist::StoreClient;
+use slog::{Discard, Logger, o};
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
@@ -28,7 +29,7 @@
 /// Runs the command.
 pub async fn run(args: QuarantineArgs) -> Result<String, ToolError> {
     let metrics = MetricsHub::new().map_err(|error| ToolError::Endpoint(error.to_string()))?;
-    let store = StoreClient::new(args.table, Arc::new(metrics));
+    let store = StoreClient::new(args.table, Arc::new(metrics), Logger::root(Discard, o!()));
     let rows = deaths(&store).await?;
     match args.lift {
         None => Ok(quarantine_text(&rows, AnchoredClock::new().now())),
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -136,7 +136,7 @@
         let (own_notes, zone_notes) = (self.own_notes.subscribe(), self.zone_notes.clone());
         let (changes, noted) = mpsc::channel(CRASHES_RING);
         spawn_duty("control", move || async move {
-            let store = Rc::new(StoreClient::new(table, Arc::clone(&metrics)));
+            let store = Rc::new(StoreClient::new(table, Arc::clone(&metrics), logger.clone()));
             let journal = CrashJournal::builder().writer(Rc::<StoreClient>::clone(&store)).changes(noted);
             let journal = journal.metrics(Arc::clone(&metrics)).logger(logger.clone()).build();
             let store: Rc<dyn RowSource> = store;
--- a/porthoistd/src/role/rank.rs
+++ b/porthoistd/src/role/rank.rs
@@ -43,7 +43,8 @@
         let peers = Rc::new(PeerPool::new(rank_address.port(), traffic.clone()));
         let link: Rc<dyn HeldLink> = Rc::<OwnRank>::clone(&own);
         let outlet = LoadsOutlet::new(loads.subscribe());
-        let store: Rc<dyn RowSource> = Rc::new(StoreClient::new(settings.table, Arc::clone(&metrics)));
+        let store: Rc<dyn RowSource> =
+            Rc::new(StoreClient::new(settings.table, Arc::clone(&metrics), logger.clone()));
         let reader = TableReader::new(Rc::clone(&store), Arc::clone(&clock), logger.clone());
         let serving = RankServing::builder()
             .link(link)
