Reproduce missed changes after a restore of the table service

Cause under test: positions in two histories of the table service are compared by number alone.

Ruled out: entries that ask for themselves after an outage of 2.5 s; their question fails and they list anew (that case passes).

--- a/crates/porthoist-proxy/tests/shared.rs
+++ b/crates/porthoist-proxy/tests/shared.rs
@@ -2,6 +2,8 @@
 
 #[path = "shared/harness.rs"]
 mod harness;
+#[path = "shared/restored.rs"]
+mod restored;
 
 use harness::*;
 use porthoist_policy::proxy::routes::ConfigVersion;
--- a/crates/porthoist-proxy/tests/shared/harness.rs
+++ b/crates/porthoist-proxy/tests/shared/harness.rs
@@ -55,6 +55,9 @@
     }
 }
 
+/// Rows of the table service with their versions, and its newest version.
+pub type ServiceCopy = (BTreeMap<String, (RowValue, u64)>, u64);
+
 /// The table service, or the way of one process to it.
 #[derive(Debug)]
 pub struct TableService {
@@ -117,6 +120,22 @@
         self.lost.send_modify(|lost| *lost += 1);
     }
 
+    pub fn copy(&self) -> ServiceCopy {
+        (self.rows.borrow().clone(), *self.version.borrow())
+    }
+
+    /// Goes back to a copy: what was written since is lost, and its versions are given out again.
+    pub fn restore(&self, (rows, version): &ServiceCopy) {
+        *self.rows.borrow_mut() = rows.clone();
+        self.version.send_replace(*version);
+    }
+
+    /// Refuses all questions, also those that wait.
+    pub fn refuse_all(&self) {
+        self.refusing.set(true);
+        self.reset.send_modify(|resets| *resets += 1);
+    }
+
     pub fn rows(&self, fits: impl Fn(&RowValue, u64) -> bool) -> Stamped<Vec<TableRow>> {
         let rows = self.rows.borrow();
         let mut fitting: Vec<TableRow> = rows
@@ -200,6 +219,9 @@
     fn after(&self, _table: ControlTable, revision: u64, wait: Duration) -> SourceFuture<'_, Vec<TableRow>> {
         Box::pin(self.unless_lost(async move {
             self.service.taken().await?;
+            if revision > *self.service.version.borrow() {
+                return Err(SourceError::HistoryGone);
+            }
             let mut versions = self.service.version.subscribe();
             let newer = versions.wait_for(|version| *version > revision);
             // The end of the wait is an answer too.
@@ -339,7 +361,14 @@
     pub fn routes(rows: &[TableRow]) -> Option<RouteTable> {
         let row = rows.iter().rfind(|row| row.key == "a")?;
         let limits = CallerLimits { header_bytes: 1, body_bytes: 1, idle_millis: 1 };
-        Some(RouteTable::new(ConfigVersion(row.version), limits, Vec::new(), Vec::new(), None))
+        let said = match &row.value {
+            RowValue::Bytes(bytes) => {
+                std::str::from_utf8(bytes).ok().and_then(|text| text.strip_prefix("version "))
+            }
+            RowValue::Unreadable(_) | RowValue::Removed => None,
+        };
+        let version = said.map_or(row.version, |version| version.parse().unwrap());
+        Some(RouteTable::new(ConfigVersion(version), limits, Vec::new(), Vec::new(), None))
     }
 }
 
