--- a/crates/porthoist-fleet/schema/rank.capnp
+++ b/crates/porthoist-fleet/schema/rank.capnp
@@ -104,6 +104,8 @@
   # Bytes of the rows that the asker has already, and the digest of all of them.
   offset @7 :UInt32;
   digest @8 :UInt64;
+  # Era of `after`.
+  afterEra @9 :UInt64;
 }
 
 struct TableNews {
@@ -124,6 +126,8 @@
       offset @13 :UInt32;
       total @14 :UInt32;
       digest @15 :UInt64;
+      # Era of the revision and of the row versions.
+      era @16 :UInt64;
     }
     # Whether the last question to the table service failed.
     nothing @8 :Bool;
--- a/crates/porthoist-fleet/src/rank/news.rs
+++ b/crates/porthoist-fleet/src/rank/news.rs
@@ -8,7 +8,7 @@
 use porthoist_policy::proxy::entries::EntryId;
 use porthoist_policy::proxy::notes::AgedNote;
 use porthoist_policy::proxy::turns::EntryPlace;
-use porthoist_proxy::{ControlTable, GapAges, NewsAsk, NewsRow, Stamped, TableNews};
+use porthoist_proxy::{ControlTable, GapAges, NewsAsk, NewsRow, Stamped, TableEra, TableNews, TableRevision};
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -88,7 +88,8 @@
         ControlTable::Targets => 1,
         ControlTable::Crashes => 2,
     });
-    builder.set_after(ask.after);
+    builder.set_after(ask.after.number);
+    builder.set_after_era(ask.after.era.0);
     builder.set_stamp(ask.stamp);
     builder.set_hold_millis(millis(ask.hold));
     builder.set_wait_millis(millis(ask.wait));
@@ -107,7 +108,7 @@
     };
     Ok(NewsAsk {
         table,
-        after: reader.get_after(),
+        after: TableRevision::new(TableEra(reader.get_after_era()), reader.get_after()),
         stamp: reader.get_stamp(),
         hold: Duration::from_millis(reader.get_hold_millis().into()),
         wait: Duration::from_millis(reader.get_wait_millis().into()),
@@ -222,7 +223,8 @@
         // The last piece brings the rest.
         return;
     }
-    newer.set_revision(rows.revision);
+    newer.set_revision(rows.revision.number);
+    newer.set_era(rows.revision.era.0);
     newer.set_stamp(rows.stamp);
     if let Some(gap) = gap {
         newer.set_has_gap(true);
@@ -265,5 +267,6 @@
     } else {
         None
     };
-    Ok(Some(TableNews::Newer { rows: Stamped::of(rows, newer.get_revision(), newer.get_stamp()), keys, gap }))
+    let revision = TableRevision::new(TableEra(newer.get_era()), newer.get_revision());
+    Ok(Some(TableNews::Newer { rows: Stamped::of(rows, revision, newer.get_stamp()), keys, gap }))
 }
--- a/crates/porthoist-fleet/src/rank_capnp.rs
+++ b/crates/porthoist-fleet/src/rank_capnp.rs
@@ -6486,11 +6486,15 @@
         pub fn get_digest(self) -> u64 {
             self.reader.get_data_field::<u64>(5)
         }
+        #[inline]
+        pub fn get_after_era(self) -> u64 {
+            self.reader.get_data_field::<u64>(6)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6620,6 +6624,14 @@
         pub fn set_digest(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(5, value);
         }
+        #[inline]
+        pub fn get_after_era(self) -> u64 {
+            self.builder.get_data_field::<u64>(6)
+        }
+        #[inline]
+        pub fn set_after_era(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(6, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6631,87 +6643,94 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 154] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 170] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(255, 9, 110, 161, 50, 62, 0, 194),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 6, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 7, 0),
             ::capnp::word(231, 165, 193, 224, 59, 166, 240, 212),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 97, 110, 107, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 78, 101, 119, 115, 65),
             ::capnp::word(115, 107, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(116, 97, 98, 108, 101, 0, 0, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6786,6 +6805,15 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 102, 116, 101, 114, 69, 114, 97),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -6798,6 +6826,7 @@
                 6 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6811,9 +6840,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,8,5,3,6,7,2,0,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,9,8,5,3,6,7,2,0,4];
         pub(crate) const TYPE_ID: u64 = 0xc200_3e32_a16e_09ff;
     }
 }
@@ -6922,7 +6951,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 9, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6986,6 +7015,7 @@
             self.builder.set_data_field::<u32>(11, 0u32);
             self.builder.set_data_field::<u32>(12, 0u32);
             self.builder.set_data_field::<u64>(7, 0u64);
+            self.builder.set_data_field::<u64>(8, 0u64);
             self.builder.into()
         }
         #[inline]
@@ -7064,7 +7094,7 @@
         pub(crate) static ENCODED_NODE: [::capnp::Word; 101] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(81, 11, 28, 137, 101, 192, 250, 143),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 8, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 9, 0),
             ::capnp::word(231, 165, 193, 224, 59, 166, 240, 212),
             ::capnp::word(3, 0, 7, 0, 0, 0, 3, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -7311,11 +7341,15 @@
             pub fn get_digest(self) -> u64 {
                 self.reader.get_data_field::<u64>(7)
             }
+            #[inline]
+            pub fn get_era(self) -> u64 {
+                self.reader.get_data_field::<u64>(8)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 3 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 9, pointers: 3 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7469,6 +7503,14 @@
             pub fn set_digest(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(7, value);
             }
+            #[inline]
+            pub fn get_era(self) -> u64 {
+                self.builder.get_data_field::<u64>(8)
+            }
+            #[inline]
+            pub fn set_era(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(8, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7480,101 +7522,108 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 189] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 204] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(178, 63, 181, 36, 212, 150, 51, 242),
-                ::capnp::word(21, 0, 0, 0, 1, 0, 8, 0),
+                ::capnp::word(21, 0, 0, 0, 1, 0, 9, 0),
                 ::capnp::word(81, 11, 28, 137, 101, 192, 250, 143),
                 ::capnp::word(3, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 97, 110, 107, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 84, 97, 98, 108, 101),
                 ::capnp::word(78, 101, 119, 115, 46, 110, 101, 119),
                 ::capnp::word(101, 114, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(65, 1, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 1, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(69, 1, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(49, 1, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(77, 1, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(53, 1, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(81, 1, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(4, 0, 0, 0, 128, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 1, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(101, 1, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(5, 0, 0, 0, 129, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 1, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(81, 1, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(109, 1, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(89, 1, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(117, 1, 0, 0, 98, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(8, 0, 0, 0, 11, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 1, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(125, 1, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(9, 0, 0, 0, 12, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 1, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(129, 1, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(10, 0, 0, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(133, 1, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(11, 0, 0, 0, 8, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(137, 1, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(114, 111, 119, 115, 0, 0, 0, 0),
                 ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7670,6 +7719,14 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 114, 97, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -7684,6 +7741,7 @@
                     8 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     9 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7697,9 +7755,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[10,6,7,5,4,3,8,1,0,2,9];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[10,11,6,7,5,4,3,8,1,0,2,9];
             pub(crate) const TYPE_ID: u64 = 0xf233_96d4_24b5_3fb2;
         }
     }
--- a/crates/porthoist-fleet/tests/zone.rs
+++ b/crates/porthoist-fleet/tests/zone.rs
@@ -14,8 +14,8 @@
 use porthoist_policy::proxy::targets::TargetLife;
 use porthoist_policy::proxy::turns::EntryPlace;
 use porthoist_proxy::{
-    ControlTable, NewsAsk, NewsValue, RowSource, RowValue, SourceFuture, Stamped, TableNews, TableReader,
-    TableRow,
+    ControlTable, NewsAsk, NewsValue, RowSource, RowValue, SourceFuture, Stamped, TableEra, TableNews,
+    TableReader, TableRevision, TableRow,
 };
 use slog::{Discard, Logger, o};
 use std::rc::Rc;
@@ -37,6 +37,8 @@
     }
 }
 
+const TABLE_ERA: TableEra = TableEra(3);
+
 /// Only a hang exceeds this.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -46,13 +48,13 @@
 
 impl RowSource for FixedTable {
     fn list(&self, _table: ControlTable) -> SourceFuture<'_, Vec<TableRow>> {
-        async { Ok(Stamped::of(self.0.clone(), 1, 10)) }.boxed_local()
+        async { Ok(Stamped::of(self.0.clone(), TableRevision::new(TABLE_ERA, 1), 10)) }.boxed_local()
     }
 
     fn after(
         &self,
         _table: ControlTable,
-        _revision: u64,
+        _revision: TableRevision,
         _wait: Duration,
     ) -> SourceFuture<'_, Vec<TableRow>> {
         futures::future::pending().boxed_local()
@@ -100,7 +102,7 @@
 async fn ask(peer: &RankPeer, entry: u64, notes: &[TargetNote], now: u64) -> ZoneNews {
     let ask = NewsAsk {
         table: ControlTable::Targets,
-        after: 0,
+        after: TableRevision::default(),
         stamp: 0,
         hold: Duration::from_millis(10),
         wait: Duration::from_secs(1),
@@ -153,7 +155,7 @@
         (state >> 33) as u8
     };
     let value = RowValue::Bytes((0..bytes).map(|_index| next()).collect());
-    TableRow { key: "config".to_owned(), value, version: 1 }
+    TableRow { key: "config".to_owned(), value, version: TableRevision::new(TABLE_ERA, 1) }
 }
 
 /// Rows larger than one answer come in pieces; much larger ones are to be fetched from the table service.
@@ -168,6 +170,7 @@
         match ask(&peer, 3, &[], 0).await.news {
             TableNews::Newer { rows, .. } => {
                 assert!(told);
+                assert_eq!(rows.revision, TableRevision::new(TABLE_ERA, 1));
                 assert_eq!(rows.value[0].value, NewsValue::Whole(row.value));
             }
             other => assert_eq!((other, told), (TableNews::TooMuch, false)),
--- a/crates/porthoist-proxy/src/control.rs
+++ b/crates/porthoist-proxy/src/control.rs
@@ -242,14 +242,15 @@
                 && table.version < in_force
             {
                 info!(self.logger, "ignored configuration older than the one in force"; "event" => "config_older",
-                    "version" => table.version.0, "in_force" => in_force.0, "revision" => answer.revision);
+                    "version" => table.version.0, "in_force" => in_force.0,
+                    "revision" => answer.revision.to_string());
             }
             if let Some(table) = routes
                 && in_force.is_none_or(|in_force| table.version > in_force)
             {
                 info!(self.logger, "configuration in force"; "event" => "config_adopted",
                     "version" => table.version.0, "routes" => table.route_count(),
-                    "revision" => answer.revision);
+                    "revision" => answer.revision.to_string());
                 self.metrics.revision(table.version.0);
                 if state.targets.name_services(table.services.keys().cloned()) {
                     // A row of another writer may have ended a target at its address while services were not known.
--- a/crates/porthoist-proxy/src/crashes.rs
+++ b/crates/porthoist-proxy/src/crashes.rs
@@ -4,6 +4,7 @@
 //! others follow routes and targets; one journal writes what this process noted.
 
 use crate::control::ControlState;
+use crate::revision::TableRevision;
 use crate::rows::{ControlTable, RowChange, RowSource, RowValue, RowWriter, TableRow, answer_within};
 use crate::source::{SourceError, Stamped};
 use porthoist_core::ClockSource;
@@ -124,7 +125,7 @@
         tokio::time::sleep(jittered(PAUSE)).await;
     }
 
-    async fn ask(&self, revision: Option<u64>) -> Result<Stamped<Vec<TableRow>>, SourceError> {
+    async fn ask(&self, revision: Option<TableRevision>) -> Result<Stamped<Vec<TableRow>>, SourceError> {
         match revision {
             None => {
                 let patience = self.source.patience(Duration::ZERO);
@@ -137,7 +138,7 @@
         }
     }
 
-    fn take(&self, rows: &[TableRow], whole: bool, unreadable: &mut HashSet<(String, u64)>) {
+    fn take(&self, rows: &[TableRow], whole: bool, unreadable: &mut HashSet<(String, TableRevision)>) {
         self.news.send_modify(|news| {
             let known = if whole { CrashRows::new() } else { (*news.rows).clone() };
             let known = rows.iter().fold(known, |mut known, row| {
@@ -154,7 +155,7 @@
     }
 
     /// A row of another writer accuses nobody, and keeps no other from being heard.
-    fn say_unreadable(&self, row: &TableRow, problem: &str, said: &mut HashSet<(String, u64)>) {
+    fn say_unreadable(&self, row: &TableRow, problem: &str, said: &mut HashSet<(String, TableRevision)>) {
         if said.len() < MOST_UNREADABLE && said.insert((row.key.clone(), row.version)) {
             warn!(self.logger, "unusable row of deaths"; "event" => "crash_unreadable", "key" => &row.key,
                 "error" => problem);
--- a/crates/porthoist-proxy/src/earlier.rs
+++ b/crates/porthoist-proxy/src/earlier.rs
@@ -1,6 +1,7 @@
 //! Earlier values of large rows, so that changes can be told to processes that have them.
 
 use crate::patch::ValuePatch;
+use crate::revision::TableRevision;
 use crate::rows::{RowValue, TableRow};
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
@@ -16,7 +17,7 @@
 /// A value that a row held, from a version on.
 #[derive(Debug, Clone)]
 struct EarlierValue {
-    version: u64,
+    version: TableRevision,
     bytes: Rc<Vec<u8>>,
 }
 
@@ -25,7 +26,7 @@
 pub(crate) struct EarlierValues {
     values: HashMap<String, VecDeque<EarlierValue>>,
     /// Patches that were made, by row, version and earlier version: most processes of a zone lack the same.
-    patches: RefCell<HashMap<(String, u64, u64), Rc<ValuePatch>>>,
+    patches: RefCell<HashMap<(String, TableRevision, TableRevision), Rc<ValuePatch>>>,
 }
 
 impl EarlierValues {
@@ -47,12 +48,12 @@
 
     /// What changed in a row for a process that knows the table as of a revision; nothing if that is not known, or no less than
     /// the row.
-    pub(crate) fn patch(&self, row: &TableRow, revision: u64) -> Option<Rc<ValuePatch>> {
+    pub(crate) fn patch(&self, row: &TableRow, revision: TableRevision) -> Option<Rc<ValuePatch>> {
         let RowValue::Bytes(bytes) = &row.value else { return None };
         let known = self.values.get(&row.key)?.iter().rev().find(|value| value.version <= revision)?;
         let key = (row.key.clone(), row.version, known.version);
         let mut patches = self.patches.borrow_mut();
-        let made = || Rc::new(ValuePatch::new(known.version, &known.bytes, bytes));
+        let made = || Rc::new(ValuePatch::new(known.version.number, &known.bytes, bytes));
         let patch = Rc::clone(patches.entry(key).or_insert_with(made));
         (patch.bytes() < bytes.len() / 2).then_some(patch)
     }
--- a/crates/porthoist-proxy/src/lib.rs
+++ b/crates/porthoist-proxy/src/lib.rs
@@ -28,7 +28,7 @@
 pub use crashes::{CrashChange, CrashJournal, CrashNews, CrashWatch};
 pub use quarantine::QuarantineDesk;
 pub use reader::{GapAges, NewsAsk, NewsRow, NewsValue, TableNews, TableReader};
-pub use revision::TableEra;
+pub use revision::{ParseRevisionError, TableEra, TableRevision};
 pub use rows::{ControlTable, RowChange, RowSource, RowValue, RowWriter, TableRow};
 pub use server::{ProxyServer, serve_proxy};
 pub use shared::{AskReason, NewsPeers, SharedRows};
--- a/crates/porthoist-proxy/src/patch.rs
+++ b/crates/porthoist-proxy/src/patch.rs
@@ -24,7 +24,7 @@
 /// A value as changes to an earlier one.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ValuePatch {
-    /// Version of the row that held the earlier value.
+    /// Version number of the row that held the earlier value, within its era.
     pub base: u64,
     /// Digest of the value: an earlier value that differs is noticed.
     digest: u64,
--- a/crates/porthoist-proxy/src/reader.rs
+++ b/crates/porthoist-proxy/src/reader.rs
@@ -5,6 +5,7 @@
 
 use crate::earlier::EarlierValues;
 use crate::patch::ValuePatch;
+use crate::revision::{TableEra, TableRevision};
 use crate::rows::{ControlTable, RowSource, RowValue, TableRow, answer_within};
 use crate::source::{SourceError, Stamped};
 use futures::StreamExt as _;
@@ -14,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -47,7 +48,7 @@
     /// The table.
     pub table: ControlTable,
     /// The revision after which changes are asked for.
-    pub after: u64,
+    pub after: TableRevision,
     /// The newest clock of the table service that the asking process knows for the table.
     pub stamp: u64,
     /// How long the answer may be held back while there is nothing new.
@@ -70,7 +71,7 @@
 pub struct NewsRow {
     /// Its key.
     pub key: String,
-    /// Its version.
+    /// Version number, within the era of the answer.
     pub version: u64,
     /// What it holds.
     pub value: NewsValue,
@@ -86,26 +87,27 @@
 }
 
 impl NewsRow {
-    fn of(row: &TableRow, earlier: &EarlierValues, revision: u64) -> Self {
+    fn of(row: &TableRow, earlier: &EarlierValues, revision: TableRevision) -> Self {
         let value = match earlier.patch(row, revision) {
             Some(patch) => NewsValue::Changed((*patch).clone()),
             None => NewsValue::Whole(row.value.clone()),
         };
-        Self { key: row.key.clone(), version: row.version, value }
+        Self { key: row.key.clone(), version: row.version.number, value }
     }
 
-    /// The row, with what is known of it before; nothing if it is told as changes to another value.
-    pub fn whole(self, known: Option<&TableRow>) -> Option<TableRow> {
+    /// Returns the complete row, with its version in `era`. A patch is applied to `known`. Returns `None` if the patch does not
+    /// apply to it.
+    pub fn whole(self, era: TableEra, known: Option<&TableRow>) -> Option<TableRow> {
         let Self { key, version, value } = self;
         let value = match value {
             NewsValue::Whole(value) => value,
             NewsValue::Changed(patch) => {
-                let known = known.filter(|known| known.version == patch.base)?;
+                let known = known.filter(|known| known.version.number == patch.base)?;
                 let RowValue::Bytes(earlier) = &known.value else { return None };
                 RowValue::Bytes(patch.apply(earlier)?)
             }
         };
-        Some(TableRow { key, value, version })
+        Some(TableRow { key, value, version: TableRevision::new(era, version) })
     }
 }
 
@@ -134,7 +136,7 @@
 #[derive(Debug, Clone)]
 struct LearntRow {
     row: TableRow,
-    learnt: u64,
+    learnt: TableRevision,
 }
 
 /// What is known of one table.
@@ -144,8 +146,8 @@
     /// What large ones held before.
     earlier: EarlierValues,
     /// Removals after this revision are known one by one.
-    floor: u64,
-    revision: u64,
+    floor: TableRevision,
+    revision: TableRevision,
     /// The table service's clock at its last answer.
     stamp: Option<u64>,
     failing: bool,
@@ -156,18 +158,24 @@
 
 impl KnownTable {
     fn listed(&mut self, answer: Stamped<Vec<TableRow>>) {
+        let restored = answer.revision.era > self.revision.era;
+        if restored {
+            self.rows.retain(|_key, known| known.row.value != RowValue::Removed);
+            self.stamp = None;
+        }
         if self.stamp.is_none() {
             self.floor = answer.revision;
         }
-        let listed: HashMap<&str, u64> =
-            answer.value.iter().map(|row| (row.key.as_str(), row.version)).collect();
+        let listed: HashSet<&str> = answer.value.iter().map(|row| row.key.as_str()).collect();
         let missing: Vec<TableRow> = self
             .rows
             .values()
-            .filter(|known| {
-                known.row.value != RowValue::Removed && !listed.contains_key(known.row.key.as_str())
+            .filter(|known| known.row.value != RowValue::Removed && !listed.contains(known.row.key.as_str()))
+            .map(|known| TableRow {
+                key: known.row.key.clone(),
+                value: RowValue::Removed,
+                version: answer.revision,
             })
-            .map(|known| TableRow { value: RowValue::Removed, ..known.row.clone() })
             .collect();
         let learnt = answer.revision;
         for row in missing {
@@ -187,7 +195,7 @@
         self.forget_removed();
     }
 
-    fn put(&mut self, row: TableRow, learnt: u64) {
+    fn put(&mut self, row: TableRow, learnt: TableRevision) {
         if self.rows.get(&row.key).is_some_and(|known| known.row == row) {
             return;
         }
@@ -199,7 +207,7 @@
 
     fn forget_removed(&mut self) {
         let removed = self.rows.values().filter(|known| known.row.value == RowValue::Removed);
-        let mut learnt: Vec<u64> = removed.map(|known| known.learnt).collect();
+        let mut learnt: Vec<TableRevision> = removed.map(|known| known.learnt).collect();
         if learnt.len() <= REMOVED_KEPT {
             return;
         }
@@ -212,16 +220,20 @@
     /// What there is for a question now; nothing if it is to wait.
     fn news(&self, ask: &NewsAsk, now: UnixMillis) -> Option<TableNews> {
         let stamp = self.stamp?;
+        if self.revision.era < ask.after.era {
+            return None;
+        }
+        let is_later = self.revision.era > ask.after.era || stamp > ask.stamp;
         // Others may know the table as of a later moment than this process: then it has nothing to say.
-        if self.revision < ask.after && stamp <= ask.stamp {
+        if self.revision < ask.after && !is_later {
             return None;
         }
         // One that knows nothing has nothing to drop.
-        let keys = (ask.after > 0 && ask.after < self.floor).then(|| self.live_keys());
+        let keys = (ask.after > TableRevision::default() && ask.after < self.floor).then(|| self.live_keys());
         let newer = self.rows.values().filter(|known| known.learnt > ask.after);
         let mut rows: Vec<NewsRow> =
             newer.map(|known| NewsRow::of(&known.row, &self.earlier, ask.after)).collect();
-        if rows.is_empty() && keys.is_none() && stamp <= ask.stamp {
+        if rows.is_empty() && keys.is_none() && !is_later {
             return None;
         }
         rows.sort_by_key(|row| row.version);
@@ -366,7 +378,7 @@
     async fn ask(
         &self,
         table: &FollowedTable,
-        revision: Option<u64>,
+        revision: Option<TableRevision>,
         paused: Duration,
     ) -> Result<Stamped<Vec<TableRow>>, SourceError> {
         let Some(revision) = revision else {
--- a/crates/porthoist-proxy/src/rows.rs
+++ b/crates/porthoist-proxy/src/rows.rs
@@ -1,5 +1,6 @@
 //! Rows of the platform's tables as they are passed between our processes: keys and bytes, not yet what they mean.
 
+use crate::revision::TableRevision;
 use crate::source::{SourceError, SourceFuture, Stamped};
 use futures::future::LocalBoxFuture;
 use serde::{Deserialize, Serialize};
@@ -43,14 +44,14 @@
 }
 
 /// A row, or that it was removed.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TableRow {
     /// Its key.
     pub key: String,
     /// What it holds.
     pub value: RowValue,
     /// Its version: rows with higher ones were written later.
-    pub version: u64,
+    pub version: TableRevision,
 }
 
 /// Where rows come from.
@@ -58,7 +59,12 @@
     /// All rows of a table.
     fn list(&self, table: ControlTable) -> SourceFuture<'_, Vec<TableRow>>;
     /// Rows that changed after a revision, none after the wait.
-    fn after(&self, table: ControlTable, revision: u64, wait: Duration) -> SourceFuture<'_, Vec<TableRow>>;
+    fn after(
+        &self,
+        table: ControlTable,
+        revision: TableRevision,
+        wait: Duration,
+    ) -> SourceFuture<'_, Vec<TableRow>>;
     /// Whether it makes the pauses between questions that fail.
     fn paces_itself(&self) -> bool {
         false
--- a/crates/porthoist-proxy/src/shared.rs
+++ b/crates/porthoist-proxy/src/shared.rs
@@ -4,6 +4,7 @@
 //! then grow with zones and not with entries.
 
 use crate::reader::{NewsAsk, NewsRow, TableNews};
+use crate::revision::{TableEra, TableRevision};
 use crate::rows::{ControlTable, RowSource, RowValue, TableRow, answer_within};
 use crate::source::{AnswerOrigin, SourceError, SourceFuture, Stamped};
 use futures::future::LocalBoxFuture;
@@ -11,6 +12,7 @@
 use porthoist_metrics::MetricsHub;
 use slog::{Logger, info};
 use std::cell::{Cell, RefCell};
+use std::cmp::Ordering;
 use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::net::Ipv4Addr;
@@ -89,11 +91,24 @@
 #[derive(Debug, Default)]
 struct TableCopy {
     rows: RefCell<HashMap<String, TableRow>>,
-    revision: Cell<Option<u64>>,
+    revision: Cell<Option<TableRevision>>,
     stamp: Cell<u64>,
 }
 
 impl TableCopy {
+    fn era(&self) -> TableEra {
+        self.revision.get().unwrap_or_default().era
+    }
+
+    /// Whether an answer is newer than this copy. Clock values of different eras are not comparable.
+    fn is_outdated_by(&self, revision: TableRevision, stamp: u64) -> bool {
+        match revision.era.cmp(&self.era()) {
+            Ordering::Less => false,
+            Ordering::Equal => stamp > self.stamp.get(),
+            Ordering::Greater => true,
+        }
+    }
+
     /// Rows as they are, with those that are told as changes.
     fn whole_rows(&self, news: Stamped<Vec<NewsRow>>) -> Option<Stamped<Vec<TableRow>>> {
         let known = self.rows.borrow();
@@ -102,14 +117,14 @@
             .into_iter()
             .map(|row| {
                 let before = known.get(&row.key);
-                row.whole(before)
+                row.whole(revision.era, before)
             })
             .collect();
         Some(Stamped { value: rows?, revision, stamp, origin })
     }
 
     /// The rows that are not among the keys of all, as removed.
-    fn removed(&self, keys: &[String], revision: u64) -> Vec<TableRow> {
+    fn removed(&self, keys: &[String], revision: TableRevision) -> Vec<TableRow> {
         let keys: HashSet<&String> = keys.iter().collect();
         let rows = self.rows.borrow();
         let gone = rows.keys().filter(|key| !keys.contains(key));
@@ -122,17 +137,18 @@
 #[derive(Debug, Clone, Copy)]
 struct ClockOffset {
     sent: UnixMillis,
+    era: TableEra,
     stamp: u64,
 }
 
 impl ClockOffset {
-    fn new(sent: UnixMillis, stamp: u64) -> Self {
-        Self { sent, stamp }
+    fn new(sent: UnixMillis, era: TableEra, stamp: u64) -> Self {
+        Self { sent, era, stamp }
     }
 
     /// With another answer: the one that places the clock latest counts.
     fn tightened(self, sent: UnixMillis, stamp: u64) -> Self {
-        let other = Self { sent, stamp };
+        let other = Self { sent, stamp, ..self };
         if other.local(stamp) > self.local(stamp) { other } else { self }
     }
 
@@ -232,7 +248,7 @@
     async fn ask_peers(
         &self,
         table: ControlTable,
-        after: u64,
+        after: TableRevision,
         wait: Duration,
         until: UnixDeadline,
     ) -> Result<Stamped<Vec<TableRow>>, AskReason> {
@@ -249,7 +265,9 @@
             let asked = self.peers.news(host, ask, ANSWER_TIME);
             match tokio::time::timeout(left + ANSWER_TIME, asked).await {
                 // What is no newer than what is known proves nothing: a process that repeats it must not be asked for ever.
-                Ok(Ok(TableNews::Newer { rows, .. })) if rows.stamp <= copy.stamp.get() => self.avoid(host),
+                Ok(Ok(TableNews::Newer { rows, .. })) if !copy.is_outdated_by(rows.revision, rows.stamp) => {
+                    self.avoid(host);
+                }
                 Ok(Ok(TableNews::Newer { rows, keys, gap })) => {
                     // Changes to another value than the one held: the row itself is needed.
                     let Some(rows) = copy.whole_rows(rows) else { return Err(AskReason::History) };
@@ -277,7 +295,7 @@
     async fn ask_itself(
         &self,
         table: ControlTable,
-        revision: Option<u64>,
+        revision: Option<TableRevision>,
         wait: Duration,
         reason: AskReason,
     ) -> Result<Stamped<Vec<TableRow>>, SourceError> {
@@ -293,9 +311,11 @@
             None => self.table_service.list(table),
         };
         let answer = answer_within(self.table_service.patience(wait), question).await;
+        let answer = answer.and_then(|answer| self.reject_earlier_era(table, answer));
         if let Ok(answer) = &answer {
-            self.clocks.set(Some(self.clocks.get().map_or_else(
-                || ClockOffset::new(sent, answer.stamp),
+            let known = self.clocks.get().filter(|known| known.era == answer.revision.era);
+            self.clocks.set(Some(known.map_or_else(
+                || ClockOffset::new(sent, answer.revision.era, answer.stamp),
                 |known| known.tightened(sent, answer.stamp),
             )));
         }
@@ -307,6 +327,18 @@
         answer
     }
 
+    /// Rejects an answer from an earlier era than the copy, which may have been updated by other processes.
+    fn reject_earlier_era(
+        &self,
+        table: ControlTable,
+        answer: Stamped<Vec<TableRow>>,
+    ) -> Result<Stamped<Vec<TableRow>>, SourceError> {
+        if answer.revision.era < self.copy(table).era() {
+            return Err(SourceError::Unavailable("answer belongs to an earlier era".to_owned()));
+        }
+        Ok(answer)
+    }
+
     /// The pause before this process asks the table service again that did not answer.
     fn pause(&self) -> Duration {
         // Processes that failed together must not ask again together.
@@ -327,14 +359,15 @@
             rows.clear();
         }
         for row in &answer.value {
-            let known = rows.get(&row.key).map_or(0, |known| known.version);
+            let known = rows.get(&row.key).map_or_else(TableRevision::default, |known| known.version);
             if row.version >= known {
                 rows.insert(row.key.clone(), row.clone());
             }
         }
         rows.retain(|_key, row| row.value != RowValue::Removed);
+        let previous_stamp = if answer.revision.era > copy.era() { 0 } else { copy.stamp.get() };
+        copy.stamp.set(previous_stamp.max(answer.stamp));
         copy.revision.set(Some(answer.revision));
-        copy.stamp.set(copy.stamp.get().max(answer.stamp));
     }
 
     fn whole_copy(&self, table: ControlTable, answer: Stamped<Vec<TableRow>>) -> Stamped<Vec<TableRow>> {
@@ -390,7 +423,7 @@
             }
             if known && self.peer().is_some() {
                 let patience = if self.began_late.get() { until } else { self.after(START_TIME) };
-                let answer = self.ask_peers(table, 0, PROBE, patience).await;
+                let answer = self.ask_peers(table, TableRevision::default(), PROBE, patience).await;
                 if let Ok(answer) = answer {
                     self.take(table, &answer, true);
                     return Some(answer);
@@ -451,7 +484,7 @@
     async fn changes_shared(
         &self,
         table: ControlTable,
-        revision: u64,
+        revision: TableRevision,
         wait: Duration,
     ) -> Result<Stamped<Vec<TableRow>>, SourceError> {
         // News may have been on their way for long: the wait counts from the moment that the last ones prove.
@@ -480,7 +513,12 @@
         Box::pin(self.list_shared(table))
     }
 
-    fn after(&self, table: ControlTable, revision: u64, wait: Duration) -> SourceFuture<'_, Vec<TableRow>> {
+    fn after(
+        &self,
+        table: ControlTable,
+        revision: TableRevision,
+        wait: Duration,
+    ) -> SourceFuture<'_, Vec<TableRow>> {
         Box::pin(self.changes_shared(table, revision, wait))
     }
 
--- a/crates/porthoist-proxy/src/source.rs
+++ b/crates/porthoist-proxy/src/source.rs
@@ -1,6 +1,7 @@
 //! The service that holds routes and targets, as porthoist asks it.
 
 use crate::reader::GapAges;
+use crate::revision::TableRevision;
 use crate::rows::ANSWER_MILLIS;
 use futures::future::LocalBoxFuture;
 use porthoist_policy::proxy::routes::RouteTable;
@@ -15,7 +16,7 @@
     /// What it says.
     pub value: T,
     /// Revision from which the next question goes on.
-    pub revision: u64,
+    pub revision: TableRevision,
     /// The source's steady clock, in milliseconds.
     pub stamp: u64,
     /// Who gave it.
@@ -24,7 +25,7 @@
 
 impl<T> Stamped<T> {
     /// An answer of the source itself.
-    pub fn of(value: T, revision: u64, stamp: u64) -> Self {
+    pub fn of(value: T, revision: TableRevision, stamp: u64) -> Self {
         Self { value, revision, stamp, origin: AnswerOrigin::Source }
     }
 
@@ -91,11 +92,11 @@
     /// The newest routes, if there are any, and all emptied zones.
     fn list_routes(&self) -> SourceFuture<'_, OperatorNews>;
     /// What operators have changed after a revision, nothing after the wait.
-    fn routes_after(&self, revision: u64, wait: Duration) -> SourceFuture<'_, OperatorNews>;
+    fn routes_after(&self, revision: TableRevision, wait: Duration) -> SourceFuture<'_, OperatorNews>;
     /// All rows of targets, older ones first; none of them removed.
     fn list_targets(&self) -> SourceFuture<'_, Vec<TargetChange>>;
     /// Changes of targets after a revision, none after the wait.
-    fn targets_after(&self, revision: u64, wait: Duration) -> SourceFuture<'_, Vec<TargetChange>>;
+    fn targets_after(&self, revision: TableRevision, wait: Duration) -> SourceFuture<'_, Vec<TargetChange>>;
     /// Whether it makes the pauses between questions that fail.
     fn paces_itself(&self) -> bool {
         false
--- a/crates/porthoist-proxy/tests/control.rs
+++ b/crates/porthoist-proxy/tests/control.rs
@@ -5,7 +5,9 @@
 use porthoist_policy::proxy::cold::ColdWord;
 use porthoist_policy::proxy::targets::{TargetChange, TargetRecord, TargetState};
 use porthoist_proxy::SourceFuture;
-use porthoist_proxy::{ControlSource, ControlState, ControlWatch, OperatorNews, SourceError, Stamped};
+use porthoist_proxy::{
+    ControlSource, ControlState, ControlWatch, OperatorNews, SourceError, Stamped, TableEra, TableRevision,
+};
 use slog::{Discard, Logger, o};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -99,7 +101,7 @@
 
     fn stamped<T>(&self, value: T) -> Stamped<T> {
         let stamp = self.began.elapsed().as_millis() as u64;
-        Stamped::of(value, *self.revision.borrow(), stamp)
+        Stamped::of(value, TableRevision::new(TableEra::default(), *self.revision.borrow()), stamp)
     }
 
     /// Takes the question; it goes on if the source answers at all.
@@ -144,7 +146,7 @@
         }))
     }
 
-    fn routes_after(&self, _revision: u64, wait: Duration) -> SourceFuture<'_, OperatorNews> {
+    fn routes_after(&self, _revision: TableRevision, wait: Duration) -> SourceFuture<'_, OperatorNews> {
         Box::pin(unless_lost(&self.routes_lost, async move {
             self.taken().await?;
             sleep(wait).await;
@@ -159,14 +161,14 @@
         }))
     }
 
-    fn targets_after(&self, revision: u64, wait: Duration) -> SourceFuture<'_, Vec<TargetChange>> {
+    fn targets_after(&self, revision: TableRevision, wait: Duration) -> SourceFuture<'_, Vec<TargetChange>> {
         Box::pin(unless_lost(&self.targets_lost, async move {
             if self.next_lost.take() {
                 std::future::pending::<()>().await;
             }
-            self.newer(revision, wait).await;
+            self.newer(revision.number, wait).await;
             self.taken().await?;
-            Ok(self.stamped(self.changes_after(revision)))
+            Ok(self.stamped(self.changes_after(revision.number)))
         }))
     }
 }
--- a/crates/porthoist-proxy/tests/shared/harness.rs
+++ b/crates/porthoist-proxy/tests/shared/harness.rs
@@ -8,7 +8,8 @@
 use porthoist_policy::proxy::targets::{TargetChange, TargetRecord, TargetState};
 use porthoist_proxy::{
     ControlSource, ControlState, ControlTable, ControlWatch, NewsAsk, NewsPeers, OperatorNews, RowSource,
-    RowValue, SharedRows, SourceError, SourceFuture, Stamped, TableNews, TableReader, TableRow,
+    RowValue, SharedRows, SourceError, SourceFuture, Stamped, TableEra, TableNews, TableReader,
+    TableRevision, TableRow,
 };
 use slog::{Discard, Logger, o};
 use std::cell::{Cell, RefCell};
@@ -55,8 +56,8 @@
     }
 }
 
-/// Rows of the table service with their versions, and its newest version.
-pub type ServiceCopy = (BTreeMap<String, (RowValue, u64)>, u64);
+/// Backup of the table service: rows with their versions, and the newest version.
+pub type ServiceBackup = (BTreeMap<String, (RowValue, u64)>, u64);
 
 /// The table service, or the way of one process to it.
 #[derive(Debug)]
@@ -64,6 +65,7 @@
     pub began: Instant,
     pub rows: RefCell<BTreeMap<String, (RowValue, u64)>>,
     pub version: watch::Sender<u64>,
+    pub era: Cell<TableEra>,
     /// No question is answered, or each is refused.
     pub silent: Cell<bool>,
     pub refusing: Cell<bool>,
@@ -91,6 +93,7 @@
             began: Instant::now(),
             rows: RefCell::default(),
             version: watch::Sender::new(1),
+            era: Cell::default(),
             silent: Cell::new(false),
             refusing: Cell::new(false),
             lost: watch::Sender::new(0),
@@ -120,17 +123,30 @@
         self.lost.send_modify(|lost| *lost += 1);
     }
 
-    pub fn copy(&self) -> ServiceCopy {
+    fn revision(&self, version: u64) -> TableRevision {
+        TableRevision::new(self.era.get(), version)
+    }
+
+    /// Returns the number of a revision. Fails if the revision is not part of the current history.
+    pub fn revision_number(&self, revision: TableRevision) -> Result<u64, SourceError> {
+        if revision.era != self.era.get() || revision.number > *self.version.borrow() {
+            return Err(SourceError::HistoryGone);
+        }
+        Ok(revision.number)
+    }
+
+    pub fn backup(&self) -> ServiceBackup {
         (self.rows.borrow().clone(), *self.version.borrow())
     }
 
-    /// Goes back to a copy: what was written since is lost, and its versions are given out again.
-    pub fn restore(&self, (rows, version): &ServiceCopy) {
+    /// Restores a backup: later writes are lost and their versions are reused.
+    pub fn restore(&self, (rows, version): &ServiceBackup) {
         *self.rows.borrow_mut() = rows.clone();
+        self.era.set(TableEra(self.era.get().0 + 1));
         self.version.send_replace(*version);
     }
 
-    /// Refuses all questions, also those that wait.
+    /// Refuses all questions, including pending ones.
     pub fn refuse_all(&self) {
         self.refusing.set(true);
         self.reset.send_modify(|resets| *resets += 1);
@@ -144,13 +160,13 @@
             .map(|(key, (value, version))| TableRow {
                 key: key.clone(),
                 value: value.clone(),
-                version: *version,
+                version: self.revision(*version),
             })
             .collect();
         fitting.sort_by_key(|row| row.version);
         Stamped::of(
             fitting,
-            *self.version.borrow(),
+            self.revision(*self.version.borrow()),
             self.began.elapsed().as_millis() as u64 + self.ahead.get(),
         )
     }
@@ -216,12 +232,16 @@
         }))
     }
 
-    fn after(&self, _table: ControlTable, revision: u64, wait: Duration) -> SourceFuture<'_, Vec<TableRow>> {
+    fn after(
+        &self,
+        _table: ControlTable,
+        revision: TableRevision,
+        wait: Duration,
+    ) -> SourceFuture<'_, Vec<TableRow>> {
         Box::pin(self.unless_lost(async move {
             self.service.taken().await?;
-            if revision > *self.service.version.borrow() {
-                return Err(SourceError::HistoryGone);
-            }
+            let era = revision.era;
+            let revision = self.service.revision_number(revision)?;
             let mut versions = self.service.version.subscribe();
             let newer = versions.wait_for(|version| *version > revision);
             // The end of the wait is an answer too.
@@ -229,6 +249,7 @@
             if self.service.silent.get() {
                 std::future::pending::<()>().await;
             }
+            let revision = self.service.revision_number(TableRevision::new(era, revision))?;
             Ok(self.service.rows(|_value, version| version > revision))
         }))
     }
@@ -361,13 +382,13 @@
     pub fn routes(rows: &[TableRow]) -> Option<RouteTable> {
         let row = rows.iter().rfind(|row| row.key == "a")?;
         let limits = CallerLimits { header_bytes: 1, body_bytes: 1, idle_millis: 1 };
-        let said = match &row.value {
+        let version_text = match &row.value {
             RowValue::Bytes(bytes) => {
                 std::str::from_utf8(bytes).ok().and_then(|text| text.strip_prefix("version "))
             }
             RowValue::Unreadable(_) | RowValue::Removed => None,
         };
-        let version = said.map_or(row.version, |version| version.parse().unwrap());
+        let version = version_text.map_or(row.version.number, |version| version.parse().unwrap());
         Some(RouteTable::new(ConfigVersion(version), limits, Vec::new(), Vec::new(), None))
     }
 }
@@ -379,7 +400,7 @@
         })
     }
 
-    fn routes_after(&self, revision: u64, wait: Duration) -> SourceFuture<'_, OperatorNews> {
+    fn routes_after(&self, revision: TableRevision, wait: Duration) -> SourceFuture<'_, OperatorNews> {
         Box::pin(async move {
             let rows = self.0.after(ControlTable::Routes, revision, wait).await?;
             Ok(rows.map(|rows| Self::routes(&rows).into()))
@@ -393,7 +414,7 @@
         })
     }
 
-    fn targets_after(&self, revision: u64, wait: Duration) -> SourceFuture<'_, Vec<TargetChange>> {
+    fn targets_after(&self, revision: TableRevision, wait: Duration) -> SourceFuture<'_, Vec<TargetChange>> {
         Box::pin(async move {
             let rows = self.0.after(ControlTable::Targets, revision, wait).await?;
             Ok(rows.map(|rows| rows.iter().map(Self::change).collect()))
--- a/porthoistd/tests/rank.rs
+++ b/porthoistd/tests/rank.rs
@@ -12,7 +12,7 @@
 use porthoist_policy::proxy::routes::{CallerLimits, ConfigVersion, EngineModel, RouteTable, ServiceSpec};
 use porthoist_policy::proxy::targets::{TargetChange, TargetRecord, TargetState};
 use porthoist_policy::switch::{MapVersion, StepNumber};
-use porthoist_proxy::{ControlSource, OperatorNews, SourceFuture};
+use porthoist_proxy::{ControlSource, OperatorNews, SourceFuture, TableRevision};
 use porthoist_proxy::{ControlState, ControlWatch};
 use porthoistd::duty::rank::{OwnRank, RankDuty};
 use porthoistd::settings::rank::{RankArgs, RankSettings};
@@ -229,7 +229,7 @@
         futures::future::pending().boxed_local()
     }
 
-    fn routes_after(&self, _revision: u64, _wait: Duration) -> SourceFuture<'_, OperatorNews> {
+    fn routes_after(&self, _revision: TableRevision, _wait: Duration) -> SourceFuture<'_, OperatorNews> {
         futures::future::pending().boxed_local()
     }
 
@@ -237,7 +237,11 @@
         futures::future::pending().boxed_local()
     }
 
-    fn targets_after(&self, _revision: u64, _wait: Duration) -> SourceFuture<'_, Vec<TargetChange>> {
+    fn targets_after(
+        &self,
+        _revision: TableRevision,
+        _wait: Duration,
+    ) -> SourceFuture<'_, Vec<TargetChange>> {
         futures::future::pending().boxed_local()
     }
 }
