Ignore outdated rows of departed targets after a restore

What callers would see: requests sent to a target that has departed. A target starts draining or is removed; seconds later the table service is restored from a backup made before that, which lists the target as ready.

Cause: the latest rows received replaced the known state even if they came from a backup. Conversely, a target that registered after the backup was made was dropped at once if the restore was not noticed as an outage, since only a noticed outage gives missing rows a grace.

Change: TargetBook remembers the last 4,096 lives that started draining or were removed. When an answer about targets is from a later era, rows of these lives are ignored until they change again in that era: a draining target keeps draining, and a removed target does not return and does not end the life that now has its address. A later era also starts the grace for missing rows.

Ruled out: ignoring rows for a fixed time after a restore. There is no known bound on the time within which targets write their rows again.

The policy test for a reused address was written with the change.

Conclusion: known departures survive a restore.

--- a/crates/porthoist-policy/src/proxy/targets.rs
+++ b/crates/porthoist-policy/src/proxy/targets.rs
@@ -8,11 +8,14 @@
 //!
 //! A row that is missing in a listing is gone, unless the table service was away just before: then the row gets a
 //! short grace, since the target may not have registered again yet.
+//!
+//! A table service that was restored from a backup may list targets as ready although they have drained or been
+//! removed since the backup was made. Rows of such targets are ignored until they change again.
 
 use super::cold::ColdWord;
 use porthoist_core::{BirthMillis, ServiceName, TargetName, UnixDeadline, UnixMillis, ZoneName};
 use serde::{Deserialize, Serialize};
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -24,6 +27,9 @@
 /// timers.
 const SEND_MILLIS: u64 = 600;
 
+/// Maximum number of departed lives that are remembered in case the table service is restored from an older backup.
+const MAX_DEPARTED_LIVES: usize = 4_096;
+
 /// How old what is believed of targets may be and still be current.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BeliefBound {
@@ -156,6 +162,38 @@
     missing: HashMap<TargetName, UnixDeadline>,
     /// Services that routes are known for; empty while none are.
     named: HashSet<ServiceName>,
+    departed: DepartedLives,
+    /// Lives that departed before the last restore. Their rows are ignored until they change again.
+    ignored: HashSet<TargetLife>,
+    /// Whether the next rows are the first after a restore and therefore come from the backup.
+    awaiting_backup_rows: bool,
+}
+
+/// The last [`MAX_DEPARTED_LIVES`] lives that started draining or were dropped, oldest first.
+#[derive(Debug, Clone, Default)]
+struct DepartedLives {
+    order: VecDeque<TargetLife>,
+    lives: HashSet<TargetLife>,
+}
+
+impl DepartedLives {
+    fn insert(&mut self, life: TargetLife) {
+        if !self.lives.insert(life.clone()) {
+            return;
+        }
+        self.order.push_back(life);
+        if self.order.len() > MAX_DEPARTED_LIVES
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.lives.remove(&oldest);
+        }
+    }
+
+    fn remove(&mut self, life: &TargetLife) {
+        if self.lives.remove(life) {
+            self.order.retain(|other| other != life);
+        }
+    }
 }
 
 impl TargetBook {
@@ -181,12 +219,39 @@
         for id in lacking {
             self.removed(id, grace);
         }
+        self.ignored.retain(|life| seen.contains(&life.id));
+        self.awaiting_backup_rows = false;
         // A row that the listing lacks does not outlive another life at its address.
-        self.changed(rows, grace);
+        self.apply(self.without_ignored(rows), grace);
+    }
+
+    /// Records that the table service was restored from a backup. The rows of the next call of [`Self::listed`] or
+    /// [`Self::changed`] are taken to be from the backup.
+    pub fn restored(&mut self) {
+        self.ignored = self.departed.lives.clone();
+        self.awaiting_backup_rows = true;
     }
 
     /// Takes changes in their order. `grace` is as in [`Self::listed`].
     pub fn changed(&mut self, changes: Vec<TargetChange>, grace: Option<UnixDeadline>) {
+        if std::mem::take(&mut self.awaiting_backup_rows) {
+            return self.apply(self.without_ignored(changes), grace);
+        }
+        let changed_ids: HashSet<&TargetName> = changes.iter().map(TargetChange::id).collect();
+        self.ignored.retain(|life| !changed_ids.contains(&life.id));
+        self.apply(changes, grace);
+    }
+
+    /// Returns the changes without rows of ignored lives.
+    fn without_ignored(&self, mut changes: Vec<TargetChange>) -> Vec<TargetChange> {
+        changes.retain(|change| match change {
+            TargetChange::Put(record) => !self.ignored.contains(&record.life()),
+            TargetChange::Gone(_) | TargetChange::Unusable(_) => true,
+        });
+        changes
+    }
+
+    fn apply(&mut self, changes: Vec<TargetChange>, grace: Option<UnixDeadline>) {
         for change in changes {
             match change {
                 TargetChange::Put(record) => self.put(record),
@@ -198,10 +263,17 @@
 
     fn put(&mut self, record: TargetRecord) {
         self.missing.remove(&record.id);
+        match record.state {
+            TargetState::Ready => self.departed.remove(&record.life()),
+            TargetState::Draining => self.departed.insert(record.life()),
+        }
         if self.named.is_empty() || self.named.contains(&record.service) {
             let ended = |known: &TargetRecord| known.address == record.address && known.id != record.id;
-            self.missing.retain(|id, _deadline| !self.records.get(id).is_some_and(|known| ended(known)));
-            self.records.retain(|_id, known| !ended(known));
+            let ids: Vec<TargetName> =
+                self.records.values().filter(|known| ended(known)).map(|known| known.id.clone()).collect();
+            for id in ids {
+                self.drop_record(&id);
+            }
         }
         self.records.insert(record.id.clone(), Arc::new(record));
     }
@@ -213,8 +285,14 @@
             self.missing.entry(id).or_insert(deadline);
             return;
         }
-        self.missing.remove(&id);
-        self.records.remove(&id);
+        self.drop_record(&id);
+    }
+
+    fn drop_record(&mut self, id: &TargetName) {
+        self.missing.remove(id);
+        if let Some(record) = self.records.remove(id) {
+            self.departed.insert(record.life());
+        }
     }
 
     /// Drops the rows whose grace has ended; returns their names.
@@ -226,8 +304,7 @@
             .map(|(id, _deadline)| id.clone())
             .collect();
         for id in &ended {
-            self.missing.remove(id);
-            self.records.remove(id);
+            self.drop_record(id);
         }
         ended
     }
--- a/crates/porthoist-policy/tests/policy/proxy.rs
+++ b/crates/porthoist-policy/tests/policy/proxy.rs
@@ -154,6 +154,22 @@
     assert_eq!(ids(&book), ["last", "t2"]);
 }
 
+/// Guards against a row from a backup ending the target that has since taken over its address.
+#[test]
+fn backup_row_does_not_end_newer_life_at_its_address() {
+    let mut book = TargetBook::default();
+    let row =
+        |id: &str| TargetRecord { address: ([10, 0, 0, 9], 80).into(), ..record(id, TargetState::Ready) };
+    book.listed(vec![row("t1")], None);
+    book.changed(vec![row("t2").into()], None);
+    book.restored();
+    book.listed(vec![row("t1")], Some(UnixDeadline(UnixMillis(100))));
+    assert_eq!(ids(&book), ["t2"]);
+    book.changed(vec![row("t2").into()], None);
+    book.listed(vec![row("t1"), row("t2")], None);
+    assert_eq!(ids(&book), ["t2"]);
+}
+
 fn ids(book: &TargetBook) -> Vec<String> {
     let mut ids: Vec<String> = book.records().map(|record| record.id.to_string()).collect();
     ids.sort();
--- a/crates/porthoist-proxy/src/control.rs
+++ b/crates/porthoist-proxy/src/control.rs
@@ -4,6 +4,7 @@
 //! forgotten its history, was silent, or answered with an error, it lists anew.
 
 use crate::reader::GapAges;
+use crate::revision::TableEra;
 use crate::rows::{ANSWER_MILLIS, answer_within};
 use crate::source::{AnswerOrigin, ControlSource, OperatorNews, SourceError, Stamped};
 use porthoist_core::{ClockSource, UnixDeadline, UnixMillis};
@@ -80,6 +81,9 @@
     /// When the last question that failed was sent, until an answer comes.
     #[builder(skip)]
     unanswered: Cell<Option<UnixMillis>>,
+    /// Era of the last answer about targets. A later era means that the service was restored from a backup.
+    #[builder(skip)]
+    targets_era: Cell<Option<TableEra>>,
     /// The last time without answers that has ended.
     #[builder(skip)]
     gap: Cell<Option<AnswerGap>>,
@@ -281,10 +285,19 @@
     }
 
     fn take_targets(&self, answer: Stamped<TargetNews>, sent: UnixMillis) {
-        let grace = self.grace();
         let received = self.clock.now();
         let stamped = StampedAnswer { sent, received, stamp: answer.stamp };
+        let era = answer.revision.era;
+        let restored = self.targets_era.replace(Some(era)).is_some_and(|previous| previous < era);
+        if restored && self.grace().is_none() {
+            // Starts the grace for missing rows: a restore can lose rows of active targets without a noticed outage.
+            self.gap.set(Some(AnswerGap { asked: received, returned: received }));
+        }
+        let grace = self.grace();
         self.state.send_modify(|state| {
+            if restored {
+                state.targets.restored();
+            }
             match answer.value {
                 TargetNews::Listed(rows) => {
                     info!(self.logger, "targets listed"; "event" => "targets_listed", "count" => rows.len(),
--- a/crates/porthoist-proxy/tests/shared/restored.rs
+++ b/crates/porthoist-proxy/tests/shared/restored.rs
@@ -5,7 +5,7 @@
 use porthoist_policy::proxy::targets::TargetState;
 use std::time::Duration;
 use test_case::test_case;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Time within which an accepted change must be in force.
 const IN_FORCE_MILLIS: u64 = 2_000;
@@ -73,3 +73,99 @@
     })
     .await;
 }
+
+/// Time after a restore at which a target writes its lost row again.
+const REWRITE_DELAY: Duration = Duration::from_millis(1_500);
+
+/// Asserts that a condition holds for all entries throughout the given duration.
+async fn assert_all_during(zone: &Deployment, duration: Duration, holds: impl Fn(&Entry) -> bool) {
+    let end = Instant::now() + duration;
+    while Instant::now() < end {
+        for (number, entry) in zone.entries.iter().enumerate() {
+            assert!(holds(entry), "entry {number}: {:?}", entry.targets());
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// How a target departs.
+#[derive(Debug, Clone, Copy)]
+enum Departure {
+    Draining,
+    Removed,
+}
+
+impl Departure {
+    fn write(self, zone: &Deployment) {
+        match self {
+            Self::Draining => zone.service.put("b", b"leaving"),
+            Self::Removed => zone.service.remove("b"),
+        }
+    }
+}
+
+/// Guards against sending requests to a target that departed after the backup, which still lists it as ready.
+#[test_case(0, Departure::Draining, 2_500; "draining, entries ask the service")]
+#[test_case(0, Departure::Removed, 2_500; "removed, entries ask the service")]
+#[test_case(2, Departure::Draining, 2_500; "draining, entries ask readers")]
+#[test_case(2, Departure::Removed, 2_500; "removed, entries ask readers")]
+#[test_case(0, Departure::Removed, 0; "removed, restore without an outage")]
+#[tokio::test(start_paused = true)]
+async fn departed_target_is_not_ready_after_restore(
+    readers: usize,
+    departure: Departure,
+    outage_millis: u64,
+) {
+    play(async || {
+        let zone = Deployment::start(6, readers).await;
+        let backup = zone.service.backup();
+        departure.write(&zone);
+        let not_ready = |entry: &Entry| entry.targets().get("b") != Some(&TargetState::Ready);
+        zone.until_all(not_ready).await;
+        sleep(Duration::from_secs(1)).await;
+        if outage_millis > 0 {
+            zone.service.refuse_all();
+            sleep(Duration::from_millis(outage_millis)).await;
+        }
+        zone.service.restore(&backup);
+        zone.service.refusing.set(false);
+        // Pending requests are answered once the version exceeds the requested one.
+        zone.service.put("d", b"ready");
+        zone.service.put("d", b"ready");
+        assert_all_during(&zone, REWRITE_DELAY, not_ready).await;
+        departure.write(&zone);
+        assert_all_during(&zone, Duration::from_secs(5), not_ready).await;
+        zone.service.put("b", b"ready again");
+        zone.until_all(|entry| entry.targets().get("b") == Some(&TargetState::Ready)).await;
+    })
+    .await;
+}
+
+/// Guards against dropping a target that is missing from the backup and registers again after the restore.
+#[test_case(0, 2_500; "entries ask the service")]
+#[test_case(2, 2_500; "entries ask readers")]
+#[test_case(0, 0; "restore without an outage")]
+#[tokio::test(start_paused = true)]
+async fn target_registered_after_backup_is_kept_after_restore(readers: usize, outage_millis: u64) {
+    play(async || {
+        let zone = Deployment::start(6, readers).await;
+        let backup = zone.service.backup();
+        zone.service.put("c", b"ready");
+        let known = |entry: &Entry| entry.targets().contains_key("c");
+        zone.until_all(known).await;
+        sleep(Duration::from_secs(1)).await;
+        if outage_millis > 0 {
+            zone.service.refuse_all();
+            sleep(Duration::from_millis(outage_millis)).await;
+        }
+        zone.service.restore(&backup);
+        zone.service.refusing.set(false);
+        // Pending requests are answered once the version exceeds the requested one.
+        zone.service.put("d", b"ready");
+        zone.service.put("d", b"ready");
+        assert_all_during(&zone, REWRITE_DELAY, known).await;
+        zone.service.put("c", b"ready");
+        assert_all_during(&zone, Duration::from_secs(5), known).await;
+    })
+    .await;
+}
