Rewrite rows of deaths lost in a restore of the table service

What callers would see: a request that kills its targets is sent again after a restore, and up to three more targets die of it.

Cause: rows of our own table that were written after the backup was made are missing after a restore, and no process writes them again. Each process took the missing rows for removed ones and lifted its quarantine.

Change: CrashNews carries the era of its rows. When the era increases, deaths whose rows are missing still count until the table has shown them again. Rows that return with the backup count from their own times of death, so lapsed ones hold nothing back and are removed again.

Ruled out: each process rewriting all missing rows at once. 500 entries would make 500 calls for one death.

Not solved: a row that operators lifted after the backup was made returns with it and holds its request back until it lapses or is lifted again.

The policy test was written with the change.

Conclusion: a quarantine survives a restore as long as one process that knows of it is running.

--- a/crates/porthoist-policy/src/proxy/quarantine.rs
+++ b/crates/porthoist-policy/src/proxy/quarantine.rs
@@ -44,6 +44,10 @@
 /// How much longer than the process that noted a death the others wait before they remove its row, in milliseconds.
 const OTHERS_MILLIS: u64 = 30_000;
 
+/// Minimum delay before a process rewrites a lost row of a death that another process noted, in milliseconds. Jitter adds up
+/// to the same amount.
+const REWRITE_DELAY_MILLIS: u64 = 2_000;
+
 /// What a book decides by; tests vary it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QuarantineRules {
@@ -113,10 +117,18 @@
 #[derive(Debug, Clone)]
 struct KnownDeath {
     report: CrashReport,
-    /// Whether the table has shown it; one that it no longer shows was cleared.
+    /// Whether the table has shown it since its last restore; one that it no longer shows was cleared.
     told: bool,
     /// Whether its row's removal was asked for.
     leaving: bool,
+    /// When to rewrite its row, if a restore of the table lost it.
+    rewrite_at: Option<UnixDeadline>,
+}
+
+impl KnownDeath {
+    fn new(report: CrashReport, told: bool) -> Self {
+        Self { report, told, leaving: false, rewrite_at: None }
+    }
 }
 
 /// A request that targets died under.
@@ -305,7 +317,7 @@
         if record.deaths.contains_key(&key.target) || record.deaths.len() >= MOST_DEATHS {
             return DeathVerdict::Known;
         }
-        record.deaths.insert(key.target.clone(), KnownDeath { report, told: false, leaving: false });
+        record.deaths.insert(key.target.clone(), KnownDeath::new(report, false));
         let record = &self.records[&key.mark];
         DeathVerdict::Held { level: self.level(record), deaths: record.deaths.len() }
     }
@@ -317,8 +329,8 @@
         record.deaths.into_keys().map(|target| CrashKey { mark: *mark, target }).collect()
     }
 
-    /// Takes the whole table of deaths. `first` says that nothing was known of it before: only then do the clocks of other
-    /// hosts count, all later news are of this moment.
+    /// Takes the whole table of deaths. `first` says that nothing was known of it before, or that it was restored from a backup:
+    /// only then do the clocks of other hosts count, all later news are of this moment.
     pub fn told(&mut self, rows: &CrashRows, first: bool, now: UnixMillis) -> ToldChanges {
         let mut changes = ToldChanges::default();
         self.drop_removed(rows, &mut changes);
@@ -331,6 +343,7 @@
             let record = self.records.entry(key.mark).or_default();
             if let Some(death) = record.deaths.get_mut(&key.target) {
                 death.told = true;
+                death.rewrite_at = None;
                 continue;
             }
             if record.deaths.len() >= MOST_DEATHS {
@@ -338,7 +351,7 @@
             }
             let died = if first { report.died.min(now) } else { now };
             let report = CrashReport { died, ..report.clone() };
-            record.deaths.insert(key.target.clone(), KnownDeath { report, told: true, leaving: false });
+            record.deaths.insert(key.target.clone(), KnownDeath::new(report, true));
             heard.insert(key.mark);
         }
         let mut heard: Vec<RequestMark> = heard.into_iter().collect();
@@ -351,6 +364,40 @@
         changes
     }
 
+    /// Schedules rewrites of rows that are missing after the table was restored from a backup. Their deaths count until the table
+    /// has shown them again. The process that noted a death rewrites its row at once, others after a delay if it is still
+    /// missing. `jitter` from 0 to 1 spreads the rewrites of the others.
+    pub fn schedule_rewrites(&mut self, rows: &CrashRows, own: &str, jitter: f64, now: UnixMillis) {
+        let later = REWRITE_DELAY_MILLIS + (REWRITE_DELAY_MILLIS as f64 * jitter) as u64;
+        for (mark, record) in &mut self.records {
+            for (target, death) in &mut record.deaths {
+                let key = CrashKey { mark: *mark, target: target.clone() };
+                let noted_here = &*death.report.by == own;
+                if death.leaving || rows.contains_key(&key) {
+                    continue;
+                }
+                let delay = if noted_here { 0 } else { later };
+                death.told = false;
+                death.rewrite_at = Some(UnixDeadline::after(now, delay));
+            }
+        }
+    }
+
+    /// Returns the lost rows that this process has to rewrite now, each at most once per restore.
+    pub fn take_due_rewrites(&mut self, now: UnixMillis) -> Vec<(CrashKey, CrashReport)> {
+        let mut rows = Vec::new();
+        for (mark, record) in &mut self.records {
+            for (target, death) in &mut record.deaths {
+                if death.rewrite_at.is_some_and(|deadline| deadline.passed(now)) {
+                    death.rewrite_at = None;
+                    rows.push((CrashKey { mark: *mark, target: target.clone() }, death.report.clone()));
+                }
+            }
+        }
+        rows.sort_unstable_by(|(key, _report), (other, _other)| key.cmp(other));
+        rows
+    }
+
     fn drop_removed(&mut self, rows: &CrashRows, changes: &mut ToldChanges) {
         self.records.retain(|mark, record| {
             record.deaths.retain(|target, death| {
--- a/crates/porthoist-policy/tests/policy/quarantine.rs
+++ b/crates/porthoist-policy/tests/policy/quarantine.rs
@@ -330,3 +330,23 @@
     let without = outcome(rules);
     assert!(worse(&without), "{without:?}");
 }
+
+/// Guards against lost rows that no process rewrites, or that all processes rewrite at once.
+#[test]
+fn rows_lost_in_a_restore_are_rewritten_by_their_writer_and_later_by_others() {
+    let rows: CrashRows = [(key("x", "t0"), report(0, true))].into();
+    let mut books = ["a", "b", "c"].map(|own| {
+        let mut book = QuarantineBook::default();
+        book.told(&rows, true, at(0));
+        book.schedule_rewrites(&CrashRows::new(), own, 0.5, at(10));
+        book.told(&CrashRows::new(), true, at(10));
+        assert_eq!(level(&book, "x", 10), Some(SuspicionLevel::Held));
+        book
+    });
+    assert_eq!(books[0].take_due_rewrites(at(10)), [(key("x", "t0"), report(0, true))]);
+    assert_eq!(books[0].take_due_rewrites(at(20)), []);
+    books[1].told(&rows, false, at(20));
+    assert_eq!(books[1].take_due_rewrites(at(10_000)), []);
+    assert_eq!(books[2].take_due_rewrites(at(2_000)), []);
+    assert_eq!(books[2].take_due_rewrites(at(3_010)).len(), 1);
+}
--- a/crates/porthoist-proxy/src/crashes.rs
+++ b/crates/porthoist-proxy/src/crashes.rs
@@ -4,7 +4,7 @@
 //! others follow routes and targets; one journal writes what this process noted.
 
 use crate::control::ControlState;
-use crate::revision::TableRevision;
+use crate::revision::{TableEra, TableRevision};
 use crate::rows::{ControlTable, RowChange, RowSource, RowValue, RowWriter, TableRow, answer_within};
 use crate::source::{SourceError, Stamped};
 use porthoist_core::ClockSource;
@@ -51,6 +51,8 @@
     pub rows: Arc<CrashRows>,
     /// Whether it was listed at all.
     pub listed: bool,
+    /// Era of the answer that last updated the rows.
+    pub era: TableEra,
 }
 
 /// A change to write.
@@ -99,7 +101,7 @@
                     failing = false;
                     let whole = revision.replace(answer.revision).is_none();
                     if !answer.value.is_empty() || whole {
-                        self.take(&answer.value, whole, &mut unreadable);
+                        self.take(&answer, whole, &mut unreadable);
                         tokio::time::sleep(CHANGE_PAUSE).await;
                     }
                 }
@@ -138,10 +140,15 @@
         }
     }
 
-    fn take(&self, rows: &[TableRow], whole: bool, unreadable: &mut HashSet<(String, TableRevision)>) {
+    fn take(
+        &self,
+        answer: &Stamped<Vec<TableRow>>,
+        whole: bool,
+        unreadable: &mut HashSet<(String, TableRevision)>,
+    ) {
         self.news.send_modify(|news| {
             let known = if whole { CrashRows::new() } else { (*news.rows).clone() };
-            let known = rows.iter().fold(known, |mut known, row| {
+            let known = answer.value.iter().fold(known, |mut known, row| {
                 match read_row(row) {
                     Ok((key, Some(report))) => drop(known.insert(key, report)),
                     Ok((key, None)) => drop(known.remove(&key)),
@@ -151,6 +158,7 @@
             });
             news.rows = Arc::new(known);
             news.listed = true;
+            news.era = answer.revision.era;
         });
     }
 
--- a/crates/porthoist-proxy/src/quarantine.rs
+++ b/crates/porthoist-proxy/src/quarantine.rs
@@ -2,6 +2,7 @@
 
 use crate::crashes::{CrashChange, CrashNews};
 use crate::exchange::TargetLiveness;
+use crate::revision::TableEra;
 use porthoist_core::{ClockSource, HostName, RequestMark, TargetName};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::quarantine::{
@@ -44,6 +45,8 @@
     occupied: RefCell<Vec<TargetName>>,
     /// Whether the book was told of the table.
     listed: Cell<bool>,
+    /// Era of the rows that the book was last told.
+    era: Cell<TableEra>,
     host: HostName,
     clock: Arc<dyn ClockSource>,
     metrics: Arc<MetricsHub>,
@@ -107,6 +110,7 @@
             changes,
             occupied: RefCell::default(),
             listed: Cell::new(false),
+            era: Cell::default(),
             host,
             clock,
             metrics,
@@ -210,7 +214,18 @@
         if !news.listed {
             return;
         }
-        let first = !self.listed.replace(true);
+        let mut first = !self.listed.replace(true);
+        if self.era.replace(news.era) < news.era && !first {
+            // Rows from the backup are not new: count them from their own times of death, as in the first listing.
+            first = true;
+            self.book.borrow_mut().schedule_rewrites(
+                &news.rows,
+                self.host.as_str(),
+                rand::random(),
+                self.clock.now(),
+            );
+            self.write_due_rewrites();
+        }
         let changes = self.book.borrow_mut().told(&news.rows, first, self.clock.now());
         let ToldChanges { heard, lifted, remove } = changes;
         for (mark, level, deaths) in heard {
@@ -227,8 +242,18 @@
         self.metrics.suspects(self.book.borrow().len() as u64);
     }
 
+    /// Rewrites rows that a restore of the table lost.
+    fn write_due_rewrites(&self) {
+        for (key, report) in self.book.borrow_mut().take_due_rewrites(self.clock.now()) {
+            info!(self.logger, "rewriting a row of deaths that was lost in a restore"; "event" => "crash_rewritten",
+                "mark" => key.mark.short(), "target" => &*key.target);
+            self.tell(CrashChange::Put(key, report));
+        }
+    }
+
     /// Removes rows that no longer count; to be called now and then.
     pub fn remove_lapsed(&self) {
+        self.write_due_rewrites();
         let now = self.clock.now();
         let rows = self.book.borrow_mut().lapsed(self.host.as_str(), rand::random(), now);
         for row in &rows {
--- a/crates/porthoist-proxy/tests/quarantine.rs
+++ b/crates/porthoist-proxy/tests/quarantine.rs
@@ -4,10 +4,11 @@
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::quarantine::{CrashKey, CrashReport, CrashRows, SuspicionLevel};
 use porthoist_proxy::quarantine::MarkedRequest;
-use porthoist_proxy::{CrashChange, CrashNews, QuarantineDesk};
+use porthoist_proxy::{CrashChange, CrashNews, QuarantineDesk, TableEra};
 use slog::{Discard, Logger, o};
 use std::rc::Rc;
 use std::sync::Arc;
+use test_case::test_case;
 use tokio::sync::{mpsc, watch};
 
 #[derive(Debug)]
@@ -64,12 +65,16 @@
 }
 
 fn tell(news: &watch::Sender<CrashNews>, deaths: usize) {
-    let report = CrashReport { died: UnixMillis(1_000_000), ranked: false, by: "other".into() };
+    tell_in_era(news, "other", deaths, TableEra::default());
+}
+
+fn tell_in_era(news: &watch::Sender<CrashNews>, by: &str, deaths: usize, era: TableEra) {
+    let report = CrashReport { died: UnixMillis(1_000_000), ranked: false, by: by.into() };
     let row = |index: usize| {
         (CrashKey { mark: Request("x").mark(), target: format!("t{index}").into() }, report.clone())
     };
     let rows: CrashRows = (0..deaths).map(row).collect();
-    news.send_replace(CrashNews { rows: Arc::new(rows), listed: true });
+    news.send_replace(CrashNews { rows: Arc::new(rows), listed: true, era });
 }
 
 #[test]
@@ -98,3 +103,23 @@
     assert!(removed.iter().all(|change| matches!(change, CrashChange::Remove(_))), "{removed:?}");
     assert!(desk.begin(&Request("x")).unwrap().is_none());
 }
+
+/// Guards against lifting a quarantine because a restore of the table lost its rows.
+#[test_case("h", 3; "noted by this process")]
+#[test_case("other", 0; "noted by another process")]
+fn a_quarantine_survives_a_restore_of_the_table(by: &str, rewritten: usize) {
+    let news = watch::Sender::new(CrashNews::default());
+    let (desk, mut noted) = desk(&news);
+    tell_in_era(&news, by, 3, TableEra(1));
+    desk.take_news();
+    tell_in_era(&news, by, 0, TableEra(2));
+    assert_eq!(desk.begin(&Request("x")).unwrap_err().level, SuspicionLevel::Quarantined);
+    let written: Vec<CrashChange> = std::iter::from_fn(|| noted.try_recv().ok()).collect();
+    assert_eq!(written.len(), rewritten);
+    assert!(written.iter().all(|change| matches!(change, CrashChange::Put(_, _))), "{written:?}");
+    // Rows that are removed after they were listed again lift the quarantine.
+    tell_in_era(&news, by, 3, TableEra(2));
+    desk.take_news();
+    tell_in_era(&news, by, 0, TableEra(2));
+    assert!(desk.begin(&Request("x")).unwrap().is_none());
+}
