Keep zones emptied after a restore that lost their rows

What callers would see: requests sent to targets of a zone that operators have emptied.

Cause: a zone counted as emptied only while its row was listed. A backup made before the zone was emptied lacks the row, so the zone was taken back until operators had written the row again.

Change: when an answer about routes is from a later era, emptied zones stay emptied for 10 s even if a listing lacks them, unless a later change takes them back. Rows that return with the backup although they were removed since it was made empty their zones again until they are removed again, which is the safe side. An answer of an earlier era does not set the known era back, so that a restore is counted once.

Ruled out: keeping such zones emptied for ever. A zone whose row was removed while this process was out of touch with the table service would never be served again.

Measured: the four new cases of tests/shared.rs restored:: fail without the change in src and pass with it. All tests of porthoist-proxy and porthoist-policy pass.

Conclusion: zones stay emptied across a restore if their rows are written again within 10 s. The users' pages do not say within which time that happens.

--- a/crates/porthoist-proxy/src/control.rs
+++ b/crates/porthoist-proxy/src/control.rs
@@ -81,6 +81,9 @@
     /// When the last question that failed was sent, until an answer comes.
     #[builder(skip)]
     unanswered: Cell<Option<UnixMillis>>,
+    /// Era of the last answer about routes. A later era means that the service was restored from a backup.
+    #[builder(skip)]
+    routes_era: Cell<Option<TableEra>>,
     /// Era of the last answer about targets. A later era means that the service was restored from a backup.
     #[builder(skip)]
     targets_era: Cell<Option<TableEra>>,
@@ -201,17 +204,23 @@
         wait.max(Duration::from_millis(MIN_TARGETS_WAIT_MILLIS))
     }
 
-    /// Drops targets whose grace has ended, and tells how old what is believed is.
+    /// Drops targets whose grace has ended, takes back emptied zones whose grace after a restore has ended, and records how
+    /// old the known state is.
     async fn expire_targets(&self) {
         loop {
             tokio::time::sleep(Duration::from_millis(LOOK_MILLIS)).await;
             let now = self.clock.now();
             self.record_ages(now);
-            let due = self.state.borrow().targets.next_expiry().is_some_and(|deadline| deadline.passed(now));
+            let due = {
+                let state = self.state.borrow();
+                let deadlines = [state.targets.next_expiry(), state.emptied.next_expiry()];
+                deadlines.into_iter().flatten().any(|deadline| deadline.passed(now))
+            };
             if !due {
                 continue;
             }
             self.state.send_modify(|state| {
+                self.report_zone_changes(&state.emptied.expire(now));
                 for id in state.targets.expire(now) {
                     info!(self.logger, "target is gone"; "event" => "target_expired", "target" => id.to_string());
                 }
@@ -239,7 +248,11 @@
     fn adopt(&self, answer: Stamped<OperatorNews>, sent: UnixMillis) {
         let stamped = StampedAnswer { sent, received: self.clock.now(), stamp: answer.stamp };
         let OperatorNews { routes, zones } = answer.value;
+        let restored = record_era(&self.routes_era, answer.revision.era);
         self.state.send_modify(|state| {
+            if restored {
+                state.emptied.restored(self.clock.now());
+            }
             self.take_zones(state, zones);
             let in_force = state.routes.as_ref().map(|routes| routes.version);
             if let (Some(table), Some(in_force)) = (&routes, in_force)
@@ -273,8 +286,13 @@
     }
 
     fn take_zones(&self, state: &mut ControlState, news: ZoneNews) {
-        for change in state.emptied.take(news, self.clock.now()) {
-            let (zone, emptied) = match &change {
+        let changes = state.emptied.take(news, self.clock.now());
+        self.report_zone_changes(&changes);
+    }
+
+    fn report_zone_changes(&self, changes: &[ZoneChange]) {
+        for change in changes {
+            let (zone, emptied) = match change {
                 ZoneChange::Emptied(zone) => (zone, true),
                 ZoneChange::Restored(zone) => (zone, false),
             };
@@ -287,8 +305,7 @@
     fn take_targets(&self, answer: Stamped<TargetNews>, sent: UnixMillis) {
         let received = self.clock.now();
         let stamped = StampedAnswer { sent, received, stamp: answer.stamp };
-        let era = answer.revision.era;
-        let restored = self.targets_era.replace(Some(era)).is_some_and(|previous| previous < era);
+        let restored = record_era(&self.targets_era, answer.revision.era);
         if restored && self.grace().is_none() {
             // Starts the grace for missing rows: a restore can lose rows of active targets without a noticed outage.
             self.gap.set(Some(AnswerGap { asked: received, returned: received }));
@@ -391,6 +408,12 @@
     }
 }
 
+/// Records the era of an answer. Returns whether it is later than the era of the previous answer, that is, whether the table
+/// service was restored from a backup in between.
+fn record_era(last: &Cell<Option<TableEra>>, era: TableEra) -> bool {
+    last.replace(last.get().max(Some(era))).is_some_and(|previous| previous < era)
+}
+
 enum TargetNews {
     Listed(Vec<TargetChange>),
     Changed(Vec<TargetChange>),
--- a/crates/porthoist-proxy/tests/shared/harness.rs
+++ b/crates/porthoist-proxy/tests/shared/harness.rs
@@ -1,11 +1,12 @@
 //! A zone of entries and of processes that follow the tables for them, with faults, on virtual time.
 
 use futures::future::LocalBoxFuture;
-use porthoist_core::{BirthMillis, ClockSource, UnixMillis};
+use porthoist_core::{BirthMillis, ClockSource, UnixMillis, ZoneName};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::cold::ColdWord;
 use porthoist_policy::proxy::routes::{CallerLimits, ConfigVersion, RouteTable};
 use porthoist_policy::proxy::targets::{TargetChange, TargetRecord, TargetState};
+use porthoist_policy::proxy::zones::{ZoneChange, ZoneNews};
 use porthoist_proxy::{
     ControlSource, ControlState, ControlTable, ControlWatch, NewsAsk, NewsPeers, OperatorNews, RowSource,
     RowValue, SharedRows, SourceError, SourceFuture, Stamped, TableEra, TableNews, TableReader,
@@ -356,7 +357,7 @@
     }
 }
 
-/// Reads a row's key as a target, and the row `config` as routes.
+/// Reads each row as a target, row `a` also as routes, and rows `emptied-ZONE` also as emptied zones.
 #[derive(Debug)]
 pub struct PlainSource(pub Rc<dyn RowSource>);
 
@@ -379,6 +380,11 @@
         }
     }
 
+    /// Returns the zone of an `emptied-ZONE` row.
+    pub fn emptied_zone(row: &TableRow) -> Option<ZoneName> {
+        row.key.strip_prefix("emptied-").map(|zone| zone.parse().unwrap())
+    }
+
     pub fn routes(rows: &[TableRow]) -> Option<RouteTable> {
         let row = rows.iter().rfind(|row| row.key == "a")?;
         let limits = CallerLimits { header_bytes: 1, body_bytes: 1, idle_millis: 1 };
@@ -396,14 +402,28 @@
 impl ControlSource for PlainSource {
     fn list_routes(&self) -> SourceFuture<'_, OperatorNews> {
         Box::pin(async {
-            Ok(self.0.list(ControlTable::Routes).await?.map(|rows| Self::routes(&rows).into()))
+            let listed = self.0.list(ControlTable::Routes).await?;
+            let emptied = |rows: &[TableRow]| rows.iter().filter_map(Self::emptied_zone).collect();
+            Ok(listed.map(|rows| OperatorNews {
+                routes: Self::routes(&rows),
+                zones: ZoneNews::Listed(emptied(&rows)),
+            }))
         })
     }
 
     fn routes_after(&self, revision: TableRevision, wait: Duration) -> SourceFuture<'_, OperatorNews> {
         Box::pin(async move {
             let rows = self.0.after(ControlTable::Routes, revision, wait).await?;
-            Ok(rows.map(|rows| Self::routes(&rows).into()))
+            let change = |row: &TableRow| {
+                let zone = Self::emptied_zone(row)?;
+                let removed = row.value == RowValue::Removed;
+                Some(if removed { ZoneChange::Restored(zone) } else { ZoneChange::Emptied(zone) })
+            };
+            let changes = |rows: &[TableRow]| rows.iter().filter_map(change).collect();
+            Ok(rows.map(|rows| OperatorNews {
+                routes: Self::routes(&rows),
+                zones: ZoneNews::Changed(changes(&rows)),
+            }))
         })
     }
 
--- a/crates/porthoist-proxy/tests/shared/restored.rs
+++ b/crates/porthoist-proxy/tests/shared/restored.rs
@@ -169,3 +169,39 @@
     })
     .await;
 }
+
+/// Longer than the time for which a zone stays emptied after a restore if its row is not written again.
+const BEYOND_ZONE_GRACE: Duration = Duration::from_secs(11);
+
+/// Guards against requests to a zone that was emptied after the backup, and against keeping the zone emptied for ever if its
+/// row is not written again.
+#[test_case(0, true; "written again, entries ask the service")]
+#[test_case(2, true; "written again, entries ask readers")]
+#[test_case(0, false; "not written again, entries ask the service")]
+#[test_case(2, false; "not written again, entries ask readers")]
+#[tokio::test(start_paused = true)]
+async fn zone_emptied_after_backup_stays_emptied_after_restore(readers: usize, written_again: bool) {
+    play(async || {
+        let zone = Deployment::start(6, readers).await;
+        let backup = zone.service.backup();
+        zone.service.put("emptied-z", b"");
+        let emptied = |entry: &Entry| entry.state.borrow().emptied.contains(&"z".parse().unwrap());
+        zone.until_all(emptied).await;
+        sleep(Duration::from_secs(1)).await;
+        zone.service.refuse_all();
+        sleep(Duration::from_millis(2_500)).await;
+        zone.service.restore(&backup);
+        zone.service.refusing.set(false);
+        assert_all_during(&zone, REWRITE_DELAY, emptied).await;
+        if written_again {
+            zone.service.put("emptied-z", b"");
+            assert_all_during(&zone, BEYOND_ZONE_GRACE, emptied).await;
+            zone.service.remove("emptied-z");
+        } else {
+            sleep(BEYOND_ZONE_GRACE).await;
+        }
+        let took = zone.until_all(|entry| !emptied(entry)).await;
+        assert!(took <= IN_FORCE_MILLIS, "{took} ms");
+    })
+    .await;
+}
