Test random changes, outages and restores of the table service

Why: each existing restore test covers a single order of events. The new test draws configuration changes, targets that register, drain or are removed, backups, outages and restores. It checks that no target is used 5 s after it departed, also between a restore and the moment at which rows are written again, and that all entries know the latest state within 2 s after the last step.

Change: tests only.

--- a/crates/porthoist-proxy/tests/shared.rs
+++ b/crates/porthoist-proxy/tests/shared.rs
@@ -2,6 +2,8 @@
 
 #[path = "shared/harness.rs"]
 mod harness;
+#[path = "shared/random_restores.rs"]
+mod random_restores;
 #[path = "shared/restored.rs"]
 mod restored;
 
