Apply ignored rows of departed targets after a grace period

Impact on callers: an active target receives no requests from an entry for as long as its row does not change. This affects a target that was removed and registered again before the entry's first answer after a restore.

Cause: after a restore, rows of departed lives were ignored until they changed again. A row written between the restore and the first answer cannot be distinguished from a row of the backup, and the row of an active target may not change for hours.

Change: ignored rows are stored and applied 10 s after the restore, unless another target uses their address.

Ruled out: distinguishing the two kinds of rows by version. The first answer does not say at which version the backup ended.

Measured: both new cases of tests/shared.rs restored:: (entries that ask the service, entries that ask readers) fail without the change in src and pass with it. The other 43 tests of that program pass, as do all of porthoist-policy.

Conclusion: a wrong guess about a row costs some 10 s.

--- a/crates/porthoist-policy/src/proxy/targets.rs
+++ b/crates/porthoist-policy/src/proxy/targets.rs
@@ -10,7 +10,7 @@
 //! short grace, since the target may not have registered again yet.
 //!
 //! A table service that was restored from a backup may list targets as ready although they have drained or been
-//! removed since the backup was made. Rows of such targets are ignored until they change again.
+//! removed since the backup was made. Rows of such targets are ignored until they change again or a grace period ends.
 
 use super::cold::ColdWord;
 use porthoist_core::{BirthMillis, ServiceName, TargetName, UnixDeadline, UnixMillis, ZoneName};
@@ -30,6 +30,10 @@
 /// Maximum number of departed lives that are remembered in case the table service is restored from an older backup.
 const MAX_DEPARTED_LIVES: usize = 4_096;
 
+/// Time in milliseconds for which unchanged rows of departed lives are ignored after a restore of the table service. Departures
+/// that the restore lost can be written again within this time.
+const IGNORED_ROWS_GRACE_MILLIS: u64 = 10_000;
+
 /// How old what is believed of targets may be and still be current.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BeliefBound {
@@ -163,8 +167,11 @@
     /// Services that routes are known for; empty while none are.
     named: HashSet<ServiceName>,
     departed: DepartedLives,
-    /// Lives that departed before the last restore. Their rows are ignored until they change again.
-    ignored: HashSet<TargetLife>,
+    /// Lives that departed before the last restore, with the last row of each that was ignored. Rows are ignored until they
+    /// change again or [`Self::ignored_until`] passes.
+    ignored: HashMap<TargetLife, Option<TargetRecord>>,
+    /// Deadline at which rows that are still ignored are applied.
+    ignored_until: Option<UnixDeadline>,
     /// Whether the next rows are the first after a restore and therefore come from the backup.
     awaiting_backup_rows: bool,
 }
@@ -219,38 +226,58 @@
         for id in lacking {
             self.removed(id, grace);
         }
-        self.ignored.retain(|life| seen.contains(&life.id));
+        self.ignored.retain(|life, _row| seen.contains(&life.id));
         self.awaiting_backup_rows = false;
+        let rows = self.withhold_ignored(rows);
         // A row that the listing lacks does not outlive another life at its address.
-        self.apply(self.without_ignored(rows), grace);
+        self.apply(rows, grace);
     }
 
     /// Records that the table service was restored from a backup. The rows of the next call of [`Self::listed`] or
-    /// [`Self::changed`] are taken to be from the backup.
-    pub fn restored(&mut self) {
-        self.ignored = self.departed.lives.clone();
+    /// [`Self::changed`] are taken to be from the backup; those of departed lives are ignored for a grace period from `now`.
+    pub fn restored(&mut self, now: UnixMillis) {
+        self.ignored = self.departed.lives.iter().map(|life| (life.clone(), None)).collect();
+        self.ignored_until = Some(UnixDeadline::after(now, IGNORED_ROWS_GRACE_MILLIS));
         self.awaiting_backup_rows = true;
     }
 
     /// Takes changes in their order. `grace` is as in [`Self::listed`].
     pub fn changed(&mut self, changes: Vec<TargetChange>, grace: Option<UnixDeadline>) {
         if std::mem::take(&mut self.awaiting_backup_rows) {
-            return self.apply(self.without_ignored(changes), grace);
+            let changes = self.withhold_ignored(changes);
+            return self.apply(changes, grace);
         }
         let changed_ids: HashSet<&TargetName> = changes.iter().map(TargetChange::id).collect();
-        self.ignored.retain(|life| !changed_ids.contains(&life.id));
+        self.ignored.retain(|life, _row| !changed_ids.contains(&life.id));
         self.apply(changes, grace);
     }
 
-    /// Returns the changes without rows of ignored lives.
-    fn without_ignored(&self, mut changes: Vec<TargetChange>) -> Vec<TargetChange> {
-        changes.retain(|change| match change {
-            TargetChange::Put(record) => !self.ignored.contains(&record.life()),
-            TargetChange::Gone(_) | TargetChange::Unusable(_) => true,
+    /// Stores rows of ignored lives in [`Self::ignored`] and returns the other changes.
+    fn withhold_ignored(&mut self, mut changes: Vec<TargetChange>) -> Vec<TargetChange> {
+        changes.retain(|change| {
+            let TargetChange::Put(record) = change else {
+                self.ignored.retain(|life, _row| life.id != *change.id());
+                return true;
+            };
+            let Some(row) = self.ignored.get_mut(&record.life()) else { return true };
+            *row = Some(record.clone());
+            false
         });
         changes
     }
 
+    /// Applies the rows that are still ignored, except those whose address another target uses.
+    fn apply_ignored(&mut self) {
+        self.ignored_until = None;
+        for record in std::mem::take(&mut self.ignored).into_values().flatten() {
+            let address_in_use =
+                |known: &Arc<TargetRecord>| known.address == record.address && known.id != record.id;
+            if !self.records.values().any(address_in_use) {
+                self.put(record);
+            }
+        }
+    }
+
     fn apply(&mut self, changes: Vec<TargetChange>, grace: Option<UnixDeadline>) {
         for change in changes {
             match change {
@@ -295,8 +322,11 @@
         }
     }
 
-    /// Drops the rows whose grace has ended; returns their names.
+    /// Drops the rows whose grace has ended and applies ignored rows once theirs has; returns the names of dropped rows.
     pub fn expire(&mut self, now: UnixMillis) -> Vec<TargetName> {
+        if self.ignored_until.is_some_and(|deadline| deadline.passed(now)) {
+            self.apply_ignored();
+        }
         let ended: Vec<TargetName> = self
             .missing
             .iter()
@@ -311,7 +341,7 @@
 
     /// When the next grace ends.
     pub fn next_expiry(&self) -> Option<UnixDeadline> {
-        self.missing.values().min().copied()
+        self.missing.values().copied().chain(self.ignored_until).min()
     }
 
     /// All records.
--- a/crates/porthoist-policy/tests/policy/proxy.rs
+++ b/crates/porthoist-policy/tests/policy/proxy.rs
@@ -162,7 +162,7 @@
         |id: &str| TargetRecord { address: ([10, 0, 0, 9], 80).into(), ..record(id, TargetState::Ready) };
     book.listed(vec![row("t1")], None);
     book.changed(vec![row("t2").into()], None);
-    book.restored();
+    book.restored(UnixMillis(0));
     book.listed(vec![row("t1")], Some(UnixDeadline(UnixMillis(100))));
     assert_eq!(ids(&book), ["t2"]);
     book.changed(vec![row("t2").into()], None);
--- a/crates/porthoist-proxy/src/control.rs
+++ b/crates/porthoist-proxy/src/control.rs
@@ -313,7 +313,7 @@
         let grace = self.grace();
         self.state.send_modify(|state| {
             if restored {
-                state.targets.restored();
+                state.targets.restored(received);
             }
             match answer.value {
                 TargetNews::Listed(rows) => {
--- a/crates/porthoist-proxy/tests/shared/restored.rs
+++ b/crates/porthoist-proxy/tests/shared/restored.rs
@@ -141,6 +141,27 @@
     .await;
 }
 
+/// Guards against permanently ignoring a removed target that registers again between a restore and the first answer after it.
+#[test_case(0; "entries ask the service")]
+#[test_case(2; "entries ask readers")]
+#[tokio::test(start_paused = true)]
+async fn target_registered_again_before_first_answer_after_restore_is_used(readers: usize) {
+    play(async || {
+        let zone = Deployment::start(6, readers).await;
+        let backup = zone.service.backup();
+        zone.service.remove("b");
+        zone.until_all(|entry| !entry.targets().contains_key("b")).await;
+        zone.service.refuse_all();
+        sleep(Duration::from_millis(2_500)).await;
+        zone.service.restore(&backup);
+        zone.service.put("b", b"ready");
+        zone.service.refusing.set(false);
+        let took = zone.until_all(|entry| entry.targets().get("b") == Some(&TargetState::Ready)).await;
+        assert!(took <= 12_000, "{took} ms");
+    })
+    .await;
+}
+
 /// Guards against dropping a target that is missing from the backup and registers again after the restore.
 #[test_case(0, 2_500; "entries ask the service")]
 #[test_case(2, 2_500; "entries ask readers")]
