--- a/crates/porthoist-fleet/src/rank/convert.rs
+++ b/crates/porthoist-fleet/src/rank/convert.rs
@@ -221,7 +221,12 @@
         requests: u32::from(byte & MAX_REQUESTS),
         silent: byte & UNREACHABLE_BIT != 0,
     });
-    GroupLoads { revision: LoadRevision(revision), pass: unpack_pass(pass), ranks: ranks.collect() }
+    GroupLoads {
+        revision: LoadRevision(revision),
+        pass: unpack_pass(pass),
+        ranks: ranks.collect(),
+        ..GroupLoads::default()
+    }
 }
 
 /// Encoding of the pass time of a group that is not formed.
@@ -302,7 +307,7 @@
 }
 
 /// A process's answer to a query for its group's loads.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum LoadsAnswer {
     /// The loads, as published by the process that plans or received from it.
     Loads(GroupLoads),
--- a/crates/porthoist-fleet/tests/branches.rs
+++ b/crates/porthoist-fleet/tests/branches.rs
@@ -387,7 +387,12 @@
         let loads = |revision: u64| {
             let ranks =
                 (0..30).map(|rank| RankLoad { host: host(39, rank), requests: rank as u32, silent: false });
-            GroupLoads { revision: LoadRevision(revision), pass: GroupPass::Broken, ranks: ranks.collect() }
+            GroupLoads {
+                revision: LoadRevision(revision),
+                pass: GroupPass::Broken,
+                ranks: ranks.collect(),
+                ..GroupLoads::default()
+            }
         };
         let peer = RankPeer::new((host(39, 17), group.port).into());
         assert_eq!(peer.loads(LoadRevision(0)).await.expect("an answer"), LoadsAnswer::Redirect(None));
--- a/crates/porthoist-fleet/tests/rank_peer.rs
+++ b/crates/porthoist-fleet/tests/rank_peer.rs
@@ -70,7 +70,12 @@
         requests: u32::from(rank),
         silent: rank == 2,
     });
-    GroupLoads { revision: LoadRevision(revision), pass: GroupPass::Millis(47), ranks: ranks.collect() }
+    GroupLoads {
+        revision: LoadRevision(revision),
+        pass: GroupPass::Millis(47),
+        ranks: ranks.collect(),
+        ..GroupLoads::default()
+    }
 }
 
 /// Starts a process next to [`IdleRank`] on a free port, and returns a client of it.
--- a/crates/porthoist-lab/src/overload/groups/entry.rs
+++ b/crates/porthoist-lab/src/overload/groups/entry.rs
@@ -115,6 +115,7 @@
             revision: LoadRevision(self.revision),
             pass,
             ranks: rank_indices.map(rank).collect(),
+            ..GroupLoads::default()
         };
         self.scheduler.update_loads(&loads, now);
     }
--- a/crates/porthoist-policy/src/proxy.rs
+++ b/crates/porthoist-policy/src/proxy.rs
@@ -3,7 +3,9 @@
 
 pub mod backpressure;
 pub mod balancer;
+pub mod capacity;
 pub mod cold_start;
+pub mod demand;
 pub mod entry_positions;
 pub mod forecast;
 pub mod freshness;
--- a/crates/porthoist-policy/src/proxy/group_loads.rs
+++ b/crates/porthoist-policy/src/proxy/group_loads.rs
@@ -3,6 +3,7 @@
 //! Without a report, a process knows only its own requests. With one, it also knows those of the other
 //! processes: the reported ones minus its own at that moment.
 
+use super::demand::ServiceDemand;
 use super::pass_time::GroupPass;
 use crate::roll_forward::RankPace;
 use porthoist_core::{UnixDeadline, UnixMillis};
@@ -38,10 +39,15 @@
 }
 
 /// Loads of all ranks of one group.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct GroupLoads {
     /// Number of this report.
     pub revision: LoadRevision,
+    /// Time in milliseconds since the oldest engine reading in it; 0 from a process that does not report
+    /// it.
+    pub age_millis: u64,
+    /// Demand on the service, summed over the entries that report theirs; `None` if none does.
+    pub demand: Option<ServiceDemand>,
     /// How long its passes take.
     pub pass: GroupPass,
     /// The ranks.
--- a/crates/porthoist-policy/src/proxy/routes.rs
+++ b/crates/porthoist-policy/src/proxy/routes.rs
@@ -3,9 +3,10 @@
 //!
 //! A table is immutable and is replaced as a whole by a newer version.
 
+use super::capacity::CapacityRule;
 use super::cold_start::ColdRule;
 use porthoist_core::{ServiceName, TeamName};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::fmt;
 use std::sync::Arc;
 
@@ -224,6 +225,32 @@
         self.keys.is_some()
     }
 
+    /// Rules of the services whose capacity is divided among entries: those whose targets are ranks of
+    /// groups and whose requests have more than one priority, or all with ranks if `share_all` is set.
+    pub fn capacity_rules(&self, share_all: bool) -> HashMap<ServiceName, CapacityRule> {
+        let ranked = self.services.values().filter(|spec| spec.engine.is_some());
+        let shared = ranked.filter(|spec| share_all || self.priorities(&spec.name).len() > 1);
+        shared.map(|spec| (spec.name.clone(), self.capacity_rule(&spec.name))).collect()
+    }
+
+    fn capacity_rule(&self, service: &ServiceName) -> CapacityRule {
+        let pauses = self.rules_of(service).map(|rule| rule.target_pause_millis);
+        CapacityRule { pause_millis: pauses.filter(|millis| *millis > 0).min() }
+    }
+
+    /// Priorities that requests for a service can have. A team's priority replaces that of the route.
+    fn priorities(&self, service: &ServiceName) -> BTreeSet<u8> {
+        let mut priorities: BTreeSet<u8> = self.rules_of(service).map(|rule| rule.priority).collect();
+        let grants = self.keys.iter().flat_map(HashMap::values);
+        priorities.extend(grants.filter_map(|grant| grant.priority));
+        priorities
+    }
+
+    fn rules_of<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Arc<RouteRule>> {
+        let rules = self.hosts.values().flatten();
+        rules.filter(move |rule| rule.services.iter().any(|part| part.service == *service))
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/porthoist-policy/src/proxy/scheduler.rs
+++ b/crates/porthoist-policy/src/proxy/scheduler.rs
@@ -5,7 +5,9 @@
 
 use super::backpressure::{BackpressureSignals, ObservedChange};
 use super::balancer::{BalancerSettings, ChosenTarget, LoadBalancer, RequestWork, SendOutcome};
+use super::capacity::CapacityRule;
 use super::cold_start::ColdRule;
+use super::demand::{DemandMeter, PriorityLevel, ServiceDemand};
 use super::forecast::{ServiceForecast, WaitDecision, WaitQuery};
 use super::group_loads::GroupLoads;
 use super::limit_notes::TargetNote;
@@ -105,12 +107,22 @@
     balancer: LoadBalancer,
     waiting: HashMap<ServiceName, WaitQueue<WaitingRequest<W>>>,
     forecasts: HashMap<ServiceName, ServiceForecast>,
+    /// Services whose capacity is divided among entries.
+    capacity_rules: HashMap<ServiceName, CapacityRule>,
+    /// This process's demand on these services.
+    meters: HashMap<ServiceName, DemandMeter>,
 }
 
 impl<W> RequestScheduler<W> {
     /// Creates a scheduler without targets.
     pub fn new(settings: BalancerSettings) -> Self {
-        Self { balancer: LoadBalancer::new(settings), waiting: HashMap::new(), forecasts: HashMap::new() }
+        Self {
+            balancer: LoadBalancer::new(settings),
+            waiting: HashMap::new(),
+            forecasts: HashMap::new(),
+            capacity_rules: HashMap::new(),
+            meters: HashMap::new(),
+        }
     }
 
     /// Replaces the set of known targets.
@@ -136,6 +148,9 @@
     /// Decides what to do with a request. If it has to wait, pass it to [`Self::enqueue`].
     pub fn decide(&mut self, request: &SlotRequest, now: UnixMillis) -> SlotDecision {
         let service = &request.service;
+        if let Some(meter) = self.meters.get_mut(service) {
+            meter.record_asked(PriorityLevel(request.priority), now);
+        }
         if let Some(error) = self.closed_reason(service, now) {
             return SlotDecision::Refuse(error);
         }
@@ -338,6 +353,20 @@
         self.balancer.is_still_valid(life, rate, now)
     }
 
+    /// Sets the services whose capacity is divided among entries.
+    pub fn set_capacity_rules(&mut self, rules: HashMap<ServiceName, CapacityRule>) {
+        self.meters.retain(|service, _meter| rules.contains_key(service));
+        for service in rules.keys() {
+            self.meters.entry(service.clone()).or_default();
+        }
+        self.capacity_rules = rules;
+    }
+
+    /// This process's demand on the services whose capacity is divided among entries.
+    pub fn own_demand(&self, now: UnixMillis) -> HashMap<ServiceName, ServiceDemand> {
+        self.meters.iter().map(|(service, meter)| (service.clone(), meter.demand(now))).collect()
+    }
+
     /// Sets the services' limits for cold targets.
     pub fn set_cold_rules(&mut self, rules: HashMap<ServiceName, ColdRule>) {
         self.balancer.set_cold_rules(rules);
--- a/crates/porthoist-policy/tests/policy/group_selection.rs
+++ b/crates/porthoist-policy/tests/policy/group_selection.rs
@@ -37,7 +37,7 @@
 
 fn loads(group: usize, requests: u32, pass: GroupPass) -> GroupLoads {
     let ranks = (0..RANKS).map(|rank| RankLoad { host: host(group, rank), requests, silent: false });
-    GroupLoads { revision: LoadRevision(1), pass, ranks: ranks.collect() }
+    GroupLoads { revision: LoadRevision(1), pass, ranks: ranks.collect(), ..GroupLoads::default() }
 }
 
 /// A balancer with reports from all groups at time 0.
--- a/crates/porthoist-proxy/src/dispatcher.rs
+++ b/crates/porthoist-proxy/src/dispatcher.rs
@@ -5,7 +5,9 @@
 use porthoist_policy::proxy::balancer::{
     BalancerSettings, ChosenTarget, ReportedRequests, RequestWork, SendOutcome,
 };
+use porthoist_policy::proxy::capacity::CapacityRule;
 use porthoist_policy::proxy::cold_start::ColdRule;
+use porthoist_policy::proxy::demand::ServiceDemand;
 use porthoist_policy::proxy::group_loads::GroupLoads;
 use porthoist_policy::proxy::limit_notes::TargetNote;
 use porthoist_policy::proxy::moving::{MoveCause, PendingSend};
@@ -104,6 +106,16 @@
         self.serve_all_queues();
     }
 
+    /// Sets the services whose capacity is divided among entries.
+    pub fn set_capacity_rules(&self, rules: HashMap<ServiceName, CapacityRule>) {
+        self.scheduler.borrow_mut().set_capacity_rules(rules);
+    }
+
+    /// Returns this process's demand on these services.
+    pub fn own_demand(&self) -> HashMap<ServiceName, ServiceDemand> {
+        self.scheduler.borrow().own_demand(self.clock.now())
+    }
+
     /// Returns the number of cold targets.
     pub fn cold_targets(&self) -> usize {
         self.scheduler.borrow().cold_targets(self.clock.now())
--- a/crates/porthoist-proxy/src/handler.rs
+++ b/crates/porthoist-proxy/src/handler.rs
@@ -65,6 +65,10 @@
     pub freshness: FreshnessRule,
     /// This process's retry budget.
     pub retry_share: RetryShareSettings,
+    /// Whether the capacity of all services with ranks is divided among entries, and not only that of
+    /// services whose requests have several priorities.
+    #[builder(default)]
+    pub share_capacity: bool,
 }
 
 /// Handles the requests of a process and holds the state that they share.
@@ -175,6 +179,9 @@
         self.targets_applied.set(state.targets_listed);
         let services = state.routes.iter().flat_map(|routes| routes.services.values());
         let rules = services.filter_map(|spec| Some((spec.name.clone(), spec.cold?))).collect();
+        let routes = state.routes.as_ref();
+        let capacity_rules = routes.map(|routes| routes.capacity_rules(self.settings.share_capacity));
+        self.dispatcher.set_capacity_rules(capacity_rules.unwrap_or_default());
         self.dispatcher.sync(&state.targets, rules, &state.emptied_zones);
         let known: HashSet<TargetLife> = state.targets.records().map(|record| record.life()).collect();
         self.pool.prune(|life| known.contains(life));
--- a/porthoistd/src/component/rank/reporting.rs
+++ b/porthoistd/src/component/rank/reporting.rs
@@ -62,7 +62,12 @@
         // Clock-based revisions also increase from one planning process to the next.
         let last = self.loads.borrow().as_ref().map_or(0, |loads| loads.revision.0);
         let revision = LoadRevision(now.0.max(last + 1));
-        let loads = GroupLoads { revision, pass: self.passes.pass(now), ranks: ranks.collect() };
+        let loads = GroupLoads {
+            revision,
+            pass: self.passes.pass(now),
+            ranks: ranks.collect(),
+            ..GroupLoads::default()
+        };
         group.group_control.branches().publish_loads(&loads);
         self.loads.send_replace(Some(loads));
     }
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -249,7 +249,11 @@
             .metrics(Arc::clone(&self.metrics))
             .logger(self.logger.clone())
             .build();
-        let settings = ProxyHandlerSettings::builder().freshness(self.proof).retry_share(retry_share).build();
+        let settings = ProxyHandlerSettings::builder()
+            .freshness(self.proof)
+            .retry_share(retry_share)
+            .share_capacity(self.settings.share_capacity)
+            .build();
         ProxyHandler::builder()
             .settings(settings)
             .codec(Rc::new(TuristCodec))
--- a/porthoistd/src/settings/proxy.rs
+++ b/porthoistd/src/settings/proxy.rs
@@ -71,6 +71,10 @@
     /// process next to an engine counts them
     #[argh(option)]
     pub entries: Option<String>,
+    /// true: divide the capacity of all services with ranks among entries; false: only that of services
+    /// whose requests have several priorities
+    #[argh(option)]
+    pub share_capacity: Option<String>,
     /// log level: debug, info, warning or error
     #[argh(option)]
     pub log_level: Option<String>,
@@ -114,6 +118,8 @@
     /// Number of entry processes that send to the same targets, used while no process counts them; 0 if
     /// unknown.
     pub entries: u32,
+    /// Whether the capacity of all services with ranks is divided among entries.
+    pub share_capacity: bool,
     /// Log level.
     pub log_level: Level,
 }
@@ -173,6 +179,12 @@
             rank_port: reader.optional("rank-port", args.rank_port, "a port")?,
             per_rank: reader.value("per-rank", args.per_rank, Some("3"), "a whole number")?,
             entries: reader.value("entries", args.entries, Some("0"), "a whole number")?,
+            share_capacity: reader.value(
+                "share-capacity",
+                args.share_capacity,
+                Some("false"),
+                "true or false",
+            )?,
             log_level: reader.value(
                 "log-level",
                 args.log_level,
