Explain waits by the target's queue, and do not derive restarts from silence

Change: a request that was sent to a target with more known requests than slots is given 200 ms more for each request beyond the slots, by the report that shows the longest queue since the send. The bounds for an unheard host, for a stalled group and for a target with a free slot stay. If a valid report shows that the host is heard and the group works, a move for silence has the new outcome `Unanswered`: the target gets nothing until its next report and is neither ejected nor suspected of a restart. Otherwise it is ejected and suspected as before. The line `moved` says which (`alive`). `move_cause` of the scheduler is now in `scheduler/moves.rs`.

Result: a target with 20 requests, 10 slots and passes of 80 ms gets its silence verdict at 2,260 ms instead of 260 ms, with an unheard host at 360 ms, and at 260 ms with a free slot (checks every 10 ms).

--- a/crates/porthoist-lab/src/overload/groups/entry.rs
+++ b/crates/porthoist-lab/src/overload/groups/entry.rs
@@ -43,6 +43,8 @@
 struct ActiveSend {
     rank_index: usize,
     assigned_at: UnixMillis,
+    /// Until when the queue at its rank explains that no event has arrived.
+    queued_until: UnixDeadline,
     tried: Vec<TargetName>,
 }
 
@@ -148,7 +150,8 @@
         let rank_index = self.records.iter().position(|record| record.id == chosen.record.id);
         let rank_index = rank_index.expect("only known targets are chosen");
         let tried = tried.into_iter().chain([chosen.record.id.clone()]).collect();
-        self.sends.insert(caller, ActiveSend { rank_index, assigned_at: now, tried });
+        let queued_until = UnixDeadline::default();
+        self.sends.insert(caller, ActiveSend { rank_index, assigned_at: now, queued_until, tried });
         EntryDecision::Assign(rank_index)
     }
 
@@ -184,19 +187,23 @@
     /// Callers whose requests should leave their targets now.
     pub(super) fn requests_to_move(&mut self, callers: &[SimulatedCaller], now: UnixMillis) -> Vec<usize> {
         let mut requests_to_move = Vec::new();
-        for (caller, send) in &self.sends {
+        for (caller, send) in &mut self.sends {
             let simulated = &callers[*caller];
             if send.tried.len() >= MAX_ATTEMPTS {
                 continue;
             }
+            let target = &self.records[send.rank_index];
+            let queued_until = self.scheduler.queued_until(&target.life(), send.assigned_at, now);
+            send.queued_until = send.queued_until.max(queued_until);
             let pending = PendingSend {
+                queued_until: send.queued_until,
                 since: simulated.last_event().unwrap_or(send.assigned_at),
                 events: u64::from(simulated.events_received()),
                 jitter_millis: *caller as u64 * 37 % MAX_MOVE_JITTER_MILLIS,
                 on_time_until: UnixDeadline::after(simulated.arrival(), LATENCY_MILLIS),
                 deadline: deadline(simulated.arrival()),
             };
-            let cause = self.scheduler.move_cause(&self.records[send.rank_index], &pending, now);
+            let cause = self.scheduler.move_cause(target, &pending, now);
             if cause.is_some() && self.retry_share.try_take_optional(now) {
                 requests_to_move.push(*caller);
             }
--- a/crates/porthoist-policy/src/proxy/balancer.rs
+++ b/crates/porthoist-policy/src/proxy/balancer.rs
@@ -20,6 +20,7 @@
 use std::sync::Arc;
 
 mod limits;
+mod liveness;
 mod tiers;
 
 pub use limits::LimitedSupply;
@@ -47,6 +48,9 @@
     /// The connection broke or could not be made, or the target did not respond. The target may have
     /// restarted since.
     Lost,
+    /// The target did not respond, although a report shows that it is alive ([`LoadBalancer::is_alive`]).
+    /// It has not restarted.
+    Unanswered,
     /// Another target uses the address: this life of the target is over, whatever its row says.
     Gone,
     /// The caller disconnected; the state of the target is unknown.
--- a/crates/porthoist-policy/src/proxy/moving.rs
+++ b/crates/porthoist-policy/src/proxy/moving.rs
@@ -14,6 +14,9 @@
 /// Number of mean deviations after which a late first event is considered lost. Usually 99 of 100 arrive
 /// within 263 ms, and the mean is 175 ms.
 const FIRST_DEVIATIONS: f64 = 5.0;
+/// Time in milliseconds that a request waits in a rank's queue for each request beyond the rank's slots:
+/// 150 to 200 ms when slots hold streams of 23 events and passes take 80 ms.
+const QUEUE_MILLIS_PER_REQUEST: u64 = 200;
 /// Time in milliseconds that a request waits for its first event at an unreachable host: twice the usual
 /// time elsewhere.
 const HOST_SILENT_MILLIS: u64 = 350;
@@ -51,6 +54,9 @@
     pub since: UnixMillis,
     /// Number of events received.
     pub events: u64,
+    /// Until when the queue at its target explains that no event has arrived: the latest of
+    /// [`queued_until`] since it was sent. The default if no report has shown a queue.
+    pub queued_until: UnixDeadline,
     /// Delay of a move in milliseconds, below [`MAX_MOVE_JITTER_MILLIS`].
     pub jitter_millis: u64,
     /// Until when its first event is on time.
@@ -81,7 +87,7 @@
     GroupStalled,
     /// Its group is too slow to finish the answer before the deadline.
     GroupSlow,
-    /// Its group works, but the target does not respond.
+    /// Its group works, but the target does not respond, and its queue does not explain that.
     TargetSilent,
 }
 
@@ -96,10 +102,16 @@
     }
 }
 
+/// Until when a request that was sent at `since` may wait in the queue of a rank that holds
+/// `beyond_slots` more requests than it has slots.
+pub fn queued_until(since: UnixMillis, beyond_slots: u32) -> UnixDeadline {
+    UnixDeadline::after(since, QUEUE_MILLIS_PER_REQUEST * u64::from(beyond_slots))
+}
+
 /// Whether a request should leave its target now, and why.
 pub fn move_cause(send: &PendingSend, options: &MoveOptions, now: UnixMillis) -> Option<MoveCause> {
     let waited = now.since(send.since);
-    let target_silent = !options.here.stalled && is_target_silent(send, options, waited);
+    let target_silent = !options.here.stalled && is_target_silent(send, options, now);
     // Another rank of the same group can serve it as well.
     let elsewhere = options.elsewhere_millis.or_else(|| target_silent.then_some(options.here.millis))?;
     let remaining_millis = send.deadline.0.since(now) as f64;
@@ -134,16 +146,19 @@
     (too_slow && finishes_elsewhere).then_some(MoveCause::GroupSlow)
 }
 
-/// Whether a target does not respond although its group works.
-fn is_target_silent(send: &PendingSend, options: &MoveOptions, waited: u64) -> bool {
+/// Whether a target does not respond although its group works. A rank of a working group takes part in
+/// every pass, so a request that may wait in its queue shows nothing about the rank.
+fn is_target_silent(send: &PendingSend, options: &MoveOptions, now: UnixMillis) -> bool {
     let streams = options.streams;
-    let timeout = match (send.events, options.host_silent) {
-        (0, true) => HOST_SILENT_MILLIS as f64,
+    let (since, timeout) = match (send.events, options.host_silent) {
+        (0, true) => (send.since, HOST_SILENT_MILLIS as f64),
         (0, false) => {
-            (streams.first_millis + FIRST_DEVIATIONS * streams.first_deviation).max(MIN_FIRST_WAIT_MILLIS)
+            let first = streams.first_millis + FIRST_DEVIATIONS * streams.first_deviation;
+            (send.since.max(send.queued_until.0), first.max(MIN_FIRST_WAIT_MILLIS))
         }
-        (_begun, _silent) => PAUSE_MILLIS as f64,
+        (_begun, _silent) => (send.since, PAUSE_MILLIS as f64),
     };
+    let waited = now.since(since);
     // Where passes are slow, many first events are late and none is lost; moves would only add load.
     (options.host_silent || options.here.millis <= GOOD_PASS_MILLIS) && waited as f64 > timeout
 }
--- a/crates/porthoist-policy/src/proxy/scheduler.rs
+++ b/crates/porthoist-policy/src/proxy/scheduler.rs
@@ -11,7 +11,6 @@
 use super::forecast::{ServiceForecast, WaitDecision, WaitQuery};
 use super::group_loads::GroupLoads;
 use super::limit_notes::TargetNote;
-use super::moving::{MIN_WAIT_MILLIS, MoveCause, MoveOptions, PendingSend, move_cause};
 use super::send_turns::{EntryPosition, RateSource, TargetRate};
 use super::service_groups::GroupSnapshot;
 use super::targets::{TargetLife, TargetRecord, TargetRegistry};
@@ -20,6 +19,8 @@
 use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis};
 use std::collections::HashMap;
 
+mod moves;
+
 /// Maximum number of waiting requests of one service; further ones are refused at once.
 const MAX_WAITING: usize = 512;
 
@@ -254,34 +255,6 @@
         self.forecast(service).stream_ended(events);
     }
 
-    /// Whether a request should leave its target and continue at another one.
-    pub fn move_cause(
-        &self,
-        target: &TargetRecord,
-        send: &PendingSend,
-        now: UnixMillis,
-    ) -> Option<MoveCause> {
-        // Active streams call this about 20 times a second; only a pause justifies looking at all
-        // targets.
-        if now.since(send.since) < MIN_WAIT_MILLIS {
-            return None;
-        }
-        let forecast = self.forecasts.get(&target.service)?;
-        let streams = forecast.stream_stats()?;
-        let groups = self.balancer.service_groups(&target.service, now);
-        let (here, elsewhere_millis) = match self.balancer.group_of(&target.life()) {
-            Some(group) => (groups.status(group)?, groups.best_other_millis(group)),
-            // All targets of the service count as one group.
-            None => (forecast.group_status(now), None),
-        };
-        let host_silent = self.balancer.silent(&target.life(), now);
-        move_cause(
-            send,
-            &MoveOptions { here, elsewhere_millis, occupancy: groups.occupancy(), host_silent, streams },
-            now,
-        )
-    }
-
     /// Records that a target's process has ended.
     pub fn died(&mut self, life: &TargetLife, now: UnixMillis) {
         self.balancer.died(life, now);
--- a/crates/porthoist-policy/src/proxy/target_load.rs
+++ b/crates/porthoist-policy/src/proxy/target_load.rs
@@ -29,7 +29,8 @@
 /// Requests added to the load of a rank whose group is late while another group is not. It is used only
 /// when the others are full.
 const LATE_PENALTY_REQUESTS: f64 = 4.0;
-/// Time in milliseconds for which a rank that refused a request as full gets nothing. The next report
+/// Time in milliseconds for which a rank that refused a request as full, or that left one without an
+/// answer although it is alive, gets nothing. The next report
 /// ends it earlier; the previous one makes the rank seem free.
 const FULL_MILLIS: u64 = 300;
 /// Requests added to the load of a target right after it withdrew its limit.
@@ -115,6 +116,12 @@
         }
     }
 
+    /// Number of known requests beyond the target's slots; 0 without a valid report.
+    pub(super) fn beyond_slots(&self, now: UnixMillis) -> u32 {
+        let known = self.requests(None, now);
+        if known.covers_all { known.count.saturating_sub(self.record.slots) } else { 0 }
+    }
+
     pub(super) fn report(&self, now: UnixMillis) -> Option<ReportedRequests> {
         let others = self.others?;
         let requests = self.in_flight + others.requests(now)?;
@@ -269,7 +276,7 @@
                 self.failed(now)
             }
             SendOutcome::Gone => !std::mem::replace(&mut self.gone, true),
-            SendOutcome::Shed => {
+            SendOutcome::Shed | SendOutcome::Unanswered => {
                 self.full_until = self.group.map(|_group| UnixDeadline::after(now, FULL_MILLIS));
                 false
             }
--- a/crates/porthoist-policy/tests/policy.rs
+++ b/crates/porthoist-policy/tests/policy.rs
@@ -46,3 +46,5 @@
 mod router;
 #[path = "policy/table.rs"]
 mod table;
+#[path = "policy/target_silence.rs"]
+mod target_silence;
--- a/crates/porthoist-policy/tests/policy/moving.rs
+++ b/crates/porthoist-policy/tests/policy/moving.rs
@@ -28,6 +28,7 @@
     PendingSend {
         since: UnixMillis(0),
         events,
+        queued_until: UnixDeadline::default(),
         jitter_millis: 0,
         on_time_until: UnixDeadline(UnixMillis(500)),
         deadline: UnixDeadline(UnixMillis(8_000)),
--- a/crates/porthoist-proxy/src/dispatcher.rs
+++ b/crates/porthoist-proxy/src/dispatcher.rs
@@ -58,6 +58,9 @@
     pub rate: Option<TargetRate>,
     /// When the slot was assigned.
     pub assigned: UnixMillis,
+    /// Until when the queue at the target explains that no event has arrived, by all reports since the
+    /// request was sent: the queue that it joined may since have become shorter.
+    queued_until: Cell<UnixDeadline>,
     work: RequestWork,
     outcome: Cell<SendOutcome>,
     dispatcher: RequestDispatcher,
@@ -240,8 +243,22 @@
     }
 
     /// Returns why a request should move from its current target to another one, if it should.
-    pub fn move_cause(&self, target: &TargetRecord, send: &PendingSend) -> Option<MoveCause> {
-        self.scheduler.borrow().move_cause(target, send, self.clock.now())
+    /// `queued_until` of `send` is set from the slot.
+    pub fn move_cause(&self, slot: &TargetSlot, send: &PendingSend) -> Option<MoveCause> {
+        let (scheduler, now) = (self.scheduler.borrow(), self.clock.now());
+        if send.events == 0 {
+            let queued_until = scheduler.queued_until(&slot.target.life(), send.since, now);
+            slot.queued_until.set(slot.queued_until.get().max(queued_until));
+        }
+        let send = PendingSend { queued_until: slot.queued_until.get(), ..*send };
+        scheduler.move_cause(&slot.target, &send, now)
+    }
+
+    /// Records that a request leaves the target of its slot; returns the outcome of the send.
+    pub fn record_move(&self, slot: &TargetSlot, cause: MoveCause) -> SendOutcome {
+        let outcome = self.scheduler.borrow_mut().record_move(&slot.target.life(), cause, self.clock.now());
+        slot.set_outcome(outcome);
+        outcome
     }
 
     /// Records that a target's process has ended.
@@ -274,6 +291,7 @@
             group,
             rate,
             assigned: self.clock.now(),
+            queued_until: Cell::default(),
             work,
             outcome: Cell::new(SendOutcome::Abandoned),
             dispatcher: self.clone(),
--- a/crates/porthoist-proxy/src/handler/moving.rs
+++ b/crates/porthoist-proxy/src/handler/moving.rs
@@ -33,6 +33,7 @@
         let send = PendingSend {
             since,
             events,
+            queued_until: UnixDeadline::default(),
             jitter_millis: xxhash_rust::xxh3::xxh3_64(admitted.metadata.attempt.as_bytes())
                 % MAX_MOVE_JITTER_MILLIS,
             on_time_until: UnixDeadline::after(admitted.arrival, admitted.rule.target_latency_millis),
@@ -40,7 +41,7 @@
         };
         loop {
             tokio::time::sleep(CHECK_INTERVAL).await;
-            let Some(cause) = self.dispatcher.move_cause(&slot.target, &send) else { continue };
+            let Some(cause) = self.dispatcher.move_cause(slot, &send) else { continue };
             let now = self.clock.now();
             let allowed = self.with_retry_share(&admitted.service, |share| match cause {
                 // A stalled host would run the requests that it holds after their callers have left.
@@ -54,7 +55,7 @@
     }
 
     /// Records that a request moves away from its target. A target that is silent while its group is not
-    /// receives no requests for a while.
+    /// receives no requests for a while, unless a report shows that it is alive.
     pub(super) fn record_move(
         &self,
         admitted: &AdmittedRequest,
@@ -62,12 +63,10 @@
         cause: MoveCause,
         since: UnixMillis,
     ) -> SendFailure {
-        if cause == MoveCause::TargetSilent {
-            slot.set_outcome(SendOutcome::Lost);
-            self.dispatcher.died(&slot.target.life());
-        }
+        let outcome = self.dispatcher.record_move(slot, cause);
+        let alive = (cause == MoveCause::TargetSilent).then_some(outcome == SendOutcome::Unanswered);
         info!(self.logger, "request moved away from a target"; "event" => "moved", "request" => &*admitted.metadata.attempt,
-            "target" => slot.target.id.to_string(), "cause" => cause.as_str(),
+            "target" => slot.target.id.to_string(), "cause" => cause.as_str(), "alive" => alive,
             "waited_ms" => self.clock.now().since(since));
         SendFailure::moved(cause.as_str())
     }
