Identify callers' retries by evidence

Cause: a request counted as a caller's retry if it stated 200 ms less than the longest remaining time seen on its route. Callers state different remaining times from the start, so half of the first attempts under calm load counted as retries, which never wait for a slot.

Change: `CallerRetryDetector` is now in caller_retries.rs. It learns the spread of the remaining times of first attempts on a route while no refusal of this process precedes or follows within the time in which callers retry. A request counts as a retry only if it states less than the shortest of them, by a margin for few samples, and if this process refused a request of the service or on the route, with `Retry-After`, within that time. The refused caller need not be the one that retries. A process that refused nobody treats all requests as first attempts. State per route is bounded and uses deadlines. The test of the old detector is replaced by tests/policy/caller_retries.rs.

--- a/crates/porthoist-policy/src/proxy.rs
+++ b/crates/porthoist-policy/src/proxy.rs
@@ -3,6 +3,7 @@
 
 pub mod backpressure;
 pub mod balancer;
+pub mod caller_retries;
 pub mod capacity;
 pub mod cold_start;
 pub mod demand;
--- a/crates/porthoist-policy/src/proxy/forecast.rs
+++ b/crates/porthoist-policy/src/proxy/forecast.rs
@@ -9,7 +9,7 @@
 use super::groups::{GroupStatus, STALLED_PASS_MILLIS};
 use super::wait_queue::QueueClass;
 use porthoist_core::{UnixDeadline, UnixMillis};
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 
 /// Weight of a new observation in a mean, which covers about ten of them.
 const OBSERVATION_WEIGHT: f64 = 0.1;
@@ -42,11 +42,6 @@
 /// Divisor of a caller's remaining time that gives its longest retry delay; the rest must suffice to
 /// serve it.
 const RETRY_DELAY_DIVISOR: u64 = 3;
-/// Tolerance in milliseconds for the remaining time of first attempts on a route.
-const FIRST_ATTEMPT_TOLERANCE_MILLIS: u64 = 200;
-/// Maximum number of routes with a stored timeout. The largest configurations have some 1,000; more
-/// belong to removed routes.
-const MAX_ROUTES: usize = 4_096;
 /// Fraction by which retry delays vary, so that callers don't return together.
 const RETRY_DELAY_JITTER: f64 = 0.3;
 
@@ -76,28 +71,6 @@
     Refuse,
 }
 
-/// Detects retries by callers: they have less time left than first attempts on the same route.
-#[derive(Debug, Clone, Default)]
-pub struct CallerRetryDetector {
-    longest: HashMap<Box<str>, u64>,
-}
-
-impl CallerRetryDetector {
-    /// Whether a request with this remaining time is a caller's retry.
-    pub fn is_retry(&mut self, route: &str, remaining_millis: Option<u64>) -> bool {
-        let Some(remaining) = remaining_millis else { return false };
-        let Some(longest) = self.longest.get_mut(route) else {
-            if self.longest.len() >= MAX_ROUTES {
-                self.longest.clear();
-            }
-            self.longest.insert(route.into(), remaining);
-            return false;
-        };
-        *longest = (*longest).max(remaining);
-        remaining + FIRST_ATTEMPT_TOLERANCE_MILLIS < *longest
-    }
-}
-
 /// Lengths of episodes in which a service refused requests.
 #[derive(Debug, Clone, Default)]
 struct EpisodeLengths {
--- a/crates/porthoist-policy/tests/policy.rs
+++ b/crates/porthoist-policy/tests/policy.rs
@@ -8,6 +8,8 @@
 mod backpressure;
 #[path = "policy/backpressure_simulation.rs"]
 mod backpressure_simulation;
+#[path = "policy/caller_retries.rs"]
+mod caller_retries;
 #[path = "policy/cold_start.rs"]
 mod cold_start;
 #[path = "policy/cold_start_simulation.rs"]
--- a/crates/porthoist-proxy/src/handler.rs
+++ b/crates/porthoist-proxy/src/handler.rs
@@ -15,7 +15,7 @@
     ClockSource, RefusalReason, RetryReason, RunVerdict, ServiceName, UnixDeadline, UnixMillis,
 };
 use porthoist_metrics::MetricsHub;
-use porthoist_policy::proxy::forecast::CallerRetryDetector;
+use porthoist_policy::proxy::caller_retries::CallerRetryDetector;
 use porthoist_policy::proxy::freshness::FreshnessRule;
 use porthoist_policy::proxy::group_loads::GroupLoads;
 use porthoist_policy::proxy::limit_notes::TargetNote;
@@ -259,7 +259,11 @@
             }
         };
         let outcome = match admitted {
-            Ok(admitted) => self.run(Rc::new(admitted), guard).await,
+            Ok(admitted) => {
+                let admitted = Rc::new(admitted);
+                let outcome = self.run(Rc::clone(&admitted), guard).await;
+                outcome.inspect_err(|(refusal, _guard)| self.record_refusal(&admitted, refusal))
+            }
             Err(refusal) => Err((refusal, guard)),
         };
         let mut reply = match outcome {
--- a/crates/porthoist-proxy/src/handler/admission.rs
+++ b/crates/porthoist-proxy/src/handler/admission.rs
@@ -9,6 +9,7 @@
 use hyper::http::request::Parts;
 use porthoist_core::{RefusalReason, ServiceName, UnixDeadline, UnixMillis};
 use porthoist_http::{BodyError, read_body};
+use porthoist_policy::proxy::caller_retries::CallerAttempt;
 use porthoist_policy::proxy::routes::{RouteRule, RouteTable, TeamGrant};
 use slog::info;
 use std::cell::OnceCell;
@@ -31,9 +32,13 @@
         body: Incoming,
         arrival: UnixMillis,
     ) -> Result<AdmittedRequest, ProxyRefusal> {
-        let routed = self.route(&metadata, &head, arrival)?;
+        let routed = self.route(&metadata, &head, arrival).inspect_err(|refusal| {
+            if let Some(millis) = refusal.retry_millis {
+                self.retry_detector.borrow_mut().record_unrouted_refusal(millis, arrival);
+            }
+        })?;
         let RoutedRequest { rule, grant, service, ranked, body_bytes } = routed;
-        let is_caller_retry = self.log_admitted(&metadata, &rule, &service);
+        let is_caller_retry = self.log_admitted(&metadata, &rule, &service, arrival);
         let wait = metadata.remaining_millis.unwrap_or(rule.timeout_millis).min(rule.timeout_millis);
         let deadline = UnixDeadline::after(arrival, wait);
         let body = self.read_body(body, body_bytes, deadline).await?;
@@ -53,10 +58,24 @@
         })
     }
 
+    /// Records that a request is refused. Its caller retries if it is told when.
+    pub(super) fn record_refusal(&self, admitted: &AdmittedRequest, refusal: &ProxyRefusal) {
+        if refusal.retry_millis.is_some() {
+            let attempt = caller_attempt(&admitted.metadata, &admitted.rule, &admitted.service);
+            self.retry_detector.borrow_mut().record_refusal(attempt, self.clock.now());
+        }
+    }
+
     /// Logs an admitted request. Returns whether its caller was refused before.
-    fn log_admitted(&self, metadata: &RequestMetadata, rule: &RouteRule, service: &ServiceName) -> bool {
+    fn log_admitted(
+        &self,
+        metadata: &RequestMetadata,
+        rule: &RouteRule,
+        service: &ServiceName,
+        arrival: UnixMillis,
+    ) -> bool {
         let is_caller_retry =
-            self.retry_detector.borrow_mut().is_retry(&rule.name, metadata.remaining_millis);
+            self.retry_detector.borrow_mut().observe(caller_attempt(metadata, rule, service), arrival);
         let (version, age) = {
             let state = self.state.borrow();
             let version = state.routes.as_ref().map(|routes| routes.version.0);
@@ -149,3 +168,16 @@
         }
     }
 }
+
+fn caller_attempt<'a>(
+    metadata: &RequestMetadata,
+    rule: &'a RouteRule,
+    service: &'a ServiceName,
+) -> CallerAttempt<'a> {
+    CallerAttempt {
+        route: &rule.name,
+        service,
+        remaining_millis: metadata.remaining_millis,
+        timeout_millis: rule.timeout_millis,
+    }
+}
