--- a/crates/porthoist-policy/tests/policy.rs
+++ b/crates/porthoist-policy/tests/policy.rs
@@ -8,6 +8,8 @@
 mod backpressure;
 #[path = "policy/backpressure_simulation.rs"]
 mod backpressure_simulation;
+#[path = "policy/caller_retries.rs"]
+mod caller_retries;
 #[path = "policy/cold_start.rs"]
 mod cold_start;
 #[path = "policy/cold_start_simulation.rs"]
@@ -46,3 +48,5 @@
 mod router;
 #[path = "policy/table.rs"]
 mod table;
+#[path = "policy/target_silence.rs"]
+mod target_silence;
