--- a/crates/porthoist-fleet/schema/rank.capnp
+++ b/crates/porthoist-fleet/schema/rank.capnp
@@ -64,9 +64,12 @@
   # IPv4 address, 0 if it knows none. `hosts` has the IPv4 address of each rank's engine, unless the caller says with
   # `layout` that it knows them; `requests` a byte for each: running and waiting, 127 at most,
   # with the highest bit set where the process beside it is not heard. `pass` is how long a pass
-  # takes in milliseconds, at most 65,534; 0 if that is unknown, 65,535 while the group is not formed.
+  # takes in milliseconds, at most 65,534; 0 if that is unknown, 65,535 while the group is not formed. `ageMillis` is the
+  # time since the oldest reading of an engine in it, at most 65,535, and 0 from a process that does not tell.
+  # `heldMillis` is one more than the time for which the question was held, and 0 from a process that does not tell.
   loads @3 (after :UInt64, layout :UInt64)
-    -> (knows :Bool, planner :UInt32, revision :UInt64, hosts :List(UInt32), requests :Data, layout :UInt64, pass :UInt16);
+    -> (knows :Bool, planner :UInt32, revision :UInt64, hosts :List(UInt32), requests :Data, layout :UInt64, pass :UInt16,
+        ageMillis :UInt16, heldMillis :UInt16);
 
   # The calls below are about a branch of the group: this process's rank and those of the processes on the hosts `others`,
   # IPv4 addresses, which it asks for the caller, each for `millis` at most. Members are numbered from 0, this process
@@ -81,7 +84,8 @@
   pass @6 (others :List(UInt32), millis :UInt16, orders :Data, map :BranchMap) -> (answers :Data, unknownBase :Bool);
   # The newest loads, for all members to tell those who ask. With `unknownLayout` nothing was taken: the receiver does
   # not know the hosts.
-  tell @7 (others :List(UInt32), revision :UInt64, layout :UInt64, hosts :List(UInt32), requests :Data, pass :UInt16)
+  tell @7 (others :List(UInt32), revision :UInt64, layout :UInt64, hosts :List(UInt32), requests :Data, pass :UInt16,
+           ageMillis :UInt16)
     -> (unknownLayout :Bool);
 
   # What this process knows of one of the platform's tables that is newer than the revision `after` or the table service's
--- a/crates/porthoist-fleet/src/rank.rs
+++ b/crates/porthoist-fleet/src/rank.rs
@@ -4,8 +4,10 @@
 //! One process reads and orders the whole group through branches. In each branch, one member calls the others, so that the
 //! traffic of any process grows with the square root of the group's size.
 
+mod aged_loads;
 mod branches;
 mod convert;
+mod loads_message;
 mod maps;
 mod peer;
 mod publisher;
@@ -13,8 +15,9 @@
 mod table_update;
 mod traffic;
 
+pub use aged_loads::AgedLoads;
 pub use branches::{BranchedGroup, RankBranches};
-pub use convert::LoadsAnswer;
+pub use loads_message::LoadsAnswer;
 pub use maps::MapCache;
 pub use peer::{PeerPool, RankPeer};
 pub use publisher::LoadsPublisher;
--- a/crates/porthoist-fleet/src/rank/branches.rs
+++ b/crates/porthoist-fleet/src/rank/branches.rs
@@ -5,6 +5,7 @@
 //! group's size, and the counts of a branch cross between zones only once. If a head does not answer, the next member of
 //! its branch replaces it in the same round.
 
+use super::aged_loads::AgedLoads;
 use super::peer::{BranchObservation, MemberOrder, PeerPool, RankPeer};
 use futures::future::{LocalBoxFuture, join_all};
 use porthoist_core::{LinkRate, ZoneName};
@@ -14,7 +15,6 @@
 };
 use porthoist_http::CallError;
 use porthoist_policy::placement::equal_shares::EqualShareMap;
-use porthoist_policy::proxy::group_loads::GroupLoads;
 use porthoist_policy::roll_forward::{EngineOrder, RankState};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -148,7 +148,7 @@
     }
 
     /// Distributes the newest loads to all processes, without waiting for it to finish.
-    pub fn publish_loads(&self, loads: &GroupLoads) {
+    pub fn publish_loads(&self, loads: &AgedLoads) {
         for branch in &self.branches {
             let members = branch.members();
             let (head, loads) = (self.peers.get(members[0]), loads.clone());
--- a/crates/porthoist-fleet/src/rank/convert.rs
+++ b/crates/porthoist-fleet/src/rank/convert.rs
@@ -1,12 +1,9 @@
-//! Conversion of ranks' states, orders and loads to and from capnp messages.
+//! Conversion of ranks' states and orders to and from capnp messages.
 
-use crate::rank_capnp::rank_process::loads_results;
 use crate::rank_capnp::{branch_map, rank_order, rank_state, rank_view};
 use capnp::{Error, primitive_list};
 use porthoist_group::RankObservation;
 use porthoist_policy::placement::equal_shares::ListChange;
-use porthoist_policy::proxy::group_loads::{GroupLoads, LoadRevision, RankLoad};
-use porthoist_policy::proxy::pass_time::GroupPass;
 use porthoist_policy::roll_forward::{
     ArmedMap, EngineOrder, GroupEpoch, OrderSequence, RankPace, RankState, RankView,
 };
@@ -201,57 +198,6 @@
     xxhash_rust::xxh3::xxh3_64(&bytes).max(1)
 }
 
-/// Bit of a rank's byte that marks the process next to it as unreachable.
-const UNREACHABLE_BIT: u8 = 0x80;
-/// Largest number of requests that a rank's byte can hold.
-const MAX_REQUESTS: u8 = 0x7f;
-
-pub(crate) fn pack_requests(loads: &GroupLoads) -> Vec<u8> {
-    let byte = |rank: &RankLoad| {
-        let requests = u8::try_from(rank.requests).unwrap_or(u8::MAX).min(MAX_REQUESTS);
-        if rank.silent { requests | UNREACHABLE_BIT } else { requests }
-    };
-    loads.ranks.iter().map(byte).collect()
-}
-
-pub(crate) fn decode_loads(revision: u64, hosts: &[Ipv4Addr], requests: &[u8], pass: u16) -> GroupLoads {
-    let ranks = hosts.iter().zip(requests);
-    let ranks = ranks.map(|(host, byte)| RankLoad {
-        host: *host,
-        requests: u32::from(byte & MAX_REQUESTS),
-        silent: byte & UNREACHABLE_BIT != 0,
-    });
-    GroupLoads {
-        revision: LoadRevision(revision),
-        pass: unpack_pass(pass),
-        ranks: ranks.collect(),
-        ..GroupLoads::default()
-    }
-}
-
-/// Encoding of the pass time of a group that is not formed.
-const BROKEN_PASS: u16 = u16::MAX;
-
-pub(crate) fn pack_pass(pass: GroupPass) -> u16 {
-    match pass {
-        GroupPass::Unknown => 0,
-        GroupPass::Millis(millis) => millis.clamp(1, BROKEN_PASS - 1),
-        GroupPass::Broken => BROKEN_PASS,
-    }
-}
-
-fn unpack_pass(millis: u16) -> GroupPass {
-    match millis {
-        0 => GroupPass::Unknown,
-        BROKEN_PASS => GroupPass::Broken,
-        millis => GroupPass::Millis(millis),
-    }
-}
-
-pub(crate) fn hosts_of(loads: &GroupLoads) -> Vec<Ipv4Addr> {
-    loads.ranks.iter().map(|rank| rank.host).collect()
-}
-
 pub(crate) fn write_order(mut builder: rank_order::Builder<'_>, order: EngineOrder, map: &MapChanges) {
     match order {
         EngineOrder::Prepare { epoch, version, sequence } => {
@@ -306,56 +252,6 @@
     })
 }
 
-/// A process's answer to a query for its group's loads.
-#[derive(Debug, Clone, PartialEq)]
-pub enum LoadsAnswer {
-    /// The loads, as published by the process that plans or received from it.
-    Loads(GroupLoads),
-    /// The process knows no loads. The process on this host, if one is known, last read its rank's state, and so plans.
-    Redirect(Option<Ipv4Addr>),
-}
-
-/// Writes an answer to a peer that knows the list of hosts with the identifier `known`.
-pub(crate) fn write_loads(mut builder: loads_results::Builder<'_>, answer: &LoadsAnswer, known: u64) {
-    match answer {
-        LoadsAnswer::Redirect(host) => builder.set_planner(host.map_or(0, Ipv4Addr::to_bits)),
-        LoadsAnswer::Loads(loads) => {
-            builder.set_knows(true);
-            builder.set_revision(loads.revision.0);
-            builder.set_requests(&pack_requests(loads));
-            builder.set_pass(pack_pass(loads.pass));
-            let hosts = hosts_of(loads);
-            let layout = layout_of(&hosts);
-            builder.set_layout(layout);
-            if layout != known {
-                write_hosts(builder.init_hosts(hosts.len() as u32), &hosts);
-            }
-        }
-    }
-}
-
-/// A list of hosts with its identifier.
-pub(crate) type IdentifiedHosts = Option<(u64, Vec<Ipv4Addr>)>;
-
-/// Reads an answer. `known` is the last list of hosts that was received, and is replaced by a new one.
-pub(crate) fn read_loads(
-    reader: loads_results::Reader<'_>,
-    known: &mut IdentifiedHosts,
-) -> Result<LoadsAnswer, Error> {
-    if !reader.get_knows() {
-        let host = (reader.get_planner() != 0).then(|| Ipv4Addr::from_bits(reader.get_planner()));
-        return Ok(LoadsAnswer::Redirect(host));
-    }
-    let hosts = read_hosts(reader.get_hosts()?);
-    if !hosts.is_empty() {
-        *known = Some((reader.get_layout(), hosts));
-    }
-    let hosts = known.as_ref().filter(|(layout, _hosts)| *layout == reader.get_layout());
-    let (_layout, hosts) = hosts.ok_or_else(|| Error::failed("loads of unknown hosts".to_owned()))?;
-    let loads = decode_loads(reader.get_revision(), hosts, reader.get_requests()?, reader.get_pass());
-    Ok(LoadsAnswer::Loads(loads))
-}
-
 /// Largest count that a byte can hold.
 const MAX_BYTE_COUNT: f32 = 255.0;
 
--- a/crates/porthoist-fleet/src/rank/peer.rs
+++ b/crates/porthoist-fleet/src/rank/peer.rs
@@ -1,9 +1,12 @@
 //! Client of the process next to another rank.
 
+use super::aged_loads::AgedLoads;
 use super::convert::{
-    IdentifiedHosts, LoadsAnswer, MapChanges, hosts_of, layout_of, pack, pack_pass, pack_requests,
-    read_loads, read_observation, read_view, unpack, unpack_counts, unpack_states, write_branch_map,
-    write_hosts, write_order,
+    MapChanges, layout_of, pack, read_observation, read_view, unpack, unpack_counts, unpack_states,
+    write_branch_map, write_hosts, write_order,
+};
+use super::loads_message::{
+    IdentifiedHosts, LoadsAnswer, hosts_of, pack_age, pack_pass, pack_requests, read_loads,
 };
 use super::maps::PeerMaps;
 use super::table_update::{
@@ -19,7 +22,7 @@
 use porthoist_http::CallError;
 use porthoist_policy::placement::equal_shares::EqualShareMap;
 use porthoist_policy::placement::map::ExpertId;
-use porthoist_policy::proxy::group_loads::{GroupLoads, LoadRevision};
+use porthoist_policy::proxy::group_loads::LoadRevision;
 use porthoist_policy::roll_forward::{EngineOrder, RankState};
 use porthoist_policy::switch::MapVersion;
 use porthoist_proxy::TableQuery;
@@ -31,6 +34,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 /// Connect timeout in milliseconds: an isolated host does not answer at all.
 const CONNECT_TIMEOUT_MILLIS: u64 = 120;
@@ -157,8 +161,9 @@
         request.get().set_after(after.0);
         request.get().set_layout(self.hosts.borrow().as_ref().map_or(0, |(layout, _hosts)| *layout));
         let answered = async {
+            let asked = Instant::now();
             let response = request.send().promise.await?;
-            read_loads(response.get()?, &mut self.hosts.borrow_mut())
+            read_loads(response.get()?, &mut self.hosts.borrow_mut(), asked.elapsed())
         };
         answered.await.map_err(|error: Error| self.connection_failed(&error))
     }
@@ -200,7 +205,7 @@
 
     /// Sends the newest loads to the process, which forwards them to those on `others`. Sends nothing while the last report
     /// is not acknowledged.
-    pub async fn publish_loads(&self, loads: &GroupLoads, others: &[Ipv4Addr]) {
+    pub async fn publish_loads(&self, loads: &AgedLoads, others: &[Ipv4Addr]) {
         if self.sending_loads.replace(true) {
             return;
         }
@@ -211,8 +216,8 @@
         self.sending_loads.set(false);
     }
 
-    async fn publish_loads_now(&self, loads: &GroupLoads, others: &[Ipv4Addr]) -> Result<(), CallError> {
-        let hosts = hosts_of(loads);
+    async fn publish_loads_now(&self, loads: &AgedLoads, others: &[Ipv4Addr]) -> Result<(), CallError> {
+        let hosts = hosts_of(loads.received());
         let layout = layout_of(&hosts);
         let known = self.sent_layout.replace(layout) == layout;
         if known && self.send_loads(loads, others, layout, &[]).await? {
@@ -224,18 +229,20 @@
     /// Sends loads; returns whether the process knew their hosts.
     async fn send_loads(
         &self,
-        loads: &GroupLoads,
+        loads: &AgedLoads,
         others: &[Ipv4Addr],
         layout: u64,
         hosts: &[Ipv4Addr],
     ) -> Result<bool, CallError> {
         let connection = self.connect().await?;
+        let loads = loads.current();
         let mut request = connection.client.tell_request();
         let mut call = request.get();
         call.set_revision(loads.revision.0);
         call.set_layout(layout);
-        call.set_requests(&pack_requests(loads));
+        call.set_requests(&pack_requests(&loads));
         call.set_pass(pack_pass(loads.pass));
+        call.set_age_millis(pack_age(loads.age_millis));
         write_hosts(call.reborrow().init_hosts(hosts.len() as u32), hosts);
         write_hosts(call.init_others(others.len() as u32), others);
         let sent = async { Ok(!request.send().promise.await?.get()?.get_unknown_layout()) };
--- a/crates/porthoist-fleet/src/rank/publisher.rs
+++ b/crates/porthoist-fleet/src/rank/publisher.rs
@@ -1,7 +1,8 @@
 //! Distribution of a group's loads by the processes next to its ranks.
 
-use super::convert::LoadsAnswer;
-use porthoist_policy::proxy::group_loads::{GroupLoads, LoadRevision};
+use super::aged_loads::AgedLoads;
+use super::loads_message::LoadsAnswer;
+use porthoist_policy::proxy::group_loads::LoadRevision;
 use std::cell::Cell;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
@@ -15,7 +16,7 @@
 /// Loads received from another process.
 #[derive(Debug, Clone)]
 struct ReceivedLoads {
-    loads: GroupLoads,
+    loads: AgedLoads,
     until: Instant,
 }
 
@@ -23,7 +24,7 @@
 #[derive(Debug, Clone)]
 pub struct LoadsPublisher {
     /// The loads that this process publishes while it plans for the group.
-    loads: watch::Receiver<Option<GroupLoads>>,
+    loads: watch::Receiver<Option<AgedLoads>>,
     /// The loads received from the process that plans, possibly through others.
     received: watch::Sender<Option<ReceivedLoads>>,
     /// The host of the process that last read this rank's state.
@@ -32,12 +33,12 @@
 
 impl LoadsPublisher {
     /// Creates a publisher of the loads that this process computes while it plans.
-    pub fn new(loads: watch::Receiver<Option<GroupLoads>>) -> Self {
+    pub fn new(loads: watch::Receiver<Option<AgedLoads>>) -> Self {
         Self { loads, received: watch::Sender::new(None), last_observer: Rc::default() }
     }
 
     /// Stores loads received from another process.
-    pub(super) fn receive(&self, loads: GroupLoads) {
+    pub(super) fn receive(&self, loads: AgedLoads) {
         self.received
             .send_replace(Some(ReceivedLoads { loads, until: Instant::now() + RECEIVED_LOADS_LIFETIME }));
     }
@@ -47,7 +48,8 @@
         self.last_observer.set(Some(host));
     }
 
-    /// Waits for loads newer than `after`, as long as this process knows any.
+    /// Waits for loads newer than `after`, as long as this process knows any. Their age includes the time for which this
+    /// process has held them.
     pub(super) async fn newer_than(mut self, after: LoadRevision) -> LoadsAnswer {
         let mut updates = self.received.subscribe();
         loop {
@@ -57,7 +59,9 @@
             let until = received.as_ref().map(|received| received.until);
             match own.or(received.map(|received| received.loads)) {
                 None => return LoadsAnswer::Redirect(self.last_observer.get()),
-                Some(loads) if loads.revision > after => return LoadsAnswer::Loads(loads),
+                Some(loads) if loads.received().revision > after => {
+                    return LoadsAnswer::Loads(loads.current());
+                }
                 Some(_known) => {}
             }
             let expired = async {
--- a/crates/porthoist-fleet/src/rank/server.rs
+++ b/crates/porthoist-fleet/src/rank/server.rs
@@ -1,9 +1,11 @@
 //! Server side of the processes next to ranks.
 
+use super::aged_loads::AgedLoads;
 use super::convert::{
-    IdentifiedHosts, MapChanges, decode_loads, layout_of, pack, pack_counts, pack_states, read_branch_map,
-    read_hosts, read_order, unpack, write_loads, write_state, write_view,
+    MapChanges, layout_of, pack, pack_counts, pack_states, read_branch_map, read_hosts, read_order, unpack,
+    write_state, write_view,
 };
+use super::loads_message::{EncodedLoads, IdentifiedHosts, decode_loads, write_loads};
 use super::maps::MapCache;
 use super::peer::{MemberOrder, PeerPool};
 use super::publisher::LoadsPublisher;
@@ -34,6 +36,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 /// State shared by all connections of one process.
 #[derive(Debug, bon::Builder)]
@@ -195,8 +198,9 @@
         mut results: rank_process::LoadsResults,
     ) -> Result<(), Error> {
         let params = params.get()?;
+        let asked = Instant::now();
         let answer = self.service.publisher.clone().newer_than(LoadRevision(params.get_after())).await;
-        write_loads(results.get(), &answer, params.get_layout());
+        write_loads(results.get(), &answer, params.get_layout(), asked.elapsed());
         Ok(())
     }
 
@@ -284,7 +288,13 @@
             results.get().set_unknown_layout(true);
             return Ok(());
         };
-        let loads = decode_loads(params.get_revision(), hosts, params.get_requests()?, params.get_pass());
+        let encoded = EncodedLoads {
+            revision: params.get_revision(),
+            requests: params.get_requests()?,
+            pass: params.get_pass(),
+            age: params.get_age_millis(),
+        };
+        let loads = AgedLoads::new(decode_loads(encoded, hosts));
         for host in read_hosts(params.get_others()?) {
             let (peer, loads) = (self.service.peers.get(host), loads.clone());
             tokio::task::spawn_local(async move { peer.publish_loads(&loads, &[]).await });
--- a/crates/porthoist-fleet/src/rank_capnp.rs
+++ b/crates/porthoist-fleet/src/rank_capnp.rs
@@ -3534,11 +3534,19 @@
             pub fn get_pass(self) -> u16 {
                 self.reader.get_data_field::<u16>(1)
             }
+            #[inline]
+            pub fn get_age_millis(self) -> u16 {
+                self.reader.get_data_field::<u16>(12)
+            }
+            #[inline]
+            pub fn get_held_millis(self) -> u16 {
+                self.reader.get_data_field::<u16>(13)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3660,6 +3668,22 @@
             pub fn set_pass(&mut self, value: u16)  {
                 self.builder.set_data_field::<u16>(1, value);
             }
+            #[inline]
+            pub fn get_age_millis(self) -> u16 {
+                self.builder.get_data_field::<u16>(12)
+            }
+            #[inline]
+            pub fn set_age_millis(&mut self, value: u16)  {
+                self.builder.set_data_field::<u16>(12, value);
+            }
+            #[inline]
+            pub fn get_held_millis(self) -> u16 {
+                self.builder.get_data_field::<u16>(13)
+            }
+            #[inline]
+            pub fn set_held_millis(&mut self, value: u16)  {
+                self.builder.set_data_field::<u16>(13, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3671,17 +3695,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 129] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 161] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(230, 155, 206, 218, 247, 239, 18, 156),
-                ::capnp::word(23, 0, 0, 0, 1, 0, 3, 0),
+                ::capnp::word(23, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 143, 1, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 255, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 97, 110, 107, 46, 99, 97, 112),
@@ -3689,56 +3713,70 @@
                 ::capnp::word(114, 111, 99, 101, 115, 115, 46, 108),
                 ::capnp::word(111, 97, 100, 115, 36, 82, 101, 115),
                 ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
-                ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(181, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(237, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(189, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(245, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(197, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(253, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(217, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(17, 1, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(225, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(229, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(29, 1, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(7, 0, 0, 0, 12, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 1, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(8, 0, 0, 0, 13, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 1, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(107, 110, 111, 119, 115, 0, 0, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3801,6 +3839,24 @@
                 ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 103, 101, 77, 105, 108, 108, 105),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 101, 108, 100, 77, 105, 108, 108),
+                ::capnp::word(105, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -3811,6 +3867,8 @@
                     4 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     6 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    7 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    8 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3824,9 +3882,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,5,6,1,4,2];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,8,3,0,5,6,1,4,2];
             pub(crate) const TYPE_ID: u64 = 0x9c12_eff7_dace_9be6;
         }
     }
@@ -5480,6 +5538,10 @@
             pub fn get_pass(self) -> u16 {
                 self.reader.get_data_field::<u16>(8)
             }
+            #[inline]
+            pub fn get_age_millis(self) -> u16 {
+                self.reader.get_data_field::<u16>(9)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -5606,6 +5668,14 @@
             pub fn set_pass(&mut self, value: u16)  {
                 self.builder.set_data_field::<u16>(8, value);
             }
+            #[inline]
+            pub fn get_age_millis(self) -> u16 {
+                self.builder.get_data_field::<u16>(9)
+            }
+            #[inline]
+            pub fn set_age_millis(&mut self, value: u16)  {
+                self.builder.set_data_field::<u16>(9, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5617,7 +5687,7 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 118] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 134] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(233, 196, 89, 116, 21, 50, 110, 190),
                 ::capnp::word(23, 0, 0, 0, 1, 0, 3, 0),
@@ -5627,7 +5697,7 @@
                 ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 143, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 97, 110, 107, 46, 99, 97, 112),
@@ -5635,49 +5705,56 @@
                 ::capnp::word(114, 111, 99, 101, 115, 115, 46, 116),
                 ::capnp::word(101, 108, 108, 36, 80, 97, 114, 97),
                 ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(173, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(201, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(185, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(213, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(205, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(233, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(5, 0, 0, 0, 8, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(213, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(241, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(6, 0, 0, 0, 9, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(245, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(111, 116, 104, 101, 114, 115, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5736,6 +5813,15 @@
                 ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 103, 101, 77, 105, 108, 108, 105),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -5745,6 +5831,7 @@
                     3 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
                     4 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     5 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    6 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5758,9 +5845,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,2,0,5,4,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,3,2,0,5,4,1];
             pub(crate) const TYPE_ID: u64 = 0xbe6e_3215_7459_c4e9;
         }
     }
--- a/crates/porthoist-group/src/controller.rs
+++ b/crates/porthoist-group/src/controller.rs
@@ -83,6 +83,8 @@
     requests: Vec<u32>,
     /// Number of rounds that read all ranks.
     full_reads: u64,
+    /// When the last round that read all ranks began, shortly before it read the first one.
+    read_at: Instant,
     /// Slowness of each rank as of the last round.
     paces: Vec<RankPace>,
     /// The last view of each rank in this epoch; empty until all ranks have answered once.
@@ -110,6 +112,7 @@
             shifting: false,
             requests: Vec::new(),
             full_reads: 0,
+            read_at: Instant::now(),
             paces: Vec::new(),
             views: Vec::new(),
             unreachable: Vec::new(),
@@ -172,6 +175,7 @@
         with_counts: bool,
     ) -> bool {
         let with_counts = with_counts && !self.driver.holding();
+        let began = Instant::now();
         let mut observation = group.observe(with_counts).await;
         let Some(first) = observation.states.first().cloned().flatten() else {
             self.log_unreachable(observation.unreachable.as_ref());
@@ -180,6 +184,7 @@
         if !first.open || first.size != group.ranks() {
             return false;
         }
+        self.read_at = began;
         self.update_states(&first, &mut observation);
         self.log_reachability(observation.unreachable.as_ref());
         for (sum, count) in self.window_counts.iter_mut().zip(&observation.counts) {
@@ -310,6 +315,11 @@
         self.full_reads
     }
 
+    /// Returns when the oldest reading of the ranks that answered in the last full round was taken, at the earliest.
+    pub fn read_at(&self) -> Instant {
+        self.read_at
+    }
+
     /// Returns the slowness of each rank as of the last round.
     pub fn paces(&self) -> &[RankPace] {
         &self.paces
--- a/crates/porthoist-policy/src/proxy/balancer.rs
+++ b/crates/porthoist-policy/src/proxy/balancer.rs
@@ -97,7 +97,7 @@
 pub struct ReportedRequests {
     /// Reported requests of other processes plus this process's own.
     pub requests: u32,
-    /// Age of the report in milliseconds.
+    /// Time in milliseconds since the engine was read.
     pub age_millis: u64,
 }
 
@@ -325,8 +325,7 @@
                     // since.
                     continue;
                 }
-                load.apply_report(rank, now);
-                own += load.in_flight;
+                own += load.apply_report(rank, loads.read_at(now), now);
                 all += rank.requests;
                 service = Some(load.record.service.clone());
             }
--- a/crates/porthoist-policy/src/proxy/group_loads.rs
+++ b/crates/porthoist-policy/src/proxy/group_loads.rs
@@ -1,17 +1,21 @@
 //! Loads of a group's ranks, as the process that plans for the group last read them from the engines.
 //!
 //! Without a report, a process knows only its own requests. With one, it also knows those of the other
-//! processes: the reported ones minus its own at that moment.
+//! processes: the reported ones minus its own when the engines were read.
 
 use super::demand::ServiceDemand;
 use super::pass_time::GroupPass;
 use crate::roll_forward::RankPace;
 use porthoist_core::{UnixDeadline, UnixMillis};
+use std::collections::VecDeque;
 use std::net::Ipv4Addr;
 
 /// Time in milliseconds for which a report is valid: about three rounds of the planning process. After
 /// that, a process uses only its own requests again.
 pub const REPORT_VALIDITY_MILLIS: u64 = 1_200;
+/// Number of sends to a target and ends of sends that are remembered. A target of 10 slots with requests of
+/// one second has about 20 in a second, and a report is rarely older.
+const MAX_CHANGES: usize = 64;
 
 /// Number of a report within one life of the process that made it. Newer reports have higher numbers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -54,20 +58,61 @@
     pub ranks: Vec<RankLoad>,
 }
 
+impl GroupLoads {
+    /// When the oldest engine reading in a report that arrives now was taken.
+    pub(crate) fn read_at(&self, now: UnixMillis) -> UnixMillis {
+        UnixMillis(now.0.saturating_sub(self.age_millis))
+    }
+}
+
+/// A change of the number of this process's requests at a target.
+#[derive(Debug, Clone, Copy)]
+struct OwnChange {
+    at: UnixMillis,
+    /// The number before it.
+    before: u32,
+}
+
+/// This process's recent requests at one target, to tell which of them a report contains.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct OwnHistory {
+    changes: VecDeque<OwnChange>,
+}
+
+impl OwnHistory {
+    /// Records a send or the end of one; `before` is the number of requests before it.
+    pub(crate) fn record(&mut self, before: u32, at: UnixMillis) {
+        if self.changes.len() == MAX_CHANGES {
+            self.changes.pop_front();
+        }
+        self.changes.push_back(OwnChange { at, before });
+    }
+
+    /// Number of requests that a reading contains: those sent before it that had not ended by then. `current`
+    /// is the present number. Changes that are no longer remembered count as earlier than the reading.
+    pub(crate) fn contained(&self, read_at: UnixMillis, current: u32) -> u32 {
+        let first_later = self.changes.iter().find(|change| change.at >= read_at);
+        first_later.map_or(current, |change| change.before)
+    }
+}
+
 /// Requests of other processes at one rank, valid until a deadline.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct OthersLoad {
     requests: u32,
     silent: bool,
+    read_at: UnixMillis,
     fresh_until: UnixDeadline,
 }
 
 impl OthersLoad {
-    /// From a report that arrives now; `own` is the number of this process's own requests there.
-    pub(crate) fn reported(rank: &RankLoad, own: u32, now: UnixMillis) -> Self {
+    /// From a report that arrives now of a reading at `read_at`; `own` is the number of this process's own
+    /// requests in that reading.
+    pub(crate) fn reported(rank: &RankLoad, own: u32, read_at: UnixMillis, now: UnixMillis) -> Self {
         Self {
             requests: rank.requests.saturating_sub(own),
             silent: rank.silent,
+            read_at,
             fresh_until: UnixDeadline::after(now, REPORT_VALIDITY_MILLIS),
         }
     }
@@ -77,9 +122,9 @@
         self.silent && !self.fresh_until.passed(now)
     }
 
-    /// Age of the report in milliseconds.
+    /// Time in milliseconds since the reading.
     pub(crate) fn age(&self, now: UnixMillis) -> u64 {
-        REPORT_VALIDITY_MILLIS.saturating_sub(self.fresh_until.0.since(now))
+        now.since(self.read_at)
     }
 
     /// Requests of the other processes while the report is valid.
--- a/crates/porthoist-policy/src/proxy/target_load.rs
+++ b/crates/porthoist-policy/src/proxy/target_load.rs
@@ -4,7 +4,7 @@
 use super::backpressure::TargetBackpressure;
 use super::balancer::{BalancerSettings, ReportedRequests, RequestWork, SendOutcome};
 use super::cold_start::ColdRule;
-use super::group_loads::{OthersLoad, RankLoad};
+use super::group_loads::{OthersLoad, OwnHistory, RankLoad};
 use super::groups::GroupIndex;
 use super::send_turns::{RateSource, SendTurns, SenderPosition, TargetRate, TurnRound};
 use super::service_groups::ServiceGroups;
@@ -56,6 +56,8 @@
 pub(super) struct TargetLoad {
     pub(super) record: Arc<TargetRecord>,
     pub(super) in_flight: u32,
+    /// Recent changes of `in_flight`.
+    history: OwnHistory,
     tokens: u64,
     others: Option<OthersLoad>,
     /// Its group, once a report has named it.
@@ -81,6 +83,7 @@
         Self {
             record,
             in_flight: 0,
+            history: OwnHistory::default(),
             tokens: 0,
             others: None,
             group: None,
@@ -256,6 +259,7 @@
 
     /// Records the end of a send. Returns whether the target is ejected because of it.
     pub(super) fn ended(&mut self, work: RequestWork, outcome: SendOutcome, now: UnixMillis) -> bool {
+        self.history.record(self.in_flight, now);
         self.in_flight = self.in_flight.saturating_sub(1);
         self.tokens = self.tokens.saturating_sub(work.prompt_tokens);
         match outcome {
@@ -286,6 +290,7 @@
 
     /// Counts a request that is sent now.
     pub(super) fn count_send(&mut self, work: RequestWork, now: UnixMillis) {
+        self.history.record(self.in_flight, now);
         self.in_flight += 1;
         self.tokens += work.prompt_tokens;
         if self.rate(now).is_some() {
@@ -293,13 +298,16 @@
         }
     }
 
-    /// Applies the reported load of the target.
-    pub(super) fn apply_report(&mut self, rank: &RankLoad, now: UnixMillis) {
-        self.others = Some(OthersLoad::reported(rank, self.in_flight, now));
+    /// Applies the load of the target as read at `read_at`. Returns the number of this process's own
+    /// requests that it contains.
+    pub(super) fn apply_report(&mut self, rank: &RankLoad, read_at: UnixMillis, now: UnixMillis) -> u32 {
+        let own = self.history.contained(read_at, self.in_flight);
+        self.others = Some(OthersLoad::reported(rank, own, read_at, now));
         if rank.silent {
             self.backpressure.suspect_restart();
         }
         self.full_until = None;
+        own
     }
 
     fn answered(&mut self, millis: f64) {
--- a/crates/porthoist-policy/tests/policy/group_loads.rs
+++ b/crates/porthoist-policy/tests/policy/group_loads.rs
@@ -109,6 +109,71 @@
     );
 }
 
+/// Guards against hiding the requests that this process sent between the reading and the arrival of its
+/// report: they are not in the reported number, and a rank that seems free gets too many.
+#[test]
+fn own_requests_sent_after_reading_are_added() {
+    let mut balancer = balancer(1, 1);
+    assert_eq!(choose_rank(&mut balancer, 100), Some(0));
+    assert_eq!(choose_rank(&mut balancer, 160), Some(0));
+    assert_eq!(choose_rank(&mut balancer, 180), Some(0));
+    // The reading at 150 contains the first request and four of others.
+    balancer.update_loads(&GroupLoads { age_millis: 50, ..loads(&[5]) }, UnixMillis(200));
+    let chosen = balancer.choose(&service(), true, RequestWork::default(), &[], UnixMillis(210));
+    let report = chosen.and_then(|chosen| chosen.report);
+    assert_eq!(report, Some(ReportedRequests { requests: 7, age_millis: 60 }));
+    assert_eq!(choose_rank(&mut balancer, 210), None, "the limit of {RANK_LIMIT} is reached");
+}
+
+/// Guards against counting requests that the reading contains as other processes' after they have ended:
+/// the rank would seem fuller than it is until the next report.
+#[test_case(170, 5; "ended before the report arrived")]
+#[test_case(205, 5; "ended after the report arrived")]
+#[test_case(140, 6; "ended before the reading")]
+fn own_requests_that_ended_since_reading_are_not_counted(ended: u64, others: u32) {
+    let mut balancer = balancer(1, 1);
+    assert_eq!(choose_rank(&mut balancer, 100), Some(0));
+    let end = |balancer: &mut LoadBalancer| {
+        balancer.ended(&life("t0"), RequestWork::default(), SendOutcome::Answered(1.0), UnixMillis(ended));
+    };
+    if ended < 200 {
+        end(&mut balancer);
+    }
+    balancer.update_loads(&GroupLoads { age_millis: 50, ..loads(&[6]) }, UnixMillis(200));
+    if ended >= 200 {
+        end(&mut balancer);
+    }
+    let chosen = balancer.choose(&service(), true, RequestWork::default(), &[], UnixMillis(210));
+    let report = chosen.and_then(|chosen| chosen.report);
+    assert_eq!(report.map(|report| report.requests), Some(others));
+}
+
+/// A report is valid for the same time after its arrival, however old its reading is: groups with slow passes
+/// would otherwise have no valid reports.
+#[test]
+fn report_of_old_reading_is_valid_from_its_arrival() {
+    let mut balancer = balancer(1, 1);
+    balancer.update_loads(&GroupLoads { age_millis: 900, ..loads(&[RANK_LIMIT]) }, UnixMillis(1_000));
+    assert_eq!(choose_rank(&mut balancer, 1_000 + REPORT_VALIDITY_MILLIS - 1), None);
+    assert!(choose_rank(&mut balancer, 1_000 + REPORT_VALIDITY_MILLIS).is_some());
+}
+
+/// Guards against a history that grows with the number of requests, and against a wrong count once it is
+/// full: the oldest remembered number stands for all earlier ones.
+#[test]
+fn number_in_reading_is_known_after_many_requests() {
+    let mut balancer = balancer(1, 1);
+    for at in 0..1_000 {
+        assert_eq!(choose_rank(&mut balancer, at), Some(0));
+        balancer.ended(&life("t0"), RequestWork::default(), SendOutcome::Answered(1.0), UnixMillis(at));
+    }
+    assert_eq!(choose_rank(&mut balancer, 1_000), Some(0));
+    balancer.update_loads(&GroupLoads { age_millis: 5, ..loads(&[4]) }, UnixMillis(1_000));
+    let chosen = balancer.choose(&service(), true, RequestWork::default(), &[], UnixMillis(1_001));
+    let report = chosen.and_then(|chosen| chosen.report);
+    assert_eq!(report.map(|report| report.requests), Some(5), "the last one was sent after the reading");
+}
+
 /// Guards against processes that all choose the least loaded rank: forty processes see the same report
 /// and send two requests each, and every rank must end near the common level.
 #[test]
--- a/porthoistd/src/component/loads.rs
+++ b/porthoistd/src/component/loads.rs
@@ -7,7 +7,7 @@
 //! reports on are queried until all are covered.
 
 use porthoist_core::{ServiceName, ZoneName};
-use porthoist_fleet::{LoadsAnswer, RankPeer};
+use porthoist_fleet::{AgedLoads, LoadsAnswer, RankPeer};
 use porthoist_http::CallError;
 use porthoist_policy::proxy::group_loads::{GroupLoads, LoadRevision};
 use porthoist_proxy::ControlState;
@@ -40,7 +40,7 @@
     /// Last known services and targets.
     pub state: watch::Receiver<ControlState>,
     /// Receives the reports of all groups. A report is dropped if this is full, since a newer one follows.
-    pub loads: mpsc::Sender<GroupLoads>,
+    pub loads: mpsc::Sender<AgedLoads>,
     /// The logger.
     pub logger: Logger,
 }
@@ -162,9 +162,9 @@
     }
 
     fn publish(&self, loads: GroupLoads) {
-        if let Err(TrySendError::Full(dropped)) = self.loads.try_send(loads) {
+        if let Err(TrySendError::Full(dropped)) = self.loads.try_send(AgedLoads::new(loads)) {
             warn!(self.logger, "load report dropped"; "event" => "loads_dropped",
-                "revision" => dropped.revision.0);
+                "revision" => dropped.received().revision.0);
         }
     }
 }
--- a/porthoistd/src/component/rank.rs
+++ b/porthoistd/src/component/rank.rs
@@ -3,14 +3,13 @@
 
 use crate::settings::rank::RankSettings;
 use porthoist_core::{ClockSource, ServiceName, UnixDeadline, ZoneName};
-use porthoist_fleet::{BranchedGroup, PeerPool, RankBranches};
+use porthoist_fleet::{AgedLoads, BranchedGroup, PeerPool, RankBranches};
 use porthoist_group::{
     AdaptiveTimeout, ExpertCounts, ExpertLists, ExpertMapController, GroupShape, GroupTimeouts, LocalEngine,
     OrderAnswer, RankControl, RankFuture, RankObservation, RoundOutcome,
 };
 use porthoist_http::CallError;
 use porthoist_policy::placement::equal_shares::{EqualShareBounds, EqualShareMap};
-use porthoist_policy::proxy::group_loads::GroupLoads;
 use porthoist_policy::proxy::pass_time::PassTimer;
 use porthoist_policy::roll_forward::{EngineOrder, GroupEpoch, RankState};
 use porthoist_policy::switch::MapVersion;
@@ -147,7 +146,7 @@
     /// Last known services and targets.
     state: watch::Receiver<ControlState>,
     /// The last load report of the group, while this process plans for it.
-    loads: watch::Sender<Option<GroupLoads>>,
+    loads: watch::Sender<Option<AgedLoads>>,
     /// Connections to the processes next to other ranks.
     peers: Rc<PeerPool>,
     clock: Arc<dyn ClockSource>,
--- a/porthoistd/src/component/rank/reporting.rs
+++ b/porthoistd/src/component/rank/reporting.rs
@@ -3,6 +3,7 @@
 
 use super::{LOADS_INTERVAL_MILLIS, PlanningLoop};
 use porthoist_core::UnixDeadline;
+use porthoist_fleet::AgedLoads;
 use porthoist_policy::proxy::group_loads::{GroupLoads, LoadRevision, RankLoad, equivalent_requests};
 use porthoist_policy::proxy::pass_time::{GroupPass, GroupSample, PassTimer};
 use porthoist_policy::roll_forward::{RankState, RankView};
@@ -27,9 +28,12 @@
         let group = self.group.take();
         let last_loads = self.loads.borrow().clone();
         match (group, last_loads) {
-            (Some(group), Some(last_loads)) if !own.open && last_loads.pass != GroupPass::Broken => {
+            (Some(group), Some(last_loads))
+                if !own.open && last_loads.received().pass != GroupPass::Broken =>
+            {
+                let last_loads = last_loads.current();
                 let revision = LoadRevision(last_loads.revision.0 + 1);
-                let broken = GroupLoads { revision, pass: GroupPass::Broken, ..last_loads };
+                let broken = AgedLoads::new(GroupLoads { revision, pass: GroupPass::Broken, ..last_loads });
                 group.group_control.branches().publish_loads(&broken);
                 self.loads.send_replace(Some(broken));
             }
@@ -46,9 +50,9 @@
             return;
         }
         let (Some(planner), Some(group)) = (&self.planner, &self.group) else { return };
-        // Do not report the same reading twice: entries assume that a report includes their own requests, so
-        // it would hide what they sent since. With slow passes and long switches, that filled ranks of 12
-        // slots with 23 to 39 requests.
+        // Do not report the same reading twice: an entry of an earlier version assumes that a report includes
+        // its own requests, so it would hide what it sent since. With slow passes and long switches, that
+        // filled ranks of 12 slots with 23 to 39 requests.
         if std::mem::replace(&mut self.reported_readings, planner.full_reads()) == planner.full_reads() {
             return;
         }
@@ -60,7 +64,7 @@
             Some(RankLoad { host: (*host)?, requests, silent })
         });
         // Clock-based revisions also increase from one planning process to the next.
-        let last = self.loads.borrow().as_ref().map_or(0, |loads| loads.revision.0);
+        let last = self.loads.borrow().as_ref().map_or(0, |loads| loads.received().revision.0);
         let revision = LoadRevision(now.0.max(last + 1));
         let loads = GroupLoads {
             revision,
@@ -68,6 +72,9 @@
             ranks: ranks.collect(),
             ..GroupLoads::default()
         };
+        // The last known requests of silent ranks may be older; their age is left out, since it would make
+        // the whole report seem old.
+        let loads = AgedLoads::read_at(loads, planner.read_at());
         group.group_control.branches().publish_loads(&loads);
         self.loads.send_replace(Some(loads));
     }
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -8,11 +8,10 @@
 use crate::component::zone_peers::ZonePeers;
 use crate::settings::proxy::ProxySettings;
 use porthoist_core::{AnchoredClock, ClockSource};
-use porthoist_fleet::{ControlTraffic, PeerPool};
+use porthoist_fleet::{AgedLoads, ControlTraffic, PeerPool};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::balancer::BalancerSettings;
 use porthoist_policy::proxy::freshness::FreshnessRule;
-use porthoist_policy::proxy::group_loads::GroupLoads;
 use porthoist_policy::proxy::limit_notes::TargetNote;
 use porthoist_policy::proxy::retry_share::RetryShareSettings;
 use porthoist_policy::proxy::send_turns::EntryPosition;
@@ -172,7 +171,7 @@
     }
 
     /// Follows the loads of groups, if the port of the processes next to engines is known.
-    fn start_loads(&self) -> io::Result<mpsc::Receiver<GroupLoads>> {
+    fn start_loads(&self) -> io::Result<mpsc::Receiver<AgedLoads>> {
         let (loads, reports) = mpsc::channel(LOADS_CAPACITY);
         let Some(rank_port) = self.settings.rank_port else { return Ok(reports) };
         let (zone, state) = (self.settings.zone.clone(), self.state.subscribe());
@@ -200,7 +199,7 @@
     fn start_callers(
         self,
         listener: StdListener,
-        loads: mpsc::Receiver<GroupLoads>,
+        loads: mpsc::Receiver<AgedLoads>,
         crash_changes: mpsc::Sender<CrashChange>,
     ) -> io::Result<JoinHandle<()>> {
         spawn_thread("callers", move || async move {
@@ -314,8 +313,8 @@
 }
 
 /// Passes the load reports of groups to the request handler.
-async fn follow_loads(handler: Rc<ProxyHandler>, mut loads: mpsc::Receiver<GroupLoads>) {
+async fn follow_loads(handler: Rc<ProxyHandler>, mut loads: mpsc::Receiver<AgedLoads>) {
     while let Some(newest) = loads.recv().await {
-        handler.update_loads(&newest);
+        handler.update_loads(&newest.current());
     }
 }
