Measure demand that rises within 200 ms

Cause: a mean over a second has risen by 0.18 of a burst's rise after 200 ms, and the reported demand is to follow bursts of a few seconds.

Change: the rate is the mean over a second, or that over 200 ms if it is higher by more than its standard deviation. Without the deviation, the mean of the measure is too high at entries that get single requests.

Measured (tests of service_demand): after a rise from 100 to 250 per second the rate is over 150 within 200 ms; at constant rates of 0.4, 2.5 and 90 per second its mean is 0.9 to 1.25 of the rate.

--- a/crates/porthoist-policy/src/proxy/demand.rs
+++ b/crates/porthoist-policy/src/proxy/demand.rs
@@ -3,9 +3,9 @@
 //! Each entry measures its own demand and reports it to the processes that plan for the service's
 //! groups. Their load reports carry the sum over all entries, so that each entry knows its share.
 
-use porthoist_core::{RequestRate, UnixMillis};
+use porthoist_core::{RequestRate, ServiceName, UnixMillis};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::num::ParseIntError;
 use std::str::FromStr;
@@ -13,6 +13,8 @@
 /// Time constant in milliseconds of a measured rate. Grants are renewed some ten times a second, and an
 /// entry that gets a request every 400 ms must not lose its share between two of them.
 const RATE_MILLIS: f64 = 1_000.0;
+/// Time constant in milliseconds of the rate that follows a rise, so that a burst counts within about 200 ms.
+const RISE_MILLIS: f64 = 200.0;
 
 /// Priority of a request; 0 is the most urgent.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -73,18 +75,40 @@
     }
 }
 
+/// Demand of one entry on the services whose capacity is divided among entries; empty if there are none.
+pub type OwnDemand = HashMap<ServiceName, ServiceDemand>;
+
 /// Demand of one priority as this process measures it.
 #[derive(Debug, Clone, Copy, Default)]
 struct MeasuredLevel {
-    /// Requests asked per second, as of `updated`.
-    per_second: f64,
+    /// Mean of the requests asked per second over about the last second, as of `updated`.
+    mean: f64,
+    /// The same over [`RISE_MILLIS`].
+    recent: f64,
     updated: UnixMillis,
     running: u32,
 }
 
 impl MeasuredLevel {
+    /// The two means at `now`.
+    fn means(&self, now: UnixMillis) -> (f64, f64) {
+        let elapsed = now.since(self.updated) as f64;
+        (self.mean * (-elapsed / RATE_MILLIS).exp(), self.recent * (-elapsed / RISE_MILLIS).exp())
+    }
+
+    fn record_asked(&mut self, now: UnixMillis) {
+        let (mean, recent) = self.means(now);
+        self.mean = mean + 1_000.0 / RATE_MILLIS;
+        self.recent = recent + 1_000.0 / RISE_MILLIS;
+        self.updated = now;
+    }
+
+    /// The mean over a second, or the recent one if that is higher by more than its standard deviation. The
+    /// higher of the two alone would be half again too high at an entry that gets single requests.
     fn rate(&self, now: UnixMillis) -> f64 {
-        self.per_second * (-(now.since(self.updated) as f64) / RATE_MILLIS).exp()
+        let (mean, recent) = self.means(now);
+        let deviation = (recent * 1_000.0 / (2.0 * RISE_MILLIS)).sqrt();
+        mean.max(recent - deviation)
     }
 }
 
@@ -97,9 +121,7 @@
 impl DemandMeter {
     /// Records that a request was asked.
     pub fn record_asked(&mut self, level: PriorityLevel, now: UnixMillis) {
-        let measured = self.levels.entry(level).or_default();
-        measured.per_second = measured.rate(now) + 1_000.0 / RATE_MILLIS;
-        measured.updated = now;
+        self.levels.entry(level).or_default().record_asked(now);
     }
 
     /// Records that a request got a slot.
--- a/crates/porthoist-policy/tests/policy.rs
+++ b/crates/porthoist-policy/tests/policy.rs
@@ -44,5 +44,7 @@
 mod roll_forward;
 #[path = "policy/router.rs"]
 mod router;
+#[path = "policy/service_demand.rs"]
+mod service_demand;
 #[path = "policy/table.rs"]
 mod table;
