--- a/crates/porthoist-fleet/schema/rank.capnp
+++ b/crates/porthoist-fleet/schema/rank.capnp
@@ -54,7 +54,8 @@
 interface RankProcess {
   # The engine's state, and what its requests chose since the last call with `counts`: a byte for each set and expert,
   # in units of `unit`. A group of 64 ranks with 2,000 experts would not fit through a side's link otherwise.
-  observe @0 (counts :Bool) -> (state :RankState, counts :Data, unit :Float32);
+  # `demand` is the sum of what entries have told this process with `loads` in the last second, as there.
+  observe @0 (counts :Bool) -> (state :RankState, counts :Data, unit :Float32, demand :Data);
   # The map in use and this rank's experts by set.
   lists @1 () -> (version :UInt32, experts :List(List(UInt16)));
   # Gives the engine an order; tells how it was taken and, if the engine answers, what it reports right after it.
@@ -67,16 +68,22 @@
   # takes in milliseconds, at most 65,534; 0 if that is unknown, 65,535 while the group is not formed. `ageMillis` is the
   # time since the oldest reading of an engine in it, at most 65,535, and 0 from a process that does not tell.
   # `heldMillis` is one more than the time for which the question was held, and 0 from a process that does not tell.
-  loads @3 (after :UInt64, layout :UInt64)
+  # `entry` names the entry that asks, as in `NewsAsk`; 0 for one that has no demand to tell. `demand` is what is asked of
+  # the service: the number of entries that it is summed over, and by priority the requests asked per 1,000 seconds and
+  # those that run, in postcard's encoding; none if it is empty. In the answer it is the sum over all entries. An entry
+  # that follows two processes of a group tells its demand to one of them, and names itself to the other without any.
+  loads @3 (after :UInt64, layout :UInt64, entry :UInt64, demand :Data)
     -> (knows :Bool, planner :UInt32, revision :UInt64, hosts :List(UInt32), requests :Data, layout :UInt64, pass :UInt16,
-        ageMillis :UInt16, heldMillis :UInt16);
+        ageMillis :UInt16, heldMillis :UInt16, demand :Data);
 
   # The calls below are about a branch of the group: this process's rank and those of the processes on the hosts `others`,
   # IPv4 addresses, which it asks for the caller, each for `millis` at most. Members are numbered from 0, this process
   # first. Nothing is kept from one call to the next, so that any member may stand for the branch.
 
   # What `observe` says of each member that answered, in postcard's encoding, and the sum of their counts.
-  sweep @4 (others :List(UInt32), counts :Bool, millis :UInt16) -> (states :Data, counts :Data, unit :Float32);
+  # `demand` is the sum over the members, of which one that did not answer counts for a second as it last did.
+  sweep @4 (others :List(UInt32), counts :Bool, millis :UInt16) -> (states :Data, counts :Data, unit :Float32,
+    demand :Data);
   # What `lists` says of each member that answered, in postcard's encoding.
   gather @5 (others :List(UInt32), millis :UInt16) -> (lists :Data);
   # Orders by member in postcard's encoding, as they are to reach the engines. Prepares are about the map that the changes
@@ -85,7 +92,7 @@
   # The newest loads, for all members to tell those who ask. With `unknownLayout` nothing was taken: the receiver does
   # not know the hosts.
   tell @7 (others :List(UInt32), revision :UInt64, layout :UInt64, hosts :List(UInt32), requests :Data, pass :UInt16,
-           ageMillis :UInt16)
+           ageMillis :UInt16, demand :Data)
     -> (unknownLayout :Bool);
 
   # What this process knows of one of the platform's tables that is newer than the revision `after` or the table service's
--- a/crates/porthoist-fleet/src/lib.rs
+++ b/crates/porthoist-fleet/src/lib.rs
@@ -31,7 +31,7 @@
 pub use client::{FleetError, FleetPeer};
 pub use digest::FleetDigest;
 pub use rank::{
-    AgedLoads, BranchedGroup, ControlTraffic, EntryReport, LoadsAnswer, LoadsPublisher, PeerPool,
-    RankBranches, RankPeer, RankService, ZoneTableUpdate, serve_ranks,
+    AgedLoads, BranchedGroup, ControlTraffic, DemandReport, EntryDemands, EntryReport, LoadsAnswer,
+    LoadsPublisher, PeerPool, RankBranches, RankPeer, RankService, ZoneTableUpdate, serve_ranks,
 };
 pub use server::{FleetHandler, FrameSender, HandlerFuture, serve_fleet};
--- a/crates/porthoist-fleet/src/rank.rs
+++ b/crates/porthoist-fleet/src/rank.rs
@@ -7,6 +7,7 @@
 mod aged_loads;
 mod branches;
 mod convert;
+mod entry_demands;
 mod loads_message;
 mod maps;
 mod peer;
@@ -17,6 +18,7 @@
 
 pub use aged_loads::AgedLoads;
 pub use branches::{BranchedGroup, RankBranches};
+pub use entry_demands::{DemandReport, EntryDemands};
 pub use loads_message::LoadsAnswer;
 pub use maps::MapCache;
 pub use peer::{PeerPool, RankPeer};
--- a/crates/porthoist-fleet/src/rank/branches.rs
+++ b/crates/porthoist-fleet/src/rank/branches.rs
@@ -6,6 +6,7 @@
 //! its branch replaces it in the same round.
 
 use super::aged_loads::AgedLoads;
+use super::entry_demands::RecentDemands;
 use super::peer::{BranchObservation, MemberOrder, PeerPool, RankPeer};
 use futures::future::{LocalBoxFuture, join_all};
 use porthoist_core::{LinkRate, ZoneName};
@@ -66,6 +67,9 @@
 #[derive(Debug)]
 pub struct RankBranches {
     branches: Vec<RankBranch>,
+    /// The demand that entries reported to each branch, by its first host. A branch whose heads do not answer counts as it
+    /// last did, for as long as any demand.
+    demands: RefCell<RecentDemands<Ipv4Addr>>,
     peers: Rc<PeerPool>,
 }
 
@@ -80,7 +84,7 @@
         let members = hosts.len().div_ceil(wanted).max(1);
         let branch = |hosts: &[Ipv4Addr]| RankBranch { hosts: hosts.to_vec(), head: Cell::new(0) };
         let branches = zones.values().flat_map(|hosts| hosts.chunks(members)).map(branch).collect();
-        Self { branches, peers }
+        Self { branches, demands: RefCell::default(), peers }
     }
 
     /// Returns the hosts in all branches.
@@ -128,7 +132,7 @@
         answers
     }
 
-    /// Reads the states of all ranks that answer, by host, and the sum of their counts.
+    /// Reads the states of all ranks that answer, by host, and the sums of their counts and of the demand of entries.
     pub async fn observe(
         &self,
         counts: bool,
@@ -139,11 +143,15 @@
         };
         let (mut states, mut sum) = (Vec::new(), GroupObservation::default());
         for HeadAnswer { members, answer, .. } in self.call_heads(timeout, call).await {
-            let BranchObservation { states: read, counts } = answer;
+            let BranchObservation { states: read, counts, demand } = answer;
             sum.add_counts(&counts);
+            if let Some(branch) = members.iter().min() {
+                self.demands.borrow_mut().record(*branch, demand);
+            }
             let hosts = read.into_iter().filter_map(|(member, state)| Some((*members.get(member)?, state)));
             states.extend(hosts);
         }
+        sum.demand = self.demands.borrow().sum(|_branch| true);
         (states, sum)
     }
 
@@ -216,6 +224,7 @@
         match self.call_own_rank(timeout, self.own_rank.observe(counts)).await {
             Ok(observed) => {
                 observation.add_counts(&observed.counts);
+                observation.add_demand(observed.demand.as_ref());
                 observation.states[0] = Some(observed.state);
             }
             Err(unreachable) => {
@@ -225,6 +234,7 @@
         }
         let (states, sum) = self.branches.observe(counts, timeout).await;
         observation.add_counts(&sum.counts);
+        observation.add_demand(sum.demand.as_ref());
         let ranks: HashMap<Ipv4Addr, usize> =
             self.hosts.iter().enumerate().filter_map(|(rank, host)| Some(((*host)?, rank))).collect();
         for (host, state) in states {
--- a/crates/porthoist-fleet/src/rank/convert.rs
+++ b/crates/porthoist-fleet/src/rank/convert.rs
@@ -2,7 +2,6 @@
 
 use crate::rank_capnp::{branch_map, rank_order, rank_state, rank_view};
 use capnp::{Error, primitive_list};
-use porthoist_group::RankObservation;
 use porthoist_policy::placement::equal_shares::ListChange;
 use porthoist_policy::roll_forward::{
     ArmedMap, EngineOrder, GroupEpoch, OrderSequence, RankPace, RankState, RankView,
@@ -58,11 +57,8 @@
     builder.set_pace(u16::try_from(state.pace.0).unwrap_or(u16::MAX));
 }
 
-pub(crate) fn read_observation(
-    reader: rank_state::Reader<'_>,
-    counts: Vec<u32>,
-) -> Result<RankObservation, Error> {
-    let state = RankState {
+pub(crate) fn read_state(reader: rank_state::Reader<'_>) -> Result<RankState, Error> {
+    Ok(RankState {
         view: read_view(reader.get_view()?),
         group: reader.get_group()?.to_string()?,
         rank: usize::from(reader.get_rank()),
@@ -70,8 +66,7 @@
         open: reader.get_open(),
         requests: u32::from(reader.get_requests()),
         pace: RankPace(u32::from(reader.get_pace())).max(RankPace::USUAL),
-    };
-    Ok(RankObservation { state, counts })
+    })
 }
 
 /// The map of a prepare order, as changes to a base that the receiver may know; base 0 stands for none.
--- a/crates/porthoist-fleet/src/rank/loads_message.rs
+++ b/crates/porthoist-fleet/src/rank/loads_message.rs
@@ -2,6 +2,7 @@
 
 use super::aged_loads::millis;
 use super::convert::{layout_of, read_hosts, write_hosts};
+use super::entry_demands::{pack_demand, unpack_demand};
 use crate::rank_capnp::rank_process::loads_results;
 use capnp::Error;
 use porthoist_policy::proxy::group_loads::{GroupLoads, LoadRevision, RankLoad};
@@ -29,23 +30,24 @@
     pub requests: &'a [u8],
     pub pass: u16,
     pub age: u16,
+    pub demand: &'a [u8],
 }
 
-pub(crate) fn decode_loads(encoded: EncodedLoads<'_>, hosts: &[Ipv4Addr]) -> GroupLoads {
-    let EncodedLoads { revision, requests, pass, age } = encoded;
+pub(crate) fn decode_loads(encoded: EncodedLoads<'_>, hosts: &[Ipv4Addr]) -> Result<GroupLoads, Error> {
+    let EncodedLoads { revision, requests, pass, age, demand } = encoded;
     let ranks = hosts.iter().zip(requests);
     let ranks = ranks.map(|(host, byte)| RankLoad {
         host: *host,
         requests: u32::from(byte & MAX_REQUESTS),
         silent: byte & UNREACHABLE_BIT != 0,
     });
-    GroupLoads {
+    Ok(GroupLoads {
         revision: LoadRevision(revision),
         age_millis: age.into(),
+        demand: unpack_demand(demand)?,
         pass: unpack_pass(pass),
         ranks: ranks.collect(),
-        ..GroupLoads::default()
-    }
+    })
 }
 
 /// Encoding of the pass time of a group that is not formed.
@@ -106,6 +108,9 @@
             builder.set_pass(pack_pass(loads.pass));
             builder.set_age_millis(pack_age(loads.age_millis));
             builder.set_held_millis(pack_held(held));
+            if let Some(demand) = &loads.demand {
+                builder.set_demand(&pack_demand(Some(demand)));
+            }
             let hosts = hosts_of(loads);
             let layout = layout_of(&hosts);
             builder.set_layout(layout);
@@ -144,8 +149,9 @@
         requests: reader.get_requests()?,
         pass: reader.get_pass(),
         age: reader.get_age_millis(),
+        demand: reader.get_demand()?,
     };
-    let mut loads = decode_loads(encoded, hosts);
+    let mut loads = decode_loads(encoded, hosts)?;
     if let Some(held) = reader.get_held_millis().checked_sub(1) {
         loads.age_millis += millis(waited).saturating_sub(held.into());
     }
--- a/crates/porthoist-fleet/src/rank/peer.rs
+++ b/crates/porthoist-fleet/src/rank/peer.rs
@@ -2,9 +2,10 @@
 
 use super::aged_loads::AgedLoads;
 use super::convert::{
-    MapChanges, layout_of, pack, read_observation, read_view, unpack, unpack_counts, unpack_states,
+    MapChanges, layout_of, pack, read_state, read_view, unpack, unpack_counts, unpack_states,
     write_branch_map, write_hosts, write_order,
 };
+use super::entry_demands::{DemandReport, pack_demand, unpack_demand};
 use super::loads_message::{
     IdentifiedHosts, LoadsAnswer, hosts_of, pack_age, pack_pass, pack_requests, read_loads,
 };
@@ -22,6 +23,7 @@
 use porthoist_http::CallError;
 use porthoist_policy::placement::equal_shares::EqualShareMap;
 use porthoist_policy::placement::map::ExpertId;
+use porthoist_policy::proxy::demand::ServiceDemand;
 use porthoist_policy::proxy::group_loads::LoadRevision;
 use porthoist_policy::roll_forward::{EngineOrder, RankState};
 use porthoist_policy::switch::MapVersion;
@@ -105,6 +107,8 @@
     pub states: Vec<(usize, RankState)>,
     /// The sum of their counts.
     pub counts: Vec<u32>,
+    /// The sum of the demand that entries reported to them.
+    pub demand: Option<ServiceDemand>,
 }
 
 /// An order to a member of a branch.
@@ -156,10 +160,25 @@
 
     /// Queries for loads newer than `after`; the process may name another one to ask.
     pub async fn loads(&self, after: LoadRevision) -> Result<LoadsAnswer, CallError> {
+        self.loads_for_entry(after, None).await
+    }
+
+    /// The same for an entry, which reports its demand with it.
+    pub async fn loads_for_entry(
+        &self,
+        after: LoadRevision,
+        report: Option<&DemandReport>,
+    ) -> Result<LoadsAnswer, CallError> {
         let connection = self.connect().await?;
         let mut request = connection.client.loads_request();
         request.get().set_after(after.0);
         request.get().set_layout(self.hosts.borrow().as_ref().map_or(0, |(layout, _hosts)| *layout));
+        if let Some(report) = report {
+            request.get().set_entry(report.entry.0);
+            if report.demand.is_some() {
+                request.get().set_demand(&pack_demand(report.demand.as_ref()));
+            }
+        }
         let answered = async {
             let asked = Instant::now();
             let response = request.send().promise.await?;
@@ -243,6 +262,9 @@
         call.set_requests(&pack_requests(&loads));
         call.set_pass(pack_pass(loads.pass));
         call.set_age_millis(pack_age(loads.age_millis));
+        if loads.demand.is_some() {
+            call.set_demand(&pack_demand(loads.demand.as_ref()));
+        }
         write_hosts(call.reborrow().init_hosts(hosts.len() as u32), hosts);
         write_hosts(call.init_others(others.len() as u32), others);
         let sent = async { Ok(!request.send().promise.await?.get()?.get_unknown_layout()) };
@@ -266,7 +288,8 @@
             let response = request.send().promise.await?;
             let results = response.get()?;
             let states = unpack_states(results.get_states()?)?;
-            Ok(BranchObservation { states, counts: unpack_counts(results.get_counts()?, results.get_unit()) })
+            let counts = unpack_counts(results.get_counts()?, results.get_unit());
+            Ok(BranchObservation { states, counts, demand: unpack_demand(results.get_demand()?)? })
         };
         observed.await.map_err(|error: Error| self.connection_failed(&error))
     }
@@ -367,7 +390,8 @@
             let response = request.send().promise.await?;
             let results = response.get()?;
             let counts = unpack_counts(results.get_counts()?, results.get_unit());
-            read_observation(results.get_state()?, counts)
+            let demand = unpack_demand(results.get_demand()?)?;
+            Ok(RankObservation { state: read_state(results.get_state()?)?, counts, demand })
         };
         observed.await.map_err(|error: Error| self.connection_failed(&error))
     }
--- a/crates/porthoist-fleet/src/rank/server.rs
+++ b/crates/porthoist-fleet/src/rank/server.rs
@@ -5,6 +5,7 @@
     MapChanges, layout_of, pack, pack_counts, pack_states, read_branch_map, read_hosts, read_order, unpack,
     write_state, write_view,
 };
+use super::entry_demands::{DemandReport, EntryDemands, RecentDemands, pack_demand, unpack_demand};
 use super::loads_message::{EncodedLoads, IdentifiedHosts, decode_loads, write_loads};
 use super::maps::MapCache;
 use super::peer::{MemberOrder, PeerPool};
@@ -23,7 +24,7 @@
 use porthoist_core::ClockSource;
 use porthoist_group::{GroupObservation, RankControl, RankFuture};
 use porthoist_policy::placement::equal_shares::EqualShareMap;
-use porthoist_policy::proxy::entry_positions::EntryRoster;
+use porthoist_policy::proxy::entry_positions::{EntryId, EntryRoster};
 use porthoist_policy::proxy::group_loads::LoadRevision;
 use porthoist_policy::proxy::limit_notes::{AgedNote, NoteStore};
 use porthoist_policy::proxy::send_turns::EntryPosition;
@@ -38,6 +39,9 @@
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
+/// Stands for the host of this process among the members of a branch.
+const OWN_HOST: Ipv4Addr = Ipv4Addr::UNSPECIFIED;
+
 /// State shared by all connections of one process.
 #[derive(Debug, bon::Builder)]
 pub struct RankService {
@@ -67,6 +71,12 @@
     /// What these entries know of the backpressure of targets.
     #[builder(skip)]
     notes: RefCell<NoteStore>,
+    /// The demand of entries that ask for loads.
+    #[builder(default)]
+    entry_demands: EntryDemands,
+    /// The demand reported to the members of a branch whose head this process is, by host.
+    #[builder(skip)]
+    member_demands: RefCell<RecentDemands<Ipv4Addr>>,
     /// The clock, which must count the time in which the host was suspended.
     clock: Option<Arc<dyn ClockSource>>,
 }
@@ -146,6 +156,9 @@
         let (counts, unit) = pack_counts(&observed.counts);
         builder.set_counts(&counts);
         builder.set_unit(unit);
+        if let Some(demand) = &observed.demand {
+            builder.set_demand(&pack_demand(Some(demand)));
+        }
         Ok(())
     }
 
@@ -198,6 +211,9 @@
         mut results: rank_process::LoadsResults,
     ) -> Result<(), Error> {
         let params = params.get()?;
+        if let Some(report) = read_demand_report(params)? {
+            self.service.entry_demands.record(report);
+        }
         let asked = Instant::now();
         let answer = self.service.publisher.clone().newer_than(LoadRevision(params.get_after())).await;
         write_loads(results.get(), &answer, params.get_layout(), asked.elapsed());
@@ -212,21 +228,28 @@
         self.record_observer();
         let params = params.get()?;
         let (counts, timeout) = (params.get_counts(), Duration::from_millis(params.get_millis().into()));
-        let members = self.service.branch_members(&read_hosts(params.get_others()?));
+        let others = read_hosts(params.get_others()?);
+        let members = self.service.branch_members(&others);
         let asked = members.iter().map(|member| with_timeout(member, timeout, member.observe(counts)));
         let answers = join_all(asked).await;
+        let hosts: Vec<Ipv4Addr> = std::iter::once(OWN_HOST).chain(others).collect();
         let mut sum = GroupObservation::default();
         let mut states = Vec::with_capacity(answers.len());
         for (member, observed) in answers.into_iter().enumerate() {
             let Some(observed) = observed else { continue };
             sum.add_counts(&observed.counts);
             states.push((member, observed.state));
+            self.service.member_demands.borrow_mut().record(hosts[member], observed.demand);
         }
+        let demand = self.service.member_demands.borrow().sum(|host| hosts.contains(host));
         let mut builder = results.get();
         builder.set_states(&pack_states(&states));
         let (counts, unit) = pack_counts(&sum.counts);
         builder.set_counts(&counts);
         builder.set_unit(unit);
+        if let Some(demand) = &demand {
+            builder.set_demand(&pack_demand(Some(demand)));
+        }
         Ok(())
     }
 
@@ -293,8 +316,9 @@
             requests: params.get_requests()?,
             pass: params.get_pass(),
             age: params.get_age_millis(),
+            demand: params.get_demand()?,
         };
-        let loads = AgedLoads::new(decode_loads(encoded, hosts));
+        let loads = AgedLoads::new(decode_loads(encoded, hosts)?);
         for host in read_hosts(params.get_others()?) {
             let (peer, loads) = (self.service.peers.get(host), loads.clone());
             tokio::task::spawn_local(async move { peer.publish_loads(&loads, &[]).await });
@@ -321,6 +345,13 @@
     }
 }
 
+/// Reads the demand that an entry reports; `None` if the caller reports none.
+fn read_demand_report(params: rank_process::loads_params::Reader<'_>) -> Result<Option<DemandReport>, Error> {
+    let entry = EntryId(params.get_entry());
+    let demand = unpack_demand(params.get_demand()?)?;
+    Ok((entry != EntryId(0)).then_some(DemandReport { entry, demand }))
+}
+
 /// Sends an order to a member; `None` if there is no such member or it does not answer.
 async fn send_order(
     members: &[Rc<dyn RankControl>],
--- a/crates/porthoist-fleet/src/rank_capnp.rs
+++ b/crates/porthoist-fleet/src/rank_capnp.rs
@@ -2127,11 +2127,19 @@
             pub fn get_unit(self) -> f32 {
                 self.reader.get_data_field::<f32>(0)
             }
+            #[inline]
+            pub fn get_demand(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_demand(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2221,6 +2229,22 @@
             pub fn set_unit(&mut self, value: f32)  {
                 self.builder.set_data_field::<f32>(0, value);
             }
+            #[inline]
+            pub fn get_demand(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_demand(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(2).set_data(value);
+            }
+            #[inline]
+            pub fn init_demand(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(2).init_data(size)
+            }
+            #[inline]
+            pub fn has_demand(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2235,17 +2259,17 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(139, 41, 195, 56, 94, 12, 70, 231),
                 ::capnp::word(23, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 97, 110, 107, 46, 99, 97, 112),
@@ -2253,28 +2277,35 @@
                 ::capnp::word(114, 111, 99, 101, 115, 115, 46, 111),
                 ::capnp::word(98, 115, 101, 114, 118, 101, 36, 82),
                 ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(68, 52, 118, 37, 197, 244, 114, 222),
@@ -2299,12 +2330,21 @@
                 ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 101, 109, 97, 110, 100, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::rank_capnp::rank_state::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     2 => <f32 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -2318,9 +2358,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,0,2];
             pub(crate) const TYPE_ID: u64 = 0xe746_0c5e_38c3_298b;
         }
     }
@@ -3266,7 +3306,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -3282,11 +3322,23 @@
             pub fn get_layout(self) -> u64 {
                 self.reader.get_data_field::<u64>(1)
             }
+            #[inline]
+            pub fn get_entry(self) -> u64 {
+                self.reader.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn get_demand(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_demand(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3352,6 +3404,30 @@
             pub fn set_layout(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(1, value);
             }
+            #[inline]
+            pub fn get_entry(self) -> u64 {
+                self.builder.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn set_entry(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(2, value);
+            }
+            #[inline]
+            pub fn get_demand(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_demand(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_demand(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_demand(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3363,17 +3439,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(148, 201, 31, 25, 234, 201, 132, 131),
-                ::capnp::word(23, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(23, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 97, 110, 107, 46, 99, 97, 112),
@@ -3381,21 +3457,35 @@
                 ::capnp::word(114, 111, 99, 101, 115, 115, 46, 108),
                 ::capnp::word(111, 97, 100, 115, 36, 80, 97, 114),
                 ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(97, 102, 116, 101, 114, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3412,11 +3502,29 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 110, 116, 114, 121, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 101, 109, 97, 110, 100, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3430,9 +3538,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,3,2,1];
             pub(crate) const TYPE_ID: u64 = 0x8384_c9ea_191f_c994;
         }
     }
@@ -3542,11 +3650,19 @@
             pub fn get_held_millis(self) -> u16 {
                 self.reader.get_data_field::<u16>(13)
             }
+            #[inline]
+            pub fn get_demand(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_demand(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 3 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3684,6 +3800,22 @@
             pub fn set_held_millis(&mut self, value: u16)  {
                 self.builder.set_data_field::<u16>(13, value);
             }
+            #[inline]
+            pub fn get_demand(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_demand(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(2).set_data(value);
+            }
+            #[inline]
+            pub fn init_demand(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(2).init_data(size)
+            }
+            #[inline]
+            pub fn has_demand(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3695,17 +3827,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 161] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 176] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(230, 155, 206, 218, 247, 239, 18, 156),
                 ::capnp::word(23, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 255, 1, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 55, 2, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 97, 110, 107, 46, 99, 97, 112),
@@ -3713,70 +3845,77 @@
                 ::capnp::word(114, 111, 99, 101, 115, 115, 46, 108),
                 ::capnp::word(111, 97, 100, 115, 36, 82, 101, 115),
                 ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(237, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(13, 1, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(245, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(17, 1, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(253, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(25, 1, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(17, 1, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(45, 1, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(53, 1, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 1, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(57, 1, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(7, 0, 0, 0, 12, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 1, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(61, 1, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(8, 0, 0, 0, 13, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 1, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(69, 1, 0, 0, 90, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 1, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(107, 110, 111, 119, 115, 0, 0, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3857,6 +3996,14 @@
                 ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 101, 109, 97, 110, 100, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -3869,6 +4016,7 @@
                     6 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                     7 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                     8 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    9 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3882,9 +4030,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,8,3,0,5,6,1,4,2];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,9,8,3,0,5,6,1,4,2];
             pub(crate) const TYPE_ID: u64 = 0x9c12_eff7_dace_9be6;
         }
     }
@@ -4238,11 +4386,19 @@
             pub fn get_unit(self) -> f32 {
                 self.reader.get_data_field::<f32>(0)
             }
+            #[inline]
+            pub fn get_demand(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_demand(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4332,6 +4488,22 @@
             pub fn set_unit(&mut self, value: f32)  {
                 self.builder.set_data_field::<f32>(0, value);
             }
+            #[inline]
+            pub fn get_demand(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_demand(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(2).set_data(value);
+            }
+            #[inline]
+            pub fn init_demand(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(2).init_data(size)
+            }
+            #[inline]
+            pub fn has_demand(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4343,17 +4515,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(122, 179, 79, 52, 45, 202, 119, 141),
                 ::capnp::word(23, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 97, 110, 107, 46, 99, 97, 112),
@@ -4361,28 +4533,35 @@
                 ::capnp::word(114, 111, 99, 101, 115, 115, 46, 115),
                 ::capnp::word(119, 101, 101, 112, 36, 82, 101, 115),
                 ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 116, 97, 116, 101, 115, 0, 0),
                 ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4407,12 +4586,21 @@
                 ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 101, 109, 97, 110, 100, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     2 => <f32 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4426,9 +4614,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,0,2];
             pub(crate) const TYPE_ID: u64 = 0x8d77_ca2d_344f_b37a;
         }
     }
@@ -5542,11 +5730,19 @@
             pub fn get_age_millis(self) -> u16 {
                 self.reader.get_data_field::<u16>(9)
             }
+            #[inline]
+            pub fn get_demand(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_demand(&self) -> bool {
+                !self.reader.get_pointer_field(3).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5676,6 +5872,22 @@
             pub fn set_age_millis(&mut self, value: u16)  {
                 self.builder.set_data_field::<u16>(9, value);
             }
+            #[inline]
+            pub fn get_demand(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_demand(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(3).set_data(value);
+            }
+            #[inline]
+            pub fn init_demand(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(3).init_data(size)
+            }
+            #[inline]
+            pub fn has_demand(&self) -> bool {
+                !self.builder.is_pointer_field_null(3)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5687,17 +5899,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 134] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 149] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(233, 196, 89, 116, 21, 50, 110, 190),
                 ::capnp::word(23, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 143, 1, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 199, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 97, 110, 107, 46, 99, 97, 112),
@@ -5705,56 +5917,63 @@
                 ::capnp::word(114, 111, 99, 101, 115, 115, 46, 116),
                 ::capnp::word(101, 108, 108, 36, 80, 97, 114, 97),
                 ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(201, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(229, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(237, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(213, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(233, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(5, 1, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(5, 0, 0, 0, 8, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(241, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(6, 0, 0, 0, 9, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(245, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(17, 1, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(111, 116, 104, 101, 114, 115, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5822,6 +6041,14 @@
                 ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 101, 109, 97, 110, 100, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -5832,6 +6059,7 @@
                     4 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     5 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                     6 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    7 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5845,9 +6073,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,3,2,0,5,4,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,7,3,2,0,5,4,1];
             pub(crate) const TYPE_ID: u64 = 0xbe6e_3215_7459_c4e9;
         }
     }
--- a/crates/porthoist-fleet/tests/branches.rs
+++ b/crates/porthoist-fleet/tests/branches.rs
@@ -1,10 +1,10 @@
 //! Calls to a group through branches: their traffic per process, and the effect of a member that fails.
 
 use futures::FutureExt as _;
-use porthoist_core::LinkRate;
+use porthoist_core::{LinkRate, RequestRate};
 use porthoist_fleet::{
-    AgedLoads, BranchedGroup, ControlTraffic, LoadsAnswer, LoadsPublisher, PeerPool, RankBranches, RankPeer,
-    RankService, serve_ranks,
+    AgedLoads, BranchedGroup, ControlTraffic, DemandReport, EntryDemands, LoadsAnswer, LoadsPublisher,
+    PeerPool, RankBranches, RankPeer, RankService, serve_ranks,
 };
 use porthoist_group::{
     DirectGroup, ExpertLists, GroupControl, GroupTimeouts, OrderAnswer, RankControl, RankFuture,
@@ -13,6 +13,8 @@
 use porthoist_http::CallError;
 use porthoist_policy::placement::equal_shares::EqualShareMap;
 use porthoist_policy::placement::map::ExpertId;
+use porthoist_policy::proxy::demand::{LevelDemand, PriorityLevel, ServiceDemand};
+use porthoist_policy::proxy::entry_positions::EntryId;
 use porthoist_policy::proxy::group_loads::{GroupLoads, LoadRevision, RankLoad};
 use porthoist_policy::proxy::pass_time::GroupPass;
 use porthoist_policy::roll_forward::{
@@ -50,8 +52,12 @@
     rank: usize,
     size: usize,
     silent: Cell<bool>,
+    /// Whether readings fail at once.
+    failed: Cell<bool>,
     orders: RefCell<Vec<EngineOrder>>,
     maps: RefCell<Vec<EqualShareMap>>,
+    /// Demand of entries, which a real process keeps apart from its engine.
+    demands: EntryDemands,
 }
 
 fn view() -> RankView {
@@ -72,6 +78,9 @@
         if self.silent.get() {
             return futures::future::pending::<Result<RankObservation, CallError>>().boxed_local();
         }
+        if self.failed.get() {
+            return async { Err(CallError::unknown("the engine has ended")) }.boxed_local();
+        }
         let state = RankState {
             view: RankView { sequence: OrderSequence(self.rank as u64), ..view() },
             group: "g".to_owned(),
@@ -81,8 +90,9 @@
             requests: self.rank as u32 % 7,
             pace: RankPace(1_000 + self.rank as u32),
         };
+        let demand = self.demands.sum();
         let counts = if counts { vec![1; SETS * EXPERTS] } else { Vec::new() };
-        async move { Ok(RankObservation { state, counts }) }.boxed_local()
+        async move { Ok(RankObservation { state, counts, demand }) }.boxed_local()
     }
 
     fn expert_lists(&self) -> RankFuture<'_, ExpertLists> {
@@ -153,10 +163,21 @@
             .publisher(publisher)
             .peers(peers)
             .traffic(process.traffic.clone())
+            .entry_demands(process.engine.demands.clone())
             .build();
         process.accepting = Some(tokio::task::spawn_local(serve_ranks(listener, Rc::new(serving))));
     }
 
+    /// Ends a process: connections to it fail from now on, and existing ones deliver no reading of its engine.
+    async fn end(&mut self, rank: usize) {
+        let process = &mut self.processes[rank];
+        process.engine.failed.set(true);
+        if let Some(accepting) = process.accepting.take() {
+            accepting.abort();
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Replaces a process by one that accepts connections and never answers.
     async fn make_unresponsive(&mut self, rank: usize) {
         let (port, network) = (self.port, self.network);
@@ -180,11 +201,16 @@
 
     /// The group as seen from the process next to its first rank.
     fn branched(&self) -> BranchedGroup {
+        self.branched_with(self.peers())
+    }
+
+    /// The same, with these clients of the other processes.
+    fn branched_with(&self, peers: Rc<PeerPool>) -> BranchedGroup {
         let ranks = self.processes.len();
         let zone = |rank: usize| format!("z{}", rank * ZONES / ranks).parse().expect("a name");
         let others: BTreeMap<_, _> = (1..ranks).map(|rank| (host(self.network, rank), zone(rank))).collect();
         let hosts = (0..ranks).map(|rank| Some(host(self.network, rank))).collect();
-        let branches = RankBranches::new(&others, self.peers());
+        let branches = RankBranches::new(&others, peers);
         let own: Rc<dyn RankControl> = Rc::<RecordingEngine>::clone(&self.processes[0].engine);
         BranchedGroup::new(own, hosts, branches, Rc::new(timeouts()), LinkRate(6.0))
     }
@@ -426,6 +452,135 @@
     LocalSet::new().run_until(scenario).await;
 }
 
+/// Demand of `entries` entries, each with `asked` requests per second at three priorities.
+fn demand(entries: u32, asked: f64) -> ServiceDemand {
+    let all = f64::from(entries);
+    let level = |level: u8| {
+        let asked = RequestRate(all * asked * f64::from(1 + level));
+        (PriorityLevel(level), LevelDemand { asked, running: entries * u32::from(level) })
+    };
+    ServiceDemand { levels: (0..3).map(level).collect(), entries }
+}
+
+impl ProcessGroup {
+    /// Asks the process of a rank for loads on behalf of an entry with this demand.
+    async fn ask(&self, rank: usize, entry: u64, demand: Option<ServiceDemand>) -> LoadsAnswer {
+        let peer = RankPeer::new((host(self.network, rank), self.port).into());
+        let report = DemandReport { entry: EntryId(entry), demand };
+        peer.loads_for_entry(LoadRevision(0), Some(&report)).await.expect("an answer")
+    }
+}
+
+/// Guards against a sum that leaves out processes, and against reports without it: an entry would take its own demand for
+/// all there is. One entry asks the planning process, one the head of a branch, and one a process that a head reads.
+#[tokio::test]
+async fn demand_of_entries_on_several_processes_reaches_all_as_sum() {
+    let scenario = async {
+        let group = ProcessGroup::start(42, 30).await;
+        let control = group.branched();
+        assert_eq!(control.observe(false).await.demand, None, "no entry has reported any");
+        for (entry, rank) in [(1, 0), (2, 1), (3, 17)] {
+            group.ask(rank, entry, Some(demand(1, 2.5))).await;
+        }
+        let sum = control.observe(false).await.demand;
+        assert_eq!(sum, Some(demand(3, 2.5)));
+        let ranks = (0..30).map(|rank| RankLoad { host: host(42, rank), requests: 1, silent: false });
+        let loads = GroupLoads {
+            revision: LoadRevision(5),
+            demand: sum.clone(),
+            ranks: ranks.collect(),
+            ..GroupLoads::default()
+        };
+        control.branches().publish_loads(&loads.into());
+        for rank in [1, 17] {
+            let peer = RankPeer::new((host(42, rank), group.port).into());
+            let loads = loop {
+                match reported(&peer).await {
+                    Some(loads) => break loads,
+                    None => tokio::time::sleep(Duration::from_millis(5)).await,
+                }
+            };
+            assert_eq!(loads.demand, sum, "rank {rank}");
+        }
+    };
+    LocalSet::new().run_until(scenario).await;
+}
+
+/// Guards against counting an entry twice that follows two processes of a group, also when it changes the one to which it
+/// reports its demand.
+#[tokio::test]
+async fn demand_of_entry_that_follows_two_processes_counts_once() {
+    let scenario = async {
+        let group = ProcessGroup::start(43, 30).await;
+        let control = group.branched();
+        for (first, second) in [(3, 17), (17, 3)] {
+            group.ask(first, 1, Some(demand(1, 2.5))).await;
+            group.ask(second, 1, None).await;
+            assert_eq!(control.observe(false).await.demand, Some(demand(1, 2.5)));
+        }
+    };
+    LocalSet::new().run_until(scenario).await;
+}
+
+/// How long a demand counts after it was last reported.
+const DEMAND_LIFETIME: Duration = Duration::from_secs(1);
+
+/// Guards against demand of entries that have ended: the others' shares would stay small.
+#[tokio::test]
+async fn demand_of_entry_that_stops_asking_expires() {
+    let scenario = async {
+        let group = ProcessGroup::start(44, 30).await;
+        let control = group.branched();
+        group.ask(17, 1, Some(demand(1, 2.5))).await;
+        let stopped = Instant::now();
+        for _query in 0..4 {
+            group.ask(3, 2, Some(demand(1, 2.5))).await;
+            let sum = control.observe(false).await.demand;
+            // On a busy machine, the queries may take longer.
+            if stopped.elapsed() < DEMAND_LIFETIME {
+                assert_eq!(sum, Some(demand(2, 2.5)), "{:?}", stopped.elapsed());
+            }
+            tokio::time::sleep(Duration::from_millis(150)).await;
+        }
+        tokio::time::sleep_until(stopped + DEMAND_LIFETIME).await;
+        group.ask(3, 2, Some(demand(1, 2.5))).await;
+        assert_eq!(control.observe(false).await.demand, Some(demand(1, 2.5)));
+        tokio::time::sleep(DEMAND_LIFETIME).await;
+        assert_eq!(control.observe(false).await.demand, None);
+    };
+    LocalSet::new().run_until(scenario).await;
+}
+
+/// Guards against a demand that falls with each reading that a process misses, and against one that stays after a process or
+/// a whole branch is cut off.
+#[test_case(45, &[17]; "a member")]
+#[test_case(46, &[1, 2, 3, 4]; "a whole branch")]
+#[tokio::test]
+async fn demand_of_unheard_processes_counts_for_its_lifetime(network: u8, unheard: &[usize]) {
+    let scenario = async {
+        let mut group = ProcessGroup::start(network, 30).await;
+        let peers = group.peers();
+        let control = group.branched_with(Rc::clone(&peers));
+        group.ask(unheard[0], 1, Some(demand(1, 2.5))).await;
+        group.ask(25, 2, Some(demand(1, 2.5))).await;
+        assert_eq!(control.observe(false).await.demand, Some(demand(2, 2.5)));
+        let read = Instant::now();
+        for rank in unheard {
+            group.end(*rank).await;
+            peers.get(host(network, *rank)).reset();
+        }
+        group.ask(25, 2, Some(demand(1, 2.5))).await;
+        let sum = control.observe(false).await.demand;
+        if read.elapsed() < DEMAND_LIFETIME {
+            assert_eq!(sum, Some(demand(2, 2.5)), "after {:?}", read.elapsed());
+        }
+        tokio::time::sleep_until(read + DEMAND_LIFETIME).await;
+        group.ask(25, 2, Some(demand(1, 2.5))).await;
+        assert_eq!(control.observe(false).await.demand, Some(demand(1, 2.5)));
+    };
+    LocalSet::new().run_until(scenario).await;
+}
+
 /// Each process of a group reports the loads that the planning process distributed; the hosts are sent only once.
 #[tokio::test]
 async fn all_processes_report_the_loads_published_to_branches() {
--- a/crates/porthoist-fleet/tests/rank_peer.rs
+++ b/crates/porthoist-fleet/tests/rank_peer.rs
@@ -1,13 +1,17 @@
 //! A process next to an engine reports the loads of its group or where to ask for them, and forwards orders and maps.
 
 use futures::FutureExt as _;
+use porthoist_core::RequestRate;
 use porthoist_fleet::{
-    AgedLoads, ControlTraffic, LoadsAnswer, LoadsPublisher, PeerPool, RankPeer, RankService, serve_ranks,
+    AgedLoads, ControlTraffic, DemandReport, LoadsAnswer, LoadsPublisher, PeerPool, RankPeer, RankService,
+    serve_ranks,
 };
 use porthoist_group::{ExpertLists, OrderAnswer, RankControl, RankFuture, RankObservation};
 use porthoist_http::CallError;
 use porthoist_policy::placement::equal_shares::EqualShareMap;
 use porthoist_policy::placement::map::ExpertId;
+use porthoist_policy::proxy::demand::{LevelDemand, PriorityLevel, ServiceDemand};
+use porthoist_policy::proxy::entry_positions::EntryId;
 use porthoist_policy::proxy::group_loads::{GroupLoads, LoadRevision, RankLoad};
 use porthoist_policy::proxy::pass_time::GroupPass;
 use porthoist_policy::roll_forward::{EngineOrder, GroupEpoch, OrderSequence, RankPace, RankState, RankView};
@@ -15,9 +19,12 @@
 use std::cell::RefCell;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
+use std::time::Duration;
+use test_case::test_case;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
+use tokio::time::Instant;
 
 /// An idle engine that records the maps it receives.
 #[derive(Debug, Default)]
@@ -47,7 +54,7 @@
             requests: 5,
             pace: RankPace(1_500),
         };
-        async move { Ok(RankObservation { state, counts: Vec::new() }) }.boxed_local()
+        async move { Ok(RankObservation { state, counts: Vec::new(), demand: None }) }.boxed_local()
     }
 
     fn expert_lists(&self) -> RankFuture<'_, ExpertLists> {
@@ -181,3 +188,89 @@
     };
     LocalSet::new().run_until(scenario).await;
 }
+
+/// Bytes that a demand with three priorities may add to a call and to its answer: hundreds of entries ask twelve times a
+/// second over links of 6 Mbit/s.
+const MAX_DEMAND_BYTES: u64 = 40;
+
+#[tokio::test]
+async fn demand_with_three_priorities_is_compact() {
+    // The largest deployment's demand.
+    let level =
+        |level: u8| (PriorityLevel(level), LevelDemand { asked: RequestRate(1_234.567), running: 700 });
+    let demand = ServiceDemand { levels: (0..3).map(level).collect(), entries: 600 };
+    let published = watch::Sender::new(Some(loads(1).into()));
+    let scenario = async {
+        let address = start_process(&published).await.address();
+        let traffic = ControlTraffic::default();
+        let peer = RankPeer::with_traffic(address, traffic.clone());
+        let bytes = async |report: Option<&DemandReport>| {
+            let before = (traffic.sent(), traffic.received());
+            let answer = peer.loads_for_entry(LoadRevision(0), report).await.expect("an answer");
+            // The client confirms the answer after it.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            (traffic.sent() - before.0, traffic.received() - before.1, answer)
+        };
+        bytes(None).await;
+        let (sent, received, _answer) = bytes(None).await;
+        let report = DemandReport { entry: EntryId(u64::MAX), demand: Some(demand.clone()) };
+        let (sent_with, _received, _answer) = bytes(Some(&report)).await;
+        assert!(sent_with - sent <= MAX_DEMAND_BYTES, "{} bytes in a call", sent_with - sent);
+        published.send_replace(Some(GroupLoads { demand: Some(demand.clone()), ..loads(2) }.into()));
+        let (_sent, received_with, answer) = bytes(None).await;
+        assert!(
+            received_with - received <= MAX_DEMAND_BYTES,
+            "{} bytes in an answer",
+            received_with - received
+        );
+        let LoadsAnswer::Loads(loads) = answer else { panic!("the process knows loads") };
+        assert_eq!(loads.demand, Some(demand));
+    };
+    LocalSet::new().run_until(scenario).await;
+}
+
+/// Time for which a question is held before there are newer loads.
+const HOLD: Duration = Duration::from_millis(150);
+/// Time for which the thread of the asking process does nothing.
+const SUSPENSION: Duration = Duration::from_millis(500);
+
+/// Guards against an entry that takes an answer for new after it was suspended while the answer waited for it. The time for
+/// which the question was held must not count: no reading was known to be taken then.
+#[test_case(false; "a process that runs")]
+#[test_case(true; "a process that was suspended")]
+#[tokio::test]
+async fn age_includes_the_time_of_an_answer_on_its_way(suspended: bool) {
+    let published = watch::Sender::new(Some(loads(1).into()));
+    let (sender, address) = tokio::sync::oneshot::channel();
+    let serving = published.clone();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, async {
+            sender.send(start_process(&serving).await.address()).expect("the test waits for it");
+            std::future::pending::<()>().await;
+        });
+    });
+    let scenario = async {
+        let peer = RankPeer::new(address.await.expect("the process starts"));
+        peer.loads(LoadRevision(0)).await.expect("an answer");
+        let asked = Instant::now();
+        let suspension = async {
+            tokio::time::sleep(HOLD).await;
+            published.send_replace(Some(loads(2).into()));
+            if suspended {
+                std::thread::sleep(SUSPENSION);
+            }
+        };
+        let (answer, ()) = tokio::join!(peer.loads(LoadRevision(1)), suspension);
+        let waited = asked.elapsed();
+        let LoadsAnswer::Loads(newer) = answer.expect("an answer") else { panic!("loads are known") };
+        let age = Duration::from_millis(newer.age_millis);
+        if suspended {
+            // On a busy machine, the other thread may answer late.
+            assert!(age >= SUSPENSION / 2, "{age:?} of {waited:?}");
+        } else {
+            assert!(age + HOLD <= waited, "{age:?} of {waited:?}");
+        }
+    };
+    LocalSet::new().run_until(scenario).await;
+}
--- a/crates/porthoist-group/src/controller.rs
+++ b/crates/porthoist-group/src/controller.rs
@@ -8,6 +8,7 @@
 use porthoist_policy::placement::copy_times::CopyTimes;
 use porthoist_policy::placement::demand::{DemandChange, DemandEstimator};
 use porthoist_policy::placement::equal_shares::{EqualShareBounds, EqualShareMap, EqualSharePlan, improve};
+use porthoist_policy::proxy::demand::ServiceDemand;
 use porthoist_policy::roll_forward::{
     EngineOrder, GroupEpoch, RankPace, RankState, RankView, RollForwardDriver, RollForwardRules,
 };
@@ -85,6 +86,8 @@
     full_reads: u64,
     /// When the last round that read all ranks began, shortly before it read the first one.
     read_at: Instant,
+    /// Demand of all entries as of that round.
+    entry_demand: Option<ServiceDemand>,
     /// Slowness of each rank as of the last round.
     paces: Vec<RankPace>,
     /// The last view of each rank in this epoch; empty until all ranks have answered once.
@@ -113,6 +116,7 @@
             requests: Vec::new(),
             full_reads: 0,
             read_at: Instant::now(),
+            entry_demand: None,
             paces: Vec::new(),
             views: Vec::new(),
             unreachable: Vec::new(),
@@ -185,6 +189,7 @@
             return false;
         }
         self.read_at = began;
+        self.entry_demand = observation.demand.take();
         self.update_states(&first, &mut observation);
         self.log_reachability(observation.unreachable.as_ref());
         for (sum, count) in self.window_counts.iter_mut().zip(&observation.counts) {
@@ -320,6 +325,11 @@
         self.read_at
     }
 
+    /// Returns the demand of all entries that report theirs, as of the last full round.
+    pub fn entry_demand(&self) -> Option<&ServiceDemand> {
+        self.entry_demand.as_ref()
+    }
+
     /// Returns the slowness of each rank as of the last round.
     pub fn paces(&self) -> &[RankPace] {
         &self.paces
--- a/crates/porthoist-group/src/group_control.rs
+++ b/crates/porthoist-group/src/group_control.rs
@@ -4,6 +4,7 @@
 use crate::timeout::AdaptiveTimeout;
 use futures::future::{LocalBoxFuture, join_all};
 use porthoist_policy::placement::equal_shares::EqualShareMap;
+use porthoist_policy::proxy::demand::ServiceDemand;
 use porthoist_policy::roll_forward::{EngineOrder, RankState};
 use std::cell::RefCell;
 use std::fmt;
@@ -35,6 +36,8 @@
     pub states: Vec<Option<RankState>>,
     /// How often the requests of these ranks chose each expert since the last observation, by set and expert.
     pub counts: Vec<u32>,
+    /// Sum of the demand of all entries that report theirs to the processes next to the ranks.
+    pub demand: Option<ServiceDemand>,
     /// A rank that did not answer, if any.
     pub unreachable: Option<UnreachableRank>,
 }
@@ -54,6 +57,13 @@
             *sum = sum.saturating_add(*count);
         }
     }
+
+    /// Adds the demand reported to a part of the group.
+    pub fn add_demand(&mut self, demand: Option<&ServiceDemand>) {
+        if let Some(demand) = demand {
+            self.demand.get_or_insert_default().add(demand);
+        }
+    }
 }
 
 /// Control over all ranks of one group.
@@ -202,6 +212,7 @@
                     match answer {
                         Ok(observed) => {
                             observation.add_counts(&observed.counts);
+                            observation.add_demand(observed.demand.as_ref());
                             observation.states[rank] = Some(observed.state);
                         }
                         Err(unreachable) => observation.unreachable = Some(unreachable),
--- a/crates/porthoist-group/src/rank_control.rs
+++ b/crates/porthoist-group/src/rank_control.rs
@@ -6,6 +6,7 @@
 use porthoist_http::CallError;
 use porthoist_policy::placement::equal_shares::EqualShareMap;
 use porthoist_policy::placement::map::ExpertId;
+use porthoist_policy::proxy::demand::ServiceDemand;
 use porthoist_policy::roll_forward::{EngineOrder, RankState, RankView};
 use porthoist_policy::switch::MapVersion;
 use serde::{Deserialize, Serialize};
@@ -45,12 +46,14 @@
 }
 
 /// One observation of a rank.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct RankObservation {
     /// The engine's state.
     pub state: RankState,
     /// How often its requests chose each expert since the last observation with counts, by set and expert.
     pub counts: Vec<u32>,
+    /// Demand of the entries that report theirs to the process next to the rank.
+    pub demand: Option<ServiceDemand>,
 }
 
 /// An engine's answer to an order.
--- a/crates/porthoist-group/tests/connection_reset.rs
+++ b/crates/porthoist-group/tests/connection_reset.rs
@@ -48,7 +48,7 @@
             requests: self.requests.get(),
             pace: RankPace::USUAL,
         };
-        async move { Ok(RankObservation { state, counts: Vec::new() }) }.boxed_local()
+        async move { Ok(RankObservation { state, counts: Vec::new(), demand: None }) }.boxed_local()
     }
 
     fn expert_lists(&self) -> RankFuture<'_, ExpertLists> {
--- a/crates/porthoist-group/tests/controller.rs
+++ b/crates/porthoist-group/tests/controller.rs
@@ -240,7 +240,7 @@
             pace: group.paces[self.rank],
         };
         let counts = if counts { group.window() } else { Vec::new() };
-        async move { Ok(RankObservation { state, counts }) }.boxed_local()
+        async move { Ok(RankObservation { state, counts, demand: None }) }.boxed_local()
     }
 
     fn expert_lists(&self) -> RankFuture<'_, ExpertLists> {
--- a/crates/porthoist-proxy/src/handler.rs
+++ b/crates/porthoist-proxy/src/handler.rs
@@ -15,6 +15,7 @@
     ClockSource, RefusalReason, RetryReason, RunVerdict, ServiceName, UnixDeadline, UnixMillis,
 };
 use porthoist_metrics::MetricsHub;
+use porthoist_policy::proxy::demand::OwnDemand;
 use porthoist_policy::proxy::forecast::CallerRetryDetector;
 use porthoist_policy::proxy::freshness::FreshnessRule;
 use porthoist_policy::proxy::group_loads::GroupLoads;
@@ -83,6 +84,8 @@
     retry_detector: RefCell<CallerRetryDetector>,
     /// Notes for the other entries of the zone.
     note_publisher: RefCell<NotePublisher>,
+    /// Receives this process's demand with each load report.
+    own_demand: watch::Sender<OwnDemand>,
     in_flight: Cell<u64>,
     /// Whether listed targets have been applied.
     targets_applied: Cell<bool>,
@@ -130,6 +133,7 @@
         dispatcher: RequestDispatcher,
         quarantine: Rc<RequestQuarantine>,
         notes: watch::Sender<Vec<TargetNote>>,
+        #[builder(default)] own_demand: watch::Sender<OwnDemand>,
         clock: Arc<dyn ClockSource>,
         metrics: Arc<MetricsHub>,
         logger: Logger,
@@ -145,6 +149,7 @@
             retry_shares: RefCell::default(),
             retry_detector: RefCell::default(),
             note_publisher: RefCell::new(NotePublisher::new(notes)),
+            own_demand,
             in_flight: Cell::new(0),
             targets_applied: Cell::new(false),
             stopping: Cell::new(false),
@@ -216,9 +221,20 @@
         self.dispatcher.set_entry_position(position);
     }
 
-    /// Applies the loads that the engines of a group reported.
+    /// Publishes this process's demand, unless there still is none to report.
+    fn publish_demand(&self) {
+        let newest = self.dispatcher.own_demand();
+        self.own_demand.send_if_modified(|demand| {
+            let is_reported = !demand.is_empty() || !newest.is_empty();
+            *demand = newest;
+            is_reported
+        });
+    }
+
+    /// Applies the loads that the engines of a group reported, and publishes this process's present demand.
     pub fn update_loads(&self, loads: &GroupLoads) {
         self.dispatcher.update_loads(loads);
+        self.publish_demand();
         let now = self.clock.now();
         if !self.next_stall_check.get().passed(now) {
             return;
--- a/porthoistd/src/component/loads.rs
+++ b/porthoistd/src/component/loads.rs
@@ -7,8 +7,10 @@
 //! reports on are queried until all are covered.
 
 use porthoist_core::{ServiceName, ZoneName};
-use porthoist_fleet::{AgedLoads, LoadsAnswer, RankPeer};
+use porthoist_fleet::{AgedLoads, DemandReport, LoadsAnswer, RankPeer};
 use porthoist_http::CallError;
+use porthoist_policy::proxy::demand::OwnDemand;
+use porthoist_policy::proxy::entry_positions::EntryId;
 use porthoist_policy::proxy::group_loads::{GroupLoads, LoadRevision};
 use porthoist_proxy::ControlState;
 use rand::seq::IteratorRandom as _;
@@ -29,6 +31,10 @@
 const MAX_FOLLOWED: usize = 2;
 /// Delay in milliseconds between searches for groups without known loads.
 const SEARCH_DELAY_MILLIS: u64 = 300;
+/// Longest time in milliseconds for which the next query waits for the demand that the callers thread
+/// publishes with each report. That takes it a few milliseconds; without waiting, the reported demand would
+/// be older by a round of the planning process.
+const DEMAND_WAIT_MILLIS: u64 = 10;
 
 /// Follows the loads of all groups and forwards their reports.
 #[derive(Debug, Clone)]
@@ -41,6 +47,10 @@
     pub state: watch::Receiver<ControlState>,
     /// Receives the reports of all groups. A report is dropped if this is full, since a newer one follows.
     pub loads: mpsc::Sender<AgedLoads>,
+    /// Identifies this process to those next to ranks.
+    pub entry: EntryId,
+    /// This process's demand, which it reports to one followed process of each group.
+    pub own_demand: watch::Receiver<OwnDemand>,
     /// The logger.
     pub logger: Logger,
 }
@@ -112,10 +122,11 @@
     async fn follow_process(&self, address: SocketAddr, reported: &ReportedHosts) {
         let peer = RankPeer::new(address);
         let mut last_revision = LoadRevision::default();
+        let mut own_demand = self.own_demand.clone();
         let error = loop {
-            let reply =
-                tokio::time::timeout(Duration::from_millis(QUERY_TIMEOUT_MILLIS), peer.loads(last_revision))
-                    .await;
+            let report = self.demand_report(address, &reported.borrow());
+            let reply = peer.loads_for_entry(last_revision, report.as_ref());
+            let reply = tokio::time::timeout(Duration::from_millis(QUERY_TIMEOUT_MILLIS), reply).await;
             match reply {
                 Ok(Ok(LoadsAnswer::Loads(loads))) => {
                     if last_revision == LoadRevision::default() {
@@ -129,7 +140,13 @@
                     if self.is_redundant(address, &reported.borrow()) {
                         return;
                     }
+                    own_demand.mark_unchanged();
                     self.publish(loads);
+                    if !own_demand.borrow().is_empty() {
+                        // Without an update, the last known demand is reported.
+                        let wait = Duration::from_millis(DEMAND_WAIT_MILLIS);
+                        drop(tokio::time::timeout(wait, own_demand.changed()).await);
+                    }
                 }
                 Ok(Ok(LoadsAnswer::Redirect(_host))) => break None,
                 Ok(Err(error)) => break Some(error),
@@ -155,6 +172,36 @@
         !hosts.is_empty() && covering.count() >= MAX_FOLLOWED
     }
 
+    /// What this process reports with its next query to `address`: its demand on the service of the group, if
+    /// that is one whose capacity is divided, and nothing else. Of several followed processes that report the
+    /// same hosts, the first one gets the demand, so that it is not counted twice.
+    fn demand_report(
+        &self,
+        address: SocketAddr,
+        reported: &HashMap<SocketAddr, HashSet<Ipv4Addr>>,
+    ) -> Option<DemandReport> {
+        let hosts = reported.get(&address)?;
+        let own_demand = self.own_demand.borrow();
+        if own_demand.is_empty() {
+            return None;
+        }
+        let demand = own_demand.get(&self.service_of(hosts)?)?;
+        let priority = |address: &SocketAddr| (!self.in_own_zone(address), *address);
+        let own_priority = priority(&address);
+        let first = !reported.iter().any(|(other, others)| {
+            priority(other) < own_priority && hosts.iter().any(|host| others.contains(host))
+        });
+        Some(DemandReport { entry: self.entry, demand: first.then(|| demand.clone()) })
+    }
+
+    /// The service of the targets on some hosts.
+    fn service_of(&self, hosts: &HashSet<Ipv4Addr>) -> Option<ServiceName> {
+        let state = self.state.borrow();
+        let mut records = state.targets.records();
+        let here = |ip: IpAddr| matches!(ip, IpAddr::V4(host) if hosts.contains(&host));
+        records.find(|record| here(record.address.ip())).map(|record| record.service.clone())
+    }
+
     fn in_own_zone(&self, address: &SocketAddr) -> bool {
         let state = self.state.borrow();
         let mut records = state.targets.records().filter(|record| record.zone == self.zone);
--- a/porthoistd/src/component/rank.rs
+++ b/porthoistd/src/component/rank.rs
@@ -5,13 +5,12 @@
 use porthoist_core::{ClockSource, ServiceName, UnixDeadline, ZoneName};
 use porthoist_fleet::{AgedLoads, BranchedGroup, PeerPool, RankBranches};
 use porthoist_group::{
-    AdaptiveTimeout, ExpertCounts, ExpertLists, ExpertMapController, GroupShape, GroupTimeouts, LocalEngine,
-    OrderAnswer, RankControl, RankFuture, RankObservation, RoundOutcome,
+    AdaptiveTimeout, ExpertMapController, GroupShape, GroupTimeouts, RankControl, RoundOutcome,
 };
 use porthoist_http::CallError;
-use porthoist_policy::placement::equal_shares::{EqualShareBounds, EqualShareMap};
+use porthoist_policy::placement::equal_shares::EqualShareBounds;
 use porthoist_policy::proxy::pass_time::PassTimer;
-use porthoist_policy::roll_forward::{EngineOrder, GroupEpoch, RankState};
+use porthoist_policy::roll_forward::{GroupEpoch, RankState};
 use porthoist_policy::switch::MapVersion;
 use porthoist_proxy::{ControlState, ControlWatch};
 use slog::{Logger, info, warn};
@@ -23,8 +22,11 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
+mod own_rank;
 mod reporting;
 
+pub use own_rank::OwnRank;
+
 /// Interval in milliseconds between readings of expert counts while the group is idle; demand shifts every
 /// few seconds.
 const COUNTS_INTERVAL_MILLIS: u64 = 150;
@@ -48,13 +50,6 @@
 const MIN_FIND_DELAY_MILLIS: u64 = 80;
 /// Maximum of that delay in milliseconds; a rank that moved to another host is found within it.
 const MAX_FIND_DELAY_MILLIS: u64 = 640;
-/// Timeout in milliseconds of orders to the own engine, which answers in a few milliseconds. An order that
-/// timed out may still have been carried out, and is sent again.
-const ORDER_TIMEOUT_MILLIS: u64 = 40;
-/// Timeout in milliseconds for reading the own engine's state, counts or lists, which takes a few
-/// milliseconds. It is below the 150 ms that a planning process waits for another rank's reading, and bounds
-/// how long a dead connection blocks planning; the next reading opens a new connection.
-const READ_TIMEOUT_MILLIS: u64 = 120;
 /// Minimum interval in milliseconds between load reports of the group. With much rarer reports, all entries
 /// send to the same ranks at once because those look idle.
 const LOADS_INTERVAL_MILLIS: u64 = 80;
@@ -63,71 +58,6 @@
 /// Milliseconds per map version. Restarting the process takes longer, so its versions never repeat.
 const VERSION_MILLIS: u64 = 100;
 
-/// The engine next to this process, with the expert counts reported so far.
-#[derive(Debug)]
-pub struct OwnRank {
-    engine: Rc<dyn LocalEngine>,
-    reported: RefCell<ExpertCounts>,
-}
-
-impl OwnRank {
-    /// Wraps an engine of which nothing has been reported yet.
-    pub fn new(engine: Rc<dyn LocalEngine>) -> Self {
-        Self { engine, reported: RefCell::default() }
-    }
-
-    /// Expert counts since the last call; zero at the first call, since counts from before this process
-    /// started may be minutes old. A restarted engine counts from zero.
-    async fn new_counts(&self) -> Result<Vec<u32>, CallError> {
-        let newest = self.engine.counts().await?;
-        let mut reported = self.reported.borrow_mut();
-        if reported.counts.is_empty() {
-            reported.clone_from(&newest);
-        }
-        let known = reported.counts.len() == newest.counts.len() && reported.born == newest.born;
-        let known = known && newest.counts.iter().zip(&reported.counts).all(|(now, then)| now >= then);
-        let since = |index: usize| newest.counts[index] - if known { reported.counts[index] } else { 0 };
-        let new =
-            (0..newest.counts.len()).map(|index| u32::try_from(since(index)).unwrap_or(u32::MAX)).collect();
-        *reported = newest;
-        Ok(new)
-    }
-}
-
-impl RankControl for OwnRank {
-    fn observe(&self, counts: bool) -> RankFuture<'_, RankObservation> {
-        Box::pin(read_with_timeout(async move {
-            let state = self.engine.state().await?;
-            let counts = if counts { self.new_counts().await? } else { Vec::new() };
-            Ok(RankObservation { state, counts })
-        }))
-    }
-
-    fn expert_lists(&self) -> RankFuture<'_, ExpertLists> {
-        Box::pin(read_with_timeout(self.engine.expert_lists()))
-    }
-
-    fn order<'a>(
-        &'a self,
-        order: EngineOrder,
-        map: Option<&'a EqualShareMap>,
-    ) -> RankFuture<'a, OrderAnswer> {
-        Box::pin(async move {
-            let answer = self.engine.order(order, map);
-            let answered = tokio::time::timeout(Duration::from_millis(ORDER_TIMEOUT_MILLIS), answer).await;
-            let timed_out = || CallError::unknown("the engine did not answer the order");
-            let taken = answered.map_err(|_elapsed| timed_out())??;
-            let view = self.engine.state().await.ok().map(|state| state.view);
-            Ok(OrderAnswer { taken, view })
-        })
-    }
-}
-
-async fn read_with_timeout<T>(reading: impl Future<Output = Result<T, CallError>>) -> Result<T, CallError> {
-    let read = tokio::time::timeout(Duration::from_millis(READ_TIMEOUT_MILLIS), reading).await;
-    read.unwrap_or_else(|_elapsed| Err(CallError::not_sent("the engine did not tell its state in time")))
-}
-
 /// The hosts of the group's ranks as last found.
 #[derive(Debug)]
 struct LocatedGroup {
--- a/porthoistd/src/component/rank/reporting.rs
+++ b/porthoistd/src/component/rank/reporting.rs
@@ -68,6 +68,7 @@
         let revision = LoadRevision(now.0.max(last + 1));
         let loads = GroupLoads {
             revision,
+            demand: planner.entry_demand().cloned(),
             pass: self.passes.pass(now),
             ranks: ranks.collect(),
             ..GroupLoads::default()
--- a/porthoistd/src/component/zone_peers.rs
+++ b/porthoistd/src/component/zone_peers.rs
@@ -21,6 +21,11 @@
 /// All entries of the zone agree on them because they know the same targets.
 const MAX_READERS: usize = 3;
 
+/// Identifies an entry on a host to the processes next to ranks; never 0, which means no entry.
+pub fn entry_id(host: &HostName) -> EntryId {
+    EntryId(xxh3_64(host.as_str().as_bytes()).max(1))
+}
+
 /// Queries the processes next to ranks in one zone.
 #[derive(Debug, bon::Builder)]
 pub struct ZonePeers {
@@ -54,8 +59,7 @@
             ControlTable::Targets => self.own_notes.borrow().iter().map(|note| note.aged(now)).collect(),
             ControlTable::Routes | ControlTable::Crashes => Vec::new(),
         };
-        // Never 0, which means no entry.
-        EntryReport { entry: EntryId(xxh3_64(self.host.as_str().as_bytes()).max(1)), notes }
+        EntryReport { entry: entry_id(&self.host), notes }
     }
 
     fn in_own_zone(&self, host: Ipv4Addr) -> bool {
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -5,12 +5,13 @@
 use crate::component::signals::{watch_reloads, watch_signals};
 use crate::component::spawn_thread;
 use crate::component::status::StatusServer;
-use crate::component::zone_peers::ZonePeers;
+use crate::component::zone_peers::{ZonePeers, entry_id};
 use crate::settings::proxy::ProxySettings;
 use porthoist_core::{AnchoredClock, ClockSource};
 use porthoist_fleet::{AgedLoads, ControlTraffic, PeerPool};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::balancer::BalancerSettings;
+use porthoist_policy::proxy::demand::OwnDemand;
 use porthoist_policy::proxy::freshness::FreshnessRule;
 use porthoist_policy::proxy::limit_notes::TargetNote;
 use porthoist_policy::proxy::retry_share::RetryShareSettings;
@@ -93,6 +94,7 @@
         crashes: watch::Sender::new(CrashSnapshot::default()),
         position: watch::Sender::new(None),
         own_notes: watch::Sender::new(Vec::new()),
+        own_demand: watch::Sender::new(OwnDemand::new()),
         zone_notes: watch::Sender::new(Vec::new()),
         proof: FreshnessRule {
             max_age_millis: settings.revoke_millis.saturating_sub(PROOF_MARGIN_MILLIS),
@@ -120,6 +122,8 @@
     position: watch::Sender<Option<EntryPosition>>,
     /// Notes of this process on targets under pressure, and those of the zone's other entries.
     own_notes: watch::Sender<Vec<TargetNote>>,
+    /// This process's demand on services whose capacity is divided among entries.
+    own_demand: watch::Sender<OwnDemand>,
     zone_notes: watch::Sender<Vec<TargetNote>>,
     proof: FreshnessRule,
     stopping: watch::Sender<bool>,
@@ -175,7 +179,15 @@
         let (loads, reports) = mpsc::channel(LOADS_CAPACITY);
         let Some(rank_port) = self.settings.rank_port else { return Ok(reports) };
         let (zone, state) = (self.settings.zone.clone(), self.state.subscribe());
-        let loads_watch = LoadsWatch { rank_port, zone, state, loads, logger: self.logger.clone() };
+        let loads_watch = LoadsWatch {
+            rank_port,
+            zone,
+            state,
+            loads,
+            entry: entry_id(&self.settings.host),
+            own_demand: self.own_demand.subscribe(),
+            logger: self.logger.clone(),
+        };
         spawn_thread("loads", move || loads_watch.run())?;
         Ok(reports)
     }
@@ -260,6 +272,7 @@
             .dispatcher(RequestDispatcher::new(balancer, Arc::clone(&self.clock)))
             .quarantine(quarantine)
             .notes(self.own_notes.clone())
+            .own_demand(self.own_demand.clone())
             .clock(Arc::clone(&self.clock))
             .metrics(Arc::clone(&self.metrics))
             .logger(self.logger.clone())
--- a/porthoistd/src/role/rank.rs
+++ b/porthoistd/src/role/rank.rs
@@ -8,7 +8,7 @@
 use crate::component::status::serve_metrics;
 use crate::settings::rank::RankSettings;
 use porthoist_core::{AnchoredClock, ClockSource};
-use porthoist_fleet::{ControlTraffic, LoadsPublisher, PeerPool, RankService, serve_ranks};
+use porthoist_fleet::{ControlTraffic, EntryDemands, LoadsPublisher, PeerPool, RankService, serve_ranks};
 use porthoist_group::RankControl;
 use porthoist_metrics::MetricsHub;
 use porthoist_proxy::{ControlState, ControlWatch, RowSource, TableReader};
@@ -37,7 +37,9 @@
     let stopping = watch::Sender::new(false);
     let stop = stopping.subscribe();
     let thread = spawn_thread("rank", move || async move {
-        let own = Rc::new(OwnRank::new(Rc::new(TuristEngine::new(settings.engine))));
+        let entry_demands = EntryDemands::default();
+        let engine = Rc::new(TuristEngine::new(settings.engine));
+        let own = Rc::new(OwnRank::with_demands(engine, entry_demands.clone()));
         let listener = TcpListener::from_std(rank_listener).expect("the listener is bound and non-blocking");
         let loads = watch::Sender::new(None);
         let traffic = ControlTraffic::default();
@@ -54,6 +56,7 @@
             .traffic(traffic.clone())
             .reader(reader)
             .clock(Arc::clone(&clock))
+            .entry_demands(entry_demands)
             .build();
         tokio::task::spawn_local(serve_ranks(listener, Rc::new(serving)));
         tokio::task::spawn_local(record_traffic(traffic, Arc::clone(&metrics)));
--- a/porthoistd/tests/rank.rs
+++ b/porthoistd/tests/rank.rs
@@ -1,13 +1,19 @@
 //! The process next to an engine, with in-memory engines.
 
 use futures::FutureExt as _;
-use porthoist_core::{AnchoredClock, ClockSource, ServiceName, StartMillis};
-use porthoist_fleet::{AgedLoads, ControlTraffic, LoadsPublisher, PeerPool, RankService, serve_ranks};
+use porthoist_core::{AnchoredClock, ClockSource, RequestRate, ServiceName, StartMillis};
+use porthoist_fleet::{
+    AgedLoads, ControlTraffic, DemandReport, EntryDemands, LoadsAnswer, LoadsPublisher, PeerPool, RankPeer,
+    RankService, serve_ranks,
+};
 use porthoist_group::{ExpertCounts, ExpertLists, LocalEngine, RankControl as _, RankFuture};
 use porthoist_http::CallError;
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::placement::equal_shares::EqualShareMap;
 use porthoist_policy::proxy::cold_start::ColdStatus;
+use porthoist_policy::proxy::demand::{LevelDemand, PriorityLevel, ServiceDemand};
+use porthoist_policy::proxy::entry_positions::EntryId;
+use porthoist_policy::proxy::group_loads::LoadRevision;
 use porthoist_policy::proxy::routes::{CallerLimits, ConfigVersion, EngineModel, RouteTable, ServiceSpec};
 use porthoist_policy::proxy::targets::{TargetChange, TargetRecord, TargetState};
 use porthoist_policy::roll_forward::{EngineOrder, GroupEpoch, OrderSequence, RankPace, RankState, RankView};
@@ -185,8 +191,14 @@
     let to = inner.local_addr().expect("a bound address");
     let loads_publisher = LoadsPublisher::new(watch::Sender::new(None).subscribe());
     let peers = Rc::new(PeerPool::new(address.port(), ControlTraffic::default()));
-    let own_rank = Rc::new(OwnRank::new(engine));
-    let serving = RankService::builder().own_rank(own_rank).publisher(loads_publisher).peers(peers).build();
+    let entry_demands = EntryDemands::default();
+    let own_rank = Rc::new(OwnRank::with_demands(engine, entry_demands.clone()));
+    let serving = RankService::builder()
+        .own_rank(own_rank)
+        .publisher(loads_publisher)
+        .peers(peers)
+        .entry_demands(entry_demands)
+        .build();
     tokio::task::spawn_local(serve_ranks(inner, Rc::new(serving)));
     let count = Rc::new(Cell::new(0));
     tokio::task::spawn_local(count_connections(outer, to, Rc::clone(&count)));
@@ -352,3 +364,55 @@
     let timed = tokio::time::timeout(Duration::from_secs(20), scenario);
     LocalSet::new().run_until(timed).await.expect("all ranks are read");
 }
+
+/// An entry that follows the process next to a rank; ends once the reports carry the demand of `entries` entries.
+async fn wait_for_demand(
+    address: SocketAddr,
+    entry: u64,
+    own: &ServiceDemand,
+    entries: u32,
+) -> ServiceDemand {
+    let peer = RankPeer::new(address);
+    let report = DemandReport { entry: EntryId(entry), demand: Some(own.clone()) };
+    let mut last_revision = LoadRevision::default();
+    loop {
+        match peer.loads_for_entry(last_revision, Some(&report)).await.expect("an answer") {
+            LoadsAnswer::Loads(loads) => {
+                last_revision = loads.revision;
+                if let Some(demand) = loads.demand.filter(|demand| demand.entries == entries) {
+                    return demand;
+                }
+            }
+            LoadsAnswer::Redirect(_planner) => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
+
+/// Guards against reports that leave out the demand that the planning process has read: each entry would take
+/// its own for all there is.
+#[tokio::test]
+async fn entries_of_different_processes_learn_the_sum_of_their_demand() {
+    let scenario = async {
+        let first = TcpListener::bind((engine_address(1).ip(), 0)).await.expect("a free port");
+        let port = first.local_addr().expect("a bound address").port();
+        drop(first);
+        let process_address = |rank: usize| SocketAddr::new(engine_address(rank).ip(), port);
+        for rank in 1..RANKS {
+            serve_engine(process_address(rank), LimitedEngine::new(rank, u32::MAX)).await;
+        }
+        let (planning, _loads) = planning_loop(port);
+        let running = tokio::task::spawn_local(planning.run(watch::Sender::new(false).subscribe()));
+        let demand = |entries: u32, asked: f64| {
+            let level = LevelDemand { asked: RequestRate(asked), running: 2 * entries };
+            ServiceDemand { levels: [(PriorityLevel(0), level)].into(), entries }
+        };
+        let (first_own, second_own) = (demand(1, 1.5), demand(1, 2.25));
+        let first = wait_for_demand(process_address(1), 1, &first_own, 2);
+        let second = wait_for_demand(process_address(2), 2, &second_own, 2);
+        let (first, second) = tokio::join!(first, second);
+        running.abort();
+        assert_eq!((&first, &second), (&demand(2, 3.75), &demand(2, 3.75)));
+    };
+    let timed = tokio::time::timeout(Duration::from_secs(20), scenario);
+    LocalSet::new().run_until(timed).await.expect("the demand of both is reported");
+}
