--- a/crates/porthoist-fleet/src/rank/peer.rs
+++ b/crates/porthoist-fleet/src/rank/peer.rs
@@ -1,9 +1,13 @@
 //! Client of the process next to another rank.
 
+use super::aged_loads::AgedLoads;
 use super::convert::{
-    IdentifiedHosts, LoadsAnswer, MapChanges, hosts_of, layout_of, pack, pack_pass, pack_requests,
-    read_loads, read_observation, read_view, unpack, unpack_counts, unpack_states, write_branch_map,
-    write_hosts, write_order,
+    MapChanges, layout_of, pack, read_state, read_view, unpack, unpack_counts, unpack_states,
+    write_branch_map, write_hosts, write_order,
+};
+use super::entry_demands::{DemandReport, pack_demand, unpack_demand};
+use super::loads_message::{
+    IdentifiedHosts, LoadsAnswer, hosts_of, pack_age, pack_pass, pack_requests, read_loads,
 };
 use super::maps::PeerMaps;
 use super::table_update::{
@@ -19,7 +23,8 @@
 use porthoist_http::CallError;
 use porthoist_policy::placement::equal_shares::EqualShareMap;
 use porthoist_policy::placement::map::ExpertId;
-use porthoist_policy::proxy::group_loads::{GroupLoads, LoadRevision};
+use porthoist_policy::proxy::demand::ServiceDemand;
+use porthoist_policy::proxy::group_loads::LoadRevision;
 use porthoist_policy::roll_forward::{EngineOrder, RankState};
 use porthoist_policy::switch::MapVersion;
 use porthoist_proxy::TableQuery;
@@ -31,6 +36,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 /// Connect timeout in milliseconds: an isolated host does not answer at all.
 const CONNECT_TIMEOUT_MILLIS: u64 = 120;
@@ -101,6 +107,8 @@
     pub states: Vec<(usize, RankState)>,
     /// The sum of their counts.
     pub counts: Vec<u32>,
+    /// The sum of the demand that entries reported to them.
+    pub demand: Option<ServiceDemand>,
 }
 
 /// An order to a member of a branch.
@@ -152,13 +160,29 @@
 
     /// Queries for loads newer than `after`; the process may name another one to ask.
     pub async fn loads(&self, after: LoadRevision) -> Result<LoadsAnswer, CallError> {
+        self.loads_for_entry(after, None).await
+    }
+
+    /// The same for an entry, which reports its demand with it.
+    pub async fn loads_for_entry(
+        &self,
+        after: LoadRevision,
+        report: Option<&DemandReport>,
+    ) -> Result<LoadsAnswer, CallError> {
         let connection = self.connect().await?;
         let mut request = connection.client.loads_request();
         request.get().set_after(after.0);
         request.get().set_layout(self.hosts.borrow().as_ref().map_or(0, |(layout, _hosts)| *layout));
+        if let Some(report) = report {
+            request.get().set_entry(report.entry.0);
+            if report.demand.is_some() {
+                request.get().set_demand(&pack_demand(report.demand.as_ref()));
+            }
+        }
         let answered = async {
+            let asked = Instant::now();
             let response = request.send().promise.await?;
-            read_loads(response.get()?, &mut self.hosts.borrow_mut())
+            read_loads(response.get()?, &mut self.hosts.borrow_mut(), asked.elapsed())
         };
         answered.await.map_err(|error: Error| self.connection_failed(&error))
     }
@@ -200,7 +224,7 @@
 
     /// Sends the newest loads to the process, which forwards them to those on `others`. Sends nothing while the last report
     /// is not acknowledged.
-    pub async fn publish_loads(&self, loads: &GroupLoads, others: &[Ipv4Addr]) {
+    pub async fn publish_loads(&self, loads: &AgedLoads, others: &[Ipv4Addr]) {
         if self.sending_loads.replace(true) {
             return;
         }
@@ -211,8 +235,8 @@
         self.sending_loads.set(false);
     }
 
-    async fn publish_loads_now(&self, loads: &GroupLoads, others: &[Ipv4Addr]) -> Result<(), CallError> {
-        let hosts = hosts_of(loads);
+    async fn publish_loads_now(&self, loads: &AgedLoads, others: &[Ipv4Addr]) -> Result<(), CallError> {
+        let hosts = hosts_of(loads.received());
         let layout = layout_of(&hosts);
         let known = self.sent_layout.replace(layout) == layout;
         if known && self.send_loads(loads, others, layout, &[]).await? {
@@ -224,18 +248,23 @@
     /// Sends loads; returns whether the process knew their hosts.
     async fn send_loads(
         &self,
-        loads: &GroupLoads,
+        loads: &AgedLoads,
         others: &[Ipv4Addr],
         layout: u64,
         hosts: &[Ipv4Addr],
     ) -> Result<bool, CallError> {
         let connection = self.connect().await?;
+        let loads = loads.current();
         let mut request = connection.client.tell_request();
         let mut call = request.get();
         call.set_revision(loads.revision.0);
         call.set_layout(layout);
-        call.set_requests(&pack_requests(loads));
+        call.set_requests(&pack_requests(&loads));
         call.set_pass(pack_pass(loads.pass));
+        call.set_age_millis(pack_age(loads.age_millis));
+        if loads.demand.is_some() {
+            call.set_demand(&pack_demand(loads.demand.as_ref()));
+        }
         write_hosts(call.reborrow().init_hosts(hosts.len() as u32), hosts);
         write_hosts(call.init_others(others.len() as u32), others);
         let sent = async { Ok(!request.send().promise.await?.get()?.get_unknown_layout()) };
@@ -259,7 +288,8 @@
             let response = request.send().promise.await?;
             let results = response.get()?;
             let states = unpack_states(results.get_states()?)?;
-            Ok(BranchObservation { states, counts: unpack_counts(results.get_counts()?, results.get_unit()) })
+            let counts = unpack_counts(results.get_counts()?, results.get_unit());
+            Ok(BranchObservation { states, counts, demand: unpack_demand(results.get_demand()?)? })
         };
         observed.await.map_err(|error: Error| self.connection_failed(&error))
     }
@@ -360,7 +390,8 @@
             let response = request.send().promise.await?;
             let results = response.get()?;
             let counts = unpack_counts(results.get_counts()?, results.get_unit());
-            read_observation(results.get_state()?, counts)
+            let demand = unpack_demand(results.get_demand()?)?;
+            Ok(RankObservation { state: read_state(results.get_state()?)?, counts, demand })
         };
         observed.await.map_err(|error: Error| self.connection_failed(&error))
     }
