--- a/crates/porthoist-core/src/reason.rs
+++ b/crates/porthoist-core/src/reason.rs
@@ -62,6 +62,8 @@
         Unauthorized = "unauthorized",
         /// The service is not configured.
         UnknownService = "unknown_service",
+        /// The process holds as many bytes for callers as it may.
+        MemoryLimit = "memory_limit",
         /// The deadline passed before the answer was complete.
         DeadlinePassed = "deadline_passed",
         /// The first token is predicted to come after the deadline.
@@ -169,7 +171,8 @@
             | Self::Unreachable
             | Self::ClaimUnavailable
             | Self::RetryBudget
-            | Self::Quarantined => 503,
+            | Self::Quarantined
+            | Self::MemoryLimit => 503,
         }
     }
 
--- a/crates/porthoist-http/src/lib.rs
+++ b/crates/porthoist-http/src/lib.rs
@@ -11,4 +11,4 @@
 pub use body::{BodyError, HttpBody, HttpResponse, full_body, json_response, read_body, text_response};
 pub use client::{CallError, HttpClient};
 pub use server::{ServerSettings, serve_until};
-pub use socket::{SocketPeer, configure_socket};
+pub use socket::{SocketPeer, bound_send_buffer, configure_socket};
--- a/crates/porthoist-http/src/socket.rs
+++ b/crates/porthoist-http/src/socket.rs
@@ -56,3 +56,12 @@
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(peer.unacknowledged_timeout()))
 }
+
+/// Bounds the system's send buffer of a connection to about this many bytes; Linux doubles the value for its own needs.
+///
+/// # Errors
+///
+/// Fails if the system rejects the size; the connection is usable nevertheless.
+pub fn bound_send_buffer(stream: &TcpStream, bytes: usize) -> io::Result<()> {
+    SockRef::from(stream).set_send_buffer_size(bytes)
+}
--- a/crates/porthoist-metrics/src/lib.rs
+++ b/crates/porthoist-metrics/src/lib.rs
@@ -34,7 +34,7 @@
 #[derive(Debug)]
 pub struct MetricsHub {
     registry: Registry,
-    _provider: SdkMeterProvider,
+    provider: SdkMeterProvider,
     requests: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
@@ -48,6 +48,7 @@
     event_pause: Histogram<f64>,
     connections: Counter<u64>,
     broken_streams: Counter<u64>,
+    cut_responses: Counter<u64>,
     crash_events: Counter<u64>,
     backpressure_changes: Counter<u64>,
     cold_targets: Gauge<u64>,
@@ -89,6 +90,7 @@
                 .build(),
             connections: meter.u64_counter("porthoist_target_connections").build(),
             broken_streams: meter.u64_counter("porthoist_broken_streams").build(),
+            cut_responses: meter.u64_counter("porthoist_responses_cut").build(),
             crash_events: meter.u64_counter("porthoist_crash_events").build(),
             backpressure_changes: meter.u64_counter("porthoist_target_need_changes").build(),
             cold_targets: meter.u64_gauge("porthoist_cold_targets").build(),
@@ -99,7 +101,7 @@
             table_ages: meter.u64_gauge("porthoist_belief_age_milliseconds").build(),
             table_era: meter.u64_gauge("porthoist_table_era").build(),
             registry,
-            _provider: provider,
+            provider,
         };
         hub.start_at_zero();
         Ok(hub)
@@ -122,6 +124,7 @@
         self.control_bytes.add(0, &[]);
         self.connections.add(0, &[]);
         self.broken_streams.add(0, &[]);
+        self.cut_responses.add(0, &[]);
         self.table_calls.add(0, &[]);
         for event in CRASH_EVENTS {
             self.crash_events.add(0, &[KeyValue::new("event", event)]);
@@ -153,6 +156,18 @@
         self.broken_streams.add(1, &[]);
     }
 
+    /// Counts a response that was cut because its caller read nothing.
+    pub fn record_cut_response(&self) {
+        self.cut_responses.add(1, &[]);
+    }
+
+    /// Exports the number of bytes held for callers, which `read` returns at each export.
+    pub fn observe_held_bytes(&self, read: impl Fn() -> u64 + Send + Sync + 'static) {
+        let meter = self.provider.meter("porthoist");
+        let gauge = meter.u64_observable_gauge("porthoist_held_bytes");
+        gauge.with_callback(move |observer| observer.observe(read(), &[])).build();
+    }
+
     /// Counts an event of crashes that are attributed to requests.
     pub fn record_crash_event(&self, event: &'static str) {
         self.crash_events.add(1, &[KeyValue::new("event", event)]);
--- /dev/null
+++ b/crates/porthoist-proxy/src/caller_stream.rs
@@ -0,0 +1,110 @@
+//! A caller's connection, which ends if its caller reads nothing of a response for too long.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
+
+/// What the handler of requests and the connection's stream know of each other.
+#[derive(Debug, Default)]
+pub struct CallerConnection {
+    /// Attempt identifier of the connection's last request.
+    attempt: RefCell<Option<Arc<str>>>,
+    cut: Cell<bool>,
+}
+
+impl CallerConnection {
+    /// Notes the attempt identifier of the request that is served now.
+    pub(crate) fn begin_request(&self, attempt: &Arc<str>) {
+        *self.attempt.borrow_mut() = Some(Arc::clone(attempt));
+    }
+
+    /// Attempt identifier of the connection's last request, if there was one.
+    pub(crate) fn attempt(&self) -> Option<Arc<str>> {
+        self.attempt.borrow().clone()
+    }
+
+    /// Whether the connection was closed because its caller read nothing.
+    pub(crate) fn is_cut(&self) -> bool {
+        self.cut.get()
+    }
+}
+
+/// A caller's stream. Writing fails once the peer has taken nothing for the permitted time.
+#[derive(Debug)]
+pub(crate) struct CallerStream {
+    stream: TcpStream,
+    connection: Rc<CallerConnection>,
+    /// Zero if the time is not limited.
+    unread_limit: Duration,
+    /// Runs while the peer takes nothing.
+    unread_timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl CallerStream {
+    pub(crate) fn new(stream: TcpStream, connection: Rc<CallerConnection>, unread_limit: Duration) -> Self {
+        Self { stream, connection, unread_limit, unread_timer: None }
+    }
+
+    fn check_written(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_ready() || self.unread_limit.is_zero() {
+            self.unread_timer = None;
+            return written;
+        }
+        let unread_limit = self.unread_limit;
+        let timer = self.unread_timer.get_or_insert_with(|| Box::pin(sleep(unread_limit)));
+        ready!(timer.as_mut().poll(cx));
+        self.connection.cut.set(true);
+        // The close then resets the connection, and the system does not keep unread bytes. Best effort.
+        drop(self.stream.set_zero_linger());
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.check_written(cx, written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.check_written(cx, written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/porthoist-proxy/src/connection_pool.rs
+++ b/crates/porthoist-proxy/src/connection_pool.rs
@@ -113,6 +113,8 @@
     idle: Rc<RefCell<HashMap<TargetLife, Vec<IdleConnection>>>>,
     /// Probes in progress. Requests that fail together share one.
     probes: Rc<RefCell<HashMap<TargetLife, Rc<OnceCell<TargetLiveness>>>>>,
+    /// Maximum size in bytes of a connection's read buffer; `None` for hyper's default.
+    read_buffer: Option<usize>,
     clock: Arc<dyn ClockSource>,
     metrics: Arc<MetricsHub>,
 }
@@ -201,9 +203,10 @@
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool.
-    pub fn new(clock: Arc<dyn ClockSource>, metrics: Arc<MetricsHub>) -> Self {
-        Self { idle: Rc::default(), probes: Rc::default(), clock, metrics }
+    /// Creates an empty pool. `read_buffer` is the maximum size in bytes of a connection's read buffer, which
+    /// a response head must fit; `None` leaves hyper's default.
+    pub fn new(read_buffer: Option<usize>, clock: Arc<dyn ClockSource>, metrics: Arc<MetricsHub>) -> Self {
+        Self { idle: Rc::default(), probes: Rc::default(), read_buffer, clock, metrics }
     }
 
     /// Sends a request and waits for the response head until the deadline.
@@ -322,7 +325,11 @@
         // Closing then resets the connection: data of an abandoned request that is still buffered at a
         // partitioned link or a suspended host is dropped, not delivered seconds later. Best effort.
         drop(stream.set_zero_linger());
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        if let Some(bytes) = self.read_buffer {
+            builder.max_buf_size(bytes);
+        }
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(SendFailure::not_sent)?;
         self.metrics.record_connection();
         let task = tokio::task::spawn_local(async move {
--- a/crates/porthoist-proxy/src/handler.rs
+++ b/crates/porthoist-proxy/src/handler.rs
@@ -1,6 +1,8 @@
 //! Handles one request: admission, target selection, sending and retries, up to the response or a refusal
 //! that states whether the request may have run.
 
+use crate::byte_budget::ByteBudget;
+use crate::caller_stream::CallerConnection;
 use crate::connection_pool::{ConnectionPool, OpenAnswer, SendFailure};
 use crate::control::ControlState;
 use crate::dispatcher::{RequestDispatcher, TargetSlot};
@@ -36,6 +38,8 @@
 mod backpressure;
 mod moving;
 mod relay;
+mod request_body;
+mod request_guard;
 mod retries;
 mod send_checks;
 mod sending;
@@ -44,6 +48,7 @@
 
 use backpressure::NotePublisher;
 use relay::EventRelay;
+use request_guard::RequestGuard;
 use types::{AdmittedRequest, CompleteAnswer, ProxyRefusal, SendHistory, TargetAnswer};
 
 /// Event after which a stream resumes; callers send it too.
@@ -54,6 +59,10 @@
 /// milliseconds. The balancer needs two health checks, one second apart, to remove the process.
 const UNREADY_RETRY_MILLIS: u64 = 1_000;
 
+/// Maximum size in bytes of the read buffer of a target's connection if held bytes are bounded. It is not
+/// counted, and hyper's default may grow to 400 kB for each connection.
+const BOUNDED_READ_BUFFER_BYTES: usize = 32 * 1024;
+
 /// Minimum interval between two checks for stalled groups, in milliseconds. A check visits all targets:
 /// with 1,500 targets and reports from 23 groups, there would be 230 checks a second.
 const STALL_CHECK_MILLIS: u64 = 200;
@@ -69,6 +78,12 @@
     /// services whose requests have several priorities.
     #[builder(default)]
     pub share_capacity: bool,
+    /// Maximum number of bytes held for all callers together; 0 for no bound.
+    #[builder(default)]
+    pub held_bytes: u64,
+    /// Time in milliseconds after which a response of which its caller reads nothing is cut; 0 for never.
+    #[builder(default)]
+    pub unread_millis: u64,
 }
 
 /// Handles the requests of a process and holds the state that they share.
@@ -79,6 +94,8 @@
     dispatcher: RequestDispatcher,
     quarantine: Rc<RequestQuarantine>,
     pool: ConnectionPool,
+    /// Bytes held for all callers.
+    budget: Arc<ByteBudget>,
     retry_shares: RefCell<HashMap<ServiceName, RetryShare>>,
     retry_detector: RefCell<CallerRetryDetector>,
     /// Notes for the other entries of the zone.
@@ -102,23 +119,6 @@
     }
 }
 
-/// Logs that the caller left unless the request completed.
-struct RequestGuard {
-    handler: Rc<ProxyHandler>,
-    attempt: Arc<str>,
-    completed: Cell<bool>,
-}
-
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        let handler = &self.handler;
-        handler.in_flight.set(handler.in_flight.get().saturating_sub(1));
-        if !self.completed.get() {
-            info!(handler.logger, "caller left"; "event" => "caller_left", "request" => &*self.attempt);
-        }
-    }
-}
-
 #[bon::bon]
 impl ProxyHandler {
     /// Creates a handler.
@@ -134,7 +134,11 @@
         metrics: Arc<MetricsHub>,
         logger: Logger,
     ) -> Rc<Self> {
-        let pool = ConnectionPool::new(Arc::clone(&clock), Arc::clone(&metrics));
+        let budget = ByteBudget::new(settings.held_bytes);
+        let read_buffer = budget.bounded().then_some(BOUNDED_READ_BUFFER_BYTES);
+        let pool = ConnectionPool::new(read_buffer, Arc::clone(&clock), Arc::clone(&metrics));
+        let observed = Arc::clone(&budget);
+        metrics.observe_held_bytes(move || observed.held());
         Rc::new(Self {
             settings,
             codec,
@@ -142,6 +146,7 @@
             dispatcher,
             quarantine,
             pool,
+            budget,
             retry_shares: RefCell::default(),
             retry_detector: RefCell::default(),
             note_publisher: RefCell::new(NotePublisher::new(notes)),
@@ -173,6 +178,11 @@
         self.state.borrow().routes.as_ref().map(|routes| routes.limits)
     }
 
+    /// Settings of callers' connections.
+    pub(crate) fn settings(&self) -> &ProxyHandlerSettings {
+        &self.settings
+    }
+
     /// Applies the known targets.
     pub fn sync_targets(&self) {
         let state = self.state.borrow();
@@ -232,8 +242,12 @@
         }
     }
 
-    /// Serves one request.
-    pub async fn serve(self: Rc<Self>, request: Request<Incoming>) -> CallerReply {
+    /// Serves one request of a connection.
+    pub(crate) async fn serve(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        connection: Rc<CallerConnection>,
+    ) -> CallerReply {
         let arrival = self.clock.now();
         // The process can report ready before this thread has applied the first list of targets; its first
         // callers would be refused without a target.
@@ -246,9 +260,11 @@
         let metadata = self.codec.parse_request(&head.headers);
         let attempt =
             metadata.as_ref().map_or_else(|_error| Arc::from("-"), |metadata| Arc::clone(&metadata.attempt));
+        connection.begin_request(&attempt);
         let guard = RequestGuard {
             handler: Rc::clone(&self),
             attempt: Arc::clone(&attempt),
+            connection,
             completed: Cell::new(false),
         };
         let admitted = match metadata {
--- a/crates/porthoist-proxy/src/handler/admission.rs
+++ b/crates/porthoist-proxy/src/handler/admission.rs
@@ -3,12 +3,9 @@
 use super::types::{AdmittedRequest, ProxyRefusal};
 use super::{ProxyHandler, UNREADY_RETRY_MILLIS, host_of, route_refusal_reason};
 use crate::headers::RequestMetadata;
-use bytes::Bytes;
-use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use porthoist_core::{RefusalReason, ServiceName, UnixDeadline, UnixMillis};
-use porthoist_http::{BodyError, read_body};
 use porthoist_policy::proxy::routes::{RouteRule, RouteTable, TeamGrant};
 use slog::info;
 use std::cell::OnceCell;
@@ -33,9 +30,10 @@
     ) -> Result<AdmittedRequest, ProxyRefusal> {
         let routed = self.route(&metadata, &head, arrival)?;
         let RoutedRequest { rule, grant, service, ranked, body_bytes } = routed;
-        let is_caller_retry = self.log_admitted(&metadata, &rule, &service);
         let wait = metadata.remaining_millis.unwrap_or(rule.timeout_millis).min(rule.timeout_millis);
         let deadline = UnixDeadline::after(arrival, wait);
+        let body = self.check_memory(body, deadline)?;
+        let is_caller_retry = self.log_admitted(&metadata, &rule, &service);
         let body = self.read_body(body, body_bytes, deadline).await?;
         let cached_mark = OnceCell::new();
         Ok(AdmittedRequest {
@@ -127,25 +125,4 @@
             "request" => &*metadata.attempt, "version" => routes.version.0, "proof_age_ms" => age);
         ProxyRefusal::retryable(RefusalReason::NotReady, UNREADY_RETRY_MILLIS)
     }
-
-    async fn read_body(
-        &self,
-        body: Incoming,
-        body_bytes: usize,
-        deadline: UnixDeadline,
-    ) -> Result<Bytes, ProxyRefusal> {
-        let read = tokio::time::timeout(self.remaining_time(deadline), read_body(body, body_bytes)).await;
-        let Ok(read) = read else {
-            let denied = ProxyRefusal::denied(RefusalReason::DeadlinePassed);
-            return Err(ProxyRefusal { status: StatusCode::REQUEST_TIMEOUT, ..denied });
-        };
-        match read {
-            Ok(bytes) => Ok(bytes),
-            Err(BodyError::TooLong(_limit)) => Err(ProxyRefusal::denied(RefusalReason::BodyTooLong)),
-            Err(error) => {
-                info!(self.logger, "unreadable body"; "event" => "malformed", "error" => error.to_string());
-                Err(ProxyRefusal::denied(RefusalReason::Malformed))
-            }
-        }
-    }
 }
--- a/crates/porthoist-proxy/src/handler/relay.rs
+++ b/crates/porthoist-proxy/src/handler/relay.rs
@@ -1,8 +1,10 @@
 //! Relays a stream event by event, and resumes it at another target after the last event where the route
 //! allows it.
 
+use super::ProxyHandler;
+use super::request_guard::RequestGuard;
 use super::types::{AdmittedRequest, SendHistory, TargetAnswer};
-use super::{ProxyHandler, RequestGuard};
+use crate::byte_budget::HeldBytes;
 use crate::connection_pool::{OpenAnswer, SendFailure};
 use crate::dispatcher::TargetSlot;
 use crate::reply::BodyStream;
@@ -23,6 +25,8 @@
     admitted: Rc<AdmittedRequest>,
     source: Option<StreamSource>,
     splitter: EventSplitter,
+    /// Counts the splitter's bytes.
+    held: HeldBytes,
     last_id: Option<u64>,
     forwarded: u64,
     first_at: Option<UnixMillis>,
@@ -57,11 +61,13 @@
         let after = super::header_text(&admitted.head.headers, super::LAST_EVENT_ID);
         let last_id = after.and_then(|text| text.trim().parse().ok());
         let last_at = handler.clock.now();
+        let held = handler.budget.guard();
         Self {
             handler,
             admitted,
             source: Some(StreamSource { slot, answer }),
             splitter: EventSplitter::default(),
+            held,
             last_id,
             forwarded: 0,
             first_at: None,
@@ -133,8 +139,13 @@
             match frame {
                 Err(_elapsed) => return RelayStep::Broken(SendFailure::lost("stream not complete in time")),
                 Ok(Some(Ok(frame))) => {
-                    if let Ok(bytes) = frame.into_data() {
-                        self.splitter.push(&bytes);
+                    let Ok(bytes) = frame.into_data() else { continue };
+                    // Nothing more is read from the target until there is room.
+                    let remaining = self.handler.remaining_time(self.admitted.deadline);
+                    match tokio::time::timeout(remaining, self.held.grow(bytes.len())).await {
+                        Ok(Ok(())) => self.splitter.push(&bytes),
+                        Ok(Err(error)) => return RelayStep::Broken(SendFailure::lost(error)),
+                        Err(_elapsed) => return RelayStep::Broken(SendFailure::lost("no memory in time")),
                     }
                 }
                 Ok(Some(Err(error))) => return RelayStep::Broken(SendFailure::closed(error)),
@@ -176,7 +187,7 @@
         self.last_at = now;
         self.forwarded += 1;
         self.last_id = event.id.or(self.last_id);
-        event.bytes
+        self.held.split(event.bytes.len()).attach(event.bytes)
     }
 
     fn finish(&mut self) {
@@ -207,6 +218,7 @@
             target = Some(source.slot.target.clone());
         }
         self.splitter.clear();
+        self.held.clear();
         loop {
             if let Some(target) = target.take() {
                 self.handler.check_lost_target(&self.admitted, &target, &failure, &mut self.history).await;
--- a/crates/porthoist-proxy/src/handler/sending.rs
+++ b/crates/porthoist-proxy/src/handler/sending.rs
@@ -6,8 +6,9 @@
 use crate::dispatcher::TargetSlot;
 use crate::headers::SendMetadata;
 use crate::reply::strip_hop_headers;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::{Request, StatusCode};
 use porthoist_core::{RetryReason, RunVerdict, UnixMillis};
@@ -153,13 +154,23 @@
     ) -> Result<CompleteAnswer, SendFailure> {
         let OpenAnswer { head, body, lease } = answer;
         let remaining = admitted.deadline.remaining(self.clock.now());
-        let reading = Limited::new(body, MAX_BUFFERED_ANSWER_BYTES).collect();
-        let collected = tokio::time::timeout(remaining, reading).await;
-        let body = collected
-            .map_err(|_elapsed| SendFailure::lost("response not complete in time"))?
-            .map_err(SendFailure::closed)?
-            .to_bytes();
+        let collected = tokio::time::timeout(remaining, self.collect(body)).await;
+        let body = collected.map_err(|_elapsed| SendFailure::lost("response not complete in time"))??;
         lease.release(&head.headers);
         Ok(CompleteAnswer { status: head.status, headers: head.headers, body })
     }
+    /// Collects a body, whose bytes are held until the caller's connection has taken them.
+    async fn collect(&self, body: Incoming) -> Result<Bytes, SendFailure> {
+        let mut limited = Limited::new(body, MAX_BUFFERED_ANSWER_BYTES);
+        if !self.budget.bounded() {
+            return Ok(limited.collect().await.map_err(SendFailure::closed)?.to_bytes());
+        }
+        let (mut collected, mut held) = (BytesMut::new(), self.budget.guard());
+        while let Some(frame) = limited.frame().await {
+            let Ok(data) = frame.map_err(SendFailure::closed)?.into_data() else { continue };
+            held.grow(data.len()).await.map_err(SendFailure::lost)?;
+            collected.extend_from_slice(&data);
+        }
+        Ok(held.attach(collected.freeze()))
+    }
 }
--- a/crates/porthoist-proxy/src/lib.rs
+++ b/crates/porthoist-proxy/src/lib.rs
@@ -4,6 +4,8 @@
 //! Header formats are defined by a [`headers::HeaderCodec`], and routes and targets come from a
 //! [`source::ControlSource`].
 
+pub mod byte_budget;
+mod caller_stream;
 pub mod connection_pool;
 pub mod control;
 pub mod crashes;
--- a/crates/porthoist-proxy/src/server.rs
+++ b/crates/porthoist-proxy/src/server.rs
@@ -1,5 +1,6 @@
 //! The callers' listener: accepts connections, serves requests and shuts down gracefully.
 
+use crate::caller_stream::{CallerConnection, CallerStream};
 use crate::handler::ProxyHandler;
 use crate::reply::CallerReply;
 use hyper::Request;
@@ -9,7 +10,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
 use porthoist_core::{RefusalReason, RunVerdict, UnixDeadline};
-use porthoist_http::{SocketPeer, configure_socket};
+use porthoist_http::{SocketPeer, bound_send_buffer, configure_socket};
 use porthoist_metrics::MetricsHub;
 use slog::{Logger, info};
 use std::convert::Infallible;
@@ -25,6 +26,11 @@
 /// Maximum idle time of a connection in milliseconds until a configuration is known.
 const IDLE_MILLIS: u64 = 15_000;
 
+/// Size in bytes of the system's send buffer of a caller's connection if held bytes or the unread time are
+/// bounded. The system reports room to write once a third of the buffer is free: with a large one, a caller
+/// that reads slowly would seem to read nothing for longer than the unread time.
+const SEND_BUFFER_BYTES: usize = 32 * 1024;
+
 /// Dependencies and settings of the listener.
 #[derive(Debug, Clone)]
 pub struct ProxyServer {
@@ -91,8 +97,16 @@
     let header_bytes = limits.map_or(MIN_HEADER_BYTES, |limits| limits.header_bytes.max(MIN_HEADER_BYTES));
     let idle_millis = limits.map_or(IDLE_MILLIS, |limits| limits.idle_millis);
     let handler = Rc::clone(&server.handler);
+    let (held_bytes, unread_millis) = (handler.settings().held_bytes, handler.settings().unread_millis);
+    if held_bytes > 0 || unread_millis > 0 {
+        // Best effort: on error, the system chooses the size.
+        drop(bound_send_buffer(&stream, SEND_BUFFER_BYTES));
+    }
+    let caller = Rc::new(CallerConnection::default());
+    let stream = CallerStream::new(stream, Rc::clone(&caller), Duration::from_millis(unread_millis));
+    let shared_caller = Rc::clone(&caller);
     let service = service_fn(move |request: Request<Incoming>| {
-        let answer = Rc::clone(&handler).serve(request);
+        let answer = Rc::clone(&handler).serve(request, Rc::clone(&shared_caller));
         async move { Ok::<CallerReply, Infallible>(answer.await) }
     });
     let connection = http1::Builder::new()
@@ -102,9 +116,14 @@
         .max_buf_size(header_bytes)
         .serve_connection(TokioIo::new(stream), service);
     let connection = graceful.watch(connection);
-    let metrics = Arc::clone(&server.metrics);
+    let (metrics, logger) = (Arc::clone(&server.metrics), server.logger.clone());
     tokio::task::spawn_local(async move {
         let Err(error) = connection.await else { return };
+        if caller.is_cut() {
+            metrics.record_cut_response();
+            info!(logger, "response cut because its caller reads nothing"; "event" => "response_cut",
+                "request" => caller.attempt().as_deref(), "unread_ms" => unread_millis);
+        }
         // hyper has already answered these.
         if error.is_parse_too_large() {
             metrics.record_refusal(RefusalReason::HeaderTooLong, RunVerdict::NotRun);
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -253,6 +253,8 @@
             .freshness(self.proof)
             .retry_share(retry_share)
             .share_capacity(self.settings.share_capacity)
+            .held_bytes(self.settings.held_bytes)
+            .unread_millis(self.settings.unread_millis)
             .build();
         ProxyHandler::builder()
             .settings(settings)
--- a/porthoistd/src/settings/proxy.rs
+++ b/porthoistd/src/settings/proxy.rs
@@ -75,6 +75,12 @@
     /// whose requests have several priorities
     #[argh(option)]
     pub share_capacity: Option<String>,
+    /// maximum number of bytes held for all callers together: 0 for no bound, or at least 1048576
+    #[argh(option)]
+    pub held_bytes: Option<String>,
+    /// milliseconds after which a response of which its caller reads nothing is cut; 0 for never
+    #[argh(option)]
+    pub unread_ms: Option<String>,
     /// log level: debug, info, warning or error
     #[argh(option)]
     pub log_level: Option<String>,
@@ -120,16 +126,35 @@
     pub entries: u32,
     /// Whether the capacity of all services with ranks is divided among entries.
     pub share_capacity: bool,
+    /// Maximum number of bytes held for all callers together; 0 for no bound.
+    pub held_bytes: u64,
+    /// Time in milliseconds after which a response of which its caller reads nothing is cut; 0 for never.
+    pub unread_millis: u64,
     /// Log level.
     pub log_level: Level,
 }
 
+/// Minimum bound of held bytes: the largest event, of 256 KiB, fits the quarter that is left to responses.
+const MIN_HELD_BYTES: u64 = 1_048_576;
+
 const SECONDS: &str = "a number of seconds";
 
 fn millis(seconds: f64) -> u64 {
     (seconds.max(0.0) * 1_000.0) as u64
 }
 
+fn held_bytes<E>(reader: &SettingReader<E>, given: Option<String>) -> Result<u64, SettingError>
+where
+    E: Fn(&str) -> Option<String>,
+{
+    let (flag, expected) = ("held-bytes", "0, or a whole number of bytes from 1048576");
+    let bytes = reader.value(flag, given, Some("0"), expected)?;
+    if (1..MIN_HELD_BYTES).contains(&bytes) {
+        return Err(SettingReader::<E>::error(flag, format!("{bytes} given"), expected));
+    }
+    Ok(bytes)
+}
+
 impl ProxySettings {
     /// Reads and validates all settings; `environment` looks up a variable.
     pub fn load<E>(args: ProxyArgs, environment: E) -> Result<Self, SettingError>
@@ -185,6 +210,8 @@
                 Some("false"),
                 "true or false",
             )?,
+            held_bytes: held_bytes(&reader, args.held_bytes)?,
+            unread_millis: reader.millis("unread-ms", args.unread_ms, "0")?,
             log_level: reader.value(
                 "log-level",
                 args.log_level,
