--- a/crates/porthoist-metrics/src/lib.rs
+++ b/crates/porthoist-metrics/src/lib.rs
@@ -7,6 +7,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use porthoist_core::{RefusalReason, RetryReason, RunVerdict};
 use prometheus::{Encoder as _, Registry, TextEncoder};
+use std::fmt;
+use std::sync::{Arc, OnceLock};
 
 /// Events of crashes that are attributed to requests: the level that a new one leads to, and later changes.
 const CRASH_EVENTS: [&str; 11] = [
@@ -30,11 +32,13 @@
 /// Error of setting up the exporter.
 pub type MetricsError = opentelemetry_sdk::error::OTelSdkError;
 
+/// Returns the current value of a gauge.
+type ValueReader = Box<dyn Fn() -> u64 + Send + Sync>;
+
 /// All metrics of one process.
-#[derive(Debug)]
 pub struct MetricsHub {
     registry: Registry,
-    provider: SdkMeterProvider,
+    _provider: SdkMeterProvider,
     requests: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
@@ -49,6 +53,7 @@
     connections: Counter<u64>,
     broken_streams: Counter<u64>,
     cut_responses: Counter<u64>,
+    held_bytes: Arc<OnceLock<ValueReader>>,
     crash_events: Counter<u64>,
     backpressure_changes: Counter<u64>,
     cold_targets: Gauge<u64>,
@@ -60,6 +65,12 @@
     table_era: Gauge<u64>,
 }
 
+impl fmt::Debug for MetricsHub {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("MetricsHub").finish_non_exhaustive()
+    }
+}
+
 impl MetricsHub {
     /// Registers all metrics.
     pub fn new() -> Result<Self, MetricsError> {
@@ -67,6 +78,13 @@
         let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("porthoist");
+        let held_bytes: Arc<OnceLock<ValueReader>> = Arc::default();
+        let held_reader = Arc::clone(&held_bytes);
+        // Exists from the start, although the value is known only once callers are served.
+        meter
+            .u64_observable_gauge("porthoist_held_bytes")
+            .with_callback(move |gauge| gauge.observe(held_reader.get().map_or(0, |read| read()), &[]))
+            .build();
         let hub = Self {
             requests: meter.u64_counter("porthoist_requests").build(),
             refusals: meter.u64_counter("porthoist_refusals").build(),
@@ -91,6 +109,7 @@
             connections: meter.u64_counter("porthoist_target_connections").build(),
             broken_streams: meter.u64_counter("porthoist_broken_streams").build(),
             cut_responses: meter.u64_counter("porthoist_responses_cut").build(),
+            held_bytes,
             crash_events: meter.u64_counter("porthoist_crash_events").build(),
             backpressure_changes: meter.u64_counter("porthoist_target_need_changes").build(),
             cold_targets: meter.u64_gauge("porthoist_cold_targets").build(),
@@ -101,7 +120,7 @@
             table_ages: meter.u64_gauge("porthoist_belief_age_milliseconds").build(),
             table_era: meter.u64_gauge("porthoist_table_era").build(),
             registry,
-            provider,
+            _provider: provider,
         };
         hub.start_at_zero();
         Ok(hub)
@@ -162,10 +181,9 @@
     }
 
     /// Exports the number of bytes held for callers, which `read` returns at each export.
+    /// The first reader is kept.
     pub fn observe_held_bytes(&self, read: impl Fn() -> u64 + Send + Sync + 'static) {
-        let meter = self.provider.meter("porthoist");
-        let gauge = meter.u64_observable_gauge("porthoist_held_bytes");
-        gauge.with_callback(move |observer| observer.observe(read(), &[])).build();
+        self.held_bytes.get_or_init(|| Box::new(read));
     }
 
     /// Counts an event of crashes that are attributed to requests.
