Do not take a slow caller for a silent target

Where a bound is set, the silence of a target counts from when the entry reads from it again, not from the last event: a caller that reads slowly delays that read. Without a bound the count stays as it was.

--- a/crates/porthoist-proxy/src/handler/relay.rs
+++ b/crates/porthoist-proxy/src/handler/relay.rs
@@ -118,6 +118,10 @@
     }
 
     async fn next_step(&mut self) -> RelayStep {
+        // A caller that reads slowly delays the next read from the target, which is not silent for that. Where
+        // this was counted, a stream read at 117 kB/s was moved to another target after 26 s.
+        let bounded = self.handler.budget.bounded();
+        let mut waiting_since = if bounded { self.handler.clock.now() } else { self.last_at };
         loop {
             match self.splitter.next_event() {
                 Ok(Some(event)) => return RelayStep::Event(event),
@@ -128,7 +132,7 @@
                 return RelayStep::Broken(SendFailure::lost("no target"));
             };
             let remaining = self.handler.remaining_time(self.admitted.deadline);
-            let since = if self.forwarded == 0 { source.slot.assigned } else { self.last_at };
+            let since = if self.forwarded == 0 { source.slot.assigned } else { waiting_since };
             let (handler, admitted, history) = (&self.handler, &self.admitted, &self.history);
             let frame = tokio::select! {
                 frame = tokio::time::timeout(remaining, source.answer.body.frame()) => frame,
@@ -141,12 +145,15 @@
                 Ok(Some(Ok(frame))) => {
                     let Ok(bytes) = frame.into_data() else { continue };
                     // Nothing more is read from the target until there is room.
+                    let asked = self.handler.clock.now();
                     let remaining = self.handler.remaining_time(self.admitted.deadline);
                     match tokio::time::timeout(remaining, self.held.grow(bytes.len())).await {
                         Ok(Ok(())) => self.splitter.push(&bytes),
                         Ok(Err(error)) => return RelayStep::Broken(SendFailure::lost(error)),
                         Err(_elapsed) => return RelayStep::Broken(SendFailure::lost("no memory in time")),
                     }
+                    // The target is not silent while there is no room.
+                    waiting_since = waiting_since.plus(self.handler.clock.now().since(asked));
                 }
                 Ok(Some(Err(error))) => return RelayStep::Broken(SendFailure::closed(error)),
                 Ok(None) if self.splitter.has_partial_event() => {
--- a/porthoistd/src/settings/proxy.rs
+++ b/porthoistd/src/settings/proxy.rs
@@ -150,7 +150,7 @@
     let (flag, expected) = ("held-bytes", "0, or a whole number of bytes from 1048576");
     let bytes = reader.value(flag, given, Some("0"), expected)?;
     if (1..MIN_HELD_BYTES).contains(&bytes) {
-        return Err(SettingReader::<E>::error(flag, format!("{bytes} given"), expected));
+        return Err(SettingReader::<E>::error(flag, format!("\"{bytes}\" given"), expected));
     }
     Ok(bytes)
 }
--- a/porthoistd/tests/settings.rs
+++ b/porthoistd/tests/settings.rs
@@ -45,6 +45,17 @@
     assert_eq!(error.to_string(), format!("setting {expected}"));
 }
 
+#[test_case("1048575", "\"1048575\" given"; "less than an event needs")]
+#[test_case("-1", "\"-1\" given"; "negative")]
+#[test_case("160MB", "\"160MB\" given"; "with a unit")]
+fn invalid_bound_of_held_bytes_is_an_error(bytes: &str, problem: &str) {
+    let table = Some("127.0.0.1:7000".to_owned());
+    let held_bytes = Some(bytes.to_owned());
+    let args = ProxyArgs { zone: Some("a".to_owned()), table, held_bytes, ..ProxyArgs::default() };
+    let error = ProxySettings::load(args, |_name| None).unwrap_err();
+    assert_eq!(error.to_string(), format!("setting --held-bytes (PORTHOIST_HELD_BYTES): {problem}"));
+}
+
 #[test]
 fn an_error_names_a_missing_setting() {
     let error = DaemonSettings::load(DaemonArgs::default(), |name| {
