Count cut responses in the report on logs

A stream that is cut has no caller_left line and appeared in no column; it now counts as broken off.

--- a/porthoist-cli/src/report/requests.rs
+++ b/porthoist-cli/src/report/requests.rs
@@ -25,7 +25,7 @@
     pub refused: BTreeMap<String, u32>,
     /// Refused although their callers had been refused before.
     pub refused_again: u32,
-    /// Streams that ended unfinished.
+    /// Responses that ended unfinished, or were cut because their callers read nothing.
     pub broken_off: u32,
     /// Requests whose callers disconnected.
     pub left: u32,
@@ -106,7 +106,7 @@
                 *second.refused.entry(line.text("reason").to_owned()).or_default() += 1;
                 second.refused_again += u32::from(facts.returned);
             }
-            "stream_unfinished" => {
+            "stream_unfinished" | "response_cut" => {
                 if let Some(facts) = open.remove(&key) {
                     second_entry(&mut seconds, &facts.service, facts.second).broken_off += 1;
                 }
--- a/porthoist-cli/tests/report.rs
+++ b/porthoist-cli/tests/report.rs
@@ -56,6 +56,22 @@
     "#);
 }
 
+/// Guards against streams that are cut for their callers and appear in no column.
+#[test]
+fn cut_stream_counts_as_broken_off() {
+    let log = r#"
+{"event":"admitted","ts":"2026-03-01T00:00:00.100Z","host":"e1","request":"a","service":"llm","aim_ms":500,"pause_aim_ms":120,"returned":false}
+{"event":"response_cut","ts":"2026-03-01T00:00:06.100Z","host":"e1","request":"a","unread_ms":5000}
+"#;
+    let text = log_report_text(&read_report(read_log(log).0).unwrap());
+    assert!(
+        text.contains(
+            "1 admitted (0 returned), 0 in time, 0 late, 0 refused (0 again), 1 broken off, 0 left"
+        ),
+        "{text}"
+    );
+}
+
 #[test]
 fn logs_without_readable_lines_give_no_report() {
     assert!(read_report(read_log("nothing of ours\n").0).is_none());
