Leave the relay without a bound exactly as it was

Two readings of the clock for each piece of a stream could move the time from which silence counts by a millisecond; they are now taken only with a bound.

--- a/crates/porthoist-proxy/src/handler/relay.rs
+++ b/crates/porthoist-proxy/src/handler/relay.rs
@@ -144,16 +144,12 @@
                 Err(_elapsed) => return RelayStep::Broken(SendFailure::lost("stream not complete in time")),
                 Ok(Some(Ok(frame))) => {
                     let Ok(bytes) = frame.into_data() else { continue };
-                    // Nothing more is read from the target until there is room.
-                    let asked = self.handler.clock.now();
-                    let remaining = self.handler.remaining_time(self.admitted.deadline);
-                    match tokio::time::timeout(remaining, self.held.grow(bytes.len())).await {
-                        Ok(Ok(())) => self.splitter.push(&bytes),
-                        Ok(Err(error)) => return RelayStep::Broken(SendFailure::lost(error)),
-                        Err(_elapsed) => return RelayStep::Broken(SendFailure::lost("no memory in time")),
+                    match self.hold(bytes.len()).await {
+                        // The target is not silent while there is no room.
+                        Ok(waited) => waiting_since = waiting_since.plus(waited),
+                        Err(failure) => return RelayStep::Broken(failure),
                     }
-                    // The target is not silent while there is no room.
-                    waiting_since = waiting_since.plus(self.handler.clock.now().since(asked));
+                    self.splitter.push(&bytes);
                 }
                 Ok(Some(Err(error))) => return RelayStep::Broken(SendFailure::closed(error)),
                 Ok(None) if self.splitter.has_partial_event() => {
@@ -164,6 +160,20 @@
         }
     }
 
+    /// Counts bytes read from the target once there is room for them; nothing more is read before. Returns the
+    /// time waited in milliseconds.
+    async fn hold(&mut self, bytes: usize) -> Result<u64, SendFailure> {
+        if !self.handler.budget.bounded() {
+            return Ok(0);
+        }
+        let since = self.handler.clock.now();
+        let remaining = self.handler.remaining_time(self.admitted.deadline);
+        let held = tokio::time::timeout(remaining, self.held.grow(bytes)).await;
+        held.map_err(|_elapsed| SendFailure::lost("no room for held bytes in time"))?
+            .map_err(SendFailure::lost)?;
+        Ok(self.handler.clock.now().since(since))
+    }
+
     /// Checks that event identifiers increase by one.
     fn check_event_order(&self, event: &CompleteEvent) -> Result<(), String> {
         match (self.last_id, event.id) {
