Plan retries during outages of contended services

Cause: while a group is stalled, entries refuse all callers at once and tell them to retry when earlier episodes ended, so that most retry in vain, and those who don't fill the group when it reopens.

Change: ReturnPlanner (returns.rs) gives refused callers turns after the expected recovery, lets requests without a later chance wait in bounds, and tells the part of a grant that late callers may use. It acts for services with a CapacityRule only. EpisodeLengths moves from forecast.rs to episodes.rs. First attempts that have waited too long to be on time are served with the late ones, in the order of their deadlines.

--- a/crates/porthoist-metrics/src/lib.rs
+++ b/crates/porthoist-metrics/src/lib.rs
@@ -8,6 +8,9 @@
 use porthoist_core::{RefusalReason, RetryReason, RunVerdict};
 use prometheus::{Encoder as _, Registry, TextEncoder};
 
+/// What the times of retries planned after an outage follow from.
+const PLANNED_RETRY_TIMES: [&str; 2] = ["recovery", "deadline"];
+
 /// Events of crashes that are attributed to requests: the level that a new one leads to, and later changes.
 const CRASH_EVENTS: [&str; 11] = [
     "watched",
@@ -38,6 +41,7 @@
     requests: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
+    planned_retries: Counter<u64>,
     answers: Counter<u64>,
     dropped_frames: Counter<u64>,
     runs: Counter<u64>,
@@ -70,6 +74,7 @@
             requests: meter.u64_counter("porthoist_requests").build(),
             refusals: meter.u64_counter("porthoist_refusals").build(),
             retries: meter.u64_counter("porthoist_retries").build(),
+            planned_retries: meter.u64_counter("porthoist_retries_planned").build(),
             answers: meter.u64_counter("porthoist_answers").build(),
             dropped_frames: meter.u64_counter("porthoist_frames_dropped").build(),
             runs: meter.u64_counter("porthoist_runs").build(),
@@ -113,6 +118,9 @@
         for reason in RetryReason::ALL {
             self.retries.add(0, &[KeyValue::new("reason", reason.as_str())]);
         }
+        for when in PLANNED_RETRY_TIMES {
+            self.planned_retries.add(0, &[KeyValue::new("when", when)]);
+        }
         for kind in ["foreign", "repeated", "gap"] {
             self.dropped_frames.add(0, &[KeyValue::new("kind", kind)]);
         }
@@ -213,6 +221,11 @@
         self.retries.add(1, &[KeyValue::new("reason", reason.as_str())]);
     }
 
+    /// Counts a caller's retry that was given a turn after an outage, by what its time follows from.
+    pub fn record_planned_retry(&self, when: &'static str) {
+        self.planned_retries.add(1, &[KeyValue::new("when", when)]);
+    }
+
     /// Counts a complete answer and records the time to its first byte, in milliseconds.
     pub fn record_answer(&self, first_byte_millis: f64) {
         self.answers.add(1, &[]);
--- a/crates/porthoist-policy/src/proxy/balancer.rs
+++ b/crates/porthoist-policy/src/proxy/balancer.rs
@@ -20,6 +20,7 @@
 use std::sync::Arc;
 
 mod limits;
+mod outages;
 mod tiers;
 
 pub use limits::LimitedSupply;
@@ -28,11 +29,16 @@
 /// Weight of a new report in this process's share of all requests; some ten reports arrive each second.
 const REPORT_WEIGHT: f64 = 0.05;
 
+/// Default of [`BalancerSettings::outage_wait_bytes`]: a tenth of the smallest entry's 160 MB.
+pub const DEFAULT_OUTAGE_WAIT_BYTES: u64 = 16 << 20;
+
 /// Work that a request causes at a target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct RequestWork {
     /// Tokens of its prompt; 0 for requests without one.
     pub prompt_tokens: u64,
+    /// Bytes of its body, which this process holds while it waits.
+    pub body_bytes: u64,
 }
 
 /// How a send to a target ended.
@@ -66,6 +72,9 @@
     /// Number of entry processes that send to the same targets, used while nobody counts them. Without
     /// it, the number is estimated from the targets.
     pub entries: Option<u32>,
+    /// Maximum number of bytes of the requests to one service that wait during an outage.
+    #[builder(default = DEFAULT_OUTAGE_WAIT_BYTES)]
+    pub outage_wait_bytes: u64,
     /// Seed that makes this process choose differently from others that see the same loads.
     pub seed: u64,
 }
--- a/crates/porthoist-policy/src/proxy/forecast.rs
+++ b/crates/porthoist-policy/src/proxy/forecast.rs
@@ -6,21 +6,18 @@
 //! handles a group of ranks near its capacity, whose streams slow each other down, and a group that is
 //! down for seconds.
 
+use super::episodes::EpisodeLengths;
 use super::groups::{GroupStatus, STALLED_PASS_MILLIS};
+use super::returns::{GroupReport, OutageView, RefusedCaller, RetryPlan, ReturnPlanner};
 use super::wait_queue::QueueClass;
 use porthoist_core::{UnixDeadline, UnixMillis};
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 
 /// Weight of a new observation in a mean, which covers about ten of them.
 const OBSERVATION_WEIGHT: f64 = 0.1;
 /// Number of mean deviations after the mean within which a first event is expected; about 19 of 20
 /// arrive earlier.
 const FIRST_DEVIATIONS: f64 = 2.0;
-/// Number of stored episodes.
-const MAX_EPISODES: usize = 8;
-/// Expected length in milliseconds of an episode before one has been observed. A crashed rank is back
-/// after some 2 s, and a caller that retries too early has done so in vain.
-const INITIAL_EPISODE_MILLIS: f64 = 2_500.0;
 /// Time in milliseconds without a refusal after which the next one begins a new overload episode; demand
 /// shifts are seconds apart.
 const OVERLOAD_GAP_MILLIS: u64 = 500;
@@ -98,46 +95,6 @@
     }
 }
 
-/// Lengths of episodes in which a service refused requests.
-#[derive(Debug, Clone, Default)]
-struct EpisodeLengths {
-    lengths: VecDeque<f64>,
-    /// Start of the current episode, if any.
-    began: Option<UnixMillis>,
-    /// When an episode last began or was found to continue.
-    last_confirmed: UnixMillis,
-}
-
-impl EpisodeLengths {
-    fn begin(&mut self, now: UnixMillis) {
-        self.began.get_or_insert(now);
-        self.last_confirmed = now;
-    }
-
-    fn end(&mut self, end: UnixMillis) {
-        let Some(began) = self.began.take() else { return };
-        if self.lengths.len() == MAX_EPISODES {
-            self.lengths.pop_front();
-        }
-        self.lengths.push_back(end.since(began) as f64);
-    }
-
-    /// Expected remaining milliseconds of the current episode: the mean remainder of the stored episodes
-    /// that lasted longer. An episode longer than all of them is expected to double.
-    fn expected_remainder(&self, now: UnixMillis) -> f64 {
-        let age = self.began.map_or(0.0, |began| now.since(began) as f64);
-        if self.lengths.is_empty() {
-            return INITIAL_EPISODE_MILLIS.max(age);
-        }
-        let remainders: Vec<f64> =
-            self.lengths.iter().filter(|length| **length > age).map(|length| length - age).collect();
-        if remainders.is_empty() {
-            return age;
-        }
-        remainders.iter().sum::<f64>() / remainders.len() as f64
-    }
-}
-
 /// Statistics of a service's streams, as one process sees them.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct StreamStats {
@@ -164,6 +121,8 @@
     next_probe: UnixDeadline,
     overload: EpisodeLengths,
     outage: EpisodeLengths,
+    /// Orders the retries after an outage, if the service's capacity is divided among entries.
+    returns: Option<ReturnPlanner>,
 }
 
 impl ServiceForecast {
@@ -186,10 +145,16 @@
 
     /// Records the first event of a stream, or a complete answer, and its delay after the request was sent.
     pub fn first_event_received(&mut self, millis: f64, now: UnixMillis) {
+        self.event_received(now);
+        if let Some(planner) = &mut self.returns {
+            planner.record_served(now);
+            if planner.spans_outage(millis, now) {
+                return;
+            }
+        }
         let deviation = self.first_millis.map_or(0.0, |first| (millis - first).abs());
         self.first_deviation = smoothed(Some(self.first_deviation), deviation);
         self.first_millis = Some(smoothed(self.first_millis, millis));
-        self.event_received(now);
     }
 
     /// Records the end of a stream and its number of events.
@@ -206,12 +171,52 @@
     /// Records that the service works.
     pub fn event_received(&mut self, now: UnixMillis) {
         self.last_event = Some(now);
+        self.end_outage(now);
+    }
+
+    fn end_outage(&mut self, now: UnixMillis) {
+        if let Some(planner) = self.returns.as_mut().filter(|_planner| self.outage.is_open()) {
+            planner.record_recovery(now);
+        }
         self.outage.end(now);
     }
 
+    /// Sets whether retries after an outage are ordered.
+    pub fn set_planned(&mut self, planned: bool) {
+        if planned != self.returns.is_some() {
+            self.returns = planned.then(ReturnPlanner::default);
+        }
+    }
+
+    /// The order of retries after an outage, if it is planned.
+    pub fn returns(&self) -> Option<&ReturnPlanner> {
+        self.returns.as_ref()
+    }
+
+    /// Records that a request was asked for.
+    pub fn record_asked(&mut self, class: QueueClass, now: UnixMillis) {
+        if let Some(planner) = &mut self.returns {
+            planner.record_asked(class, now);
+        }
+    }
+
+    /// Records whether all groups of the service were last reported as stalled. Has no effect unless
+    /// retries are planned.
+    pub fn record_report(&mut self, report: GroupReport, now: UnixMillis) {
+        let Some(planner) = &mut self.returns else { return };
+        let resumed = planner.record_report(report, now);
+        let silence = self.last_event.map_or(u64::MAX, |last| now.since(last));
+        if report.stalled && silence >= STALLED_PASS_MILLIS {
+            self.outage.begin(now);
+        } else if resumed && self.outage.is_open() {
+            self.last_event = Some(now);
+            self.end_outage(now);
+        }
+    }
+
     /// Whether the service counts as down.
     pub fn is_down(&self) -> bool {
-        self.outage.began.is_some()
+        self.outage.is_open()
     }
 
     /// Records that the service refused or failed a request.
@@ -254,13 +259,24 @@
         self.last_event.is_none_or(|last| now.since(last) > SILENT_MILLIS)
     }
 
+    /// Whether a first attempt that has waited since `arrival` is late in any case. Only known if retries
+    /// are planned.
+    pub fn is_late(&self, arrival: UnixMillis, latency_millis: u64, now: UnixMillis) -> bool {
+        let planner = self.returns.as_ref();
+        planner.is_some_and(|_planner| now.since(arrival) > self.outage_view().on_time_wait(latency_millis))
+    }
+
     /// Decides whether a request without a free slot should wait.
     pub fn decide(&self, query: WaitQuery, now: UnixMillis) -> WaitDecision {
+        let planned =
+            self.returns.as_ref().and_then(|planner| planner.decide(&query, self.outage_view(), now));
+        if let Some(decision) = planned {
+            return decision;
+        }
         if self.is_down() {
             return WaitDecision::Refuse;
         }
-        let first_event_millis =
-            self.first_millis.unwrap_or_default() + FIRST_DEVIATIONS * self.first_deviation;
+        let first_event_millis = self.late_first_millis().unwrap_or_default();
         let on_time_wait = query.latency_millis.saturating_sub(first_event_millis as u64);
         let wait = match query.class {
             QueueClass::First => on_time_wait,
@@ -280,6 +296,15 @@
         }
     }
 
+    /// Milliseconds within which a first event is expected, or `None` before one was observed.
+    fn late_first_millis(&self) -> Option<f64> {
+        Some(self.first_millis? + FIRST_DEVIATIONS * self.first_deviation)
+    }
+
+    fn outage_view(&self) -> OutageView<'_> {
+        OutageView { lengths: &self.outage, first_event_millis: self.late_first_millis() }
+    }
+
     /// Expected milliseconds until a request with `ahead` others before it gets a slot, at the observed
     /// rate.
     fn expected_wait(&self, ahead: usize) -> f64 {
@@ -287,6 +312,24 @@
         slot_millis * (ahead + 1) as f64 / f64::from(self.in_flight.max(1))
     }
 
+    /// Records a refusal and returns when the caller should retry, in its turn if retries are planned.
+    /// `point` is random between 0 and 1.
+    pub fn plan_retry(
+        &mut self,
+        caller: RefusedCaller,
+        min_millis: f64,
+        point: f64,
+        now: UnixMillis,
+    ) -> RetryPlan {
+        if let Some(planner) = &mut self.returns
+            && let Some(plan) = planner.plan(caller, &self.outage, min_millis, now)
+        {
+            return plan;
+        }
+        let after_millis = self.retry_after_millis(caller.deadline, min_millis, point, now);
+        RetryPlan { after_millis, when: None }
+    }
+
     /// Records a refusal and returns the caller's retry delay in milliseconds: at least `min_millis`
     /// as far as its deadline permits. `point` is random between 0 and 1.
     pub fn retry_after_millis(
@@ -296,8 +339,8 @@
         point: f64,
         now: UnixMillis,
     ) -> u64 {
-        if now.since(self.overload.last_confirmed) > OVERLOAD_GAP_MILLIS {
-            let last = self.overload.last_confirmed;
+        if now.since(self.overload.last_confirmed()) > OVERLOAD_GAP_MILLIS {
+            let last = self.overload.last_confirmed();
             self.overload.end(last);
         }
         self.overload.begin(now);
--- a/crates/porthoist-policy/src/proxy/groups.rs
+++ b/crates/porthoist-policy/src/proxy/groups.rs
@@ -147,6 +147,18 @@
         std::mem::replace(&mut self.groups[index.0].reported_stalled, stalled) != stalled
     }
 
+    /// Whether the last report says that a group is stalled or not formed.
+    pub fn reported_stalled(&self, index: GroupIndex) -> bool {
+        let pass = self.groups[index.0].pass;
+        pass == GroupPass::Broken
+            || pass.millis().is_some_and(|millis| u64::from(millis) >= STALLED_PASS_MILLIS)
+    }
+
+    /// Whether the last report says that a group is not formed.
+    pub fn is_broken(&self, index: GroupIndex) -> bool {
+        self.groups[index.0].pass == GroupPass::Broken
+    }
+
     /// Number of known groups.
     pub fn len(&self) -> usize {
         self.groups.len()
--- a/crates/porthoist-policy/src/proxy/scheduler.rs
+++ b/crates/porthoist-policy/src/proxy/scheduler.rs
@@ -12,6 +12,7 @@
 use super::group_loads::GroupLoads;
 use super::limit_notes::TargetNote;
 use super::moving::{MIN_WAIT_MILLIS, MoveCause, MoveOptions, PendingSend, move_cause};
+use super::returns::RefusedCaller;
 use super::send_turns::{EntryPosition, RateSource, TargetRate};
 use super::service_groups::GroupSnapshot;
 use super::targets::{TargetLife, TargetRecord, TargetRegistry};
@@ -20,6 +21,8 @@
 use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis};
 use std::collections::HashMap;
 
+mod outages;
+
 /// Maximum number of waiting requests of one service; further ones are refused at once.
 const MAX_WAITING: usize = 512;
 
@@ -133,6 +136,7 @@
     /// Applies the loads that the engines of a group reported.
     pub fn update_loads(&mut self, loads: &GroupLoads, now: UnixMillis) {
         self.balancer.update_loads(loads, now);
+        self.apply_group_reports(now);
     }
 
     /// The groups of a service that stalled or recovered since the last call.
@@ -154,13 +158,15 @@
         if let Some(error) = self.closed_reason(service, now) {
             return SlotDecision::Refuse(error);
         }
+        self.forecast(service).record_asked(request.class, now);
         if request.ranked && !self.forecast(service).may_send(now) {
-            return SlotDecision::Refuse(SlotError::Down);
+            return self.decide_outage(request, now);
         }
         let queue = self.waiting.get(service);
         let (waiting, ahead) =
             queue.map_or((0, 0), |queue| (queue.len(), queue.ahead(request.priority, request.class)));
-        if waiting == 0
+        // Requests that wait for the end of an outage don't keep others from probing the service.
+        if (waiting == 0 || self.is_planned_outage(service))
             && let Some(chosen) = self.choose(request, now)
         {
             return SlotDecision::Assign(chosen);
@@ -193,8 +199,13 @@
 
     /// Adds a request to the wait queue.
     pub fn enqueue(&mut self, request: SlotRequest, waiter: W) {
+        let order = self.late_order(&request);
         let queue = self.waiting.entry(request.service.clone()).or_default();
-        queue.add(request.priority, request.class, WaitingRequest { request, waiter });
+        let (priority, class, item) = (request.priority, request.class, WaitingRequest { request, waiter });
+        match order {
+            Some(deadline) => queue.add_by_deadline(priority, class, deadline, item),
+            None => queue.add(priority, class, item),
+        };
     }
 
     /// The next waiting request that has a slot now. Requests for which `waits` is false are dropped.
@@ -204,6 +215,10 @@
         waits: impl Fn(&W) -> bool,
         now: UnixMillis,
     ) -> Option<(W, ChosenTarget, RequestWork)> {
+        if self.is_planned_outage(service) {
+            return None;
+        }
+        self.demote_late(service, now);
         loop {
             let first = self.waiting.get(service)?.first()?;
             if !waits(&first.waiter) {
@@ -220,7 +235,8 @@
     /// Removes all waiting requests of a service that is down or whose targets accept nothing; the
     /// caller refuses them.
     pub fn take_unservable(&mut self, service: &ServiceName, now: UnixMillis) -> Vec<W> {
-        if !self.forecast(service).is_down() && self.closed_reason(service, now).is_none() {
+        let is_unservable = self.forecast(service).is_down() && !self.plans_returns(service);
+        if !is_unservable && self.closed_reason(service, now).is_none() {
             return Vec::new();
         }
         let Some(mut queue) = self.waiting.remove(service) else { return Vec::new() };
@@ -328,12 +344,8 @@
         point: f64,
         now: UnixMillis,
     ) -> u64 {
-        let supply = self.balancer.limited_supply(service, now);
-        let waiting = self.waiting.get(service).map_or(0, WaitQueue::len);
-        let limited_millis = supply.map_or(0.0, |supply| supply.millis * (waiting + 1) as f64);
-        let resting_millis = self.balancer.rest_end(service, now).map_or(0, |end| end.0.since(now));
-        let min_millis = limited_millis.max(resting_millis as f64);
-        self.forecast(service).retry_after_millis(deadline, min_millis, point, now)
+        let caller = RefusedCaller { class: QueueClass::First, deadline };
+        self.plan_retry(service, caller, point, now).after_millis
     }
 
     /// Why a request is refused that has waited without getting a slot.
@@ -360,6 +372,7 @@
             self.meters.entry(service.clone()).or_default();
         }
         self.capacity_rules = rules;
+        self.sync_returns();
     }
 
     /// This process's demand on the services whose capacity is divided among entries.
--- a/crates/porthoist-policy/src/proxy/wait_queue.rs
+++ b/crates/porthoist-policy/src/proxy/wait_queue.rs
@@ -1,5 +1,6 @@
 //! Order in which requests wait for a target.
 
+use porthoist_core::UnixDeadline;
 use std::collections::BTreeMap;
 
 /// Classes of waiting requests, first to last.
@@ -23,6 +24,8 @@
     pub priority: u8,
     /// Class among requests of the same priority.
     pub class: QueueClass,
+    /// When its caller stops waiting, if requests of its class are served by their remaining time.
+    pub deadline: Option<UnixDeadline>,
     /// Order of arrival.
     pub arrival: u64,
 }
@@ -43,7 +46,7 @@
 impl<T> WaitQueue<T> {
     /// Adds a request; the returned key removes it.
     pub fn add(&mut self, priority: u8, class: QueueClass, item: T) -> QueueKey {
-        let key = QueueKey { priority, class, arrival: self.arrivals };
+        let key = QueueKey { priority, class, deadline: None, arrival: self.arrivals };
         self.arrivals += 1;
         self.waiting.insert(key, item);
         key
@@ -51,10 +54,46 @@
 
     /// Number of requests that would be served before one that is added now.
     pub fn ahead(&self, priority: u8, class: QueueClass) -> usize {
-        let key = QueueKey { priority, class, arrival: self.arrivals };
+        let key = QueueKey { priority, class, deadline: None, arrival: self.arrivals };
         self.waiting.range(..key).count()
     }
 
+    /// Moves first attempts that are late in any case behind the others, where callers' retries wait.
+    /// `deadline` returns the deadline of those.
+    pub fn demote(&mut self, deadline: impl Fn(&T) -> Option<UnixDeadline>) {
+        let is_late =
+            |key: &QueueKey, item: &mut T| key.class == QueueClass::First && deadline(item).is_some();
+        let late: Vec<(QueueKey, T)> = self.waiting.extract_if(.., is_late).collect();
+        for (key, item) in late {
+            let deadline = deadline(&item);
+            self.waiting.insert(QueueKey { class: QueueClass::CallerRetry, deadline, ..key }, item);
+        }
+    }
+
+    /// Adds a request that is served before those of its priority and class with a later deadline.
+    pub fn add_by_deadline(
+        &mut self,
+        priority: u8,
+        class: QueueClass,
+        deadline: UnixDeadline,
+        item: T,
+    ) -> QueueKey {
+        let key = QueueKey { priority, class, deadline: Some(deadline), arrival: self.arrivals };
+        self.arrivals += 1;
+        self.waiting.insert(key, item);
+        key
+    }
+
+    /// Removes the requests that no longer wait.
+    pub fn retain(&mut self, waits: impl Fn(&T) -> bool) {
+        self.waiting.retain(|_key, item| waits(item));
+    }
+
+    /// The waiting requests in their order.
+    pub fn iter(&self) -> impl Iterator<Item = &T> {
+        self.waiting.values()
+    }
+
     /// Removes a request that gave up.
     pub fn remove(&mut self, key: QueueKey) -> Option<T> {
         self.waiting.remove(&key)
--- a/crates/porthoist-policy/tests/policy.rs
+++ b/crates/porthoist-policy/tests/policy.rs
@@ -14,6 +14,8 @@
 mod cold_start_simulation;
 #[path = "policy/copy_times.rs"]
 mod copy_times;
+#[path = "policy/decision_replay.rs"]
+mod decision_replay;
 #[path = "policy/demand.rs"]
 mod demand;
 #[path = "policy/equal_shares.rs"]
@@ -40,6 +42,10 @@
 mod quarantine;
 #[path = "policy/retry.rs"]
 mod retry;
+#[path = "policy/returns.rs"]
+mod returns;
+#[path = "policy/returns_simulation.rs"]
+mod returns_simulation;
 #[path = "policy/roll_forward.rs"]
 mod roll_forward;
 #[path = "policy/router.rs"]
--- a/crates/porthoist-proxy/src/dispatcher.rs
+++ b/crates/porthoist-proxy/src/dispatcher.rs
@@ -11,6 +11,7 @@
 use porthoist_policy::proxy::group_loads::GroupLoads;
 use porthoist_policy::proxy::limit_notes::TargetNote;
 use porthoist_policy::proxy::moving::{MoveCause, PendingSend};
+use porthoist_policy::proxy::returns::{RefusedCaller, RetryPlan};
 use porthoist_policy::proxy::scheduler::{RequestScheduler, SlotDecision};
 use porthoist_policy::proxy::send_turns::{EntryPosition, TargetRate};
 use porthoist_policy::proxy::service_groups::GroupSnapshot;
@@ -199,9 +200,9 @@
         self.scheduler.borrow().is_leaving(target)
     }
 
-    /// Returns the time in milliseconds after which a refused caller should retry.
-    pub fn retry_after_millis(&self, service: &ServiceName, deadline: UnixDeadline) -> u64 {
-        self.scheduler.borrow_mut().retry_after_millis(service, deadline, rand::random(), self.clock.now())
+    /// Returns when a refused caller should retry.
+    pub fn plan_retry(&self, service: &ServiceName, caller: RefusedCaller) -> RetryPlan {
+        self.scheduler.borrow_mut().plan_retry(service, caller, rand::random(), self.clock.now())
     }
 
     /// Records the time in milliseconds from slot to first stream event or response.
--- a/crates/porthoist-proxy/src/handler/retries.rs
+++ b/crates/porthoist-proxy/src/handler/retries.rs
@@ -49,10 +49,7 @@
                     RetryReason::Unreachable => RefusalReason::Unreachable,
                     _ => RefusalReason::Overloaded,
                 };
-                ProxyRefusal::retryable(
-                    reason,
-                    self.dispatcher.retry_after_millis(&admitted.service, admitted.deadline),
-                )
+                ProxyRefusal::retryable(reason, self.plan_retry(admitted))
             }
         })
     }
--- a/crates/porthoist-proxy/src/handler/send_checks.rs
+++ b/crates/porthoist-proxy/src/handler/send_checks.rs
@@ -41,7 +41,7 @@
         if history.may_have_run {
             return Err(ProxyRefusal::unknown(RefusalReason::DeadlinePassed, StatusCode::GATEWAY_TIMEOUT));
         }
-        let retry_millis = self.dispatcher.retry_after_millis(&admitted.service, admitted.deadline);
+        let retry_millis = self.plan_retry(admitted);
         Err(ProxyRefusal::retryable(RefusalReason::DeadlinePassed, retry_millis))
     }
 
--- a/crates/porthoist-proxy/src/handler/slots.rs
+++ b/crates/porthoist-proxy/src/handler/slots.rs
@@ -5,7 +5,6 @@
 use crate::dispatcher::{SlotError, SlotRequest, TargetSlot};
 use hyper::StatusCode;
 use porthoist_core::RefusalReason;
-use porthoist_policy::proxy::wait_queue::QueueClass;
 use slog::info;
 
 impl ProxyHandler {
@@ -16,11 +15,7 @@
     ) -> Result<TargetSlot, ProxyRefusal> {
         let now = self.clock.now();
         let is_resend = !history.tried.is_empty();
-        let class = match (is_resend, admitted.is_caller_retry) {
-            (true, _) => QueueClass::Resent,
-            (false, true) => QueueClass::CallerRetry,
-            (false, false) => QueueClass::First,
-        };
+        let class = admitted.queue_class(is_resend);
         let slot_request = SlotRequest {
             service: admitted.service.clone(),
             ranked: admitted.ranked,
@@ -67,9 +62,15 @@
         if history.may_have_run {
             return ProxyRefusal::unknown(reason, StatusCode::BAD_GATEWAY);
         }
-        ProxyRefusal::retryable(
-            reason,
-            self.dispatcher.retry_after_millis(&admitted.service, admitted.deadline),
-        )
+        ProxyRefusal::retryable(reason, self.plan_retry(admitted))
+    }
+
+    /// Plans the caller's retry; returns its delay in milliseconds.
+    pub(super) fn plan_retry(&self, admitted: &AdmittedRequest) -> u64 {
+        let plan = self.dispatcher.plan_retry(&admitted.service, admitted.refused_caller());
+        if let Some(when) = plan.when {
+            self.metrics.record_planned_retry(when.as_str());
+        }
+        plan.after_millis
     }
 }
--- a/crates/porthoist-proxy/src/handler/types.rs
+++ b/crates/porthoist-proxy/src/handler/types.rs
@@ -14,7 +14,9 @@
     UnixMillis,
 };
 use porthoist_policy::proxy::balancer::RequestWork;
+use porthoist_policy::proxy::returns::RefusedCaller;
 use porthoist_policy::proxy::routes::{RouteRule, TeamGrant};
+use porthoist_policy::proxy::wait_queue::QueueClass;
 use std::cell::OnceCell;
 use std::sync::Arc;
 
@@ -44,8 +46,22 @@
         self.grant.as_ref().and_then(|grant| grant.priority).unwrap_or(self.rule.priority)
     }
 
+    /// Class of a request that is a resend or not.
+    pub(super) fn queue_class(&self, is_resend: bool) -> QueueClass {
+        match (is_resend, self.is_caller_retry) {
+            (true, _) => QueueClass::Resent,
+            (false, true) => QueueClass::CallerRetry,
+            (false, false) => QueueClass::First,
+        }
+    }
+
+    /// What is known about the caller if its request is refused.
+    pub(super) fn refused_caller(&self) -> RefusedCaller {
+        RefusedCaller { class: self.queue_class(false), deadline: self.deadline }
+    }
+
     pub(super) fn work(&self) -> RequestWork {
-        RequestWork { prompt_tokens: self.metadata.prompt_tokens }
+        RequestWork { prompt_tokens: self.metadata.prompt_tokens, body_bytes: self.body.len() as u64 }
     }
 
     pub(super) fn runs_once(&self) -> bool {
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -233,6 +233,7 @@
             .zone(self.settings.zone.clone())
             .per_rank(self.settings.per_rank)
             .rank_limit(self.settings.rank_limit)
+            .outage_wait_bytes(self.settings.outage_wait_bytes)
             .maybe_entries(Some(self.settings.entries).filter(|entries| *entries > 0))
             .seed(xxhash_rust::xxh3::xxh3_64(self.settings.host.as_str().as_bytes()))
             .build();
--- a/porthoistd/src/settings/proxy.rs
+++ b/porthoistd/src/settings/proxy.rs
@@ -75,6 +75,9 @@
     /// whose requests have several priorities
     #[argh(option)]
     pub share_capacity: Option<String>,
+    /// bytes of the requests to one service that wait during an outage
+    #[argh(option)]
+    pub outage_wait_bytes: Option<String>,
     /// log level: debug, info, warning or error
     #[argh(option)]
     pub log_level: Option<String>,
@@ -120,6 +123,8 @@
     pub entries: u32,
     /// Whether the capacity of all services with ranks is divided among entries.
     pub share_capacity: bool,
+    /// Bytes of the requests to one service that wait during an outage.
+    pub outage_wait_bytes: u64,
     /// Log level.
     pub log_level: Level,
 }
@@ -185,6 +190,12 @@
                 Some("false"),
                 "true or false",
             )?,
+            outage_wait_bytes: reader.value(
+                "outage-wait-bytes",
+                args.outage_wait_bytes,
+                Some("16777216"),
+                "a whole number",
+            )?,
             log_level: reader.value(
                 "log-level",
                 args.log_level,
