Mend two lints in the tests of outages

Cause: clippy rejects a comparison of floats and a renamed parameter. Change: compare with a bound, use the trait's name.

--- a/crates/porthoist-policy/tests/policy/returns.rs
+++ b/crates/porthoist-policy/tests/policy/returns.rs
@@ -121,7 +121,7 @@
     forecast.record_asked(First, UnixMillis(10_000));
     let share = |now: u64| forecast.returns().unwrap().late_share(UnixMillis(now));
     assert!(share(10_400) <= 0.5);
-    assert_eq!(share(10_500), 1.0);
+    assert!(share(10_500) > 0.999);
 }
 
 fn service() -> ServiceName {
--- a/crates/porthoist-policy/tests/policy/returns_simulation.rs
+++ b/crates/porthoist-policy/tests/policy/returns_simulation.rs
@@ -78,13 +78,13 @@
 }
 
 impl AddAssign for CallerOutcomes {
-    fn add_assign(&mut self, other: Self) {
-        self.asked += other.asked;
-        self.on_time += other.on_time;
-        self.late += other.late;
-        self.refused_once += other.refused_once;
-        self.refused_twice += other.refused_twice;
-        self.abandoned += other.abandoned;
+    fn add_assign(&mut self, rhs: Self) {
+        self.asked += rhs.asked;
+        self.on_time += rhs.on_time;
+        self.late += rhs.late;
+        self.refused_once += rhs.refused_once;
+        self.refused_twice += rhs.refused_twice;
+        self.abandoned += rhs.abandoned;
     }
 }
 
