Count waiting requests in the turns of retries after an outage

Small grants left no slot for late callers, as their part was rounded down.

Change: turns begin after the requests that wait; a first attempt waits if its retry can still reach the recovery; late_slots adds up fractions. LATE_SHARE is 0.16.

--- a/crates/porthoist-policy/src/proxy/forecast.rs
+++ b/crates/porthoist-policy/src/proxy/forecast.rs
@@ -8,7 +8,7 @@
 
 use super::episodes::EpisodeLengths;
 use super::groups::{GroupStatus, STALLED_PASS_MILLIS};
-use super::returns::{GroupReport, OutageView, RefusedCaller, RetryPlan, ReturnPlanner};
+use super::returns::{GroupReport, OutageView, QueueState, RefusedCaller, RetryPlan, ReturnPlanner};
 use super::wait_queue::QueueClass;
 use porthoist_core::{UnixDeadline, UnixMillis};
 use std::collections::HashMap;
@@ -200,6 +200,11 @@
         }
     }
 
+    /// The slots of a grant that callers may use that are late in any case.
+    pub fn late_slots(&mut self, grant: u32, now: UnixMillis) -> u32 {
+        self.returns.as_mut().map_or(grant, |planner| planner.late_slots(grant, now))
+    }
+
     /// Records whether all groups of the service were last reported as stalled. Has no effect unless
     /// retries are planned.
     pub fn record_report(&mut self, report: GroupReport, now: UnixMillis) {
@@ -317,16 +322,16 @@
     pub fn plan_retry(
         &mut self,
         caller: RefusedCaller,
-        min_millis: f64,
+        queue: QueueState,
         point: f64,
         now: UnixMillis,
     ) -> RetryPlan {
         if let Some(planner) = &mut self.returns
-            && let Some(plan) = planner.plan(caller, &self.outage, min_millis, now)
+            && let Some(plan) = planner.plan(caller, &self.outage, queue, now)
         {
             return plan;
         }
-        let after_millis = self.retry_after_millis(caller.deadline, min_millis, point, now);
+        let after_millis = self.retry_after_millis(caller.deadline, queue.min_millis, point, now);
         RetryPlan { after_millis, when: None }
     }
 
--- a/crates/porthoist-policy/src/proxy/returns.rs
+++ b/crates/porthoist-policy/src/proxy/returns.rs
@@ -19,12 +19,14 @@
 const RESENT_WAIT_MILLIS: u64 = 1_000;
 /// Divisor of a caller's remaining time that gives its longest retry delay.
 const RETRY_DELAY_DIVISOR: u64 = 3;
-/// Part of a grant that callers which are late in any case may use while first attempts come. With 0.5,
-/// they fill a group that is free after an outage of 3 s within half a second, and 0.22 of the first
-/// attempts of the first second are late. With 0.22, 0.022 of the callers of that outage are refused twice.
-const LATE_SHARE: f64 = 0.24;
+/// Part of a grant that callers which are late in any case may use while first attempts come. They take
+/// it of each grant, so that 0.5 fills a group that an outage has emptied within half a second, and first
+/// attempts become late. With 0.13, 0.029 of the callers of an outage of 3 s are refused twice, with 0.16
+/// 0.005.
+const LATE_SHARE: f64 = 0.16;
 /// Fraction of the rate served before the outage at which refused callers retry; the rest is for first
-/// attempts. With 0.5, more of the callers of an outage of 3 s are refused twice (0.034 instead of 0.019).
+/// attempts. With 0.4, more callers of an outage of 3 s are refused twice (0.038 instead of 0.029 at a
+/// late share of 0.13).
 const TURN_FRACTION: f64 = 0.25;
 /// Smallest assumed rate of served requests per second.
 const MIN_RATE: f64 = 1.0;
@@ -95,6 +97,15 @@
     pub deadline: UnixDeadline,
 }
 
+/// What delays the retry of a refused caller in addition to an outage.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct QueueState {
+    /// Number of requests to the service that wait.
+    pub waiting: usize,
+    /// Milliseconds until the rate limits of the targets permit a send.
+    pub min_millis: f64,
+}
+
 /// What the time of a planned retry follows from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum RetryTime {
@@ -142,6 +153,8 @@
     /// Times that the groups took to form anew.
     forming: EpisodeLengths,
     report: GroupReport,
+    /// Fraction of a slot that late callers have not been given yet.
+    late_fraction: f64,
 }
 
 impl ReturnPlanner {
@@ -185,6 +198,14 @@
         if now.since(self.last_attempt) < ATTEMPT_GAP_MILLIS { LATE_SHARE } else { 1.0 }
     }
 
+    /// The slots of a grant that callers may use that are late in any case. Fractions add up over grants,
+    /// to less than one slot: an entry with grants of one or two slots would never serve a late caller.
+    pub fn late_slots(&mut self, grant: u32, now: UnixMillis) -> u32 {
+        let slots = f64::from(grant) * self.late_share(now) + self.late_fraction;
+        self.late_fraction = slots.fract();
+        (slots as u32).min(grant)
+    }
+
     /// Decides whether a request waits during an outage, or shortly after it. `None` leaves the decision
     /// to the rules for other times.
     pub fn decide(&self, query: &WaitQuery, outage: OutageView<'_>, now: UnixMillis) -> Option<WaitDecision> {
@@ -212,7 +233,7 @@
     }
 
     /// Whether a first attempt should wait for as long as its caller does because its turn comes later
-    /// than its caller would retry, but not later than the caller would retry after the wait.
+    /// than its caller would retry. The wait delays its retry, which can wait once more.
     fn extends_reach(
         &self,
         query: &WaitQuery,
@@ -221,8 +242,9 @@
         now: UnixMillis,
     ) -> bool {
         let recovery = self.recovery_millis(lengths, now) as u64;
-        let latest_after_wait = until.0.since(now) + latest_delay(query.deadline, until.0);
-        self.turn_delay(recovery, now) > latest_delay(query.deadline, now) && recovery <= latest_after_wait
+        let wait = until.0.since(now);
+        let reach = 2 * wait + latest_delay(query.deadline, until.0);
+        self.turn_delay(recovery, query.ahead, now) > latest_delay(query.deadline, now) && recovery <= reach
     }
 
     fn chance_within(&self, lengths: &EpisodeLengths, millis: f64, now: UnixMillis) -> f64 {
@@ -246,7 +268,7 @@
         &mut self,
         caller: RefusedCaller,
         lengths: &EpisodeLengths,
-        min_millis: f64,
+        queue: QueueState,
         now: UnixMillis,
     ) -> Option<RetryPlan> {
         if !lengths.is_open() && !self.is_recovering(now) {
@@ -258,18 +280,19 @@
             return Some(RetryPlan { after_millis: latest.max(1), when: None });
         }
         self.refused.record(now);
-        let recovery = self.recovery_millis(lengths, now).max(min_millis) as u64;
-        let turn = self.turn_delay(recovery, now);
+        let recovery = self.recovery_millis(lengths, now).max(queue.min_millis) as u64;
+        let turn = self.turn_delay(recovery, queue.waiting, now);
         let when = if turn <= latest { RetryTime::Recovery } else { RetryTime::Deadline };
         let after_millis = turn.min(latest).max(1);
         self.last_turn = self.last_turn.max(UnixMillis(now.0 + after_millis));
         Some(RetryPlan { after_millis, when: Some(when) })
     }
 
-    /// Milliseconds until the next turn, with a recovery in `recovery` milliseconds.
-    fn turn_delay(&self, recovery: u64, now: UnixMillis) -> u64 {
+    /// Milliseconds until the next turn, with a recovery in `recovery` milliseconds. The requests that wait
+    /// are served before.
+    fn turn_delay(&self, recovery: u64, waiting: usize, now: UnixMillis) -> u64 {
         let spacing = (self.served_millis() / TURN_FRACTION).ceil() as u64;
-        (self.last_turn.0 + spacing).saturating_sub(now.0).max(recovery)
+        (self.last_turn.0 + spacing).saturating_sub(now.0).max(recovery + spacing * waiting as u64)
     }
 
     /// Milliseconds between two requests that this entry's share of the group serves. An entry that has
--- a/crates/porthoist-policy/src/proxy/scheduler/outages.rs
+++ b/crates/porthoist-policy/src/proxy/scheduler/outages.rs
@@ -2,7 +2,7 @@
 
 use super::{MAX_WAITING, RequestScheduler, SlotDecision, SlotError, SlotRequest, WaitingRequest};
 use crate::proxy::forecast::{ServiceForecast, WaitDecision, WaitQuery};
-use crate::proxy::returns::{CALLER_SILENCE_MILLIS, RefusedCaller, RetryPlan};
+use crate::proxy::returns::{CALLER_SILENCE_MILLIS, QueueState, RefusedCaller, RetryPlan};
 use crate::proxy::wait_queue::{QueueClass, WaitQueue};
 use porthoist_core::{ServiceName, UnixDeadline, UnixMillis};
 
@@ -20,7 +20,7 @@
         let limited_millis = supply.map_or(0.0, |supply| supply.millis * (waiting + 1) as f64);
         let resting_millis = self.balancer.rest_end(service, now).map_or(0, |end| end.0.since(now));
         let min_millis = limited_millis.max(resting_millis as f64);
-        self.forecast(service).plan_retry(caller, min_millis, point, now)
+        self.forecast(service).plan_retry(caller, QueueState { waiting, min_millis }, point, now)
     }
 
     /// Part of a grant that callers of a service may use that are late in any case.
