Serve requests that waited as soon as an event ends an outage

Cause: without load reports, waiting requests were served only when a stream ended, up to 2 s after the recovery. A request that could not be sent as a probe skipped the bound on bytes, and requests waited for a service without targets. Rate limits of targets were not considered after an outage.

Change: the dispatcher serves the queue on the event that ends an outage; these requests are decided as the others in an outage, and refused if no target is left; the expected wait is at least that of the rate limit.

--- a/crates/porthoist-policy/src/proxy/returns.rs
+++ b/crates/porthoist-policy/src/proxy/returns.rs
@@ -225,7 +225,8 @@
             };
             Some(wait_until(until, now))
         } else if self.is_recovering(now) {
-            let expected = self.served_millis() * (query.ahead + 1) as f64;
+            let interval = self.served_millis().max(query.rate_limited_millis.unwrap_or_default());
+            let expected = interval * (query.ahead + 1) as f64;
             Some(if expected <= millis { wait_until(until, now) } else { WaitDecision::Refuse })
         } else {
             None
--- a/crates/porthoist-policy/src/proxy/scheduler.rs
+++ b/crates/porthoist-policy/src/proxy/scheduler.rs
@@ -171,6 +171,9 @@
         {
             return SlotDecision::Assign(chosen);
         }
+        if self.is_planned_outage(service) {
+            return self.decide_outage(request, now);
+        }
         if waiting >= MAX_WAITING {
             return SlotDecision::Refuse(SlotError::Full);
         }
--- a/crates/porthoist-policy/src/proxy/scheduler/outages.rs
+++ b/crates/porthoist-policy/src/proxy/scheduler/outages.rs
@@ -35,7 +35,7 @@
     }
 
     /// Whether a service is down and the order of retries after it is planned.
-    pub(super) fn is_planned_outage(&self, service: &ServiceName) -> bool {
+    pub fn is_planned_outage(&self, service: &ServiceName) -> bool {
         let forecast = self.forecasts.get(service);
         self.plans_returns(service) && forecast.is_some_and(ServiceForecast::is_down)
     }
@@ -67,6 +67,9 @@
         if !self.plans_returns(service) {
             return SlotDecision::Refuse(SlotError::Down);
         }
+        if !self.balancer.serves(service, now) {
+            return SlotDecision::Refuse(SlotError::NoTarget);
+        }
         let max_bytes = self.balancer.outage_wait_bytes();
         let queue = self.waiting.entry(service.clone()).or_default();
         // Nothing is taken from the queue during an outage, so callers that have left are removed here.
--- a/crates/porthoist-policy/tests/policy/returns.rs
+++ b/crates/porthoist-policy/tests/policy/returns.rs
@@ -253,6 +253,20 @@
     assert!(!full(decision), "callers that have left are not counted");
 }
 
+/// Guards against callers that wait although no target is left that could recover.
+#[test]
+fn nothing_waits_without_targets() {
+    let mut scheduler = stalled_scheduler();
+    ask(&mut scheduler, request(First, 0, 10_000), "probe");
+    let mut emptied: RequestScheduler<&'static str> = stalled_scheduler();
+    emptied.sync(&TargetRegistry::default());
+    ask(&mut emptied, request(First, 0, 10_000), "probe");
+    let decision = ask(&mut emptied, request(First, 0, 10_010), "a");
+    assert!(matches!(decision, SlotDecision::Refuse(SlotError::NoTarget)), "{decision:?}");
+    let decision = ask(&mut scheduler, request(First, 0, 10_010), "a");
+    assert!(matches!(decision, SlotDecision::Wait(_until)));
+}
+
 /// Guards against callers that wait in vain: a retry can wait for 1.75 s, and a recovery within that time
 /// is unlikely after 6 s.
 #[test]
--- a/crates/porthoist-proxy/src/dispatcher.rs
+++ b/crates/porthoist-proxy/src/dispatcher.rs
@@ -207,7 +207,16 @@
 
     /// Records the time in milliseconds from slot to first stream event or response.
     pub fn first_event_received(&self, target: &TargetRecord, millis: f64) {
+        let was_down = self.scheduler.borrow().is_planned_outage(&target.service);
         self.scheduler.borrow_mut().first_event_received(target, millis, self.clock.now());
+        self.serve_after_outage(was_down, &target.service);
+    }
+
+    /// Serves the requests that waited for an event to show the end of an outage.
+    fn serve_after_outage(&self, was_down: bool, service: &ServiceName) {
+        if was_down {
+            self.serve_queue(service);
+        }
     }
 
     /// Applies the backpressure signals in a target's response to a request sent at the given time.
@@ -232,7 +241,9 @@
 
     /// Records that a stream from a target delivered an event.
     pub fn event_received(&self, target: &TargetRecord) {
+        let was_down = self.scheduler.borrow().is_planned_outage(&target.service);
         self.scheduler.borrow_mut().event_received(target, self.clock.now());
+        self.serve_after_outage(was_down, &target.service);
     }
 
     /// Records the number of events of a finished stream.
