--- a/crates/porthoist-proxy/src/dispatcher.rs
+++ b/crates/porthoist-proxy/src/dispatcher.rs
@@ -11,6 +11,7 @@
 use porthoist_policy::proxy::group_loads::GroupLoads;
 use porthoist_policy::proxy::limit_notes::TargetNote;
 use porthoist_policy::proxy::moving::{MoveCause, PendingSend};
+use porthoist_policy::proxy::returns::{RefusedCaller, RetryPlan};
 use porthoist_policy::proxy::scheduler::{RequestScheduler, SlotDecision};
 use porthoist_policy::proxy::send_turns::{EntryPosition, TargetRate};
 use porthoist_policy::proxy::service_groups::GroupSnapshot;
@@ -202,14 +203,23 @@
         self.scheduler.borrow().is_leaving(target)
     }
 
-    /// Returns the time in milliseconds after which a refused caller should retry.
-    pub fn retry_after_millis(&self, service: &ServiceName, deadline: UnixDeadline) -> u64 {
-        self.scheduler.borrow_mut().retry_after_millis(service, deadline, rand::random(), self.clock.now())
+    /// Returns when a refused caller should retry.
+    pub fn plan_retry(&self, service: &ServiceName, caller: RefusedCaller) -> RetryPlan {
+        self.scheduler.borrow_mut().plan_retry(service, caller, rand::random(), self.clock.now())
     }
 
     /// Records the time in milliseconds from slot to first stream event or response.
     pub fn first_event_received(&self, target: &TargetRecord, millis: f64) {
+        let was_down = self.scheduler.borrow().is_planned_outage(&target.service);
         self.scheduler.borrow_mut().first_event_received(target, millis, self.clock.now());
+        self.serve_after_outage(was_down, &target.service);
+    }
+
+    /// Serves the requests that waited for an event to show the end of an outage.
+    fn serve_after_outage(&self, was_down: bool, service: &ServiceName) {
+        if was_down {
+            self.serve_queue(service);
+        }
     }
 
     /// Applies the backpressure signals in a target's response to a request sent at the given time.
@@ -234,7 +244,9 @@
 
     /// Records that a stream from a target delivered an event.
     pub fn event_received(&self, target: &TargetRecord) {
+        let was_down = self.scheduler.borrow().is_planned_outage(&target.service);
         self.scheduler.borrow_mut().event_received(target, self.clock.now());
+        self.serve_after_outage(was_down, &target.service);
     }
 
     /// Records the number of events of a finished stream.
--- a/porthoistd/src/settings/proxy.rs
+++ b/porthoistd/src/settings/proxy.rs
@@ -81,6 +81,9 @@
     /// milliseconds after which a response of which its caller reads nothing is cut; 0 for never
     #[argh(option)]
     pub unread_ms: Option<String>,
+    /// bytes of the requests to one service that wait during an outage
+    #[argh(option)]
+    pub outage_wait_bytes: Option<String>,
     /// log level: debug, info, warning or error
     #[argh(option)]
     pub log_level: Option<String>,
@@ -130,6 +133,8 @@
     pub held_bytes: u64,
     /// Time in milliseconds after which a response of which its caller reads nothing is cut; 0 for never.
     pub unread_millis: u64,
+    /// Bytes of the requests to one service that wait during an outage.
+    pub outage_wait_bytes: u64,
     /// Log level.
     pub log_level: Level,
 }
@@ -212,6 +217,12 @@
             )?,
             held_bytes: held_bytes(&reader, args.held_bytes)?,
             unread_millis: reader.millis("unread-ms", args.unread_ms, "0")?,
+            outage_wait_bytes: reader.value(
+                "outage-wait-bytes",
+                args.outage_wait_bytes,
+                Some("16777216"),
+                "a whole number",
+            )?,
             log_level: reader.value(
                 "log-level",
                 args.log_level,
