Poll routes often enough for short-lived freshness proofs

An entry refused requests with a key with not_ready for part of each quiet poll.

Change: the wait is derived from the lifetime of a proof (revoke-ms less 400 ms), less 1.3 s for a response that does not come and another poll, from 500 ms to 3,300 ms. The default keeps 3,300 ms. Requests are refused by the proof of routes only; polls for targets follow the staleness bound and stay as they are.

--- a/crates/porthoist-proxy/src/control.rs
+++ b/crates/porthoist-proxy/src/control.rs
@@ -20,11 +20,20 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// Long-poll timeout for routes, in milliseconds.
-///
-/// Together with [`ANSWER_TIMEOUT_MILLIS`], it leaves 0.4 s for another poll before a freshness proof of 4.6 s
-/// expires.
-const ROUTES_WAIT_MILLIS: u64 = 3_300;
+/// Maximum long-poll timeout for routes, in milliseconds. A longer one would detect lost connections later.
+const MAX_ROUTES_WAIT_MILLIS: u64 = 3_300;
+/// Minimum long-poll timeout for routes, in milliseconds. Each call has a cost.
+const MIN_ROUTES_WAIT_MILLIS: u64 = 500;
+/// Time reserved for polling routes again after a response that did not come, before the freshness proof
+/// expires, in milliseconds.
+const REPOLL_MARGIN_MILLIS: u64 = 400;
+/// Time reserved for the response to a poll for routes that waits as long as a short-lived freshness proof
+/// permits, in milliseconds.
+const RESPONSE_MARGIN_MILLIS: u64 = 100;
+/// Minimum lifetime of a freshness proof for which polls for routes renew it in time, in milliseconds.
+pub const MIN_PROOF_AGE_MILLIS: u64 = MIN_ROUTES_WAIT_MILLIS + RESPONSE_MARGIN_MILLIS;
+/// Default lifetime of a freshness proof, in milliseconds: it permits the maximum long-poll timeout.
+const DEFAULT_PROOF_AGE_MILLIS: u64 = MAX_ROUTES_WAIT_MILLIS + ANSWER_TIMEOUT_MILLIS + REPOLL_MARGIN_MILLIS;
 /// Minimum long-poll timeout for targets, in milliseconds. Each call has a cost.
 const MIN_TARGETS_WAIT_MILLIS: u64 = 500;
 /// Maximum long-poll timeout for targets, in milliseconds. The table service accepts up to 30,000.
@@ -71,6 +80,10 @@
     /// Maximum age of the known targets.
     #[builder(default)]
     staleness_bound: StalenessBound,
+    /// Age in milliseconds from which a freshness proof of routes is no longer valid. Polls for routes are
+    /// short enough to renew it before.
+    #[builder(default = DEFAULT_PROOF_AGE_MILLIS)]
+    max_proof_age_millis: u64,
     /// Source of routes and targets.
     source: Rc<dyn ControlSource>,
     /// Receives the updates.
@@ -112,6 +125,7 @@
 
     async fn watch_routes(&self) {
         let mut revision = None;
+        let mut paused = Duration::ZERO;
         loop {
             let sent = self.clock.now();
             let answer = match revision {
@@ -119,7 +133,7 @@
                     answer_within(self.source.answer_timeout(Duration::ZERO), self.source.list_routes()).await
                 }
                 Some(revision) => {
-                    let wait = Duration::from_millis(ROUTES_WAIT_MILLIS);
+                    let wait = self.routes_wait(paused);
                     answer_within(self.source.answer_timeout(wait), self.source.routes_after(revision, wait))
                         .await
                 }
@@ -131,9 +145,9 @@
                     self.apply_peer_gap(answer.origin);
                     let changed = !answer.value.is_empty();
                     self.apply_operator_update(answer, sent);
-                    if changed {
-                        tokio::time::sleep(Duration::from_millis(ROUTES_PAUSE_MILLIS)).await;
-                    }
+                    paused =
+                        if changed { Duration::from_millis(ROUTES_PAUSE_MILLIS) } else { Duration::ZERO };
+                    tokio::time::sleep(paused).await;
                 }
                 Err(SourceError::HistoryGone) => {
                     info!(self.logger, "listing routes again"; "event" => "history_gone");
@@ -148,6 +162,18 @@
         }
     }
 
+    /// Returns the long-poll timeout for routes.
+    ///
+    /// The freshness proof must be renewed before it expires, also if one response does not come. A proof
+    /// that is too short-lived for that is renewed in time by responses that come within
+    /// [`RESPONSE_MARGIN_MILLIS`]. It was last renewed before the pause.
+    fn routes_wait(&self, paused: Duration) -> Duration {
+        let wait = self.max_proof_age_millis.saturating_sub(ANSWER_TIMEOUT_MILLIS + REPOLL_MARGIN_MILLIS);
+        let wait = Duration::from_millis(wait.clamp(MIN_ROUTES_WAIT_MILLIS, MAX_ROUTES_WAIT_MILLIS));
+        let longest = Duration::from_millis(self.max_proof_age_millis.saturating_sub(RESPONSE_MARGIN_MILLIS));
+        wait.min(longest.saturating_sub(paused))
+    }
+
     async fn watch_targets(&self) {
         let mut relist = self.relist.subscribe();
         let mut revision = None;
--- a/crates/porthoist-proxy/src/lib.rs
+++ b/crates/porthoist-proxy/src/lib.rs
@@ -22,7 +22,7 @@
 pub mod sse;
 pub mod table_reader;
 
-pub use control::{ControlState, ControlWatch};
+pub use control::{ControlState, ControlWatch, MIN_PROOF_AGE_MILLIS};
 pub use crashes::{CrashChange, CrashSnapshot, CrashWatch, CrashWriter};
 pub use dispatcher::{DispatcherSettings, RequestDispatcher};
 pub use handler::{ProxyHandler, ProxyHandlerSettings};
--- a/crates/porthoist-proxy/tests/control_watch.rs
+++ b/crates/porthoist-proxy/tests/control_watch.rs
@@ -62,6 +62,8 @@
     next_lost: Cell<bool>,
     /// Latency of a response.
     answer_millis: Cell<u64>,
+    /// Number of calls for routes.
+    routes_calls: Cell<u64>,
 }
 
 impl TableSource {
@@ -76,6 +78,7 @@
             targets_lost: watch::Sender::new(0),
             next_lost: Cell::new(false),
             answer_millis: Cell::new(4),
+            routes_calls: Cell::new(0),
         })
     }
 
@@ -148,6 +151,7 @@
     }
 
     fn routes_after(&self, _revision: TableRevision, wait: Duration) -> SourceFuture<'_, OperatorUpdate> {
+        self.routes_calls.set(self.routes_calls.get() + 1);
         Box::pin(unless_lost(&self.routes_lost, async move {
             self.receive().await?;
             sleep(wait).await;
@@ -192,18 +196,27 @@
 struct WatchedTable {
     source: Rc<TableSource>,
     state: watch::Receiver<ControlState>,
+    clock: Arc<RuntimeClock>,
 }
 
 impl WatchedTable {
     /// Starts a watch and lets it run for ten seconds, so that both long polls are pending.
     async fn start(targets: &[&str]) -> Self {
+        Self::start_with(targets, 4_600).await
+    }
+
+    /// The same with freshness proofs that are valid for the given time in milliseconds.
+    async fn start_with(targets: &[&str], max_proof_age_millis: u64) -> Self {
         let source = TableSource::new(targets);
         let state = watch::Sender::new(ControlState::default());
-        let watched = Self { source: Rc::clone(&source), state: state.subscribe() };
+        let clock = Arc::new(RuntimeClock(Instant::now()));
+        let watched =
+            Self { source: Rc::clone(&source), state: state.subscribe(), clock: Arc::clone(&clock) };
         let control = ControlWatch::builder()
+            .max_proof_age_millis(max_proof_age_millis)
             .source(source)
             .state(state)
-            .clock(Arc::new(RuntimeClock(Instant::now())))
+            .clock(clock)
             .metrics(Arc::new(MetricsHub::new().unwrap()))
             .logger(Logger::root(Discard, o!()))
             .build();
@@ -363,3 +376,49 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against proofs of routes that expire between two polls, and so against refusals while nothing
+/// changes: the polls waited 3.3 s whatever the lifetime of a proof was.
+#[test_case(600, 4, 500; "shortest")]
+#[test_case(1_100, 300, 500; "short")]
+#[test_case(1_600, 800, 500; "short and slow answers")]
+#[test_case(2_600, 800, 1_300; "shorter than usual and slow answers")]
+#[test_case(4_600, 800, 3_300; "usual")]
+#[test_case(59_600, 800, 3_300; "long")]
+#[tokio::test(start_paused = true)]
+async fn proof_of_routes_is_renewed_before_it_expires(max_age: u64, answer_millis: u64, wait: u64) {
+    let test = async {
+        let watched = WatchedTable::start_with(&["t1"], max_age).await;
+        watched.source.answer_millis.set(answer_millis);
+        let before = watched.source.routes_calls.get();
+        for _step in 0..2_000 {
+            sleep(Duration::from_millis(10)).await;
+            let age = watched.state.borrow().routes_proof.age(watched.clock.now()).unwrap();
+            assert!(age < max_age, "the proof is {age} ms old");
+        }
+        let calls = watched.source.routes_calls.get() - before;
+        let most = 20_000 / (wait + answer_millis) + 1;
+        assert!(calls <= most, "{calls} calls in 20 s");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against the same if a response about routes never comes: the next poll must be in time.
+#[test_case(2_600)]
+#[test_case(4_600)]
+#[tokio::test(start_paused = true)]
+async fn proof_of_routes_outlasts_a_lost_response(max_age: u64) {
+    let test = async {
+        for phase in (0..4_000).step_by(250) {
+            let watched = WatchedTable::start_with(&["t1"], max_age).await;
+            sleep(Duration::from_millis(phase)).await;
+            Lost::Routes.silence(&watched.source);
+            for _step in 0..800 {
+                sleep(Duration::from_millis(10)).await;
+                let age = watched.state.borrow().routes_proof.age(watched.clock.now()).unwrap();
+                assert!(age < max_age, "the proof is {age} ms old at phase {phase}");
+            }
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/porthoist-proxy/tests/zone_tables.rs
+++ b/crates/porthoist-proxy/tests/zone_tables.rs
@@ -33,6 +33,24 @@
     .await;
 }
 
+/// Guards against proofs that expire between two answers of a reader, and against calls by each entry if
+/// proofs are valid for less time than usual. The readers' polls follow the wait of the entries' queries.
+#[test_case(600; "shortest")]
+#[test_case(1_600; "short")]
+#[test_case(2_600; "shorter than usual")]
+#[tokio::test(start_paused = true)]
+async fn readers_poll_often_enough_for_short_proofs(proof_millis: u64) {
+    run_local(async || {
+        let zone = Deployment::start_with(ENTRIES, 2, proof_millis).await;
+        let own = || zone.entries.iter().map(|entry| entry.link.calls.get()).sum::<usize>();
+        let before = own();
+        zone.assert_fresh(Duration::from_mins(1)).await;
+        let calls = own() - before;
+        assert!(calls <= ENTRIES, "{calls} calls of {ENTRIES} entries in a minute");
+    })
+    .await;
+}
+
 /// Guards against slow propagation of changes to the entries of a zone.
 #[tokio::test(start_paused = true)]
 async fn changes_reach_all_entries_promptly() {
--- a/crates/porthoist-proxy/tests/zone_tables/harness.rs
+++ b/crates/porthoist-proxy/tests/zone_tables/harness.rs
@@ -459,7 +459,7 @@
 }
 
 impl EntryProcess {
-    pub fn start(service: &Rc<TableService>, zone: &Rc<ZoneReaders>) -> Self {
+    pub fn start(service: &Rc<TableService>, zone: &Rc<ZoneReaders>, proof_millis: u64) -> Self {
         let link = ServiceLink::new(service);
         let clock = RuntimeClock::ahead(0);
         let metrics = Arc::new(MetricsHub::new().unwrap());
@@ -475,6 +475,7 @@
         let sender = watch::Sender::new(ControlState::default());
         let state = sender.subscribe();
         let watch = ControlWatch::builder()
+            .max_proof_age_millis(proof_millis)
             .source(Rc::new(PlainSource(rows)))
             .state(sender)
             .clock(Arc::<RuntimeClock>::clone(&clock))
@@ -505,22 +506,34 @@
     pub service: Rc<TableService>,
     pub peers: Rc<ZoneReaders>,
     pub entries: Vec<EntryProcess>,
+    /// Age up to which a proof of routes is valid.
+    proof_millis: u64,
 }
 
 impl Deployment {
     pub async fn start(entries: usize, readers: usize) -> Self {
-        let deployment = Self::begin(TableService::new(), entries, readers);
+        Self::start_with(entries, readers, PROOF_MILLIS).await
+    }
+
+    /// The same with proofs of routes that are valid for the given time in milliseconds.
+    pub async fn start_with(entries: usize, readers: usize, proof_millis: u64) -> Self {
+        let deployment = Self::begin_with(TableService::new(), entries, readers, proof_millis);
         sleep(Duration::from_secs(5)).await;
         deployment
     }
 
     /// Starts all processes at once. The entries know of the readers if there are rows.
     pub fn begin(service: Rc<TableService>, entries: usize, readers: usize) -> Self {
+        Self::begin_with(service, entries, readers, PROOF_MILLIS)
+    }
+
+    fn begin_with(service: Rc<TableService>, entries: usize, readers: usize, proof_millis: u64) -> Self {
         let known = Cell::new(!service.rows.borrow().is_empty());
         let readers = (0..readers).map(|_reader| ReaderProcess::new(&service)).collect();
         let peers = Rc::new(ZoneReaders { readers, known });
-        let entries = (0..entries).map(|_entry| EntryProcess::start(&service, &peers)).collect();
-        Self { service, peers, entries }
+        let entries =
+            (0..entries).map(|_entry| EntryProcess::start(&service, &peers, proof_millis)).collect();
+        Self { service, peers, entries, proof_millis }
     }
 
     pub fn reader(&self, index: usize) -> &ReaderProcess {
@@ -533,7 +546,10 @@
         while Instant::now() < end {
             for (number, entry) in self.entries.iter().enumerate() {
                 let (routes, targets) = entry.ages();
-                assert!(routes <= PROOF_MILLIS, "entry {number}: the proof of routes is {routes} ms old");
+                assert!(
+                    routes <= self.proof_millis,
+                    "entry {number}: the proof of routes is {routes} ms old"
+                );
                 assert!(targets <= TARGETS_MILLIS, "entry {number}: that of targets is {targets} ms old");
             }
             sleep(Duration::from_millis(20)).await;
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -6,7 +6,7 @@
 use crate::component::spawn_thread;
 use crate::component::status::StatusServer;
 use crate::component::zone_peers::ZonePeers;
-use crate::settings::proxy::ProxySettings;
+use crate::settings::proxy::{PROOF_MARGIN_MILLIS, ProxySettings};
 use porthoist_core::{AnchoredClock, ClockSource};
 use porthoist_fleet::{ControlTraffic, PeerPool};
 use porthoist_metrics::MetricsHub;
@@ -33,9 +33,6 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
-/// Margin in milliseconds subtracted from the time within which a revoked key must stop working: the local
-/// clock follows the table service's with an error of some milliseconds.
-const PROOF_MARGIN_MILLIS: u64 = 400;
 /// Milliseconds after the stop signal during which the load balancer still sends new connections: it removes
 /// a process after two failed checks, one second apart.
 const STOP_LAG_MILLIS: u64 = 2_600;
@@ -134,6 +131,7 @@
         let (state, clock, logger) = (self.state.clone(), Arc::clone(&self.clock), self.logger.clone());
         let (bound, zone, rank_port) =
             (self.settings.bound, self.settings.zone.clone(), self.settings.rank_port);
+        let max_proof_age = self.proof.max_age_millis;
         let (crashes, position, host) =
             (self.crashes.clone(), self.position.clone(), self.settings.host.clone());
         let (own_notes, zone_notes) = (self.own_notes.subscribe(), self.zone_notes.clone());
@@ -165,6 +163,7 @@
                 crash_watch.state(state.subscribe()).clock(Arc::clone(&clock)).logger(logger.clone()).build();
             let source = TuristSource::new(rows, Arc::clone(&clock), logger.clone());
             let watch = ControlWatch::builder().staleness_bound(bound).source(Rc::new(source)).state(state);
+            let watch = watch.max_proof_age_millis(max_proof_age);
             let watch = watch.clock(clock).metrics(metrics).logger(logger).build();
             tokio::join!(watch.run(), crash_watch.run(), crash_writer.run());
         })?;
--- a/porthoistd/src/settings/proxy.rs
+++ b/porthoistd/src/settings/proxy.rs
@@ -5,6 +5,7 @@
 use argh::FromArgs;
 use porthoist_core::{HostName, ZoneName};
 use porthoist_policy::proxy::targets::StalenessBound;
+use porthoist_proxy::MIN_PROOF_AGE_MILLIS;
 use slog::Level;
 use std::net::SocketAddr;
 
@@ -125,6 +126,14 @@
 }
 
 const SECONDS: &str = "a number of seconds";
+/// Margin in milliseconds subtracted from the time within which a revoked key must stop working: the local
+/// clock follows the table service's with an error of some milliseconds.
+pub const PROOF_MARGIN_MILLIS: u64 = 400;
+/// Minimum time in milliseconds within which a revoked key can be made to stop working. With less, the proof
+/// that the configuration is the newest would expire between two polls.
+const MIN_REVOKE_MILLIS: u64 = MIN_PROOF_AGE_MILLIS + PROOF_MARGIN_MILLIS;
+const REVOKE_RANGE: &str = "milliseconds from 1000 to 3600000";
+const _: () = assert!(MIN_REVOKE_MILLIS == 1_000, "REVOKE_RANGE names the minimum");
 
 fn millis(seconds: f64) -> u64 {
     (seconds.max(0.0) * 1_000.0) as u64
@@ -155,7 +164,13 @@
                 ADDRESS,
             )?,
             table: reader.value("table", args.table, None, ADDRESS)?,
-            revoke_millis: reader.millis("revoke-ms", args.revoke_ms, "5000")?,
+            revoke_millis: reader.millis_from(
+                MIN_REVOKE_MILLIS,
+                REVOKE_RANGE,
+                "revoke-ms",
+                args.revoke_ms,
+                "5000",
+            )?,
             bound: StalenessBound::new(
                 reader.millis("notice-ms", args.notice_ms, "3000")?,
                 reader.millis("leaving-ms", args.leaving_ms, "2000")?,
--- a/porthoistd/src/settings/reader.rs
+++ b/porthoistd/src/settings/reader.rs
@@ -66,9 +66,20 @@
         given: Option<String>,
         default: &str,
     ) -> Result<u64, SettingError> {
-        let expected = "milliseconds from 0 to 3600000";
+        self.millis_from(0, "milliseconds from 0 to 3600000", flag, given, default)
+    }
+
+    /// A time in milliseconds, at least `min` and at most [`MAX_MILLIS`].
+    pub(super) fn millis_from(
+        &self,
+        min: u64,
+        expected: &'static str,
+        flag: &'static str,
+        given: Option<String>,
+        default: &str,
+    ) -> Result<u64, SettingError> {
         let text = self.text(flag, given).unwrap_or_else(|| default.to_owned());
-        let in_range = text.parse().ok().filter(|millis| *millis <= MAX_MILLIS);
+        let in_range = text.parse().ok().filter(|millis| (min..=MAX_MILLIS).contains(millis));
         in_range.ok_or_else(|| Self::error(flag, format!("{text:?} given"), expected))
     }
 
--- a/porthoistd/tests/settings.rs
+++ b/porthoistd/tests/settings.rs
@@ -58,12 +58,20 @@
 #[test_case("leaving-ms", ProxyArgs { leaving_ms: Some((u64::MAX - 1).to_string()), ..proxy_args() }; "leaving")]
 #[test_case("revoke-ms", ProxyArgs { revoke_ms: Some("3600001".to_owned()), ..proxy_args() }; "revoke")]
 #[test_case("notice-ms", ProxyArgs { notice_ms: Some("-1".to_owned()), ..proxy_args() }; "negative")]
+#[test_case("revoke-ms", ProxyArgs { revoke_ms: Some("999".to_owned()), ..proxy_args() }; "revoke shorter than polls allow")]
 fn a_time_out_of_range_is_rejected(flag: &str, args: ProxyArgs) {
     let error = ProxySettings::load(args, |_name| None).unwrap_err().to_string();
     assert!(error.starts_with(&format!("setting --{flag} ")), "{error}");
     assert!(error.contains("given"), "{error}");
 }
 
+#[test_case(1_000; "the shortest")]
+#[test_case(3_600_000; "the longest")]
+fn a_revocation_time_in_range_is_accepted(millis: u64) {
+    let args = ProxyArgs { revoke_ms: Some(millis.to_string()), ..proxy_args() };
+    assert_eq!(ProxySettings::load(args, |_name| None).unwrap().revoke_millis, millis);
+}
+
 #[test]
 fn a_time_of_one_hour_is_accepted() {
     let hour = Some("3600000".to_owned());
