Shorten a poll for routes if the clock offset is inaccurate

Cause: the offset to the table service's clock is only bounded by the time from a call's start to its response. If a process was suspended between the two in its first calls, later proofs seemed older than they were by up to the length of a poll. No long poll was short enough to improve the bound while nothing changed, so an entry refused with not_ready for part of every quiet poll, also with the default settings.

Change: a proof that is old right after a response shortens the next poll, to 500 ms at least, which improves the bound. Entries whose polls are made by a process of their zone are left out: their source keeps an offset of its own, and a short wait of one entry would stay in force for the whole zone.

Tests: proof_of_routes_recovers_from_suspended_first_calls failed in 3 of its 4 cases without the change (proofs of 2,602 and 4,608 ms, valid for 2,600 and 4,600), and passes with it. The tests of porthoist-proxy and the platform's control, silent_connections and store_restores pass.

--- a/crates/porthoist-proxy/src/control.rs
+++ b/crates/porthoist-proxy/src/control.rs
@@ -167,11 +167,21 @@
     /// The freshness proof must be renewed before it expires, also if one response does not come. A proof
     /// that is too short-lived for that is renewed in time by responses that come within
     /// [`RESPONSE_MARGIN_MILLIS`]. It was last renewed before the pause.
+    ///
+    /// A proof that is old right after a response has an inaccurate clock offset, for example because the
+    /// process was suspended during its first calls. A shorter poll improves the offset. A shared source keeps
+    /// an offset of its own and calls the service before its copy becomes too old.
     fn routes_wait(&self, paused: Duration) -> Duration {
         let wait = self.max_proof_age_millis.saturating_sub(ANSWER_TIMEOUT_MILLIS + REPOLL_MARGIN_MILLIS);
-        let wait = Duration::from_millis(wait.clamp(MIN_ROUTES_WAIT_MILLIS, MAX_ROUTES_WAIT_MILLIS));
+        let min_wait = Duration::from_millis(MIN_ROUTES_WAIT_MILLIS);
+        let wait = Duration::from_millis(wait.min(MAX_ROUTES_WAIT_MILLIS)).max(min_wait);
         let longest = Duration::from_millis(self.max_proof_age_millis.saturating_sub(RESPONSE_MARGIN_MILLIS));
-        wait.min(longest.saturating_sub(paused))
+        let wait = wait.min(longest.saturating_sub(paused));
+        if self.source.is_shared() {
+            return wait;
+        }
+        let age = self.state.borrow().routes_proof.age(self.clock.now()).unwrap_or_default();
+        wait.min(longest.saturating_sub(Duration::from_millis(age)).max(min_wait))
     }
 
     async fn watch_targets(&self) {
--- a/crates/porthoist-proxy/src/peer_rows.rs
+++ b/crates/porthoist-proxy/src/peer_rows.rs
@@ -549,6 +549,10 @@
         true
     }
 
+    fn is_shared(&self) -> bool {
+        true
+    }
+
     /// Each call to the table service has a timeout of its own; queries to peers come before it.
     fn answer_timeout(&self, wait: Duration) -> Duration {
         self.table_service.answer_timeout(wait) + PROBE_INTERVAL * 2 + MAX_HOLD + PEER_TIMEOUT
--- a/crates/porthoist-proxy/src/rows.rs
+++ b/crates/porthoist-proxy/src/rows.rs
@@ -70,6 +70,11 @@
     fn handles_backoff(&self) -> bool {
         false
     }
+    /// Whether other processes poll for this one, as often as its waits require. Its own short waits would
+    /// then shorten all their polls.
+    fn is_shared(&self) -> bool {
+        false
+    }
     /// Maximum time for a response to a call that waits for the given time.
     fn answer_timeout(&self, wait: Duration) -> Duration {
         wait + Duration::from_millis(ANSWER_TIMEOUT_MILLIS)
--- a/crates/porthoist-proxy/tests/control_watch.rs
+++ b/crates/porthoist-proxy/tests/control_watch.rs
@@ -13,6 +13,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use test_case::test_case;
 use tokio::sync::watch;
@@ -26,13 +27,14 @@
 /// Maximum time in milliseconds to send once a target is chosen: the connect timeout.
 const SEND_MILLIS: u64 = 400;
 
-/// The runtime's virtual time with an arbitrary origin.
+/// The runtime's virtual time with an arbitrary origin, plus the time in milliseconds for which the process
+/// was suspended.
 #[derive(Debug)]
-struct RuntimeClock(Instant);
+struct RuntimeClock(Instant, Arc<AtomicU64>);
 
 impl ClockSource for RuntimeClock {
     fn now(&self) -> UnixMillis {
-        UnixMillis(1_000_000 + self.0.elapsed().as_millis() as u64)
+        UnixMillis(1_000_000 + self.0.elapsed().as_millis() as u64 + self.1.load(Ordering::Relaxed))
     }
 }
 
@@ -64,6 +66,10 @@
     answer_millis: Cell<u64>,
     /// Number of calls for routes.
     routes_calls: Cell<u64>,
+    /// Time in milliseconds for which the process was suspended so far.
+    suspended: Arc<AtomicU64>,
+    /// Time in milliseconds for which the process is suspended during its first calls.
+    suspend_first: Cell<u64>,
 }
 
 impl TableSource {
@@ -79,6 +85,8 @@
             next_lost: Cell::new(false),
             answer_millis: Cell::new(4),
             routes_calls: Cell::new(0),
+            suspended: Arc::default(),
+            suspend_first: Cell::new(0),
         })
     }
 
@@ -104,13 +112,14 @@
     }
 
     fn stamped<T>(&self, value: T) -> SourceAnswer<T> {
-        let stamp = self.began.elapsed().as_millis() as u64;
+        let stamp = self.began.elapsed().as_millis() as u64 + self.suspended.load(Ordering::Relaxed);
         SourceAnswer::of(value, TableRevision::new(TableEra::default(), *self.revision.borrow()), stamp)
     }
 
     /// Receives a call. Returns if the source answers at all.
     async fn receive(&self) -> Result<(), SourceError> {
         sleep(Duration::from_millis(self.answer_millis.get())).await;
+        self.suspended.fetch_add(self.suspend_first.take(), Ordering::Relaxed);
         match self.fault.get() {
             SourceFault::None => Ok(()),
             SourceFault::Refusing => Err(SourceError::Refused(503)),
@@ -202,14 +211,16 @@
 impl WatchedTable {
     /// Starts a watch and lets it run for ten seconds, so that both long polls are pending.
     async fn start(targets: &[&str]) -> Self {
-        Self::start_with(targets, 4_600).await
+        Self::start_with(targets, 4_600, 0).await
     }
 
-    /// The same with freshness proofs that are valid for the given time in milliseconds.
-    async fn start_with(targets: &[&str], max_proof_age_millis: u64) -> Self {
+    /// The same with freshness proofs that are valid for the given time in milliseconds, and with a suspension
+    /// during the first calls.
+    async fn start_with(targets: &[&str], max_proof_age_millis: u64, suspend_first: u64) -> Self {
         let source = TableSource::new(targets);
+        source.suspend_first.set(suspend_first);
         let state = watch::Sender::new(ControlState::default());
-        let clock = Arc::new(RuntimeClock(Instant::now()));
+        let clock = Arc::new(RuntimeClock(Instant::now(), Arc::clone(&source.suspended)));
         let watched =
             Self { source: Rc::clone(&source), state: state.subscribe(), clock: Arc::clone(&clock) };
         let control = ControlWatch::builder()
@@ -388,7 +399,7 @@
 #[tokio::test(start_paused = true)]
 async fn proof_of_routes_is_renewed_before_it_expires(max_age: u64, answer_millis: u64, wait: u64) {
     let test = async {
-        let watched = WatchedTable::start_with(&["t1"], max_age).await;
+        let watched = WatchedTable::start_with(&["t1"], max_age, 0).await;
         watched.source.answer_millis.set(answer_millis);
         let before = watched.source.routes_calls.get();
         for _step in 0..2_000 {
@@ -410,7 +421,7 @@
 async fn proof_of_routes_outlasts_a_lost_response(max_age: u64) {
     let test = async {
         for phase in (0..4_000).step_by(250) {
-            let watched = WatchedTable::start_with(&["t1"], max_age).await;
+            let watched = WatchedTable::start_with(&["t1"], max_age, 0).await;
             sleep(Duration::from_millis(phase)).await;
             Lost::Routes.silence(&watched.source);
             for _step in 0..800 {
@@ -422,3 +433,23 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against refusals without end after a process was suspended during its first calls. Its bound of
+/// the service's clock was then too low by the time of the suspension, so that proofs seemed older than they
+/// were, and no poll was short enough to improve it.
+#[test_case(1_600, 1_500)]
+#[test_case(2_600, 2_500)]
+#[test_case(4_600, 3_200)]
+#[test_case(4_600, 4_500)]
+#[tokio::test(start_paused = true)]
+async fn proof_of_routes_recovers_from_suspended_first_calls(max_age: u64, suspend_first: u64) {
+    let test = async {
+        let watched = WatchedTable::start_with(&["t1"], max_age, suspend_first).await;
+        for _step in 0..2_000 {
+            sleep(Duration::from_millis(10)).await;
+            let age = watched.state.borrow().routes_proof.age(watched.clock.now()).unwrap();
+            assert!(age < max_age, "the proof is {age} ms old");
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/porthoist-proxy/tests/zone_tables/harness.rs
+++ b/crates/porthoist-proxy/tests/zone_tables/harness.rs
@@ -446,6 +446,10 @@
         self.0.handles_backoff()
     }
 
+    fn is_shared(&self) -> bool {
+        self.0.is_shared()
+    }
+
     fn answer_timeout(&self, wait: Duration) -> Duration {
         self.0.answer_timeout(wait)
     }
