--- a/crates/porthoist-proxy/tests/control_watch.rs
+++ b/crates/porthoist-proxy/tests/control_watch.rs
@@ -13,6 +13,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use test_case::test_case;
 use tokio::sync::watch;
@@ -26,13 +27,14 @@
 /// Maximum time in milliseconds to send once a target is chosen: the connect timeout.
 const SEND_MILLIS: u64 = 400;
 
-/// The runtime's virtual time with an arbitrary origin.
+/// The runtime's virtual time with an arbitrary origin, plus the time in milliseconds for which the process
+/// was suspended.
 #[derive(Debug)]
-struct RuntimeClock(Instant);
+struct RuntimeClock(Instant, Arc<AtomicU64>);
 
 impl ClockSource for RuntimeClock {
     fn now(&self) -> UnixMillis {
-        UnixMillis(1_000_000 + self.0.elapsed().as_millis() as u64)
+        UnixMillis(1_000_000 + self.0.elapsed().as_millis() as u64 + self.1.load(Ordering::Relaxed))
     }
 }
 
@@ -62,6 +64,12 @@
     next_lost: Cell<bool>,
     /// Latency of a response.
     answer_millis: Cell<u64>,
+    /// Number of calls for routes.
+    routes_calls: Cell<u64>,
+    /// Time in milliseconds for which the process was suspended so far.
+    suspended: Arc<AtomicU64>,
+    /// Time in milliseconds for which the process is suspended during its first calls.
+    suspend_first: Cell<u64>,
 }
 
 impl TableSource {
@@ -76,6 +84,9 @@
             targets_lost: watch::Sender::new(0),
             next_lost: Cell::new(false),
             answer_millis: Cell::new(4),
+            routes_calls: Cell::new(0),
+            suspended: Arc::default(),
+            suspend_first: Cell::new(0),
         })
     }
 
@@ -101,13 +112,14 @@
     }
 
     fn stamped<T>(&self, value: T) -> SourceAnswer<T> {
-        let stamp = self.began.elapsed().as_millis() as u64;
+        let stamp = self.began.elapsed().as_millis() as u64 + self.suspended.load(Ordering::Relaxed);
         SourceAnswer::of(value, TableRevision::new(TableEra::default(), *self.revision.borrow()), stamp)
     }
 
     /// Receives a call. Returns if the source answers at all.
     async fn receive(&self) -> Result<(), SourceError> {
         sleep(Duration::from_millis(self.answer_millis.get())).await;
+        self.suspended.fetch_add(self.suspend_first.take(), Ordering::Relaxed);
         match self.fault.get() {
             SourceFault::None => Ok(()),
             SourceFault::Refusing => Err(SourceError::Refused(503)),
@@ -148,6 +160,7 @@
     }
 
     fn routes_after(&self, _revision: TableRevision, wait: Duration) -> SourceFuture<'_, OperatorUpdate> {
+        self.routes_calls.set(self.routes_calls.get() + 1);
         Box::pin(unless_lost(&self.routes_lost, async move {
             self.receive().await?;
             sleep(wait).await;
@@ -192,18 +205,29 @@
 struct WatchedTable {
     source: Rc<TableSource>,
     state: watch::Receiver<ControlState>,
+    clock: Arc<RuntimeClock>,
 }
 
 impl WatchedTable {
     /// Starts a watch and lets it run for ten seconds, so that both long polls are pending.
     async fn start(targets: &[&str]) -> Self {
+        Self::start_with(targets, 4_600, 0).await
+    }
+
+    /// The same with freshness proofs that are valid for the given time in milliseconds, and with a suspension
+    /// during the first calls.
+    async fn start_with(targets: &[&str], max_proof_age_millis: u64, suspend_first: u64) -> Self {
         let source = TableSource::new(targets);
+        source.suspend_first.set(suspend_first);
         let state = watch::Sender::new(ControlState::default());
-        let watched = Self { source: Rc::clone(&source), state: state.subscribe() };
+        let clock = Arc::new(RuntimeClock(Instant::now(), Arc::clone(&source.suspended)));
+        let watched =
+            Self { source: Rc::clone(&source), state: state.subscribe(), clock: Arc::clone(&clock) };
         let control = ControlWatch::builder()
+            .max_proof_age_millis(max_proof_age_millis)
             .source(source)
             .state(state)
-            .clock(Arc::new(RuntimeClock(Instant::now())))
+            .clock(clock)
             .metrics(Arc::new(MetricsHub::new().unwrap()))
             .logger(Logger::root(Discard, o!()))
             .build();
@@ -363,3 +387,69 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against proofs of routes that expire between two polls, and so against refusals while nothing
+/// changes: the polls waited 3.3 s whatever the lifetime of a proof was.
+#[test_case(600, 4, 500; "shortest")]
+#[test_case(1_100, 300, 500; "short")]
+#[test_case(1_600, 800, 500; "short and slow answers")]
+#[test_case(2_600, 800, 1_300; "shorter than usual and slow answers")]
+#[test_case(4_600, 800, 3_300; "usual")]
+#[test_case(59_600, 800, 3_300; "long")]
+#[tokio::test(start_paused = true)]
+async fn proof_of_routes_is_renewed_before_it_expires(max_age: u64, answer_millis: u64, wait: u64) {
+    let test = async {
+        let watched = WatchedTable::start_with(&["t1"], max_age, 0).await;
+        watched.source.answer_millis.set(answer_millis);
+        let before = watched.source.routes_calls.get();
+        for _step in 0..2_000 {
+            sleep(Duration::from_millis(10)).await;
+            let age = watched.state.borrow().routes_proof.age(watched.clock.now()).unwrap();
+            assert!(age < max_age, "the proof is {age} ms old");
+        }
+        let calls = watched.source.routes_calls.get() - before;
+        let most = 20_000 / (wait + answer_millis) + 1;
+        assert!(calls <= most, "{calls} calls in 20 s");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against the same if a response about routes never comes: the next poll must be in time.
+#[test_case(2_600)]
+#[test_case(4_600)]
+#[tokio::test(start_paused = true)]
+async fn proof_of_routes_outlasts_a_lost_response(max_age: u64) {
+    let test = async {
+        for phase in (0..4_000).step_by(250) {
+            let watched = WatchedTable::start_with(&["t1"], max_age, 0).await;
+            sleep(Duration::from_millis(phase)).await;
+            Lost::Routes.silence(&watched.source);
+            for _step in 0..800 {
+                sleep(Duration::from_millis(10)).await;
+                let age = watched.state.borrow().routes_proof.age(watched.clock.now()).unwrap();
+                assert!(age < max_age, "the proof is {age} ms old at phase {phase}");
+            }
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against refusals without end after a process was suspended during its first calls. Its bound of
+/// the service's clock was then too low by the time of the suspension, so that proofs seemed older than they
+/// were, and no poll was short enough to improve it.
+#[test_case(1_600, 1_500)]
+#[test_case(2_600, 2_500)]
+#[test_case(4_600, 3_200)]
+#[test_case(4_600, 4_500)]
+#[tokio::test(start_paused = true)]
+async fn proof_of_routes_recovers_from_suspended_first_calls(max_age: u64, suspend_first: u64) {
+    let test = async {
+        let watched = WatchedTable::start_with(&["t1"], max_age, suspend_first).await;
+        for _step in 0..2_000 {
+            sleep(Duration::from_millis(10)).await;
+            let age = watched.state.borrow().routes_proof.age(watched.clock.now()).unwrap();
+            assert!(age < max_age, "the proof is {age} ms old");
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
