Divide the free capacity of contended services among entries

Many entries see the same free slots in late reports and overfill the ranks. Each entry now derives from a report what all entries together may send until the next one, by priority, and admits the same fraction of its own requests. Services without a capacity rule take the code that they took before.

--- a/crates/porthoist-core/src/reason.rs
+++ b/crates/porthoist-core/src/reason.rs
@@ -76,6 +76,8 @@
         TargetLimits = "target_limits",
         /// All targets are cold and can take no more requests in time.
         TargetsCold = "targets_cold",
+        /// What is free of the service's capacity is needed for more urgent requests.
+        PriorityCapacity = "priority_capacity",
         /// All targets have asked to receive no requests for a while.
         TargetsResting = "targets_resting",
         /// Operators have emptied the zones of all targets.
@@ -159,6 +161,7 @@
             Self::TicketForeign | Self::TicketSpent | Self::KeyClosed | Self::AnswerGone => 409,
             Self::Overloaded
             | Self::TargetLimits
+            | Self::PriorityCapacity
             | Self::TargetsResting
             | Self::TargetsCold
             | Self::ZonesEmptied
@@ -180,6 +183,7 @@
             Self::DeadlineUnreachable
                 | Self::Overloaded
                 | Self::TargetLimits
+                | Self::PriorityCapacity
                 | Self::TargetsResting
                 | Self::TargetsCold
                 | Self::ZonesEmptied
--- a/crates/porthoist-policy/src/proxy.rs
+++ b/crates/porthoist-policy/src/proxy.rs
@@ -15,6 +15,7 @@
 mod load_interpretation;
 pub mod moving;
 pub mod pass_time;
+pub mod priority_levels;
 pub mod quarantine;
 pub mod retry_share;
 pub mod routes;
--- a/crates/porthoist-policy/src/proxy/balancer.rs
+++ b/crates/porthoist-policy/src/proxy/balancer.rs
@@ -4,7 +4,9 @@
 //! in a row are ejected for a growing time and then get a single request as a probe.
 
 use super::backpressure::DepartedBackpressure;
+use super::capacity::ServiceCapacity;
 use super::cold_start::ColdRule;
+use super::demand::PriorityLevel;
 use super::group_loads::{GroupLoads, RankLoad};
 use super::groups::{GroupIndex, GroupTracker};
 use super::load_interpretation::choose_by_level;
@@ -20,6 +22,7 @@
 use std::sync::Arc;
 
 mod limits;
+mod shared_capacity;
 mod tiers;
 
 pub use limits::LimitedSupply;
@@ -33,6 +36,8 @@
 pub struct RequestWork {
     /// Tokens of its prompt; 0 for requests without one.
     pub prompt_tokens: u64,
+    /// Its priority in the demand on a service whose capacity is divided among entries.
+    pub priority: PriorityLevel,
 }
 
 /// How a send to a target ended.
@@ -123,6 +128,8 @@
     sender: SenderPosition,
     /// Number of choices made, which varies the choice among equal targets.
     choice_count: u64,
+    /// Services whose capacity is divided among entries.
+    capacities: HashMap<ServiceName, ServiceCapacity>,
 }
 
 impl LoadBalancer {
@@ -140,6 +147,7 @@
             cold_rules: HashMap::new(),
             emptied: EmptiedZones::default(),
             choice_count: 0,
+            capacities: HashMap::new(),
         }
     }
 
@@ -212,17 +220,17 @@
                 order.then_with(|| tie(*left).cmp(&tie(*right)))
             })?
         };
-        let chosen = candidates.swap_remove(best);
-        let (in_flight, report) = (chosen.in_flight, chosen.report(now));
-        let rate = chosen.rate(now);
-        chosen.count_send(work, now);
-        let group =
-            chosen.group.and_then(|index| Some(GroupSnapshot { index, status: groups.status(index)? }));
-        let record = Arc::clone(&chosen.record);
-        if let Some(GroupSnapshot { index, .. }) = group.filter(|group| group.status.probe_due) {
+        let chosen = take_slot(candidates.swap_remove(best), work, &groups, now);
+        self.record_choice(&chosen, now);
+        Some(chosen)
+    }
+
+    fn record_choice(&mut self, chosen: &ChosenTarget, now: UnixMillis) {
+        let Some(GroupSnapshot { index, status }) = chosen.group else { return };
+        if status.probe_due {
             self.groups.record_probe(index, now);
         }
-        Some(ChosenTarget { record, in_flight, report, group, rate })
+        self.record_shared_send(&chosen.record, index, now);
     }
 
     /// Records the end of a send. Returns whether the target is ejected because of it.
@@ -314,6 +322,7 @@
         let by_host: HashMap<Ipv4Addr, &RankLoad> =
             loads.ranks.iter().map(|rank| (rank.host, rank)).collect();
         let (mut own, mut all, mut service) = (0, 0, None);
+        self.apply_shared_report(group, loads, now);
         for load in self.loads.values_mut() {
             let IpAddr::V4(host) = load.record.address.ip() else { continue };
             if let Some(rank) = by_host.get(&host) {
@@ -375,6 +384,19 @@
     }
 }
 
+/// Counts a send to a target and returns what is known of it.
+fn take_slot(
+    load: &mut TargetLoad,
+    work: RequestWork,
+    groups: &ServiceGroups,
+    now: UnixMillis,
+) -> ChosenTarget {
+    let (in_flight, report, rate) = (load.in_flight, load.report(now), load.rate(now));
+    load.count_send(work, now);
+    let group = load.group.and_then(|index| Some(GroupSnapshot { index, status: groups.status(index)? }));
+    ChosenTarget { record: Arc::clone(&load.record), in_flight, report, group, rate }
+}
+
 /// A pseudo-random number between 0 and 1 for one choice.
 fn random_point(seed: u64, choice: u64) -> f64 {
     let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&choice.to_le_bytes(), seed);
--- a/crates/porthoist-policy/src/proxy/balancer/limits.rs
+++ b/crates/porthoist-policy/src/proxy/balancer/limits.rs
@@ -35,6 +35,9 @@
         zones.dedup();
         let uncounted = self.settings.uncounted(self.loads.len());
         self.sender = SenderPosition::new(self.entry_position, &self.settings.zone, &zones, uncounted);
+        for capacity in self.capacities.values_mut() {
+            capacity.set_sender(self.sender);
+        }
     }
 
     /// Applies the backpressure signals in an answer to a request that was sent at `sent`.
--- /dev/null
+++ b/crates/porthoist-policy/src/proxy/balancer/shared_capacity.rs
@@ -0,0 +1,127 @@
+//! Selection of targets of services whose capacity is divided among entries.
+
+use super::{ChosenTarget, LoadBalancer, RequestWork, preferred_targets, take_slot};
+use crate::proxy::capacity::{RankRoom, ServiceCapacity};
+use crate::proxy::demand::{PriorityLevel, ServiceDemand};
+use crate::proxy::group_loads::GroupLoads;
+use crate::proxy::groups::GroupIndex;
+use crate::proxy::target_load::TargetLoad;
+use crate::proxy::targets::TargetRecord;
+use porthoist_core::{ServiceName, TargetName, UnixMillis};
+use std::collections::{BTreeMap, HashMap};
+use std::net::{IpAddr, Ipv4Addr};
+
+impl LoadBalancer {
+    /// Sets the services whose capacity is divided among entries.
+    pub fn set_shared_services<'a>(&mut self, services: impl Iterator<Item = &'a ServiceName>) {
+        let mut known = std::mem::take(&mut self.capacities);
+        for service in services {
+            let capacity = known.remove(service).unwrap_or_else(|| ServiceCapacity::new(self.sender));
+            self.capacities.insert(service.clone(), capacity);
+        }
+    }
+
+    /// Whether a service's capacity is divided among entries and a valid report of a working group shows
+    /// it.
+    pub fn knows_shared_capacity(&self, service: &ServiceName, now: UnixMillis) -> bool {
+        let Some(capacity) = self.capacities.get(service) else { return false };
+        let groups = self.service_groups(service, now);
+        capacity.is_known(|index| groups.is_working(index), now)
+    }
+
+    /// The capacity of a service, if it is divided among entries and known.
+    pub fn shared_capacity(
+        &mut self,
+        service: &ServiceName,
+        now: UnixMillis,
+    ) -> Option<&mut ServiceCapacity> {
+        let known = self.knows_shared_capacity(service, now);
+        self.capacities.get_mut(service).filter(|_capacity| known)
+    }
+
+    /// Divides a service's free capacity among the priorities.
+    pub fn divide_capacity(
+        &mut self,
+        service: &ServiceName,
+        own: &ServiceDemand,
+        waiting: &BTreeMap<PriorityLevel, usize>,
+        now: UnixMillis,
+    ) {
+        let groups = self.service_groups(service, now);
+        let Some(capacity) = self.capacities.get_mut(service) else { return };
+        capacity.divide(own, waiting, |index| groups.is_working(index), now);
+    }
+
+    /// Chooses a target of a service whose capacity is divided among entries, and counts the request as
+    /// in flight there.
+    pub fn choose_shared(
+        &mut self,
+        service: &ServiceName,
+        level: PriorityLevel,
+        work: RequestWork,
+        tried: &[TargetName],
+        now: UnixMillis,
+    ) -> Option<ChosenTarget> {
+        let groups = self.service_groups(service, now);
+        let capacity = self.capacities.get(service)?;
+        let usable = |load: &&mut TargetLoad| {
+            load.record.service == *service
+                && load.is_open(now)
+                && !load.is_full(now)
+                && !load.silent(now)
+                && !tried.contains(&load.record.id)
+                && load.group.is_some_and(|group| groups.is_working(group))
+        };
+        let open = self.loads.values_mut().filter(usable);
+        let mut candidates = preferred_targets(open, self.sender, tried.is_empty(), now);
+        let hosts: Vec<Ipv4Addr> = candidates.iter().map(|load| host_of(&load.record)).collect();
+        let best = capacity.choose_host(&hosts, level)?;
+        let chosen = take_slot(candidates.swap_remove(best), work, &groups, now);
+        self.record_choice(&chosen, now);
+        Some(chosen)
+    }
+
+    /// Records a send if the capacity of the target's service is divided among entries.
+    pub(super) fn record_shared_send(&mut self, record: &TargetRecord, group: GroupIndex, now: UnixMillis) {
+        if let Some(capacity) = self.capacities.get_mut(&record.service) {
+            capacity.record_send(group, host_of(record), now);
+        }
+    }
+
+    /// Applies a report to the capacities of the services with targets in the group.
+    pub(super) fn apply_shared_report(&mut self, group: GroupIndex, loads: &GroupLoads, now: UnixMillis) {
+        if self.capacities.is_empty() {
+            return;
+        }
+        let heard = loads.ranks.iter().filter(|rank| !rank.silent);
+        let requests: HashMap<Ipv4Addr, u32> = heard.map(|rank| (rank.host, rank.requests)).collect();
+        let mut rooms: HashMap<ServiceName, Vec<RankRoom>> = HashMap::new();
+        for load in self.loads.values() {
+            let host = host_of(&load.record);
+            if let Some(requests) = requests.get(&host)
+                && self.capacities.contains_key(&load.record.service)
+            {
+                let limit = self.settings.rank_limit.min(load.record.slots);
+                let room = RankRoom { host, limit, requests: *requests };
+                rooms.entry(load.record.service.clone()).or_default().push(room);
+            }
+        }
+        for (service, rooms) in rooms {
+            if let Some(capacity) = self.capacities.get_mut(&service) {
+                capacity.apply_report(group, loads, rooms, now);
+            }
+        }
+    }
+
+    /// Services whose capacity a report of a group describes.
+    pub fn shared_services(&self) -> Vec<ServiceName> {
+        self.capacities.keys().cloned().collect()
+    }
+}
+
+fn host_of(record: &TargetRecord) -> Ipv4Addr {
+    match record.address.ip() {
+        IpAddr::V4(host) => host,
+        IpAddr::V6(_address) => Ipv4Addr::UNSPECIFIED,
+    }
+}
--- a/crates/porthoist-policy/src/proxy/scheduler.rs
+++ b/crates/porthoist-policy/src/proxy/scheduler.rs
@@ -20,6 +20,8 @@
 use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis};
 use std::collections::HashMap;
 
+mod shared_capacity;
+
 /// Maximum number of waiting requests of one service; further ones are refused at once.
 const MAX_WAITING: usize = 512;
 
@@ -67,6 +69,9 @@
     /// All targets are cold and leave no slot in time.
     #[error("the targets are cold")]
     Cold,
+    /// What is free is needed for more urgent requests.
+    #[error("the free capacity is needed for more urgent requests")]
+    Priority,
     /// All targets have asked for a rest period.
     #[error("all targets have asked for a rest period")]
     Resting,
@@ -133,6 +138,7 @@
     /// Applies the loads that the engines of a group reported.
     pub fn update_loads(&mut self, loads: &GroupLoads, now: UnixMillis) {
         self.balancer.update_loads(loads, now);
+        self.divide_capacities(now);
     }
 
     /// The groups of a service that stalled or recovered since the last call.
@@ -157,6 +163,9 @@
         if request.ranked && !self.forecast(service).may_send(now) {
             return SlotDecision::Refuse(SlotError::Down);
         }
+        if let Some(decision) = self.decide_shared(request, now) {
+            return decision;
+        }
         let queue = self.waiting.get(service);
         let (waiting, ahead) =
             queue.map_or((0, 0), |queue| (queue.len(), queue.ahead(request.priority, request.class)));
@@ -211,7 +220,10 @@
                 continue;
             }
             let request = first.request.clone();
-            let chosen = self.choose(&request, now)?;
+            let chosen = match self.has_shared_capacity(&request, now) {
+                true => self.choose_waiting(&request, now)?,
+                false => self.choose(&request, now)?,
+            };
             let next = self.waiting.get_mut(service)?.pop()?;
             return Some((next.waiter, chosen, request.work));
         }
@@ -238,6 +250,9 @@
         now: UnixMillis,
     ) {
         self.balancer.ended(target, work, outcome, now);
+        if let Some(meter) = self.meters.get_mut(service) {
+            meter.record_ended(work.priority);
+        }
         let answered = matches!(outcome, SendOutcome::Answered(_millis));
         self.forecast(service).request_ended(answered.then_some(held_millis as f64));
     }
@@ -341,6 +356,9 @@
         if let Some(error) = self.closed_reason(service, now) {
             return error;
         }
+        if self.balancer.knows_shared_capacity(service, now) {
+            return SlotError::Priority;
+        }
         match (self.balancer.serves(service, now), self.balancer.limited_supply(service, now)) {
             (false, _) => SlotError::NoTarget,
             (true, Some(supply)) => supply.source.into(),
@@ -359,6 +377,7 @@
         for service in rules.keys() {
             self.meters.entry(service.clone()).or_default();
         }
+        self.balancer.set_shared_services(rules.keys());
         self.capacity_rules = rules;
     }
 
@@ -411,10 +430,17 @@
     fn choose(&mut self, request: &SlotRequest, now: UnixMillis) -> Option<ChosenTarget> {
         let SlotRequest { service, ranked, work, tried, .. } = request;
         let chosen = self.balancer.choose(service, *ranked, *work, tried, now)?;
-        self.forecast(service).request_started(now);
+        self.record_start(request, now);
         Some(chosen)
     }
 
+    fn record_start(&mut self, request: &SlotRequest, now: UnixMillis) {
+        self.forecast(&request.service).request_started(now);
+        if let Some(meter) = self.meters.get_mut(&request.service) {
+            meter.record_started(request.work.priority);
+        }
+    }
+
     fn forecast(&mut self, service: &ServiceName) -> &mut ServiceForecast {
         if !self.forecasts.contains_key(service) {
             self.forecasts.insert(service.clone(), ServiceForecast::default());
--- /dev/null
+++ b/crates/porthoist-policy/src/proxy/scheduler/shared_capacity.rs
@@ -0,0 +1,116 @@
+//! Decisions for services whose capacity is divided among entries.
+
+use super::{MAX_WAITING, RequestScheduler, SlotDecision, SlotError, SlotRequest};
+use crate::proxy::balancer::ChosenTarget;
+use crate::proxy::demand::PriorityLevel;
+use crate::proxy::forecast::{WaitDecision, WaitQuery};
+use crate::proxy::wait_queue::{QueueClass, QueueKey, WaitQueue};
+use porthoist_core::{ServiceName, UnixMillis};
+
+impl<W> RequestScheduler<W> {
+    /// Decides by the division of the service's capacity, or `None` if nothing is known to divide.
+    pub(super) fn decide_shared(&mut self, request: &SlotRequest, now: UnixMillis) -> Option<SlotDecision> {
+        if !self.has_shared_capacity(request, now) {
+            return None;
+        }
+        let SlotRequest { service, priority, class, .. } = request;
+        let ahead = self.waiting.get(service).map_or(0, |queue| queue.ahead(*priority, *class));
+        if ahead == 0
+            && let Some(chosen) = self.choose_granted(request, now)
+        {
+            return Some(SlotDecision::Assign(chosen));
+        }
+        if self.waiting.get(service).is_some_and(|queue| queue.len() >= MAX_WAITING) {
+            return Some(SlotDecision::Refuse(SlotError::Full));
+        }
+        Some(match self.decide_wait(request, ahead, now) {
+            WaitDecision::Wait(until) => SlotDecision::Wait(until),
+            WaitDecision::Refuse => SlotDecision::Refuse(SlotError::Priority),
+        })
+    }
+
+    /// Whether the capacity for a request is divided among entries, and a report shows it.
+    pub(super) fn has_shared_capacity(&self, request: &SlotRequest, now: UnixMillis) -> bool {
+        request.ranked && self.balancer.knows_shared_capacity(&request.service, now)
+    }
+
+    /// A target for a request that has not waited.
+    fn choose_granted(&mut self, request: &SlotRequest, now: UnixMillis) -> Option<ChosenTarget> {
+        let level = PriorityLevel(request.priority);
+        let capacity = self.balancer.shared_capacity(&request.service, now)?;
+        // A request that a target already had is not thinned out again.
+        if request.class != QueueClass::Resent && !capacity.try_admit(level) {
+            return None;
+        }
+        let chosen = self.choose_shared(request, now);
+        if chosen.is_none()
+            && request.class != QueueClass::Resent
+            && let Some(capacity) = self.balancer.shared_capacity(&request.service, now)
+        {
+            capacity.return_grant(level);
+        }
+        chosen
+    }
+
+    /// A target for a request that has waited.
+    pub(super) fn choose_waiting(&mut self, request: &SlotRequest, now: UnixMillis) -> Option<ChosenTarget> {
+        let capacity = self.balancer.shared_capacity(&request.service, now)?;
+        if !capacity.try_admit_waiting(PriorityLevel(request.priority)) {
+            return None;
+        }
+        self.choose_shared(request, now)
+    }
+
+    fn choose_shared(&mut self, request: &SlotRequest, now: UnixMillis) -> Option<ChosenTarget> {
+        let SlotRequest { service, priority, work, tried, .. } = request;
+        let level = PriorityLevel(*priority);
+        let chosen = self.balancer.choose_shared(service, level, *work, tried, now)?;
+        self.record_start(request, now);
+        Some(chosen)
+    }
+
+    fn decide_wait(&mut self, request: &SlotRequest, ahead: usize, now: UnixMillis) -> WaitDecision {
+        let SlotRequest { arrival, latency_millis, deadline, class, .. } = *request;
+        let level = PriorityLevel(request.priority);
+        let Some(capacity) = self.balancer.shared_capacity(&request.service, now) else {
+            return WaitDecision::Refuse;
+        };
+        let rate_limited_millis = Some(capacity.millis_per_waiting(level));
+        let query = WaitQuery { ahead, arrival, latency_millis, deadline, class, rate_limited_millis };
+        self.forecast(&request.service).decide(query, now)
+    }
+
+    /// Divides the free capacity of each service anew after a report.
+    pub(super) fn divide_capacities(&mut self, now: UnixMillis) {
+        for service in self.balancer.shared_services() {
+            let Some(meter) = self.meters.get(&service) else { continue };
+            let own = meter.demand(now);
+            let waiting = self.waiting.get(&service).map(WaitQueue::levels).unwrap_or_default();
+            self.balancer.divide_capacity(&service, &own, &waiting, now);
+        }
+    }
+
+    /// Removes the waiting requests of a service that can no longer be on time because more urgent ones
+    /// have arrived or less is granted; the caller refuses them.
+    pub fn take_late(&mut self, service: &ServiceName, now: UnixMillis) -> Vec<W> {
+        if !self.balancer.knows_shared_capacity(service, now) {
+            return Vec::new();
+        }
+        let Some(queue) = self.waiting.get(service) else { return Vec::new() };
+        let requests: Vec<(QueueKey, SlotRequest)> =
+            queue.entries().map(|(key, waiting)| (key, waiting.request.clone())).collect();
+        let mut ahead = 0;
+        let mut late = Vec::new();
+        for (key, request) in requests {
+            match self.decide_wait(&request, ahead, now) {
+                WaitDecision::Wait(_until) => ahead += 1,
+                WaitDecision::Refuse => late.push(key),
+            }
+        }
+        if late.is_empty() {
+            return Vec::new();
+        }
+        let Some(queue) = self.waiting.get_mut(service) else { return Vec::new() };
+        late.into_iter().filter_map(|key| queue.remove(key)).map(|waiting| waiting.waiter).collect()
+    }
+}
--- a/crates/porthoist-policy/src/proxy/send_turns.rs
+++ b/crates/porthoist-policy/src/proxy/send_turns.rs
@@ -84,6 +84,16 @@
         let (zones, entries) = (zone_count as f64, f64::from(entries));
         Self { count: zones * entries, phase: (f64::from(entry_index) + zone_index as f64 / zones) / entries }
     }
+
+    /// Number of senders.
+    pub fn count(&self) -> f64 {
+        self.count
+    }
+
+    /// Position of this sender among all, from 0 to 1.
+    pub fn phase(&self) -> f64 {
+        self.phase
+    }
 }
 
 /// A number between 0 and 1 from a hash.
--- a/crates/porthoist-policy/src/proxy/target_load.rs
+++ b/crates/porthoist-policy/src/proxy/target_load.rs
@@ -218,8 +218,13 @@
         self.backpressure.rate(now)
     }
 
+    /// Whether it refused a request as full a moment ago.
+    pub(super) fn is_full(&self, now: UnixMillis) -> bool {
+        self.full_until.is_some_and(|deadline| !deadline.passed(now))
+    }
+
     fn has_room(&self, settings: &BalancerSettings, view: ServiceView, now: UnixMillis) -> bool {
-        if self.full_until.is_some_and(|deadline| !deadline.passed(now)) {
+        if self.is_full(now) {
             return false;
         }
         let known = self.requests(view.assumed, now);
--- a/crates/porthoist-policy/src/proxy/wait_queue.rs
+++ b/crates/porthoist-policy/src/proxy/wait_queue.rs
@@ -1,5 +1,6 @@
 //! Order in which requests wait for a target.
 
+use super::demand::PriorityLevel;
 use std::collections::BTreeMap;
 
 /// Classes of waiting requests, first to last.
@@ -55,6 +56,25 @@
         self.waiting.range(..key).count()
     }
 
+    /// Number of waiting requests by priority.
+    pub fn levels(&self) -> BTreeMap<PriorityLevel, usize> {
+        let mut levels = BTreeMap::new();
+        for key in self.waiting.keys() {
+            *levels.entry(PriorityLevel(key.priority)).or_default() += 1;
+        }
+        levels
+    }
+
+    /// The first request and its position.
+    pub fn first_entry(&self) -> Option<(QueueKey, &T)> {
+        self.waiting.first_key_value().map(|(key, item)| (*key, item))
+    }
+
+    /// Waiting requests with their positions, first to last.
+    pub fn entries(&self) -> impl Iterator<Item = (QueueKey, &T)> {
+        self.waiting.iter().map(|(key, item)| (*key, item))
+    }
+
     /// Removes a request that gave up.
     pub fn remove(&mut self, key: QueueKey) -> Option<T> {
         self.waiting.remove(&key)
--- a/crates/porthoist-policy/tests/policy.rs
+++ b/crates/porthoist-policy/tests/policy.rs
@@ -12,6 +12,10 @@
 mod cold_start;
 #[path = "policy/cold_start_simulation.rs"]
 mod cold_start_simulation;
+#[path = "policy/contention.rs"]
+mod contention;
+#[path = "policy/contention_simulation.rs"]
+mod contention_simulation;
 #[path = "policy/copy_times.rs"]
 mod copy_times;
 #[path = "policy/demand.rs"]
--- /dev/null
+++ b/crates/porthoist-policy/tests/policy/contention.rs
@@ -0,0 +1,44 @@
+use super::contention_simulation::{Contention, ContentionReport, Fault, Policy, simulate};
+
+fn show(name: &str, report: &ContentionReport, best: &ContentionReport) {
+    let rows: Vec<String> = (0..3)
+        .map(|p| {
+            let secs: Vec<String> =
+                (0..14).map(|s| format!("{:3.0}", 100.0 * report.on_time(p, s, s + 1))).collect();
+            format!(
+                "p{p} all {:.3} burst {:.3} |{}",
+                report.on_time(p, 0, 14),
+                report.on_time(p, 3, 10),
+                secs.join(" ")
+            )
+        })
+        .collect();
+    println!(
+        "{name}: value {:.3} sends {} rejected {} occupied {:.3}\n  {}",
+        report.value / best.value,
+        report.sends,
+        report.rejections,
+        report.occupied.0 as f64 / report.occupied.1 as f64,
+        rows.join("\n  ")
+    );
+}
+
+#[test]
+fn explore() {
+    let run = |entries, policy, fault, seed| {
+        simulate(Contention::builder().entries(entries).policy(policy).fault(fault).seed(seed).build())
+    };
+    let best = run(1, Policy::Omniscient, Fault::None, 1);
+    show("best", &best, &best);
+    for entries in [1, 6, 36, 600] {
+        let begin = std::time::Instant::now();
+        show(&format!("shared {entries}"), &run(entries, Policy::Shared, Fault::None, 1), &best);
+        println!("{:?}", begin.elapsed());
+        show(&format!("unshared {entries}"), &run(entries, Policy::Unshared, Fault::None, 1), &best);
+    }
+    for fault in [Fault::Killed, Fault::CutOff] {
+        for entries in [6, 36, 600] {
+            show(&format!("{fault:?} {entries}"), &run(entries, Policy::Shared, fault, 1), &best);
+        }
+    }
+}
--- a/crates/porthoist-proxy/src/dispatcher.rs
+++ b/crates/porthoist-proxy/src/dispatcher.rs
@@ -128,6 +128,9 @@
     /// Applies the loads that the engines of a group reported, and serves requests queued for capacity.
     pub fn update_loads(&self, loads: &GroupLoads) {
         self.scheduler.borrow_mut().update_loads(loads, self.clock.now());
+        for service in self.awaited_services() {
+            self.refuse_late(&service);
+        }
         self.serve_all_queues();
     }
 
@@ -155,6 +158,8 @@
                 (until, receiver)
             }
         };
+        // Requests that are less urgent may not be served in time now.
+        self.refuse_late(&service);
         // A target's backoff may have ended without any slot having been released.
         self.serve_queue(&service);
         match self.await_slot(&service, until, receiver).await {
@@ -291,7 +296,7 @@
     /// Why queued requests of a service are refused before their deadline.
     fn queue_error(&self, service: &ServiceName) -> SlotError {
         match self.scheduler.borrow().refusal(service, self.clock.now()) {
-            error @ (SlotError::Resting | SlotError::Emptied) => error,
+            error @ (SlotError::Resting | SlotError::Emptied | SlotError::Priority) => error,
             _other => SlotError::Down,
         }
     }
@@ -302,6 +307,13 @@
         drop(unservable);
     }
 
+    /// Refuses queued requests of a service whose capacity is divided among entries and that can no longer
+    /// be served in time.
+    fn refuse_late(&self, service: &ServiceName) {
+        let late = self.scheduler.borrow_mut().take_late(service, self.clock.now());
+        drop(late);
+    }
+
     fn serve_all_queues(&self) {
         for service in self.awaited_services() {
             self.serve_queue(&service);
--- a/crates/porthoist-proxy/src/handler/slots.rs
+++ b/crates/porthoist-proxy/src/handler/slots.rs
@@ -60,6 +60,7 @@
             SlotError::Busy | SlotError::Full | SlotError::Down => RefusalReason::Overloaded,
             SlotError::Limited => RefusalReason::TargetLimits,
             SlotError::Cold => RefusalReason::TargetsCold,
+            SlotError::Priority => RefusalReason::PriorityCapacity,
             SlotError::Resting => RefusalReason::TargetsResting,
             SlotError::Emptied => RefusalReason::ZonesEmptied,
             SlotError::NoTarget => RefusalReason::NoTarget,
--- a/crates/porthoist-proxy/src/handler/types.rs
+++ b/crates/porthoist-proxy/src/handler/types.rs
@@ -14,6 +14,7 @@
     UnixMillis,
 };
 use porthoist_policy::proxy::balancer::RequestWork;
+use porthoist_policy::proxy::demand::PriorityLevel;
 use porthoist_policy::proxy::routes::{RouteRule, TeamGrant};
 use std::cell::OnceCell;
 use std::sync::Arc;
@@ -45,7 +46,7 @@
     }
 
     pub(super) fn work(&self) -> RequestWork {
-        RequestWork { prompt_tokens: self.metadata.prompt_tokens }
+        RequestWork { prompt_tokens: self.metadata.prompt_tokens, priority: PriorityLevel(self.priority()) }
     }
 
     pub(super) fn runs_once(&self) -> bool {
