Spread sends over ranks by what all entries have probably sent

Two to three report intervals pass until a reading shows a send, so the ranks that a reading shows as the emptiest were filled several times. Entries now derive the same spread, subtract the expected sends of the others, reserve twice what more urgent priorities ask until a report can respond, and raise the admitted fraction by at most 0.2 per interval. Callers' retries get no slot while their priority is short of capacity.

--- a/crates/porthoist-policy/src/proxy/balancer.rs
+++ b/crates/porthoist-policy/src/proxy/balancer.rs
@@ -241,6 +241,7 @@
         outcome: SendOutcome,
         now: UnixMillis,
     ) -> bool {
+        self.record_shared_end(life, now);
         let Some(load) = self.loads.get_mut(life) else { return false };
         load.ended(work, outcome, now)
     }
--- a/crates/porthoist-policy/src/proxy/balancer/shared_capacity.rs
+++ b/crates/porthoist-policy/src/proxy/balancer/shared_capacity.rs
@@ -1,15 +1,18 @@
 //! Selection of targets of services whose capacity is divided among entries.
 
 use super::{ChosenTarget, LoadBalancer, RequestWork, preferred_targets, take_slot};
-use crate::proxy::capacity::{RankRoom, ServiceCapacity};
+use crate::proxy::capacity::ServiceCapacity;
 use crate::proxy::demand::{PriorityLevel, ServiceDemand};
+use crate::proxy::group_capacity::{CapacityReport, RankRoom};
 use crate::proxy::group_loads::GroupLoads;
 use crate::proxy::groups::GroupIndex;
+use crate::proxy::pass_time::GroupPass;
 use crate::proxy::target_load::TargetLoad;
-use crate::proxy::targets::TargetRecord;
+use crate::proxy::targets::{TargetLife, TargetRecord};
 use porthoist_core::{ServiceName, TargetName, UnixMillis};
 use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, Ipv4Addr};
+use std::sync::Arc;
 
 impl LoadBalancer {
     /// Sets the services whose capacity is divided among entries.
@@ -45,11 +48,12 @@
         service: &ServiceName,
         own: &ServiceDemand,
         waiting: &BTreeMap<PriorityLevel, usize>,
+        slot_millis: Option<f64>,
         now: UnixMillis,
     ) {
         let groups = self.service_groups(service, now);
         let Some(capacity) = self.capacities.get_mut(service) else { return };
-        capacity.divide(own, waiting, |index| groups.is_working(index), now);
+        capacity.divide(own, waiting, |index| groups.is_working(index), slot_millis, now);
     }
 
     /// Chooses a target of a service whose capacity is divided among entries, and counts the request as
@@ -57,7 +61,6 @@
     pub fn choose_shared(
         &mut self,
         service: &ServiceName,
-        level: PriorityLevel,
         work: RequestWork,
         tried: &[TargetName],
         now: UnixMillis,
@@ -75,7 +78,7 @@
         let open = self.loads.values_mut().filter(usable);
         let mut candidates = preferred_targets(open, self.sender, tried.is_empty(), now);
         let hosts: Vec<Ipv4Addr> = candidates.iter().map(|load| host_of(&load.record)).collect();
-        let best = capacity.choose_host(&hosts, level)?;
+        let best = capacity.choose_host(&hosts)?;
         let chosen = take_slot(candidates.swap_remove(best), work, &groups, now);
         self.record_choice(&chosen, now);
         Some(chosen)
@@ -88,6 +91,18 @@
         }
     }
 
+    /// Records the end of a send if the capacity of the target's service is divided among entries.
+    pub(super) fn record_shared_end(&mut self, life: &TargetLife, now: UnixMillis) {
+        let Some((record, group)) =
+            self.loads.get(life).and_then(|load| Some((Arc::clone(&load.record), load.group?)))
+        else {
+            return;
+        };
+        if let Some(capacity) = self.capacities.get_mut(&record.service) {
+            capacity.record_end(group, host_of(&record), now);
+        }
+    }
+
     /// Applies a report to the capacities of the services with targets in the group.
     pub(super) fn apply_shared_report(&mut self, group: GroupIndex, loads: &GroupLoads, now: UnixMillis) {
         if self.capacities.is_empty() {
@@ -106,9 +121,12 @@
                 rooms.entry(load.record.service.clone()).or_default().push(room);
             }
         }
+        let reading = UnixMillis(now.0.saturating_sub(loads.age_millis));
         for (service, rooms) in rooms {
             if let Some(capacity) = self.capacities.get_mut(&service) {
-                capacity.apply_report(group, loads, rooms, now);
+                let ranks = if loads.pass == GroupPass::Broken { Vec::new() } else { rooms };
+                let report = CapacityReport { revision: loads.revision, reading, ranks };
+                capacity.apply_report(group, report, loads.demand.as_ref(), now);
             }
         }
     }
--- a/crates/porthoist-policy/src/proxy/capacity.rs
+++ b/crates/porthoist-policy/src/proxy/capacity.rs
@@ -2,29 +2,29 @@
 //!
 //! This handles more requests than the groups can serve on time, sent by many entries that see the same
 //! free slots in late reports. Each entry derives from a report, in the same way, what all entries
-//! together may send until the next one, and sends its own share of that.
+//! together may send until the next one and to which ranks, and sends its own share of that.
 
 use super::demand::{LevelDemand, PriorityLevel, ServiceDemand};
-use super::group_loads::{GroupLoads, LoadRevision, REPORT_VALIDITY_MILLIS};
+use super::group_capacity::{CapacityReport, GroupCapacity};
 use super::groups::GroupIndex;
-use super::pass_time::GroupPass;
 use super::priority_levels::{LevelAdmission, LevelGrant, LevelSupply};
+use super::rank_spread::{RankFill, spread};
 use super::send_turns::SenderPosition;
 use porthoist_core::{RequestRate, UnixMillis};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::Ipv4Addr;
 
-/// Maximum number of stored sends of this process to one group. A reading is at most
-/// [`REPORT_VALIDITY_MILLIS`] old, in which a single entry sends fewer to a group of 72 ranks.
-const MAX_SENDS: usize = 1_024;
-/// Number of stored send rates, one per report. Three groups report some 30 times a second in total.
-const MAX_RATES: usize = 64;
-/// Interval in milliseconds between two reports that is assumed before a second one has arrived.
-const INITIAL_INTERVAL_MILLIS: f64 = 100.0;
-/// Weight of a new interval in the mean interval between two reports of a group.
-const INTERVAL_WEIGHT: f64 = 0.2;
-/// Range in milliseconds of the time until a report can show the effect of a send.
-const RESPONSE_MILLIS: (f64, f64) = (100.0, 400.0);
+/// Requests that a rank may hold in addition to those that it runs. A slot that ends between two
+/// reports would stay idle until the next one; a request that waits for one is started some 150 ms
+/// later, and a more urgent one goes ahead of it.
+const REQUESTS_AHEAD: u32 = 1;
+/// Shortest interval in milliseconds between two stored send rates.
+const RATE_INTERVAL_MILLIS: u64 = 50;
+/// Number of stored send rates: 6 s, which covers one and a half times the usual slot time.
+const MAX_RATES: usize = 128;
+/// Fraction of a round by which the next send of an entry is moved on: successive multiples of the
+/// golden ratio are spread evenly.
+const ROUND_STEP: f64 = 0.618_034;
 
 /// What operators configure for a service whose capacity is divided among entries.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -34,56 +34,12 @@
     pub pause_millis: Option<u64>,
 }
 
-/// A rank that can take requests, as of a report.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RankRoom {
-    /// Host of its engine.
-    pub host: Ipv4Addr,
-    /// Number of requests that it runs concurrently.
-    pub limit: u32,
-    /// Requests of all processes.
-    pub requests: u32,
-}
-
-/// Free slots of one group as of its last report.
+/// What all entries are expected to send from a moment on, in requests per second.
 #[derive(Debug, Clone)]
-struct GroupCapacity {
-    revision: LoadRevision,
-    /// When the oldest engine reading of the report was made.
-    reading: UnixMillis,
-    arrived: UnixMillis,
-    age_millis: u64,
-    /// Mean time between two reports.
-    interval_millis: f64,
-    ranks: Vec<RankRoom>,
-    /// This process's sends, oldest first.
-    sends: VecDeque<(UnixMillis, Ipv4Addr)>,
-}
-
-impl GroupCapacity {
-    fn is_fresh(&self, now: UnixMillis) -> bool {
-        now.since(self.reading) < REPORT_VALIDITY_MILLIS
-    }
-
-    /// Time in milliseconds until a report can show the effect of a send.
-    fn response_millis(&self) -> f64 {
-        (self.age_millis as f64 + self.interval_millis).clamp(RESPONSE_MILLIS.0, RESPONSE_MILLIS.1)
-    }
-
-    fn slots(&self) -> u32 {
-        self.ranks.iter().map(|rank| rank.limit).sum()
-    }
-
-    /// Free slots if each rank may hold `ahead` requests more than it runs.
-    fn free(&self, ahead: u32) -> u32 {
-        self.ranks.iter().map(|rank| (rank.limit + ahead).saturating_sub(rank.requests)).sum()
-    }
-
-    /// This process's sends to a host since the reading.
-    fn own_sends(&self, host: Ipv4Addr) -> u32 {
-        let recent = self.sends.iter().rev().take_while(|(sent, _host)| *sent > self.reading);
-        recent.filter(|(_sent, to)| *to == host).count() as u32
-    }
+struct ExpectedSends {
+    since: UnixMillis,
+    total: f64,
+    by_host: HashMap<Ipv4Addr, f64>,
 }
 
 /// Capacity of one service and this process's part of it.
@@ -94,9 +50,10 @@
     demand: Option<ServiceDemand>,
     admission: LevelAdmission,
     sender: SenderPosition,
-    /// Requests per second that all entries are expected to send, from each moment on.
-    rates: VecDeque<(UnixMillis, RequestRate)>,
-    /// Sends of this process since the last report.
+    expected: VecDeque<ExpectedSends>,
+    /// Fractions of the sends that each host gets, in an order that changes with each report.
+    spread: Vec<(Ipv4Addr, f64)>,
+    /// Sends of this process.
     sends: u64,
 }
 
@@ -108,7 +65,8 @@
             demand: None,
             admission: LevelAdmission::new(sender.phase()),
             sender,
-            rates: VecDeque::new(),
+            expected: VecDeque::new(),
+            spread: Vec::new(),
             sends: 0,
         }
     }
@@ -123,33 +81,23 @@
         self.groups.iter().any(|(index, group)| group.is_fresh(now) && is_open(*index))
     }
 
-    /// Applies a report of a group; `ranks` are those that can take requests.
+    /// Applies a report of a group.
     pub fn apply_report(
         &mut self,
         index: GroupIndex,
-        loads: &GroupLoads,
-        ranks: Vec<RankRoom>,
+        report: CapacityReport,
+        demand: Option<&ServiceDemand>,
         now: UnixMillis,
     ) {
-        let reading = UnixMillis(now.0.saturating_sub(loads.age_millis));
-        let known = self.groups.remove(&index);
-        let interval_millis = known.as_ref().map_or(INITIAL_INTERVAL_MILLIS, |group| {
-            let interval = (now.since(group.arrived) as f64).min(RESPONSE_MILLIS.1);
-            group.interval_millis + INTERVAL_WEIGHT * (interval - group.interval_millis)
-        });
-        let mut sends = known.map(|group| group.sends).unwrap_or_default();
-        while sends.front().is_some_and(|(sent, _host)| *sent <= reading) {
-            sends.pop_front();
+        match self.groups.get_mut(&index) {
+            Some(group) => group.apply(report, now),
+            None => {
+                self.groups.insert(index, GroupCapacity::new(report, now));
+            }
         }
-        let ranks = if loads.pass == GroupPass::Broken { Vec::new() } else { ranks };
-        let (revision, age_millis) = (loads.revision, loads.age_millis);
-        let group =
-            GroupCapacity { revision, reading, arrived: now, age_millis, interval_millis, ranks, sends };
-        self.groups.insert(index, group);
-        if loads.demand.is_some() {
-            self.demand.clone_from(&loads.demand);
+        if let Some(demand) = demand {
+            self.demand = Some(demand.clone());
         }
-        self.sends = 0;
     }
 
     /// Divides what is free in the open groups among the priorities. `own` is this process's demand and
@@ -159,43 +107,94 @@
         own: &ServiceDemand,
         waiting: &BTreeMap<PriorityLevel, usize>,
         is_open: impl Fn(GroupIndex) -> bool,
+        slot_millis: Option<f64>,
         now: UnixMillis,
     ) {
-        let open: Vec<&GroupCapacity> = self
-            .groups
-            .iter()
-            .filter(|(index, group)| group.is_fresh(now) && is_open(**index))
-            .map(|(_index, group)| group)
-            .collect();
-        let slots: f64 = open.iter().map(|group| f64::from(group.slots())).sum();
+        let open = self.groups.iter().filter(|(index, group)| group.is_fresh(now) && is_open(**index));
+        let open: Vec<&GroupCapacity> = open.map(|(_index, group)| group).collect();
+        let slots: f64 = open.iter().map(|group| group.slots()).sum();
         if slots == 0.0 {
             self.admission.close();
+            self.spread.clear();
             return;
         }
         let mean = |value: fn(&GroupCapacity) -> f64| {
-            open.iter().map(|group| value(group) * f64::from(group.slots())).sum::<f64>() / slots
+            open.iter().map(|group| value(group) * group.slots()).sum::<f64>() / slots
         };
-        let sent: f64 = open
+        let end_rate = slot_millis.map_or(0.0, |millis| self.end_rate(&open, millis, now));
+        let others = 1.0 - 1.0 / self.sender.count().max(1.0);
+        let change: f64 = open
             .iter()
-            .map(|group| self.expected_sends(group.reading, now) * f64::from(group.slots()) / slots)
+            .map(|group| {
+                let reading = group.report.reading;
+                let sent = self.expected_sends(reading, now) * group.slots() / slots;
+                let ended = end_rate * group.running() * now.since(reading) as f64;
+                f64::from(group.own_change(None)) + others * (sent - ended)
+            })
             .sum();
-        let free = |ahead: u32| open.iter().map(|group| f64::from(group.free(ahead))).sum::<f64>() - sent;
+        let free = |ahead: u32| open.iter().map(|group| group.free(ahead)).sum::<f64>() - change;
         let demand = self.all_demand(own);
         let supply = LevelSupply {
             free: free(0),
-            free_ahead: free(1),
+            free_ahead: free(REQUESTS_AHEAD),
             response_millis: mean(GroupCapacity::response_millis),
-            interval_millis: mean(|group| group.interval_millis),
+            interval_millis: mean(GroupCapacity::interval_millis),
             demand: &demand,
             own,
             waiting,
         };
         self.admission.divide(&supply, now);
-        let rate = self.admission.expected_rate(&demand);
-        if self.rates.len() == MAX_RATES {
-            self.rates.pop_front();
+        let fills = self.rank_fills(&open, end_rate, others, now);
+        self.spread_sends(&fills, &demand, now);
+    }
+
+    /// Hosts of ranks with their limits and probable requests.
+    fn rank_fills(
+        &self,
+        groups: &[&GroupCapacity],
+        end_rate: f64,
+        others: f64,
+        now: UnixMillis,
+    ) -> Vec<(u64, Ipv4Addr, RankFill)> {
+        let mut fills = Vec::new();
+        for group in groups {
+            let report = &group.report;
+            for rank in &report.ranks {
+                let sent = self.expected_sends_to(rank.host, report.reading, now);
+                let running = f64::from(rank.requests.min(rank.limit));
+                let ended = end_rate * running * now.since(report.reading) as f64;
+                let own = f64::from(group.own_change(Some(rank.host)));
+                let held = f64::from(rank.requests) + own + others * (sent - ended);
+                let order = xxhash_rust::xxh3::xxh3_64_with_seed(&rank.host.octets(), report.revision.0);
+                let limit = f64::from(rank.limit + REQUESTS_AHEAD);
+                let fill = RankFill { held: held.max(0.0), limit };
+                fills.push((order, rank.host, fill));
+            }
+        }
+        fills.sort_by_key(|(order, _host, _fill)| *order);
+        fills
+    }
+
+    /// Spreads the sends over the ranks, and notes what all entries will send.
+    fn spread_sends(&mut self, fills: &[(u64, Ipv4Addr, RankFill)], demand: &ServiceDemand, now: UnixMillis) {
+        let mut expected = ExpectedSends { since: now, total: 0.0, by_host: HashMap::new() };
+        let used = self.admission.sends_per_response().max(fills.len() as f64);
+        let ranks: Vec<RankFill> = fills.iter().map(|(_order, _host, fill)| *fill).collect();
+        let fractions = spread(&ranks, used);
+        expected.total = self.admission.expected_rate(demand);
+        for ((_order, host, _fill), fraction) in fills.iter().zip(&fractions) {
+            expected.by_host.insert(*host, expected.total * fraction);
+        }
+        self.spread = fills.iter().map(|(_order, host, _fill)| *host).zip(fractions).collect();
+        match self.expected.back_mut() {
+            Some(last) if now.since(last.since) < RATE_INTERVAL_MILLIS => {
+                *last = ExpectedSends { since: last.since, ..expected };
+            }
+            _ => self.expected.push_back(expected),
+        }
+        if self.expected.len() > MAX_RATES {
+            self.expected.pop_front();
         }
-        self.rates.push_back((now, rate));
     }
 
     /// The demand of all entries: as reported, or else as if all had this process's demand.
@@ -210,19 +209,34 @@
         ServiceDemand { levels: own.levels.iter().map(scaled).collect(), entries: entries as u32 }
     }
 
-    /// Number of requests that all entries have probably sent to the open groups since `from`.
+    /// Fraction of the running requests that end in one millisecond. As many end as were sent one slot
+    /// time before; while the load rises, that is less than those that run would suggest.
+    fn end_rate(&self, groups: &[&GroupCapacity], slot_millis: f64, now: UnixMillis) -> f64 {
+        let before = |factor: f64| UnixMillis(now.0.saturating_sub((factor * slot_millis) as u64));
+        let sent = self.expected_sends(before(1.5), now) - self.expected_sends(before(0.5), now);
+        let running: f64 = groups.iter().map(|group| group.running()).sum();
+        if running > 0.0 { (sent / running).clamp(0.0, 1.0) / slot_millis } else { 0.0 }
+    }
+
+    /// Number of requests that all entries have probably sent since `from`.
     fn expected_sends(&self, from: UnixMillis, now: UnixMillis) -> f64 {
-        let mut until = now;
-        let mut sends = 0.0;
-        for (since, rate) in self.rates.iter().rev() {
-            let begin = (*since).max(from);
-            sends += rate.0 * until.since(begin) as f64 / 1_000.0;
-            until = until.min(*since);
-            if *since <= from {
+        self.sum_expected(|sends| sends.total, from, now)
+    }
+
+    fn expected_sends_to(&self, host: Ipv4Addr, from: UnixMillis, now: UnixMillis) -> f64 {
+        self.sum_expected(|sends| sends.by_host.get(&host).copied().unwrap_or_default(), from, now)
+    }
+
+    fn sum_expected(&self, rate: impl Fn(&ExpectedSends) -> f64, from: UnixMillis, now: UnixMillis) -> f64 {
+        let (mut until, mut sum) = (now, 0.0);
+        for sends in self.expected.iter().rev() {
+            sum += rate(sends) * until.since(sends.since.max(from)) as f64 / 1_000.0;
+            until = until.min(sends.since);
+            if sends.since <= from {
                 break;
             }
         }
-        sends
+        sum
     }
 
     /// Whether this process may send one more request of a priority now; uses its grant if so.
@@ -250,41 +264,41 @@
         self.admission.grant(level)
     }
 
-    /// Chooses one of `hosts` for a request of a priority. The free slots are ordered by how full their
-    /// rank would be. The next sends of all entries are spread over the first of them, each entry
-    /// beginning at its own position.
-    pub fn choose_host(&self, hosts: &[Ipv4Addr], level: PriorityLevel) -> Option<usize> {
-        let ahead = self.admission.ahead(level);
-        let mut rooms: HashMap<Ipv4Addr, (&RankRoom, &GroupCapacity)> = HashMap::new();
-        for group in self.groups.values() {
-            rooms.extend(group.ranks.iter().map(|rank| (rank.host, (rank, group))));
-        }
-        let mut slots: Vec<(u32, u64, usize)> = Vec::new();
-        for (index, host) in hosts.iter().enumerate() {
-            let Some((rank, group)) = rooms.get(host) else { continue };
-            let tie = xxhash_rust::xxh3::xxh3_64_with_seed(&host.octets(), group.revision.0);
-            let held = rank.requests + group.own_sends(*host);
-            slots.extend((held..rank.limit + ahead).map(|held| (held * 1_000 / rank.limit, tie, index)));
-        }
-        slots.sort_unstable();
-        let used = (self.admission.sends_per_response().ceil() as usize).clamp(1, slots.len().max(1));
-        let position = (self.sender.phase() + self.sends as f64 * 0.618_034).fract();
-        slots.get((position * used as f64) as usize).map(|(_fullness, _tie, index)| *index)
+    /// Chooses one of `hosts` for a request: each entry begins at its own position in the spread, and its
+    /// further sends are spread evenly.
+    pub fn choose_host(&self, hosts: &[Ipv4Addr]) -> Option<usize> {
+        let shares: Vec<(usize, f64)> = self
+            .spread
+            .iter()
+            .filter_map(|(host, share)| Some((hosts.iter().position(|other| other == host)?, *share)))
+            .collect();
+        let total: f64 = shares.iter().map(|(_index, share)| share).sum();
+        let mut left = (self.sender.phase() + self.sends as f64 * ROUND_STEP).fract() * total;
+        let chosen = shares.iter().filter(|(_index, share)| *share > 0.0).find(|(_index, share)| {
+            left -= share;
+            left < 0.0
+        });
+        chosen.map(|(index, _share)| *index)
     }
 
     /// Records a send of this process.
     pub fn record_send(&mut self, index: GroupIndex, host: Ipv4Addr, now: UnixMillis) {
         self.sends += 1;
-        let Some(group) = self.groups.get_mut(&index) else { return };
-        if group.sends.len() == MAX_SENDS {
-            group.sends.pop_front();
+        if let Some(group) = self.groups.get_mut(&index) {
+            group.record_change(host, 1, now);
+        }
+    }
+
+    /// Records the end of a request of this process.
+    pub fn record_end(&mut self, index: GroupIndex, host: Ipv4Addr, now: UnixMillis) {
+        if let Some(group) = self.groups.get_mut(&index) {
+            group.record_change(host, -1, now);
         }
-        group.sends.push_back((now, host));
     }
 
     /// Age in milliseconds of the oldest reading of a group with a valid report.
     pub fn age_millis(&self, now: UnixMillis) -> Option<u64> {
         let fresh = self.groups.values().filter(|group| group.is_fresh(now));
-        fresh.map(|group| now.since(group.reading)).max()
+        fresh.map(|group| now.since(group.report.reading)).max()
     }
 }
--- a/crates/porthoist-policy/src/proxy/demand.rs
+++ b/crates/porthoist-policy/src/proxy/demand.rs
@@ -10,9 +10,9 @@
 use std::num::ParseIntError;
 use std::str::FromStr;
 
-/// Time constant in milliseconds of a measured rate. Grants are renewed some ten times a second, and an
-/// entry that gets a request every 400 ms must not lose its share between two of them.
-const RATE_MILLIS: f64 = 1_000.0;
+/// Time constant in milliseconds of a measured rate. With 1,000 ms, a rise of the demand fills the ranks
+/// before it is known; the sum over all entries varies little even with 300 ms.
+const RATE_MILLIS: f64 = 300.0;
 
 /// Priority of a request; 0 is the most urgent.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/porthoist-policy/src/proxy/forecast.rs
+++ b/crates/porthoist-policy/src/proxy/forecast.rs
@@ -203,6 +203,11 @@
         Some(StreamStats { first_millis, first_deviation: self.first_deviation, answer_events })
     }
 
+    /// Mean milliseconds for which an answered request occupies a slot, or `None` before one has ended.
+    pub fn slot_millis(&self) -> Option<f64> {
+        self.slot_millis
+    }
+
     /// Records that the service works.
     pub fn event_received(&mut self, now: UnixMillis) {
         self.last_event = Some(now);
--- a/crates/porthoist-policy/src/proxy/priority_levels.rs
+++ b/crates/porthoist-policy/src/proxy/priority_levels.rs
@@ -6,12 +6,19 @@
 //! entries that get a request less often than a report.
 
 use super::demand::{PriorityLevel, ServiceDemand};
-use porthoist_core::{RequestRate, UnixMillis};
+use porthoist_core::UnixMillis;
 use std::collections::BTreeMap;
 
 /// Fraction of the free slots that the least urgent priority gets in any case, so that it does not
 /// starve.
 const LEAST_URGENT_FRACTION: f64 = 0.02;
+/// Reserve for a more urgent priority, relative to what is asked of it until a report can respond. Twice
+/// that covers the ranks that are full while others have free slots, and a rise of the demand that is
+/// not known yet.
+const RESERVE_FACTOR: f64 = 2.0;
+/// Maximum increase of a fraction in one report interval. The effect of an increase is seen two to three
+/// reports later; without the limit, the fraction oscillates and overfills the ranks when demand ends.
+const MAX_FRACTION_RISE: f64 = 0.2;
 /// Weight of a new fraction in the usual one, which must not follow single reports.
 const FRACTION_WEIGHT: f64 = 0.1;
 /// Lower bound of a fraction, so that the expected wait stays finite.
@@ -47,7 +54,7 @@
     pub share: f64,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 struct LevelState {
     grant: LevelGrant,
     /// Fraction of a request that was admitted but not sent.
@@ -60,6 +67,13 @@
     waiting: usize,
 }
 
+impl LevelState {
+    fn new(credit: f64) -> Self {
+        let grant = LevelGrant { fraction: 1.0, ..LevelGrant::default() };
+        Self { grant, credit, waiting_credit: 0.0, usual_fraction: 1.0, waiting: 0 }
+    }
+}
+
 /// Admission to one service.
 #[derive(Debug, Clone, Default)]
 pub struct LevelAdmission {
@@ -88,11 +102,7 @@
     pub fn divide(&mut self, supply: &LevelSupply<'_>, now: UnixMillis) {
         let (demand, phase) = (supply.demand, self.phase);
         for level in demand.levels.keys().chain(supply.own.levels.keys()) {
-            self.levels.entry(*level).or_insert_with(|| LevelState {
-                credit: phase,
-                usual_fraction: 1.0,
-                ..Default::default()
-            });
+            self.levels.entry(*level).or_insert_with(|| LevelState::new(phase));
         }
         let least_urgent = self.levels.keys().next_back().copied();
         let passed = (now.since(self.divided) as f64 / supply.interval_millis).min(1.0);
@@ -106,17 +116,19 @@
             let share = if asked > 0.0 { (own / asked).min(1.0) } else { 0.0 };
             let minimum =
                 if Some(*level) == least_urgent { LEAST_URGENT_FRACTION * supply.free } else { 0.0 };
-            let available = (supply.free_ahead - reserved).max(minimum).max(0.0);
+            let free = if Some(*level) == least_urgent { supply.free } else { supply.free_ahead };
+            let available = (free - reserved).max(minimum).max(0.0);
             let waiting = supply.waiting.get(level).copied().unwrap_or_default();
             let backlog = if share > 0.0 { waiting as f64 / share } else { 0.0 };
             let wanted = asked * supply.interval_millis / 1_000.0 + backlog;
             let fraction = if wanted > available { available / wanted } else { 1.0 };
+            let fraction = fraction.min(state.grant.fraction + passed * MAX_FRACTION_RISE);
             state.grant = LevelGrant { available, fraction, share };
             state.usual_fraction += FRACTION_WEIGHT * (fraction - state.usual_fraction);
             state.waiting = waiting;
             state.waiting_credit =
                 (state.waiting_credit.fract() + fraction * passed * waiting as f64).min(waiting as f64 + 1.0);
-            reserved += asked * supply.response_millis / 1_000.0;
+            reserved += RESERVE_FACTOR * asked * supply.response_millis / 1_000.0;
             self.sends_per_response += fraction * asked * supply.response_millis / 1_000.0;
         }
     }
@@ -127,15 +139,8 @@
     }
 
     /// Requests per second that all entries are expected to send.
-    pub fn expected_rate(&self, demand: &ServiceDemand) -> RequestRate {
-        let rate =
-            |(level, state): (&PriorityLevel, &LevelState)| state.grant.fraction * demand.asked(*level).0;
-        RequestRate(self.levels.iter().map(rate).sum())
-    }
-
-    /// Number of requests of a priority that a rank may hold in addition to those that it runs.
-    pub fn ahead(&self, _level: PriorityLevel) -> u32 {
-        1
+    pub fn expected_rate(&self, demand: &ServiceDemand) -> f64 {
+        self.levels.iter().map(|(level, state)| state.grant.fraction * demand.asked(*level).0).sum()
     }
 
     /// Whether a request may be sent now; uses the grant if so.
--- a/crates/porthoist-policy/src/proxy/scheduler/shared_capacity.rs
+++ b/crates/porthoist-policy/src/proxy/scheduler/shared_capacity.rs
@@ -3,7 +3,7 @@
 use super::{MAX_WAITING, RequestScheduler, SlotDecision, SlotError, SlotRequest};
 use crate::proxy::balancer::ChosenTarget;
 use crate::proxy::demand::PriorityLevel;
-use crate::proxy::forecast::{WaitDecision, WaitQuery};
+use crate::proxy::forecast::{ServiceForecast, WaitDecision, WaitQuery};
 use crate::proxy::wait_queue::{QueueClass, QueueKey, WaitQueue};
 use porthoist_core::{ServiceName, UnixMillis};
 
@@ -38,6 +38,10 @@
     fn choose_granted(&mut self, request: &SlotRequest, now: UnixMillis) -> Option<ChosenTarget> {
         let level = PriorityLevel(request.priority);
         let capacity = self.balancer.shared_capacity(&request.service, now)?;
+        // A caller's retry is late in any case and would take the place of a request that is not.
+        if request.class == QueueClass::CallerRetry && capacity.grant(level).fraction < 1.0 {
+            return None;
+        }
         // A request that a target already had is not thinned out again.
         if request.class != QueueClass::Resent && !capacity.try_admit(level) {
             return None;
@@ -62,9 +66,8 @@
     }
 
     fn choose_shared(&mut self, request: &SlotRequest, now: UnixMillis) -> Option<ChosenTarget> {
-        let SlotRequest { service, priority, work, tried, .. } = request;
-        let level = PriorityLevel(*priority);
-        let chosen = self.balancer.choose_shared(service, level, *work, tried, now)?;
+        let SlotRequest { service, work, tried, .. } = request;
+        let chosen = self.balancer.choose_shared(service, *work, tried, now)?;
         self.record_start(request, now);
         Some(chosen)
     }
@@ -86,7 +89,8 @@
             let Some(meter) = self.meters.get(&service) else { continue };
             let own = meter.demand(now);
             let waiting = self.waiting.get(&service).map(WaitQueue::levels).unwrap_or_default();
-            self.balancer.divide_capacity(&service, &own, &waiting, now);
+            let slot_millis = self.forecasts.get(&service).and_then(ServiceForecast::slot_millis);
+            self.balancer.divide_capacity(&service, &own, &waiting, slot_millis, now);
         }
     }
 
