--- a/crates/porthoist-policy/src/proxy/balancer/shared_capacity.rs
+++ b/crates/porthoist-policy/src/proxy/balancer/shared_capacity.rs
@@ -32,6 +32,17 @@
         capacity.is_known(|index| groups.is_working(index), now)
     }
 
+    /// Whether a request of a service whose capacity is divided among entries must not be sent because no
+    /// valid report shows what is free. Where no working group ever reported, it may be sent.
+    pub fn withhold_blind(&mut self, service: &ServiceName, level: PriorityLevel, now: UnixMillis) -> bool {
+        if !self.capacities.contains_key(service) {
+            return false;
+        }
+        let groups = self.service_groups(service, now);
+        let Some(capacity) = self.capacities.get_mut(service) else { return false };
+        capacity.is_outdated(|index| groups.is_working(index), now) && !capacity.try_admit_blindly(level)
+    }
+
     /// The capacity of a service, if it is divided among entries and known.
     pub fn shared_capacity(
         &mut self,
--- a/crates/porthoist-policy/src/proxy/capacity.rs
+++ b/crates/porthoist-policy/src/proxy/capacity.rs
@@ -254,6 +254,17 @@
         self.admission.try_admit(level)
     }
 
+    /// Whether this process may send a request of a priority while no report shows what is free.
+    pub fn try_admit_blindly(&mut self, level: PriorityLevel) -> bool {
+        self.admission.try_admit_blindly(level)
+    }
+
+    /// Whether reports have been received that are no longer valid.
+    pub fn is_outdated(&self, is_open: impl Fn(GroupIndex) -> bool, now: UnixMillis) -> bool {
+        let mut open = self.groups.iter().filter(|(index, _group)| is_open(**index)).peekable();
+        open.peek().is_some() && open.all(|(_index, group)| !group.is_fresh(now))
+    }
+
     /// Whether a waiting request of a priority may be sent now; uses its grant if so.
     pub fn try_admit_waiting(&mut self, level: PriorityLevel) -> bool {
         self.admission.try_admit_waiting(level)
--- a/crates/porthoist-policy/src/proxy/priority_levels.rs
+++ b/crates/porthoist-policy/src/proxy/priority_levels.rs
@@ -21,6 +21,8 @@
 const MAX_FRACTION_RISE: f64 = 0.1;
 /// Weight of a new fraction in the usual one, which must not follow single reports.
 const FRACTION_WEIGHT: f64 = 0.1;
+/// Fraction of the usual sends that is sent while no report shows what is free.
+const BLIND_FRACTION: f64 = 0.25;
 /// Lower bound of a fraction, so that the expected wait stays finite.
 const MIN_FRACTION: f64 = 0.001;
 
@@ -157,6 +159,15 @@
         admitted
     }
 
+    /// Whether a request may be sent while no report shows what is free.
+    pub fn try_admit_blindly(&mut self, level: PriorityLevel) -> bool {
+        let Some(state) = self.levels.get_mut(&level) else { return true };
+        state.credit += BLIND_FRACTION * state.usual_fraction;
+        let admitted = state.credit >= 1.0;
+        state.credit -= f64::from(u8::from(admitted));
+        admitted
+    }
+
     /// Whether a request that waits may be sent now; uses the grant if so.
     pub fn try_admit_waiting(&mut self, level: PriorityLevel) -> bool {
         let Some(state) = self.levels.get_mut(&level) else { return true };
--- a/crates/porthoist-policy/src/proxy/scheduler/shared_capacity.rs
+++ b/crates/porthoist-policy/src/proxy/scheduler/shared_capacity.rs
@@ -11,7 +11,9 @@
     /// Decides by the division of the service's capacity, or `None` if nothing is known to divide.
     pub(super) fn decide_shared(&mut self, request: &SlotRequest, now: UnixMillis) -> Option<SlotDecision> {
         if !self.has_shared_capacity(request, now) {
-            return None;
+            let level = PriorityLevel(request.priority);
+            let withheld = request.ranked && self.balancer.withhold_blind(&request.service, level, now);
+            return withheld.then_some(SlotDecision::Refuse(SlotError::Priority));
         }
         let SlotRequest { service, priority, class, .. } = request;
         let ahead = self.waiting.get(service).map_or(0, |queue| queue.ahead(*priority, *class));
--- a/crates/porthoist-policy/tests/policy/contention_simulation.rs
+++ b/crates/porthoist-policy/tests/policy/contention_simulation.rs
@@ -1,7 +1,7 @@
 //! Simulation in virtual time of entries that compete for the slots of three groups. Each entry runs the
 //! production scheduler.
 
-use porthoist_core::{RequestRate, ServiceName, StartMillis, UnixDeadline, UnixMillis, ZoneName};
+use porthoist_core::{ServiceName, StartMillis, UnixDeadline, UnixMillis, ZoneName};
 use porthoist_policy::proxy::balancer::{BalancerSettings, ChosenTarget, RequestWork, SendOutcome};
 use porthoist_policy::proxy::capacity::CapacityRule;
 use porthoist_policy::proxy::cold_start::ColdStatus;
@@ -59,13 +59,13 @@
     Omniscient,
 }
 
-/// What happens from 5 to 8 s, during the burst.
+/// What happens during the burst, at 5 s.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
     None,
     /// A third of the entries is killed and does not return.
     Killed,
-    /// The entries of one zone get no reports.
+    /// One zone is cut off from the others.
     CutOff,
 }
 
@@ -80,7 +80,7 @@
 }
 
 /// Results.
-#[derive(Debug, Clone)]
+#[derive(Debug, Default, Clone)]
 pub struct ContentionReport {
     /// By priority and second: requests, and those on time.
     pub seconds: [Vec<(u32, u32)>; 3],
@@ -90,10 +90,6 @@
     pub rejections: u32,
     /// Slots that were occupied, summed over all passes, and their number.
     pub occupied: (u64, u64),
-    pub refused: [u32; 3],
-    pub late: [[u32; 3]; 3],
-    pub held: [u32; 40],
-    pub held2: [u32; 40],
 }
 
 impl ContentionReport {
@@ -156,7 +152,10 @@
     /// Requests that the omniscient scheduler holds.
     central: BTreeMap<(usize, usize), usize>,
     requests: Vec<Request>,
-    demands: VecDeque<(u64, ServiceDemand)>,
+    /// Last demand of each entry.
+    own_demands: Vec<ServiceDemand>,
+    /// Demand of all entries as each group has summed it.
+    demands: [VecDeque<(u64, ServiceDemand)>; GROUPS],
     reports: HashMap<(usize, u64), (u64, GroupLoads)>,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     sequence: u64,
@@ -210,22 +209,13 @@
             passes: [0; GROUPS],
             central: BTreeMap::new(),
             requests: Vec::new(),
-            demands: VecDeque::new(),
+            own_demands: vec![ServiceDemand::default(); settings.entries],
+            demands: Default::default(),
             reports: HashMap::new(),
             events: BinaryHeap::new(),
             sequence: 0,
             random: Pcg64Mcg::seed_from_u64(settings.seed),
-            report: ContentionReport {
-                seconds: Default::default(),
-                value: 0.0,
-                sends: 0,
-                rejections: 0,
-                occupied: (0, 0),
-                refused: [0; 3],
-                late: [[0; 3]; 3],
-                held: [0; 40],
-                held2: [0; 40],
-            },
+            report: ContentionReport::default(),
             settings,
         };
         simulation.report.seconds = std::array::from_fn(|_| vec![(0, 0); END_MILLIS as usize / 1_000]);
@@ -354,9 +344,6 @@
 
     fn refuse(&mut self, index: usize, at: u64) {
         let Request { at: arrival, entry, attempt, .. } = self.requests[index];
-        if attempt == 1 {
-            self.report.refused[self.requests[index].priority] += 1;
-        }
         let deadline = UnixDeadline::after(clock(arrival), DEADLINE_MILLIS);
         let point = self.random.random();
         let after = self.entries[entry].retry_after_millis(&self.service, deadline, point, clock(at));
@@ -393,6 +380,11 @@
         let rank = self.records.iter().position(|record| record.id == chosen.record.id).unwrap();
         self.report.sends += 1;
         self.requests[index].stage = Stage::Sent { rank, at };
+        if self.is_cut(self.requests[index].entry, rank / RANKS, at) {
+            self.end(index, SendOutcome::Lost, at);
+            self.requests[index].stage = Stage::Over;
+            return;
+        }
         let target = &mut self.ranks[rank];
         if target.running.len() >= SLOTS && target.waiting.len() >= RANK_QUEUE {
             self.report.rejections += 1;
@@ -405,15 +397,6 @@
             }
             return;
         }
-        if (4_000..10_000).contains(&at) {
-            let held = target.running.len() + target.waiting.len();
-            let c = if self.requests[index].priority == 0 {
-                &mut self.report.held
-            } else {
-                &mut self.report.held2
-            };
-            c[held] += 1;
-        }
         target.waiting.insert((self.requests[index].priority, self.sequence), index);
         self.sequence += 1;
         self.fill(rank, at);
@@ -483,23 +466,15 @@
         let request = &mut self.requests[index];
         let Stage::Sent { rank, at: sent } = request.stage else { return };
         request.received += 1;
+        let cut = self.is_cut(self.requests[index].entry, rank / RANKS, at);
+        let request = &self.requests[index];
         let Request { at: arrival, priority, events, received, entry, .. } = *request;
         let second = arrival as usize / 1_000;
-        if received == 1 && at - arrival > ROUTES[priority].latency {
-            let why = if request.attempt > 1 {
-                0
-            } else if sent > arrival + 20 {
-                1
-            } else {
-                2
-            };
-            self.report.late[priority][why] += 1;
-        }
-        if received == 1 && at - arrival <= ROUTES[priority].latency {
+        if received == 1 && !cut && at - arrival <= ROUTES[priority].latency {
             self.report.seconds[priority][second].1 += 1;
             self.report.value += ROUTES[priority].value;
         }
-        if entry >= self.alive && self.settings.policy != Policy::Omniscient {
+        if entry >= self.alive && !cut && self.settings.policy != Policy::Omniscient {
             match received {
                 1 => {
                     let millis = (at - sent) as f64;
@@ -538,15 +513,23 @@
             return;
         }
         let mut sum = ServiceDemand::default();
-        for entry in &self.entries[self.alive..] {
-            if let Some(demand) = entry.own_demand(clock(at)).get(&self.service) {
-                sum.add(demand);
+        for index in 0..self.entries.len() {
+            // The demand of an entry that is not heard counts for another second.
+            let unheard = index < self.alive || self.is_cut(index, group, at);
+            if !unheard {
+                let own = self.entries[index].own_demand(clock(at)).remove(&self.service);
+                self.own_demands[index] = own.unwrap_or_default();
+            }
+            if !unheard || at < 5_000 + DEMAND_EXPIRY_MILLIS {
+                sum.add(&self.own_demands[index]);
             }
         }
-        self.demands.push_back((at, sum));
-        while self.demands.get(1).is_some_and(|(time, _sum)| time + DEMAND_DELAY_MILLIS <= at) {
-            self.demands.pop_front();
+        let demands = &mut self.demands[group];
+        demands.push_back((at, sum));
+        while demands.get(1).is_some_and(|(time, _sum)| time + DEMAND_DELAY_MILLIS <= at) {
+            demands.pop_front();
         }
+        let demand = demands[0].1.clone();
         let rank = |rank: usize| RankLoad {
             host: host(rank),
             requests: (self.ranks[rank].running.len() + self.ranks[rank].waiting.len()) as u32,
@@ -556,7 +539,7 @@
         let loads = GroupLoads {
             revision: LoadRevision(self.sequence),
             age_millis: 0,
-            demand: (self.settings.policy == Policy::Shared).then(|| self.demands[0].1.clone()),
+            demand: (self.settings.policy == Policy::Shared).then_some(demand),
             pass: GroupPass::Millis(self.passes[group] as u16),
             ranks: (group * RANKS..(group + 1) * RANKS).map(rank).collect(),
         };
@@ -568,9 +551,8 @@
     fn deliver(&mut self, group: usize, revision: u64, at: u64) {
         let Some((reading, mut loads)) = self.reports.remove(&(group, revision)) else { return };
         loads.age_millis = at - reading;
-        let cut = self.settings.fault == Fault::CutOff && (5_000..8_000).contains(&at);
         for entry in self.alive..self.entries.len() {
-            if cut && entry % GROUPS == 0 {
+            if self.is_cut(entry, group, at) {
                 continue;
             }
             self.entries[entry].update_loads(&loads, clock(at));
@@ -578,6 +560,12 @@
         }
     }
 
+    /// Whether an entry can't reach a group now. Zone 0 is cut off from the others for 3 s.
+    fn is_cut(&self, entry: usize, group: usize, at: u64) -> bool {
+        let cut = self.settings.fault == Fault::CutOff && (5_000..8_000).contains(&at);
+        cut && (entry % GROUPS == 0) != (group == 0)
+    }
+
     /// Ends a third of the entries; their streams end and their callers retry elsewhere.
     fn kill(&mut self, at: u64) {
         self.alive = self.entries.len().div_ceil(3).min(self.entries.len() - 1);
@@ -595,6 +583,5 @@
                 }
             }
         }
-        let _expiry = (DEMAND_EXPIRY_MILLIS, RequestRate(0.0));
     }
 }
