Show how capacity is divided, and compute its rules once per configuration

Adds the gauges porthoist_capacity_slots, _free and _share, and the level, the grant and the age of the reading in the log lines placed and refused.

--- a/crates/porthoist-metrics/src/lib.rs
+++ b/crates/porthoist-metrics/src/lib.rs
@@ -51,6 +51,9 @@
     crash_events: Counter<u64>,
     backpressure_changes: Counter<u64>,
     cold_targets: Gauge<u64>,
+    capacity_slots: Gauge<f64>,
+    capacity_free: Gauge<f64>,
+    capacity_share: Gauge<f64>,
     zones_emptied: Gauge<u64>,
     suspected_requests: Gauge<u64>,
     table_calls: Counter<u64>,
@@ -92,6 +95,9 @@
             crash_events: meter.u64_counter("porthoist_crash_events").build(),
             backpressure_changes: meter.u64_counter("porthoist_target_need_changes").build(),
             cold_targets: meter.u64_gauge("porthoist_cold_targets").build(),
+            capacity_slots: meter.f64_gauge("porthoist_capacity_slots").build(),
+            capacity_free: meter.f64_gauge("porthoist_capacity_free").build(),
+            capacity_share: meter.f64_gauge("porthoist_capacity_share").build(),
             zones_emptied: meter.u64_gauge("porthoist_zone_emptied_since_milliseconds").build(),
             suspected_requests: meter.u64_gauge("porthoist_suspected_requests").build(),
             table_calls: meter.u64_counter("porthoist_table_calls").build(),
@@ -133,6 +139,15 @@
         self.cold_targets.record(0, &[]);
     }
 
+    /// Sets the slots of a service whose capacity is divided among entries, the free ones, and this
+    /// process's share of the demand, from 0 to 1.
+    pub fn set_capacity(&self, service: &str, slots: f64, free: f64, share: f64) {
+        let labels = [KeyValue::new("service", service.to_owned())];
+        self.capacity_slots.record(slots, &labels);
+        self.capacity_free.record(free, &labels);
+        self.capacity_share.record(share, &labels);
+    }
+
     /// Sets the number of cold targets.
     pub fn set_cold_targets(&self, targets: u64) {
         self.cold_targets.record(targets, &[]);
--- a/crates/porthoist-policy/src/proxy/balancer/shared_capacity.rs
+++ b/crates/porthoist-policy/src/proxy/balancer/shared_capacity.rs
@@ -1,7 +1,7 @@
 //! Selection of targets of services whose capacity is divided among entries.
 
 use super::{ChosenTarget, LoadBalancer, RequestWork, preferred_targets, take_slot};
-use crate::proxy::capacity::ServiceCapacity;
+use crate::proxy::capacity::{CapacityState, GrantState, ServiceCapacity};
 use crate::proxy::demand::{PriorityLevel, ServiceDemand};
 use crate::proxy::group_capacity::{CapacityReport, RankRoom};
 use crate::proxy::group_loads::GroupLoads;
@@ -143,6 +143,23 @@
         }
     }
 
+    /// Capacity of the services that is divided among entries, as far as reports show it.
+    pub fn capacity_states(&self, now: UnixMillis) -> Vec<(ServiceName, CapacityState)> {
+        let states = self.capacities.iter();
+        states.filter_map(|(service, capacity)| Some((service.clone(), capacity.state(now)?))).collect()
+    }
+
+    /// What this process may send to a service at a priority, if its capacity is divided among entries.
+    pub fn capacity_grant(
+        &self,
+        service: &ServiceName,
+        level: PriorityLevel,
+        now: UnixMillis,
+    ) -> Option<GrantState> {
+        let capacity = self.capacities.get(service)?;
+        Some(GrantState { level, grant: capacity.grant(level), age_millis: capacity.state(now)?.age_millis })
+    }
+
     /// Services whose capacity a report of a group describes.
     pub fn shared_services(&self) -> Vec<ServiceName> {
         self.capacities.keys().cloned().collect()
--- a/crates/porthoist-policy/src/proxy/capacity.rs
+++ b/crates/porthoist-policy/src/proxy/capacity.rs
@@ -37,6 +37,30 @@
     pub pause_millis: Option<u64>,
 }
 
+/// Capacity of a service as valid reports show it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CapacityState {
+    /// Age in milliseconds of the oldest engine reading.
+    pub age_millis: u64,
+    /// Requests that the ranks run concurrently.
+    pub slots: f64,
+    /// Free slots at the readings.
+    pub free: f64,
+    /// This process's share of the demand, from 0 to 1.
+    pub share: f64,
+}
+
+/// What a process may send of one priority, and the age of what it is derived from.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct GrantState {
+    /// The priority.
+    pub level: PriorityLevel,
+    /// The grant.
+    pub grant: LevelGrant,
+    /// Age in milliseconds of the oldest engine reading.
+    pub age_millis: u64,
+}
+
 /// What all entries are expected to send from a moment on, in requests per second.
 #[derive(Debug, Clone)]
 struct ExpectedSends {
@@ -58,6 +82,8 @@
     spreads: BTreeMap<PriorityLevel, Vec<(Ipv4Addr, f64)>>,
     /// Sends of this process.
     sends: u64,
+    /// This process's share of the demand.
+    share: f64,
 }
 
 impl ServiceCapacity {
@@ -71,6 +97,7 @@
             expected: VecDeque::new(),
             spreads: BTreeMap::new(),
             sends: 0,
+            share: 0.0,
         }
     }
 
@@ -137,6 +164,8 @@
             .sum();
         let free = |ahead: u32| open.iter().map(|group| group.free(ahead)).sum::<f64>() - change;
         let demand = self.all_demand(own);
+        let (own_asked, all_asked) = (own.total_asked().0, demand.total_asked().0);
+        self.share = if all_asked > 0.0 { (own_asked / all_asked).min(1.0) } else { 0.0 };
         let supply = LevelSupply {
             free: free(0),
             free_ahead: free(REQUESTS_AHEAD),
@@ -317,9 +346,14 @@
         }
     }
 
-    /// Age in milliseconds of the oldest reading of a group with a valid report.
-    pub fn age_millis(&self, now: UnixMillis) -> Option<u64> {
-        let fresh = self.groups.values().filter(|group| group.is_fresh(now));
-        fresh.map(|group| now.since(group.report.reading)).max()
+    /// The capacity as valid reports show it, or `None` without one.
+    pub fn state(&self, now: UnixMillis) -> Option<CapacityState> {
+        let fresh = || self.groups.values().filter(|group| group.is_fresh(now));
+        Some(CapacityState {
+            age_millis: fresh().map(|group| now.since(group.report.reading)).max()?,
+            slots: fresh().map(GroupCapacity::slots).sum(),
+            free: fresh().map(|group| group.free(0)).sum(),
+            share: self.share,
+        })
     }
 }
--- a/crates/porthoist-policy/src/proxy/priority_levels.rs
+++ b/crates/porthoist-policy/src/proxy/priority_levels.rs
@@ -15,7 +15,7 @@
 /// Reserve for a more urgent priority, relative to what is asked of it until a report can respond. The
 /// excess covers the ranks that are full while others have free slots, and a rise of the demand that is
 /// not known yet.
-const RESERVE_FACTOR: f64 = 2.5;
+const RESERVE_FACTOR: f64 = 2.75;
 /// Maximum increase of a fraction in one report interval. The effect of an increase is seen two to three
 /// reports later; without the limit, the fraction oscillates and overfills the ranks when demand ends.
 const MAX_FRACTION_RISE: f64 = 0.1;
@@ -56,6 +56,13 @@
     pub share: f64,
 }
 
+impl LevelGrant {
+    /// Requests that this process may send until the next report.
+    pub fn own_requests(&self) -> f64 {
+        self.available * self.share
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct LevelState {
     grant: LevelGrant,
--- a/crates/porthoist-policy/src/proxy/scheduler.rs
+++ b/crates/porthoist-policy/src/proxy/scheduler.rs
@@ -7,7 +7,7 @@
 use super::balancer::{BalancerSettings, ChosenTarget, LoadBalancer, RequestWork, SendOutcome};
 use super::capacity::CapacityRule;
 use super::cold_start::ColdRule;
-use super::demand::{DemandMeter, PriorityLevel, ServiceDemand};
+use super::demand::{DemandMeter, PriorityLevel};
 use super::forecast::{ServiceForecast, WaitDecision, WaitQuery};
 use super::group_loads::GroupLoads;
 use super::limit_notes::TargetNote;
@@ -371,21 +371,6 @@
         self.balancer.is_still_valid(life, rate, now)
     }
 
-    /// Sets the services whose capacity is divided among entries.
-    pub fn set_capacity_rules(&mut self, rules: HashMap<ServiceName, CapacityRule>) {
-        self.meters.retain(|service, _meter| rules.contains_key(service));
-        for service in rules.keys() {
-            self.meters.entry(service.clone()).or_default();
-        }
-        self.balancer.set_shared_services(rules.keys());
-        self.capacity_rules = rules;
-    }
-
-    /// This process's demand on the services whose capacity is divided among entries.
-    pub fn own_demand(&self, now: UnixMillis) -> HashMap<ServiceName, ServiceDemand> {
-        self.meters.iter().map(|(service, meter)| (service.clone(), meter.demand(now))).collect()
-    }
-
     /// Sets the services' limits for cold targets.
     pub fn set_cold_rules(&mut self, rules: HashMap<ServiceName, ColdRule>) {
         self.balancer.set_cold_rules(rules);
--- a/crates/porthoist-policy/src/proxy/scheduler/shared_capacity.rs
+++ b/crates/porthoist-policy/src/proxy/scheduler/shared_capacity.rs
@@ -2,12 +2,29 @@
 
 use super::{MAX_WAITING, RequestScheduler, SlotDecision, SlotError, SlotRequest};
 use crate::proxy::balancer::ChosenTarget;
-use crate::proxy::demand::PriorityLevel;
+use crate::proxy::capacity::{CapacityRule, CapacityState, GrantState};
+use crate::proxy::demand::{PriorityLevel, ServiceDemand};
 use crate::proxy::forecast::{ServiceForecast, WaitDecision, WaitQuery};
 use crate::proxy::wait_queue::{QueueClass, QueueKey, WaitQueue};
 use porthoist_core::{ServiceName, UnixMillis};
+use std::collections::HashMap;
 
 impl<W> RequestScheduler<W> {
+    /// Sets the services whose capacity is divided among entries.
+    pub fn set_capacity_rules(&mut self, rules: HashMap<ServiceName, CapacityRule>) {
+        self.meters.retain(|service, _meter| rules.contains_key(service));
+        for service in rules.keys() {
+            self.meters.entry(service.clone()).or_default();
+        }
+        self.balancer.set_shared_services(rules.keys());
+        self.capacity_rules = rules;
+    }
+
+    /// This process's demand on the services whose capacity is divided among entries.
+    pub fn own_demand(&self, now: UnixMillis) -> HashMap<ServiceName, ServiceDemand> {
+        self.meters.iter().map(|(service, meter)| (service.clone(), meter.demand(now))).collect()
+    }
+
     /// Decides by the division of the service's capacity, or `None` if nothing is known to divide.
     pub(super) fn decide_shared(&mut self, request: &SlotRequest, now: UnixMillis) -> Option<SlotDecision> {
         if !self.has_shared_capacity(request, now) {
@@ -31,6 +48,21 @@
         })
     }
 
+    /// Capacity of the services that is divided among entries, as far as reports show it.
+    pub fn capacity_states(&self, now: UnixMillis) -> Vec<(ServiceName, CapacityState)> {
+        self.balancer.capacity_states(now)
+    }
+
+    /// What this process may send to a service at a priority, if its capacity is divided among entries.
+    pub fn capacity_grant(
+        &self,
+        service: &ServiceName,
+        level: PriorityLevel,
+        now: UnixMillis,
+    ) -> Option<GrantState> {
+        self.balancer.capacity_grant(service, level, now)
+    }
+
     /// Whether the capacity for a request is divided among entries, and a report shows it.
     pub(super) fn has_shared_capacity(&self, request: &SlotRequest, now: UnixMillis) -> bool {
         request.ranked && self.balancer.knows_shared_capacity(&request.service, now)
--- a/crates/porthoist-proxy/src/dispatcher.rs
+++ b/crates/porthoist-proxy/src/dispatcher.rs
@@ -5,9 +5,9 @@
 use porthoist_policy::proxy::balancer::{
     BalancerSettings, ChosenTarget, ReportedRequests, RequestWork, SendOutcome,
 };
-use porthoist_policy::proxy::capacity::CapacityRule;
+use porthoist_policy::proxy::capacity::{CapacityRule, CapacityState, GrantState};
 use porthoist_policy::proxy::cold_start::ColdRule;
-use porthoist_policy::proxy::demand::ServiceDemand;
+use porthoist_policy::proxy::demand::{PriorityLevel, ServiceDemand};
 use porthoist_policy::proxy::group_loads::GroupLoads;
 use porthoist_policy::proxy::limit_notes::TargetNote;
 use porthoist_policy::proxy::moving::{MoveCause, PendingSend};
@@ -116,6 +116,17 @@
         self.scheduler.borrow().own_demand(self.clock.now())
     }
 
+    /// Returns the capacity of the services that is divided among entries, as far as reports show it.
+    pub fn capacity_states(&self) -> Vec<(ServiceName, CapacityState)> {
+        self.scheduler.borrow().capacity_states(self.clock.now())
+    }
+
+    /// Returns what this process may send to a service at a priority, if its capacity is divided among
+    /// entries.
+    pub fn capacity_grant(&self, service: &ServiceName, level: PriorityLevel) -> Option<GrantState> {
+        self.scheduler.borrow().capacity_grant(service, level, self.clock.now())
+    }
+
     /// Returns the number of cold targets.
     pub fn cold_targets(&self) -> usize {
         self.scheduler.borrow().cold_targets(self.clock.now())
--- a/crates/porthoist-proxy/src/handler.rs
+++ b/crates/porthoist-proxy/src/handler.rs
@@ -15,12 +15,13 @@
     ClockSource, RefusalReason, RetryReason, RunVerdict, ServiceName, UnixDeadline, UnixMillis,
 };
 use porthoist_metrics::MetricsHub;
+use porthoist_policy::proxy::capacity::CapacityState;
 use porthoist_policy::proxy::forecast::CallerRetryDetector;
 use porthoist_policy::proxy::freshness::FreshnessRule;
 use porthoist_policy::proxy::group_loads::GroupLoads;
 use porthoist_policy::proxy::limit_notes::TargetNote;
 use porthoist_policy::proxy::retry_share::{RetryShare, RetryShareSettings};
-use porthoist_policy::proxy::routes::RouteError;
+use porthoist_policy::proxy::routes::{ConfigVersion, RouteError};
 use porthoist_policy::proxy::send_turns::EntryPosition;
 use porthoist_policy::proxy::service_groups::GroupSnapshot;
 use porthoist_policy::proxy::targets::TargetLife;
@@ -89,6 +90,8 @@
     stopping: Cell<bool>,
     /// Number of cold targets at the last check.
     cold_targets: Cell<usize>,
+    /// Version of the configuration whose capacity rules are applied.
+    capacity_version: Cell<Option<ConfigVersion>>,
     /// When stalled groups are checked again.
     next_stall_check: Cell<UnixDeadline>,
     clock: Arc<dyn ClockSource>,
@@ -149,6 +152,7 @@
             targets_applied: Cell::new(false),
             stopping: Cell::new(false),
             cold_targets: Cell::new(0),
+            capacity_version: Cell::new(None),
             next_stall_check: Cell::default(),
             clock,
             metrics,
@@ -179,9 +183,12 @@
         self.targets_applied.set(state.targets_listed);
         let services = state.routes.iter().flat_map(|routes| routes.services.values());
         let rules = services.filter_map(|spec| Some((spec.name.clone(), spec.cold?))).collect();
-        let routes = state.routes.as_ref();
-        let capacity_rules = routes.map(|routes| routes.capacity_rules(self.settings.share_capacity));
-        self.dispatcher.set_capacity_rules(capacity_rules.unwrap_or_default());
+        // The rules depend on the keys of all teams, of which there are tens of thousands.
+        if let Some(routes) = &state.routes
+            && self.capacity_version.replace(Some(routes.version)) != Some(routes.version)
+        {
+            self.dispatcher.set_capacity_rules(routes.capacity_rules(self.settings.share_capacity));
+        }
         self.dispatcher.sync(&state.targets, rules, &state.emptied_zones);
         let known: HashSet<TargetLife> = state.targets.records().map(|record| record.life()).collect();
         self.pool.prune(|life| known.contains(life));
@@ -225,6 +232,10 @@
         }
         self.next_stall_check.set(UnixDeadline::after(now, STALL_CHECK_MILLIS));
         self.log_cold_targets();
+        for (service, state) in self.dispatcher.capacity_states() {
+            let CapacityState { slots, free, share, .. } = state;
+            self.metrics.set_capacity(service.as_str(), slots, free, share);
+        }
         for GroupSnapshot { index, status } in self.dispatcher.group_changes() {
             let (group, stalled, pass_millis) = (index.as_usize(), status.stalled, status.millis);
             info!(self.logger, "group stalled or resumed"; "event" => "group_pace", "group" => group,
@@ -276,10 +287,12 @@
     }
 
     fn refuse(&self, refusal: ProxyRefusal, attempt: &str, arrival: UnixMillis) -> CallerReply {
-        let ProxyRefusal { reason, status, verdict, retry_millis } = refusal;
+        let ProxyRefusal { reason, status, verdict, retry_millis, grant } = refusal;
         info!(self.logger, "request refused"; "event" => "refused", "request" => attempt, "reason" => reason.as_str(),
             "status" => status.as_u16(), "verdict" => verdict.as_str(), "retry_ms" => retry_millis,
-            "held_ms" => self.clock.now().since(arrival));
+            "held_ms" => self.clock.now().since(arrival), "level" => grant.map(|granted| granted.level.0),
+            "grant" => grant.map(|granted| granted.grant.own_requests()),
+            "report_age_ms" => grant.map(|granted| granted.age_millis));
         self.metrics.record_refusal(reason, verdict);
         let mut reply = refusal_reply(status, reason, retry_millis);
         self.codec.write_attempt(attempt, reply.headers_mut());
--- a/crates/porthoist-proxy/src/handler/slots.rs
+++ b/crates/porthoist-proxy/src/handler/slots.rs
@@ -5,6 +5,7 @@
 use crate::dispatcher::{SlotError, SlotRequest, TargetSlot};
 use hyper::StatusCode;
 use porthoist_core::RefusalReason;
+use porthoist_policy::proxy::demand::PriorityLevel;
 use porthoist_policy::proxy::wait_queue::QueueClass;
 use slog::info;
 
@@ -35,6 +36,8 @@
         let assigned = self.dispatcher.acquire_slot(slot_request).await;
         let waited = self.clock.now().since(now);
         self.metrics.record_queue_wait(waited as f64);
+        let level = PriorityLevel(admitted.priority());
+        let granted = self.dispatcher.capacity_grant(&admitted.service, level);
         match assigned {
             Ok(slot) => {
                 info!(self.logger, "placed"; "event" => "placed", "request" => &*admitted.metadata.attempt,
@@ -43,10 +46,12 @@
                     "pass_ms" => slot.group.map(|group| group.status.millis), "in_flight" => slot.in_flight,
                     "reported" => slot.report.map(|report| report.requests),
                     "report_age_ms" => slot.report.map(|report| report.age_millis), "waited_ms" => waited,
+                    "level" => granted.map(|granted| granted.level.0),
+                    "grant" => granted.map(|granted| granted.grant.own_requests()),
                     "rate" => slot.rate.map(|rate| rate.to_string()));
                 Ok(slot)
             }
-            Err(error) => Err(self.slot_refusal(admitted, history, error)),
+            Err(error) => Err(ProxyRefusal { grant: granted, ..self.slot_refusal(admitted, history, error) }),
         }
     }
 
--- a/crates/porthoist-proxy/src/handler/types.rs
+++ b/crates/porthoist-proxy/src/handler/types.rs
@@ -14,6 +14,7 @@
     UnixMillis,
 };
 use porthoist_policy::proxy::balancer::RequestWork;
+use porthoist_policy::proxy::capacity::GrantState;
 use porthoist_policy::proxy::demand::PriorityLevel;
 use porthoist_policy::proxy::routes::{RouteRule, TeamGrant};
 use std::cell::OnceCell;
@@ -94,13 +95,15 @@
     pub(super) status: StatusCode,
     pub(super) verdict: RunVerdict,
     pub(super) retry_millis: Option<u64>,
+    /// What this process might send, where the service's capacity is divided among entries.
+    pub(super) grant: Option<GrantState>,
 }
 
 impl ProxyRefusal {
     /// Refuses a request that fails unless the caller changes it.
     pub(super) fn denied(reason: RefusalReason) -> Self {
         let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_REQUEST);
-        Self { reason, status, verdict: RunVerdict::NotRun, retry_millis: None }
+        Self { reason, status, verdict: RunVerdict::NotRun, retry_millis: None, grant: None }
     }
 
     /// Refuses a request that did not run and may be retried.
@@ -110,12 +113,13 @@
             status: StatusCode::SERVICE_UNAVAILABLE,
             verdict: RunVerdict::NotRun,
             retry_millis: Some(retry_millis),
+            grant: None,
         }
     }
 
     /// Ends a request that may have run.
     pub(super) fn unknown(reason: RefusalReason, status: StatusCode) -> Self {
-        Self { reason, status, verdict: RunVerdict::MayHaveRun, retry_millis: None }
+        Self { reason, status, verdict: RunVerdict::MayHaveRun, retry_millis: None, grant: None }
     }
 }
 
