--- a/crates/porthoist-policy/src/proxy/balancer.rs
+++ b/crates/porthoist-policy/src/proxy/balancer.rs
@@ -4,7 +4,9 @@
 //! in a row are ejected for a growing time and then get a single request as a probe.
 
 use super::backpressure::DepartedBackpressure;
+use super::capacity::ServiceCapacity;
 use super::cold_start::ColdRule;
+use super::demand::PriorityLevel;
 use super::group_loads::{GroupLoads, RankLoad};
 use super::groups::{GroupIndex, GroupTracker};
 use super::load_interpretation::choose_by_level;
@@ -22,6 +24,7 @@
 mod limits;
 mod liveness;
 mod outages;
+mod shared_capacity;
 mod tiers;
 
 pub use limits::LimitedSupply;
@@ -40,6 +43,8 @@
     pub prompt_tokens: u64,
     /// Bytes of its body, which this process holds while it waits.
     pub body_bytes: u64,
+    /// Its priority in the demand on a service whose capacity is divided among entries.
+    pub priority: PriorityLevel,
 }
 
 /// How a send to a target ended.
@@ -136,6 +141,8 @@
     sender: SenderPosition,
     /// Number of choices made, which varies the choice among equal targets.
     choice_count: u64,
+    /// Services whose capacity is divided among entries.
+    capacities: HashMap<ServiceName, ServiceCapacity>,
 }
 
 impl LoadBalancer {
@@ -153,6 +160,7 @@
             cold_rules: HashMap::new(),
             emptied: EmptiedZones::default(),
             choice_count: 0,
+            capacities: HashMap::new(),
         }
     }
 
@@ -225,17 +233,17 @@
                 order.then_with(|| tie(*left).cmp(&tie(*right)))
             })?
         };
-        let chosen = candidates.swap_remove(best);
-        let (in_flight, report) = (chosen.in_flight, chosen.report(now));
-        let rate = chosen.rate(now);
-        chosen.count_send(work, now);
-        let group =
-            chosen.group.and_then(|index| Some(GroupSnapshot { index, status: groups.status(index)? }));
-        let record = Arc::clone(&chosen.record);
-        if let Some(GroupSnapshot { index, .. }) = group.filter(|group| group.status.probe_due) {
+        let chosen = take_slot(candidates.swap_remove(best), work, &groups, now);
+        self.record_choice(&chosen, now);
+        Some(chosen)
+    }
+
+    fn record_choice(&mut self, chosen: &ChosenTarget, now: UnixMillis) {
+        let Some(GroupSnapshot { index, status }) = chosen.group else { return };
+        if status.probe_due {
             self.groups.record_probe(index, now);
         }
-        Some(ChosenTarget { record, in_flight, report, group, rate })
+        self.record_shared_send(&chosen.record, index, now);
     }
 
     /// Records the end of a send. Returns whether the target is ejected because of it.
@@ -246,6 +254,7 @@
         outcome: SendOutcome,
         now: UnixMillis,
     ) -> bool {
+        self.record_shared_end(life, now);
         let Some(load) = self.loads.get_mut(life) else { return false };
         load.ended(work, outcome, now)
     }
@@ -327,6 +336,7 @@
         let by_host: HashMap<Ipv4Addr, &RankLoad> =
             loads.ranks.iter().map(|rank| (rank.host, rank)).collect();
         let (mut own, mut all, mut service) = (0, 0, None);
+        self.apply_shared_report(group, loads, now);
         for load in self.loads.values_mut() {
             let IpAddr::V4(host) = load.record.address.ip() else { continue };
             if let Some(rank) = by_host.get(&host) {
@@ -387,6 +397,19 @@
     }
 }
 
+/// Counts a send to a target and returns what is known of it.
+fn take_slot(
+    load: &mut TargetLoad,
+    work: RequestWork,
+    groups: &ServiceGroups,
+    now: UnixMillis,
+) -> ChosenTarget {
+    let (in_flight, report, rate) = (load.in_flight, load.report(now), load.rate(now));
+    load.count_send(work, now);
+    let group = load.group.and_then(|index| Some(GroupSnapshot { index, status: groups.status(index)? }));
+    ChosenTarget { record: Arc::clone(&load.record), in_flight, report, group, rate }
+}
+
 /// A pseudo-random number between 0 and 1 for one choice.
 fn random_point(seed: u64, choice: u64) -> f64 {
     let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&choice.to_le_bytes(), seed);
--- a/crates/porthoist-policy/src/proxy/forecast.rs
+++ b/crates/porthoist-policy/src/proxy/forecast.rs
@@ -140,6 +140,11 @@
         Some(StreamStats { first_millis, first_deviation: self.first_deviation, answer_events })
     }
 
+    /// Mean milliseconds for which an answered request occupies a slot, or `None` before one has ended.
+    pub fn slot_millis(&self) -> Option<f64> {
+        self.slot_millis
+    }
+
     /// Records that the service works.
     pub fn event_received(&mut self, now: UnixMillis) {
         self.last_event = Some(now);
@@ -173,8 +178,8 @@
     }
 
     /// The slots of a grant that callers may use that are late in any case.
-    pub fn late_slots(&mut self, grant: u32, now: UnixMillis) -> u32 {
-        self.returns.as_mut().map_or(grant, |planner| planner.late_slots(grant, now))
+    pub fn late_slots(&mut self, grant: f64, now: UnixMillis) -> u32 {
+        self.returns.as_mut().map_or(grant as u32, |planner| planner.late_slots(grant, now))
     }
 
     /// Records whether all groups of the service were last reported as stalled. Has no effect unless
--- a/crates/porthoist-policy/src/proxy/returns.rs
+++ b/crates/porthoist-policy/src/proxy/returns.rs
@@ -200,10 +200,10 @@
 
     /// The slots of a grant that callers may use that are late in any case. Fractions add up over grants,
     /// to less than one slot: an entry with grants of one or two slots would never serve a late caller.
-    pub fn late_slots(&mut self, grant: u32, now: UnixMillis) -> u32 {
-        let slots = f64::from(grant) * self.late_share(now) + self.late_fraction;
+    pub fn late_slots(&mut self, grant: f64, now: UnixMillis) -> u32 {
+        let slots = grant * self.late_share(now) + self.late_fraction;
         self.late_fraction = slots.fract();
-        (slots as u32).min(grant)
+        (slots as u32).min(grant.ceil() as u32)
     }
 
     /// Decides whether a request waits during an outage, or shortly after it. `None` leaves the decision
@@ -304,7 +304,7 @@
     }
 
     /// Whether planned retries may still arrive after an outage.
-    fn is_recovering(&self, now: UnixMillis) -> bool {
+    pub(super) fn is_recovering(&self, now: UnixMillis) -> bool {
         let Some(recovered) = self.recovered else { return false };
         now.since(recovered.max(self.last_turn)) < CALLER_SILENCE_MILLIS
     }
--- a/crates/porthoist-policy/src/proxy/scheduler.rs
+++ b/crates/porthoist-policy/src/proxy/scheduler.rs
@@ -7,7 +7,7 @@
 use super::balancer::{BalancerSettings, ChosenTarget, LoadBalancer, RequestWork, SendOutcome};
 use super::capacity::CapacityRule;
 use super::cold_start::ColdRule;
-use super::demand::{DemandMeter, PriorityLevel, ServiceDemand};
+use super::demand::{DemandMeter, PriorityLevel};
 use super::forecast::{ServiceForecast, WaitDecision, WaitQuery};
 use super::group_loads::GroupLoads;
 use super::limit_notes::TargetNote;
@@ -17,11 +17,13 @@
 use super::targets::{TargetLife, TargetRecord, TargetRegistry};
 use super::wait_queue::{QueueClass, WaitQueue};
 use super::zones::EmptiedZones;
+use outages::LateSlots;
 use porthoist_core::{ServiceName, TargetName, UnixDeadline, UnixMillis};
 use std::collections::HashMap;
 
 mod moves;
 mod outages;
+mod shared_capacity;
 
 /// Maximum number of waiting requests of one service; further ones are refused at once.
 const MAX_WAITING: usize = 512;
@@ -70,6 +72,9 @@
     /// All targets are cold and leave no slot in time.
     #[error("the targets are cold")]
     Cold,
+    /// What is free is needed for more urgent requests.
+    #[error("the free capacity is needed for more urgent requests")]
+    Priority,
     /// All targets have asked for a rest period.
     #[error("all targets have asked for a rest period")]
     Resting,
@@ -114,6 +119,8 @@
     capacity_rules: HashMap<ServiceName, CapacityRule>,
     /// This process's demand on these services.
     meters: HashMap<ServiceName, DemandMeter>,
+    /// Slots of the current grants that callers may use that are late in any case.
+    late_slots: HashMap<ServiceName, LateSlots>,
 }
 
 impl<W> RequestScheduler<W> {
@@ -125,6 +132,7 @@
             forecasts: HashMap::new(),
             capacity_rules: HashMap::new(),
             meters: HashMap::new(),
+            late_slots: HashMap::new(),
         }
     }
 
@@ -137,6 +145,7 @@
     pub fn update_loads(&mut self, loads: &GroupLoads, now: UnixMillis) {
         self.balancer.update_loads(loads, now);
         self.apply_group_reports(now);
+        self.divide_capacities(now);
     }
 
     /// The groups of a service that stalled or recovered since the last call.
@@ -162,6 +171,9 @@
         if request.ranked && !self.forecast(service).may_send(now) {
             return self.decide_outage(request, now);
         }
+        if let Some(decision) = self.decide_shared(request, now) {
+            return decision;
+        }
         let queue = self.waiting.get(service);
         let (waiting, ahead) =
             queue.map_or((0, 0), |queue| (queue.len(), queue.ahead(request.priority, request.class)));
@@ -223,14 +235,21 @@
         }
         self.demote_late(service, now);
         loop {
-            let first = self.waiting.get(service)?.first()?;
+            let (key, first) = self.next_waiting(service, now)?;
             if !waits(&first.waiter) {
-                self.waiting.get_mut(service)?.pop();
+                self.waiting.get_mut(service)?.remove(key);
                 continue;
             }
             let request = first.request.clone();
-            let chosen = self.choose(&request, now)?;
-            let next = self.waiting.get_mut(service)?.pop()?;
+            let chosen = if self.has_shared_capacity(&request, now) {
+                self.choose_waiting(&request, now)?
+            } else {
+                self.choose(&request, now)?
+            };
+            if key.class == QueueClass::CallerRetry {
+                self.record_late_send(service);
+            }
+            let next = self.waiting.get_mut(service)?.remove(key)?;
             return Some((next.waiter, chosen, request.work));
         }
     }
@@ -257,6 +276,9 @@
         now: UnixMillis,
     ) {
         self.balancer.ended(target, work, outcome, now);
+        if let Some(meter) = self.meters.get_mut(service) {
+            meter.record_ended(work.priority);
+        }
         let answered = matches!(outcome, SendOutcome::Answered(_millis));
         self.forecast(service).request_ended(answered.then_some(held_millis as f64));
     }
@@ -328,6 +350,9 @@
         if let Some(error) = self.closed_reason(service, now) {
             return error;
         }
+        if self.balancer.knows_shared_capacity(service, now) {
+            return SlotError::Priority;
+        }
         match (self.balancer.serves(service, now), self.balancer.limited_supply(service, now)) {
             (false, _) => SlotError::NoTarget,
             (true, Some(supply)) => supply.source.into(),
@@ -340,21 +365,6 @@
         self.balancer.is_still_valid(life, rate, now)
     }
 
-    /// Sets the services whose capacity is divided among entries.
-    pub fn set_capacity_rules(&mut self, rules: HashMap<ServiceName, CapacityRule>) {
-        self.meters.retain(|service, _meter| rules.contains_key(service));
-        for service in rules.keys() {
-            self.meters.entry(service.clone()).or_default();
-        }
-        self.capacity_rules = rules;
-        self.sync_returns();
-    }
-
-    /// This process's demand on the services whose capacity is divided among entries.
-    pub fn own_demand(&self, now: UnixMillis) -> HashMap<ServiceName, ServiceDemand> {
-        self.meters.iter().map(|(service, meter)| (service.clone(), meter.demand(now))).collect()
-    }
-
     /// Sets the services' limits for cold targets.
     pub fn set_cold_rules(&mut self, rules: HashMap<ServiceName, ColdRule>) {
         self.balancer.set_cold_rules(rules);
@@ -399,10 +409,17 @@
     fn choose(&mut self, request: &SlotRequest, now: UnixMillis) -> Option<ChosenTarget> {
         let SlotRequest { service, ranked, work, tried, .. } = request;
         let chosen = self.balancer.choose(service, *ranked, *work, tried, now)?;
-        self.forecast(service).request_started(now);
+        self.record_start(request, now);
         Some(chosen)
     }
 
+    fn record_start(&mut self, request: &SlotRequest, now: UnixMillis) {
+        self.forecast(&request.service).request_started(now);
+        if let Some(meter) = self.meters.get_mut(&request.service) {
+            meter.record_started(request.work.priority);
+        }
+    }
+
     fn forecast(&mut self, service: &ServiceName) -> &mut ServiceForecast {
         if !self.forecasts.contains_key(service) {
             self.forecasts.insert(service.clone(), ServiceForecast::default());
--- a/crates/porthoist-policy/src/proxy/scheduler/outages.rs
+++ b/crates/porthoist-policy/src/proxy/scheduler/outages.rs
@@ -3,9 +3,20 @@
 use super::{MAX_WAITING, RequestScheduler, SlotDecision, SlotError, SlotRequest, WaitingRequest};
 use crate::proxy::forecast::{ServiceForecast, WaitDecision, WaitQuery};
 use crate::proxy::returns::{CALLER_SILENCE_MILLIS, QueueState, RefusedCaller, RetryPlan};
-use crate::proxy::wait_queue::{QueueClass, WaitQueue};
+use crate::proxy::wait_queue::{QueueClass, QueueKey, WaitQueue};
 use porthoist_core::{ServiceName, UnixDeadline, UnixMillis};
 
+/// Interval in milliseconds at which callers that are late in any case are granted slots: the usual time
+/// between two reports of a group. Several groups report in it, and each report shows all free slots.
+const LATE_GRANT_MILLIS: u64 = 100;
+
+/// Slots that callers of one service may use that are late in any case.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct LateSlots {
+    left: u32,
+    renewed: UnixDeadline,
+}
+
 impl<W> RequestScheduler<W> {
     /// Records a refusal and returns when the caller should retry; `point` is random between 0 and 1.
     pub fn plan_retry(
@@ -88,6 +99,43 @@
         }
     }
 
+    /// Grants callers that are late in any case their share of `slots`, which this process may use until the
+    /// next report.
+    pub(super) fn grant_late_slots(&mut self, service: &ServiceName, slots: f64, now: UnixMillis) {
+        if self.late_slots.get(service).is_some_and(|slots| !slots.renewed.passed(now)) {
+            return;
+        }
+        let left = self.forecast(service).late_slots(slots, now);
+        let renewed = UnixDeadline::after(now, LATE_GRANT_MILLIS);
+        self.late_slots.insert(service.clone(), LateSlots { left, renewed });
+    }
+
+    /// Whether callers that are late in any case have used their share while a service recovers. Without the
+    /// share, those that waited would fill the groups at once and make first attempts late.
+    pub(super) fn late_share_used(&self, service: &ServiceName, now: UnixMillis) -> bool {
+        let planner = self.forecasts.get(service).and_then(|forecast| forecast.returns());
+        planner.is_some_and(|planner| planner.is_recovering(now))
+            && self.late_slots.get(service).is_none_or(|slots| slots.left == 0)
+    }
+
+    /// Records that a caller that is late in any case uses a slot.
+    pub(super) fn record_late_send(&mut self, service: &ServiceName) {
+        if let Some(slots) = self.late_slots.get_mut(service) {
+            slots.left = slots.left.saturating_sub(1);
+        }
+    }
+
+    /// The first waiting request that may be sent.
+    pub(super) fn next_waiting(
+        &self,
+        service: &ServiceName,
+        now: UnixMillis,
+    ) -> Option<(QueueKey, &WaitingRequest<W>)> {
+        let skips_late = self.late_share_used(service, now);
+        let mut entries = self.waiting.get(service)?.entries();
+        entries.find(|(key, _waiting)| !skips_late || key.class != QueueClass::CallerRetry)
+    }
+
     /// Moves first attempts that have waited until they are late behind those that can be on time.
     pub(super) fn demote_late(&mut self, service: &ServiceName, now: UnixMillis) {
         let Some(forecast) = self.forecasts.get(service).filter(|forecast| forecast.returns().is_some())
--- a/crates/porthoist-policy/tests/policy/returns.rs
+++ b/crates/porthoist-policy/tests/policy/returns.rs
@@ -140,7 +140,7 @@
     let share = |now: u64| forecast.returns().unwrap().late_share(UnixMillis(now));
     assert!(share(10_400) <= 0.5);
     assert!(share(10_500) > 0.999);
-    let slots: u32 = (0..100).map(|_grant| forecast.late_slots(1, UnixMillis(10_400))).sum();
+    let slots: u32 = (0..100).map(|_grant| forecast.late_slots(1.0, UnixMillis(10_400))).sum();
     assert_eq!(slots, 16, "also of small grants");
 }
 
@@ -180,7 +180,7 @@
     SlotRequest {
         service: service(),
         ranked: true,
-        work: RequestWork { prompt_tokens: 0, body_bytes },
+        work: RequestWork { body_bytes, ..RequestWork::default() },
         priority: 1,
         tried: Vec::new(),
         arrival: UnixMillis(now),
--- a/crates/porthoist-policy/tests/policy/returns_simulation.rs
+++ b/crates/porthoist-policy/tests/policy/returns_simulation.rs
@@ -236,7 +236,7 @@
             let rotated = (index + turn) % ENTRIES;
             let share = (SLOTS.saturating_sub(occupied) + rotated) / ENTRIES;
             entry.grant = share.saturating_sub(std::mem::take(&mut entry.sent));
-            entry.late_grant = entry.forecast.late_slots(entry.grant as u32, now) as usize;
+            entry.late_grant = entry.forecast.late_slots(entry.grant as f64, now) as usize;
             self.serve_queue(index);
         }
         let running = |caller: &&usize| matches!(self.callers[**caller].state, CallerState::Running { .. });
--- a/crates/porthoist-proxy/src/dispatcher.rs
+++ b/crates/porthoist-proxy/src/dispatcher.rs
@@ -5,9 +5,9 @@
 use porthoist_policy::proxy::balancer::{
     BalancerSettings, ChosenTarget, ReportedRequests, RequestWork, SendOutcome,
 };
-use porthoist_policy::proxy::capacity::CapacityRule;
+use porthoist_policy::proxy::capacity::{CapacityRule, CapacityState, GrantState};
 use porthoist_policy::proxy::cold_start::ColdRule;
-use porthoist_policy::proxy::demand::ServiceDemand;
+use porthoist_policy::proxy::demand::{PriorityLevel, ServiceDemand};
 use porthoist_policy::proxy::group_loads::GroupLoads;
 use porthoist_policy::proxy::limit_notes::TargetNote;
 use porthoist_policy::proxy::moving::{MoveCause, PendingSend};
@@ -120,6 +120,17 @@
         self.scheduler.borrow().own_demand(self.clock.now())
     }
 
+    /// Returns the capacity of the services that is divided among entries, as far as reports show it.
+    pub fn capacity_states(&self) -> Vec<(ServiceName, CapacityState)> {
+        self.scheduler.borrow().capacity_states(self.clock.now())
+    }
+
+    /// Returns what this process may send to a service at a priority, if its capacity is divided among
+    /// entries.
+    pub fn capacity_grant(&self, service: &ServiceName, level: PriorityLevel) -> Option<GrantState> {
+        self.scheduler.borrow().capacity_grant(service, level, self.clock.now())
+    }
+
     /// Returns the number of cold targets.
     pub fn cold_targets(&self) -> usize {
         self.scheduler.borrow().cold_targets(self.clock.now())
@@ -132,6 +143,9 @@
     /// Applies the loads that the engines of a group reported, and serves requests queued for capacity.
     pub fn update_loads(&self, loads: &GroupLoads) {
         self.scheduler.borrow_mut().update_loads(loads, self.clock.now());
+        for service in self.awaited_services() {
+            self.refuse_late(&service);
+        }
         self.serve_all_queues();
     }
 
@@ -159,6 +173,8 @@
                 (until, receiver)
             }
         };
+        // Requests that are less urgent may not be served in time now.
+        self.refuse_late(&service);
         // A target's backoff may have ended without any slot having been released.
         self.serve_queue(&service);
         match self.await_slot(&service, until, receiver).await {
@@ -321,7 +337,7 @@
     /// Why queued requests of a service are refused before their deadline.
     fn queue_error(&self, service: &ServiceName) -> SlotError {
         match self.scheduler.borrow().refusal(service, self.clock.now()) {
-            error @ (SlotError::Resting | SlotError::Emptied) => error,
+            error @ (SlotError::Resting | SlotError::Emptied | SlotError::Priority) => error,
             _other => SlotError::Down,
         }
     }
@@ -332,6 +348,13 @@
         drop(unservable);
     }
 
+    /// Refuses queued requests of a service whose capacity is divided among entries and that can no longer
+    /// be served in time.
+    fn refuse_late(&self, service: &ServiceName) {
+        let late = self.scheduler.borrow_mut().take_late(service, self.clock.now());
+        drop(late);
+    }
+
     fn serve_all_queues(&self) {
         for service in self.awaited_services() {
             self.serve_queue(&service);
