Probe stalled groups of contended services with the least urgent requests

Requests of a contended service went only to working groups, so a group whose planning process has gone would never have been probed. Where all targets have rate limits, only these decide, as before.

--- a/crates/porthoist-policy/src/proxy/balancer/shared_capacity.rs
+++ b/crates/porthoist-policy/src/proxy/balancer/shared_capacity.rs
@@ -1,6 +1,6 @@
 //! Selection of targets of services whose capacity is divided among entries.
 
-use super::{ChosenTarget, LoadBalancer, RequestWork, preferred_targets, take_slot};
+use super::{ChosenTarget, LoadBalancer, RequestWork, preferred_targets, random_point, take_slot};
 use crate::proxy::capacity::{CapacityState, GrantState, ServiceCapacity};
 use crate::proxy::demand::{PriorityLevel, ServiceDemand};
 use crate::proxy::group_capacity::{CapacityReport, RankRoom};
@@ -29,7 +29,9 @@
     pub fn knows_shared_capacity(&self, service: &ServiceName, now: UnixMillis) -> bool {
         let Some(capacity) = self.capacities.get(service) else { return false };
         let groups = self.service_groups(service, now);
+        // Where all targets have rate limits, only these decide.
         capacity.is_known(|index| groups.is_working(index), now)
+            && self.limited_supply(service, now).is_none()
     }
 
     /// Whether a request of a service whose capacity is divided among entries must not be sent because no
@@ -79,18 +81,32 @@
     ) -> Option<ChosenTarget> {
         let groups = self.service_groups(service, now);
         let capacity = self.capacities.get(service)?;
+        let probe_due = |group| groups.status(group).is_some_and(|status| status.probe_due);
+        // A probe of a group that is still stalled is late, so the least urgent requests are used.
+        let probes = capacity.is_least_urgent(level)
+            && self.loads.values().any(|load| {
+                load.record.service == *service && load.is_open(now) && load.group.is_some_and(probe_due)
+            });
         let usable = |load: &&mut TargetLoad| {
             load.record.service == *service
                 && load.is_open(now)
                 && !load.is_full(now)
-                && !load.silent(now)
+                && (probes || !load.silent(now))
                 && !tried.contains(&load.record.id)
-                && load.group.is_some_and(|group| groups.is_working(group))
+                && load
+                    .group
+                    .is_some_and(|group| if probes { probe_due(group) } else { groups.is_working(group) })
         };
         let open = self.loads.values_mut().filter(usable);
         let mut candidates = preferred_targets(open, self.sender, tried.is_empty(), now);
         let hosts: Vec<Ipv4Addr> = candidates.iter().map(|load| host_of(&load.record)).collect();
-        let best = capacity.choose_host(&hosts, level)?;
+        let best = if probes {
+            let point = random_point(self.settings.seed, self.choice_count);
+            (!hosts.is_empty()).then_some((point * hosts.len() as f64) as usize)?.min(hosts.len() - 1)
+        } else {
+            capacity.choose_host(&hosts, level)?
+        };
+        self.choice_count = self.choice_count.wrapping_add(1);
         let chosen = take_slot(candidates.swap_remove(best), work, &groups, now);
         self.record_choice(&chosen, now);
         Some(chosen)
--- a/crates/porthoist-policy/src/proxy/capacity.rs
+++ b/crates/porthoist-policy/src/proxy/capacity.rs
@@ -314,6 +314,11 @@
         self.admission.grant(level)
     }
 
+    /// Whether no less urgent priority is known.
+    pub fn is_least_urgent(&self, level: PriorityLevel) -> bool {
+        self.admission.is_least(level)
+    }
+
     /// Chooses one of `hosts` for a request: each entry begins at its own position in the spread, and its
     /// further sends are spread evenly.
     pub fn choose_host(&self, hosts: &[Ipv4Addr], level: PriorityLevel) -> Option<usize> {
--- a/crates/porthoist-policy/src/proxy/priority_levels.rs
+++ b/crates/porthoist-policy/src/proxy/priority_levels.rs
@@ -152,6 +152,11 @@
         self.grant(level).fraction * demand.asked(level).0
     }
 
+    /// Whether no less urgent priority is known.
+    pub fn is_least(&self, level: PriorityLevel) -> bool {
+        self.levels.keys().next_back().is_none_or(|least_urgent| level >= *least_urgent)
+    }
+
     /// The known priorities.
     pub fn levels(&self) -> impl Iterator<Item = PriorityLevel> {
         self.levels.keys().copied()
