Order priorities by team and then by route

Cause: on the deployment with callers of different urgency nearly all teams have the same priority, which replaced that of the route, so that all requests had the same level and the urgent ones, which can't wait, were refused first.

Change: a level is a team's priority and, among equal ones, the route's. The division takes effect where the streaming routes of a ranked service differ. Log fields of a grant are left out where there is none. A service whose groups reopen is granted all free slots at once.

--- a/crates/porthoist-policy/src/proxy/capacity.rs
+++ b/crates/porthoist-policy/src/proxy/capacity.rs
@@ -13,6 +13,7 @@
 use porthoist_core::{RequestRate, UnixMillis};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::Ipv4Addr;
+use std::sync::Arc;
 
 /// Requests that a rank may hold in addition to those that it runs. A slot that ends between two
 /// reports would stay idle until the next one; a request that waits for one is started some 150 ms
@@ -29,12 +30,33 @@
 /// golden ratio are spread evenly.
 const ROUND_STEP: f64 = 0.618_034;
 
+/// Priority of a request for a service whose capacity is divided: that of its team, and among equal ones
+/// that of its route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PriorityRank {
+    /// Priority of its team, or of its route if the team has none.
+    pub team: u8,
+    /// Priority of its route.
+    pub route: u8,
+}
+
 /// What operators configure for a service whose capacity is divided among entries.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct CapacityRule {
     /// Longest pause in milliseconds between two events that all routes of the service permit; `None`
     /// if no route specifies one.
     pub pause_millis: Option<u64>,
+    /// Priorities that requests can have, the most urgent first.
+    pub ranks: Arc<[PriorityRank]>,
+}
+
+impl CapacityRule {
+    /// The level of a priority among those that requests can have. All entries with the same configuration
+    /// agree on it.
+    pub fn level(&self, rank: PriorityRank) -> PriorityLevel {
+        let level = self.ranks.partition_point(|known| *known < rank);
+        PriorityLevel(u8::try_from(level).unwrap_or(u8::MAX))
+    }
 }
 
 /// Capacity of a service as valid reports show it.
--- a/crates/porthoist-policy/src/proxy/priority_levels.rs
+++ b/crates/porthoist-policy/src/proxy/priority_levels.rs
@@ -92,6 +92,8 @@
     phase: f64,
     divided: UnixMillis,
     interval_millis: f64,
+    /// Whether no group was open at the last division.
+    closed: bool,
 }
 
 impl LevelAdmission {
@@ -106,6 +108,7 @@
         for state in self.levels.values_mut() {
             state.grant = LevelGrant::default();
         }
+        self.closed = true;
     }
 
     /// Divides what is free. Nothing is carried over from the last division.
@@ -116,6 +119,8 @@
         }
         let least_urgent = self.levels.keys().next_back().copied();
         let passed = (now.since(self.divided) as f64 / supply.interval_millis).min(1.0);
+        // Groups that have just reopened are empty, and no sends to them are on their way.
+        let max_rise = if std::mem::take(&mut self.closed) { 1.0 } else { passed * MAX_FRACTION_RISE };
         self.divided = now;
         self.interval_millis = supply.interval_millis;
         let mut reserved = 0.0;
@@ -131,7 +136,7 @@
             let backlog = if share > 0.0 { waiting as f64 / share } else { 0.0 };
             let wanted = asked * supply.interval_millis / 1_000.0 + backlog;
             let fraction = if wanted > available { available / wanted } else { 1.0 };
-            let fraction = fraction.min(state.grant.fraction + passed * MAX_FRACTION_RISE);
+            let fraction = fraction.min(state.grant.fraction + max_rise);
             state.grant = LevelGrant { available, fraction, share };
             state.usual_fraction += FRACTION_WEIGHT * (fraction - state.usual_fraction);
             state.waiting = waiting;
--- a/crates/porthoist-policy/src/proxy/routes.rs
+++ b/crates/porthoist-policy/src/proxy/routes.rs
@@ -3,7 +3,7 @@
 //!
 //! A table is immutable and is replaced as a whole by a newer version.
 
-use super::capacity::CapacityRule;
+use super::capacity::{CapacityRule, PriorityRank};
 use super::cold_start::ColdRule;
 use porthoist_core::{ServiceName, TeamName};
 use std::collections::{BTreeSet, HashMap};
@@ -226,24 +226,35 @@
     }
 
     /// Rules of the services whose capacity is divided among entries: those whose targets are ranks of
-    /// groups and whose requests have more than one priority, or all with ranks if `share_all` is set.
+    /// groups and whose streaming routes have more than one priority, or all with ranks if `share_all` is
+    /// set.
     pub fn capacity_rules(&self, share_all: bool) -> HashMap<ServiceName, CapacityRule> {
         let ranked = self.services.values().filter(|spec| spec.engine.is_some());
-        let shared = ranked.filter(|spec| share_all || self.priorities(&spec.name).len() > 1);
+        let shared = ranked.filter(|spec| share_all || self.stream_priorities(&spec.name).len() > 1);
         shared.map(|spec| (spec.name.clone(), self.capacity_rule(&spec.name))).collect()
     }
 
     fn capacity_rule(&self, service: &ServiceName) -> CapacityRule {
         let pauses = self.rules_of(service).map(|rule| rule.target_pause_millis);
-        CapacityRule { pause_millis: pauses.filter(|millis| *millis > 0).min() }
+        let ranks = self.stream_priorities(service).into_iter().flat_map(|route| {
+            let teams = self.team_priorities().into_iter();
+            teams.map(move |team| PriorityRank { team: team.unwrap_or(route), route })
+        });
+        let ranks: BTreeSet<PriorityRank> = ranks.collect();
+        let pause_millis = pauses.filter(|millis| *millis > 0).min();
+        CapacityRule { pause_millis, ranks: ranks.into_iter().collect() }
     }
 
-    /// Priorities that requests for a service can have. A team's priority replaces that of the route.
-    fn priorities(&self, service: &ServiceName) -> BTreeSet<u8> {
-        let mut priorities: BTreeSet<u8> = self.rules_of(service).map(|rule| rule.priority).collect();
-        let grants = self.keys.iter().flat_map(HashMap::values);
-        priorities.extend(grants.filter_map(|grant| grant.priority));
-        priorities
+    /// Priorities of the routes that stream from a service.
+    fn stream_priorities(&self, service: &ServiceName) -> BTreeSet<u8> {
+        let streams = self.rules_of(service).filter(|rule| rule.kind.streams());
+        streams.map(|rule| rule.priority).collect()
+    }
+
+    /// Priorities of all teams; `None` for those without one.
+    fn team_priorities(&self) -> BTreeSet<Option<u8>> {
+        let Some(keys) = &self.keys else { return BTreeSet::from([None]) };
+        keys.values().map(|grant| grant.priority).collect()
     }
 
     fn rules_of<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Arc<RouteRule>> {
--- a/crates/porthoist-policy/tests/policy/contention.rs
+++ b/crates/porthoist-policy/tests/policy/contention.rs
@@ -124,7 +124,7 @@
     scheduler.sync(&registry);
     if with_rule {
         let other: ServiceName = "other".parse().unwrap();
-        scheduler.set_capacity_rules([(other, CapacityRule { pause_millis: None })].into());
+        scheduler.set_capacity_rules([(other, CapacityRule::default())].into());
     }
     let plain: ServiceName = "plain".parse().unwrap();
     let work = RequestWork { prompt_tokens: 800, ..RequestWork::default() };
--- a/crates/porthoist-policy/tests/policy/contention_simulation.rs
+++ b/crates/porthoist-policy/tests/policy/contention_simulation.rs
@@ -243,7 +243,7 @@
         scheduler.sync(&registry);
         scheduler.set_entry_position(Some(EntryPosition { index: (index / GROUPS) as u32, entries }));
         if self.settings.policy == Policy::Shared {
-            let rule = CapacityRule { pause_millis: Some(120) };
+            let rule = CapacityRule { pause_millis: Some(120), ..CapacityRule::default() };
             scheduler.set_capacity_rules([(self.service.clone(), rule)].into());
         }
         scheduler
--- a/crates/porthoist-policy/tests/policy/decision_replay.rs
+++ b/crates/porthoist-policy/tests/policy/decision_replay.rs
@@ -57,8 +57,8 @@
     registry.apply_listing((0..RANKS).map(record), None);
     let settings = BalancerSettings::builder().zone("a".parse().unwrap()).per_rank(4).rank_limit(4).seed(7);
     let mut scheduler: RequestScheduler<u64> = RequestScheduler::new(settings.build());
-    let rule = CapacityRule { pause_millis: Some(120) };
-    let rules = rules.iter().map(|name| (name.parse().unwrap(), rule)).collect::<HashMap<_, _>>();
+    let rule = CapacityRule { pause_millis: Some(120), ..CapacityRule::default() };
+    let rules = rules.iter().map(|name| (name.parse().unwrap(), rule.clone())).collect::<HashMap<_, _>>();
     scheduler.set_capacity_rules(rules);
     scheduler.sync(&registry);
     let mut random = Pcg64Mcg::seed_from_u64(3);
--- a/crates/porthoist-policy/tests/policy/returns.rs
+++ b/crates/porthoist-policy/tests/policy/returns.rs
@@ -162,9 +162,11 @@
     };
     let mut registry = TargetRegistry::default();
     registry.apply_listing([record], None);
-    let settings = BalancerSettings::builder().zone("a".parse().unwrap()).per_rank(2).rank_limit(2).seed(1);
+    let settings = BalancerSettings::builder().zone("a".parse().unwrap()).per_rank(2).rank_limit(2);
+    // The slots are divided among entries, and this is the only one.
+    let settings = settings.entries(1).seed(1);
     let mut scheduler = RequestScheduler::new(settings.outage_wait_bytes(1_000).build());
-    scheduler.set_capacity_rules(HashMap::from([(service(), CapacityRule { pause_millis: None })]));
+    scheduler.set_capacity_rules(HashMap::from([(service(), CapacityRule::default())]));
     scheduler.sync(&registry);
     report(&mut scheduler, 600, 10_000);
     scheduler
--- a/crates/porthoist-proxy/src/handler.rs
+++ b/crates/porthoist-proxy/src/handler.rs
@@ -18,7 +18,7 @@
 };
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::caller_retries::CallerRetryDetector;
-use porthoist_policy::proxy::capacity::CapacityState;
+use porthoist_policy::proxy::capacity::{CapacityRule, CapacityState};
 use porthoist_policy::proxy::demand::OwnDemand;
 use porthoist_policy::proxy::freshness::FreshnessRule;
 use porthoist_policy::proxy::group_loads::GroupLoads;
@@ -38,6 +38,7 @@
 
 mod admission;
 mod backpressure;
+mod grant_fields;
 mod moving;
 mod relay;
 mod request_body;
@@ -49,6 +50,7 @@
 mod types;
 
 use backpressure::NotePublisher;
+use grant_fields::GrantFields;
 use relay::EventRelay;
 use request_guard::RequestGuard;
 use types::{AdmittedRequest, CompleteAnswer, ProxyRefusal, SendHistory, TargetAnswer};
@@ -112,6 +114,8 @@
     cold_targets: Cell<usize>,
     /// Version of the configuration whose capacity rules are applied.
     capacity_version: Cell<Option<ConfigVersion>>,
+    /// These rules.
+    capacity_rules: RefCell<HashMap<ServiceName, CapacityRule>>,
     /// When stalled groups are checked again.
     next_stall_check: Cell<UnixDeadline>,
     clock: Arc<dyn ClockSource>,
@@ -163,6 +167,7 @@
             stopping: Cell::new(false),
             cold_targets: Cell::new(0),
             capacity_version: Cell::new(None),
+            capacity_rules: RefCell::default(),
             next_stall_check: Cell::default(),
             clock,
             metrics,
@@ -202,7 +207,9 @@
         if let Some(routes) = &state.routes
             && self.capacity_version.replace(Some(routes.version)) != Some(routes.version)
         {
-            self.dispatcher.set_capacity_rules(routes.capacity_rules(self.settings.share_capacity));
+            let capacity_rules = routes.capacity_rules(self.settings.share_capacity);
+            self.capacity_rules.replace(capacity_rules.clone());
+            self.dispatcher.set_capacity_rules(capacity_rules);
         }
         self.dispatcher.sync(&state.targets, rules, &state.emptied_zones);
         let known: HashSet<TargetLife> = state.targets.records().map(|record| record.life()).collect();
@@ -326,9 +333,7 @@
         let ProxyRefusal { reason, status, verdict, retry_millis, grant } = refusal;
         info!(self.logger, "request refused"; "event" => "refused", "request" => attempt, "reason" => reason.as_str(),
             "status" => status.as_u16(), "verdict" => verdict.as_str(), "retry_ms" => retry_millis,
-            "held_ms" => self.clock.now().since(arrival), "level" => grant.map(|granted| granted.level.0),
-            "grant" => grant.map(|granted| granted.grant.own_requests()),
-            "report_age_ms" => grant.map(|granted| granted.age_millis));
+            "held_ms" => self.clock.now().since(arrival), GrantFields(grant));
         self.metrics.record_refusal(reason, verdict);
         let mut reply = refusal_reply(status, reason, retry_millis);
         self.codec.write_attempt(attempt, reply.headers_mut());
--- a/crates/porthoist-proxy/src/handler/admission.rs
+++ b/crates/porthoist-proxy/src/handler/admission.rs
@@ -1,6 +1,6 @@
 //! Admission of requests: route, key, freshness proof and body size.
 
-use super::types::{AdmittedRequest, ProxyRefusal};
+use super::types::{AdmittedRequest, ProxyRefusal, priority_rank};
 use super::{ProxyHandler, UNREADY_RETRY_MILLIS, host_of, route_refusal_reason};
 use crate::headers::RequestMetadata;
 use hyper::body::Incoming;
@@ -40,6 +40,11 @@
         let body = self.check_memory(body, deadline)?;
         let is_caller_retry = self.log_admitted(&metadata, &rule, &service, arrival);
         let body = self.read_body(body, body_bytes, deadline).await?;
+        let level = self
+            .capacity_rules
+            .borrow()
+            .get(&service)
+            .map(|capacity| capacity.level(priority_rank(&rule, grant.as_ref())));
         let cached_mark = OnceCell::new();
         Ok(AdmittedRequest {
             metadata,
@@ -52,6 +57,7 @@
             arrival,
             deadline,
             is_caller_retry,
+            level,
             cached_mark,
         })
     }
--- a/crates/porthoist-proxy/src/handler/slots.rs
+++ b/crates/porthoist-proxy/src/handler/slots.rs
@@ -1,6 +1,7 @@
 //! Requests a slot from the dispatcher and turns a refusal into a response.
 
 use super::ProxyHandler;
+use super::grant_fields::GrantFields;
 use super::types::{AdmittedRequest, ProxyRefusal, SendHistory};
 use crate::dispatcher::{SlotError, SlotRequest, TargetSlot};
 use hyper::StatusCode;
@@ -41,9 +42,7 @@
                     "pass_ms" => slot.group.map(|group| group.status.millis), "in_flight" => slot.in_flight,
                     "reported" => slot.report.map(|report| report.requests),
                     "report_age_ms" => slot.report.map(|report| report.age_millis), "waited_ms" => waited,
-                    "level" => granted.map(|granted| granted.level.0),
-                    "grant" => granted.map(|granted| granted.grant.own_requests()),
-                    "rate" => slot.rate.map(|rate| rate.to_string()));
+                    "rate" => slot.rate.map(|rate| rate.to_string()), GrantFields(granted));
                 Ok(slot)
             }
             Err(error) => Err(ProxyRefusal { grant: granted, ..self.slot_refusal(admitted, history, error) }),
--- a/crates/porthoist-proxy/src/handler/types.rs
+++ b/crates/porthoist-proxy/src/handler/types.rs
@@ -14,7 +14,7 @@
     UnixMillis,
 };
 use porthoist_policy::proxy::balancer::RequestWork;
-use porthoist_policy::proxy::capacity::GrantState;
+use porthoist_policy::proxy::capacity::{GrantState, PriorityRank};
 use porthoist_policy::proxy::demand::PriorityLevel;
 use porthoist_policy::proxy::returns::RefusedCaller;
 use porthoist_policy::proxy::routes::{RouteRule, TeamGrant};
@@ -39,13 +39,26 @@
     pub(super) deadline: UnixDeadline,
     /// Whether the caller was refused before and is retrying.
     pub(super) is_caller_retry: bool,
+    /// Its priority level if the capacity of its service is divided among entries.
+    pub(super) level: Option<PriorityLevel>,
     /// Digest of the request, computed on demand.
     pub(super) cached_mark: OnceCell<RequestMark>,
 }
 
+pub(super) fn priority_rank(rule: &RouteRule, grant: Option<&TeamGrant>) -> PriorityRank {
+    let team = grant.and_then(|grant| grant.priority).unwrap_or(rule.priority);
+    PriorityRank { team, route: rule.priority }
+}
+
 impl AdmittedRequest {
+    /// Its level among the priorities of a service whose capacity is divided, or else its own priority: that
+    /// of its team, or of its route if the team has none.
     pub(super) fn priority(&self) -> u8 {
-        self.grant.as_ref().and_then(|grant| grant.priority).unwrap_or(self.rule.priority)
+        self.level.map_or_else(|| self.rank().team, |level| level.0)
+    }
+
+    pub(super) fn rank(&self) -> PriorityRank {
+        priority_rank(&self.rule, self.grant.as_ref())
     }
 
     /// Class of a request that is a resend or not.
