List the bounds of contended capacity that are not reached

The checks and bounds stay. The two cases of first attempts after outages that fail become one test case with the same bound for each of them.

--- a/crates/porthoist-policy/tests/policy/contention.rs
+++ b/crates/porthoist-policy/tests/policy/contention.rs
@@ -52,7 +52,8 @@
     let report = run(entries, Policy::Shared, Fault::None, seed);
     let best = run(1, Policy::Omniscient, Fault::None, seed);
     assert!(report.on_time(0, 0, 14) >= MIN_URGENT_ON_TIME);
-    assert!(report.on_time(0, 3, 10) >= MIN_URGENT_ON_TIME);
+    let urgent = report.on_time(0, 3, 10);
+    assert!(urgent >= MIN_URGENT_ON_TIME, "{urgent:.3} of the most urgent are on time in the burst");
     assert!(report.value >= MIN_VALUE * best.value, "{} of {}", report.value, best.value);
     assert!(report.rejections * SENDS_PER_REJECTION < report.sends);
 }
--- a/crates/porthoist-policy/tests/policy/returns.rs
+++ b/crates/porthoist-policy/tests/policy/returns.rs
@@ -69,14 +69,18 @@
 }
 
 /// Guards against a group that late callers fill on reopening, so that first attempts are late too.
-#[test_case(&[1_000], false; "1 s")]
-#[test_case(&[3_000, 6_000, 12_000], false; "3 to 12 s")]
-#[test_case(&[1_000, 3_000, 12_000], true; "1, 3 and 12 s with restarts of entries")]
-#[test_case(&[6_000], true; "6 s with restarts of entries")]
-fn first_attempts_after_outage_are_on_time(lengths: &[u64], restarts: bool) {
-    let outcomes = lengths.iter().map(|millis| (*millis, outcomes(*millis, restarts, true).after));
-    let fractions: Vec<(u64, f64)> = outcomes.map(|(millis, after)| (millis, on_time(after))).collect();
-    assert!(fractions.iter().all(|(_millis, fraction)| *fraction >= MIN_ON_TIME), "{fractions:.3?}");
+#[test_case(&[(1_000, false), (6_000, true)]; "1 s, and 6 s with restarts of entries")]
+#[test_case(&[(3_000, false), (6_000, false), (12_000, false)]; "3 to 12 s")]
+#[test_case(&[(1_000, true), (3_000, true), (12_000, true)]; "1, 3 and 12 s with restarts of entries")]
+fn first_attempts_after_outage_are_on_time(outages: &[(u64, bool)]) {
+    let outcomes = outages
+        .iter()
+        .map(|(millis, restarts)| (*millis, *restarts, on_time(outcomes(*millis, *restarts, true).after)));
+    let fractions: Vec<(u64, bool, f64)> = outcomes.collect();
+    assert!(
+        fractions.iter().all(|(_millis, _restarts, fraction)| *fraction >= MIN_ON_TIME),
+        "length in ms, restarts, fraction on time: {fractions:?}"
+    );
 }
 
 /// Shows that the simulation distinguishes planned retries from others.
