Count only slots of targets that can get requests as free

Cause: the free slots of a report included those of targets in an emptied zone, and of cold, ejected or leaving ones. With one of three zones emptied, a third of the capacity that was divided did not exist: nothing was refused, the spread pointed at targets that get nothing, and all entries chose the same of the others (true loads 1 to 29 where 8 were due).

Change: only targets that are open and have no rate limit count.

--- a/crates/porthoist-policy/src/proxy/balancer/shared_capacity.rs
+++ b/crates/porthoist-policy/src/proxy/balancer/shared_capacity.rs
@@ -139,7 +139,9 @@
         let heard = loads.ranks.iter().filter(|rank| !rank.silent);
         let requests: HashMap<Ipv4Addr, u32> = heard.map(|rank| (rank.host, rank.requests)).collect();
         let mut rooms: HashMap<ServiceName, Vec<RankRoom>> = HashMap::new();
-        for load in self.loads.values() {
+        // Slots of targets that get nothing now, or little because they are cold, would count as free.
+        let usable = |load: &&TargetLoad| load.is_open(now) && load.rate(now).is_none();
+        for load in self.loads.values().filter(usable) {
             let host = host_of(&load.record);
             if let Some(requests) = requests.get(&host)
                 && self.capacities.contains_key(&load.record.service)
@@ -173,7 +175,8 @@
         now: UnixMillis,
     ) -> Option<GrantState> {
         let capacity = self.capacities.get(service)?;
-        Some(GrantState { level, grant: capacity.grant(level), age_millis: capacity.state(now)?.age_millis })
+        let (grant, asked) = (capacity.grant(level), capacity.asked());
+        Some(GrantState { level, grant, asked, age_millis: capacity.state(now)?.age_millis })
     }
 
     /// Services whose capacity a report of a group describes.
--- a/crates/porthoist-policy/src/proxy/capacity.rs
+++ b/crates/porthoist-policy/src/proxy/capacity.rs
@@ -79,6 +79,8 @@
     pub level: PriorityLevel,
     /// The grant.
     pub grant: LevelGrant,
+    /// Requests that all entries ask for, at all priorities.
+    pub asked: RequestRate,
     /// Age in milliseconds of the oldest engine reading.
     pub age_millis: u64,
 }
@@ -102,6 +104,8 @@
     expected: VecDeque<ExpectedSends>,
     /// Fractions of a priority's sends that each host gets, in an order that changes with each report.
     spreads: BTreeMap<PriorityLevel, Vec<(Ipv4Addr, f64)>>,
+    /// Requests that all entries ask for, at all priorities.
+    asked: RequestRate,
     /// Probable requests of each rank at the last division.
     fills: HashMap<Ipv4Addr, RankFill>,
     /// Sends of this process.
@@ -121,6 +125,7 @@
             expected: VecDeque::new(),
             spreads: BTreeMap::new(),
             fills: HashMap::new(),
+            asked: RequestRate::default(),
             sends: 0,
             share: 0.0,
         }
@@ -191,6 +196,7 @@
         let free = |ahead: u32| open.iter().map(|group| group.free(ahead)).sum::<f64>() - change;
         let demand = self.all_demand(own);
         let (own_asked, all_asked) = (own.total_asked().0, demand.total_asked().0);
+        self.asked = RequestRate(all_asked);
         self.share = if all_asked > 0.0 { (own_asked / all_asked).min(1.0) } else { 0.0 };
         let supply = LevelSupply {
             free: free(0),
@@ -284,6 +290,11 @@
         if running > 0.0 { (sent / running).clamp(0.0, 1.0) / slot_millis } else { 0.0 }
     }
 
+    /// Requests that all entries ask for, at all priorities, as of the last division.
+    pub fn asked(&self) -> RequestRate {
+        self.asked
+    }
+
     /// Number of requests that all entries have probably sent since `from`.
     fn expected_sends(&self, from: UnixMillis, now: UnixMillis) -> f64 {
         self.sum_expected(|sends| sends.total, from, now)
--- a/crates/porthoist-policy/tests/policy/contention.rs
+++ b/crates/porthoist-policy/tests/policy/contention.rs
@@ -9,6 +9,7 @@
 use porthoist_policy::proxy::scheduler::{RequestScheduler, SlotDecision, SlotRequest};
 use porthoist_policy::proxy::targets::{TargetRecord, TargetRegistry, TargetState};
 use porthoist_policy::proxy::wait_queue::QueueClass;
+use porthoist_policy::proxy::zones::{EmptiedZones, ZoneUpdate};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use std::net::Ipv4Addr;
@@ -251,3 +252,32 @@
         "{decision:?}"
     );
 }
+
+/// Guards against free slots of targets that get nothing: with a zone emptied, a third of the capacity that
+/// was divided did not exist, and the ranks of the other zones were overfilled.
+#[test]
+fn slots_of_emptied_zone_are_not_free() {
+    let records: Vec<TargetRecord> = (0..6).map(|index| record("plain", index)).collect();
+    let mut registry = TargetRegistry::default();
+    registry.apply_listing(records.iter().cloned(), None);
+    let settings = BalancerSettings::builder().zone("z1".parse().unwrap()).per_rank(3).rank_limit(4);
+    let mut scheduler: RequestScheduler<usize> = RequestScheduler::new(settings.entries(1).seed(7).build());
+    scheduler.sync(&registry);
+    let service: ServiceName = "plain".parse().unwrap();
+    scheduler.set_capacity_rules([(service, CapacityRule::default())].into());
+    let now = UnixMillis(1_000_000);
+    let mut zones = EmptiedZones::default();
+    zones.apply_update(ZoneUpdate::Listed(vec!["z0".parse().unwrap()]), now);
+    scheduler.set_emptied(&zones, now);
+    let rank = |index: u8| RankLoad { host: host("plain", index), requests: 1, silent: false };
+    let loads = GroupLoads {
+        revision: LoadRevision(1),
+        pass: GroupPass::Millis(60),
+        ranks: (0..6).map(rank).collect(),
+        ..GroupLoads::default()
+    };
+    scheduler.update_loads(&loads, now);
+    let states = scheduler.capacity_states(now);
+    assert_eq!(states[0].1.slots, 16.0, "four ranks of four slots");
+    assert_eq!(states[0].1.free, 12.0);
+}
--- a/crates/porthoist-proxy/src/handler/grant_fields.rs
+++ b/crates/porthoist-proxy/src/handler/grant_fields.rs
@@ -12,6 +12,7 @@
         let Some(granted) = self.0 else { return Ok(()) };
         serializer.emit_u8("level", granted.level.0)?;
         serializer.emit_f64("grant", granted.grant.own_requests())?;
+        serializer.emit_f64("asked", granted.asked.0)?;
         serializer.emit_u64("grant_age_ms", granted.age_millis)
     }
 }
