Quarantine parts of prompts that crash targets

Callers saw groups of ranks down for minutes: requests with one part in their prompts crashed a target each, 12 in 31 s, and none of the streaming classes was served.

Cause: a crash was recorded against the request as a whole. Each of these requests came once, so that no mark had a second crash.

A crash is now blamed on the parts of the prompt too, as rows of the same table. Of the parts of a prompt those without a recent complete answer are blamed, so that parts which sound requests share go on; a complete answer clears them. Of several parts blamed for one crash, a request with only one of them is sent alone after 5 s.

--- a/crates/porthoist-core/src/lib.rs
+++ b/crates/porthoist-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod reason;
 pub mod ring;
 pub mod secret;
+pub mod suspect;
 pub mod ticket;
 pub mod verdict;
 
@@ -24,5 +25,6 @@
 pub use quantity::{ByteSize, LinkRate, RequestRate, StartMillis, TokenCount};
 pub use reason::{RefusalReason, RetryReason};
 pub use ring::{RingReceiver, RingSender, bounded_ring};
+pub use suspect::{PartMark, SuspectMark};
 pub use ticket::{TicketKey, TicketText};
 pub use verdict::RunVerdict;
--- a/crates/porthoist-core/src/mark.rs
+++ b/crates/porthoist-core/src/mark.rs
@@ -89,16 +89,25 @@
     }
 }
 
-/// Error of parsing a request mark.
+/// Error of parsing a mark.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-#[error("{0:?} is not a mark of a request: expected 48 hexadecimal digits")]
+#[error(
+    "{0:?} is not a mark: expected 48 hexadecimal digits for a request, or p and 32 for a part of prompts"
+)]
 pub struct MarkError(String);
 
+impl MarkError {
+    /// Creates the error for a text, of which only the beginning is kept.
+    pub(crate) fn new(text: &str) -> Self {
+        Self(text.chars().take(64).collect())
+    }
+}
+
 impl FromStr for RequestMark {
     type Err = MarkError;
 
     fn from_str(text: &str) -> Result<Self, MarkError> {
-        let error = || MarkError(text.chars().take(64).collect());
+        let error = || MarkError::new(text);
         let valid = text.len() == MARK_DIGITS && text.bytes().all(|byte| byte.is_ascii_hexdigit());
         if !valid {
             return Err(error());
--- a/crates/porthoist-lab/src/capacity.rs
+++ b/crates/porthoist-lab/src/capacity.rs
@@ -366,9 +366,10 @@
         slope(name, "us", micros)
     }));
     let mut tracker = QuarantineTracker::default();
-    let report = CrashReport { died: UnixMillis(1_000), ranked: true, by: "entry-1".into() };
+    let report =
+        CrashReport { died: UnixMillis(1_000), ranked: true, by: "entry-1".into(), ambiguous: false };
     for index in 0..MAX_MARKS {
-        let mark = head(index).mark(&[]);
+        let mark = head(index).mark(&[]).into();
         tracker.died(&CrashKey { mark, target: "t".into() }, report.clone(), UnixMillis(1_000));
     }
     let lookup = micros_per_call(1_000, |index| {
--- a/crates/porthoist-policy/src/proxy.rs
+++ b/crates/porthoist-policy/src/proxy.rs
@@ -30,5 +30,6 @@
 mod target_load;
 pub mod targets;
 pub mod trusted_marks;
+pub mod trusted_parts;
 pub mod wait_queue;
 pub mod zones;
--- a/crates/porthoist-policy/src/proxy/quarantine.rs
+++ b/crates/porthoist-policy/src/proxy/quarantine.rs
@@ -1,9 +1,10 @@
-//! Quarantine of requests that crash the targets that run them.
+//! Quarantine of requests, and of parts of prompts, that crash the targets that run them.
 //!
-//! A caller retries a request that killed its target, at any entry and as a new attempt. A few such
-//! requests keep a group of ranks down, which takes seconds to form again, and with it the requests of
-//! all other callers. Each death is therefore counted against every request that was at the target and
-//! shared with all entries. The tracker decides when the same request may be sent again:
+//! A caller retries a request that killed its target, at any entry and as a new attempt. Or requests that come once each
+//! share a part of their prompts that kills. A few of them keep a group of ranks down, which takes seconds to form again, and
+//! with it the requests of all other callers. Each death is therefore counted against every request that was at the target,
+//! and against the parts of its prompt, and shared with all entries. The tracker decides when a request may be sent that is
+//! suspected, or has a suspected part:
 //!
 //! - After one death in a group: after [`HOLD_MILLIS`]. A request that kills costs a group some 5 s of
 //!   all its requests, and the caller of an innocent request has left by the time the group serves
@@ -13,23 +14,35 @@
 //!   the second target together with the one that kills.
 //! - After three: after [`QUARANTINE_MILLIS`], which doubles with each further death.
 //!
-//! A request that kills does so at every target that begins to run it, so one complete answer clears it.
+//! What kills does so at every target that begins to run it, so one complete answer clears a request and the parts of its
+//! prompt.
+//!
+//! Of the parts of one prompt those are blamed that have no recent complete answer ([`QuarantineTracker::blamed_parts`]). A
+//! part that has one is suspected only after several deaths in a row without another answer. If several parts are blamed for
+//! the same death, one of them is innocent: a request that has only one of them is soon sent alone, and its answer clears the
+//! part.
 //!
 //! The decision depends only on the set of known deaths, not on the order in which the process learned
 //! of them.
 
+mod crash;
+mod record;
+
 use crate::proxy::trusted_marks::TrustedMarks;
-use porthoist_core::{RequestMark, UnixDeadline, UnixMillis};
-use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap, HashSet};
-use std::fmt;
-use std::str::FromStr;
+use crate::proxy::trusted_parts::TrustedParts;
+pub use crash::{CrashKey, CrashKeyError, CrashReport, CrashRows};
+use porthoist_core::{PartMark, RequestMark, SuspectMark, UnixDeadline, UnixMillis};
+use record::{KnownDeath, SuspectRecord};
+use std::collections::{HashMap, HashSet};
 
 /// Time in milliseconds for which a request is held after its last death while the evidence is weak.
 ///
 /// Requests that kill were retried for 14 to 20 s. Callers wait 8 s at most, so an innocent request
 /// loses nothing by a longer hold. Each hold is extended by up to half this time.
 pub const HOLD_MILLIS: u64 = 60_000;
+/// Time in milliseconds after which a request is sent alone if it has only one of the parts that are blamed for the same
+/// death in a group. By then the group has formed again.
+pub const AMBIGUOUS_HOLD_MILLIS: u64 = 5_000;
 /// Time in milliseconds for which a request is held after its last death once it almost certainly kills
 /// its targets. One more send then costs a group at most 5 s in 10 minutes.
 pub const QUARANTINE_MILLIS: u64 = 600_000;
@@ -38,16 +51,15 @@
 /// Number of deaths after which a request counts as the cause, whatever else ran on the targets.
 /// Operators tolerate three.
 pub const CERTAIN_DEATHS: usize = 3;
+/// Number of rounds of deaths that are not held against a part with a recent complete answer.
+pub const FORGIVEN_ROUNDS: usize = 2;
 /// Retry delay in milliseconds for a suspected request that is already running and must not run twice at
 /// the same time. Requests that kill did so within 0.5 s.
 pub const ALONE_RETRY_MILLIS: u64 = 1_000;
-/// Maximum number of tracked requests. Each takes some 200 bytes.
+/// Maximum number of tracked requests and parts. Each takes some 200 bytes.
 pub const MAX_MARKS: usize = 1_024;
-/// Maximum number of deaths stored for one request.
+/// Maximum number of deaths stored for one request or part.
 pub const MAX_DEATHS: usize = 16;
-/// Additional time in milliseconds after which other processes remove a row that its writer has not
-/// removed.
-const FOREIGN_ROW_DELAY_MILLIS: u64 = 30_000;
 
 /// Minimum delay in milliseconds before a process rewrites a lost row of a death that another process
 /// observed. Jitter adds up to the same amount.
@@ -60,7 +72,7 @@
     pub certain_deaths: usize,
     /// See [`HOLD_MILLIS`].
     pub hold_millis: u64,
-    /// Whether a recent complete answer protects a request from suspicion.
+    /// Whether a recent complete answer protects a request, and the parts of its prompt, from suspicion.
     pub trust: bool,
 }
 
@@ -70,87 +82,6 @@
     }
 }
 
-/// A death counted against a request, and the key of its row.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct CrashKey {
-    /// The request.
-    pub mark: RequestMark,
-    /// The life of the target that ended.
-    pub target: Box<str>,
-}
-
-impl fmt::Display for CrashKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}", self.mark, self.target)
-    }
-}
-
-/// Error of parsing the key of a row of the crash table.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-#[error("{0:?} is not a crash key: expected a mark, a slash and a target")]
-pub struct CrashKeyError(String);
-
-impl FromStr for CrashKey {
-    type Err = CrashKeyError;
-
-    fn from_str(text: &str) -> Result<Self, CrashKeyError> {
-        let error = || CrashKeyError(text.chars().take(64).collect());
-        let (mark, target) = text.split_once('/').ok_or_else(error)?;
-        let mark = mark.parse().map_err(|_mark| error())?;
-        if target.is_empty() {
-            return Err(error());
-        }
-        Ok(Self { mark, target: target.into() })
-    }
-}
-
-/// Value of a row of the crash table.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashReport {
-    /// When the death was observed, by the clock of the host that observed it.
-    pub died: UnixMillis,
-    /// Whether the target was a rank of a group.
-    pub ranked: bool,
-    /// The host that observed it.
-    pub by: Box<str>,
-}
-
-/// All rows of the crash table.
-pub type CrashRows = HashMap<CrashKey, CrashReport>;
-
-/// A death as this process knows it.
-#[derive(Debug, Clone)]
-struct KnownDeath {
-    report: CrashReport,
-    /// Whether the table has contained it since its last restore. A death that then disappears from the
-    /// table has been cleared.
-    in_table: bool,
-    /// Whether removal of its row was requested.
-    removal_requested: bool,
-    /// When to rewrite its row, if a restore of the table lost it.
-    rewrite_at: Option<UnixDeadline>,
-}
-
-impl KnownDeath {
-    fn new(report: CrashReport, in_table: bool) -> Self {
-        Self { report, in_table, removal_requested: false, rewrite_at: None }
-    }
-}
-
-/// A request that targets died under.
-#[derive(Debug, Clone, Default)]
-struct SuspectRecord {
-    deaths: BTreeMap<Box<str>, KnownDeath>,
-    /// Number of sends of this process that are running.
-    running: u32,
-}
-
-impl SuspectRecord {
-    fn last_death(&self) -> UnixMillis {
-        self.deaths.values().map(|death| death.report.died).max().unwrap_or_default()
-    }
-}
-
 /// How strongly a request is suspected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum SuspicionLevel {
@@ -185,6 +116,8 @@
 /// Why a request must not be sent now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RequestBlock {
+    /// The request itself or the part of its prompt that is suspected.
+    pub mark: SuspectMark,
     /// How strongly it is suspected.
     pub level: SuspicionLevel,
     /// Targets that died under it.
@@ -200,6 +133,9 @@
     Trusted,
     /// Already known.
     Known,
+    /// Counted against a part of prompts, which is not suspected for it because a request with it had a complete answer
+    /// recently.
+    Noted,
     /// Counted against the request.
     Held {
         /// How strongly it is suspected now.
@@ -213,20 +149,21 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct QuarantineChanges {
     /// Requests with deaths that other processes reported.
-    pub heard: Vec<(RequestMark, SuspicionLevel, usize)>,
+    pub heard: Vec<(SuspectMark, SuspicionLevel, usize)>,
     /// Requests whose deaths were all removed.
-    pub lifted: Vec<RequestMark>,
+    pub lifted: Vec<SuspectMark>,
     /// Rows to remove, because this process has received a complete answer to the request or tracks too
     /// many requests.
     pub remove: Vec<CrashKey>,
 }
 
-/// Deaths of targets by the requests that ran on them.
+/// Deaths of targets by the requests that ran on them and the parts of their prompts.
 #[derive(Debug, Default)]
 pub struct QuarantineTracker {
     rules: QuarantineRules,
-    records: HashMap<RequestMark, SuspectRecord>,
+    records: HashMap<SuspectMark, SuspectRecord>,
     trusted: TrustedMarks,
+    trusted_parts: TrustedParts,
 }
 
 impl QuarantineTracker {
@@ -240,23 +177,44 @@
         self.records.is_empty()
     }
 
-    /// Number of suspected requests.
+    /// Number of requests and parts that deaths are counted against.
     pub fn len(&self) -> usize {
-        self.records.len()
+        self.records.values().filter(|record| record.is_suspected()).count()
     }
 
     /// Whether a request with this head may be tracked; if not, its body need not be hashed.
     pub fn knows_head(&self, head: u64) -> bool {
-        self.records.keys().any(|mark| mark.head == head)
+        self.records.keys().any(|mark| matches!(mark, SuspectMark::Request(mark) if mark.head == head))
     }
 
-    fn level(&self, record: &SuspectRecord) -> SuspicionLevel {
-        let deaths = record.deaths.len();
-        if deaths >= self.rules.certain_deaths {
-            return SuspicionLevel::Quarantined;
+    /// Whether deaths of a part are known.
+    pub fn knows_part(&self, part: &PartMark) -> bool {
+        self.records.contains_key(&SuspectMark::Part(*part))
+    }
+
+    /// Number of deaths that count for the level of suspicion.
+    fn evidence(&self, mark: &SuspectMark, record: &SuspectRecord, now: UnixMillis) -> usize {
+        match mark {
+            SuspectMark::Part(part) if self.trusts_part(part, now) => {
+                record.rounds().saturating_sub(FORGIVEN_ROUNDS)
+            }
+            SuspectMark::Part(_) | SuspectMark::Request(_) => record.counted().count(),
+        }
+    }
+
+    fn trusts_part(&self, part: &PartMark, now: UnixMillis) -> bool {
+        self.rules.trust && self.trusted_parts.trusts(part, now)
+    }
+
+    fn level(&self, mark: &SuspectMark, record: &SuspectRecord, now: UnixMillis) -> Option<SuspicionLevel> {
+        let evidence = self.evidence(mark, record, now);
+        let ranked = record.counted().any(|death| death.report.ranked);
+        match evidence {
+            0 => None,
+            _ if evidence >= self.rules.certain_deaths => Some(SuspicionLevel::Quarantined),
+            1 if !ranked => Some(SuspicionLevel::Watched),
+            _ => Some(SuspicionLevel::Held),
         }
-        let ranked = record.deaths.values().any(|death| death.report.ranked);
-        if deaths > 1 || ranked { SuspicionLevel::Held } else { SuspicionLevel::Watched }
     }
 
     /// Time for which a request is held after its last death.
@@ -264,13 +222,13 @@
     /// Requests that were on the same target are held for different times. Otherwise a popular request
     /// that was retried at the same moment as the one that kills had its third death 60 s after the
     /// second, in 1 of 60 random simulations.
-    fn hold_time_millis(&self, mark: &RequestMark, level: SuspicionLevel, deaths: usize) -> u64 {
+    fn hold_time_millis(&self, mark: &SuspectMark, level: SuspicionLevel, evidence: usize) -> u64 {
         let hold = self.rules.hold_millis;
         match level {
             SuspicionLevel::Watched => 0,
-            SuspicionLevel::Held => hold + (mark.whole % u128::from(hold / 2 + 1)) as u64,
+            SuspicionLevel::Held => hold + (mark.spread() % u128::from(hold / 2 + 1)) as u64,
             SuspicionLevel::Quarantined => {
-                let doublings = deaths.saturating_sub(self.rules.certain_deaths).min(16) as u32;
+                let doublings = evidence.saturating_sub(self.rules.certain_deaths).min(16) as u32;
                 (QUARANTINE_MILLIS << doublings).min(MAX_QUARANTINE_MILLIS)
             }
         }
@@ -278,48 +236,88 @@
 
     /// When the deaths of a request expire: after twice the hold, so that they still count if it kills
     /// again when the hold ends.
-    fn expires_at(&self, mark: &RequestMark, record: &SuspectRecord) -> UnixDeadline {
-        let hold = self.hold_time_millis(mark, self.level(record), record.deaths.len());
+    fn expires_at(&self, mark: &SuspectMark, record: &SuspectRecord, now: UnixMillis) -> UnixDeadline {
+        let evidence = self.evidence(mark, record, now);
+        let hold =
+            self.level(mark, record, now).map_or(0, |level| self.hold_time_millis(mark, level, evidence));
         UnixDeadline::after(record.last_death(), 2 * hold.max(self.rules.hold_millis))
     }
 
-    /// How strongly a request is suspected and until when it is held, or `None` if it is not suspected.
-    pub fn status(&self, mark: &RequestMark, now: UnixMillis) -> Option<RequestBlock> {
+    /// How strongly a request or part is suspected and until when it is held, or `None` if it is not suspected.
+    pub fn status(&self, mark: &SuspectMark, now: UnixMillis) -> Option<RequestBlock> {
         let record = self.records.get(mark)?;
-        if self.expires_at(mark, record).passed(now) {
+        if self.expires_at(mark, record, now).passed(now) {
             return None;
         }
-        let level = self.level(record);
-        let deaths = record.deaths.len();
-        let until = UnixDeadline::after(record.last_death(), self.hold_time_millis(mark, level, deaths));
-        Some(RequestBlock { level, deaths, until })
+        let level = self.level(mark, record, now)?;
+        let hold = self.hold_time_millis(mark, level, self.evidence(mark, record, now));
+        let until = UnixDeadline::after(record.last_death(), hold);
+        Some(RequestBlock { mark: *mark, level, deaths: record.counted().count(), until })
     }
 
-    /// Requests permission to send. With [`SendPermit::Suspected`] the send counts as running until
-    /// [`Self::ended`].
-    pub fn begin(&mut self, mark: &RequestMark, now: UnixMillis) -> Result<SendPermit, RequestBlock> {
-        let Some(block) = self.status(mark, now) else { return Ok(SendPermit::Clear) };
-        if !block.until.passed(now) {
-            return Err(block);
+    /// Status of a part in a request that has no other suspected part: held for a shorter time if its only death may have
+    /// been caused by another part.
+    fn status_of_only_suspect(&self, mark: &SuspectMark, now: UnixMillis) -> Option<RequestBlock> {
+        let block = self.status(mark, now)?;
+        let record = self.records.get(mark)?;
+        let weak = block.deaths == 1 && block.level == SuspicionLevel::Held && record.is_ambiguous();
+        let until = UnixDeadline::after(record.last_death(), AMBIGUOUS_HOLD_MILLIS);
+        Some(if weak { RequestBlock { until, ..block } } else { block })
+    }
+
+    /// Requests permission to send a request with these marks. With [`SendPermit::Suspected`] the send counts as running
+    /// until [`Self::ended`].
+    pub fn begin(&mut self, marks: &[SuspectMark], now: UnixMillis) -> Result<SendPermit, RequestBlock> {
+        let mut blocks: Vec<RequestBlock> = marks.iter().filter_map(|mark| self.status(mark, now)).collect();
+        if let [block] = &mut *blocks {
+            *block = self.status_of_only_suspect(&block.mark, now).unwrap_or(*block);
         }
-        let record = self.records.get_mut(mark).expect("a request with a status is tracked");
-        if record.running > 0 {
-            return Err(RequestBlock { until: UnixDeadline::after(now, ALONE_RETRY_MILLIS), ..block });
+        let Some(last) = blocks.iter().max_by_key(|block| block.until).copied() else {
+            return Ok(SendPermit::Clear);
+        };
+        if !last.until.passed(now) {
+            return Err(last);
+        }
+        let is_running = |block: &&RequestBlock| self.records[&block.mark].running > 0;
+        if let Some(block) = blocks.iter().find(is_running) {
+            return Err(RequestBlock { until: UnixDeadline::after(now, ALONE_RETRY_MILLIS), ..*block });
+        }
+        for block in &blocks {
+            let record = self.records.get_mut(&block.mark).expect("a mark with a status is tracked");
+            record.running += 1;
         }
-        record.running += 1;
         Ok(SendPermit::Suspected)
     }
 
     /// Records that a send of a suspected request ended, whatever the outcome.
-    pub fn ended(&mut self, mark: &RequestMark) {
-        if let Some(record) = self.records.get_mut(mark) {
-            record.running = record.running.saturating_sub(1);
+    pub fn ended(&mut self, marks: &[SuspectMark]) {
+        for mark in marks {
+            if let Some(record) = self.records.get_mut(mark) {
+                record.running = record.running.saturating_sub(1);
+            }
         }
     }
 
-    /// Records that a target died while this request was on it.
+    /// Which parts of a prompt to blame for the death of a target that ran it: those that already crashed several targets,
+    /// else those without a recent complete answer, else all.
+    pub fn blamed_parts(&self, parts: &[PartMark], now: UnixMillis) -> Vec<PartMark> {
+        let select =
+            |rule: &dyn Fn(&PartMark) -> bool| parts.iter().copied().filter(rule).collect::<Vec<_>>();
+        let is_quarantined = |part: &PartMark| {
+            let status = self.status(&SuspectMark::Part(*part), now);
+            status.is_some_and(|block| block.level == SuspicionLevel::Quarantined)
+        };
+        let quarantined = select(&is_quarantined);
+        if !quarantined.is_empty() {
+            return quarantined;
+        }
+        let untrusted = select(&|part| !self.trusts_part(part, now));
+        if untrusted.is_empty() { parts.to_vec() } else { untrusted }
+    }
+
+    /// Records that a target died while this request, or a request with this part, was on it.
     pub fn died(&mut self, key: &CrashKey, report: CrashReport, now: UnixMillis) -> DeathOutcome {
-        if self.rules.trust && self.trusted.trusts(&key.mark, now) {
+        if self.trusts_request(&key.mark, now) {
             return DeathOutcome::Trusted;
         }
         let record = self.records.entry(key.mark).or_default();
@@ -328,14 +326,37 @@
         }
         record.deaths.insert(key.target.clone(), KnownDeath::new(report, false));
         let record = &self.records[&key.mark];
-        DeathOutcome::Held { level: self.level(record), deaths: record.deaths.len() }
+        match self.level(&key.mark, record, now) {
+            Some(level) => DeathOutcome::Held { level, deaths: record.counted().count() },
+            None => DeathOutcome::Noted,
+        }
+    }
+
+    fn trusts_request(&self, mark: &SuspectMark, now: UnixMillis) -> bool {
+        matches!(mark, SuspectMark::Request(mark) if self.rules.trust && self.trusted.trusts(mark, now))
     }
 
     /// Records a complete answer to a request; returns the rows to remove.
     pub fn answered(&mut self, mark: &RequestMark, now: UnixMillis) -> Vec<CrashKey> {
         self.trusted.answered(*mark, now);
-        let Some(record) = self.records.remove(mark) else { return Vec::new() };
-        record.deaths.into_keys().map(|target| CrashKey { mark: *mark, target }).collect()
+        let mark = SuspectMark::Request(*mark);
+        let Some(record) = self.records.remove(&mark) else { return Vec::new() };
+        record.deaths.into_keys().map(|target| CrashKey { mark, target }).collect()
+    }
+
+    /// Records a complete answer to a request with this part; returns the number of deaths that it clears.
+    ///
+    /// A part may be in answers of all entries at the same time. [`Self::take_expired`] returns the rows to remove, so that
+    /// not every entry removes them.
+    pub fn part_answered(&mut self, part: &PartMark, now: UnixMillis) -> usize {
+        self.trusted_parts.answered(*part, now);
+        let Some(record) = self.records.get_mut(&SuspectMark::Part(*part)) else { return 0 };
+        let mut cleared = 0;
+        for death in record.deaths.values_mut().filter(|death| death.cleared.is_none()) {
+            death.cleared = Some(now);
+            cleared += 1;
+        }
+        cleared
     }
 
     /// Applies all rows of the crash table. `first` marks the first listing and the first one after a
@@ -346,7 +367,7 @@
         self.drop_removed(rows, &mut changes);
         let mut reported = HashSet::new();
         for (key, report) in rows {
-            if self.rules.trust && self.trusted.trusts(&key.mark, now) {
+            if self.trusts_request(&key.mark, now) {
                 changes.remove.push(key.clone());
                 continue;
             }
@@ -364,11 +385,13 @@
             record.deaths.insert(key.target.clone(), KnownDeath::new(report, true));
             reported.insert(key.mark);
         }
-        let mut reported: Vec<RequestMark> = reported.into_iter().collect();
+        let mut reported: Vec<SuspectMark> = reported.into_iter().collect();
         reported.sort_unstable();
         for mark in reported {
             let record = &self.records[&mark];
-            changes.heard.push((mark, self.level(record), record.deaths.len()));
+            if let Some(level) = self.level(&mark, record, now) {
+                changes.heard.push((mark, level, record.counted().count()));
+            }
         }
         changes.remove.extend(self.evict_excess());
         changes
@@ -384,7 +407,7 @@
             for (target, death) in &mut record.deaths {
                 let key = CrashKey { mark: *mark, target: target.clone() };
                 let observed_here = &*death.report.by == own_host;
-                if death.removal_requested || rows.contains_key(&key) {
+                if death.removal_requested || death.cleared.is_some() || rows.contains_key(&key) {
                     continue;
                 }
                 let delay = if observed_here { 0 } else { foreign_delay };
@@ -411,14 +434,15 @@
 
     fn drop_removed(&mut self, rows: &CrashRows, changes: &mut QuarantineChanges) {
         self.records.retain(|mark, record| {
+            let was_suspected = record.is_suspected();
             record.deaths.retain(|target, death| {
                 !death.in_table || rows.contains_key(&CrashKey { mark: *mark, target: target.clone() })
             });
-            let lifted = record.deaths.is_empty();
-            if lifted {
+            let is_empty = record.deaths.is_empty();
+            if is_empty && was_suspected {
                 changes.lifted.push(*mark);
             }
-            !lifted
+            !is_empty
         });
         changes.lifted.sort_unstable();
     }
@@ -430,10 +454,10 @@
         if excess == 0 {
             return Vec::new();
         }
-        let mut order: Vec<(usize, UnixMillis, RequestMark)> = self
+        let mut order: Vec<(usize, UnixMillis, SuspectMark)> = self
             .records
             .iter()
-            .map(|(mark, record)| (record.deaths.len(), record.last_death(), *mark))
+            .map(|(mark, record)| (record.counted().count(), record.last_death(), *mark))
             .collect();
         order.sort_unstable();
         let dropped = order.into_iter().take(excess);
@@ -444,27 +468,23 @@
         rows.collect()
     }
 
-    /// Expired rows that this process has to remove now: its own at once, those of other processes
+    /// Rows of expired and cleared deaths that this process has to remove now: its own at once, those of other processes
     /// later, in case their writers no longer run. `jitter` from 0 to 1 spreads the processes that would
     /// remove the same rows.
     pub fn take_expired(&mut self, own_host: &str, jitter: f64, now: UnixMillis) -> Vec<CrashKey> {
-        let expiries: Vec<(RequestMark, UnixDeadline)> =
-            self.records.iter().map(|(mark, record)| (*mark, self.expires_at(mark, record))).collect();
-        let foreign_delay = FOREIGN_ROW_DELAY_MILLIS + (FOREIGN_ROW_DELAY_MILLIS as f64 * jitter) as u64;
+        let expiries: Vec<(SuspectMark, UnixDeadline)> =
+            self.records.iter().map(|(mark, record)| (*mark, self.expires_at(mark, record, now))).collect();
         let mut rows = Vec::new();
         for (mark, end) in expiries {
             let Some(record) = self.records.get_mut(&mark) else { continue };
-            if !end.passed(now) || record.running > 0 {
-                continue;
+            let expired = end.passed(now) && record.running == 0;
+            if expired {
+                record.deaths.retain(|_target, death| death.in_table);
             }
-            record.deaths.retain(|_target, death| death.in_table);
             for (target, death) in &mut record.deaths {
-                let due = if &*death.report.by == own_host {
-                    end
-                } else {
-                    UnixDeadline::after(end.0, foreign_delay)
-                };
-                if due.passed(now) && !death.removal_requested {
+                let is_due = (expired || death.cleared.is_some())
+                    && death.removal_time(own_host, end, jitter).passed(now);
+                if is_due && !death.removal_requested {
                     death.removal_requested = true;
                     rows.push(CrashKey { mark, target: target.clone() });
                 }
--- a/crates/porthoist-policy/tests/policy/quarantine.rs
+++ b/crates/porthoist-policy/tests/policy/quarantine.rs
@@ -1,6 +1,6 @@
 //! Quarantine of requests: single cases, and several hosts in random order.
 
-use porthoist_core::{MarkedHead, RequestMark, UnixMillis};
+use porthoist_core::{MarkedHead, RequestMark, SuspectMark, UnixMillis};
 use porthoist_policy::proxy::quarantine::{
     CERTAIN_DEATHS, CrashKey, CrashReport, CrashRows, DeathOutcome, HOLD_MILLIS, MAX_MARKS,
     QUARANTINE_MILLIS, QuarantineRules, QuarantineTracker, SendPermit, SuspicionLevel,
@@ -10,10 +10,14 @@
 use std::collections::HashSet;
 use test_case::test_case;
 
-fn mark(body: &str) -> RequestMark {
+fn request_mark(body: &str) -> RequestMark {
     MarkedHead { host: "h", path: "/p", team: Some("t"), body_bytes: body.len() }.mark(body.as_bytes())
 }
 
+fn mark(body: &str) -> SuspectMark {
+    request_mark(body).into()
+}
+
 fn key(body: &str, target: &str) -> CrashKey {
     CrashKey { mark: mark(body), target: target.into() }
 }
@@ -23,7 +27,7 @@
 }
 
 fn report(millis: u64, ranked: bool) -> CrashReport {
-    CrashReport { died: at(millis), ranked, by: "a".into() }
+    CrashReport { died: at(millis), ranked, by: "a".into(), ambiguous: false }
 }
 
 fn level(tracker: &QuarantineTracker, body: &str, millis: u64) -> Option<SuspicionLevel> {
@@ -50,16 +54,16 @@
         assert_eq!(until, hold);
     }
     if until > 0 {
-        assert!(tracker.begin(&mark("x"), at(until - 1)).is_err(), "blocked until the end");
+        assert!(tracker.begin(&[mark("x")], at(until - 1)).is_err(), "blocked until the end");
     }
     let hold_end = until;
-    let after = tracker.begin(&mark("x"), at(hold_end));
+    let after = tracker.begin(&[mark("x")], at(hold_end));
     assert!(after.is_ok(), "{after:?}");
     if expected.is_some() {
         assert_eq!(after, Ok(SendPermit::Suspected));
-        assert!(tracker.begin(&mark("x"), at(hold_end)).is_err(), "one send at a time");
-        tracker.ended(&mark("x"));
-        assert_eq!(tracker.begin(&mark("x"), at(hold_end)), Ok(SendPermit::Suspected));
+        assert!(tracker.begin(&[mark("x")], at(hold_end)).is_err(), "one send at a time");
+        tracker.ended(&[mark("x")]);
+        assert_eq!(tracker.begin(&[mark("x")], at(hold_end)), Ok(SendPermit::Suspected));
     }
 }
 
@@ -67,7 +71,7 @@
 fn complete_answer_clears_and_protects_request() {
     let mut tracker = QuarantineTracker::default();
     tracker.died(&key("hot", "t0"), report(0, true), at(0));
-    assert_eq!(tracker.answered(&mark("hot"), at(10)), [key("hot", "t0")]);
+    assert_eq!(tracker.answered(&request_mark("hot"), at(10)), [key("hot", "t0")]);
     assert_eq!(level(&tracker, "hot", 10), None);
     let verdict = tracker.died(&key("hot", "t1"), report(19_000, true), at(19_000));
     assert_eq!(verdict, DeathOutcome::Trusted);
@@ -87,7 +91,7 @@
     // An operator removes them.
     let changes = tracker.apply_rows(&CrashRows::new(), false, at(900));
     assert_eq!(changes.lifted, [mark("x")]);
-    assert_eq!(tracker.begin(&mark("x"), at(900)), Ok(SendPermit::Clear));
+    assert_eq!(tracker.begin(&[mark("x")], at(900)), Ok(SendPermit::Clear));
 }
 
 #[test]
@@ -120,7 +124,7 @@
     tracker.apply_rows(&rows, true, at(0));
     let expiry = 2 * tracker.status(&mark("x"), at(0)).unwrap().until.0.since(at(0));
     assert_eq!(tracker.take_expired("a", 0.5, at(expiry - 1)), []);
-    assert_eq!(tracker.begin(&mark("x"), at(expiry)), Ok(SendPermit::Clear));
+    assert_eq!(tracker.begin(&[mark("x")], at(expiry)), Ok(SendPermit::Clear));
     assert_eq!(tracker.take_expired("b", 0.5, at(expiry + 29_999)), []);
     assert_eq!(tracker.take_expired("a", 0.5, at(expiry)), [key("x", "t0")]);
     assert_eq!(tracker.take_expired("a", 0.5, at(expiry + 1)), [], "once");
@@ -216,7 +220,7 @@
 
     /// Whether a host may send a request, and whether the request is suspected.
     fn try_begin(&mut self, host: usize, body: &str) -> Option<bool> {
-        match self.trackers[host].begin(&mark(body), at(self.now)) {
+        match self.trackers[host].begin(&[mark(body)], at(self.now)) {
             Ok(permit) => Some(permit == SendPermit::Suspected),
             Err(block) => {
                 if block.level == SuspicionLevel::Quarantined && body != "killer" {
@@ -262,12 +266,12 @@
                     self.rows.insert(row, report);
                 }
             } else {
-                for row in self.trackers[*host].answered(&mark(body), at(self.now)) {
+                for row in self.trackers[*host].answered(&request_mark(body), at(self.now)) {
                     self.rows.remove(&row);
                 }
             }
             if *suspected {
-                self.trackers[*host].ended(&mark(body));
+                self.trackers[*host].ended(&[mark(body)]);
             }
         }
         if kills {
--- a/crates/porthoist-proxy/src/handler/admission.rs
+++ b/crates/porthoist-proxy/src/handler/admission.rs
@@ -5,7 +5,7 @@
 use crate::headers::RequestMetadata;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
-use porthoist_core::{RefusalReason, ServiceName, UnixDeadline, UnixMillis};
+use porthoist_core::{PartMark, RefusalReason, ServiceName, UnixDeadline, UnixMillis};
 use porthoist_policy::proxy::caller_retries::CallerAttempt;
 use porthoist_policy::proxy::routes::{RouteRule, RouteTable, TeamGrant};
 use slog::info;
@@ -46,6 +46,7 @@
             .get(&service)
             .map(|capacity| capacity.level(priority_rank(&rule, grant.as_ref())));
         let cached_mark = OnceCell::new();
+        let parts = metadata.shared_parts.iter().map(|part| PartMark::new(&service, part)).collect();
         Ok(AdmittedRequest {
             metadata,
             head,
@@ -59,6 +60,7 @@
             is_caller_retry,
             level,
             cached_mark,
+            parts,
         })
     }
 
--- a/crates/porthoist-proxy/src/handler/types.rs
+++ b/crates/porthoist-proxy/src/handler/types.rs
@@ -10,8 +10,8 @@
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use porthoist_core::{
-    MarkedHead, RefusalReason, RequestMark, RetryReason, RunVerdict, ServiceName, TargetName, UnixDeadline,
-    UnixMillis,
+    MarkedHead, PartMark, RefusalReason, RequestMark, RetryReason, RunVerdict, ServiceName, TargetName,
+    UnixDeadline, UnixMillis,
 };
 use porthoist_policy::proxy::balancer::RequestWork;
 use porthoist_policy::proxy::capacity::{GrantState, PriorityRank};
@@ -43,6 +43,8 @@
     pub(super) level: Option<PriorityLevel>,
     /// Digest of the request, computed on demand.
     pub(super) cached_mark: OnceCell<RequestMark>,
+    /// Digests of the parts of its prompt that other requests may share.
+    pub(super) parts: Box<[PartMark]>,
 }
 
 pub(super) fn priority_rank(rule: &RouteRule, grant: Option<&TeamGrant>) -> PriorityRank {
@@ -112,6 +114,10 @@
         self.body.len()
     }
 
+    fn parts(&self) -> &[PartMark] {
+        &self.parts
+    }
+
     fn attempt(&self) -> &str {
         &self.metadata.attempt
     }
--- a/crates/porthoist-proxy/src/headers.rs
+++ b/crates/porthoist-proxy/src/headers.rs
@@ -16,8 +16,10 @@
     pub remaining_millis: Option<u64>,
     /// The caller's key.
     pub key: Option<Box<str>>,
-    /// Identifies the session or subject: a hash of the last shared part of the prompt.
+    /// Identifies the session or subject: a hash of the last part of the prompt.
     pub session: Option<u64>,
+    /// Identifiers of the other parts of the prompt, each once.
+    pub shared_parts: Box<[Box<str>]>,
     /// Number of tokens of the prompt.
     pub prompt_tokens: u64,
     /// Maximum number of tokens of the response.
--- a/crates/porthoist-proxy/src/quarantine.rs
+++ b/crates/porthoist-proxy/src/quarantine.rs
@@ -1,16 +1,16 @@
-//! Quarantines requests that crash targets, and exchanges crashes with the other entries through the crash
+//! Quarantines requests and parts of prompts that crash targets, and exchanges crashes with the other entries through the crash
 //! table.
 
 use crate::connection_pool::TargetLiveness;
 use crate::crashes::{CrashChange, CrashSnapshot};
 use crate::revision::TableEra;
-use porthoist_core::{ClockSource, HostName, RequestMark, TargetName};
+use porthoist_core::{ClockSource, HostName, PartMark, RequestMark, SuspectMark, TargetName};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::quarantine::{
     CrashKey, CrashReport, DeathOutcome, QuarantineChanges, QuarantineRules, QuarantineTracker, RequestBlock,
     SendPermit,
 };
-use porthoist_policy::proxy::targets::TargetRecord;
+use porthoist_policy::proxy::targets::{TargetLife, TargetRecord};
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
 use std::fmt;
@@ -31,6 +31,8 @@
     fn mark(&self) -> RequestMark;
     /// Size of the body in bytes.
     fn body_bytes(&self) -> usize;
+    /// Parts of the prompt that other requests may share.
+    fn parts(&self) -> &[PartMark];
     /// Identifier of the attempt, for logs.
     fn attempt(&self) -> &str;
     /// Whether the request's targets are ranks of a group.
@@ -67,7 +69,7 @@
 /// A run of a suspected request; ends when dropped.
 pub struct SuspectRun {
     quarantine: Rc<RequestQuarantine>,
-    mark: RequestMark,
+    marks: Vec<SuspectMark>,
     target: Option<TargetName>,
 }
 
@@ -82,13 +84,18 @@
 
 impl fmt::Debug for SuspectRun {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_tuple("SuspectRun").field(&self.mark.short()).finish()
+        f.debug_tuple("SuspectRun").field(&short_marks(&self.marks)).finish()
     }
 }
 
+/// First digits of marks, for logs.
+fn short_marks(marks: &[SuspectMark]) -> String {
+    marks.iter().map(SuspectMark::short).collect::<Vec<_>>().join(" ")
+}
+
 impl Drop for SuspectRun {
     fn drop(&mut self) {
-        self.quarantine.tracker.borrow_mut().ended(&self.mark);
+        self.quarantine.tracker.borrow_mut().ended(&self.marks);
         let Some(target) = &self.target else { return };
         let mut occupied = self.quarantine.occupied.borrow_mut();
         if let Some(index) = occupied.iter().position(|other| other == target) {
@@ -129,32 +136,42 @@
     /// is dropped.
     pub fn begin(self: &Rc<Self>, request: &impl MarkedRequest) -> Result<Option<SuspectRun>, RequestBlock> {
         self.apply_update();
-        let known = {
-            let tracker = self.tracker.borrow();
-            !tracker.is_empty() && tracker.knows_head(request.head_digest())
-        };
-        if !known {
+        let marks = self.known_marks(request);
+        if marks.is_empty() {
             return Ok(None);
         }
-        let mark = request.mark();
-        let permit = self.tracker.borrow_mut().begin(&mark, self.clock.now());
+        let permit = self.tracker.borrow_mut().begin(&marks, self.clock.now());
         match permit {
             Ok(SendPermit::Clear) => Ok(None),
             Ok(SendPermit::Suspected) => {
                 info!(self.logger, "suspected request sent"; "event" => "suspect_sent",
-                    "request" => request.attempt(), "mark" => mark.short());
-                Ok(Some(SuspectRun { quarantine: Rc::clone(self), mark, target: None }))
+                    "request" => request.attempt(), "mark" => short_marks(&marks));
+                Ok(Some(SuspectRun { quarantine: Rc::clone(self), marks, target: None }))
             }
             Err(block) => {
                 info!(self.logger, "suspected request refused"; "event" => "kept_back",
-                    "request" => request.attempt(), "mark" => mark.short(), "level" => block.level.as_str(),
-                    "deaths" => block.deaths);
+                    "request" => request.attempt(), "mark" => block.mark.short(),
+                    "level" => block.level.as_str(), "deaths" => block.deaths);
                 self.metrics.record_crash_event("refused");
                 Err(block)
             }
         }
     }
 
+    /// Marks of a request and its parts that deaths are known of.
+    fn known_marks(&self, request: &impl MarkedRequest) -> Vec<SuspectMark> {
+        let tracker = self.tracker.borrow();
+        if tracker.is_empty() {
+            return Vec::new();
+        }
+        let parts = request.parts().iter().filter(|part| tracker.knows_part(part));
+        let mut marks: Vec<SuspectMark> = parts.copied().map(SuspectMark::Part).collect();
+        if tracker.knows_head(request.head_digest()) {
+            marks.push(request.mark().into());
+        }
+        marks
+    }
+
     /// Targets at which suspected requests of this process run. Another suspected request avoids them if it
     /// can: if all chose the same second target, other requests would lose both of their attempts to a
     /// request that crashes targets.
@@ -174,26 +191,43 @@
         }
         let now = self.clock.now();
         let life = target.life();
-        let key = CrashKey { mark: request.mark(), target: format!("{}@{}", life.id, life.born).into() };
-        let report = CrashReport { died: now, ranked: request.ranked(), by: self.host.as_str().into() };
-        let outcome = self.tracker.borrow_mut().died(&key, report.clone(), now);
+        let blamed = self.tracker.borrow().blamed_parts(request.parts(), now);
+        let report = CrashReport {
+            died: now,
+            ranked: request.ranked(),
+            by: self.host.as_str().into(),
+            ambiguous: blamed.len() > 1,
+        };
+        for part in blamed {
+            self.record_death(request.attempt(), part.into(), &life, &report);
+        }
+        let report = CrashReport { ambiguous: false, ..report };
+        self.record_death(request.attempt(), request.mark().into(), &life, &report);
+        self.evict_excess();
+    }
+
+    /// Counts the death of a target against a request or a part of its prompt.
+    fn record_death(&self, attempt: &str, mark: SuspectMark, life: &TargetLife, report: &CrashReport) {
+        let key = CrashKey { mark, target: format!("{}@{}", life.id, life.born).into() };
+        let outcome = self.tracker.borrow_mut().died(&key, report.clone(), report.died);
         let (level, deaths) = match outcome {
             DeathOutcome::Held { level, deaths } => (level.as_str(), deaths),
             DeathOutcome::Trusted => ("trusted", 0),
+            DeathOutcome::Noted => ("noted", 0),
             DeathOutcome::Known => return,
         };
         info!(self.logger, "target crashed while running a request"; "event" => "target_died",
-            "request" => request.attempt(), "mark" => key.mark.short(), "target" => life.id.to_string(),
+            "request" => attempt, "mark" => mark.short(), "target" => life.id.to_string(),
             "level" => level, "deaths" => deaths);
         self.metrics.record_crash_event(level);
         if outcome != DeathOutcome::Trusted {
-            self.queue_change(CrashChange::Put(key, report));
+            self.queue_change(CrashChange::Put(key, report.clone()));
         }
-        self.evict_excess();
     }
 
-    /// Records that a target answered a request completely, which clears the request.
+    /// Records that a target answered a request completely, which clears the request and the parts of its prompt.
     pub fn record_answer(&self, request: &impl MarkedRequest) {
+        self.clear_parts(request);
         let known = {
             let tracker = self.tracker.borrow();
             !tracker.is_empty() && tracker.knows_head(request.head_digest())
@@ -212,6 +246,18 @@
         self.remove(rows);
     }
 
+    fn clear_parts(&self, request: &impl MarkedRequest) {
+        let now = self.clock.now();
+        for part in request.parts() {
+            let deaths = self.tracker.borrow_mut().part_answered(part, now);
+            if deaths > 0 {
+                info!(self.logger, "complete response cleared a part of prompts"; "event" => "suspect_cleared",
+                    "request" => request.attempt(), "mark" => SuspectMark::Part(*part).short(), "deaths" => deaths);
+                self.metrics.record_crash_event("cleared");
+            }
+        }
+    }
+
     /// Applies a new state of the crash table, if there is one. Called before each send: the process can
     /// report ready before another task of this thread has run.
     pub fn apply_update(&self) {
@@ -264,13 +310,13 @@
         }
     }
 
-    /// Removes expired rows. Call periodically.
+    /// Removes rows of expired and cleared crashes. Call periodically.
     pub fn remove_expired_crashes(&self) {
         self.write_due_rewrites();
         let now = self.clock.now();
         let rows = self.tracker.borrow_mut().take_expired(self.host.as_str(), rand::random(), now);
         for row in &rows {
-            info!(self.logger, "crash expired"; "event" => "suspect_lapsed",
+            info!(self.logger, "crash expired or cleared"; "event" => "suspect_lapsed",
                 "mark" => row.mark.short(), "target" => &*row.target);
             self.metrics.record_crash_event("lapsed");
         }
--- a/crates/porthoist-proxy/tests/quarantine.rs
+++ b/crates/porthoist-proxy/tests/quarantine.rs
@@ -1,6 +1,6 @@
 //! Tests of the quarantine of one process.
 
-use porthoist_core::{ClockSource, MarkedHead, RequestMark, UnixMillis};
+use porthoist_core::{ClockSource, MarkedHead, PartMark, RequestMark, UnixMillis};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::quarantine::{CrashKey, CrashReport, CrashRows, SuspicionLevel};
 use porthoist_proxy::quarantine::MarkedRequest;
@@ -42,6 +42,10 @@
         self.0.len()
     }
 
+    fn parts(&self) -> &[PartMark] {
+        &[]
+    }
+
     fn attempt(&self) -> &str {
         self.0
     }
@@ -71,9 +75,12 @@
 }
 
 fn publish_crashes_in_era(crashes: &watch::Sender<CrashSnapshot>, by: &str, deaths: usize, era: TableEra) {
-    let report = CrashReport { died: UnixMillis(1_000_000), ranked: false, by: by.into() };
+    let report = CrashReport { died: UnixMillis(1_000_000), ranked: false, by: by.into(), ambiguous: false };
     let row = |index: usize| {
-        (CrashKey { mark: TestRequest("x").mark(), target: format!("t{index}").into() }, report.clone())
+        (
+            CrashKey { mark: TestRequest("x").mark().into(), target: format!("t{index}").into() },
+            report.clone(),
+        )
     };
     let rows: CrashRows = (0..deaths).map(row).collect();
     crashes.send_replace(CrashSnapshot { rows: Arc::new(rows), listed: true, era });
--- a/porthoist-cli/src/cmd/quarantine.rs
+++ b/porthoist-cli/src/cmd/quarantine.rs
@@ -2,7 +2,7 @@
 
 use crate::error::ToolError;
 use argh::FromArgs;
-use porthoist_core::{AnchoredClock, ClockSource as _, RequestMark, UnixMillis};
+use porthoist_core::{AnchoredClock, ClockSource as _, SuspectMark, UnixMillis};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::quarantine::{CrashRows, QuarantineTracker};
 use porthoist_proxy::crashes::parse_crash_row;
@@ -14,14 +14,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// Show the requests that crashed targets, and how long they are withheld from targets; or lift one.
+/// Show the requests and parts of prompts that crashed targets, and how long they are withheld from targets; or lift one.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "quarantine")]
 pub struct QuarantineArgs {
     /// address of the platform's table service, IP:PORT
     #[argh(option)]
     table: SocketAddr,
-    /// allow this request again: its mark or the first digits of the mark, as shown here and in the logs
+    /// allow this request or part again: its mark or the first digits of the mark, as shown here and in the logs
     #[argh(option)]
     lift: Option<String>,
 }
@@ -54,7 +54,7 @@
     ToolError::Endpoint(format!("failed to reach the table service: {error}"))
 }
 
-/// Removes the crash rows of the one request whose mark begins with `digits`.
+/// Removes the crash rows of the one request or part whose mark begins with `digits`.
 async fn lift_quarantine(
     store: &impl RowWriter,
     rows: &CrashRows,
@@ -71,27 +71,24 @@
     ))
 }
 
-/// The request whose mark begins with `digits`, if exactly one does.
-pub fn find_mark(rows: &CrashRows, digits: &str) -> Result<RequestMark, ToolError> {
-    let matches = |mark: &RequestMark| !digits.is_empty() && mark.to_string().starts_with(digits);
-    let mut marks: Vec<RequestMark> = rows.keys().map(|key| key.mark).filter(matches).collect();
+/// The request or part whose mark begins with `digits`, if exactly one does.
+pub fn find_mark(rows: &CrashRows, digits: &str) -> Result<SuspectMark, ToolError> {
+    let matches = |mark: &SuspectMark| !digits.is_empty() && mark.to_string().starts_with(digits);
+    let mut marks: Vec<SuspectMark> = rows.keys().map(|key| key.mark).filter(matches).collect();
     marks.sort_unstable();
     marks.dedup();
     match marks[..] {
         [mark] => Ok(mark),
-        [] => Err(ToolError::Missing(format!("no crash is recorded for a request {digits:?}"))),
-        _ => Err(ToolError::Missing(format!(
-            "{digits:?} is ambiguous: it begins the marks of {} requests",
-            marks.len()
-        ))),
+        [] => Err(ToolError::Missing(format!("no crash is recorded under a mark {digits:?}"))),
+        _ => Err(ToolError::Missing(format!("{digits:?} is ambiguous: it begins {} marks", marks.len()))),
     }
 }
 
-/// Formats the requests as text, those with the most crashes first.
+/// Formats the requests and parts as text, those with the most crashes first.
 pub fn quarantine_text(rows: &CrashRows, now: UnixMillis) -> String {
     let mut tracker = QuarantineTracker::default();
     tracker.apply_rows(rows, true, now);
-    let mut targets: BTreeMap<RequestMark, Vec<&str>> = BTreeMap::new();
+    let mut targets: BTreeMap<SuspectMark, Vec<&str>> = BTreeMap::new();
     for key in rows.keys() {
         targets.entry(key.mark).or_default().push(&key.target);
     }
@@ -105,7 +102,7 @@
         lines.push((std::cmp::Reverse(crashes), line));
     }
     if lines.is_empty() {
-        return "no request is held or quarantined\n".to_owned();
+        return "nothing is held or quarantined\n".to_owned();
     }
     lines.sort();
     let mut text = "request       level       deaths  kept (s)  targets that died\n".to_owned();
--- a/porthoist-cli/tests/quarantine.rs
+++ b/porthoist-cli/tests/quarantine.rs
@@ -10,7 +10,7 @@
 fn rows() -> CrashRows {
     let row = |mark: &str, target: &str, died: u64| {
         let key: CrashKey = format!("{mark}/{target}").parse().unwrap();
-        (key, CrashReport { died: UnixMillis(died), ranked: true, by: "entry-1".into() })
+        (key, CrashReport { died: UnixMillis(died), ranked: true, by: "entry-1".into(), ambiguous: false })
     };
     CrashRows::from([
         row(OTHER, "i-9@0", 95_000),
@@ -27,18 +27,15 @@
     0123456789ab  quarantined      3       599  i-1@0 i-2@0 i-3@0
     0177777789ab  held             1        56  i-9@0
     ");
-    assert_eq!(quarantine_text(&rows(), UnixMillis(99_000_000)), "no request is held or quarantined\n");
+    assert_eq!(quarantine_text(&rows(), UnixMillis(99_000_000)), "nothing is held or quarantined\n");
 }
 
 #[test]
 fn a_unique_prefix_of_a_mark_identifies_its_request() {
     assert_eq!(find_mark(&rows(), "0123").unwrap(), FIRST.parse().unwrap());
-    assert_eq!(
-        find_mark(&rows(), "01").unwrap_err().to_string(),
-        "\"01\" is ambiguous: it begins the marks of 2 requests"
-    );
+    assert_eq!(find_mark(&rows(), "01").unwrap_err().to_string(), "\"01\" is ambiguous: it begins 2 marks");
     for digits in ["ff", ""] {
         let problem = find_mark(&rows(), digits).unwrap_err().to_string();
-        assert_eq!(problem, format!("no crash is recorded for a request {digits:?}"));
+        assert_eq!(problem, format!("no crash is recorded under a mark {digits:?}"));
     }
 }
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -48,9 +48,9 @@
 const LOADS_CAPACITY: usize = 64;
 /// Capacity of the queue of crashes to write, enough for all requests of ten targets; they are written within
 /// milliseconds.
-const CRASHES_CAPACITY: usize = 256;
-/// Interval at which expired crashes are removed; crashes count for minutes.
-const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
+const CRASHES_CAPACITY: usize = 1_024;
+/// Interval at which expired and cleared crashes are removed.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Addresses that a proxy listens on.
 #[derive(Debug, Clone, Copy)]
