Check the target when a response ends with its connection

A response without a length or chunks ends with its connection, which a crash of its target ends as well. Callers got such a stream as complete, with status 200 and no event, and the request was cleared of the crashes recorded against it.

The target is now probed, as after a broken connection: if it has crashed, the response is broken. A stream without events clears nothing.

--- a/crates/porthoist-proxy/src/connection_pool.rs
+++ b/crates/porthoist-proxy/src/connection_pool.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{CONNECTION, HeaderMap, HeaderName};
+use hyper::header::{CONNECTION, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
@@ -202,6 +202,13 @@
     pub lease: ConnectionLease,
 }
 
+impl OpenAnswer {
+    /// Whether only the end of the connection shows where the body ends.
+    pub fn ends_with_connection(&self) -> bool {
+        self.body.size_hint().exact().is_none() && !self.head.headers.contains_key(TRANSFER_ENCODING)
+    }
+}
+
 impl ConnectionPool {
     /// Creates an empty pool. `read_buffer` is the maximum size in bytes of a connection's read buffer, which
     /// a response head must fit; `None` leaves hyper's default.
--- a/crates/porthoist-proxy/src/handler/relay.rs
+++ b/crates/porthoist-proxy/src/handler/relay.rs
@@ -3,7 +3,7 @@
 
 use super::ProxyHandler;
 use super::request_guard::RequestGuard;
-use super::types::{AdmittedRequest, SendHistory, TargetAnswer};
+use super::types::{AdmittedRequest, AnswerEnd, SendHistory, TargetAnswer};
 use crate::byte_budget::HeldBytes;
 use crate::connection_pool::{OpenAnswer, SendFailure};
 use crate::dispatcher::TargetSlot;
@@ -40,12 +40,21 @@
 struct StreamSource {
     slot: TargetSlot,
     answer: OpenAnswer,
+    /// Whether only the end of the connection shows where the stream ends.
+    unframed: bool,
+}
+
+impl StreamSource {
+    fn new(slot: TargetSlot, answer: OpenAnswer) -> Self {
+        let unframed = answer.ends_with_connection();
+        Self { slot, answer, unframed }
+    }
 }
 
 /// The next step of a stream.
 enum RelayStep {
     Event(CompleteEvent),
-    End,
+    End(AnswerEnd),
     Broken(SendFailure),
 }
 
@@ -65,7 +74,7 @@
         Self {
             handler,
             admitted,
-            source: Some(StreamSource { slot, answer }),
+            source: Some(StreamSource::new(slot, answer)),
             splitter: EventSplitter::default(),
             held,
             last_id,
@@ -103,8 +112,8 @@
                 step => step,
             };
             match step {
-                RelayStep::End => {
-                    self.finish();
+                RelayStep::End(end) => {
+                    self.finish(end);
                     return None;
                 }
                 RelayStep::Broken(failure) => {
@@ -155,7 +164,11 @@
                 Ok(None) if self.splitter.has_partial_event() => {
                     return RelayStep::Broken(SendFailure::closed("connection ended within an event"));
                 }
-                Ok(None) => return RelayStep::End,
+                Ok(None) if source.unframed => {
+                    let end = self.handler.check_unframed_end(&source.slot.target).await;
+                    return end.map_or_else(RelayStep::Broken, RelayStep::End);
+                }
+                Ok(None) => return RelayStep::End(AnswerEnd::Proven),
             }
         }
     }
@@ -207,11 +220,14 @@
         self.held.split(event.bytes.len()).attach(event.bytes)
     }
 
-    fn finish(&mut self) {
+    fn finish(&mut self, end: AnswerEnd) {
         self.guard.completed.set(true);
-        self.handler.quarantine.record_answer(&*self.admitted);
+        // A stream without events does not show that the target survives the request.
+        if end == AnswerEnd::Proven && self.forwarded > 0 {
+            self.handler.quarantine.record_answer(&*self.admitted);
+        }
         self.handler.dispatcher.stream_ended(&self.admitted.service, self.forwarded);
-        let Some(StreamSource { slot, answer }) = self.source.take() else { return };
+        let Some(StreamSource { slot, answer, .. }) = self.source.take() else { return };
         let first = self.first_at.map(|first| first.since(self.admitted.arrival));
         info!(self.handler.logger, "streamed"; "event" => "answered",
             "request" => &*self.admitted.metadata.attempt, "target" => slot.target.id.to_string(),
@@ -254,7 +270,7 @@
             let sent = self.handler.send(&self.admitted, &slot, self.last_id, &mut self.history).await;
             match sent {
                 Ok(TargetAnswer::Stream(answer)) => {
-                    self.source = Some(StreamSource { slot, answer });
+                    self.source = Some(StreamSource::new(slot, answer));
                     return Ok(());
                 }
                 Ok(TargetAnswer::Complete(answer)) => {
--- a/crates/porthoist-proxy/src/handler/send_checks.rs
+++ b/crates/porthoist-proxy/src/handler/send_checks.rs
@@ -1,7 +1,7 @@
 //! Checks before each send: the deadline and the crash quarantine.
 
 use super::ProxyHandler;
-use super::types::{AdmittedRequest, ProxyRefusal, SendHistory};
+use super::types::{AdmittedRequest, AnswerEnd, ProxyRefusal, SendHistory};
 use crate::connection_pool::{SendFailure, TargetLiveness};
 use crate::dispatcher::TargetSlot;
 use hyper::StatusCode;
@@ -88,6 +88,16 @@
         self.quarantine.record_lost_connection(admitted, target, liveness);
     }
 
+    /// Checks the end of a response that only the end of its connection shows: a crash of the target looks the same.
+    pub(super) async fn check_unframed_end(&self, target: &TargetRecord) -> Result<AnswerEnd, SendFailure> {
+        match self.pool.probe(target).await {
+            TargetLiveness::Alive => Ok(AnswerEnd::Proven),
+            TargetLiveness::Unknown => Ok(AnswerEnd::Assumed),
+            TargetLiveness::Dead if self.is_leaving(target) => Ok(AnswerEnd::Assumed),
+            TargetLiveness::Dead => Err(SendFailure::closed("the target ended with the connection")),
+        }
+    }
+
     /// Whether a target is known to be draining, in which case its end is no crash.
     fn is_leaving(&self, target: &TargetRecord) -> bool {
         let life = target.life();
--- a/crates/porthoist-proxy/src/handler/sending.rs
+++ b/crates/porthoist-proxy/src/handler/sending.rs
@@ -1,6 +1,6 @@
 //! Sends a request to a target once and classifies the response.
 
-use super::types::{AdmittedRequest, CompleteAnswer, SendHistory, TargetAnswer};
+use super::types::{AdmittedRequest, AnswerEnd, CompleteAnswer, SendHistory, TargetAnswer};
 use super::{LAST_EVENT_ID, MAX_BUFFERED_ANSWER_BYTES, ProxyHandler};
 use crate::connection_pool::{OpenAnswer, SendFailure};
 use crate::dispatcher::TargetSlot;
@@ -42,7 +42,7 @@
             }
         };
         let millis = self.clock.now().since(sent_at) as f64;
-        if matches!(answer, Ok(TargetAnswer::Complete(_))) {
+        if matches!(&answer, Ok(TargetAnswer::Complete(answer)) if answer.end == AnswerEnd::Proven) {
             self.quarantine.record_answer(admitted);
         }
         match &answer {
@@ -144,7 +144,12 @@
             // has not made.
             return Err(SendFailure::lost(format!("status {} without proof", status.as_u16())));
         }
-        self.read_complete(admitted, answer).await.map(TargetAnswer::Complete)
+        let unframed = answer.ends_with_connection();
+        let mut answer = self.read_complete(admitted, answer).await?;
+        if unframed {
+            answer.end = self.check_unframed_end(&slot.target).await?;
+        }
+        Ok(TargetAnswer::Complete(answer))
     }
 
     async fn read_complete(
@@ -157,8 +162,9 @@
         let collected = tokio::time::timeout(remaining, self.collect(body)).await;
         let body = collected.map_err(|_elapsed| SendFailure::lost("response not complete in time"))??;
         lease.release(&head.headers);
-        Ok(CompleteAnswer { status: head.status, headers: head.headers, body })
+        Ok(CompleteAnswer { status: head.status, headers: head.headers, body, end: AnswerEnd::Proven })
     }
+
     /// Collects a body, whose bytes are held until the caller's connection has taken them.
     async fn collect(&self, body: Incoming) -> Result<Bytes, SendFailure> {
         let mut limited = Limited::new(body, MAX_BUFFERED_ANSWER_BYTES);
--- a/crates/porthoist-proxy/src/handler/types.rs
+++ b/crates/porthoist-proxy/src/handler/types.rs
@@ -167,6 +167,16 @@
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    pub(super) end: AnswerEnd,
+}
+
+/// How well the end of a complete response is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum AnswerEnd {
+    /// By its framing, or because its target still runs.
+    Proven,
+    /// The connection ended, and it is not known whether the target still runs.
+    Assumed,
 }
 
 /// A target's response to one attempt.
