Bound the connections of callers by the files the process may open

Callers that kept their connections could take all files of an entry. It then read requests and could not send them, or accepted no connection for as long as the idle ones stayed.

Half of the files are for callers and a quarter for idle connections to targets, from the limit read at the start. Beyond that, the connection that has been idle for the longest closes; if none is idle, the new one is closed without being read. Both are counted, and logged once a second.

--- a/crates/porthoist-metrics/src/lib.rs
+++ b/crates/porthoist-metrics/src/lib.rs
@@ -14,7 +14,8 @@
 const PLANNED_RETRY_TIMES: [&str; 2] = ["recovery", "deadline"];
 
 /// Events of crashes that are attributed to requests: the level that a new one leads to, and later changes.
-const CRASH_EVENTS: [&str; 11] = [
+const CRASH_EVENTS: [&str; 12] = [
+    "noted",
     "watched",
     "held",
     "quarantined",
@@ -29,6 +30,8 @@
 ];
 /// Changes of the backpressure that a target reports.
 const BACKPRESSURE_CHANGES: [&str; 6] = ["limited", "lifted", "resting", "rested", "leaving", "unreadable"];
+/// What happens to connections of callers that exceed the limit.
+const CONNECTION_EVENTS: [&str; 3] = ["evicted", "refused", "failed"];
 /// Bucket bounds of the latency histograms, in milliseconds.
 const LATENCY_BOUNDS: [f64; 12] = [0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 250.0, 500.0, 1400.0, 5000.0];
 
@@ -59,6 +62,7 @@
     cut_responses: Counter<u64>,
     held_bytes: Arc<OnceLock<ValueReader>>,
     crash_events: Counter<u64>,
+    connection_events: Counter<u64>,
     backpressure_changes: Counter<u64>,
     cold_targets: Gauge<u64>,
     capacity_slots: Gauge<f64>,
@@ -119,6 +123,7 @@
             cut_responses: meter.u64_counter("porthoist_responses_cut").build(),
             held_bytes,
             crash_events: meter.u64_counter("porthoist_crash_events").build(),
+            connection_events: meter.u64_counter("porthoist_caller_connections").build(),
             backpressure_changes: meter.u64_counter("porthoist_target_need_changes").build(),
             cold_targets: meter.u64_gauge("porthoist_cold_targets").build(),
             capacity_slots: meter.f64_gauge("porthoist_capacity_slots").build(),
@@ -162,6 +167,9 @@
         for event in CRASH_EVENTS {
             self.crash_events.add(0, &[KeyValue::new("event", event)]);
         }
+        for event in CONNECTION_EVENTS {
+            self.connection_events.add(0, &[KeyValue::new("event", event)]);
+        }
         for change in BACKPRESSURE_CHANGES {
             self.backpressure_changes.add(0, &[KeyValue::new("change", change)]);
         }
@@ -214,6 +222,11 @@
         self.crash_events.add(1, &[KeyValue::new("event", event)]);
     }
 
+    /// Records that a caller's connection gave way, was refused or could not be accepted.
+    pub fn record_connection_event(&self, event: &'static str) {
+        self.connection_events.add(1, &[KeyValue::new("event", event)]);
+    }
+
     /// Counts a change of the backpressure that a target reports.
     pub fn record_backpressure_change(&self, change: &'static str) {
         self.backpressure_changes.add(1, &[KeyValue::new("change", change)]);
--- a/crates/porthoist-policy/src/proxy.rs
+++ b/crates/porthoist-policy/src/proxy.rs
@@ -9,6 +9,7 @@
 pub mod demand;
 pub mod entry_positions;
 pub mod episodes;
+pub mod file_bounds;
 pub mod forecast;
 pub mod freshness;
 pub mod group_capacity;
--- a/crates/porthoist-proxy/src/caller_stream.rs
+++ b/crates/porthoist-proxy/src/caller_stream.rs
@@ -1,5 +1,6 @@
 //! A caller's connection, which ends if its caller reads nothing of a response for too long.
 
+use porthoist_core::UnixMillis;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
@@ -9,6 +10,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::{Sleep, sleep};
 
 /// What the handler of requests and the connection's stream know of each other.
@@ -17,12 +19,39 @@
     /// Attempt identifier of the connection's last request.
     attempt: RefCell<Option<Arc<str>>>,
     cut: Cell<bool>,
+    /// Since when no request is being served; `None` while one is.
+    idle_since: Cell<Option<UnixMillis>>,
+    /// Whether it was told to close.
+    closing: Cell<bool>,
+    close_signal: Notify,
 }
 
 impl CallerConnection {
     /// Notes the attempt identifier of the request that is served now.
     pub(crate) fn begin_request(&self, attempt: &Arc<str>) {
         *self.attempt.borrow_mut() = Some(Arc::clone(attempt));
+        self.idle_since.set(None);
+    }
+
+    /// Notes that no request is being served.
+    pub(crate) fn set_idle(&self, now: UnixMillis) {
+        self.idle_since.set(Some(now));
+    }
+
+    /// Since when the connection has been idle, unless it is in use or closing already.
+    pub(crate) fn evictable_since(&self) -> Option<UnixMillis> {
+        if self.closing.get() { None } else { self.idle_since.get() }
+    }
+
+    /// Tells the connection to close once it serves no request.
+    pub(crate) fn close(&self) {
+        self.closing.set(true);
+        self.close_signal.notify_one();
+    }
+
+    /// Waits until the connection is told to close.
+    pub(crate) async fn closed(&self) {
+        self.close_signal.notified().await;
     }
 
     /// Attempt identifier of the connection's last request, if there was one.
--- a/crates/porthoist-proxy/src/connection_pool.rs
+++ b/crates/porthoist-proxy/src/connection_pool.rs
@@ -115,6 +115,8 @@
     probes: Rc<RefCell<HashMap<TargetLife, Rc<OnceCell<TargetLiveness>>>>>,
     /// Maximum size in bytes of a connection's read buffer; `None` for hyper's default.
     read_buffer: Option<usize>,
+    /// Maximum number of idle connections to all targets.
+    max_idle: usize,
     clock: Arc<dyn ClockSource>,
     metrics: Arc<MetricsHub>,
 }
@@ -168,6 +170,18 @@
             connections.remove(0).task.abort();
         }
         connections.push(connection);
+        if idle.values().map(Vec::len).sum::<usize>() > self.pool.max_idle {
+            remove_longest_idle(&mut idle);
+        }
+    }
+}
+
+/// Closes the connection that has been idle for the longest.
+fn remove_longest_idle(idle: &mut HashMap<TargetLife, Vec<IdleConnection>>) {
+    let since = |connections: &Vec<IdleConnection>| connections.first().map(|first| first.idle_since);
+    let oldest = idle.values_mut().filter(|connections| !connections.is_empty()).min_by_key(|c| since(c));
+    if let Some(connections) = oldest {
+        connections.remove(0).task.abort();
     }
 }
 
@@ -211,9 +225,15 @@
 
 impl ConnectionPool {
     /// Creates an empty pool. `read_buffer` is the maximum size in bytes of a connection's read buffer, which
-    /// a response head must fit; `None` leaves hyper's default.
-    pub fn new(read_buffer: Option<usize>, clock: Arc<dyn ClockSource>, metrics: Arc<MetricsHub>) -> Self {
-        Self { idle: Rc::default(), probes: Rc::default(), read_buffer, clock, metrics }
+    /// a response head must fit; `None` leaves hyper's default. `max_idle` is the maximum number of idle connections to all
+    /// targets.
+    pub fn new(
+        read_buffer: Option<usize>,
+        max_idle: usize,
+        clock: Arc<dyn ClockSource>,
+        metrics: Arc<MetricsHub>,
+    ) -> Self {
+        Self { idle: Rc::default(), probes: Rc::default(), read_buffer, max_idle, clock, metrics }
     }
 
     /// Sends a request and waits for the response head until the deadline.
--- a/crates/porthoist-proxy/src/handler.rs
+++ b/crates/porthoist-proxy/src/handler.rs
@@ -85,6 +85,9 @@
     /// Maximum number of bytes held for all callers together; 0 for no bound.
     #[builder(default)]
     pub held_bytes: u64,
+    /// Maximum number of idle connections to all targets.
+    #[builder(default = usize::MAX)]
+    pub idle_targets: usize,
     /// Time in milliseconds after which a response of which its caller reads nothing is cut; 0 for never.
     #[builder(default)]
     pub unread_millis: u64,
@@ -147,7 +150,8 @@
     ) -> Rc<Self> {
         let budget = ByteBudget::new(settings.held_bytes);
         let read_buffer = budget.bounded().then_some(BOUNDED_READ_BUFFER_BYTES);
-        let pool = ConnectionPool::new(read_buffer, Arc::clone(&clock), Arc::clone(&metrics));
+        let pool =
+            ConnectionPool::new(read_buffer, settings.idle_targets, Arc::clone(&clock), Arc::clone(&metrics));
         let observed = Arc::clone(&budget);
         metrics.observe_held_bytes(move || observed.held());
         Rc::new(Self {
--- a/crates/porthoist-proxy/src/handler/request_guard.rs
+++ b/crates/porthoist-proxy/src/handler/request_guard.rs
@@ -18,6 +18,7 @@
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         let handler = &self.handler;
+        self.connection.set_idle(handler.clock.now());
         handler.in_flight.set(handler.in_flight.get().saturating_sub(1));
         if !self.completed.get() && !self.connection.is_cut() {
             info!(handler.logger, "caller left"; "event" => "caller_left", "request" => &*self.attempt);
--- a/crates/porthoist-proxy/src/lib.rs
+++ b/crates/porthoist-proxy/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`source::ControlSource`].
 
 pub mod byte_budget;
+mod caller_connections;
 mod caller_stream;
 pub mod connection_pool;
 pub mod control;
--- a/crates/porthoist-proxy/src/server.rs
+++ b/crates/porthoist-proxy/src/server.rs
@@ -1,5 +1,6 @@
 //! The callers' listener: accepts connections, serves requests and shuts down gracefully.
 
+use crate::caller_connections::{CallerConnections, ConnectionEvent, ConnectionSlot};
 use crate::caller_stream::{CallerConnection, CallerStream};
 use crate::handler::ProxyHandler;
 use crate::reply::CallerReply;
@@ -8,12 +9,12 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
-use porthoist_core::{RefusalReason, RunVerdict, UnixDeadline};
+use porthoist_core::{AnchoredClock, ClockSource, RefusalReason, RunVerdict, UnixDeadline};
 use porthoist_http::{SocketPeer, bound_send_buffer, configure_socket};
 use porthoist_metrics::MetricsHub;
 use slog::{Logger, info};
 use std::convert::Infallible;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -42,6 +43,8 @@
     pub stop_lag_millis: u64,
     /// Time in milliseconds after the stop signal within which the process must end.
     pub grace_millis: u64,
+    /// Maximum number of open connections.
+    pub max_connections: usize,
     /// Counters.
     pub metrics: Arc<MetricsHub>,
     /// Logger.
@@ -50,20 +53,26 @@
 
 /// Serves callers until the process should stop and no request is in flight.
 pub async fn serve_proxy(listener: TcpListener, server: ProxyServer) {
-    let graceful = GracefulShutdown::new();
     let mut stopping = server.stopping.clone();
     let mut close_at: Option<UnixDeadline> = None;
-    let clock = porthoist_core::AnchoredClock::new();
-    let now = || porthoist_core::ClockSource::now(&clock);
+    let clock: Arc<dyn ClockSource> = Arc::new(AnchoredClock::new());
+    let now = || clock.now();
+    let connections = CallerConnections::new(
+        server.max_connections,
+        Arc::clone(&clock),
+        Arc::clone(&server.metrics),
+        server.logger.clone(),
+    );
     let mut grace_end = None;
     loop {
         let until_close = close_at.map(|deadline| deadline.remaining(now()));
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _address)) => accept(stream, &server, &graceful),
+                Ok((stream, _address)) => accept(stream, &server, &connections),
                 Err(error) => {
-                    info!(server.logger, "failed to accept a connection"; "event" => "accept_failed", "error" => error.to_string());
+                    connections.record(ConnectionEvent::Failed, &error.to_string());
                     // The process may be out of file descriptors: leave time for connections to close.
+                    connections.evict_idle();
                     tokio::time::sleep(Duration::from_millis(10)).await;
                 }
             },
@@ -78,7 +87,7 @@
     }
     drop(listener);
     let time_left = grace_end.map(|deadline| deadline.remaining(now())).unwrap_or_default();
-    let ended = tokio::time::timeout(time_left, graceful.shutdown()).await;
+    let ended = tokio::time::timeout(time_left, connections.shut_down()).await;
     info!(server.logger, "stopped"; "event" => "stopped", "cut_off" => server.handler.in_flight(),
         "in_time" => ended.is_ok());
 }
@@ -90,7 +99,9 @@
     }
 }
 
-fn accept(stream: TcpStream, server: &ProxyServer, graceful: &GracefulShutdown) {
+fn accept(stream: TcpStream, server: &ProxyServer, connections: &Rc<CallerConnections>) {
+    let caller = Rc::new(CallerConnection::default());
+    let Some(slot) = connections.add(&caller) else { return };
     // Detects callers that disappeared, whose work ends with the connection. Best effort.
     drop(configure_socket(&stream, SocketPeer::Caller));
     let limits = server.handler.limits();
@@ -102,7 +113,6 @@
         // Best effort: on error, the system chooses the size.
         drop(bound_send_buffer(&stream, SEND_BUFFER_BYTES));
     }
-    let caller = Rc::new(CallerConnection::default());
     let stream = CallerStream::new(stream, Rc::clone(&caller), Duration::from_millis(unread_millis));
     let shared_caller = Rc::clone(&caller);
     let service = service_fn(move |request: Request<Incoming>| {
@@ -115,10 +125,18 @@
         .header_read_timeout(Duration::from_millis(idle_millis))
         .max_buf_size(header_bytes)
         .serve_connection(TokioIo::new(stream), service);
-    let connection = graceful.watch(connection);
     let (metrics, logger) = (Arc::clone(&server.metrics), server.logger.clone());
     tokio::task::spawn_local(async move {
-        let Err(error) = connection.await else { return };
+        let _slot: ConnectionSlot = slot;
+        let mut connection = pin!(connection);
+        let ended = tokio::select! {
+            ended = connection.as_mut() => ended,
+            () = caller.closed() => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        let Err(error) = ended else { return };
         if caller.is_cut() {
             metrics.record_cut_response();
             info!(logger, "response cut because its caller reads nothing"; "event" => "response_cut",
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -7,11 +7,13 @@
 use crate::component::status::StatusServer;
 use crate::component::zone_peers::{ZonePeers, entry_id};
 use crate::settings::proxy::{PROOF_MARGIN_MILLIS, ProxySettings};
+use nix::sys::resource::{Resource, getrlimit};
 use porthoist_core::{AnchoredClock, ClockSource};
 use porthoist_fleet::{AgedLoads, ControlTraffic, PeerPool};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::balancer::BalancerSettings;
 use porthoist_policy::proxy::demand::OwnDemand;
+use porthoist_policy::proxy::file_bounds::{FileBounds, FileLimit};
 use porthoist_policy::proxy::freshness::FreshnessRule;
 use porthoist_policy::proxy::limit_notes::TargetNote;
 use porthoist_policy::proxy::retry_share::RetryShareSettings;
@@ -76,6 +78,7 @@
     logger: &Logger,
     stopping: watch::Sender<bool>,
 ) -> io::Result<(ProxyAddresses, JoinHandle<()>)> {
+    let file_bounds = file_bounds()?;
     let (callers_listener, callers) = bind(settings.callers_listen)?;
     let (ready_listener, ready) = bind(settings.ready_listen)?;
     let (metrics_listener, metrics) = bind(settings.metrics_listen)?;
@@ -83,7 +86,7 @@
     let logger = logger.new(o!("role" => "proxy", "host" => settings.host.to_string()));
     info!(logger, "started"; "event" => "start", "callers" => callers.to_string(),
         "zone" => settings.zone.to_string(), "table" => settings.table.to_string(),
-        "version" => env!("CARGO_PKG_VERSION"));
+        "version" => env!("CARGO_PKG_VERSION"), "max_connections" => file_bounds.callers);
     let process = ProxyProcess {
         metrics: Arc::new(MetricsHub::new().map_err(io::Error::other)?),
         clock: Arc::new(AnchoredClock::new()),
@@ -93,6 +96,7 @@
         own_notes: watch::Sender::new(Vec::new()),
         own_demand: watch::Sender::new(OwnDemand::new()),
         zone_notes: watch::Sender::new(Vec::new()),
+        file_bounds,
         proof: FreshnessRule {
             max_age_millis: settings.revoke_millis.saturating_sub(PROOF_MARGIN_MILLIS),
             required_to_run: settings.refuse_unproven,
@@ -123,10 +127,17 @@
     own_demand: watch::Sender<OwnDemand>,
     zone_notes: watch::Sender<Vec<TargetNote>>,
     proof: FreshnessRule,
+    file_bounds: FileBounds,
     stopping: watch::Sender<bool>,
     logger: Logger,
 }
 
+/// Reads how many files the process may open, and divides them.
+fn file_bounds() -> io::Result<FileBounds> {
+    let (soft_limit, _hard_limit) = getrlimit(Resource::RLIMIT_NOFILE)?;
+    Ok(FileBounds::new(FileLimit(soft_limit)))
+}
+
 impl ProxyProcess {
     /// Follows the platform's tables; returns the queue of crashes to write.
     fn start_control(&self) -> io::Result<mpsc::Sender<CrashChange>> {
@@ -221,6 +232,7 @@
                 stopping: self.stopping.subscribe(),
                 stop_lag_millis: STOP_LAG_MILLIS,
                 grace_millis: self.settings.grace_millis.saturating_sub(GRACE_MARGIN_MILLIS),
+                max_connections: self.file_bounds.callers,
                 metrics: Arc::clone(&self.metrics),
                 logger: self.logger.clone(),
             };
@@ -266,6 +278,7 @@
             .share_capacity(self.settings.share_capacity)
             .held_bytes(self.settings.held_bytes)
             .unread_millis(self.settings.unread_millis)
+            .idle_targets(self.file_bounds.idle_targets)
             .build();
         ProxyHandler::builder()
             .settings(settings)
