Send a request with a part that has a single crash alone after 15 s

Callers with a popular part of a prompt were refused for a minute and more: a rank crashed for another reason before any entry had seen an answer with this part, every entry then held it, and none could clear it.

--- a/crates/porthoist-policy/src/proxy/quarantine.rs
+++ b/crates/porthoist-policy/src/proxy/quarantine.rs
@@ -18,9 +18,9 @@
 //! prompt.
 //!
 //! Of the parts of one prompt those are blamed that have no recent complete answer ([`QuarantineTracker::blamed_parts`]). A
-//! part that has one is suspected only after several deaths in a row without another answer. If several parts are blamed for
-//! the same death, one of them is innocent: a request that has only one of them is soon sent alone, and its answer clears the
-//! part.
+//! part that has one is suspected only after several deaths in a row without another answer. A part with a single death is
+//! most likely innocent: a request with no other suspect is sent alone after [`CANARY_HOLD_MILLIS`], and its answer clears the
+//! part. If several parts are blamed for the same death, that is after [`AMBIGUOUS_HOLD_MILLIS`].
 //!
 //! The decision depends only on the set of known deaths, not on the order in which the process learned
 //! of them.
@@ -43,6 +43,12 @@
 /// Time in milliseconds after which a request is sent alone if it has only one of the parts that are blamed for the same
 /// death in a group. By then the group has formed again.
 pub const AMBIGUOUS_HOLD_MILLIS: u64 = 5_000;
+/// Time in milliseconds after which a request is sent alone if a part with a single death is its only suspect. Extended by
+/// up to half this time.
+///
+/// One more death costs a group 5 s of all its requests. Most parts with a single death are innocent, and a longer hold of
+/// a popular one costs more.
+pub const CANARY_HOLD_MILLIS: u64 = 15_000;
 /// Time in milliseconds for which a request is held after its last death once it almost certainly kills
 /// its targets. One more send then costs a group at most 5 s in 10 minutes.
 pub const QUARANTINE_MILLIS: u64 = 600_000;
@@ -255,14 +261,20 @@
         Some(RequestBlock { mark: *mark, level, deaths: record.counted().count(), until })
     }
 
-    /// Status of a part in a request that has no other suspected part: held for a shorter time if its only death may have
-    /// been caused by another part.
+    /// Status of the only suspect among the marks of a request: a part with a single death is held for a shorter time.
     fn status_of_only_suspect(&self, mark: &SuspectMark, now: UnixMillis) -> Option<RequestBlock> {
         let block = self.status(mark, now)?;
         let record = self.records.get(mark)?;
-        let weak = block.deaths == 1 && block.level == SuspicionLevel::Held && record.is_ambiguous();
-        let until = UnixDeadline::after(record.last_death(), AMBIGUOUS_HOLD_MILLIS);
-        Some(if weak { RequestBlock { until, ..block } } else { block })
+        let is_weak = block.deaths == 1 && block.level == SuspicionLevel::Held;
+        if !is_weak || matches!(mark, SuspectMark::Request(_)) {
+            return Some(block);
+        }
+        let hold = if record.is_ambiguous() {
+            AMBIGUOUS_HOLD_MILLIS
+        } else {
+            CANARY_HOLD_MILLIS + (mark.spread() % u128::from(CANARY_HOLD_MILLIS / 2)) as u64
+        };
+        Some(RequestBlock { until: UnixDeadline::after(record.last_death(), hold), ..block })
     }
 
     /// Requests permission to send a request with these marks. With [`SendPermit::Suspected`] the send counts as running
--- a/crates/porthoist-policy/tests/policy.rs
+++ b/crates/porthoist-policy/tests/policy.rs
@@ -38,6 +38,8 @@
 mod limits;
 #[path = "policy/moving.rs"]
 mod moving;
+#[path = "policy/part_quarantine.rs"]
+mod part_quarantine;
 #[path = "policy/pass_time.rs"]
 mod pass_time;
 #[path = "policy/placement.rs"]
