Do not hold a part of prompts if other parts explain its crashes

A crash of a target is now explained by a part that more targets died under, or by another part of the same prompt, as long as no answer clears it. A request without the explaining part is sent alone, at once to plain targets and after 5 s to a group.

--- a/crates/porthoist-policy/src/proxy/quarantine.rs
+++ b/crates/porthoist-policy/src/proxy/quarantine.rs
@@ -20,17 +20,20 @@
 //! Of the parts of one prompt those are blamed that have no recent complete answer ([`QuarantineTracker::blamed_parts`]). A
 //! part that has one is suspected only after several deaths in a row without another answer. A part with a single death is
 //! most likely innocent: a request with no other suspect is sent alone after [`CANARY_HOLD_MILLIS`], and its answer clears the
-//! part. If several parts are blamed for the same death, that is after [`AMBIGUOUS_HOLD_MILLIS`].
+//! part. If parts that the request does not have explain all deaths, since more targets died under them or they were in the
+//! same prompts, that is after [`EXPLAINED_HOLD_MILLIS`] or at once, however many deaths there are.
 //!
 //! The decision depends only on the set of known deaths, not on the order in which the process learned
 //! of them.
 
 mod crash;
+mod explanation;
 mod record;
 
 use crate::proxy::trusted_marks::TrustedMarks;
 use crate::proxy::trusted_parts::TrustedParts;
 pub use crash::{CrashKey, CrashKeyError, CrashReport, CrashRows};
+pub use explanation::{CANARY_HOLD_MILLIS, EXPLAINED_HOLD_MILLIS};
 use porthoist_core::{PartMark, RequestMark, SuspectMark, UnixDeadline, UnixMillis};
 use record::{KnownDeath, SuspectRecord};
 use std::collections::{HashMap, HashSet};
@@ -40,15 +43,6 @@
 /// Requests that kill were retried for 14 to 20 s. Callers wait 8 s at most, so an innocent request
 /// loses nothing by a longer hold. Each hold is extended by up to half this time.
 pub const HOLD_MILLIS: u64 = 60_000;
-/// Time in milliseconds after which a request is sent alone if it has only one of the parts that are blamed for the same
-/// death in a group. By then the group has formed again.
-pub const AMBIGUOUS_HOLD_MILLIS: u64 = 5_000;
-/// Time in milliseconds after which a request is sent alone if a part with a single death is its only suspect. Extended by
-/// up to half this time.
-///
-/// One more death costs a group 5 s of all its requests. Most parts with a single death are innocent, and a longer hold of
-/// a popular one costs more.
-pub const CANARY_HOLD_MILLIS: u64 = 15_000;
 /// Time in milliseconds for which a request is held after its last death once it almost certainly kills
 /// its targets. One more send then costs a group at most 5 s in 10 minutes.
 pub const QUARANTINE_MILLIS: u64 = 600_000;
@@ -214,7 +208,7 @@
 
     fn level(&self, mark: &SuspectMark, record: &SuspectRecord, now: UnixMillis) -> Option<SuspicionLevel> {
         let evidence = self.evidence(mark, record, now);
-        let ranked = record.counted().any(|death| death.report.ranked);
+        let ranked = record.is_ranked();
         match evidence {
             0 => None,
             _ if evidence >= self.rules.certain_deaths => Some(SuspicionLevel::Quarantined),
@@ -261,28 +255,13 @@
         Some(RequestBlock { mark: *mark, level, deaths: record.counted().count(), until })
     }
 
-    /// Status of the only suspect among the marks of a request: a part with a single death is held for a shorter time.
-    fn status_of_only_suspect(&self, mark: &SuspectMark, now: UnixMillis) -> Option<RequestBlock> {
-        let block = self.status(mark, now)?;
-        let record = self.records.get(mark)?;
-        let is_weak = block.deaths == 1 && block.level == SuspicionLevel::Held;
-        if !is_weak || matches!(mark, SuspectMark::Request(_)) {
-            return Some(block);
-        }
-        let hold = if record.is_ambiguous() {
-            AMBIGUOUS_HOLD_MILLIS
-        } else {
-            CANARY_HOLD_MILLIS + (mark.spread() % u128::from(CANARY_HOLD_MILLIS / 2)) as u64
-        };
-        Some(RequestBlock { until: UnixDeadline::after(record.last_death(), hold), ..block })
-    }
-
     /// Requests permission to send a request with these marks. With [`SendPermit::Suspected`] the send counts as running
     /// until [`Self::ended`].
     pub fn begin(&mut self, marks: &[SuspectMark], now: UnixMillis) -> Result<SendPermit, RequestBlock> {
         let mut blocks: Vec<RequestBlock> = marks.iter().filter_map(|mark| self.status(mark, now)).collect();
-        if let [block] = &mut *blocks {
-            *block = self.status_of_only_suspect(&block.mark, now).unwrap_or(*block);
+        let is_only_suspect = blocks.len() == 1;
+        for block in &mut blocks {
+            *block = self.weigh_evidence(*block, marks, is_only_suspect);
         }
         let Some(last) = blocks.iter().max_by_key(|block| block.until).copied() else {
             return Ok(SendPermit::Clear);
--- a/crates/porthoist-policy/src/proxy/quarantine/record.rs
+++ b/crates/porthoist-policy/src/proxy/quarantine/record.rs
@@ -86,8 +86,19 @@
         rounds
     }
 
-    /// Whether each death may have been caused by another part of the same request.
-    pub(super) fn is_ambiguous(&self) -> bool {
-        self.counted().all(|death| death.report.ambiguous)
+    /// The same with the targets that died.
+    pub(super) fn counted_by_target(&self) -> impl Iterator<Item = (&str, &KnownDeath)> {
+        let deaths = self.deaths.iter().map(|(target, death)| (&**target, death));
+        deaths.filter(|(_target, death)| death.cleared.is_none())
+    }
+
+    /// The death of a target, if it counts.
+    pub(super) fn counted_death(&self, target: &str) -> Option<&KnownDeath> {
+        self.deaths.get(target).filter(|death| death.cleared.is_none())
+    }
+
+    /// Whether one of the targets was a rank of a group.
+    pub(super) fn is_ranked(&self) -> bool {
+        self.counted().any(|death| death.report.ranked)
     }
 }
