--- a/crates/porthoist-policy/src/proxy/quarantine/explanation.rs
+++ b/crates/porthoist-policy/src/proxy/quarantine/explanation.rs
@@ -23,15 +23,15 @@
         is_only_suspect: bool,
     ) -> RequestBlock {
         let record = &self.records[&block.mark];
-        let hold = match block.mark {
-            SuspectMark::Request(_) => return block,
-            SuspectMark::Part(_) if self.is_explained(&block.mark, record, request_marks) => {
-                if record.is_ranked() { EXPLAINED_HOLD_MILLIS } else { 0 }
-            }
-            SuspectMark::Part(_) if is_only_suspect && block.deaths == 1 => {
-                CANARY_HOLD_MILLIS + (block.mark.spread() % u128::from(CANARY_HOLD_MILLIS / 2)) as u64
-            }
-            SuspectMark::Part(_) => return block,
+        if matches!(block.mark, SuspectMark::Request(_)) {
+            return block;
+        }
+        let hold = if self.is_explained(&block.mark, record, request_marks) {
+            if record.is_ranked() { EXPLAINED_HOLD_MILLIS } else { 0 }
+        } else if is_only_suspect && block.deaths == 1 {
+            CANARY_HOLD_MILLIS + (block.mark.spread() % u128::from(CANARY_HOLD_MILLIS / 2)) as u64
+        } else {
+            return block;
         };
         let until = UnixDeadline::after(record.last_death(), hold).min(block.until);
         RequestBlock { until, level: block.level.min(SuspicionLevel::Held), ..block }
--- a/crates/porthoist-policy/tests/policy/part_quarantine.rs
+++ b/crates/porthoist-policy/tests/policy/part_quarantine.rs
@@ -217,12 +217,7 @@
     random: Pcg64Mcg,
     broken: BrokenRules,
     ranked: bool,
-    /// Whether the deadly part is the first of its prompts.
-    deadly_first: bool,
-    /// Whether it comes from the start.
-    early: bool,
-    /// Whether all hosts restart together.
-    restarts: bool,
+    seed: u64,
     trackers: Vec<QuarantineTracker>,
     next_reads: Vec<u64>,
     rows: CrashRows,
@@ -243,9 +238,7 @@
             random: Pcg64Mcg::seed_from_u64(seed),
             broken,
             ranked,
-            deadly_first: seed.is_multiple_of(3),
-            early: seed.is_multiple_of(2),
-            restarts: seed % 4 == 1,
+            seed,
             trackers: (0..HOSTS).map(|_host| QuarantineTracker::new(broken.rules)).collect(),
             next_reads: vec![0; HOSTS],
             rows: CrashRows::new(),
@@ -260,6 +253,21 @@
         }
     }
 
+    /// Whether the deadly part is the first of its prompts.
+    fn is_deadly_first(&self) -> bool {
+        self.seed.is_multiple_of(3)
+    }
+
+    /// Whether it comes from the start.
+    fn is_early(&self) -> bool {
+        self.seed.is_multiple_of(2)
+    }
+
+    /// Whether all hosts restart together.
+    fn all_restart(&self) -> bool {
+        self.seed % 4 == 1
+    }
+
     fn run(mut self) -> Self {
         while self.now < DURATION_MILLIS {
             self.now += STEP_MILLIS;
@@ -268,7 +276,7 @@
             if self.random.random_bool(0.6) {
                 self.arrive(false);
             }
-            let deadly_time = if self.early { 0..DEADLY_TIME.end } else { DEADLY_TIME };
+            let deadly_time = if self.is_early() { 0..DEADLY_TIME.end } else { DEADLY_TIME };
             if deadly_time.contains(&self.now) && self.random.random_bool(0.05) {
                 self.arrive(true);
             }
@@ -281,7 +289,7 @@
                 let host = self.random.random_range(0..HOSTS);
                 self.restart(host);
             }
-            if self.restarts && self.now == RESTART_TIME {
+            if self.all_restart() && self.now == RESTART_TIME {
                 (0..HOSTS).for_each(|host| self.restart(host));
             }
         }
@@ -310,7 +318,7 @@
         let first = self.random.random_range(0..FIRST_PARTS).min(self.random.random_range(0..FIRST_PARTS));
         let mut parts = vec![format!("first{first}")];
         if deadly {
-            parts.insert(usize::from(!self.deadly_first), "deadly".to_owned());
+            parts.insert(usize::from(!self.is_deadly_first()), "deadly".to_owned());
         } else if self.random.random_bool(0.3) {
             parts.push(format!("second{}", self.random.random_range(0..400)));
         }
