--- a/crates/porthoist-lab/src/capacity.rs
+++ b/crates/porthoist-lab/src/capacity.rs
@@ -5,9 +5,9 @@
 
 use crate::report::rounded;
 use porthoist_core::{
-    AttemptId, ByteSize, ClockSource, IncarnationId, LoadReport, MarkedHead, OfferOutcome, RefusalReason,
-    RepeatPolicy, RequestId, RequestOffer, RequestPriority, RequestRate, RunVerdict, ServiceKind,
-    ServiceName, TargetName, TeamName, UnixDeadline, UnixMillis, ZoneName,
+    AttemptId, ByteSize, ClockSource, IncarnationId, LoadReport, MarkedHead, OfferOutcome, PartMark,
+    RefusalReason, RepeatPolicy, RequestId, RequestOffer, RequestPriority, RequestRate, RunVerdict,
+    ServiceKind, ServiceName, SuspectMark, TargetName, TeamName, UnixDeadline, UnixMillis, ZoneName,
 };
 use porthoist_fleet::FleetDigest;
 use porthoist_fleet::convert::{read_offer, write_digest, write_offer, write_outcome, write_settle_asks};
@@ -376,9 +376,44 @@
         black_box(tracker.knows_head(index as u64));
     });
     slopes.push(slope("marks: a request asked about in a full book", "us", lookup));
+    slopes.extend(part_marks());
     slopes
 }
 
+/// Number of shared parts of a prompt, as many as callers send at most.
+const PROMPT_PARTS: usize = 32;
+
+/// Cost of the parts of a prompt: their marks, and whether a request may be sent while deaths of as many parts are known as a
+/// tracker holds.
+fn part_marks() -> Vec<CapacitySlope> {
+    let service: ServiceName = "lm-refund".parse().expect("a valid name");
+    let part = |index: usize| PartMark::new(&service, &format!("{index:x}"));
+    let digest = micros_per_call(10_000, |index| {
+        black_box(part(index));
+    });
+    let mut tracker = QuarantineTracker::default();
+    for index in 0..MAX_MARKS {
+        let key = CrashKey { mark: part(index).into(), target: format!("t{index}").into() };
+        let by = format!("entry-{}", index % 8).into();
+        let report = CrashReport { died: UnixMillis(1_000), ranked: true, by, ambiguous: false };
+        tracker.died(&key, report, UnixMillis(1_000));
+    }
+    let sound: Vec<SuspectMark> = (0..PROMPT_PARTS).map(|index| part(2 * MAX_MARKS + index).into()).collect();
+    let suspected = [SuspectMark::Part(part(7))];
+    let unknown = micros_per_call(1_000, |_call_index| {
+        let parts = sound.iter().filter(|mark| tracker.status(mark, UnixMillis(2_000)).is_some());
+        black_box(parts.count());
+    });
+    let held = micros_per_call(1_000, |_call_index| {
+        black_box(tracker.begin(&suspected, UnixMillis(2_000)).is_err());
+    });
+    vec![
+        slope("marks: of a part of a prompt", "us", digest),
+        slope("marks: 32 unsuspected parts asked about in a full book", "us", unknown),
+        slope("marks: a suspected part asked about in a full book", "us", held),
+    ]
+}
+
 /// Numbers of ranks for which expert maps are planned.
 const RANK_CASES: [(usize, &str); 3] = [
     (24, "expert maps: plan for 24 ranks after a shift, 16 sets of 258 experts"),
--- a/porthoist-cli/src/cmd/quarantine.rs
+++ b/porthoist-cli/src/cmd/quarantine.rs
@@ -88,12 +88,12 @@
 pub fn quarantine_text(rows: &CrashRows, now: UnixMillis) -> String {
     let mut tracker = QuarantineTracker::default();
     tracker.apply_rows(rows, true, now);
-    let mut targets: BTreeMap<SuspectMark, Vec<&str>> = BTreeMap::new();
-    for key in rows.keys() {
-        targets.entry(key.mark).or_default().push(&key.target);
+    let mut crashes: BTreeMap<SuspectMark, Vec<String>> = BTreeMap::new();
+    for (key, report) in rows {
+        crashes.entry(key.mark).or_default().push(format!("{} ({})", key.target, report.by));
     }
     let mut lines: Vec<(std::cmp::Reverse<usize>, String)> = Vec::new();
-    for (mark, mut targets) in targets {
+    for (mark, mut targets) in crashes {
         targets.sort_unstable();
         let Some(block) = tracker.status(&mark, now) else { continue };
         let seconds = block.until.0.since(now).div_ceil(1_000);
@@ -105,7 +105,7 @@
         return "nothing is held or quarantined\n".to_owned();
     }
     lines.sort();
-    let mut text = "request       level       deaths  kept (s)  targets that died\n".to_owned();
+    let mut text = "mark          level       deaths  kept (s)  targets that died (seen by)\n".to_owned();
     for (_crashes, line) in lines {
         writeln!(text, "{line}").expect("writing to a string can't fail");
     }
