--- a/crates/porthoist-policy/tests/policy.rs
+++ b/crates/porthoist-policy/tests/policy.rs
@@ -26,6 +26,8 @@
 mod demand;
 #[path = "policy/equal_shares.rs"]
 mod equal_shares;
+#[path = "policy/file_bounds.rs"]
+mod file_bounds;
 #[path = "policy/forecast.rs"]
 mod forecast;
 #[path = "policy/gate.rs"]
