--- a/crates/porthoist-policy/tests/policy/part_quarantine.rs
+++ b/crates/porthoist-policy/tests/policy/part_quarantine.rs
@@ -461,12 +461,13 @@
     outcome
 }
 
-#[test_case(true; "ranks of a group")]
-#[test_case(false; "plain targets")]
-fn only_deadly_part_is_quarantined_in_any_order_of_events(ranked: bool) {
+// At plain targets several requests with the part run at once before the first crash is known.
+#[test_case(true, TOLERATED_CRASHES; "ranks of a group")]
+#[test_case(false, TOLERATED_CRASHES + TOLERATED_SENDS; "plain targets")]
+fn only_deadly_part_is_quarantined_in_any_order_of_events(ranked: bool, max_crashes: usize) {
     let outcome = outcome(ranked, BrokenRules::default());
     assert_eq!((outcome.sent_late, outcome.accused), (0, 0), "{outcome:?}");
-    assert!(outcome.crashes <= TOLERATED_CRASHES + TOLERATED_SENDS, "{outcome:?}");
+    assert!(outcome.crashes <= max_crashes, "{outcome:?}");
     assert!(outcome.refused_share <= 0.02, "{outcome:?}");
 }
 
