Log the age and origin of what changes replace

Logs could not tell an entry that learned of a change late from one that knew it and used older routes, nor from one that was given older rows: the age of what it knew was only a gauge that is read every few seconds.

Change: the lines of an adopted configuration and of changed targets name the origin and the age of the proof that they replace; calls to the table service and processes that are not asked for a while are logged with that age, the latter counted by reason; a reader logs the ages of its failed call and of its last response. No decision changes.

Cost: two short fields per changed target; not measured apart.

--- a/crates/porthoist-metrics/src/lib.rs
+++ b/crates/porthoist-metrics/src/lib.rs
@@ -72,6 +72,7 @@
     suspected_requests: Gauge<u64>,
     table_calls: Counter<u64>,
     table_fallbacks: Counter<u64>,
+    avoided_peers: Counter<u64>,
     table_ages: Gauge<u64>,
     table_era: Gauge<u64>,
 }
@@ -133,6 +134,7 @@
             suspected_requests: meter.u64_gauge("porthoist_suspected_requests").build(),
             table_calls: meter.u64_counter("porthoist_table_calls").build(),
             table_fallbacks: meter.u64_counter("porthoist_table_asked").build(),
+            avoided_peers: meter.u64_counter("porthoist_table_peers_avoided").build(),
             table_ages: meter.u64_gauge("porthoist_belief_age_milliseconds").build(),
             table_era: meter.u64_gauge("porthoist_table_era").build(),
             registry,
@@ -247,6 +249,11 @@
         self.table_fallbacks.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a process that is not queried for a while, with the reason.
+    pub fn record_avoided_peer(&self, reason: &'static str) {
+        self.avoided_peers.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Sets the age of the known state of a table, in milliseconds: the time since it was last confirmed to be the newest.
     pub fn set_table_age(&self, table: &'static str, millis: u64) {
         self.table_ages.record(millis, &[KeyValue::new("table", table)]);
--- a/crates/porthoist-proxy/src/control.rs
+++ b/crates/porthoist-proxy/src/control.rs
@@ -295,6 +295,7 @@
         let OperatorUpdate { routes, zones } = answer.value;
         let restored = record_era(&self.routes_era, answer.revision.era);
         self.state.send_modify(|state| {
+            let previous_age = state.routes_proof.age(stamped.received);
             if restored {
                 state.emptied_zones.restored(self.clock.now());
             }
@@ -312,7 +313,8 @@
             {
                 info!(self.logger, "configuration in force"; "event" => "config_adopted",
                     "version" => table.version.0, "routes" => table.route_count(),
-                    "revision" => answer.revision.to_string());
+                    "revision" => answer.revision.to_string(), "origin" => answer.origin.as_str(),
+                    "previous_age_ms" => previous_age);
                 self.metrics.set_revision(table.version.0);
                 if state.targets.set_services(table.services.keys().cloned()) {
                     // A row of another writer may have replaced a target with the same address while the
@@ -370,7 +372,11 @@
                     state.targets_listed = true;
                 }
                 TargetUpdate::Changed(changes) => {
-                    self.log_changes(&changes, grace_deadline);
+                    self.log_changes(&changes, ChangeContext {
+                        grace: grace_deadline.is_some(),
+                        origin: answer.origin,
+                        previous_age: state.targets_proof.age(received),
+                    });
                     state.targets.apply_changes(changes, grace_deadline);
                 }
             }
@@ -385,25 +391,28 @@
     }
 
     /// Logs each changed target, or only totals if there are many.
-    fn log_changes(&self, changes: &[TargetChange], grace_deadline: Option<UnixDeadline>) {
+    fn log_changes(&self, changes: &[TargetChange], context: ChangeContext) {
         if changes.len() <= MAX_LOGGED_CHANGES {
-            return changes.iter().for_each(|change| self.log_change(change, grace_deadline));
+            return changes.iter().for_each(|change| self.log_change(change, context));
         }
         let gone = changes.iter().filter(|change| matches!(change, TargetChange::Gone(_))).count();
         let unusable = changes.iter().filter(|change| matches!(change, TargetChange::Unusable(_))).count();
         info!(self.logger, "targets changed"; "event" => "targets_changed", "put" => changes.len() - gone - unusable,
-            "gone" => gone, "unusable" => unusable, "grace" => grace_deadline.is_some());
+            "gone" => gone, "unusable" => unusable, "grace" => context.grace, "origin" => context.origin.as_str(),
+            "previous_age_ms" => context.previous_age);
     }
 
-    fn log_change(&self, change: &TargetChange, grace_deadline: Option<UnixDeadline>) {
+    fn log_change(&self, change: &TargetChange, context: ChangeContext) {
+        let ChangeContext { grace, origin, previous_age } = context;
         match change {
             TargetChange::Put(record) => {
                 info!(self.logger, "target changed"; "event" => "target_put", "target" => record.id.to_string(),
-                    "state" => format!("{:?}", record.state));
+                    "state" => format!("{:?}", record.state), "origin" => origin.as_str(),
+                    "previous_age_ms" => previous_age);
             }
             TargetChange::Gone(id) => {
                 info!(self.logger, "target removed"; "event" => "target_gone", "target" => id.to_string(),
-                    "grace" => grace_deadline.is_some());
+                    "grace" => grace, "origin" => origin.as_str(), "previous_age_ms" => previous_age);
             }
             TargetChange::Unusable(id) => {
                 info!(self.logger, "target row is unusable"; "event" => "target_unusable",
@@ -463,6 +472,16 @@
     last.replace(last.get().max(Some(era))).is_some_and(|previous| previous < era)
 }
 
+/// How changes of targets arrived, for logs.
+#[derive(Debug, Clone, Copy)]
+struct ChangeContext {
+    /// Whether rows that disappeared get a grace period.
+    grace: bool,
+    origin: AnswerOrigin,
+    /// Age of the proof before the changes, in milliseconds.
+    previous_age: Option<u64>,
+}
+
 enum TargetUpdate {
     Listed(Vec<TargetChange>),
     Changed(Vec<TargetChange>),
--- a/crates/porthoist-proxy/src/peer_rows.rs
+++ b/crates/porthoist-proxy/src/peer_rows.rs
@@ -92,6 +92,28 @@
     }
 }
 
+/// Why a peer is not queried for a while.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AvoidReason {
+    /// It did not respond in time.
+    Silent,
+    /// The table service does not answer its calls.
+    Failing,
+    /// Its response is no newer than what is known.
+    Repeating,
+}
+
+impl AvoidReason {
+    /// Name in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Silent => "silent",
+            Self::Failing => "failing",
+            Self::Repeating => "repeating",
+        }
+    }
+}
+
 /// This process's copy of one table.
 #[derive(Debug, Default)]
 struct TableCopy {
@@ -245,11 +267,21 @@
         self.avoided.borrow().get(&host).is_none_or(|until| until.passed(now))
     }
 
-    fn avoid(&self, host: Ipv4Addr) {
+    fn avoid(&self, table: ControlTable, host: Ipv4Addr, reason: AvoidReason) {
+        self.metrics.record_avoided_peer(reason.as_str());
+        info!(self.logger, "peer is not queried for a while"; "event" => "table_peer_avoided",
+            "peer" => host.to_string(), "table" => table.as_str(), "reason" => reason.as_str(),
+            "proof_age_ms" => self.proof_age(table));
         let until = self.deadline_in(AVOID_TIME);
         self.avoided.borrow_mut().insert(host, until);
     }
 
+    /// Age of what is known of a table in milliseconds, if it is known.
+    fn proof_age(&self, table: ControlTable) -> Option<u64> {
+        let proven = self.clock_offset.get()?.local_lower_bound(self.copy(table).stamp.get());
+        Some(self.clock.now().since(proven))
+    }
+
     /// Waits for peers to provide changes after a revision. An error states why the table service must be
     /// called.
     async fn query_peers(
@@ -276,7 +308,7 @@
                 Ok(Ok(TableUpdate::Newer { rows, .. }))
                     if !copy.is_outdated_by(rows.revision, rows.stamp) =>
                 {
-                    self.avoid(host);
+                    self.avoid(table, host, AvoidReason::Repeating);
                 }
                 Ok(Ok(TableUpdate::Newer { rows, keys, gap })) => {
                     // The patch applies to another value than the known one, so the complete row is needed.
@@ -293,12 +325,12 @@
                     if failing
                         && self.peers.hosts().iter().any(|other| *other != host && self.is_available(*other))
                     {
-                        self.avoid(host);
+                        self.avoid(table, host, AvoidReason::Failing);
                     }
                     reason = if failing { ServiceCallReason::Probe } else { ServiceCallReason::Outdated };
                 }
                 Ok(Ok(TableUpdate::TooLarge)) => return Err(ServiceCallReason::History),
-                Ok(Err(_)) | Err(_) => self.avoid(host),
+                Ok(Err(_)) | Err(_) => self.avoid(table, host, AvoidReason::Silent),
             }
         }
     }
@@ -317,7 +349,8 @@
         }
         self.metrics.record_table_fallback(reason.as_str());
         info!(self.logger, "calling the table service"; "event" => "table_asked",
-            "table" => table.as_str(), "reason" => reason.as_str(), "wait_ms" => wait.as_millis() as u64);
+            "table" => table.as_str(), "reason" => reason.as_str(), "wait_ms" => wait.as_millis() as u64,
+            "proof_age_ms" => self.proof_age(table));
         let call = match revision {
             Some(revision) => self.table_service.changes_after(table, revision, wait),
             None => self.table_service.list(table),
--- a/crates/porthoist-proxy/src/source.rs
+++ b/crates/porthoist-proxy/src/source.rs
@@ -48,6 +48,16 @@
     },
 }
 
+impl AnswerOrigin {
+    /// Name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Source => "service",
+            Self::Peer { .. } => "peer",
+        }
+    }
+}
+
 /// A failed call.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum SourceError {
--- a/crates/porthoist-proxy/src/table_reader.rs
+++ b/crates/porthoist-proxy/src/table_reader.rs
@@ -153,6 +153,8 @@
     /// The table service's clock in its last response.
     stamp: Option<u64>,
     failing: bool,
+    /// When the last response arrived.
+    answered: Option<UnixMillis>,
     gap: Option<AnswerGap>,
     /// When the last unanswered call was sent, until a response arrives.
     unanswered: Option<UnixMillis>,
@@ -453,6 +455,7 @@
     fn apply(&self, table: &FollowedTable, answer: SourceAnswer<Vec<TableRow>>, is_listing: bool) {
         let mut known = table.known.borrow_mut();
         known.failing = false;
+        known.answered = Some(self.clock.now());
         if let Some(asked) = known.unanswered.take() {
             known.gap = Some(AnswerGap { asked, returned: self.clock.now() });
             info!(self.logger, "table service answers again"; "event" => "dependency_regained",
@@ -472,8 +475,11 @@
         known.failing = true;
         let last = known.unanswered.max(Some(sent));
         if std::mem::replace(&mut known.unanswered, last).is_none() {
+            let now = self.clock.now();
             warn!(self.logger, "table service does not answer"; "event" => "dependency_lost",
-                "dependency" => "table", "question" => table.table.as_str(), "error" => error.to_string());
+                "dependency" => "table", "question" => table.table.as_str(), "error" => error.to_string(),
+                "call_age_ms" => now.since(sent),
+                "answer_age_ms" => known.answered.map(|answered| now.since(answered)));
         }
         drop(known);
         if table.table == ControlTable::Routes {
