Reproduce changes that come late through a reader without a path

Fails on the code as it is, on virtual time: six entries, two readers, ten faults of the readers, configurations and leaving targets, 40 phases each.

| fault | routes: median, most, late | targets | |---|---|---| | none | 10, 10, 0 | 10, 10, 0 | | first silent | 990, 2,950, 6 | 1,620, 2,800, 21 | | all silent | 1,310, 3,250, 15 | 2,020, 3,200, 28 | | polls of the first lost | 990, 2,950, 6 | 1,070, 2,250, 7 | | first frozen | 460, 1,250, 0 | 380, 1,220, 0 | | all frozen | 1,360, 2,550, 5 | 1,660, 2,460, 24 | | first frozen, other silent | 1,310, 3,330, 15 | 2,030, 3,500, 28 | | first slow by 1,100 ms | 10, 1,100, 0 | 10, 1,100, 0 | | all silent, a call lost | 4,810, 6,720, 36 | 6,260, 8,030, 39 | | first restarts silent | 850, 1,950, 0 | 1,060, 1,860, 6 |

The bounds are the users' own: 2,000 ms for a configuration; 2,000 ms less 400 for the connection of a send for a leaving target.

--- a/crates/porthoist-proxy/tests/zone_tables.rs
+++ b/crates/porthoist-proxy/tests/zone_tables.rs
@@ -1,5 +1,7 @@
 //! Tests on virtual time of entries that get the tables from a reader in their zone.
 
+#[path = "zone_tables/change_bound.rs"]
+mod change_bound;
 #[path = "zone_tables/harness.rs"]
 mod harness;
 #[path = "zone_tables/random_restores.rs"]
--- a/crates/porthoist-proxy/tests/zone_tables/harness.rs
+++ b/crates/porthoist-proxy/tests/zone_tables/harness.rs
@@ -191,6 +191,10 @@
     /// Each call over it fails at once.
     pub reset: Cell<bool>,
     pub calls: Cell<usize>,
+    /// Incremented to lose this process's pending calls.
+    lost: watch::Sender<u64>,
+    /// Number of next calls that are never answered.
+    lost_next: Cell<usize>,
 }
 
 impl ServiceLink {
@@ -200,9 +204,29 @@
             cut: Cell::new(false),
             reset: Cell::new(false),
             calls: Cell::new(0),
+            lost: watch::Sender::new(0),
+            lost_next: Cell::new(0),
         })
     }
 
+    /// Loses pending and later calls, or only ends that.
+    pub fn set_silent(&self, silent: bool) {
+        self.cut.set(silent);
+        if silent {
+            self.lose_pending();
+        }
+    }
+
+    /// Loses pending calls.
+    pub fn lose_pending(&self) {
+        self.lost.send_modify(|lost| *lost += 1);
+    }
+
+    /// Loses the next call.
+    pub fn lose_next(&self) {
+        self.lost_next.set(self.lost_next.get() + 1);
+    }
+
     pub async fn unless_lost<T>(
         &self,
         answer: impl Future<Output = Result<T, SourceError>>,
@@ -210,7 +234,10 @@
         self.calls.set(self.calls.get() + 1);
         let mut lost = self.service.lost.subscribe();
         let mut reset = self.service.reset.subscribe();
-        if self.cut.get() {
+        let mut own_lost = self.lost.subscribe();
+        let is_lost = self.lost_next.get() > 0;
+        self.lost_next.set(self.lost_next.get().saturating_sub(1));
+        if self.cut.get() || is_lost {
             std::future::pending::<()>().await;
         }
         if self.reset.get() {
@@ -220,6 +247,7 @@
         tokio::select! {
             biased;
             _lost = lost.changed() => std::future::pending().await,
+            _lost = own_lost.changed() => std::future::pending().await,
             _reset = reset.changed() => Err(SourceError::Unavailable("reset".to_owned())),
             answer = answer => answer,
         }
