Bound the age of what entries know by the time that changes may take

Callers at an entry whose zone reads the tables through a host without a path to the table service were handled by routes that were older than configApplyMs allows, and requests reached targets that had left more than drainMs before.

Cause: no bound on the age of the news followed from the time that a change may take. Waits came from the lifetime of a proof (3,300 ms) and from the time to notice a lost connection (3,400 ms), and an entry waited for one time limit after the other: its reader's held answers, the reader's own call, the next reader. The class: an answer that says nothing new is taken for proof, though nobody asks how old it is.

Ruled out by logs (previous_age_ms 3,318 to 3,612 ms before the late requests): an entry that knew the change. Ruled out for the record: a restore (era 0). Guarded although not seen: late listings that replace newer rows.

The tightest of the limits that are given sets the ages at which a reader renews its proof (800 ms of 2,000), an entry asks a second reader too (1,070), and then the service (1,250 to 1,350), repeated on a new connection after 200 ms. A response about one table proves all that are known up to the revision that it names, so that one short call renews three tables and long polls stay open for 25 s. Readers stop 4 s after the last query (10 before): at a start each zone has several.

Why it works: the sum of all steps with one lost answer stays below the bound less 400 ms to connect to a target, whatever the readers say.

Before: changes_are_in_force_in_time_while_readers_fail failed in 14 of 20 cases, up to 8,030 ms. After: none late, 1,490 ms at most. Where no limit is given, polls are no more frequent (store_is_called_rarely).

--- a/crates/porthoist-http/src/client.rs
+++ b/crates/porthoist-http/src/client.rs
@@ -65,7 +65,7 @@
 impl Drop for CallGuard<'_> {
     fn drop(&mut self) {
         if !self.answered {
-            *self.client.client.lock() = pooled_client();
+            self.client.drop_idle_connections();
         }
     }
 }
@@ -92,6 +92,11 @@
         Self { client: Arc::new(Mutex::new(pooled_client())) }
     }
 
+    /// Drops the idle connections. Requests in flight keep theirs.
+    pub fn drop_idle_connections(&self) {
+        *self.client.lock() = pooled_client();
+    }
+
     /// Sends a request and returns the answer with its body unread.
     pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallError> {
         let client = self.client.lock().clone();
--- a/crates/porthoist-policy/src/proxy.rs
+++ b/crates/porthoist-policy/src/proxy.rs
@@ -5,6 +5,7 @@
 pub mod balancer;
 pub mod caller_retries;
 pub mod capacity;
+pub mod change_bound;
 pub mod cold_start;
 pub mod demand;
 pub mod entry_positions;
--- a/crates/porthoist-proxy/src/control.rs
+++ b/crates/porthoist-proxy/src/control.rs
@@ -9,6 +9,7 @@
 use crate::table_reader::GapAges;
 use porthoist_core::{ClockSource, UnixDeadline, UnixMillis};
 use porthoist_metrics::MetricsHub;
+use porthoist_policy::proxy::change_bound::ChangeBound;
 use porthoist_policy::proxy::freshness::{FreshnessProof, StampedAnswer};
 use porthoist_policy::proxy::routes::RouteTable;
 use porthoist_policy::proxy::targets::{AnswerGap, StalenessBound, TargetChange, TargetRegistry};
@@ -84,6 +85,9 @@
     /// short enough to renew it before.
     #[builder(default = DEFAULT_PROOF_AGE_MILLIS)]
     max_proof_age_millis: u64,
+    /// Time within which changes of routes and targets must be in force.
+    #[builder(default)]
+    change_bound: ChangeBound,
     /// Source of routes and targets.
     source: Rc<dyn ControlSource>,
     /// Receives the updates.
@@ -162,16 +166,29 @@
         }
     }
 
-    /// Returns the long-poll timeout for routes.
+    fn routes_wait(&self, paused: Duration) -> Duration {
+        self.bounded_wait(self.proof_wait(paused), paused)
+    }
+
+    /// Shortens a long-poll timeout so that changes are in force in time even if a connection falls silent.
+    fn bounded_wait(&self, wait: Duration, paused: Duration) -> Duration {
+        if self.source.is_shared() {
+            return self.change_bound.service_wait(wait);
+        }
+        // The state may have been current before the pause only.
+        wait.min(self.change_bound.own_wait(wait + paused).saturating_sub(paused))
+    }
+
+    /// Returns the long-poll timeout for routes that renews the freshness proof before it expires, also if
+    /// one response does not come.
     ///
-    /// The freshness proof must be renewed before it expires, also if one response does not come. A proof
-    /// that is too short-lived for that is renewed in time by responses that come within
+    /// A proof that is too short-lived for that is renewed in time by responses that come within
     /// [`RESPONSE_MARGIN_MILLIS`]. It was last renewed before the pause.
     ///
     /// A proof that is old right after a response has an inaccurate clock offset, for example because the
     /// process was suspended during its first calls. A shorter poll improves the offset. A shared source keeps
     /// an offset of its own and calls the service before its copy becomes too old.
-    fn routes_wait(&self, paused: Duration) -> Duration {
+    fn proof_wait(&self, paused: Duration) -> Duration {
         let wait = self.max_proof_age_millis.saturating_sub(ANSWER_TIMEOUT_MILLIS + REPOLL_MARGIN_MILLIS);
         let min_wait = Duration::from_millis(MIN_ROUTES_WAIT_MILLIS);
         let wait = Duration::from_millis(wait.min(MAX_ROUTES_WAIT_MILLIS)).max(min_wait);
@@ -246,7 +263,7 @@
     fn targets_wait(&self, paused: Duration) -> Duration {
         let wait = self.staleness_bound.millis.saturating_sub(ANSWER_TIMEOUT_MILLIS + LIST_MARGIN_MILLIS);
         let wait = Duration::from_millis(wait.min(MAX_TARGETS_WAIT_MILLIS)).saturating_sub(paused);
-        wait.max(Duration::from_millis(MIN_TARGETS_WAIT_MILLIS))
+        self.bounded_wait(wait.max(Duration::from_millis(MIN_TARGETS_WAIT_MILLIS)), paused)
     }
 
     /// Drops targets whose grace period has ended, stops treating zones as emptied whose grace period after
@@ -328,7 +345,9 @@
                     state.routes_proof.record_answer(stamped);
                     state.targets_proof.update_clock_offset(stamped);
                 }
-                AnswerOrigin::Peer { .. } => state.routes_proof.record_relayed_answer(stamped),
+                AnswerOrigin::EarlierCall | AnswerOrigin::Peer { .. } => {
+                    state.routes_proof.record_relayed_answer(stamped);
+                }
             }
         });
     }
@@ -385,7 +404,9 @@
                     state.targets_proof.record_answer(stamped);
                     state.routes_proof.update_clock_offset(stamped);
                 }
-                AnswerOrigin::Peer { .. } => state.targets_proof.record_relayed_answer(stamped),
+                AnswerOrigin::EarlierCall | AnswerOrigin::Peer { .. } => {
+                    state.targets_proof.record_relayed_answer(stamped);
+                }
             }
         });
     }
--- a/crates/porthoist-proxy/src/crashes.rs
+++ b/crates/porthoist-proxy/src/crashes.rs
@@ -18,10 +18,10 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
-/// Long-poll timeout. A silent connection is indistinguishable from "no change" until
+/// Default long-poll timeout. A silent connection is indistinguishable from "no change" until
 /// [`ANSWER_TIMEOUT_MILLIS`](crate::rows::ANSWER_TIMEOUT_MILLIS) later. Operators allow 3 s from such a loss, and 3 s more
 /// to learn of a crash.
-const POLL_TIMEOUT: Duration = Duration::from_millis(3_300);
+pub const CRASH_POLL_TIMEOUT: Duration = Duration::from_millis(3_300);
 /// Pause after a change: each entry with a request at a crashed target records the crash within
 /// milliseconds.
 const CHANGE_PAUSE: Duration = Duration::from_millis(50);
@@ -87,6 +87,9 @@
     source: Rc<dyn RowSource>,
     /// Receives the state of the table.
     crashes: watch::Sender<CrashSnapshot>,
+    /// Long-poll timeout.
+    #[builder(default = CRASH_POLL_TIMEOUT)]
+    poll_timeout: Duration,
     /// Routes and targets, used to detect that the service has recovered.
     state: watch::Receiver<ControlState>,
     clock: Arc<dyn ClockSource>,
@@ -142,8 +145,9 @@
                 answer_within(answer_timeout, self.source.list(ControlTable::Crashes)).await
             }
             Some(revision) => {
-                let call = self.source.changes_after(ControlTable::Crashes, revision, POLL_TIMEOUT);
-                answer_within(self.source.answer_timeout(POLL_TIMEOUT), call).await
+                let wait = self.poll_timeout;
+                let call = self.source.changes_after(ControlTable::Crashes, revision, wait);
+                answer_within(self.source.answer_timeout(wait), call).await
             }
         }
     }
--- a/crates/porthoist-proxy/src/peer_rows.rs
+++ b/crates/porthoist-proxy/src/peer_rows.rs
@@ -4,13 +4,17 @@
 //! A process calls the table service itself at its start, if no peer answers, and before its known state
 //! becomes too old. The number of calls thus grows with zones and not with entries.
 
+use crate::proven_rows::ProvenRowSource;
 use crate::revision::{TableEra, TableRevision};
 use crate::rows::{ControlTable, RowSource, RowValue, TableRow, answer_within};
 use crate::source::{AnswerOrigin, SourceAnswer, SourceError, SourceFuture};
 use crate::table_reader::{RowUpdate, TableQuery, TableUpdate};
+use futures::StreamExt as _;
 use futures::future::LocalBoxFuture;
+use futures::stream::FuturesUnordered;
 use porthoist_core::{ClockSource, UnixDeadline, UnixMillis};
 use porthoist_metrics::MetricsHub;
+use porthoist_policy::proxy::change_bound::RenewalSchedule;
 use slog::{Logger, info};
 use std::cell::{Cell, RefCell};
 use std::cmp::Ordering;
@@ -99,6 +103,8 @@
     Silent,
     /// The table service does not answer its calls.
     Failing,
+    /// It should have renewed its state by now.
+    Late,
     /// Its response is no newer than what is known.
     Repeating,
 }
@@ -109,11 +115,34 @@
         match self {
             Self::Silent => "silent",
             Self::Failing => "failing",
+            Self::Late => "late",
             Self::Repeating => "repeating",
         }
     }
 }
 
+/// A request to the peers for changes of a table.
+#[derive(Debug, Clone, Copy)]
+struct PeerRequest {
+    table: ControlTable,
+    after: TableRevision,
+    /// Age of the known state at which this process calls the table service.
+    wait: Duration,
+    /// When a peer should have provided a newer state.
+    late_at: UnixDeadline,
+    /// When peers are no longer waited for.
+    until: UnixDeadline,
+}
+
+/// Result of a query to a peer.
+#[derive(Debug)]
+enum PeerOutcome {
+    Answer(SourceAnswer<Vec<TableRow>>),
+    Unchanged { failing: bool },
+    Useless,
+    CallService(ServiceCallReason),
+}
+
 /// This process's copy of one table.
 #[derive(Debug, Default)]
 struct TableCopy {
@@ -189,8 +218,11 @@
 /// Rows from the peer that follows the tables for the zone, or from the table service.
 #[derive(Debug)]
 pub struct PeerRowSource {
-    table_service: Rc<dyn RowSource>,
+    table_service: Rc<ProvenRowSource>,
     peers: Rc<dyn TablePeers>,
+    /// Position of this process's calls among those of processes that lose the same reader, from 0 to 1. It is
+    /// the same for all tables, since the call for one may prove the others.
+    spread: f64,
     metrics: Arc<MetricsHub>,
     routes: TableCopy,
     targets: TableCopy,
@@ -226,8 +258,9 @@
         logger: Logger,
     ) -> Rc<Self> {
         Rc::new(Self {
-            table_service,
+            table_service: ProvenRowSource::new(table_service),
             peers,
+            spread: rand::random(),
             metrics,
             routes: TableCopy::default(),
             targets: TableCopy::default(),
@@ -253,18 +286,17 @@
         }
     }
 
-    /// Returns the first peer that is not avoided.
-    fn first_peer(&self) -> Option<Ipv4Addr> {
+    /// Returns the first peer that is neither avoided nor excluded.
+    fn first_peer(&self, excluded: &HashSet<Ipv4Addr>) -> Option<Ipv4Addr> {
         let now = self.clock.now();
         let mut avoided = self.avoided.borrow_mut();
         avoided.retain(|_host, until| !until.passed(now));
-        self.peers.hosts().into_iter().find(|host| !avoided.contains_key(host))
+        self.peers.hosts().into_iter().find(|host| !avoided.contains_key(host) && !excluded.contains(host))
     }
 
-    /// Whether a peer is not avoided.
-    fn is_available(&self, host: Ipv4Addr) -> bool {
-        let now = self.clock.now();
-        self.avoided.borrow().get(&host).is_none_or(|until| until.passed(now))
+    /// Whether a peer other than this one may be queried.
+    fn has_other_peer(&self, host: Ipv4Addr) -> bool {
+        self.first_peer(&HashSet::from([host])).is_some()
     }
 
     fn avoid(&self, table: ControlTable, host: Ipv4Addr, reason: AvoidReason) {
@@ -282,55 +314,113 @@
         Some(self.clock.now().since(proven))
     }
 
-    /// Waits for peers to provide changes after a revision. An error states why the table service must be
-    /// called.
+    /// Waits for peers to provide changes. An error states why the table service must be called.
+    ///
+    /// One peer is queried at a time, and one more from `late_at` on, when the known state is so old that the
+    /// first should have provided a newer one.
     async fn query_peers(
         &self,
-        table: ControlTable,
-        after: TableRevision,
-        wait: Duration,
-        until: UnixDeadline,
+        request: PeerRequest,
     ) -> Result<SourceAnswer<Vec<TableRow>>, ServiceCallReason> {
-        let copy = self.copy(table);
+        let PeerRequest { late_at, until, .. } = request;
         let mut reason = ServiceCallReason::Outdated;
+        let mut pending = FuturesUnordered::new();
+        let mut pending_hosts = HashSet::new();
         loop {
-            let left = until.remaining(self.clock.now());
-            if left.is_zero() {
+            let now = self.clock.now();
+            if until.passed(now) {
                 return Err(reason);
             }
-            let Some(host) = self.first_peer() else { return Err(ServiceCallReason::NoPeer) };
-            let query = TableQuery { table, after, stamp: copy.stamp.get(), hold: MAX_HOLD.min(left), wait };
-            // A long response arrives in pieces. The known state must not become too old meanwhile.
-            let response = self.peers.query(host, query, PEER_TIMEOUT);
-            match tokio::time::timeout(left + PEER_TIMEOUT, response).await {
-                // A response that is not newer than the known state proves nothing. A peer that repeats it
-                // must not be queried for ever.
-                Ok(Ok(TableUpdate::Newer { rows, .. }))
-                    if !copy.is_outdated_by(rows.revision, rows.stamp) =>
-                {
-                    self.avoid(table, host, AvoidReason::Repeating);
-                }
-                Ok(Ok(TableUpdate::Newer { rows, keys, gap })) => {
-                    // The patch applies to another value than the known one, so the complete row is needed.
-                    let Some(rows) = copy.apply_patches(rows) else { return Err(ServiceCallReason::History) };
-                    let mut rows = SourceAnswer { origin: AnswerOrigin::Peer { gap }, ..rows };
-                    if let Some(keys) = keys {
-                        rows.value.extend(copy.removals_except(&keys, rows.revision));
-                    }
-                    return Ok(rows);
+            let is_late = late_at.passed(now);
+            let most = if is_late { 2 } else { 1 };
+            while pending.len() < most
+                && let Some(host) = self.first_peer(&pending_hosts)
+            {
+                pending_hosts.insert(host);
+                pending.push(self.query_peer(host, request));
+            }
+            let next_check = if is_late { until } else { late_at.min(until) };
+            let (host, response) = tokio::select! {
+                Some(response) = pending.next() => response,
+                () = tokio::time::sleep(next_check.remaining(now)), if !pending.is_empty() => continue,
+                else => return Err(ServiceCallReason::NoPeer),
+            };
+            pending_hosts.remove(&host);
+            match self.peer_answer(host, request, response) {
+                PeerOutcome::Answer(answer) => return Ok(answer),
+                PeerOutcome::CallService(reason) => return Err(reason),
+                PeerOutcome::Unchanged { failing: true } => reason = ServiceCallReason::Probe,
+                PeerOutcome::Unchanged { failing: false } => reason = ServiceCallReason::Outdated,
+                PeerOutcome::Useless => {}
+            }
+        }
+    }
+
+    /// Sends one query. A peer that has had time to renew the state is given little more.
+    async fn query_peer(
+        &self,
+        host: Ipv4Addr,
+        request: PeerRequest,
+    ) -> (Ipv4Addr, Result<TableUpdate, String>) {
+        let PeerRequest { table, after, wait, late_at, until } = request;
+        let now = self.clock.now();
+        let left = until.remaining(now);
+        let hold = match late_at.remaining(now) {
+            time if !time.is_zero() => time,
+            _ if self.has_other_peer(host) => PEER_TIMEOUT,
+            _ => MAX_HOLD,
+        };
+        let hold = hold.min(MAX_HOLD).min(left);
+        let query = TableQuery { table, after, stamp: self.copy(table).stamp.get(), hold, wait };
+        // A long response arrives in pieces. The known state must not become too old meanwhile.
+        let response = tokio::time::timeout(left + PEER_TIMEOUT, self.peers.query(host, query, PEER_TIMEOUT));
+        (host, response.await.unwrap_or_else(|_elapsed| Err("no response in time".to_owned())))
+    }
+
+    /// Evaluates a peer's response, and decides whether the peer is to be avoided.
+    fn peer_answer(
+        &self,
+        host: Ipv4Addr,
+        request: PeerRequest,
+        response: Result<TableUpdate, String>,
+    ) -> PeerOutcome {
+        let PeerRequest { table, late_at, .. } = request;
+        let copy = self.copy(table);
+        match response {
+            // A response that is not newer than the known state proves nothing. A peer that repeats it must
+            // not be queried for ever.
+            Ok(TableUpdate::Newer { rows, .. }) if !copy.is_outdated_by(rows.revision, rows.stamp) => {
+                self.avoid(table, host, AvoidReason::Repeating);
+                PeerOutcome::Useless
+            }
+            Ok(TableUpdate::Newer { rows, keys, gap }) => {
+                // The patch applies to another value than the known one, so the complete row is needed.
+                let Some(rows) = copy.apply_patches(rows) else {
+                    return PeerOutcome::CallService(ServiceCallReason::History);
+                };
+                let mut rows = SourceAnswer { origin: AnswerOrigin::Peer { gap }, ..rows };
+                if let Some(keys) = keys {
+                    rows.value.extend(copy.removals_except(&keys, rows.revision));
                 }
-                Ok(Ok(TableUpdate::Unchanged { failing })) => {
-                    // Another peer may reach the table service. If none does, this one responds as soon as
-                    // it does.
-                    if failing
-                        && self.peers.hosts().iter().any(|other| *other != host && self.is_available(*other))
-                    {
-                        self.avoid(table, host, AvoidReason::Failing);
-                    }
-                    reason = if failing { ServiceCallReason::Probe } else { ServiceCallReason::Outdated };
+                PeerOutcome::Answer(rows)
+            }
+            Ok(TableUpdate::Unchanged { failing }) => {
+                // What decides is the age of the state. If no peer reaches the table service, the last one
+                // responds as soon as it does.
+                let reason = match (failing, late_at.passed(self.clock.now())) {
+                    (true, _) => Some(AvoidReason::Failing),
+                    (false, true) => Some(AvoidReason::Late),
+                    (false, false) => None,
+                };
+                if let Some(reason) = reason.filter(|_reason| self.has_other_peer(host)) {
+                    self.avoid(table, host, reason);
                 }
-                Ok(Ok(TableUpdate::TooLarge)) => return Err(ServiceCallReason::History),
-                Ok(Err(_)) | Err(_) => self.avoid(table, host, AvoidReason::Silent),
+                PeerOutcome::Unchanged { failing }
+            }
+            Ok(TableUpdate::TooLarge) => PeerOutcome::CallService(ServiceCallReason::History),
+            Err(_) => {
+                self.avoid(table, host, AvoidReason::Silent);
+                PeerOutcome::Useless
             }
         }
     }
@@ -357,7 +447,9 @@
         };
         let answer = answer_within(self.table_service.answer_timeout(wait), call).await;
         let answer = answer.and_then(|answer| self.reject_earlier_era(table, answer));
-        if let Ok(answer) = &answer {
+        if let Ok(answer) = &answer
+            && answer.origin == AnswerOrigin::Source
+        {
             let known = self.clock_offset.get().filter(|known| known.era == answer.revision.era);
             self.clock_offset.set(Some(known.map_or_else(
                 || ClockOffset::new(sent, answer.revision.era, answer.stamp),
@@ -388,7 +480,7 @@
     fn backoff(&self) -> Duration {
         // Processes that failed together must not retry together.
         let jitter = rand::random::<f64>() + 0.5;
-        if self.first_peer().is_some() {
+        if self.first_peer(&HashSet::new()).is_some() {
             return PROBE_INTERVAL.mul_f64(jitter);
         }
         let backoff = self.backoff.get();
@@ -399,6 +491,9 @@
     /// Applies a response to the copy. Rows older than the copy's are ignored.
     fn apply(&self, table: ControlTable, answer: &SourceAnswer<Vec<TableRow>>, is_listing: bool) {
         let copy = self.copy(table);
+        if is_listing && copy.revision.get().is_some_and(|known| answer.revision < known) {
+            return;
+        }
         let mut rows = copy.rows.borrow_mut();
         if is_listing {
             rows.clear();
@@ -412,7 +507,7 @@
         rows.retain(|_key, row| row.value != RowValue::Removed);
         let previous_stamp = if answer.revision.era > copy.era() { 0 } else { copy.stamp.get() };
         copy.stamp.set(previous_stamp.max(answer.stamp));
-        copy.revision.set(Some(answer.revision));
+        copy.revision.set(copy.revision.get().max(Some(answer.revision)));
     }
 
     fn listing_of_copy(
@@ -434,8 +529,13 @@
             return self.list_from_service(table, ServiceCallReason::Start).await;
         };
         // Peers call the table service too, and only changes are needed from them.
-        let from_peers =
-            self.query_peers(table, revision, PROBE_INTERVAL, self.deadline_in(PROBE_INTERVAL * 2));
+        let from_peers = self.query_peers(PeerRequest {
+            table,
+            after: revision,
+            wait: PROBE_INTERVAL,
+            late_at: UnixDeadline::default(),
+            until: self.deadline_in(PROBE_INTERVAL * 2),
+        });
         let listed = async {
             self.sleep_until(probe_at.or_else(|| Some(self.deadline_in(Self::peer_timeout(table))))).await;
             self.list_from_service(table, ServiceCallReason::Probe).await
@@ -472,10 +572,16 @@
                 // The first targets may all be without a peer.
                 until = self.deadline_in(if self.joined_late.get() { LATE_START_WAIT } else { START_WAIT });
             }
-            if has_targets && self.first_peer().is_some() {
+            if has_targets && self.first_peer(&HashSet::new()).is_some() {
                 let deadline = if self.joined_late.get() { until } else { self.deadline_in(START_WAIT) };
-                let answer =
-                    self.query_peers(table, TableRevision::default(), PROBE_INTERVAL, deadline).await;
+                let request = PeerRequest {
+                    table,
+                    after: TableRevision::default(),
+                    wait: PROBE_INTERVAL,
+                    late_at: deadline,
+                    until: deadline,
+                };
+                let answer = self.query_peers(request).await;
                 if let Ok(answer) = answer {
                     self.apply(table, &answer, true);
                     return Some(answer);
@@ -521,7 +627,7 @@
             self.targets_listed.notify_waiters();
         }
         self.apply(table, &answer, true);
-        Ok(answer)
+        Ok(self.listing_of_copy(table, answer))
     }
 
     async fn sleep_until(&self, moment: Option<UnixDeadline>) {
@@ -540,23 +646,42 @@
         revision: TableRevision,
         wait: Duration,
     ) -> Result<SourceAnswer<Vec<TableRow>>, SourceError> {
-        // The latest update may have been delayed, so the wait counts from the time that it proves.
-        let known = self
-            .clock_offset
-            .get()
-            .map(|clock_offset| clock_offset.local_lower_bound(self.copy(table).stamp.get()));
+        // The latest update may have been delayed, so the schedule counts from the time that it proves.
         let now = self.clock.now();
-        let end = UnixDeadline::after(known.unwrap_or(now).min(now), wait.as_millis() as u64);
-        let answer = match self.query_peers(table, revision, wait, end).await {
+        let stamp = self.copy(table).stamp.get();
+        let proven = self.clock_offset.get().map_or(now, |offset| offset.local_lower_bound(stamp).min(now));
+        let schedule = RenewalSchedule::new(wait);
+        let deadline = |age: Duration| UnixDeadline::after(proven, age.as_millis() as u64);
+        let call_at = deadline(schedule.service_call(self.spread));
+        let from_peers = self.query_peers(PeerRequest {
+            table,
+            after: revision,
+            wait,
+            late_at: deadline(schedule.second_reader()),
+            until: call_at,
+        });
+        let answer = match from_peers.await {
             Ok(answer) => answer,
             Err(reason) => {
                 if reason == ServiceCallReason::NoPeer && !self.fleet_start_end.get().passed(now) {
                     let delay = self.next_targets_call.get().remaining(self.clock.now());
-                    tokio::time::sleep(delay.min(end.remaining(self.clock.now()))).await;
+                    tokio::time::sleep(delay.min(call_at.remaining(self.clock.now()))).await;
                 }
                 // If there was no peer at all, the call waits as long as it may.
-                let left = end.remaining(self.clock.now());
-                self.call_service(table, Some(revision), left, reason).await?
+                let left = deadline(schedule.renewal()).remaining(self.clock.now());
+                let from_service = self.call_service(table, Some(revision), left, reason);
+                let from_peers = self.query_peers(PeerRequest {
+                    table,
+                    after: revision,
+                    wait,
+                    late_at: UnixDeadline::default(),
+                    until: self.deadline_in(PROBE_INTERVAL),
+                });
+                // This host may be the one that can't reach the service.
+                tokio::select! {
+                    answer = from_service => answer?,
+                    Ok(answer) = from_peers => answer,
+                }
             }
         };
         self.apply(table, &answer, false);
--- a/crates/porthoist-proxy/src/rows.rs
+++ b/crates/porthoist-proxy/src/rows.rs
@@ -75,6 +75,8 @@
     fn is_shared(&self) -> bool {
         false
     }
+    /// Makes the next calls use new connections, if idle ones may have fallen silent.
+    fn drop_idle_connections(&self) {}
     /// Maximum time for a response to a call that waits for the given time.
     fn answer_timeout(&self, wait: Duration) -> Duration {
         wait + Duration::from_millis(ANSWER_TIMEOUT_MILLIS)
--- a/crates/porthoist-proxy/src/source.rs
+++ b/crates/porthoist-proxy/src/source.rs
@@ -41,6 +41,9 @@
 pub enum AnswerOrigin {
     /// The source itself.
     Source,
+    /// A response of the source to an earlier call of this process, or to a call about another table. It may
+    /// have been made before the current call.
+    EarlierCall,
     /// Another process that relays the source's response.
     Peer {
         /// The latest outage that the process saw.
@@ -52,7 +55,7 @@
     /// Name in logs.
     pub fn as_str(self) -> &'static str {
         match self {
-            Self::Source => "service",
+            Self::Source | Self::EarlierCall => "service",
             Self::Peer { .. } => "peer",
         }
     }
--- a/crates/porthoist-proxy/src/table_reader.rs
+++ b/crates/porthoist-proxy/src/table_reader.rs
@@ -5,12 +5,14 @@
 
 use crate::earlier_values::EarlierValues;
 use crate::patch::ValuePatch;
+use crate::proven_rows::ProvenRowSource;
 use crate::revision::{TableEra, TableRevision};
 use crate::rows::{ControlTable, RowSource, RowValue, TableRow, answer_within};
 use crate::source::{SourceAnswer, SourceError};
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
 use porthoist_core::{ClockSource, UnixDeadline, UnixMillis};
+use porthoist_policy::proxy::change_bound::RenewalSchedule;
 use porthoist_policy::proxy::targets::AnswerGap;
 use serde::{Deserialize, Serialize};
 use slog::{Logger, info, warn};
@@ -22,14 +24,10 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// How long a table is followed after the last query, in milliseconds: some ten times the longest pause
-/// between two queries of one process.
-const FOLLOW_MILLIS: u64 = 10_000;
-/// How much shorter its long polls are than those of the querying processes, in milliseconds. Its next
-/// update must reach them before they would poll the service themselves.
-const POLL_LEAD_MILLIS: u64 = 500;
-/// Minimum long-poll timeout, in milliseconds. Each call has a cost.
-const MIN_WAIT_MILLIS: u64 = 400;
+/// How long a table is followed after the last query, in milliseconds: twice the longest pause between two
+/// queries of one process. When a fleet starts, entries query several processes one after the other, and
+/// each of them would call the table service for so long.
+const FOLLOW_MILLIS: u64 = 4_000;
 /// Pause after a change of routes. Versions can come every 80 ms.
 const ROUTES_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after a change of targets, so that many changes cost one poll.
@@ -55,7 +53,7 @@
     pub stamp: u64,
     /// How long the response may be held back while there is nothing new.
     pub hold: Duration,
-    /// How long the querying process would wait at the table service.
+    /// Age of its state at which the querying process would call the table service.
     pub wait: Duration,
 }
 
@@ -162,6 +160,11 @@
 
 impl KnownTable {
     fn apply_listing(&mut self, answer: SourceAnswer<Vec<TableRow>>) {
+        // Several calls may be pending while the service does not answer. A late response must not replace
+        // what a later call has brought.
+        if answer.revision < self.revision {
+            return;
+        }
         let restored = answer.revision.era > self.revision.era;
         if restored {
             self.rows.retain(|_key, known| known.row.value != RowValue::Removed);
@@ -200,7 +203,7 @@
     }
 
     fn put(&mut self, row: TableRow, changed_at: TableRevision) {
-        if self.rows.get(&row.key).is_some_and(|known| known.row == row) {
+        if self.rows.get(&row.key).is_some_and(|known| known.row == row || known.row.version > row.version) {
             return;
         }
         let known = self.rows.insert(row.key.clone(), TrackedRow { row, changed_at });
@@ -283,11 +286,16 @@
             running: Cell::new(false),
         })
     }
+
+    /// Age at which the known state is renewed.
+    fn renewal(&self) -> Duration {
+        RenewalSchedule::new(self.wait.get()).renewal()
+    }
 }
 
 /// Follows tables on behalf of other processes while they query it.
 pub struct TableReader {
-    source: Rc<dyn RowSource>,
+    source: Rc<ProvenRowSource>,
     clock: Arc<dyn ClockSource>,
     logger: Logger,
     tables: [Rc<FollowedTable>; 3],
@@ -303,8 +311,9 @@
 }
 
 impl TableReader {
-    /// Creates a reader without queries.
-    pub fn new(source: Rc<dyn RowSource>, clock: Arc<dyn ClockSource>, logger: Logger) -> Rc<Self> {
+    /// Creates a reader without queries that calls the table service.
+    pub fn new(table_service: Rc<dyn RowSource>, clock: Arc<dyn ClockSource>, logger: Logger) -> Rc<Self> {
+        let source = ProvenRowSource::new(table_service);
         let tables = ControlTable::ALL.map(FollowedTable::new);
         Rc::new(Self { source, clock, logger, tables, route_failures: watch::Sender::new(0) })
     }
@@ -366,11 +375,12 @@
                     let is_listing = revision.replace(answer.revision).is_none();
                     self.apply(&table, answer, is_listing);
                     if changed {
-                        paused = match table.table {
+                        let pause = match table.table {
                             ControlTable::Routes => ROUTES_PAUSE,
                             ControlTable::Targets => TARGETS_PAUSE,
                             ControlTable::Crashes => CRASHES_PAUSE,
                         };
+                        paused = pause.min(table.renewal());
                         tokio::time::sleep(paused).await;
                     }
                 }
@@ -381,6 +391,7 @@
                 }
             }
         }
+        self.source.close_poll(table.table);
         *table.known.borrow_mut() = KnownTable::default();
         table.wait.set(Duration::MAX);
         table.running.set(false);
@@ -401,10 +412,8 @@
             }
             return self.list(table.table).await;
         };
-        let min_wait = Duration::from_millis(MIN_WAIT_MILLIS);
         // The querying processes wait from the last response on, not from this poll.
-        let lead = Duration::from_millis(POLL_LEAD_MILLIS) + paused;
-        let wait = table.wait.get().saturating_sub(lead).max(min_wait);
+        let wait = table.renewal().saturating_sub(paused);
         answer_within(
             self.source.answer_timeout(wait),
             self.source.changes_after(table.table, revision, wait),
--- a/crates/porthoist-proxy/tests/zone_tables/change_bound.rs
+++ b/crates/porthoist-proxy/tests/zone_tables/change_bound.rs
@@ -1,6 +1,7 @@
 //! Time until changes are in force while readers of the zone fail.
 
 use crate::harness::*;
+use porthoist_policy::proxy::change_bound::ChangeBound;
 use porthoist_policy::proxy::routes::ConfigVersion;
 use porthoist_policy::proxy::targets::TargetState;
 use std::time::Duration;
@@ -125,7 +126,8 @@
 async fn time_to_know(fault: ZoneFault, change: ZoneChange, phase: u64) -> u64 {
     let mut time = 0;
     run_local(async || {
-        let zone = Deployment::start(6, 2).await;
+        let bound = ChangeBound::tightest([APPLY_MILLIS, LEAVING_MILLIS]);
+        let zone = Deployment::start_bounded(6, 2, bound).await;
         sleep(Duration::from_millis(phase * 97)).await;
         fault.apply(&zone);
         // The change may be acknowledged right after the fault, or while entries look for another source.
--- a/crates/porthoist-proxy/tests/zone_tables/harness.rs
+++ b/crates/porthoist-proxy/tests/zone_tables/harness.rs
@@ -3,6 +3,7 @@
 use futures::future::LocalBoxFuture;
 use porthoist_core::{ClockSource, StartMillis, UnixMillis, ZoneName};
 use porthoist_metrics::MetricsHub;
+use porthoist_policy::proxy::change_bound::ChangeBound;
 use porthoist_policy::proxy::cold_start::ColdStatus;
 use porthoist_policy::proxy::routes::{CallerLimits, ConfigVersion, RouteTable};
 use porthoist_policy::proxy::targets::{TargetChange, TargetRecord, TargetState};
@@ -491,7 +492,12 @@
 }
 
 impl EntryProcess {
-    pub fn start(service: &Rc<TableService>, zone: &Rc<ZoneReaders>, proof_millis: u64) -> Self {
+    pub fn start(
+        service: &Rc<TableService>,
+        zone: &Rc<ZoneReaders>,
+        proof_millis: u64,
+        change_bound: ChangeBound,
+    ) -> Self {
         let link = ServiceLink::new(service);
         let clock = RuntimeClock::ahead(0);
         let metrics = Arc::new(MetricsHub::new().unwrap());
@@ -508,6 +514,7 @@
         let state = sender.subscribe();
         let watch = ControlWatch::builder()
             .max_proof_age_millis(proof_millis)
+            .change_bound(change_bound)
             .source(Rc::new(PlainSource(rows)))
             .state(sender)
             .clock(Arc::<RuntimeClock>::clone(&clock))
@@ -549,22 +556,36 @@
 
     /// The same with proofs of routes that are valid for the given time in milliseconds.
     pub async fn start_with(entries: usize, readers: usize, proof_millis: u64) -> Self {
-        let deployment = Self::begin_with(TableService::new(), entries, readers, proof_millis);
+        let deployment =
+            Self::begin_with(TableService::new(), entries, readers, proof_millis, ChangeBound::default());
+        sleep(Duration::from_secs(5)).await;
+        deployment
+    }
+
+    /// The same with a bound on the time until changes are in force.
+    pub async fn start_bounded(entries: usize, readers: usize, change_bound: ChangeBound) -> Self {
+        let deployment = Self::begin_with(TableService::new(), entries, readers, PROOF_MILLIS, change_bound);
         sleep(Duration::from_secs(5)).await;
         deployment
     }
 
     /// Starts all processes at once. The entries know of the readers if there are rows.
     pub fn begin(service: Rc<TableService>, entries: usize, readers: usize) -> Self {
-        Self::begin_with(service, entries, readers, PROOF_MILLIS)
+        Self::begin_with(service, entries, readers, PROOF_MILLIS, ChangeBound::default())
     }
 
-    fn begin_with(service: Rc<TableService>, entries: usize, readers: usize, proof_millis: u64) -> Self {
+    fn begin_with(
+        service: Rc<TableService>,
+        entries: usize,
+        readers: usize,
+        proof_millis: u64,
+        change_bound: ChangeBound,
+    ) -> Self {
         let known = Cell::new(!service.rows.borrow().is_empty());
         let readers = (0..readers).map(|_reader| ReaderProcess::new(&service)).collect();
         let peers = Rc::new(ZoneReaders { readers, known });
-        let entries =
-            (0..entries).map(|_entry| EntryProcess::start(&service, &peers, proof_millis)).collect();
+        let start = |_entry| EntryProcess::start(&service, &peers, proof_millis, change_bound);
+        let entries = (0..entries).map(start).collect();
         Self { service, peers, entries, proof_millis }
     }
 
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -19,9 +19,9 @@
 use porthoist_policy::proxy::retry_share::RetryShareSettings;
 use porthoist_policy::proxy::send_turns::EntryPosition;
 use porthoist_proxy::{
-    ControlState, ControlWatch, CrashChange, CrashSnapshot, CrashWatch, CrashWriter, PeerRowSource,
-    ProxyHandler, ProxyHandlerSettings, ProxyServer, RequestDispatcher, RequestQuarantine, RowSource,
-    serve_proxy,
+    CRASH_POLL_TIMEOUT, ControlState, ControlWatch, CrashChange, CrashSnapshot, CrashWatch, CrashWriter,
+    PeerRowSource, ProvenRowSource, ProxyHandler, ProxyHandlerSettings, ProxyServer, RequestDispatcher,
+    RequestQuarantine, RowSource, serve_proxy,
 };
 use porthoist_turist::{READY_PATH, StoreClient, TuristCodec, TuristSource};
 use slog::{Logger, info, o};
@@ -143,8 +143,8 @@
     fn start_control(&self) -> io::Result<mpsc::Sender<CrashChange>> {
         let (table, metrics) = (self.settings.table, Arc::clone(&self.metrics));
         let (state, clock, logger) = (self.state.clone(), Arc::clone(&self.clock), self.logger.clone());
-        let (bound, zone, rank_port) =
-            (self.settings.bound, self.settings.zone.clone(), self.settings.rank_port);
+        let (bound, change_bound) = (self.settings.bound, self.settings.change_bound);
+        let (zone, rank_port) = (self.settings.zone.clone(), self.settings.rank_port);
         let max_proof_age = self.proof.max_age_millis;
         let (crashes, position, host) =
             (self.crashes.clone(), self.position.clone(), self.settings.host.clone());
@@ -156,7 +156,7 @@
                 CrashWriter::builder().writer(Rc::<StoreClient>::clone(&store)).changes(crash_changes);
             let crash_writer = crash_writer.metrics(Arc::clone(&metrics)).logger(logger.clone()).build();
             let store: Rc<dyn RowSource> = store;
-            let rows = match rank_port {
+            let rows: Rc<dyn RowSource> = match rank_port {
                 Some(port) => {
                     let peers = PeerPool::new(port, ControlTraffic::default());
                     let zone_peers = ZonePeers::builder().zone(zone).host(host).state(state.subscribe());
@@ -170,14 +170,20 @@
                         logger.clone(),
                     )
                 }
-                None => store,
+                None => ProvenRowSource::new(store),
+            };
+            let crash_wait = if rows.is_shared() {
+                change_bound.service_wait(CRASH_POLL_TIMEOUT)
+            } else {
+                change_bound.own_wait(CRASH_POLL_TIMEOUT)
             };
             let crash_watch = CrashWatch::builder().source(Rc::clone(&rows)).crashes(crashes);
+            let crash_watch = crash_watch.poll_timeout(crash_wait);
             let crash_watch =
                 crash_watch.state(state.subscribe()).clock(Arc::clone(&clock)).logger(logger.clone()).build();
             let source = TuristSource::new(rows, Arc::clone(&clock), logger.clone());
             let watch = ControlWatch::builder().staleness_bound(bound).source(Rc::new(source)).state(state);
-            let watch = watch.max_proof_age_millis(max_proof_age);
+            let watch = watch.max_proof_age_millis(max_proof_age).change_bound(change_bound);
             let watch = watch.clock(clock).metrics(metrics).logger(logger).build();
             tokio::join!(watch.run(), crash_watch.run(), crash_writer.run());
         })?;
--- a/porthoistd/src/role/rank.rs
+++ b/porthoistd/src/role/rank.rs
@@ -11,7 +11,7 @@
 use porthoist_fleet::{ControlTraffic, EntryDemands, LoadsPublisher, PeerPool, RankService, serve_ranks};
 use porthoist_group::RankControl;
 use porthoist_metrics::MetricsHub;
-use porthoist_proxy::{ControlState, ControlWatch, RowSource, TableReader};
+use porthoist_proxy::{ControlState, ControlWatch, ProvenRowSource, RowSource, TableReader};
 use porthoist_turist::{StoreClient, TuristEngine, TuristSource};
 use slog::{Logger, info, o};
 use std::io;
@@ -63,7 +63,11 @@
         tokio::task::spawn_local(watch_reloads(logger.clone()));
         tokio::task::spawn_local(watch_signals(stopping, logger.clone(), || 0));
         let control = ControlWatch::builder()
-            .source(Rc::new(TuristSource::new(store, Arc::clone(&clock), logger.clone())))
+            .source(Rc::new(TuristSource::new(
+                ProvenRowSource::new(store),
+                Arc::clone(&clock),
+                logger.clone(),
+            )))
             .state(state.clone())
             .clock(Arc::clone(&clock))
             .metrics(metrics)
--- a/porthoistd/src/settings/proxy.rs
+++ b/porthoistd/src/settings/proxy.rs
@@ -4,6 +4,7 @@
 use super::{ADDRESS, DaemonRole};
 use argh::FromArgs;
 use porthoist_core::{HostName, ZoneName};
+use porthoist_policy::proxy::change_bound::ChangeBound;
 use porthoist_policy::proxy::targets::StalenessBound;
 use porthoist_proxy::MIN_PROOF_AGE_MILLIS;
 use slog::Level;
@@ -40,6 +41,9 @@
     /// milliseconds within which a host must detect the loss of its connections
     #[argh(option)]
     pub notice_ms: Option<String>,
+    /// milliseconds within which a change of the configuration must be in force
+    #[argh(option)]
+    pub apply_ms: Option<String>,
     /// milliseconds after which a leaving target must get no new requests
     #[argh(option)]
     pub leaving_ms: Option<String>,
@@ -109,6 +113,8 @@
     pub revoke_millis: u64,
     /// Maximum age of what is known about targets.
     pub bound: StalenessBound,
+    /// Time within which changes of the configuration and of targets must be in force.
+    pub change_bound: ChangeBound,
     /// Whether requests with a key are refused while the configuration may be out of date.
     pub refuse_unproven: bool,
     /// Maximum time in milliseconds from the stop signal to the exit.
@@ -153,6 +159,11 @@
 const REVOKE_RANGE: &str = "milliseconds from 1000 to 3600000";
 const _: () = assert!(MIN_REVOKE_MILLIS == 1_000, "REVOKE_RANGE names the minimum");
 
+/// Minimum time in milliseconds within which a change can be made to be in force: a process whose usual source
+/// fails must have time to ask others.
+const MIN_APPLY_MILLIS: u64 = 1_000;
+const APPLY_RANGE: &str = "milliseconds from 1000 to 3600000";
+
 fn millis(seconds: f64) -> u64 {
     (seconds.max(0.0) * 1_000.0) as u64
 }
@@ -169,6 +180,33 @@
     Ok(bytes)
 }
 
+/// Reads the bound on the time until changes are in force: the tightest of the limits that are set. Without
+/// one, the tables are polled as rarely as proofs of freshness permit.
+fn change_bound<E>(reader: &SettingReader<E>, args: &ProxyArgs) -> Result<ChangeBound, SettingError>
+where
+    E: Fn(&str) -> Option<String>,
+{
+    let is_set = |flag, given: &Option<String>| reader.text(flag, given.clone()).is_some();
+    let mut limits = Vec::new();
+    if is_set("apply-ms", &args.apply_ms) {
+        let given = args.apply_ms.clone();
+        limits.push(reader.millis_from(MIN_APPLY_MILLIS, APPLY_RANGE, "apply-ms", given, "")?);
+    }
+    if is_set("leaving-ms", &args.leaving_ms) {
+        limits.push(reader.millis("leaving-ms", args.leaving_ms.clone(), "")?);
+    }
+    if is_set("revoke-ms", &args.revoke_ms) {
+        limits.push(reader.millis_from(
+            MIN_REVOKE_MILLIS,
+            REVOKE_RANGE,
+            "revoke-ms",
+            args.revoke_ms.clone(),
+            "",
+        )?);
+    }
+    Ok(ChangeBound::tightest(limits))
+}
+
 impl ProxySettings {
     /// Reads and validates all settings; `environment` looks up a variable.
     pub fn load<E>(args: ProxyArgs, environment: E) -> Result<Self, SettingError>
@@ -177,6 +215,10 @@
     {
         let reader = SettingReader { role: DaemonRole::Entry, environment };
         let number = "a number";
+        let change_bound = change_bound(&reader, &args)?;
+        let revoke_millis =
+            reader.millis_from(MIN_REVOKE_MILLIS, REVOKE_RANGE, "revoke-ms", args.revoke_ms, "5000")?;
+        let leaving_millis = reader.millis("leaving-ms", args.leaving_ms, "2000")?;
         Ok(Self {
             host: reader.value("host", args.host, Some("localhost"), "a host name")?,
             zone: reader.value("zone", args.zone, None, "the name of an availability zone")?,
@@ -194,17 +236,9 @@
                 ADDRESS,
             )?,
             table: reader.value("table", args.table, None, ADDRESS)?,
-            revoke_millis: reader.millis_from(
-                MIN_REVOKE_MILLIS,
-                REVOKE_RANGE,
-                "revoke-ms",
-                args.revoke_ms,
-                "5000",
-            )?,
-            bound: StalenessBound::new(
-                reader.millis("notice-ms", args.notice_ms, "3000")?,
-                reader.millis("leaving-ms", args.leaving_ms, "2000")?,
-            ),
+            revoke_millis,
+            bound: StalenessBound::new(reader.millis("notice-ms", args.notice_ms, "3000")?, leaving_millis),
+            change_bound,
             refuse_unproven: reader.value(
                 "refuse-unproven",
                 args.refuse_unproven,
