Test the bound on changes: all tables, many entries, calm hours, late starts

Crash rows and two more faults of readers join the existing test (responses that arrive 1.5 s late, a reader that resumes without a path). 600 entries whose readers all fall silent stay below the 2,000 calls a second of the smallest deployment and below 150 in 10 ms. A calm hour makes one call per renewal. An entry that starts beside a silent reader learns of changes in time.

--- a/crates/porthoist-policy/tests/policy.rs
+++ b/crates/porthoist-policy/tests/policy.rs
@@ -10,6 +10,8 @@
 mod backpressure_simulation;
 #[path = "policy/caller_retries.rs"]
 mod caller_retries;
+#[path = "policy/change_bound.rs"]
+mod change_bound;
 #[path = "policy/cold_start.rs"]
 mod cold_start;
 #[path = "policy/cold_start_simulation.rs"]
--- a/crates/porthoist-proxy/tests/zone_tables/change_bound.rs
+++ b/crates/porthoist-proxy/tests/zone_tables/change_bound.rs
@@ -4,8 +4,11 @@
 use porthoist_policy::proxy::change_bound::ChangeBound;
 use porthoist_policy::proxy::routes::ConfigVersion;
 use porthoist_policy::proxy::targets::TargetState;
+use porthoist_proxy::{ControlTable, RowValue, TableQuery, TableRevision, TableUpdate, ValueUpdate};
+use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::sleep;
+use test_case::test_case;
+use tokio::time::{Instant, sleep};
 
 /// Time within which an acknowledged configuration must be in force.
 const APPLY_MILLIS: u64 = 2_000;
@@ -29,13 +32,17 @@
     AllFrozen,
     FirstFrozenOtherSilent,
     FirstSlow,
+    /// Responses of the first reader arrive late.
+    FirstDelayed,
     /// All readers are silent, and the entries' next calls to the table service are lost.
     AllSilentAndCallsLost,
     /// The first reader restarts without a path to the table service.
     FirstRestartsSilent,
+    /// The first reader resumes after a suspension, while its path to the table service is silent.
+    FirstResumesSilent,
 }
 
-const ZONE_FAULTS: [ZoneFault; 10] = [
+const ZONE_FAULTS: [ZoneFault; 12] = [
     ZoneFault::None,
     ZoneFault::FirstSilent,
     ZoneFault::AllSilent,
@@ -44,8 +51,10 @@
     ZoneFault::AllFrozen,
     ZoneFault::FirstFrozenOtherSilent,
     ZoneFault::FirstSlow,
+    ZoneFault::FirstDelayed,
     ZoneFault::AllSilentAndCallsLost,
     ZoneFault::FirstRestartsSilent,
+    ZoneFault::FirstResumesSilent,
 ];
 
 impl ZoneFault {
@@ -73,6 +82,7 @@
                 second.link.set_silent(true);
             }
             Self::FirstSlow => first.fault.set(ReaderFault::Slow(1_100)),
+            Self::FirstDelayed => first.fault.set(ReaderFault::Delayed(1_500)),
             Self::AllSilentAndCallsLost => {
                 Self::silence_all(zone);
                 for entry in &zone.entries {
@@ -83,6 +93,15 @@
                 first.link.set_silent(true);
                 first.restart();
             }
+            Self::FirstResumesSilent => {
+                first.link.set_silent(true);
+                first.fault.set(ReaderFault::Frozen);
+                let reader = Rc::clone(&zone.peers.readers[0]);
+                tokio::task::spawn_local(async move {
+                    sleep(Duration::from_millis(700)).await;
+                    reader.fault.set(ReaderFault::None);
+                });
+            }
         }
     }
 }
@@ -92,12 +111,13 @@
 enum ZoneChange {
     Routes,
     Targets,
+    Crashes,
 }
 
 impl ZoneChange {
     fn bound(self) -> u64 {
         match self {
-            Self::Routes => APPLY_MILLIS,
+            Self::Routes | Self::Crashes => APPLY_MILLIS,
             Self::Targets => LEAVING_MILLIS - SEND_MILLIS,
         }
     }
@@ -107,6 +127,7 @@
         match self {
             Self::Routes => zone.service.put("a", b"changed"),
             Self::Targets => zone.service.put("b", b"leaving"),
+            Self::Crashes => zone.service.put("crash", b"first"),
         }
         let newest = *zone.service.version.borrow();
         zone.until_all(|entry| match self {
@@ -117,6 +138,7 @@
                 .as_ref()
                 .is_some_and(|routes| routes.version == ConfigVersion(newest)),
             Self::Targets => entry.targets()["b"] == TargetState::Draining,
+            Self::Crashes => entry.crash_rows.borrow().contains_key("crash"),
         })
         .await
     }
@@ -142,7 +164,7 @@
 async fn changes_are_in_force_in_time_while_readers_fail() {
     let mut late = Vec::new();
     for fault in ZONE_FAULTS {
-        for change in [ZoneChange::Routes, ZoneChange::Targets] {
+        for change in [ZoneChange::Routes, ZoneChange::Targets, ZoneChange::Crashes] {
             let mut times = Vec::new();
             for phase in 0..PHASES {
                 times.push(time_to_know(fault, change, phase).await);
@@ -158,3 +180,100 @@
     }
     assert!(late.is_empty(), "late changes: {late:#?}");
 }
+
+/// Number of entries of the largest deployment.
+const MANY_ENTRIES: usize = 600;
+/// Calls per second that the table service of the smallest deployment accepts.
+const CALLS_PER_SECOND: usize = 2_000;
+
+#[tokio::test(start_paused = true)]
+async fn calls_of_many_entries_are_spread_when_all_readers_fall_silent() {
+    run_local(async || {
+        let bound = ChangeBound::tightest([APPLY_MILLIS, LEAVING_MILLIS]);
+        let zone = Deployment::start_bounded(MANY_ENTRIES, 2, bound).await;
+        ZoneFault::silence_all(&zone);
+        let mut calls = vec![zone.service.calls.get()];
+        let end = Instant::now() + Duration::from_secs(6);
+        while Instant::now() < end {
+            sleep(Duration::from_millis(10)).await;
+            calls.push(zone.service.calls.get());
+        }
+        let most_in =
+            |steps: usize| calls.windows(steps + 1).map(|window| window[steps] - window[0]).max().unwrap();
+        let (most, burst) = (most_in(100), most_in(1));
+        assert!(most <= CALLS_PER_SECOND, "{most} calls in a second");
+        assert!(burst <= MANY_ENTRIES / 4, "{burst} calls in 10 ms");
+    })
+    .await;
+}
+
+#[test_case(0; "entries ask the service")]
+#[test_case(2; "entries ask readers")]
+#[tokio::test(start_paused = true)]
+async fn calm_hour_makes_one_call_per_renewal(readers: usize) {
+    run_local(async || {
+        let bound = ChangeBound::tightest([APPLY_MILLIS, LEAVING_MILLIS]);
+        let zone = Deployment::start_bounded(3, readers, bound).await;
+        let before = zone.service.calls.get();
+        sleep(Duration::from_hours(1)).await;
+        let calls = zone.service.calls.get() - before;
+        let callers = if readers == 0 { zone.entries.len() } else { 1 };
+        let renewal = bound.schedule().unwrap().renewal().as_millis() as usize;
+        // Three long polls of 25 s, and the renewals.
+        let most = callers * (3_600_000 / renewal + 3 * 3_600 / 25) * 102 / 100;
+        assert!(calls <= most, "{calls} calls, {most} allowed");
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn entry_that_starts_beside_a_silent_reader_learns_of_changes_in_time() {
+    for phase in 0..PHASES {
+        run_local(async || {
+            let bound = ChangeBound::tightest([APPLY_MILLIS, LEAVING_MILLIS]);
+            let mut zone = Deployment::start_bounded(1, 2, bound).await;
+            ZoneFault::FirstSilent.apply(&zone);
+            sleep(Duration::from_millis(phase * 53)).await;
+            zone.add_entry(bound);
+            sleep(Duration::from_millis(phase * 37)).await;
+            for change in [ZoneChange::Routes, ZoneChange::Targets] {
+                let took = change.make(&zone).await;
+                assert!(took <= change.bound(), "{change:?}: {took} ms at phase {phase}");
+            }
+        })
+        .await;
+    }
+}
+
+/// Value of a target's row as a reader tells it to a process that knows nothing.
+async fn told_value(reader: &ReaderProcess, key: &str) -> Option<ValueUpdate> {
+    let query = TableQuery {
+        table: ControlTable::Targets,
+        after: TableRevision::default(),
+        stamp: 0,
+        hold: Duration::from_millis(100),
+        wait: Duration::from_secs(3),
+    };
+    let TableUpdate::Newer { rows, .. } = reader.query(query).await.unwrap() else { return None };
+    rows.value.into_iter().find(|row| row.key == key).map(|row| row.value)
+}
+
+#[tokio::test(start_paused = true)]
+async fn older_listing_does_not_replace_newer_rows() {
+    run_local(async || {
+        let zone = Deployment::start(4, 1).await;
+        let older = zone.service.backup();
+        zone.service.put("b", b"leaving");
+        zone.until_all(|entry| entry.targets()["b"] == TargetState::Draining).await;
+        // The service answers from an older state without saying so.
+        *zone.service.rows.borrow_mut() = older.0;
+        zone.service.version.send_replace(older.1);
+        for _step in 0..400 {
+            sleep(Duration::from_millis(20)).await;
+            assert!(zone.entries.iter().all(|entry| entry.targets()["b"] == TargetState::Draining));
+        }
+        let leaving = ValueUpdate::Whole(RowValue::Bytes(b"leaving".to_vec()));
+        assert_eq!(told_value(zone.reader(0), "b").await, Some(leaving));
+    })
+    .await;
+}
--- a/crates/porthoist-proxy/tests/zone_tables/harness.rs
+++ b/crates/porthoist-proxy/tests/zone_tables/harness.rs
@@ -9,9 +9,9 @@
 use porthoist_policy::proxy::targets::{TargetChange, TargetRecord, TargetState};
 use porthoist_policy::proxy::zones::{ZoneChange, ZoneUpdate};
 use porthoist_proxy::{
-    ControlSource, ControlState, ControlTable, ControlWatch, OperatorUpdate, PeerRowSource, RowSource,
-    RowValue, SourceAnswer, SourceError, SourceFuture, TableEra, TablePeers, TableQuery, TableReader,
-    TableRevision, TableRow, TableUpdate,
+    CRASH_POLL_TIMEOUT, ControlSource, ControlState, ControlTable, ControlWatch, OperatorUpdate,
+    PeerRowSource, RowSource, RowValue, SourceAnswer, SourceError, SourceFuture, TableEra, TablePeers,
+    TableQuery, TableReader, TableRevision, TableRow, TableUpdate,
 };
 use slog::{Discard, Logger, o};
 use std::cell::{Cell, RefCell};
@@ -296,6 +296,8 @@
     Gone,
     /// It responds after this many milliseconds.
     Slow(u64),
+    /// Its responses arrive this many milliseconds after they were made.
+    Delayed(u64),
     /// It repeats its first response.
     Repeating,
     /// It reports that each update is too large.
@@ -339,7 +341,7 @@
             ReaderFault::Gone => return Err("connection refused".to_owned()),
             ReaderFault::Slow(millis) => sleep(Duration::from_millis(millis)).await,
             ReaderFault::Full => return Ok(TableUpdate::TooLarge),
-            ReaderFault::None | ReaderFault::Repeating => {}
+            ReaderFault::None | ReaderFault::Delayed(_) | ReaderFault::Repeating => {}
         }
         let first = self.first.borrow().clone();
         if self.fault.get() == ReaderFault::Repeating
@@ -350,8 +352,10 @@
         }
         let reader = Rc::clone(&self.reader.borrow());
         let update = reader.query(query).await;
-        if self.fault.get() == ReaderFault::Frozen {
-            std::future::pending::<()>().await;
+        match self.fault.get() {
+            ReaderFault::Frozen => std::future::pending().await,
+            ReaderFault::Delayed(millis) => sleep(Duration::from_millis(millis)).await,
+            _ => {}
         }
         let mut first = self.first.borrow_mut();
         first.get_or_insert_with(|| update.clone());
@@ -489,6 +493,8 @@
     pub state: watch::Receiver<ControlState>,
     pub link: Rc<ServiceLink>,
     pub clock: Arc<RuntimeClock>,
+    /// Rows of the crash table, by key.
+    pub crash_rows: Rc<RefCell<HashMap<String, RowValue>>>,
 }
 
 impl EntryProcess {
@@ -510,6 +516,15 @@
             Arc::clone(&metrics),
             logger(),
         );
+        let crash_rows = Rc::default();
+        if change_bound != ChangeBound::default() {
+            let wait = change_bound.service_wait(CRASH_POLL_TIMEOUT);
+            tokio::task::spawn_local(follow_crash_rows(
+                Rc::<PeerRowSource>::clone(&rows),
+                wait,
+                Rc::clone(&crash_rows),
+            ));
+        }
         let sender = watch::Sender::new(ControlState::default());
         let state = sender.subscribe();
         let watch = ControlWatch::builder()
@@ -522,7 +537,7 @@
             .logger(logger())
             .build();
         tokio::task::spawn_local(async move { watch.run().await });
-        Self { state, link, clock }
+        Self { state, link, clock, crash_rows }
     }
 
     pub fn targets(&self) -> HashMap<String, TargetState> {
@@ -540,6 +555,25 @@
     }
 }
 
+/// Follows the crash table as long as the process runs.
+async fn follow_crash_rows(
+    source: Rc<PeerRowSource>,
+    wait: Duration,
+    crash_rows: Rc<RefCell<HashMap<String, RowValue>>>,
+) {
+    let mut revision = None;
+    loop {
+        let answer = match revision {
+            None => source.list(ControlTable::Crashes).await,
+            Some(revision) => source.changes_after(ControlTable::Crashes, revision, wait).await,
+        };
+        revision = answer.as_ref().ok().map(|answer| answer.revision);
+        let rows = answer.map_or_else(|_error| Vec::new(), |answer| answer.value);
+        crash_rows.borrow_mut().extend(rows.into_iter().map(|row| (row.key, row.value)));
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// A zone of entries and readers.
 pub struct Deployment {
     pub service: Rc<TableService>,
@@ -589,6 +623,11 @@
         Self { service, peers, entries, proof_millis }
     }
 
+    /// Starts one more entry.
+    pub fn add_entry(&mut self, change_bound: ChangeBound) {
+        self.entries.push(EntryProcess::start(&self.service, &self.peers, self.proof_millis, change_bound));
+    }
+
     pub fn reader(&self, index: usize) -> &ReaderProcess {
         &self.peers.readers[index]
     }
