Let a reader renew its state in time from the first query on

When a fleet starts, the first queries of entries named a wait of 3 s in place of their bound. The reader's first poll then lasted 2.55 s, entries found its state late after 1.07 s and asked a second reader, which called the table service as well.

Change: the queries for the first rows name the wait that follows from the bound, and peers that have just become known are queried one at a time.

The new test holds on the code before too: in its harness one table stands for all three, so that any change renews them all.

--- a/crates/porthoist-proxy/src/peer_rows.rs
+++ b/crates/porthoist-proxy/src/peer_rows.rs
@@ -14,7 +14,7 @@
 use futures::stream::FuturesUnordered;
 use porthoist_core::{ClockSource, UnixDeadline, UnixMillis};
 use porthoist_metrics::MetricsHub;
-use porthoist_policy::proxy::change_bound::RenewalSchedule;
+use porthoist_policy::proxy::change_bound::{ChangeBound, RenewalSchedule};
 use slog::{Logger, info};
 use std::cell::{Cell, RefCell};
 use std::cmp::Ordering;
@@ -223,6 +223,9 @@
     /// Position of this process's calls among those of processes that lose the same reader, from 0 to 1. It is
     /// the same for all tables, since the call for one may prove the others.
     spread: f64,
+    /// Age of the state at which this process would call the table service, as told to peers that provide
+    /// the first rows.
+    listing_wait: Duration,
     metrics: Arc<MetricsHub>,
     routes: TableCopy,
     targets: TableCopy,
@@ -248,11 +251,16 @@
     logger: Logger,
 }
 
+#[bon::bon]
 impl PeerRowSource {
     /// Creates a source without any known rows.
+    #[builder]
     pub fn new(
         table_service: Rc<dyn RowSource>,
         peers: Rc<dyn TablePeers>,
+        /// Time within which changes must be in force.
+        #[builder(default)]
+        change_bound: ChangeBound,
         clock: Arc<dyn ClockSource>,
         metrics: Arc<MetricsHub>,
         logger: Logger,
@@ -261,6 +269,7 @@
             table_service: ProvenRowSource::new(table_service),
             peers,
             spread: rand::random(),
+            listing_wait: change_bound.service_wait(PROBE_INTERVAL),
             metrics,
             routes: TableCopy::default(),
             targets: TableCopy::default(),
@@ -532,7 +541,7 @@
         let from_peers = self.query_peers(PeerRequest {
             table,
             after: revision,
-            wait: PROBE_INTERVAL,
+            wait: self.listing_wait,
             late_at: UnixDeadline::default(),
             until: self.deadline_in(PROBE_INTERVAL * 2),
         });
@@ -577,7 +586,7 @@
                 let request = PeerRequest {
                     table,
                     after: TableRevision::default(),
-                    wait: PROBE_INTERVAL,
+                    wait: self.listing_wait,
                     late_at: deadline,
                     until: deadline,
                 };
@@ -670,11 +679,15 @@
                 // If there was no peer at all, the call waits as long as it may.
                 let left = deadline(schedule.renewal()).remaining(self.clock.now());
                 let from_service = self.call_service(table, Some(revision), left, reason);
+                // Peers that have just become known are queried one at a time.
+                let is_first_query = reason == ServiceCallReason::NoPeer;
+                let late_at =
+                    if is_first_query { self.deadline_in(PEER_TIMEOUT) } else { UnixDeadline::default() };
                 let from_peers = self.query_peers(PeerRequest {
                     table,
                     after: revision,
                     wait,
-                    late_at: UnixDeadline::default(),
+                    late_at,
                     until: self.deadline_in(PROBE_INTERVAL),
                 });
                 // This host may be the one that can't reach the service.
--- a/crates/porthoist-proxy/tests/zone_tables/change_bound.rs
+++ b/crates/porthoist-proxy/tests/zone_tables/change_bound.rs
@@ -226,6 +226,28 @@
     .await;
 }
 
+/// Guards against entries that ask several readers at a start, each of which calls the table service.
+#[tokio::test(start_paused = true)]
+async fn first_reader_renews_its_state_in_time_from_the_start() {
+    run_local(async || {
+        let bound = ChangeBound::tightest([APPLY_MILLIS, LEAVING_MILLIS]);
+        let zone = Deployment::begin_bounded(TableService::empty(), 6, 2, bound);
+        sleep(Duration::from_secs(2)).await;
+        zone.service.put("a", b"first");
+        // Entries know readers once they know targets.
+        sleep(Duration::from_millis(20)).await;
+        zone.peers.known.set(true);
+        for target in ["c", "d", "e", "f", "g", "h", "i", "j"] {
+            sleep(Duration::from_millis(300)).await;
+            zone.service.put(target, b"first");
+        }
+        sleep(Duration::from_secs(3)).await;
+        assert!(zone.entries.iter().all(|entry| entry.state.borrow().routes.is_some()));
+        assert_eq!(zone.reader(1).link.calls.get(), 0);
+    })
+    .await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn entry_that_starts_beside_a_silent_reader_learns_of_changes_in_time() {
     for phase in 0..PHASES {
--- a/crates/porthoist-proxy/tests/zone_tables/harness.rs
+++ b/crates/porthoist-proxy/tests/zone_tables/harness.rs
@@ -509,13 +509,14 @@
         let metrics = Arc::new(MetricsHub::new().unwrap());
         let peers: Rc<dyn TablePeers> = Rc::<ZoneReaders>::clone(zone);
         let shared_clock: Arc<dyn ClockSource> = Arc::<RuntimeClock>::clone(&clock);
-        let rows = PeerRowSource::new(
-            Rc::<ServiceLink>::clone(&link),
-            peers,
-            shared_clock,
-            Arc::clone(&metrics),
-            logger(),
-        );
+        let rows = PeerRowSource::builder()
+            .table_service(Rc::<ServiceLink>::clone(&link))
+            .peers(peers)
+            .change_bound(change_bound)
+            .clock(shared_clock)
+            .metrics(Arc::clone(&metrics))
+            .logger(logger())
+            .build();
         let crash_rows = Rc::default();
         if change_bound != ChangeBound::default() {
             let wait = change_bound.service_wait(CRASH_POLL_TIMEOUT);
@@ -608,6 +609,16 @@
         Self::begin_with(service, entries, readers, PROOF_MILLIS, ChangeBound::default())
     }
 
+    /// The same with a bound on the time until changes are in force.
+    pub fn begin_bounded(
+        service: Rc<TableService>,
+        entries: usize,
+        readers: usize,
+        change_bound: ChangeBound,
+    ) -> Self {
+        Self::begin_with(service, entries, readers, PROOF_MILLIS, change_bound)
+    }
+
     fn begin_with(
         service: Rc<TableService>,
         entries: usize,
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -162,13 +162,9 @@
                     let zone_peers = ZonePeers::builder().zone(zone).host(host).state(state.subscribe());
                     let zone_peers = zone_peers.peers(peers).clock(Arc::clone(&clock)).position(position);
                     let zone_peers = zone_peers.own_notes(own_notes).zone_notes(zone_notes).build();
-                    PeerRowSource::new(
-                        store,
-                        Rc::new(zone_peers),
-                        Arc::clone(&clock),
-                        Arc::clone(&metrics),
-                        logger.clone(),
-                    )
+                    let rows = PeerRowSource::builder().table_service(store).peers(Rc::new(zone_peers));
+                    let rows = rows.change_bound(change_bound).clock(Arc::clone(&clock));
+                    rows.metrics(Arc::clone(&metrics)).logger(logger.clone()).build()
                 }
                 None => ProvenRowSource::new(store),
             };
