Ask the table service no earlier than before while a fleet starts

With a short bound, entries of a starting fleet asked the table service after the bound in place of 4 s.

Change: a process of a starting fleet that lacks a table serves nobody yet, so its schedule waits for 4 s at least.

Tried and dropped: 3 s, which changed nothing.

--- a/crates/porthoist-proxy/src/peer_rows.rs
+++ b/crates/porthoist-proxy/src/peer_rows.rs
@@ -303,6 +303,14 @@
         self.peers.hosts().into_iter().find(|host| !avoided.contains_key(host) && !excluded.contains(host))
     }
 
+    /// Whether a fleet starts and this process can't serve callers yet. Peers are slow then, and nothing depends
+    /// on the age of the state.
+    fn is_starting(&self) -> bool {
+        let is_unknown = |table: &TableCopy| table.revision.get().is_none();
+        let lacks_table = [&self.routes, &self.targets, &self.crashes].into_iter().any(is_unknown);
+        lacks_table && !self.fleet_start_end.get().passed(self.clock.now())
+    }
+
     /// Whether a peer other than this one may be queried.
     fn has_other_peer(&self, host: Ipv4Addr) -> bool {
         self.first_peer(&HashSet::from([host])).is_some()
@@ -659,7 +667,7 @@
         let now = self.clock.now();
         let stamp = self.copy(table).stamp.get();
         let proven = self.clock_offset.get().map_or(now, |offset| offset.local_lower_bound(stamp).min(now));
-        let schedule = RenewalSchedule::new(wait);
+        let schedule = RenewalSchedule::new(if self.is_starting() { wait.max(START_PAUSE) } else { wait });
         let deadline = |age: Duration| UnixDeadline::after(proven, age.as_millis() as u64);
         let call_at = deadline(schedule.service_call(self.spread));
         let from_peers = self.query_peers(PeerRequest {
