--- a/crates/porthoist-proxy/src/peer_rows.rs
+++ b/crates/porthoist-proxy/src/peer_rows.rs
@@ -128,7 +128,7 @@
     after: TableRevision,
     /// Age of the known state at which this process calls the table service.
     wait: Duration,
-    /// When a peer should have provided a newer state.
+    /// When a peer should have provided a newer state. The default lies in the past.
     late_at: UnixDeadline,
     /// When peers are no longer waited for.
     until: UnixDeadline,
@@ -137,9 +137,13 @@
 /// Result of a query to a peer.
 #[derive(Debug)]
 enum PeerOutcome {
+    /// Newer rows.
     Answer(SourceAnswer<Vec<TableRow>>),
+    /// The peer knows nothing newer.
     Unchanged { failing: bool },
+    /// The response says nothing.
     Useless,
+    /// The peer can't provide the changes.
     CallService(ServiceCallReason),
 }
 
