review: streams of a crashed worker end as complete

Answers that end with their connection are taken as whole if the worker's address still accepts a connection. The kernel closes the listener of a killed process after other connections, so that the probe often succeeds.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -59,28 +59,8 @@
         if leaving and now() - leaving > 8:
             break
     seen = await asyncio.gather(*streams)
-    runs = [line for identifier in workers for line in world.worker_log(identifier)]
-    for line in sorted(runs, key=lambda line: line["at"]):
-        text = " ".join(f"{name}={value}" for name, value in line.items() if name != "at")
-        world.record.write(f"{line['at'] - world.began:9.3f} s  worker: {text}\n")
-    whole = short = other = 0
-    for stream in seen:
-        expected = list(range(1, EVENTS + 1))
-        if stream.end == "whole" and stream.status == 200 and stream.ids != expected:
-            short += 1
-            verdict = "BROKEN: ends as complete"
-        elif stream.end == "whole" and stream.status == 200:
-            whole += 1
-            verdict = "whole"
-        else:
-            other += 1
-            verdict = "not complete, and the client can see it"
-        last = stream.ids[-1] if stream.ids else 0
-        world.record.write(
-            f"client: {stream.attempt} status={stream.status} signature={stream.signature} end={stream.end} "
-            f"last={last} of {EVENTS}: {verdict}\n"
-        )
-    world.record.write(f"whole={whole} complete-looking-but-short={short} other={other}\n")
+    standins.record_runs(world, workers)
+    whole, short = standins.record_streams(world, seen, EVENTS)
     if whole < 10:
         return 2
     return 1 if short else 0
--- a/review/standins.py
+++ b/review/standins.py
@@ -216,7 +216,7 @@
         return True
 
     async def run(self, headers, writer):
-        """Streams the events after `Last-Event-Id`, then ends the connection: the answer has no length."""
+        """Streams the events after `Last-Event-Id`, in chunks or as an answer that ends with its connection."""
         attempt = headers.get("x-porthoist-attempt-id", "")
         expected = headers.get("x-porthoist-expect-instance", self.args.id)
         if expected != self.args.id:
@@ -232,18 +232,23 @@
                 (
                     f"HTTP/1.1 200 OK\r\nX-Porthoist-Attempt-Id: {attempt}\r\n"
                     f"X-Porthoist-Response-Signature: s.{self.args.id}.{attempt}\r\n"
-                    "X-Porthoist-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+                    "X-Porthoist-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
+                    + ("Transfer-Encoding: chunked\r\n\r\n" if self.args.chunked else "Connection: close\r\n\r\n")
                 ).encode()
             )
             for number in range(first, self.args.events + 1):
                 await asyncio.sleep(self.args.pause)
-                writer.write(f"id: {number}\ndata: {attempt} {number}\n\n".encode())
+                event = f"id: {number}\ndata: {attempt} {number}\n\n".encode()
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event) if self.args.chunked else event)
                 await writer.drain()
                 last = number
+            if self.args.chunked:
+                writer.write(b"0\r\n\r\n")
+                await writer.drain()
         finally:
             self.running -= 1
             self.log(what="run ends", attempt=attempt, last=last, whole=last == self.args.events)
-        return False
+        return self.args.chunked
 
 
 async def run_worker(args):
@@ -269,6 +274,8 @@
     def __init__(self, case_directory):
         self.case_directory = case_directory
         self.processes = []
+        # Addresses for callers and for readiness checks.
+        self.entries = []
         self.record = open(os.path.join(case_directory, "record.txt"), "w")
         self.began = now()
         self.store = Store()
@@ -292,6 +299,7 @@
 
     def start_entry(self, name, zone, ip, rank_port):
         self.callers, self.ready = (ip, free_port(ip)), (ip, free_port(ip))
+        self.entries.append((self.callers, self.ready))
         arguments = (
             f"proxy --host {name} --zone {zone} --callers-listen {ip}:{self.callers[1]} --ready-listen {ip}:{self.ready[1]} "
             f"--metrics-listen {ip}:{free_port(ip)} --rank-port {rank_port} --table {self.table} --revoke-ms 5000 "
@@ -309,10 +317,11 @@
         log = open(os.path.join(self.temporary.name, name + ".log"), "w")
         return self.spawn([PROGRAM, *arguments.split()], stdout=log, stderr=log)
 
-    def start_worker(self, identifier, address, events, pause):
-        output = open(os.path.join(self.temporary.name, identifier + ".jsonl"), "w")
+    def start_worker(self, identifier, address, events, pause, chunked=False):
+        output = open(os.path.join(self.temporary.name, identifier + ".jsonl"), "a")
         arguments = [sys.executable, os.path.abspath(__file__), "worker", "--id", identifier, "--address", address]
         arguments += ["--events", str(events), "--pause", str(pause)]
+        arguments += ["--chunked"] if chunked else []
         return self.spawn(arguments, stdout=output)
 
     def worker_log(self, identifier):
@@ -324,10 +333,15 @@
             return lines.read().splitlines()
 
     async def wait_ready(self, limit):
+        """Waits until all entries are ready."""
         end = now() + limit
+        answers = [await self.wait_entry_ready(ready, end) for _callers, ready in self.entries]
+        return all(answers)
+
+    async def wait_entry_ready(self, ready, end):
         while now() < end:
             try:
-                reader, writer = await asyncio.open_connection(*self.ready)
+                reader, writer = await asyncio.open_connection(*ready)
                 writer.write(b"GET /v1/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
                 head = await asyncio.wait_for(read_head(reader), 1)
                 writer.close()
@@ -430,6 +444,34 @@
     }
 
 
+def record_runs(world, identifiers):
+    """Writes what the workers ran."""
+    runs = [line for identifier in sorted(set(identifiers)) for line in world.worker_log(identifier)]
+    for line in sorted(runs, key=lambda line: line["at"]):
+        text = " ".join(f"{name}={value}" for name, value in line.items() if name != "at")
+        world.record.write(f"{line['at'] - world.began:9.3f} s  worker: {text}\n")
+
+
+def record_streams(world, seen, events):
+    """Writes what the clients got; returns how many streams were whole, and how many only looked so."""
+    counts = {"whole": 0, "short": 0, "other": 0}
+    for stream in seen:
+        if stream.status != 200 or stream.end != "whole":
+            kind, verdict = "other", "not complete, and the client can see it"
+        elif stream.ids == list(range(1, events + 1)):
+            kind, verdict = "whole", "whole"
+        else:
+            kind, verdict = "short", "BROKEN: ends as complete"
+        counts[kind] += 1
+        last = stream.ids[-1] if stream.ids else 0
+        world.record.write(
+            f"client: {stream.attempt} status={stream.status} signature={stream.signature} end={stream.end} "
+            f"last={last} of {events}: {verdict}\n"
+        )
+    world.record.write(f"whole={counts['whole']} complete-looking-but-short={counts['short']} other={counts['other']}\n")
+    return counts["whole"], counts["short"]
+
+
 def play(case_directory, drive, limit):
     """Runs a case, ends all processes that it started, and exits with its code."""
     world = World(case_directory)
@@ -460,4 +502,5 @@
     worker.add_argument("--address")
     worker.add_argument("--events", type=int)
     worker.add_argument("--pause", type=float)
+    worker.add_argument("--chunked", action="store_true")
     asyncio.run(run_worker(parser.parse_args()))
