review: a target that left is used for three seconds after a reader's outage

The store turns away the processes that read its tables for a zone and serves the entries. When it answers one of them again, that process tells its own outage with the removal of a target's row, and entries that had none give the row 1.7 s of grace, although it was acknowledged as removed up to 1.35 s before. The cause is the grace that apply_peer_gap takes over from the peer.

The scripts take free ports for the processes beside ranks.

--- a/review/standins.py
+++ b/review/standins.py
@@ -5,8 +5,6 @@
 import argparse
 import asyncio
 import base64
-import bisect
-import itertools
 import json
 import os
 import signal
@@ -268,6 +266,19 @@
         return probe.getsockname()[1]
 
 
+def common_free_port(hosts):
+    """Returns a port that is free on all of these hosts."""
+    while True:
+        port = free_port(hosts[0])
+        try:
+            for host in hosts:
+                with socket.socket() as probe:
+                    probe.bind((host, port))
+            return port
+        except OSError:
+            continue
+
+
 class World:
     """Starts the programs and the stand-ins, and ends them."""
 
@@ -276,6 +287,7 @@
         self.processes = []
         # Addresses for callers and for readiness checks.
         self.entries = []
+        self.servers = []
         self.record = open(os.path.join(case_directory, "record.txt"), "w")
         self.began = now()
         self.store = Store()
@@ -293,9 +305,13 @@
         return process
 
     async def start_store(self, host):
+        self.table = await self.store_address(host)
+
+    async def store_address(self, host):
+        """Opens an address of the store."""
         port = free_port(host)
-        self.server = await asyncio.start_server(self.store.serve, host, port)
-        self.table = f"{host}:{port}"
+        self.servers.append(await asyncio.start_server(self.store.serve, host, port))
+        return f"{host}:{port}"
 
     def start_entry(self, name, zone, ip, rank_port):
         self.callers, self.ready = (ip, free_port(ip)), (ip, free_port(ip))
@@ -309,10 +325,10 @@
         log = open(os.path.join(self.temporary.name, name + ".log"), "w")
         return self.spawn([PROGRAM, *arguments.split()], stdout=log, stderr=log)
 
-    def start_rank(self, name, zone, ip, engine, rank_port):
+    def start_rank(self, name, zone, ip, engine, rank_port, table=None):
         arguments = (
             f"rank --host {name} --zone {zone} --engine {engine} --rank-listen {ip}:{rank_port} "
-            f"--metrics-listen {ip}:{free_port(ip)} --table {self.table} --link-mbps 20.0"
+            f"--metrics-listen {ip}:{free_port(ip)} --table {table or self.table} --link-mbps 20.0"
         )
         log = open(os.path.join(self.temporary.name, name + ".log"), "w")
         return self.spawn([PROGRAM, *arguments.split()], stdout=log, stderr=log)
@@ -482,6 +498,7 @@
         except asyncio.TimeoutError:
             return 2
 
+    signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(2))
     loop = asyncio.new_event_loop()
     code = 2
     try:
