--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,14 +9,25 @@
 from standins import now, read_body, read_head
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-SIDES, PLAIN_WORKERS = 4, 6
-# The store turns the four machines away for 6 s of every 10 s. Two of six workers leave shortly before the end of that.
-CYCLES, CYCLE_S, AWAY_S = 9, 10.0, 6.0
+# Two zones with four machines beside workers and two entries each; the plain workers are in the second one.
+ZONES, SIDES, ENTRIES, PLAIN_WORKERS = ["z-1", "z-2"], 4, 2, 6
+# The store turns the four machines beside workers of the first zone away, of twelve, for 5.0 to 6.4 s of every 10 s. Two
+# of six plain workers leave shortly before the end of that.
+CYCLES, CYCLE_S, AWAYS_S = 9, 10.0, [5.0 + 0.17 * cycle for cycle in range(9)]
 LEADS_S = [[0.9, 0.45], [0.75, 0.35], [0.6, 0.3]]
 DRAIN_S = 2.0
 REQUEST_EVERY_S = 0.01
 
 
+def side_host(zone_number, side):
+    return f"127.14.{zone_number + 1}.{side + 1}"
+
+
+def store_host(zone_number, side):
+    """Address of the store for a machine beside a worker."""
+    return f"127.14.{200 + zone_number}.{side + 1}"
+
+
 class AwayStore(standins.Store):
     """A store that answers some machines with 503."""
 
@@ -96,9 +107,15 @@
     world.all_plain.append(worker)
 
 
-async def request(world, attempt):
+# Most callers are in the first zone.
+ENTRY_ORDER = [0, 1, 0, 1, 0, 1, 2, 3]
+
+
+async def request(world, number):
+    attempt = f"a{number:06d}"
     try:
-        reader, writer = await asyncio.open_connection(*world.entries[0][0])
+        callers, _ready = world.entries[ENTRY_ORDER[number % len(ENTRY_ORDER)]]
+        reader, writer = await asyncio.open_connection(*callers)
         sent = now()
         writer.write(
             (
@@ -118,21 +135,21 @@
 
     They go on serving, as workers do that never say that they leave.
     """
-    machines = {f"127.14.200.{side + 1}" for side in range(SIDES)}
+    machines = {store_host(0, side) for side in range(SIDES)}
     for cycle in range(CYCLES):
-        away = start + cycle * CYCLE_S
+        away, away_s = start + cycle * CYCLE_S, AWAYS_S[cycle]
         await asyncio.sleep(max(0, away - now()))
         if TROUBLE:
             world.store.turned_away = machines
             world.note(f"the store turns {len(machines)} machines away")
         leaving = []
         for number, lead in enumerate(LEADS_S[cycle % len(LEADS_S)]):
-            await asyncio.sleep(max(0, away + AWAY_S - lead - now()))
+            await asyncio.sleep(max(0, away + away_s - lead - now()))
             leaving.append((2 * cycle + number) % PLAIN_WORKERS)
             worker = world.plain[leaving[-1]]
             worker.left = world.store.put("servers", worker.identifier, None)
             world.note(f"the row of worker {worker.identifier} is removed, acknowledged by the store")
-        await asyncio.sleep(max(0, away + AWAY_S - now()))
+        await asyncio.sleep(max(0, away + away_s - now()))
         if TROUBLE:
             world.store.turned_away = set()
             world.note("the store serves all machines again")
@@ -142,7 +159,9 @@
 
 
 async def drive(world):
-    rank_port = standins.common_free_port([f"127.14.1.{side + 1}" for side in range(SIDES)])
+    rank_port = standins.common_free_port(
+        [side_host(zone_number, side) for zone_number in range(len(ZONES)) for side in range(SIDES)]
+    )
     world.store = AwayStore()
     await world.start_store("127.0.0.1")
     world.plain, world.all_plain, world.sent = {}, [], {}
@@ -155,23 +174,26 @@
     world.store.put("op", "config", standins.small_config("a.example", "key-1", services, [route]))
     for number in range(PLAIN_WORKERS):
         await start_plain(world, number, f"p-{number}")
-    for side in range(SIDES):
-        ip, identifier = f"127.14.1.{side + 1}", f"i-{side}"
-        address = f"{ip}:{standins.free_port(ip)}"
-        world.start_worker(identifier, address, 10, 0.08, chunked=True)
-        table = await world.store_address(f"127.14.200.{side + 1}")
-        world.start_rank(f"side-{side}", "z-1", ip, address, rank_port, table)
-        world.store.put("servers", identifier, standins.worker_row("model", address, "z-1", 12))
-    world.start_entry("entry-0", "z-1", "127.14.100.1", rank_port)
+    for zone_number, zone in enumerate(ZONES):
+        for side in range(SIDES):
+            ip, identifier = side_host(zone_number, side), f"i-{zone_number}-{side}"
+            address = f"{ip}:{standins.free_port(ip)}"
+            world.start_worker(identifier, address, 10, 0.08, chunked=True)
+            table = await world.store_address(store_host(zone_number, side))
+            world.start_rank(f"side-{zone}-{side}", zone, ip, address, rank_port, table)
+            world.store.put("servers", identifier, standins.worker_row("model", address, zone, 12))
+    for zone_number, zone in enumerate(ZONES):
+        for number in range(ENTRIES):
+            world.start_entry(f"entry-{zone}-{number}", zone, f"127.14.{100 + zone_number}.{number + 1}", rank_port)
     if not await world.wait_ready(25):
-        world.note("the entry did not become ready")
+        world.note("the entries did not become ready")
         return 2
-    world.note("the entry is ready")
+    world.note("the entries are ready")
     await asyncio.sleep(4)
     start, tasks = now(), []
     disturbance = asyncio.create_task(disturb(world, start))
     while not disturbance.done():
-        tasks.append(asyncio.create_task(request(world, f"a{len(tasks):06d}")))
+        tasks.append(asyncio.create_task(request(world, len(tasks))))
         await asyncio.sleep(REQUEST_EVERY_S)
     await asyncio.gather(*tasks)
     await disturbance
