--- a/review/standins-2/harness.rs
+++ b/review/standins-2/harness.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -156,6 +156,9 @@
     state: Mutex<StoreState>,
     changed: Condvar,
     started: Instant,
+    /// Whether calls get no answer, and how often that has begun.
+    silent: AtomicBool,
+    outages: AtomicU64,
     pub address: SocketAddr,
 }
 
@@ -166,6 +169,8 @@
             state: Mutex::default(),
             changed: Condvar::new(),
             started: Instant::now(),
+            silent: AtomicBool::new(false),
+            outages: AtomicU64::new(0),
             address: listener.local_addr()?,
         });
         let served = Arc::clone(&store);
@@ -178,6 +183,14 @@
         Ok(store)
     }
 
+    /// Begins or ends an outage, in which calls get no answer. Those that wait then never get one.
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.store(silent, Ordering::SeqCst);
+        if silent {
+            self.outages.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+
     /// Writes a row; returning is the acknowledgement.
     pub fn put(&self, table: &str, key: &str, value: &str) {
         self.write(table, "", key, Some(base64(value.as_bytes())));
@@ -202,6 +215,7 @@
         let mut reader = BufReader::new(stream);
         while let Ok(Some(head)) = read_head(&mut reader) {
             let Ok(body) = read_request_body(&mut reader, &head) else { return };
+            let outages = self.outages.load(Ordering::SeqCst);
             let (path, query) = head.path().split_once('?').unwrap_or((head.path(), ""));
             let query: BTreeMap<String, String> = query
                 .split('&')
@@ -220,6 +234,11 @@
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
             );
+            if self.silent.load(Ordering::SeqCst) || self.outages.load(Ordering::SeqCst) != outages {
+                // Nothing more comes over a connection on which an answer was lost.
+                while reader.read(&mut [0; 1_024]).is_ok_and(|read| read > 0) {}
+                return;
+            }
             if writer.write_all(answer.as_bytes()).is_err() {
                 return;
             }
@@ -340,13 +359,14 @@
     }
 }
 
-/// A configuration with the services `records` (plain) and `model`, and one tenant with these keys.
+/// A configuration with the services `records`, `records-2` (plain) and `model`, and one tenant with these keys.
 pub fn config(version: u64, routes: &[Route<'_>], keys: &[&str]) -> String {
     let routes: Vec<String> = routes.iter().map(Route::json).collect();
     let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
     format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[\
          {{\"name\":\"records\",\"healthPath\":\"/health\",\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false}},\
+         {{\"name\":\"records-2\",\"healthPath\":\"/health\",\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false}},\
          {{\"name\":\"model\",\"healthPath\":\"/health\",\"maxConnections\":268,\"protocol\":\"h1\",\"tls\":false,\
          \"engine\":{{\"slots\":12,\"kvCacheTokens\":280000,\"stride\":4,\"step_ms\":4.55,\"per_seq_ms\":0.9,\
          \"read_per_s\":61400.0,\"sets\":1,\"experts\":4,\"places\":4,\"spare\":2,\"expertShare\":0.85}}}}],\
@@ -359,9 +379,9 @@
 }
 
 /// A worker's row.
-pub fn worker_row(service: &str, address: SocketAddr, state: &str, sequence: u64) -> String {
+pub fn worker_row(service: &str, address: SocketAddr, zone: &str, state: &str, sequence: u64) -> String {
     format!(
-        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":12,\
+        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":12,\
          \"state\":\"{state}\",\"coldRemainingMs\":0,\"sequence\":{sequence}}}"
     )
 }
@@ -429,22 +449,35 @@
     PathBuf::from("target/release/porthoistd")
 }
 
+/// An entry's place and ports.
+pub struct Entry<'a> {
+    pub host: &'a str,
+    pub zone: &'a str,
+    pub callers: u16,
+    pub ready: u16,
+    /// The bound `failClosed`.
+    pub fail_closed: bool,
+}
+
 /// Arguments of the role at entry hosts, as in the deploy file, with the bounds of a small deployment.
-pub fn entry_args(host: &str, ip: &str, callers: u16, ready: u16, rank_port: u16, table: SocketAddr) -> Vec<String> {
+pub fn entry_args(entry: &Entry<'_>, rank_port: u16, table: SocketAddr) -> Vec<String> {
+    let Entry { host, zone, callers, ready, fail_closed } = entry;
+    let ip = "127.0.0.1";
     let metrics = free_port(ip);
     words(&format!(
-        "proxy --host {host} --zone a --callers-listen {ip}:{callers} --ready-listen {ip}:{ready} \
+        "proxy --host {host} --zone {zone} --callers-listen {ip}:{callers} --ready-listen {ip}:{ready} \
          --metrics-listen {ip}:{metrics} --rank-port {rank_port} --table {table} --revoke-ms 5000 \
-         --notice-ms 3000 --apply-ms 2000 --leaving-ms 2000 --refuse-unproven true --grace-s 8 \
+         --notice-ms 3000 --apply-ms 2000 --leaving-ms 2000 --refuse-unproven {fail_closed} --grace-s 8 \
          --retry-ratio 0.2 --retry-window-s 10 --retry-slack 88"
     ))
 }
 
 /// Arguments of the role beside targets, as in the deploy file.
-pub fn rank_args(host: &str, ip: &str, engine: SocketAddr, rank_port: u16, table: SocketAddr) -> Vec<String> {
+pub fn rank_args(place: (&str, &str), ip: &str, engine: SocketAddr, rank_port: u16, table: SocketAddr) -> Vec<String> {
+    let (host, zone) = place;
     let metrics = free_port(ip);
     words(&format!(
-        "rank --host {host} --zone a --engine {engine} --rank-listen {ip}:{rank_port} \
+        "rank --host {host} --zone {zone} --engine {engine} --rank-listen {ip}:{rank_port} \
          --metrics-listen {ip}:{metrics} --table {table} --link-mbps 20"
     ))
 }
@@ -485,22 +518,20 @@
 const EVENT_GAP: Duration = Duration::from_millis(100);
 /// Time that a plain request takes.
 const PLAIN_WORK: Duration = Duration::from_millis(900);
-/// Answers without a length after a call for them.
-const UNFRAMED: u32 = 2;
-
+const READ_WORK: Duration = Duration::from_millis(10);
 /// A model worker, the only rank of its group.
 pub fn serve_worker(id: &str, address: SocketAddr) -> i32 {
     let listener = TcpListener::bind(address).expect("the address is free");
-    let (unframed, running) = (Arc::new(AtomicU32::new(0)), Arc::new(AtomicU32::new(0)));
+    let running = Arc::new(AtomicU32::new(0));
     let started = Instant::now();
     for stream in listener.incoming().flatten() {
-        let (id, unframed, running) = (id.to_owned(), Arc::clone(&unframed), Arc::clone(&running));
-        std::thread::spawn(move || serve_connection(&id, stream, &unframed, &running, started));
+        let (id, running) = (id.to_owned(), Arc::clone(&running));
+        std::thread::spawn(move || serve_connection(&id, stream, &running, started));
     }
     0
 }
 
-fn serve_connection(id: &str, stream: TcpStream, unframed: &AtomicU32, running: &AtomicU32, started: Instant) {
+fn serve_connection(id: &str, stream: TcpStream, running: &AtomicU32, started: Instant) {
     let _ = stream.set_nodelay(true);
     let Ok(mut writer) = stream.try_clone() else { return };
     let mut reader = BufReader::new(stream);
@@ -517,10 +548,10 @@
             ),
             "/v1/picked" => format!("{{\"step\":{step},\"epoch\":1,\"counts\":[0,0,0,0]}}"),
             "/v1/picked?lists=1" => "{\"map\":{\"version\":0,\"experts\":[[0,1,2,3]]},\"prepared\":null}".to_owned(),
-            path if path.starts_with("/once/") => {
+            path if path.starts_with("/once/") || path.starts_with("/read/") => {
                 let attempt = head.get("x-porthoist-attempt-id").unwrap_or("-").to_owned();
                 println!("{id} runs {attempt}");
-                std::thread::sleep(PLAIN_WORK);
+                std::thread::sleep(if path.starts_with("/once/") { PLAIN_WORK } else { READ_WORK });
                 println!("{id} ended {attempt}");
                 let answer = format!(
                     "HTTP/1.1 200 OK\r\nX-Porthoist-Attempt-Id: {attempt}\r\n\
@@ -531,13 +562,9 @@
                 }
                 continue;
             }
-            "/control/unframed" => {
-                unframed.store(UNFRAMED, Ordering::Relaxed);
-                "{}".to_owned()
-            }
             path if path.starts_with("/stream/") => {
                 running.fetch_add(1, Ordering::Relaxed);
-                let kept = answer_stream(id, &head, &mut writer, unframed);
+                let kept = answer_stream(id, &head, &mut writer);
                 running.fetch_sub(1, Ordering::Relaxed);
                 if kept { continue } else { return }
             }
@@ -553,20 +580,17 @@
 }
 
 /// Runs a request, or goes on after its `Last-Event-Id`. Returns whether the connection stays open.
-fn answer_stream(id: &str, head: &Head, writer: &mut TcpStream, unframed: &AtomicU32) -> bool {
+fn answer_stream(id: &str, head: &Head, writer: &mut TcpStream) -> bool {
     let attempt = head.get("x-porthoist-attempt-id").unwrap_or("-").to_owned();
     let first = head.get("last-event-id").and_then(|text| text.parse::<u32>().ok()).map_or(1, |last| last + 1);
     if head.get("x-porthoist-expect-instance") != Some(id) {
         let refusal = "HTTP/1.1 421 X\r\nX-Porthoist-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
         return writer.write_all(refusal.as_bytes()).is_ok();
     }
-    let take = |left: u32| left.checked_sub(1);
-    let plain = unframed.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).is_ok();
-    println!("{id} runs {attempt} from event {first}{}", if plain { ", without a length" } else { "" });
-    let framing = if plain { "Connection: close" } else { "Transfer-Encoding: chunked" };
+    println!("{id} runs {attempt} from event {first}");
     let answer = format!(
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Porthoist-Attempt-Id: {attempt}\r\n\
-         X-Porthoist-Response-Signature: {id}.{attempt}\r\n{framing}\r\n\r\n"
+         X-Porthoist-Response-Signature: {id}.{attempt}\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
     if writer.write_all(answer.as_bytes()).is_err() {
         return false;
@@ -574,15 +598,12 @@
     for event in first..=EVENTS {
         std::thread::sleep(EVENT_GAP);
         let text = format!("id: {event}\ndata: {event} of {EVENTS}\n\n");
-        let bytes = if plain { text } else { format!("{:x}\r\n{text}\r\n", text.len()) };
+        let bytes = format!("{:x}\r\n{text}\r\n", text.len());
         if writer.write_all(bytes.as_bytes()).is_err() {
             return false;
         }
     }
     println!("{id} ended {attempt}");
-    if plain {
-        return false;
-    }
     writer.write_all(b"0\r\n\r\n").is_ok()
 }
 
@@ -591,7 +612,10 @@
     pub id: String,
     pub address: SocketAddr,
     pub worker: Process,
-    _rank: Process,
+    pub rank: Process,
+    /// Command and output of the process beside the worker.
+    rank_args: Vec<String>,
+    rank_log: PathBuf,
 }
 
 pub struct Deployment {
@@ -602,29 +626,46 @@
 
 impl Deployment {
     /// Starts a plain worker and enters it in the store.
-    pub fn add_plain(&self, index: usize) -> io::Result<Process> {
+    pub fn add_plain(&self, index: usize, service: &str, zone: &str) -> io::Result<Process> {
         let ip = format!("127.0.0.{}", 101 + index);
-        let id = format!("p-{index}");
+        let id = format!("{service}-{index}");
         let address: SocketAddr = format!("{ip}:{}", free_port(&ip)).parse().unwrap();
         let args = words(&format!("worker {id} {address}"));
         let worker = Process::start(&std::env::current_exe()?, &args, &self.folder.join(format!("worker-{id}")))?;
         std::thread::sleep(Duration::from_millis(50));
-        self.store.put("servers", &id, &worker_row("records", address, "ready", 1));
+        self.store.put("servers", &id, &worker_row(service, address, zone, "ready", 1));
         Ok(worker)
     }
 
     /// Starts a worker and the process beside it, and enters the worker in the store.
-    pub fn add_host(&self, index: usize) -> std::io::Result<Host> {
+    pub fn add_host(&self, index: usize, zone: &str) -> std::io::Result<Host> {
         let ip = format!("127.0.0.{}", 11 + index);
         let id = format!("i-{index}");
         let address: SocketAddr = format!("{ip}:{}", free_port(&ip)).parse().unwrap();
         let own = std::env::current_exe()?;
         let args = words(&format!("worker {id} {address}"));
         let worker = Process::start(&own, &args, &self.folder.join(format!("worker-{id}")))?;
-        let args = rank_args(&format!("side-{index}"), &ip, address, self.rank_port, self.store.address);
-        let rank = Process::start(&porthoistd(), &args, &self.folder.join(format!("rank-{id}")))?;
+        let host = format!("side-{index}");
+        let args = rank_args((&host, zone), &ip, address, self.rank_port, self.store.address);
+        let rank_log = self.folder.join(format!("rank-{id}"));
+        let rank = Process::start(&porthoistd(), &args, &rank_log)?;
         std::thread::sleep(Duration::from_millis(100));
-        self.store.put("servers", &id, &worker_row("model", address, "ready", 1));
-        Ok(Host { id, address, worker, _rank: rank })
+        self.store.put("servers", &id, &worker_row("model", address, zone, "ready", 1));
+        Ok(Host { id, address, worker, rank, rank_args: args, rank_log })
+    }
+}
+
+impl Host {
+    /// Starts the process beside the worker again.
+    pub fn restart_rank(&mut self) -> io::Result<()> {
+        self.rank = Process::start(&porthoistd(), &self.rank_args, &self.rank_log)?;
+        Ok(())
+    }
+
+    /// Whether the process beside the worker has begun to read tables for entries since its last start.
+    pub fn reads_tables(&self) -> bool {
+        let log = std::fs::read_to_string(&self.rank_log).unwrap_or_default();
+        let life = log.rfind("\"event\":\"start\"").map_or("", |at| &log[at..]);
+        life.contains("\"event\":\"table_followed\"")
     }
 }
