--- a/review/standins-2/harness.rs
+++ b/review/standins-2/harness.rs
@@ -416,7 +416,8 @@
     /// Sends a signal by name.
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill").args([format!("-{name}"), child.id().to_string()]).status();
+            let command = format!("kill -{name} {}", child.id());
+            let _ = Command::new("sh").args(["-c", &command]).status();
         }
     }
 
