Keep the wire's names of the review's stand-ins in a platform folder

The test wire_names_are_used_in_this_folder_only failed: it allows names of the platform's interfaces only below folders of that name. The stand-ins speak them, so they stand in one now, and the cases build requests through them.

--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -1,10 +1,10 @@
 //! Processes that read the tables for their zones are killed as the store returns from a short outage. A change of
 //! the configuration right after it has to be in force in time at the entries, which are disturbed by neither.
 
-#[path = "../standins-2/harness.rs"]
+#[path = "../standins-2/platform/harness.rs"]
 mod harness;
 
-use harness::{Deployment, Entry, Host, Process, Record, Route, Store, call, config};
+use harness::{ClientRequest, Deployment, Entry, Host, Process, Record, Route, Store, call, config};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -189,12 +189,17 @@
             let (record, sent) = (record.clone(), Arc::clone(&sent));
             std::thread::spawn(move || {
                 let attempt = format!("{entry}-{number:08x}");
-                let request = format!(
-                    "GET /read/x HTTP/1.1\r\nHost: demo.example\r\nX-Porthoist-Attempt-Id: {attempt}\r\n\
-                     X-Porthoist-Deadline-Remaining: 2000\r\nAuthorization: Token key-a\r\nConnection: close\r\n\r\n"
-                );
+                let request = ClientRequest {
+                    method: "GET",
+                    path: "/read/x",
+                    attempt: &attempt,
+                    deadline_ms: 2_000,
+                    prompt: None,
+                    body: "",
+                };
+                let request = request.bytes();
                 sent.lock().unwrap().insert(attempt.clone(), (Instant::now(), entry));
-                let answer = call(address, request.as_bytes(), Duration::from_secs(3));
+                let answer = call(address, &request, Duration::from_secs(3));
                 let status = answer.map_or(0, |answer| answer.head.status());
                 record.line(&format!("answered {attempt} status {status}"));
             });
--- a/review/standins-2/harness.rs
+++ b/review/standins-2/platform/harness.rs
@@ -670,3 +670,34 @@
         life.contains("\"event\":\"table_followed\"")
     }
 }
+
+/// A client's request with its headers.
+pub struct ClientRequest<'a> {
+    pub method: &'a str,
+    pub path: &'a str,
+    pub attempt: &'a str,
+    pub deadline_ms: u64,
+    /// Identifies the last part of the prompt, where there is one.
+    pub prompt: Option<u64>,
+    pub body: &'a str,
+}
+
+impl ClientRequest<'_> {
+    /// The request as it is sent; its connection closes after the answer.
+    pub fn bytes(&self) -> Vec<u8> {
+        let Self { method, path, attempt, deadline_ms, prompt, body } = self;
+        let prompt = prompt.map_or(String::new(), |part| {
+            format!(
+                "X-Porthoist-Model: m\r\nX-Porthoist-Token-Usage: 100,160\r\n\
+                 X-Porthoist-Prompt-Prefix: {part:x}:100\r\n"
+            )
+        });
+        let length = if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+        format!(
+            "{method} {path} HTTP/1.1\r\nHost: demo.example\r\nX-Porthoist-Attempt-Id: {attempt}\r\n\
+             {prompt}X-Porthoist-Deadline-Remaining: {deadline_ms}\r\nAuthorization: Token key-a\r\n\
+             Connection: close\r\n{length}\r\n{body}"
+        )
+        .into_bytes()
+    }
+}
