Bound the grace period of missing rows by whose outage it was

What callers saw: requests reached a target up to 2.7 s after the removal of its row had been acknowledged (DRAIN, bound 2 s), at entries that had no outage.

Cause: an outage that a reader reports became the entry's own. Rows that are missing after it were used for 1.7 s from the reader's return, however long ago the entry had last seen them: 1.35 s and more. The reverse was wrong too: an entry counted its own outage from the moment at which it had begun to wait for peers, and ignored a call that was still pending, so that rows which expired in an outage of the service were dropped at once in many cases.

Change: EndedOutages keeps own and reported outages apart. After a reported one a missing row is used for no longer than the age of the state permits, whichever call brought the removal. After an own one the grace period ends before the host counts as connected again. The latter needs the time of the last unanswered call: ServiceRetry records when the service was really called, pending calls too, and calls it every 1.2 to 1.5 s in an outage. Logs name whose outage gave a grace period.

--- a/crates/porthoist-policy/src/proxy.rs
+++ b/crates/porthoist-policy/src/proxy.rs
@@ -19,6 +19,7 @@
 pub mod limit_notes;
 mod load_interpretation;
 pub mod moving;
+pub mod outages;
 pub mod pass_time;
 pub mod priority_levels;
 pub mod quarantine;
--- a/crates/porthoist-policy/src/proxy/change_bound.rs
+++ b/crates/porthoist-policy/src/proxy/change_bound.rs
@@ -19,6 +19,10 @@
 /// for others: 270 ms for its call and for the way to the others, and 180 for a second such process.
 const RENEWAL_LEAD: Duration = Duration::from_millis(450);
 
+/// Maximum interval between calls while the table service does not answer. Others may fail to detect its
+/// recovery, which must be known well before changes are expected to be in force in time again, 3 s after it.
+const RETRY_INTERVAL: Duration = Duration::from_millis(1_500);
+
 /// Maximum share of [`RENEWAL_LEAD`] in the age at which the table service is called.
 const MAX_LEAD_SHARE: f64 = 0.36;
 
@@ -46,6 +50,12 @@
         self.schedule().map_or(longest, |schedule| longest.min(schedule.renewal()))
     }
 
+    /// Returns the maximum interval between calls of a process to a table service that doesn't answer while others
+    /// call it too, at most `longest`.
+    pub fn retry_interval(self, longest: Duration) -> Duration {
+        self.millis.map_or(longest, |_millis| longest.min(RETRY_INTERVAL))
+    }
+
     /// Returns the age of its state at which a process that has others to query calls the table service, at
     /// most `longest`.
     pub fn service_wait(self, longest: Duration) -> Duration {
--- a/crates/porthoist-policy/src/proxy/service_retry.rs
+++ b/crates/porthoist-policy/src/proxy/service_retry.rs
@@ -15,9 +15,15 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(480);
 /// Range of the random factor of a backoff. Processes that failed together must not retry together.
 const BACKOFF_FACTORS: Range<f64> = 0.5..1.5;
-/// Range of the random factor of the interval while peers respond. Peers may fail to detect the recovery, so
-/// the interval is never longer than the age at which the service is called at other times.
-const INTERVAL_FACTORS: Range<f64> = 0.5..1.0;
+/// Range of the random factor of the interval while peers respond.
+const INTERVAL_FACTORS: Range<f64> = 0.8..1.0;
+/// Time in milliseconds after which a missing answer is a sign of an outage: longer than the call repeated on
+/// another connection takes.
+const ANSWER_DELAY_MILLIS: u64 = 400;
+/// The same if an earlier call has failed.
+const REPEATED_ANSWER_DELAY_MILLIS: u64 = 100;
+/// Time within which a call is answered or fails.
+const CALL_TIMEOUT_MILLIS: u64 = 900;
 
 /// How long a table is awaited before the service is called for it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -42,6 +48,10 @@
     interval: Duration,
     backoff: Duration,
     failure: Option<RetryTimes>,
+    /// When the latest call that failed was sent.
+    failed: Option<UnixMillis>,
+    /// When an answer to the latest call was due.
+    due: Option<UnixMillis>,
     /// When the latest call that has been answered was sent.
     answered: Option<UnixMillis>,
     /// When calls last ceased to fail.
@@ -58,12 +68,19 @@
             interval,
             backoff: MIN_BACKOFF,
             failure: None,
+            failed: None,
+            due: None,
             answered: None,
             recovered: None,
             peers_until: UnixDeadline::default(),
         }
     }
 
+    /// Records that a call is sent whose answer is due at `due`: at once, or after its wait.
+    pub fn record_call(&mut self, due: UnixMillis) {
+        self.due = self.due.max(Some(due));
+    }
+
     /// Records that a call failed at `now`. `random` is from 0 to 1. A call that was sent before one that has been
     /// answered says nothing about the present state of the service.
     pub fn record_failure(&mut self, sent: UnixMillis, now: UnixMillis, random: f64) {
@@ -71,11 +88,14 @@
             return;
         }
         let scale = |factors: Range<f64>| factors.start + (factors.end - factors.start) * random;
-        let after = |time: Duration| UnixDeadline::after(now, time.as_millis() as u64);
-        self.failure = Some(RetryTimes {
-            with_peers: after(self.interval.mul_f64(scale(INTERVAL_FACTORS))),
-            without_peers: after(self.backoff.mul_f64(scale(BACKOFF_FACTORS))),
-        });
+        let after = |time: UnixMillis, delay: Duration| UnixDeadline::after(time, delay.as_millis() as u64);
+        // Counts from the time at which the answer was due, so that timeouts don't make calls rarer.
+        let due = UnixMillis(sent.0.max(now.0.saturating_sub(CALL_TIMEOUT_MILLIS)));
+        let without_peers = after(now, self.backoff.mul_f64(scale(BACKOFF_FACTORS)));
+        let least = after(now, MIN_BACKOFF.mul_f64(scale(BACKOFF_FACTORS)));
+        let with_peers = after(due, self.interval.mul_f64(scale(INTERVAL_FACTORS))).max(least);
+        self.failure = Some(RetryTimes { with_peers, without_peers });
+        self.failed = self.failed.max(Some(sent));
         self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
     }
 
@@ -110,6 +130,18 @@
         self.failure.is_some()
     }
 
+    /// Returns when the latest call that failed was sent.
+    pub fn failed(&self) -> Option<UnixMillis> {
+        self.failed
+    }
+
+    /// Returns since when an answer has been due at `now`, if that is a sign of an outage.
+    pub fn unanswered(&self, now: UnixMillis) -> Option<UnixMillis> {
+        let delay = if self.is_failing() { REPEATED_ANSWER_DELAY_MILLIS } else { ANSWER_DELAY_MILLIS };
+        let due = self.due.filter(|due| Some(*due) > self.answered && now.since(*due) >= delay);
+        due.max(self.failed.filter(|_failed| self.is_failing()))
+    }
+
     /// Returns when the service is to be called for a table that has been awaited since `began`.
     pub fn next_call(&self, began: UnixMillis, patience: RetryPatience) -> UnixDeadline {
         if let Some(failure) = self.failure {
--- a/crates/porthoist-policy/src/proxy/targets.rs
+++ b/crates/porthoist-policy/src/proxy/targets.rs
@@ -20,15 +20,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// Time in milliseconds for which a row may be missing after the table service was unavailable. Its
-/// documentation says that expired rows are back within two seconds, and a target that left must get
-/// nothing new after two seconds.
-const MISSING_ROW_GRACE_MILLIS: u64 = 1_700;
-
-/// Reserve in milliseconds that is subtracted from the permitted staleness: 400 for a new connection to
-/// the target, 200 for timers.
-const SEND_RESERVE_MILLIS: u64 = 600;
-
 /// Maximum number of departed lives that are remembered in case the table service is restored from an
 /// older backup.
 const MAX_DEPARTED_LIVES: usize = 4_096;
@@ -37,52 +28,6 @@
 /// table service. Departures that the restore lost can be written again within this time.
 const IGNORED_ROWS_GRACE_MILLIS: u64 = 10_000;
 
-/// Maximum permitted staleness of what is known about targets.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct StalenessBound {
-    /// The limit in milliseconds.
-    pub millis: u64,
-}
-
-impl StalenessBound {
-    /// Adds up what operators permit, in milliseconds: the time to notice a lost connection and the time
-    /// until a target that is shutting down gets nothing new.
-    pub fn new(notice_millis: u64, leaving_millis: u64) -> Self {
-        Self { millis: (notice_millis + leaving_millis).saturating_sub(SEND_RESERVE_MILLIS) }
-    }
-}
-
-impl Default for StalenessBound {
-    /// The smallest values that a deployment requires: 3 s and 2 s.
-    fn default() -> Self {
-        Self::new(3_000, 2_000)
-    }
-}
-
-/// A period without answers from the table service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct AnswerGap {
-    /// When the last unanswered request to the service was sent. The service, or only the connection,
-    /// became unavailable some time after that.
-    pub asked: UnixMillis,
-    /// When the first answer arrived.
-    pub returned: UnixMillis,
-}
-
-impl AnswerGap {
-    /// End of the grace period for a row that disappears now, or `None` if it has passed.
-    ///
-    /// It is counted from the first answer: a row that disappears later may have expired before, but
-    /// must be back by the same time. It also ends when information from before the gap would exceed the
-    /// permitted staleness. The gap may have been only a silent connection, during which a target has
-    /// left.
-    pub fn grace(&self, bound: StalenessBound, now: UnixMillis) -> Option<UnixDeadline> {
-        let back = UnixDeadline::after(self.returned, MISSING_ROW_GRACE_MILLIS);
-        let end = back.min(UnixDeadline::after(self.asked, bound.millis));
-        (!end.passed(now)).then_some(end)
-    }
-}
-
 /// Whether a target accepts new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TargetState {
--- a/crates/porthoist-policy/tests/policy.rs
+++ b/crates/porthoist-policy/tests/policy.rs
@@ -42,6 +42,8 @@
 mod limits;
 #[path = "policy/moving.rs"]
 mod moving;
+#[path = "policy/outages.rs"]
+mod outages;
 #[path = "policy/part_quarantine.rs"]
 mod part_quarantine;
 #[path = "policy/pass_time.rs"]
--- a/crates/porthoist-policy/tests/policy/proxy.rs
+++ b/crates/porthoist-policy/tests/policy/proxy.rs
@@ -5,14 +5,13 @@
 use porthoist_policy::proxy::capacity::PriorityRank;
 use porthoist_policy::proxy::cold_start::ColdStatus;
 use porthoist_policy::proxy::freshness::{FreshnessProof, StampedAnswer};
+use porthoist_policy::proxy::outages::{AnswerGap, StalenessBound};
 use porthoist_policy::proxy::retry_share::{RetryShare, RetryShareSettings};
 use porthoist_policy::proxy::routes::{
     CallerLimits, ConfigVersion, EngineModel, RouteError, RouteKind, RouteRule, RouteTable, ServiceSpec,
     TeamGrant, WeightedService,
 };
-use porthoist_policy::proxy::targets::{
-    AnswerGap, StalenessBound, TargetChange, TargetLife, TargetRecord, TargetRegistry, TargetState,
-};
+use porthoist_policy::proxy::targets::{TargetChange, TargetLife, TargetRecord, TargetRegistry, TargetState};
 use porthoist_policy::proxy::wait_queue::{QueueClass, WaitQueue};
 use std::collections::HashMap;
 use test_case::test_case;
--- a/crates/porthoist-policy/tests/policy/service_retry.rs
+++ b/crates/porthoist-policy/tests/policy/service_retry.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 /// Maximum interval between calls while peers respond.
-const INTERVAL: Duration = Duration::from_millis(1_250);
+const INTERVAL: Duration = Duration::from_millis(1_500);
 const PATIENCE: RetryPatience = RetryPatience { peers: Duration::from_millis(300), failing: Duration::ZERO };
 
 fn at(millis: u64) -> UnixMillis {
@@ -16,10 +16,10 @@
     retry.next_call(at(0), PATIENCE).0.0
 }
 
-/// Returns the state after a call from 100 to 1,000 failed while a peer is expected to respond until 2,000.
+/// Returns the state after a call from 100 to 1,000 failed while a peer is expected to respond until 1,400.
 fn failed_with_peer(random: f64) -> ServiceRetry {
     let mut retry = ServiceRetry::new(INTERVAL);
-    retry.record_peer_response(UnixDeadline(at(2_000)));
+    retry.record_peer_response(UnixDeadline(at(1_400)));
     retry.record_failure(at(100), at(1_000), random);
     retry
 }
@@ -30,7 +30,7 @@
         let mut retry = failed_with_peer(random);
         retry.record_peer_response(UnixDeadline(at(60_000)));
         let next_call = next_call(&retry);
-        assert!((1_625..=2_250).contains(&next_call), "{next_call}");
+        assert!((1_300..=1_600).contains(&next_call), "{next_call}");
     }
 }
 
@@ -38,7 +38,7 @@
 #[test]
 fn lost_peers_bring_the_next_call_forward() {
     let mut retry = failed_with_peer(0.999);
-    assert_eq!(next_call(&retry), 2_000, "the last peer may still respond");
+    assert_eq!(next_call(&retry), 1_400, "the last peer may still respond");
     assert!(retry.lose_peers(at(1_010)));
     assert!(next_call(&retry) <= 1_090);
     assert!(!retry.lose_peers(at(1_020)), "they are lost once");
@@ -49,7 +49,7 @@
     let mut retry = failed_with_peer(0.999);
     retry.lose_peers(at(1_010));
     retry.record_peer_response(UnixDeadline(at(60_000)));
-    assert_eq!(next_call(&retry), 2_249);
+    assert_eq!(next_call(&retry), 1_599);
 }
 
 #[test]
@@ -81,12 +81,12 @@
 #[test]
 fn other_tables_are_awaited_from_peers_once_the_service_has_recovered() {
     let mut retry = failed_with_peer(0.5);
-    retry.record_answer(at(1_400), at(1_500));
-    assert_eq!(next_call(&retry), 1_800);
+    retry.record_answer(at(1_290), at(1_300));
+    assert_eq!(next_call(&retry), 1_600);
     let mut alone = failed_with_peer(0.5);
     alone.lose_peers(at(1_100));
-    alone.record_answer(at(1_400), at(1_500));
-    assert_eq!(next_call(&alone), 1_500, "nobody else provides them");
+    alone.record_answer(at(1_290), at(1_300));
+    assert_eq!(next_call(&alone), 1_300, "nobody else provides them");
 }
 
 #[test]
@@ -95,3 +95,22 @@
     let rare = RetryPatience { failing: Duration::from_secs(3), ..PATIENCE };
     assert_eq!(retry.next_call(at(0), rare).0.0, next_call(&retry) + 3_000);
 }
+
+/// Guards against taking the time of an earlier failure for that of the latest unanswered call.
+#[test]
+fn pending_call_shows_that_an_outage_goes_on() {
+    let mut retry = failed_with_peer(0.5);
+    retry.record_call(at(1_300));
+    assert_eq!(retry.unanswered(at(1_390)), Some(at(100)), "the answer may be on its way");
+    assert_eq!(retry.unanswered(at(1_400)), Some(at(1_300)));
+    retry.record_answer(at(1_300), at(1_410));
+    assert_eq!(retry.unanswered(at(2_000)), None);
+}
+
+#[test]
+fn first_pending_call_is_no_sign_of_an_outage_while_it_may_be_repeated() {
+    let mut retry = ServiceRetry::new(INTERVAL);
+    retry.record_call(at(100));
+    assert_eq!(retry.unanswered(at(499)), None);
+    assert_eq!(retry.unanswered(at(500)), Some(at(100)));
+}
--- a/crates/porthoist-proxy/src/control.rs
+++ b/crates/porthoist-proxy/src/control.rs
@@ -7,12 +7,15 @@
 use crate::rows::{ANSWER_TIMEOUT_MILLIS, answer_within};
 use crate::source::{AnswerOrigin, ControlSource, OperatorUpdate, SourceAnswer, SourceError};
 use crate::table_reader::GapAges;
-use porthoist_core::{ClockSource, UnixDeadline, UnixMillis};
+use porthoist_core::{ClockSource, UnixMillis};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::change_bound::ChangeBound;
 use porthoist_policy::proxy::freshness::{FreshnessProof, StampedAnswer};
+use porthoist_policy::proxy::outages::{
+    AnswerGap, EXPIRY_CHECK_MILLIS, EndedOutages, GracePeriod, OutageWitness, StalenessBound,
+};
 use porthoist_policy::proxy::routes::RouteTable;
-use porthoist_policy::proxy::targets::{AnswerGap, StalenessBound, TargetChange, TargetRegistry};
+use porthoist_policy::proxy::targets::{TargetChange, TargetRegistry};
 use porthoist_policy::proxy::zones::{EmptiedZones, ZoneChange, ZoneUpdate};
 use slog::{Logger, info, warn};
 use std::cell::Cell;
@@ -55,9 +58,6 @@
 /// Maximum number of target changes in one response that are logged individually. When a fleet starts, the
 /// number of lines would be hosts times targets.
 const MAX_LOGGED_CHANGES: usize = 16;
-/// Interval at which expired grace periods and the age of the known state are checked, in milliseconds.
-const CHECK_MILLIS: u64 = 100;
-
 /// Routes and targets as this process knows them.
 #[derive(Debug, Clone, Default)]
 pub struct ControlState {
@@ -110,9 +110,8 @@
     /// backup.
     #[builder(skip)]
     targets_era: Cell<Option<TableEra>>,
-    /// The latest outage that has ended.
     #[builder(skip)]
-    gap: Cell<Option<AnswerGap>>,
+    ended_outages: Cell<EndedOutages>,
     /// Whether the known targets were too old at the last check.
     #[builder(skip)]
     outdated: Cell<bool>,
@@ -145,8 +144,7 @@
             match answer {
                 Ok(answer) => {
                     revision = Some(answer.revision);
-                    self.record_answer();
-                    self.apply_peer_gap(answer.origin);
+                    self.record_answer(answer.origin);
                     let changed = !answer.value.is_empty();
                     self.apply_operator_update(answer, sent);
                     paused =
@@ -234,8 +232,7 @@
             match answer {
                 Ok(answer) => {
                     revision = Some(answer.revision);
-                    self.record_answer();
-                    self.apply_peer_gap(answer.origin);
+                    self.record_answer(answer.origin);
                     let changed = !answer.value.is_empty();
                     self.apply_targets(answer, sent);
                     paused =
@@ -270,7 +267,7 @@
     /// a restore has ended, and records the age of the known state.
     async fn expire_targets(&self) {
         loop {
-            tokio::time::sleep(Duration::from_millis(CHECK_MILLIS)).await;
+            tokio::time::sleep(Duration::from_millis(EXPIRY_CHECK_MILLIS)).await;
             let now = self.clock.now();
             self.record_ages(now);
             let due = {
@@ -373,12 +370,13 @@
         let received = self.clock.now();
         let stamped = StampedAnswer { sent, received, stamp: answer.stamp };
         let restored = record_era(&self.targets_era, answer.revision.era);
-        if restored && self.grace_deadline().is_none() {
+        if restored && self.grace_period().is_none() {
             // Starts the grace period for missing rows: a restore can lose rows of active targets without a
             // noticed outage.
-            self.gap.set(Some(AnswerGap { asked: received, returned: received }));
+            self.record_outage(OutageWitness::Own, AnswerGap { asked: received, returned: received });
         }
-        let grace_deadline = self.grace_deadline();
+        let grace = self.grace_period();
+        let grace_deadline = grace.map(|grace| grace.end);
         self.state.send_modify(|state| {
             if restored {
                 state.targets.restored(received);
@@ -386,16 +384,20 @@
             match answer.value {
                 TargetUpdate::Listed(rows) => {
                     info!(self.logger, "targets listed"; "event" => "targets_listed", "count" => rows.len(),
-                        "after_outage" => grace_deadline.is_some(), "age_ms" => state.targets_proof.age(received));
+                        "after_outage" => grace.is_some(), "outage" => witness_name(grace),
+                        "age_ms" => state.targets_proof.age(received));
                     state.targets.apply_listing(rows, grace_deadline);
                     state.targets_listed = true;
                 }
                 TargetUpdate::Changed(changes) => {
-                    self.log_changes(&changes, ChangeContext {
-                        grace: grace_deadline.is_some(),
-                        origin: answer.origin,
-                        previous_age: state.targets_proof.age(received),
-                    });
+                    self.log_changes(
+                        &changes,
+                        ChangeContext {
+                            grace,
+                            origin: answer.origin,
+                            previous_age: state.targets_proof.age(received),
+                        },
+                    );
                     state.targets.apply_changes(changes, grace_deadline);
                 }
             }
@@ -419,7 +421,8 @@
         let gone = changes.iter().filter(|change| matches!(change, TargetChange::Gone(_))).count();
         let unusable = changes.iter().filter(|change| matches!(change, TargetChange::Unusable(_))).count();
         info!(self.logger, "targets changed"; "event" => "targets_changed", "put" => changes.len() - gone - unusable,
-            "gone" => gone, "unusable" => unusable, "grace" => context.grace, "origin" => context.origin.as_str(),
+            "gone" => gone, "unusable" => unusable, "grace" => context.grace.is_some(),
+            "outage" => witness_name(context.grace), "origin" => context.origin.as_str(),
             "previous_age_ms" => context.previous_age);
     }
 
@@ -433,7 +436,9 @@
             }
             TargetChange::Gone(id) => {
                 info!(self.logger, "target removed"; "event" => "target_gone", "target" => id.to_string(),
-                    "grace" => grace, "origin" => origin.as_str(), "previous_age_ms" => previous_age);
+                    "grace" => grace.is_some(), "outage" => witness_name(grace),
+                    "grace_ms" => grace.map(|grace| grace.end.remaining(self.clock.now()).as_millis() as u64),
+                    "origin" => origin.as_str(), "previous_age_ms" => previous_age);
             }
             TargetChange::Unusable(id) => {
                 info!(self.logger, "target row is unusable"; "event" => "target_unusable",
@@ -442,36 +447,48 @@
         }
     }
 
-    /// Returns the end of the grace period for rows that disappear now, if the source has recently
-    /// recovered.
-    fn grace_deadline(&self) -> Option<UnixDeadline> {
-        self.gap.get()?.grace(self.staleness_bound, self.clock.now())
+    /// Returns the grace period for rows that disappear now, if the source has recently recovered.
+    fn grace_period(&self) -> Option<GracePeriod> {
+        let renewed = self.change_bound != ChangeBound::default();
+        let bound = if renewed { self.staleness_bound } else { self.staleness_bound.without_renewal() };
+        let proven = self.state.borrow().targets_proof.proven();
+        self.ended_outages.get().grace(bound, proven, self.clock.now())
+    }
+
+    fn record_outage(&self, witness: OutageWitness, gap: AnswerGap) {
+        let mut outages = self.ended_outages.get();
+        outages.record(witness, gap);
+        self.ended_outages.set(outages);
     }
 
     /// Records a response. A response to either call ends an outage before its rows are applied. Otherwise,
     /// if targets were listed before routes, rows that expired during the outage would be dropped at once.
-    fn record_answer(&self) {
+    fn record_answer(&self, origin: AnswerOrigin) {
         self.backoff.set(MIN_BACKOFF_MILLIS);
-        if let Some(asked) = self.unanswered.take() {
-            self.gap.set(Some(AnswerGap { asked, returned: self.clock.now() }));
+        let now = self.clock.now();
+        let failed = self.unanswered.take();
+        if failed.is_some() {
             info!(self.logger, "table service answers again"; "event" => "dependency_regained",
                 "dependency" => "table");
         }
+        let AnswerOrigin::Peer { gap, unanswered } = origin else {
+            return self.record_own_outage(failed, now);
+        };
+        self.record_own_outage(failed.max(unanswered), now);
+        if let Some(GapAges { asked, returned }) = gap {
+            let ago = |age: u64| UnixMillis(now.0.saturating_sub(age));
+            self.record_outage(OutageWitness::Peer, AnswerGap { asked: ago(asked), returned: ago(returned) });
+        }
     }
 
-    /// Applies the latest outage seen by a peer: rows that the peer saw disappear may have expired during
-    /// it.
-    fn apply_peer_gap(&self, origin: AnswerOrigin) {
-        let AnswerOrigin::Peer { gap: Some(GapAges { asked, returned }) } = origin else { return };
-        let now = self.clock.now().0;
-        let ago = |age: u64| UnixMillis(now.saturating_sub(age));
-        let gap = AnswerGap { asked: ago(asked), returned: ago(returned) };
-        if self.gap.get().is_none_or(|known| known.returned < gap.returned) {
-            self.gap.set(Some(gap));
+    fn record_own_outage(&self, asked: Option<UnixMillis>, now: UnixMillis) {
+        if let Some(asked) = asked {
+            self.record_outage(OutageWitness::Own, AnswerGap { asked, returned: now });
         }
     }
 
     async fn handle_failure(&self, call: &'static str, sent: UnixMillis, error: &SourceError) {
+        let sent = self.source.failed_call().unwrap_or(sent);
         if self.unanswered.replace(self.unanswered.get().max(Some(sent))).is_none() {
             warn!(self.logger, "table service does not answer"; "event" => "dependency_lost",
                 "dependency" => "table", "question" => call, "error" => error.to_string());
@@ -493,11 +510,16 @@
     last.replace(last.get().max(Some(era))).is_some_and(|previous| previous < era)
 }
 
+/// Name in logs of whose outage gave a grace period.
+fn witness_name(grace: Option<GracePeriod>) -> Option<&'static str> {
+    grace.map(|grace| grace.witness.as_str())
+}
+
 /// How changes of targets arrived, for logs.
 #[derive(Debug, Clone, Copy)]
 struct ChangeContext {
-    /// Whether rows that disappeared get a grace period.
-    grace: bool,
+    /// Grace period of rows that disappeared.
+    grace: Option<GracePeriod>,
     origin: AnswerOrigin,
     /// Age of the proof before the changes, in milliseconds.
     previous_age: Option<u64>,
--- a/crates/porthoist-proxy/src/peer_rows.rs
+++ b/crates/porthoist-proxy/src/peer_rows.rs
@@ -35,8 +35,8 @@
 const PEER_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a peer is avoided that did not answer, or whose own calls fail.
 const AVOID_TIME: Duration = Duration::from_secs(2);
-/// Maximum interval between calls of this process while the table service is unavailable and peers call it
-/// too.
+/// Time given to peers to provide news before the table service is called although it does not fail, and by which
+/// calls for rarely needed tables come later while it fails.
 const PROBE_INTERVAL: Duration = Duration::from_secs(3);
 /// Time within which a peer that was queried while the table service is unavailable must respond again.
 const PEER_RESPONSE_TIME: Duration = MAX_HOLD.saturating_add(PEER_TIMEOUT);
@@ -284,7 +284,7 @@
             next_targets_call: Cell::default(),
             fleet_start_end: Cell::default(),
             joined_late: Cell::new(false),
-            retry: watch::Sender::new(ServiceRetry::new(change_bound.service_wait(PROBE_INTERVAL))),
+            retry: watch::Sender::new(ServiceRetry::new(change_bound.retry_interval(PROBE_INTERVAL))),
             probe: Mutex::new(()),
             clock_offset: Cell::new(None),
             avoided: RefCell::default(),
@@ -428,7 +428,7 @@
                 let Some(rows) = copy.apply_patches(rows) else {
                     return PeerOutcome::CallService(ServiceCallReason::History);
                 };
-                let mut rows = SourceAnswer { origin: AnswerOrigin::Peer { gap }, ..rows };
+                let mut rows = SourceAnswer { origin: AnswerOrigin::Peer { gap, unanswered: None }, ..rows };
                 if let Some(keys) = keys {
                     rows.value.extend(copy.removals_except(&keys, rows.revision));
                 }
@@ -464,6 +464,11 @@
         reason: ServiceCallReason,
     ) -> Result<SourceAnswer<Vec<TableRow>>, SourceError> {
         let sent = self.clock.now();
+        let due = sent.plus(wait.as_millis() as u64);
+        self.retry.send_if_modified(|retry| {
+            retry.record_call(due);
+            false
+        });
         if table == ControlTable::Targets {
             self.next_targets_call.set(self.deadline_in(START_PAUSE));
         }
@@ -498,6 +503,19 @@
         answer
     }
 
+    /// Records that a peer has provided news, and adds which call of this process is still unanswered.
+    fn record_peer_answer(&self, answer: SourceAnswer<Vec<TableRow>>) -> SourceAnswer<Vec<TableRow>> {
+        let now = self.clock.now();
+        let unanswered = self.retry.borrow().unanswered(now);
+        self.retry.send_modify(|retry| retry.record_recovery(now));
+        match answer.origin {
+            AnswerOrigin::Peer { gap, .. } => {
+                SourceAnswer { origin: AnswerOrigin::Peer { gap, unanswered }, ..answer }
+            }
+            AnswerOrigin::Source | AnswerOrigin::EarlierCall => answer,
+        }
+    }
+
     /// Rejects a response from an earlier era than the copy, which peers may have updated.
     fn reject_earlier_era(
         &self,
@@ -561,8 +579,7 @@
         };
         match from_peers {
             Some(answer) => {
-                let now = self.clock.now();
-                self.retry.send_modify(|retry| retry.record_recovery(now));
+                let answer = self.record_peer_answer(answer);
                 self.apply(table, &answer, false);
                 Ok(self.listing_of_copy(table, answer))
             }
@@ -729,7 +746,7 @@
             until: call_at,
         });
         let answer = match from_peers.await {
-            Ok(answer) => answer,
+            Ok(answer) => self.record_peer_answer(answer),
             Err(reason) => {
                 if reason == ServiceCallReason::NoPeer && !self.fleet_start_end.get().passed(now) {
                     let delay = self.next_targets_call.get().remaining(self.clock.now());
@@ -752,7 +769,7 @@
                 // This host may be the one that can't reach the service.
                 tokio::select! {
                     answer = from_service => answer?,
-                    Ok(answer) = from_peers => answer,
+                    Ok(answer) = from_peers => self.record_peer_answer(answer),
                 }
             }
         };
@@ -779,6 +796,10 @@
         true
     }
 
+    fn failed_call(&self) -> Option<UnixMillis> {
+        self.retry.borrow().failed()
+    }
+
     fn is_shared(&self) -> bool {
         true
     }
--- a/crates/porthoist-proxy/src/rows.rs
+++ b/crates/porthoist-proxy/src/rows.rs
@@ -3,6 +3,7 @@
 use crate::revision::TableRevision;
 use crate::source::{SourceAnswer, SourceError, SourceFuture};
 use futures::future::LocalBoxFuture;
+use porthoist_core::UnixMillis;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::time::Duration;
@@ -70,6 +71,10 @@
     fn handles_backoff(&self) -> bool {
         false
     }
+    /// When the latest call to the service that failed was sent, if the source makes other calls before it.
+    fn failed_call(&self) -> Option<UnixMillis> {
+        None
+    }
     /// Whether other processes poll for this one, as often as its waits require. Its own short waits would
     /// then shorten all their polls.
     fn is_shared(&self) -> bool {
--- a/crates/porthoist-proxy/src/source.rs
+++ b/crates/porthoist-proxy/src/source.rs
@@ -4,6 +4,7 @@
 use crate::rows::ANSWER_TIMEOUT_MILLIS;
 use crate::table_reader::GapAges;
 use futures::future::LocalBoxFuture;
+use porthoist_core::UnixMillis;
 use porthoist_policy::proxy::routes::RouteTable;
 use porthoist_policy::proxy::targets::TargetChange;
 use porthoist_policy::proxy::zones::ZoneUpdate;
@@ -48,6 +49,8 @@
     Peer {
         /// The latest outage that the process saw.
         gap: Option<GapAges>,
+        /// When this process's own call was sent, if the source has left it unanswered meanwhile.
+        unanswered: Option<UnixMillis>,
     },
 }
 
@@ -114,6 +117,10 @@
     fn handles_backoff(&self) -> bool {
         false
     }
+    /// When the latest call to the service that failed was sent, if the source makes other calls before it.
+    fn failed_call(&self) -> Option<UnixMillis> {
+        None
+    }
     /// Whether other processes poll for this one, as often as its waits require. Its own short waits would
     /// then shorten all their polls.
     fn is_shared(&self) -> bool {
--- a/crates/porthoist-proxy/src/table_reader.rs
+++ b/crates/porthoist-proxy/src/table_reader.rs
@@ -13,7 +13,7 @@
 use futures::stream::FuturesUnordered;
 use porthoist_core::{ClockSource, UnixDeadline, UnixMillis};
 use porthoist_policy::proxy::change_bound::RenewalSchedule;
-use porthoist_policy::proxy::targets::AnswerGap;
+use porthoist_policy::proxy::outages::AnswerGap;
 use serde::{Deserialize, Serialize};
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
--- a/crates/porthoist-proxy/tests/zone_tables.rs
+++ b/crates/porthoist-proxy/tests/zone_tables.rs
@@ -8,6 +8,8 @@
 mod outage_end;
 #[path = "zone_tables/random_restores.rs"]
 mod random_restores;
+#[path = "zone_tables/reader_outage.rs"]
+mod reader_outage;
 #[path = "zone_tables/restores.rs"]
 mod restores;
 
--- a/crates/porthoist-proxy/tests/zone_tables/harness.rs
+++ b/crates/porthoist-proxy/tests/zone_tables/harness.rs
@@ -194,6 +194,8 @@
     pub calls: Cell<usize>,
     /// Incremented to lose this process's pending calls.
     lost: watch::Sender<u64>,
+    /// Incremented to fail this process's pending calls.
+    rejected: watch::Sender<u64>,
     /// Number of next calls that are never answered.
     lost_next: Cell<usize>,
 }
@@ -206,6 +208,7 @@
             reset: Cell::new(false),
             calls: Cell::new(0),
             lost: watch::Sender::new(0),
+            rejected: watch::Sender::new(0),
             lost_next: Cell::new(0),
         })
     }
@@ -218,6 +221,14 @@
         }
     }
 
+    /// Rejects pending and later calls, or only ends that.
+    pub fn reject(&self, rejecting: bool) {
+        self.reset.set(rejecting);
+        if rejecting {
+            self.rejected.send_modify(|rejected| *rejected += 1);
+        }
+    }
+
     /// Loses pending calls.
     pub fn lose_pending(&self) {
         self.lost.send_modify(|lost| *lost += 1);
@@ -236,6 +247,7 @@
         let mut lost = self.service.lost.subscribe();
         let mut reset = self.service.reset.subscribe();
         let mut own_lost = self.lost.subscribe();
+        let mut own_rejected = self.rejected.subscribe();
         let is_lost = self.lost_next.get() > 0;
         self.lost_next.set(self.lost_next.get().saturating_sub(1));
         if self.cut.get() || is_lost {
@@ -250,6 +262,7 @@
             _lost = lost.changed() => std::future::pending().await,
             _lost = own_lost.changed() => std::future::pending().await,
             _reset = reset.changed() => Err(SourceError::Unavailable("reset".to_owned())),
+            _rejected = own_rejected.changed() => Err(SourceError::Unavailable("reset".to_owned())),
             answer = answer => answer,
         }
     }
@@ -479,6 +492,10 @@
         self.0.handles_backoff()
     }
 
+    fn failed_call(&self) -> Option<UnixMillis> {
+        self.0.failed_call()
+    }
+
     fn is_shared(&self) -> bool {
         self.0.is_shared()
     }
--- a/crates/porthoist-proxy/tests/zone_tables/outage_end.rs
+++ b/crates/porthoist-proxy/tests/zone_tables/outage_end.rs
@@ -22,6 +22,8 @@
 /// What happens to all readers of a zone shortly before the table service returns.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ReadersFault {
+    /// They live and serve queries.
+    None,
     /// They are killed and start again.
     Killed,
     /// They are killed and don't start again.
@@ -38,6 +40,7 @@
     fn apply(self, zone: &Deployment) {
         for reader in &zone.peers.readers {
             match self {
+                Self::None => {}
                 Self::Killed | Self::Gone => reader.fault.set(ReaderFault::Gone),
                 Self::Frozen => reader.fault.set(ReaderFault::Frozen),
                 Self::Silent => reader.link.set_silent(true),
@@ -134,6 +137,8 @@
 #[test_case(ReadersFault::Gone, false; "killed in an outage that rejects calls")]
 #[test_case(ReadersFault::Frozen, true; "frozen in a silent outage")]
 #[test_case(ReadersFault::Rejected, false; "rejected in an outage that rejects calls")]
+#[test_case(ReadersFault::None, true; "none in a silent outage")]
+#[test_case(ReadersFault::None, false; "none in an outage that rejects calls")]
 #[tokio::test(start_paused = true)]
 async fn calls_of_many_entries_without_readers_in_an_outage_are_limited(fault: ReadersFault, silent: bool) {
     run_local(async || {
@@ -153,7 +158,7 @@
         }
         let in_second = calls.windows(101).map(|window| window[100] - window[0]);
         let most = in_second.max().unwrap();
-        println!("{fault:?}: {} calls, {most} in a second at most", calls[500] - calls[0]);
+        println!("{fault:?}, silent {silent}: {} calls, {most} in a second at most", calls[500] - calls[0]);
         assert!(most <= CALLS_PER_SECOND, "{most} calls in a second");
     })
     .await;
--- a/porthoistd/src/settings/proxy.rs
+++ b/porthoistd/src/settings/proxy.rs
@@ -5,7 +5,7 @@
 use argh::FromArgs;
 use porthoist_core::{HostName, ZoneName};
 use porthoist_policy::proxy::change_bound::ChangeBound;
-use porthoist_policy::proxy::targets::StalenessBound;
+use porthoist_policy::proxy::outages::StalenessBound;
 use porthoist_proxy::MIN_PROOF_AGE_MILLIS;
 use slog::Level;
 use std::net::SocketAddr;
