Bound what is read of an answer that never ends

Cause: hyper skips any number of interim responses; the client that reads whole answers took bodies of up to 64 MiB, half of what a process beside an engine has; the body of a rejection was read to its end.

Ruled out: bytes that are no HTTP and endless header lines (rejected by hyper at once or at 400 KB), and bodies of targets' answers (8 MiB).

Change: BoundedIo limits the bytes that are read for one answer. Only the head of a rejection counts; its body is read for 50 ms and 64 KiB so that the connection can be used again. An answer that is too large is no sign of a crash.

--- a/crates/porthoist-http/src/client.rs
+++ b/crates/porthoist-http/src/client.rs
@@ -1,5 +1,6 @@
 //! HTTP client whose errors say whether the request may have run.
 
+use crate::bounded_io::{BoundedConnector, MAX_HEAD_BYTES};
 use crate::socket::{KEEPALIVE_IDLE, KEEPALIVE_INTERVAL, KEEPALIVE_PROBES, SocketPeer};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -15,7 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Largest answer body that is read, in bytes.
+/// Largest answer body that a client reads unless it has a bound of its own, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -42,12 +43,14 @@
     }
 }
 
-type PooledClient = Client<HttpConnector, Full<Bytes>>;
+type PooledClient = Client<BoundedConnector, Full<Bytes>>;
 
 /// HTTP client with a connection pool, which never sends a request twice. Clones share the pool.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
     client: Arc<Mutex<PooledClient>>,
+    /// Maximum size of an answer body in bytes.
+    answer_bytes: usize,
 }
 
 impl Default for HttpClient {
@@ -70,7 +73,7 @@
     }
 }
 
-fn pooled_client() -> PooledClient {
+fn pooled_client(answer_bytes: usize) -> PooledClient {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
@@ -83,18 +86,23 @@
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
         .retry_canceled_requests(false)
-        .build(connector)
+        .build(BoundedConnector { connector, answer_bytes: MAX_HEAD_BYTES + answer_bytes })
 }
 
 impl HttpClient {
     /// Creates a client with an empty pool.
     pub fn new() -> Self {
-        Self { client: Arc::new(Mutex::new(pooled_client())) }
+        Self::with_answer_bytes(MAX_ANSWER_BYTES)
+    }
+
+    /// Creates a client that reads answers with bodies of at most this many bytes.
+    pub fn with_answer_bytes(answer_bytes: usize) -> Self {
+        Self { client: Arc::new(Mutex::new(pooled_client(answer_bytes))), answer_bytes }
     }
 
     /// Drops the idle connections. Requests in flight keep theirs.
     pub fn drop_idle_connections(&self) {
-        *self.client.lock() = pooled_client();
+        *self.client.lock() = pooled_client(self.answer_bytes);
     }
 
     /// Sends a request and returns the answer with its body unread.
@@ -113,7 +121,7 @@
     pub async fn fetch(&self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, CallError> {
         let mut guard = CallGuard { client: self, answered: false };
         let (head, body) = self.send(request).await?.into_parts();
-        let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+        let collected = Limited::new(body, self.answer_bytes).collect().await;
         let bytes = collected.map_err(|error| CallError::unknown(error.to_string()))?.to_bytes();
         guard.answered = true;
         Ok(Response::from_parts(head, bytes))
--- a/crates/porthoist-proxy/src/connection_pool.rs
+++ b/crates/porthoist-proxy/src/connection_pool.rs
@@ -12,11 +12,12 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use porthoist_core::{ClockSource, RetryReason, RunVerdict, UnixDeadline, UnixMillis};
-use porthoist_http::{SocketPeer, configure_socket};
+use porthoist_http::{BoundedIo, MAX_HEAD_BYTES, ReadAllowance, SocketPeer, configure_socket};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::targets::{TargetLife, TargetRecord};
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::error::Error as _;
 use std::fmt;
 use std::io;
 use std::rc::Rc;
@@ -103,6 +104,7 @@
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    allowance: ReadAllowance,
     idle_since: UnixMillis,
     usable_until: UnixDeadline,
 }
@@ -131,6 +133,8 @@
 pub struct ConnectionLease {
     sender: Option<SendRequest<Full<Bytes>>>,
     task: AbortHandle,
+    /// Bytes that may be read until the head of the response is complete.
+    allowance: ReadAllowance,
     target: TargetLife,
     pool: ConnectionPool,
 }
@@ -161,6 +165,7 @@
         let connection = IdleConnection {
             sender,
             task: self.task.clone(),
+            allowance: self.allowance.clone(),
             idle_since: now,
             usable_until: UnixDeadline::after(now, idle_millis),
         };
@@ -291,6 +296,7 @@
                 return Some(ConnectionLease {
                     sender: Some(connection.sender),
                     task: connection.task,
+                    allowance: connection.allowance,
                     target: target.clone(),
                     pool: self.clone(),
                 });
@@ -356,6 +362,8 @@
         if let Some(bytes) = self.read_buffer {
             builder.max_buf_size(bytes);
         }
+        let allowance = ReadAllowance::new(MAX_HEAD_BYTES);
+        let stream = BoundedIo::new(stream, allowance.clone());
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(SendFailure::not_sent)?;
         self.metrics.record_connection();
@@ -366,6 +374,7 @@
         Ok(ConnectionLease {
             sender: Some(sender),
             task: task.abort_handle(),
+            allowance,
             target: target.life(),
             pool: self.clone(),
         })
@@ -379,7 +388,9 @@
     ) -> Result<Response<Incoming>, ExchangeFailure> {
         let sender = lease.sender.as_mut().expect("a lease in use has its sender");
         let timeout_after = deadline.remaining(self.clock.now());
+        lease.allowance.reset(MAX_HEAD_BYTES);
         let answered = tokio::time::timeout(timeout_after, sender.try_send_request(request)).await;
+        lease.allowance.lift();
         match answered {
             Ok(Ok(answer)) => Ok(answer),
             Ok(Err(mut failure)) => match failure.take_message() {
@@ -391,9 +402,11 @@
     }
 }
 
-/// A response that can't be parsed comes from a running target.
+/// A response that can't be parsed, or whose head is too large, comes from a running target.
 fn classify_error(error: &hyper::Error) -> SendFailure {
-    if error.is_parse() { SendFailure::lost(error) } else { SendFailure::closed(error) }
+    let cause = error.source().and_then(|cause| cause.downcast_ref::<io::Error>());
+    let is_too_large = cause.is_some_and(|cause| cause.kind() == io::ErrorKind::InvalidData);
+    if error.is_parse() || is_too_large { SendFailure::lost(error) } else { SendFailure::closed(error) }
 }
 
 enum ExchangeFailure {
--- a/crates/porthoist-proxy/src/handler/sending.rs
+++ b/crates/porthoist-proxy/src/handler/sending.rs
@@ -7,7 +7,7 @@
 use crate::headers::SendMetadata;
 use crate::reply::strip_hop_headers;
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::{Request, StatusCode};
@@ -15,6 +15,13 @@
 use porthoist_policy::proxy::backpressure::SignalValue;
 use porthoist_policy::proxy::balancer::SendOutcome;
 use slog::info;
+use std::error::Error;
+use std::time::Duration;
+
+/// Maximum size of the body of a rejection whose connection is used again, in bytes.
+const MAX_REJECTION_BYTES: usize = 64 * 1024;
+/// Time in milliseconds within which such a body must be complete.
+const REJECTION_MILLIS: u64 = 50;
 
 impl ProxyHandler {
     /// Sends a request once and classifies the response.
@@ -119,9 +126,7 @@
             self.apply_signals(&slot.target, &metadata.signals, sent);
         }
         if metadata.not_executed {
-            let rejection = self.read_complete(admitted, answer).await;
-            let detail =
-                rejection.map_or_else(|failure| failure.detail, |answer| format!("status {}", answer.status));
+            let detail = read_rejection(answer).await;
             let reason = match (metadata.misdirected, metadata.signals.rest_millis) {
                 (true, _) => RetryReason::Misdirected,
                 (false, SignalValue::Present(_millis)) => RetryReason::Resting,
@@ -169,14 +174,31 @@
     async fn collect(&self, body: Incoming) -> Result<Bytes, SendFailure> {
         let mut limited = Limited::new(body, MAX_BUFFERED_ANSWER_BYTES);
         if !self.budget.bounded() {
-            return Ok(limited.collect().await.map_err(SendFailure::closed)?.to_bytes());
+            return Ok(limited.collect().await.map_err(body_failure)?.to_bytes());
         }
         let (mut collected, mut held) = (BytesMut::new(), self.budget.guard());
         while let Some(frame) = limited.frame().await {
-            let Ok(data) = frame.map_err(SendFailure::closed)?.into_data() else { continue };
+            let Ok(data) = frame.map_err(body_failure)?.into_data() else { continue };
             held.grow(data.len()).await.map_err(SendFailure::lost)?;
             collected.extend_from_slice(&data);
         }
         Ok(held.attach(collected.freeze()))
     }
 }
+
+/// A target whose answer is too large is running.
+fn body_failure(error: Box<dyn Error + Send + Sync>) -> SendFailure {
+    if error.is::<LengthLimitError>() { SendFailure::lost(error) } else { SendFailure::closed(error) }
+}
+
+/// Reads the body of a rejection, so that its connection can be used again; its head says everything. Returns a
+/// description.
+async fn read_rejection(answer: OpenAnswer) -> String {
+    let OpenAnswer { head, body, lease } = answer;
+    let body = Limited::new(body, MAX_REJECTION_BYTES).collect();
+    let read = tokio::time::timeout(Duration::from_millis(REJECTION_MILLIS), body).await;
+    if matches!(read, Ok(Ok(_body))) {
+        lease.release(&head.headers);
+    }
+    format!("status {}", head.status)
+}
