--- a/crates/porthoist-proxy/src/lib.rs
+++ b/crates/porthoist-proxy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod headers;
 pub mod patch;
 pub mod peer_rows;
+mod pending_call;
 pub mod proven_rows;
 pub mod quarantine;
 pub mod reply;
@@ -24,6 +25,7 @@
 pub mod server;
 pub mod source;
 pub mod sse;
+mod table_copy;
 pub mod table_reader;
 
 pub use control::{ControlState, ControlWatch, MIN_PROOF_AGE_MILLIS};
--- a/crates/porthoist-proxy/src/peer_rows.rs
+++ b/crates/porthoist-proxy/src/peer_rows.rs
@@ -4,11 +4,13 @@
 //! A process calls the table service itself at its start, if no peer answers, and before its known state
 //! becomes too old. The number of calls thus grows with zones and not with entries.
 
+use crate::pending_call::PendingCall;
 use crate::proven_rows::ProvenRowSource;
-use crate::revision::{TableEra, TableRevision};
-use crate::rows::{ControlTable, RowSource, RowValue, TableRow, answer_within};
+use crate::revision::TableRevision;
+use crate::rows::{ControlTable, RowSource, TableRow, answer_within};
 use crate::source::{AnswerOrigin, SourceAnswer, SourceError, SourceFuture};
-use crate::table_reader::{RowUpdate, TableQuery, TableUpdate};
+use crate::table_copy::{ClockOffset, TableCopy};
+use crate::table_reader::{TableQuery, TableUpdate};
 use futures::StreamExt as _;
 use futures::future::LocalBoxFuture;
 use futures::stream::FuturesUnordered;
@@ -18,7 +20,6 @@
 use porthoist_policy::proxy::service_retry::{RetryPatience, ServiceRetry};
 use slog::{Logger, info};
 use std::cell::{Cell, RefCell};
-use std::cmp::Ordering;
 use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::net::Ipv4Addr;
@@ -149,104 +150,6 @@
     CallService(ServiceCallReason),
 }
 
-/// This process's copy of one table.
-#[derive(Debug, Default)]
-struct TableCopy {
-    rows: RefCell<HashMap<String, TableRow>>,
-    revision: Cell<Option<TableRevision>>,
-    stamp: Cell<u64>,
-}
-
-impl TableCopy {
-    fn era(&self) -> TableEra {
-        self.revision.get().unwrap_or_default().era
-    }
-
-    /// Whether a response is newer than this copy. Clock values of different eras are not comparable.
-    fn is_outdated_by(&self, revision: TableRevision, stamp: u64) -> bool {
-        match revision.era.cmp(&self.era()) {
-            Ordering::Less => false,
-            Ordering::Equal => stamp > self.stamp.get(),
-            Ordering::Greater => true,
-        }
-    }
-
-    /// Returns the complete rows, with patches applied, or `None` if a patch does not apply.
-    fn apply_patches(&self, update: SourceAnswer<Vec<RowUpdate>>) -> Option<SourceAnswer<Vec<TableRow>>> {
-        let known = self.rows.borrow();
-        let SourceAnswer { value, revision, stamp, origin } = update;
-        let rows: Option<Vec<TableRow>> = value
-            .into_iter()
-            .map(|row| {
-                let before = known.get(&row.key);
-                row.into_row(revision.era, before)
-            })
-            .collect();
-        Some(SourceAnswer { value: rows?, revision, stamp, origin })
-    }
-
-    /// Returns removals of all known rows whose keys are not in `keys`.
-    fn removals_except(&self, keys: &[String], revision: TableRevision) -> Vec<TableRow> {
-        let keys: HashSet<&String> = keys.iter().collect();
-        let rows = self.rows.borrow();
-        let gone = rows.keys().filter(|key| !keys.contains(key));
-        gone.map(|key| TableRow { key: key.clone(), value: RowValue::Removed, version: revision }).collect()
-    }
-}
-
-/// Relates a time of the table service's clock to an earlier time of the local clock: a response can't be
-/// older than its request.
-#[derive(Debug, Clone, Copy)]
-struct ClockOffset {
-    sent: UnixMillis,
-    era: TableEra,
-    stamp: u64,
-}
-
-impl ClockOffset {
-    fn new(sent: UnixMillis, era: TableEra, stamp: u64) -> Self {
-        Self { sent, era, stamp }
-    }
-
-    /// Takes another response into account. The one that places the service's clock latest is the most
-    /// accurate.
-    fn refined(self, sent: UnixMillis, stamp: u64) -> Self {
-        let other = Self { sent, stamp, ..self };
-        if other.local_lower_bound(stamp) > self.local_lower_bound(stamp) { other } else { self }
-    }
-
-    /// Returns a lower bound of the local time of a time of the table service's clock.
-    fn local_lower_bound(self, stamp: u64) -> UnixMillis {
-        UnixMillis((self.sent.0 + stamp).saturating_sub(self.stamp))
-    }
-}
-
-/// A pending call to the table service. Ends when dropped.
-#[derive(Debug)]
-struct PendingCall<'a> {
-    retry: &'a watch::Sender<ServiceRetry>,
-    due: UnixMillis,
-}
-
-impl<'a> PendingCall<'a> {
-    fn new(retry: &'a watch::Sender<ServiceRetry>, due: UnixMillis) -> Self {
-        retry.send_if_modified(|retry| {
-            retry.record_call(due);
-            false
-        });
-        Self { retry, due }
-    }
-}
-
-impl Drop for PendingCall<'_> {
-    fn drop(&mut self) {
-        self.retry.send_if_modified(|retry| {
-            retry.end_call(self.due);
-            false
-        });
-    }
-}
-
 /// Rows from the peer that follows the tables for the zone, or from the table service.
 #[derive(Debug)]
 pub struct PeerRowSource {
@@ -550,28 +453,6 @@
         Ok(answer)
     }
 
-    /// Applies a response to the copy. Rows older than the copy's are ignored.
-    fn apply(&self, table: ControlTable, answer: &SourceAnswer<Vec<TableRow>>, is_listing: bool) {
-        let copy = self.copy(table);
-        if is_listing && copy.revision.get().is_some_and(|known| answer.revision < known) {
-            return;
-        }
-        let mut rows = copy.rows.borrow_mut();
-        if is_listing {
-            rows.clear();
-        }
-        for row in &answer.value {
-            let known = rows.get(&row.key).map_or_else(TableRevision::default, |known| known.version);
-            if row.version >= known {
-                rows.insert(row.key.clone(), row.clone());
-            }
-        }
-        rows.retain(|_key, row| row.value != RowValue::Removed);
-        let previous_stamp = if answer.revision.era > copy.era() { 0 } else { copy.stamp.get() };
-        copy.stamp.set(previous_stamp.max(answer.stamp));
-        copy.revision.set(copy.revision.get().max(Some(answer.revision)));
-    }
-
     fn listing_of_copy(
         &self,
         table: ControlTable,
@@ -601,7 +482,7 @@
         };
         match from_peers {
             Some(answer) => {
-                self.apply(table, &answer, false);
+                self.copy(table).apply(&answer, false);
                 Ok(self.listing_of_copy(table, answer))
             }
             // A host that can't reach the service learns from peers that the update is too large, and must not
@@ -692,7 +573,7 @@
                 };
                 let answer = self.query_peers(request).await;
                 if let Ok(answer) = answer {
-                    self.apply(table, &answer, true);
+                    self.copy(table).apply(&answer, true);
                     return Some(answer);
                 }
             }
@@ -738,7 +619,7 @@
             }
             self.targets_listed.notify_waiters();
         }
-        self.apply(table, &answer, true);
+        self.copy(table).apply(&answer, true);
         Ok(self.listing_of_copy(table, answer))
     }
 
@@ -794,7 +675,7 @@
                 }
             }
         };
-        self.apply(table, &answer, false);
+        self.copy(table).apply(&answer, false);
         Ok(answer)
     }
 }
