--- a/crates/porthoist-proxy/src/control.rs
+++ b/crates/porthoist-proxy/src/control.rs
@@ -58,6 +58,7 @@
 /// Maximum number of target changes in one response that are logged individually. When a fleet starts, the
 /// number of lines would be hosts times targets.
 const MAX_LOGGED_CHANGES: usize = 16;
+
 /// Routes and targets as this process knows them.
 #[derive(Debug, Clone, Default)]
 pub struct ControlState {
@@ -110,6 +111,7 @@
     /// backup.
     #[builder(skip)]
     targets_era: Cell<Option<TableEra>>,
+    /// The latest outages that have ended.
     #[builder(skip)]
     ended_outages: Cell<EndedOutages>,
     /// Whether the known targets were too old at the last check.
--- a/crates/porthoist-proxy/src/peer_rows.rs
+++ b/crates/porthoist-proxy/src/peer_rows.rs
@@ -36,9 +36,9 @@
 const PEER_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a peer is avoided that did not answer, or whose own calls fail.
 const AVOID_TIME: Duration = Duration::from_secs(2);
-/// Time given to peers to provide news before the table service is called although it does not fail, and by which
-/// calls for rarely needed tables come later while it fails.
-const PROBE_INTERVAL: Duration = Duration::from_secs(3);
+/// Longest time given to peers to provide news. Calls for rarely needed tables come later by this time while the
+/// table service fails.
+const MAX_PEER_TIME: Duration = Duration::from_secs(3);
 /// Time within which a peer that was queried while the table service is unavailable must respond again.
 const PEER_RESPONSE_TIME: Duration = MAX_HOLD.saturating_add(PEER_TIMEOUT);
 /// How long peers are given to list crashes after the table service has recovered. They do so after routes.
@@ -204,7 +204,7 @@
             table_service: ProvenRowSource::new(table_service),
             peers,
             spread: rand::random(),
-            listing_wait: change_bound.service_wait(PROBE_INTERVAL),
+            listing_wait: change_bound.service_wait(MAX_PEER_TIME),
             metrics,
             routes: TableCopy::default(),
             targets: TableCopy::default(),
@@ -213,7 +213,7 @@
             next_targets_call: Cell::default(),
             fleet_start_end: Cell::default(),
             joined_late: Cell::new(false),
-            retry: watch::Sender::new(ServiceRetry::new(change_bound.retry_interval(PROBE_INTERVAL))),
+            retry: watch::Sender::new(ServiceRetry::new(change_bound.retry_interval(MAX_PEER_TIME))),
             probe: Mutex::new(()),
             clock_offset: Cell::new(None),
             avoided: RefCell::default(),
@@ -505,7 +505,7 @@
                 after: revision,
                 wait: self.listing_wait,
                 late_at: UnixDeadline::default(),
-                until: self.deadline_in(PROBE_INTERVAL * 2),
+                until: self.deadline_in(MAX_PEER_TIME * 2),
             };
             match self.query_peers(request).await {
                 Ok(answer) => return Some(answer),
@@ -602,7 +602,7 @@
             }
             // Crashes are rare, and the peers need them as much. Otherwise each entry would list them in
             // every outage.
-            ControlTable::Crashes => RetryPatience { peers: CRASHES_PEER_TIME, failing: PROBE_INTERVAL },
+            ControlTable::Crashes => RetryPatience { peers: CRASHES_PEER_TIME, failing: MAX_PEER_TIME },
         }
     }
 
@@ -666,7 +666,7 @@
                     after: revision,
                     wait,
                     late_at,
-                    until: self.deadline_in(PROBE_INTERVAL),
+                    until: self.deadline_in(MAX_PEER_TIME),
                 });
                 // This host may be the one that can't reach the service.
                 tokio::select! {
@@ -708,6 +708,6 @@
 
     /// Each call to the table service has a timeout of its own; queries to peers come before it.
     fn answer_timeout(&self, wait: Duration) -> Duration {
-        self.table_service.answer_timeout(wait) + PROBE_INTERVAL * 2 + MAX_HOLD + PEER_TIMEOUT
+        self.table_service.answer_timeout(wait) + MAX_PEER_TIME * 2 + MAX_HOLD + PEER_TIMEOUT
     }
 }
