--- a/crates/porthoist-policy/src/proxy/service_retry.rs
+++ b/crates/porthoist-policy/src/proxy/service_retry.rs
@@ -15,14 +15,14 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(480);
 /// Range of the random factor of a backoff. Processes that failed together must not retry together.
 const BACKOFF_FACTORS: Range<f64> = 0.5..1.5;
-/// Range of the random factor of the interval while peers respond.
+/// Range of the random factor of the interval between calls while peers respond.
 const INTERVAL_FACTORS: Range<f64> = 0.8..1.0;
 /// Time in milliseconds after which a missing answer is a sign of an outage: longer than the call repeated on
 /// another connection takes.
 const ANSWER_DELAY_MILLIS: u64 = 400;
 /// The same if an earlier call has failed.
 const REPEATED_ANSWER_DELAY_MILLIS: u64 = 100;
-/// Time within which a call is answered or fails.
+/// Time in milliseconds from when an answer is due until its call fails.
 const CALL_TIMEOUT_MILLIS: u64 = 900;
 
 /// How long a table is awaited before the service is called for it.
@@ -157,11 +157,9 @@
             let due = failure.with_peers.min(failure.without_peers.max(self.peers_until));
             return UnixDeadline::after(due.0, patience.failing.as_millis() as u64);
         }
-        let recovered = self.recovered.filter(|recovered| *recovered >= began);
-        let has_peers = |recovered: UnixMillis| !self.peers_until.passed(recovered);
-        match recovered {
-            Some(recovered) if !has_peers(recovered) => UnixDeadline(recovered),
-            _ => UnixDeadline::after(recovered.unwrap_or(began), patience.peers.as_millis() as u64),
+        match self.recovered.filter(|recovered| *recovered >= began) {
+            Some(recovered) if self.peers_until.passed(recovered) => UnixDeadline(recovered),
+            recovered => UnixDeadline::after(recovered.unwrap_or(began), patience.peers.as_millis() as u64),
         }
     }
 }
