Count what bodies take, and let stalled ones give way

Cause: a body was collected in a buffer that doubles, and the budget counted its content, not its capacity; while it is copied both buffers exist, and freed ones have sizes that are rarely needed again. A body over its limit was read for up to 64 MiB more before it was refused, also where its announced length said so. Nothing could be taken back from a body in arrival.

Change: bodies and complete responses are kept in pieces, of one size once they are large, that are never copied, and the budget counts their capacity (PiecedBody). BodyIntake reads bodies: a length over the limit is refused at the head, rests are discarded for 5 s and for 64 bodies at most; when room is short, the body that has held most for longest without 4 KiB of progress in 200 ms ends with 408 body_stalled and Retry-After, its connection closes. In calm nothing is timed but the deadline. An eighth of the room is left to bodies of up to 64 KiB, so that large ones alone can't refuse ordinary requests. A refusal that leaves a body unread says Connection: close.

Ruled out: a share for each address, since callers may come through one balancer; counting announced lengths, which closes an entry at no cost; a time limit between two reads, which a slow caller would meet in calm.

--- a/crates/porthoist-core/src/mark.rs
+++ b/crates/porthoist-core/src/mark.rs
@@ -57,9 +57,16 @@
 
     /// Returns the mark of the request with this body.
     pub fn mark(&self, body: &[u8]) -> RequestMark {
+        self.mark_pieces([body])
+    }
+
+    /// Returns the mark of the request whose body consists of these pieces.
+    pub fn mark_pieces<'a>(&self, pieces: impl IntoIterator<Item = &'a [u8]>) -> RequestMark {
         let mut hasher = self.hasher();
         let head = hasher.clone().finalize();
-        hasher.update(body);
+        for piece in pieces {
+            hasher.update(piece);
+        }
         let whole = hasher.finalize();
         RequestMark {
             head: u64::from_be_bytes(head[..8].try_into().expect("a SHA-256 digest has 32 bytes")),
--- a/crates/porthoist-core/src/reason.rs
+++ b/crates/porthoist-core/src/reason.rs
@@ -64,6 +64,8 @@
         UnknownService = "unknown_service",
         /// The process holds as many bytes for callers as it may.
         MemoryLimit = "memory_limit",
+        /// The body made no progress while room for other requests was short.
+        BodyStalled = "body_stalled",
         /// The deadline passed before the answer was complete.
         DeadlinePassed = "deadline_passed",
         /// The first token is predicted to come after the deadline.
@@ -157,6 +159,7 @@
             Self::KeyMismatch | Self::TicketInvalid => 422,
             Self::HeaderTooLong => 431,
             Self::BodyTooLong => 413,
+            Self::BodyStalled => 408,
             Self::RateLimit | Self::ConcurrencyLimit => 429,
             Self::ConnectionLost | Self::BackendFailed | Self::AnswerCorrupt => 502,
             Self::DeadlinePassed | Self::DeadlineUnreachable => 504,
--- a/crates/porthoist-proxy/src/byte_budget.rs
+++ b/crates/porthoist-http/src/byte_budget.rs
@@ -1,13 +1,17 @@
 //! Counts the bytes that a process holds for its callers and bounds them.
 //!
 //! Request bodies may take three quarters of the bound. The last quarter is left to responses: if bodies could
-//! take everything, no response could be read, and no request would end and release its body.
+//! take everything, no response could be read, and no request would end and release its body. Of the room for
+//! bodies, an eighth is left to small ones, so that large bodies alone can't keep ordinary requests out.
 
 use bytes::Bytes;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::sync::Notify;
 
+/// Maximum size in bytes of a body that may use the room left to small bodies.
+pub const SMALL_BODY_BYTES: u64 = 64 * 1024;
+
 /// Error returned when bytes do not fit the budget.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("the bound of {0} bytes held for callers would be passed")]
@@ -39,7 +43,13 @@
 
     /// Whether a request with a body of this many bytes fits, without taking them.
     pub fn fits_request(&self, body_bytes: u64) -> bool {
-        !self.bounded() || self.held().saturating_add(body_bytes) <= self.request_bound()
+        self.fits_request_after(0, body_bytes)
+    }
+
+    /// Whether a request with a body of this many bytes fits once others have released `released` bytes.
+    pub fn fits_request_after(&self, released: u64, body_bytes: u64) -> bool {
+        let held = self.held().saturating_sub(released);
+        !self.bounded() || held.saturating_add(body_bytes) <= self.request_bound(body_bytes)
     }
 
     /// Returns a guard that holds no bytes yet.
@@ -47,8 +57,10 @@
         HeldBytes { budget: Arc::clone(self), bytes: 0 }
     }
 
-    fn request_bound(&self) -> u64 {
-        self.bound - self.bound / 4
+    /// Bound on all held bytes up to which a body of this size may take more.
+    fn request_bound(&self, body_bytes: u64) -> u64 {
+        let for_requests = self.bound - self.bound / 4;
+        if body_bytes <= SMALL_BODY_BYTES { for_requests } else { for_requests - for_requests / 8 }
     }
 
     fn try_take(&self, bytes: u64, bound: u64) -> bool {
@@ -92,10 +104,10 @@
         self.bytes
     }
 
-    /// Adds bytes of a request body, or fails if they do not fit.
-    pub fn try_grow(&mut self, bytes: usize) -> Result<(), BudgetExceeded> {
+    /// Adds bytes of a request whose body has `body_bytes` bytes, or fails if they do not fit.
+    pub fn try_grow(&mut self, bytes: usize, body_bytes: u64) -> Result<(), BudgetExceeded> {
         if self.budget.bounded() {
-            if !self.budget.try_take(bytes as u64, self.budget.request_bound()) {
+            if !self.budget.try_take(bytes as u64, self.budget.request_bound(body_bytes)) {
                 return Err(BudgetExceeded(self.budget.bound));
             }
             self.bytes += bytes as u64;
@@ -131,7 +143,19 @@
 
     /// Attaches the guard to a buffer. It is released when the last reference to the buffer is dropped.
     pub fn attach(self, buffer: Bytes) -> Bytes {
-        if self.bytes == 0 { buffer } else { Bytes::from_owner(HeldBuffer { buffer, _held: self }) }
+        if self.bytes == 0 { buffer } else { Bytes::from_owner(HeldBuffer { buffer, _held: Arc::new(self) }) }
+    }
+
+    /// Attaches the guard to several buffers. It is released when the last reference to the last one is dropped.
+    pub fn attach_all<I>(self, buffers: I) -> impl Iterator<Item = Bytes>
+    where
+        I: Iterator<Item = Bytes>,
+    {
+        let held = (self.bytes > 0).then(|| Arc::new(self));
+        buffers.map(move |buffer| match &held {
+            Some(held) => Bytes::from_owner(HeldBuffer { buffer, _held: Arc::clone(held) }),
+            None => buffer,
+        })
     }
 }
 
@@ -143,7 +167,7 @@
 
 struct HeldBuffer {
     buffer: Bytes,
-    _held: HeldBytes,
+    _held: Arc<HeldBytes>,
 }
 
 impl AsRef<[u8]> for HeldBuffer {
--- a/crates/porthoist-http/src/lib.rs
+++ b/crates/porthoist-http/src/lib.rs
@@ -1,16 +1,22 @@
 //! Shared HTTP code on top of hyper.
 //!
-//! It has a server loop with graceful shutdown, a pooled client whose errors carry a verdict and whose answers are bounded,
-//! JSON helpers, and socket options that detect dead connections.
+//! It has a server loop with graceful shutdown, an intake of bodies within a budget of memory, a pooled client whose errors
+//! carry a verdict and whose answers are bounded, JSON helpers, and socket options that detect dead connections.
 
 pub mod body;
+pub mod body_intake;
 pub mod bounded_io;
+pub mod byte_budget;
 pub mod client;
+pub mod pieced_body;
 pub mod server;
 pub mod socket;
 
 pub use body::{BodyError, HttpBody, HttpResponse, full_body, json_response, read_body, text_response};
+pub use body_intake::{BodyIntake, IntakeError, ScarceRoom};
 pub use bounded_io::{BoundedIo, MAX_HEAD_BYTES, ReadAllowance};
+pub use byte_budget::{BudgetExceeded, ByteBudget, HeldBytes};
 pub use client::{CallError, HttpClient};
+pub use pieced_body::{PieceCollector, PiecedBody};
 pub use server::{ServerSettings, serve_until};
 pub use socket::{SocketPeer, bound_send_buffer, configure_socket};
--- a/crates/porthoist-proxy/tests/byte_budget.rs
+++ b/crates/porthoist-http/tests/byte_budget.rs
@@ -1,7 +1,7 @@
 //! Tests of the budget for bytes held for callers.
 
 use bytes::Bytes;
-use porthoist_proxy::byte_budget::{BudgetExceeded, ByteBudget};
+use porthoist_http::byte_budget::{BudgetExceeded, ByteBudget, SMALL_BODY_BYTES};
 use std::time::Duration;
 use test_case::test_case;
 
@@ -11,8 +11,8 @@
     let budget = ByteBudget::new(1_000);
     let mut first = budget.guard();
     let mut second = budget.guard();
-    first.try_grow(300).unwrap();
-    second.try_grow(200).unwrap();
+    first.try_grow(300, SMALL_BODY_BYTES).unwrap();
+    second.try_grow(200, SMALL_BODY_BYTES).unwrap();
     assert_eq!(budget.held(), 500);
     drop(first);
     assert_eq!(budget.held(), 200);
@@ -26,20 +26,32 @@
 fn bodies_leave_a_quarter_to_responses(bytes: usize, fits: bool) {
     let budget = ByteBudget::new(1_000);
     assert_eq!(budget.fits_request(bytes as u64), fits);
-    let grown = budget.guard().try_grow(bytes);
+    let grown = budget.guard().try_grow(bytes, SMALL_BODY_BYTES);
     assert_eq!(grown, if fits { Ok(()) } else { Err(BudgetExceeded(1_000)) });
     assert_eq!(budget.held(), 0);
 }
 
+/// Guards against large bodies that keep ordinary requests out.
+#[test_case(657, true; "up to seven eighths of the room for bodies")]
+#[test_case(658, false; "into the room of small bodies")]
+fn large_bodies_leave_an_eighth_to_small_ones(bytes: usize, fits: bool) {
+    let budget = ByteBudget::new(1_000);
+    let mut held = budget.guard();
+    assert_eq!(held.try_grow(bytes, SMALL_BODY_BYTES + 1).is_ok(), fits);
+    held.try_grow(750 - held.bytes() as usize, SMALL_BODY_BYTES).unwrap();
+    assert!(budget.fits_request(0) && !budget.fits_request(1));
+    assert!(budget.fits_request_after(1, 1));
+}
+
 /// Guards against a refused body that stays counted.
 #[test]
 fn failed_growth_changes_nothing() {
     let budget = ByteBudget::new(1_000);
     let mut held = budget.guard();
-    held.try_grow(700).unwrap();
-    assert_eq!(held.try_grow(100), Err(BudgetExceeded(1_000)));
+    held.try_grow(700, SMALL_BODY_BYTES).unwrap();
+    assert_eq!(held.try_grow(100, SMALL_BODY_BYTES), Err(BudgetExceeded(1_000)));
     assert_eq!((held.bytes(), budget.held()), (700, 700));
-    assert_eq!(held.try_grow(usize::MAX), Err(BudgetExceeded(1_000)));
+    assert_eq!(held.try_grow(usize::MAX, SMALL_BODY_BYTES), Err(BudgetExceeded(1_000)));
 }
 
 /// Guards against a response that waits on although bytes were released.
@@ -47,7 +59,7 @@
 async fn response_waits_for_released_bytes() {
     let budget = ByteBudget::new(1_000);
     let mut body = budget.guard();
-    body.try_grow(700).unwrap();
+    body.try_grow(700, SMALL_BODY_BYTES).unwrap();
     let mut response = budget.guard();
     response.grow(300).await.unwrap();
     let waiting = tokio::time::timeout(Duration::from_secs(5), response.grow(100));
@@ -90,7 +102,7 @@
 async fn unbounded_budget_counts_nothing() {
     let budget = ByteBudget::new(0);
     let mut held = budget.guard();
-    held.try_grow(usize::MAX).unwrap();
+    held.try_grow(usize::MAX, SMALL_BODY_BYTES).unwrap();
     held.grow(usize::MAX).await.unwrap();
     assert!(budget.fits_request(u64::MAX));
     let buffer = Bytes::from_static(b"unchanged");
--- a/crates/porthoist-proxy/src/connection_pool.rs
+++ b/crates/porthoist-proxy/src/connection_pool.rs
@@ -3,8 +3,6 @@
 //! Every failure states whether the request may have run. A connection whose exchange did not complete is
 //! closed at once, which also cancels the work at its target, and is never reused.
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, HeaderMap, HeaderName, TRANSFER_ENCODING};
@@ -12,7 +10,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use porthoist_core::{ClockSource, RetryReason, RunVerdict, UnixDeadline, UnixMillis};
-use porthoist_http::{BoundedIo, MAX_HEAD_BYTES, ReadAllowance, SocketPeer, configure_socket};
+use porthoist_http::{BoundedIo, MAX_HEAD_BYTES, PiecedBody, ReadAllowance, SocketPeer, configure_socket};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::targets::{TargetLife, TargetRecord};
 use std::cell::RefCell;
@@ -102,7 +100,7 @@
 }
 
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<PiecedBody>,
     task: AbortHandle,
     allowance: ReadAllowance,
     idle_since: UnixMillis,
@@ -131,7 +129,7 @@
 
 /// A connection in use. Dropping it closes the connection.
 pub struct ConnectionLease {
-    sender: Option<SendRequest<Full<Bytes>>>,
+    sender: Option<SendRequest<PiecedBody>>,
     task: AbortHandle,
     /// Bytes that may be read until the head of the response is complete.
     allowance: ReadAllowance,
@@ -245,7 +243,7 @@
     pub async fn send(
         &self,
         target: &TargetRecord,
-        request: Request<Full<Bytes>>,
+        request: Request<PiecedBody>,
         runs_once: bool,
         deadline: UnixDeadline,
     ) -> Result<OpenAnswer, SendFailure> {
@@ -383,7 +381,7 @@
     async fn exchange(
         &self,
         lease: &mut ConnectionLease,
-        request: Request<Full<Bytes>>,
+        request: Request<PiecedBody>,
         deadline: UnixDeadline,
     ) -> Result<Response<Incoming>, ExchangeFailure> {
         let sender = lease.sender.as_mut().expect("a lease in use has its sender");
@@ -410,7 +408,7 @@
 }
 
 enum ExchangeFailure {
-    Unsent(Box<Request<Full<Bytes>>>),
+    Unsent(Box<Request<PiecedBody>>),
     Failed(SendFailure),
 }
 
--- a/crates/porthoist-proxy/src/handler.rs
+++ b/crates/porthoist-proxy/src/handler.rs
@@ -1,7 +1,6 @@
 //! Handles one request: admission, target selection, sending and retries, up to the response or a refusal
 //! that states whether the request may have run.
 
-use crate::byte_budget::ByteBudget;
 use crate::caller_stream::CallerConnection;
 use crate::connection_pool::{ConnectionPool, OpenAnswer, SendFailure};
 use crate::control::ControlState;
@@ -16,6 +15,7 @@
 use porthoist_core::{
     ClockSource, RefusalReason, RetryReason, RunVerdict, ServiceName, UnixDeadline, UnixMillis,
 };
+use porthoist_http::{BodyIntake, ByteBudget};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::caller_retries::CallerRetryDetector;
 use porthoist_policy::proxy::capacity::{CapacityRule, CapacityState};
@@ -103,6 +103,7 @@
     pool: ConnectionPool,
     /// Bytes held for all callers.
     budget: Arc<ByteBudget>,
+    intake: Arc<BodyIntake>,
     retry_shares: RefCell<HashMap<ServiceName, RetryShare>>,
     retry_detector: RefCell<CallerRetryDetector>,
     /// Notes for the other entries of the zone.
@@ -161,6 +162,7 @@
             dispatcher,
             quarantine,
             pool,
+            intake: BodyIntake::new(Arc::clone(&budget), Arc::clone(&clock)),
             budget,
             retry_shares: RefCell::default(),
             retry_detector: RefCell::default(),
@@ -320,14 +322,16 @@
             }
             Err(refusal) => Err((refusal, guard)),
         };
+        let mut close = self.stopping.get();
         let mut reply = match outcome {
             Ok(reply) => reply,
             Err((refusal, guard)) => {
                 guard.completed.set(true);
+                close |= refusal.leaves_body_unread();
                 self.refuse(refusal, &attempt, arrival)
             }
         };
-        if self.stopping.get() {
+        if close {
             reply.headers_mut().insert(hyper::header::CONNECTION, HeaderValue::from_static("close"));
         }
         reply
--- a/crates/porthoist-proxy/src/handler/admission.rs
+++ b/crates/porthoist-proxy/src/handler/admission.rs
@@ -37,7 +37,6 @@
         let RoutedRequest { rule, grant, service, ranked, body_bytes } = routed;
         let wait = metadata.remaining_millis.unwrap_or(rule.timeout_millis).min(rule.timeout_millis);
         let deadline = UnixDeadline::after(arrival, wait);
-        let body = self.check_memory(body, deadline)?;
         let is_caller_retry = self.log_admitted(&metadata, &rule, &service, arrival);
         let body = self.read_body(body, body_bytes, deadline).await?;
         let level = self
--- a/crates/porthoist-proxy/src/handler/relay.rs
+++ b/crates/porthoist-proxy/src/handler/relay.rs
@@ -4,7 +4,6 @@
 use super::ProxyHandler;
 use super::request_guard::RequestGuard;
 use super::types::{AdmittedRequest, AnswerEnd, SendHistory, TargetAnswer};
-use crate::byte_budget::HeldBytes;
 use crate::connection_pool::{OpenAnswer, SendFailure};
 use crate::dispatcher::TargetSlot;
 use crate::reply::BodyStream;
@@ -14,6 +13,7 @@
 use http_body_util::BodyExt as _;
 use hyper::body::Frame;
 use porthoist_core::{RetryReason, UnixMillis};
+use porthoist_http::HeldBytes;
 use porthoist_policy::proxy::balancer::SendOutcome;
 use slog::info;
 use std::io;
--- a/crates/porthoist-proxy/src/handler/sending.rs
+++ b/crates/porthoist-proxy/src/handler/sending.rs
@@ -6,12 +6,12 @@
 use crate::dispatcher::TargetSlot;
 use crate::headers::SendMetadata;
 use crate::reply::strip_hop_headers;
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::{Request, StatusCode};
 use porthoist_core::{RetryReason, RunVerdict, UnixMillis};
+use porthoist_http::{PieceCollector, PiecedBody};
 use porthoist_policy::proxy::backpressure::SignalValue;
 use porthoist_policy::proxy::balancer::SendOutcome;
 use slog::info;
@@ -86,8 +86,8 @@
         slot: &TargetSlot,
         after_event: Option<u64>,
         now: UnixMillis,
-    ) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(admitted.body.clone()));
+    ) -> Request<PiecedBody> {
+        let mut request = Request::new(admitted.body.clone());
         *request.method_mut() = admitted.head.method.clone();
         *request.uri_mut() = admitted.head.uri.clone();
         let mut headers = admitted.head.headers.clone();
@@ -171,18 +171,14 @@
     }
 
     /// Collects a body, whose bytes are held until the caller's connection has taken them.
-    async fn collect(&self, body: Incoming) -> Result<Bytes, SendFailure> {
+    async fn collect(&self, body: Incoming) -> Result<PiecedBody, SendFailure> {
+        let mut collector = PieceCollector::new(self.budget.guard(), body.size_hint().exact());
         let mut limited = Limited::new(body, MAX_BUFFERED_ANSWER_BYTES);
-        if !self.budget.bounded() {
-            return Ok(limited.collect().await.map_err(body_failure)?.to_bytes());
-        }
-        let (mut collected, mut held) = (BytesMut::new(), self.budget.guard());
         while let Some(frame) = limited.frame().await {
             let Ok(data) = frame.map_err(body_failure)?.into_data() else { continue };
-            held.grow(data.len()).await.map_err(SendFailure::lost)?;
-            collected.extend_from_slice(&data);
+            collector.push_when_free(&data).await.map_err(SendFailure::lost)?;
         }
-        Ok(held.attach(collected.freeze()))
+        Ok(collector.finish())
     }
 }
 
--- a/crates/porthoist-proxy/src/handler/types.rs
+++ b/crates/porthoist-proxy/src/handler/types.rs
@@ -4,7 +4,6 @@
 use crate::connection_pool::{OpenAnswer, SendFailure};
 use crate::headers::RequestMetadata;
 use crate::quarantine::{MarkedRequest, SuspectRun};
-use bytes::Bytes;
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
@@ -13,6 +12,7 @@
     MarkedHead, PartMark, RefusalReason, RequestMark, RetryReason, RunVerdict, ServiceName, TargetName,
     UnixDeadline, UnixMillis,
 };
+use porthoist_http::PiecedBody;
 use porthoist_policy::proxy::balancer::RequestWork;
 use porthoist_policy::proxy::capacity::{GrantState, PriorityRank};
 use porthoist_policy::proxy::demand::PriorityLevel;
@@ -30,7 +30,7 @@
 pub(super) struct AdmittedRequest {
     pub(super) metadata: RequestMetadata,
     pub(super) head: Parts,
-    pub(super) body: Bytes,
+    pub(super) body: PiecedBody,
     pub(super) rule: Arc<RouteRule>,
     pub(super) grant: Option<TeamGrant>,
     pub(super) service: ServiceName,
@@ -107,7 +107,7 @@
     }
 
     fn mark(&self) -> RequestMark {
-        *self.cached_mark.get_or_init(|| self.marked_head().mark(&self.body))
+        *self.cached_mark.get_or_init(|| self.marked_head().mark_pieces(self.body.pieces()))
     }
 
     fn body_bytes(&self) -> usize {
@@ -139,6 +139,15 @@
 }
 
 impl ProxyRefusal {
+    /// Whether the request was refused before its body was complete. Its connection then can't carry another one.
+    pub(super) fn leaves_body_unread(&self) -> bool {
+        let is_body_refused = matches!(
+            self.reason,
+            RefusalReason::BodyTooLong | RefusalReason::MemoryLimit | RefusalReason::BodyStalled
+        );
+        is_body_refused || self.status == StatusCode::REQUEST_TIMEOUT
+    }
+
     /// Refuses a request that fails unless the caller changes it.
     pub(super) fn denied(reason: RefusalReason) -> Self {
         let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_REQUEST);
@@ -166,7 +175,7 @@
 pub(super) struct CompleteAnswer {
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
+    pub(super) body: PiecedBody,
     pub(super) end: AnswerEnd,
 }
 
--- a/crates/porthoist-proxy/src/lib.rs
+++ b/crates/porthoist-proxy/src/lib.rs
@@ -4,7 +4,6 @@
 //! Header formats are defined by a [`headers::HeaderCodec`], and routes and targets come from a
 //! [`source::ControlSource`].
 
-pub mod byte_budget;
 mod caller_connections;
 mod caller_stream;
 pub mod connection_pool;
--- a/crates/porthoist-proxy/src/reply.rs
+++ b/crates/porthoist-proxy/src/reply.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use futures::stream::LocalBoxStream;
-use http_body_util::{Either, Full, StreamBody};
+use http_body_util::{Either, StreamBody};
 use hyper::body::Frame;
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER,
@@ -10,12 +10,13 @@
 };
 use hyper::{Response, StatusCode};
 use porthoist_core::RefusalReason;
+use porthoist_http::PiecedBody;
 use std::io;
 
 /// A streamed body. An error closes the connection, so that the caller does not take the body for complete.
 pub type BodyStream = LocalBoxStream<'static, Result<Frame<Bytes>, io::Error>>;
 /// Body of a response to a caller.
-pub type ReplyBody = Either<Full<Bytes>, StreamBody<BodyStream>>;
+pub type ReplyBody = Either<PiecedBody, StreamBody<BodyStream>>;
 /// A response to a caller.
 pub type CallerReply = Response<ReplyBody>;
 
@@ -53,8 +54,8 @@
 }
 
 /// Creates a response with a complete body.
-pub fn complete_reply(status: StatusCode, headers: HeaderMap, body: Bytes) -> CallerReply {
-    let mut reply = Response::new(Either::Left(Full::new(body)));
+pub fn complete_reply(status: StatusCode, headers: HeaderMap, body: PiecedBody) -> CallerReply {
+    let mut reply = Response::new(Either::Left(body));
     *reply.status_mut() = status;
     *reply.headers_mut() = headers;
     reply
@@ -79,5 +80,5 @@
         let value = HeaderValue::from_str(&seconds).expect("digits and a point fit a header");
         headers.insert(RETRY_AFTER, value);
     }
-    complete_reply(status, headers, Bytes::from(text))
+    complete_reply(status, headers, Bytes::from(text).into())
 }
