Bound what a process holds by its memory

Callers lost an entry altogether: clients outside the limits made it run out of memory.

Connections were bounded by files only.

A given bound of more than three quarters of the memory is an error at start.

Ruled out: an allocator's setting, which bounds the rest after a crowd but not its peak; a fixed bound, which fits neither 160 nor 1,024 MB.

--- a/crates/porthoist-policy/src/proxy.rs
+++ b/crates/porthoist-policy/src/proxy.rs
@@ -18,6 +18,7 @@
 pub mod groups;
 pub mod limit_notes;
 mod load_interpretation;
+pub mod memory_bounds;
 pub mod moving;
 pub mod outages;
 pub mod pass_time;
--- a/crates/porthoist-policy/tests/policy.rs
+++ b/crates/porthoist-policy/tests/policy.rs
@@ -40,6 +40,8 @@
 mod group_selection;
 #[path = "policy/limits.rs"]
 mod limits;
+#[path = "policy/memory_bounds.rs"]
+mod memory_bounds;
 #[path = "policy/moving.rs"]
 mod moving;
 #[path = "policy/outages.rs"]
--- a/porthoistd/src/role.rs
+++ b/porthoistd/src/role.rs
@@ -9,9 +9,11 @@
 use crate::component::operator::{ProcessView, serve_operators};
 use crate::component::spawn_thread;
 use crate::settings::DaemonSettings;
+use nix::sys::resource::{Resource, getrlimit};
 use porthoist_core::IncarnationId;
 use porthoist_metrics::MetricsHub;
 use porthoist_operator::{OperatorServer, TableEditor};
+use porthoist_policy::proxy::file_bounds::{FileBounds, FileLimit};
 use porthoist_table::{HostEntry, HostRole, HostState, HttpPlatform};
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
@@ -27,6 +29,12 @@
     Ok((listener, bound))
 }
 
+/// Reads how many files the process may open, and divides them.
+pub(crate) fn file_bounds() -> io::Result<FileBounds> {
+    let (soft_limit, _hard_limit) = getrlimit(Resource::RLIMIT_NOFILE)?;
+    Ok(FileBounds::new(FileLimit(soft_limit)))
+}
+
 /// Starts the operator endpoint.
 pub(crate) fn start_operators(
     settings: &DaemonSettings,
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -1,19 +1,17 @@
 //! The proxy role: forwards requests unchanged, by the routes and targets of the platform's table service.
 
-use super::bind;
+use super::{bind, file_bounds};
 use crate::component::loads::LoadsWatch;
 use crate::component::signals::{watch_reloads, watch_signals};
 use crate::component::spawn_thread;
 use crate::component::status::StatusServer;
 use crate::component::zone_peers::{ZonePeers, entry_id};
 use crate::settings::proxy::{PROOF_MARGIN_MILLIS, ProxySettings};
-use nix::sys::resource::{Resource, getrlimit};
 use porthoist_core::{AnchoredClock, ClockSource};
 use porthoist_fleet::{AgedLoads, ControlTraffic, PeerPool};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::balancer::BalancerSettings;
 use porthoist_policy::proxy::demand::OwnDemand;
-use porthoist_policy::proxy::file_bounds::{FileBounds, FileLimit};
 use porthoist_policy::proxy::freshness::FreshnessRule;
 use porthoist_policy::proxy::limit_notes::TargetNote;
 use porthoist_policy::proxy::retry_share::RetryShareSettings;
@@ -79,6 +77,7 @@
     stopping: watch::Sender<bool>,
 ) -> io::Result<(ProxyAddresses, JoinHandle<()>)> {
     let file_bounds = file_bounds()?;
+    let max_connections = file_bounds.callers.min(settings.memory.connections);
     let (callers_listener, callers) = bind(settings.callers_listen)?;
     let (ready_listener, ready) = bind(settings.ready_listen)?;
     let (metrics_listener, metrics) = bind(settings.metrics_listen)?;
@@ -86,7 +85,8 @@
     let logger = logger.new(o!("role" => "proxy", "host" => settings.host.to_string()));
     info!(logger, "started"; "event" => "start", "callers" => callers.to_string(),
         "zone" => settings.zone.to_string(), "table" => settings.table.to_string(),
-        "version" => env!("CARGO_PKG_VERSION"), "max_connections" => file_bounds.callers);
+        "version" => env!("CARGO_PKG_VERSION"), "max_connections" => max_connections,
+        "held_bytes" => settings.memory.held_bytes);
     let process = ProxyProcess {
         metrics: Arc::new(MetricsHub::new().map_err(io::Error::other)?),
         clock: Arc::new(AnchoredClock::new()),
@@ -96,7 +96,8 @@
         own_notes: watch::Sender::new(Vec::new()),
         own_demand: watch::Sender::new(OwnDemand::new()),
         zone_notes: watch::Sender::new(Vec::new()),
-        file_bounds,
+        idle_targets: file_bounds.idle_targets,
+        max_connections,
         proof: FreshnessRule {
             max_age_millis: settings.revoke_millis.saturating_sub(PROOF_MARGIN_MILLIS),
             required_to_run: settings.refuse_unproven,
@@ -127,17 +128,13 @@
     own_demand: watch::Sender<OwnDemand>,
     zone_notes: watch::Sender<Vec<TargetNote>>,
     proof: FreshnessRule,
-    file_bounds: FileBounds,
+    idle_targets: usize,
+    /// Maximum number of open connections of callers.
+    max_connections: usize,
     stopping: watch::Sender<bool>,
     logger: Logger,
 }
 
-/// Reads how many files the process may open, and divides them.
-fn file_bounds() -> io::Result<FileBounds> {
-    let (soft_limit, _hard_limit) = getrlimit(Resource::RLIMIT_NOFILE)?;
-    Ok(FileBounds::new(FileLimit(soft_limit)))
-}
-
 impl ProxyProcess {
     /// Follows the platform's tables; returns the queue of crashes to write.
     fn start_control(&self) -> io::Result<mpsc::Sender<CrashChange>> {
@@ -234,7 +231,7 @@
                 stopping: self.stopping.subscribe(),
                 stop_lag_millis: STOP_LAG_MILLIS,
                 grace_millis: self.settings.grace_millis.saturating_sub(GRACE_MARGIN_MILLIS),
-                max_connections: self.file_bounds.callers,
+                max_connections: self.max_connections,
                 metrics: Arc::clone(&self.metrics),
                 logger: self.logger.clone(),
             };
@@ -278,9 +275,9 @@
             .freshness(self.proof)
             .retry_share(retry_share)
             .share_capacity(self.settings.share_capacity)
-            .held_bytes(self.settings.held_bytes)
+            .held_bytes(self.settings.memory.held_bytes)
             .unread_millis(self.settings.unread_millis)
-            .idle_targets(self.file_bounds.idle_targets)
+            .idle_targets(self.idle_targets)
             .build();
         ProxyHandler::builder()
             .settings(settings)
--- a/porthoistd/src/settings.rs
+++ b/porthoistd/src/settings.rs
@@ -3,6 +3,7 @@
 //! Every setting is validated before anything starts. An error names the setting, the given value and what is
 //! expected.
 
+mod memory;
 pub mod proxy;
 pub mod rank;
 mod reader;
@@ -12,6 +13,7 @@
 use argh::FromArgs;
 use porthoist_core::secret::SharedSecret;
 use porthoist_core::{HostName, ServiceName, TargetName, ZoneName};
+use porthoist_policy::proxy::memory_bounds::MemoryBounds;
 use proxy::ProxyArgs;
 use rank::RankArgs;
 use reader::SettingReader;
@@ -73,6 +75,9 @@
     /// operator token, 16 bytes or more
     #[argh(option)]
     pub operator_token: Option<String>,
+    /// memory in megabytes that the process may use (entry, local; default: that of the host)
+    #[argh(option)]
+    pub memory_mb: Option<String>,
     /// default deadline of a request in milliseconds (entry, local)
     #[argh(option)]
     pub deadline_ms: Option<String>,
@@ -159,6 +164,8 @@
     pub fleet_key: SharedSecret,
     /// Token of operators.
     pub operator_token: SharedSecret,
+    /// Bounds on what callers make the process hold.
+    pub memory: MemoryBounds,
     /// Default deadline of a request in milliseconds.
     pub deadline_millis: u64,
     /// Time in milliseconds between the stop signal and closing the callers' listener.
@@ -267,6 +274,7 @@
             queue: reader.value("queue", args.queue, Some("512"), "a whole number")?,
             fleet_key: reader.secret("fleet-key", args.fleet_key)?,
             operator_token: reader.secret("operator-token", args.operator_token)?,
+            memory: memory::memory_bounds(&reader, args.memory_mb, None)?,
             deadline_millis: reader.value("deadline-ms", args.deadline_ms, Some("30000"), MILLIS)?,
             stop_lag_millis: reader.value("stop-lag-ms", args.stop_lag_ms, Some("2000"), MILLIS)?,
             hedge: hedge.0,
--- a/porthoistd/src/settings/proxy.rs
+++ b/porthoistd/src/settings/proxy.rs
@@ -1,10 +1,12 @@
 //! Settings of the proxy role.
 
+use super::memory::memory_bounds;
 use super::reader::{SettingError, SettingReader};
 use super::{ADDRESS, DaemonRole};
 use argh::FromArgs;
 use porthoist_core::{HostName, ZoneName};
 use porthoist_policy::proxy::change_bound::ChangeBound;
+use porthoist_policy::proxy::memory_bounds::MemoryBounds;
 use porthoist_policy::proxy::outages::StalenessBound;
 use porthoist_proxy::MIN_PROOF_AGE_MILLIS;
 use slog::Level;
@@ -80,7 +82,11 @@
     /// whose requests have several priorities
     #[argh(option)]
     pub share_capacity: Option<String>,
-    /// maximum number of bytes held for all callers together: 0 for no bound, or at least 1048576
+    /// memory in megabytes that the process may use (default: that of the host)
+    #[argh(option)]
+    pub memory_mb: Option<String>,
+    /// maximum number of bytes held for all callers together: 0 for no bound, or at least 1048576 (default: half of the
+    /// memory)
     #[argh(option)]
     pub held_bytes: Option<String>,
     /// milliseconds after which a response of which its caller reads nothing is cut; 0 for never
@@ -136,8 +142,8 @@
     pub entries: u32,
     /// Whether the capacity of all services with ranks is divided among entries.
     pub share_capacity: bool,
-    /// Maximum number of bytes held for all callers together; 0 for no bound.
-    pub held_bytes: u64,
+    /// Bounds on what callers make the process hold.
+    pub memory: MemoryBounds,
     /// Time in milliseconds after which a response of which its caller reads nothing is cut; 0 for never.
     pub unread_millis: u64,
     /// Bytes of the requests to one service that wait during an outage.
@@ -146,9 +152,6 @@
     pub log_level: Level,
 }
 
-/// Minimum bound of held bytes: the largest event, of 256 KiB, fits the quarter that is left to responses.
-const MIN_HELD_BYTES: u64 = 1_048_576;
-
 const SECONDS: &str = "a number of seconds";
 /// Margin in milliseconds subtracted from the time within which a revoked key must stop working: the local
 /// clock follows the table service's with an error of some milliseconds.
@@ -168,18 +171,6 @@
     (seconds.max(0.0) * 1_000.0) as u64
 }
 
-fn held_bytes<E>(reader: &SettingReader<E>, given: Option<String>) -> Result<u64, SettingError>
-where
-    E: Fn(&str) -> Option<String>,
-{
-    let (flag, expected) = ("held-bytes", "0, or a whole number of bytes from 1048576");
-    let bytes = reader.value(flag, given, Some("0"), expected)?;
-    if (1..MIN_HELD_BYTES).contains(&bytes) {
-        return Err(SettingReader::<E>::error(flag, format!("\"{bytes}\" given"), expected));
-    }
-    Ok(bytes)
-}
-
 /// Reads the bound on the time until changes are in force: the tightest of the limits that are set. Without
 /// one, the tables are polled as rarely as proofs of freshness permit.
 fn change_bound<E>(reader: &SettingReader<E>, args: &ProxyArgs) -> Result<ChangeBound, SettingError>
@@ -264,7 +255,7 @@
                 Some("false"),
                 "true or false",
             )?,
-            held_bytes: held_bytes(&reader, args.held_bytes)?,
+            memory: memory_bounds(&reader, args.memory_mb, args.held_bytes)?,
             unread_millis: reader.millis("unread-ms", args.unread_ms, "0")?,
             outage_wait_bytes: reader.value(
                 "outage-wait-bytes",
--- a/porthoistd/tests/settings.rs
+++ b/porthoistd/tests/settings.rs
@@ -56,6 +56,41 @@
     assert_eq!(error.to_string(), format!("setting --held-bytes (PORTHOIST_HELD_BYTES): {problem}"));
 }
 
+fn memory_args(memory_mb: &str, held_bytes: Option<&str>) -> ProxyArgs {
+    ProxyArgs {
+        zone: Some("a".to_owned()),
+        table: Some("127.0.0.1:7000".to_owned()),
+        memory_mb: Some(memory_mb.to_owned()),
+        held_bytes: held_bytes.map(str::to_owned),
+        ..ProxyArgs::default()
+    }
+}
+
+/// Guards against a process without a bound that follows from its memory.
+#[test_case(memory_args("160", None), 80_000_000; "half of the memory")]
+#[test_case(memory_args("160", Some("67108864")), 67_108_864; "a given bound")]
+#[test_case(memory_args("160", Some("0")), 0; "no bound if asked for")]
+fn bound_of_held_bytes_follows_from_the_memory(args: ProxyArgs, held_bytes: u64) {
+    let settings = ProxySettings::load(args, |_name| None).unwrap();
+    assert_eq!(settings.memory.held_bytes, held_bytes);
+}
+
+#[test]
+fn memory_of_the_host_bounds_held_bytes_by_default() {
+    let args = ProxyArgs { memory_mb: None, ..memory_args("", None) };
+    assert!(ProxySettings::load(args, |_name| None).unwrap().memory.held_bytes > 16_000_000);
+    let args = DaemonArgs { role: Some("local".to_owned()), ..DaemonArgs::default() };
+    assert!(DaemonSettings::load(args, |_name| None).unwrap().memory.held_bytes > 16_000_000);
+}
+
+#[test_case(memory_args("160", Some("120000001")), "--held-bytes (PORTHOIST_HELD_BYTES): 120000001 bytes are more than three quarters of 160 MB"; "a bound that contradicts the memory")]
+#[test_case(memory_args("31", None), "--memory-mb (PORTHOIST_MEMORY_MB): 31 MB given"; "too little memory")]
+#[test_case(memory_args("much", None), "--memory-mb (PORTHOIST_MEMORY_MB): \"much\" given"; "no number")]
+fn invalid_memory_is_an_error(args: ProxyArgs, expected: &str) {
+    let error = ProxySettings::load(args, |_name| None).unwrap_err();
+    assert_eq!(error.to_string(), format!("setting {expected}"));
+}
+
 #[test]
 fn an_error_names_a_missing_setting() {
     let error = DaemonSettings::load(DaemonArgs::default(), |name| {
