Close connections without progress before refusing callers

Callers saw their connections closed without an answer while clients that had sent 999 of 1,000 bytes kept all connections of an entry with few files; clients with a part of a head made it open more than its bound.

Cause: beyond the bound only connections between two requests gave way. A connection in the middle of its first head counts as idle, but hyper waits for the rest of the head when it is told to close, so it stayed open and was no longer counted on.

A connection that gives way before its first complete head is dropped at once.

Ruled out: dropping connections that have had a request, which would cut responses that are still being written.

--- a/crates/porthoist-proxy/src/caller_connections.rs
+++ b/crates/porthoist-proxy/src/caller_connections.rs
@@ -2,6 +2,7 @@
 
 use crate::caller_stream::CallerConnection;
 use porthoist_core::{ClockSource, UnixDeadline, UnixMillis};
+use porthoist_http::{BodyIntake, ScarceRoom};
 use porthoist_metrics::MetricsHub;
 use slog::{Logger, info};
 use std::cell::{Cell, RefCell};
@@ -19,6 +20,8 @@
 pub(crate) enum ConnectionEvent {
     /// An idle connection was closed in favor of a new one.
     Evicted,
+    /// A connection whose body made no progress was closed in favor of a new one.
+    Stalled,
     /// A new connection was closed, because all others are in use.
     Refused,
     /// A connection could not be accepted.
@@ -29,6 +32,7 @@
     fn as_str(self) -> &'static str {
         match self {
             Self::Evicted => "evicted",
+            Self::Stalled => "stalled",
             Self::Refused => "refused",
             Self::Failed => "failed",
         }
@@ -38,6 +42,7 @@
 /// Open connections of callers, bounded in number.
 pub(crate) struct CallerConnections {
     max_connections: usize,
+    intake: Arc<BodyIntake>,
     /// By the order in which they were accepted.
     open: RefCell<BTreeMap<u64, Rc<CallerConnection>>>,
     next_id: Cell<u64>,
@@ -76,12 +81,14 @@
 impl CallerConnections {
     pub(crate) fn new(
         max_connections: usize,
+        intake: Arc<BodyIntake>,
         clock: Arc<dyn ClockSource>,
         metrics: Arc<MetricsHub>,
         logger: Logger,
     ) -> Rc<Self> {
         Rc::new(Self {
             max_connections,
+            intake,
             open: RefCell::default(),
             next_id: Cell::new(0),
             emptied: Notify::new(),
@@ -93,10 +100,21 @@
         })
     }
 
-    /// Adds a connection. Beyond the maximum the one that has been idle for the longest gives way; if none is idle, the new
-    /// one is refused.
+    /// Whether a new connection can be accepted or refused now. Otherwise one whose body has just stopped arriving may soon
+    /// give way.
+    pub(crate) fn can_decide(&self) -> bool {
+        let has_idle =
+            || self.open.borrow().values().any(|connection| connection.evictable_since().is_some());
+        !self.is_full() || has_idle() || !self.intake.has_arriving() || self.intake.has_stalled()
+    }
+
+    fn is_full(&self) -> bool {
+        self.open.borrow().len() >= self.max_connections
+    }
+
+    /// Adds a connection. Beyond the maximum another one gives way; if all are in use, the new one is refused.
     pub(crate) fn add(self: &Rc<Self>, connection: &Rc<CallerConnection>) -> Option<ConnectionSlot> {
-        if self.open.borrow().len() >= self.max_connections && !self.evict_idle() {
+        if self.is_full() && !self.evict() {
             self.record(ConnectionEvent::Refused, "all connections are in use");
             return None;
         }
@@ -107,8 +125,21 @@
         Some(ConnectionSlot { connections: Rc::clone(self), id })
     }
 
-    /// Closes the connection that has been idle for the longest. Returns whether there was one.
-    pub(crate) fn evict_idle(&self) -> bool {
+    /// Closes the connection that has been idle for the longest, or else the one whose body has made no progress for
+    /// longest. Returns whether there was one.
+    pub(crate) fn evict(&self) -> bool {
+        self.evict_idle() || self.evict_stalled()
+    }
+
+    fn evict_stalled(&self) -> bool {
+        let ended = self.intake.end_stalled(ScarceRoom::Connections);
+        if ended {
+            self.record(ConnectionEvent::Stalled, "too many connections");
+        }
+        ended
+    }
+
+    fn evict_idle(&self) -> bool {
         let idlest = {
             let open = self.open.borrow();
             let idle =
@@ -116,7 +147,7 @@
             idle.min_by_key(|(since, _connection)| *since).map(|(_since, connection)| Rc::clone(connection))
         };
         let Some(connection) = idlest else { return false };
-        connection.close();
+        connection.evict();
         self.record(ConnectionEvent::Evicted, "too many connections");
         true
     }
--- a/crates/porthoist-proxy/src/caller_stream.rs
+++ b/crates/porthoist-proxy/src/caller_stream.rs
@@ -21,8 +21,12 @@
     cut: Cell<bool>,
     /// Since when no request is being served; `None` while one is.
     idle_since: Cell<Option<UnixMillis>>,
+    /// Whether there has been a request.
+    began: Cell<bool>,
     /// Whether it was told to close.
     closing: Cell<bool>,
+    /// Whether it gives way to a new connection.
+    evicted: Cell<bool>,
     close_signal: Notify,
 }
 
@@ -31,6 +35,12 @@
     pub(crate) fn begin_request(&self, attempt: &Arc<str>) {
         *self.attempt.borrow_mut() = Some(Arc::clone(attempt));
         self.idle_since.set(None);
+        self.began.set(true);
+    }
+
+    /// Whether there has been a request. Without one, the connection has sent at most a part of a head.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.began.get()
     }
 
     /// Notes that no request is being served.
@@ -49,6 +59,17 @@
         self.close_signal.notify_one();
     }
 
+    /// Tells the connection to close in favor of a new one.
+    pub(crate) fn evict(&self) {
+        self.evicted.set(true);
+        self.close();
+    }
+
+    /// Whether the connection gives way to a new one.
+    pub(crate) fn is_evicted(&self) -> bool {
+        self.evicted.get()
+    }
+
     /// Waits until the connection is told to close.
     pub(crate) async fn closed(&self) {
         self.close_signal.notified().await;
--- a/crates/porthoist-proxy/src/handler.rs
+++ b/crates/porthoist-proxy/src/handler.rs
@@ -198,6 +198,11 @@
         self.state.borrow().routes.as_ref().map(|routes| routes.limits)
     }
 
+    /// Reads the bodies of requests.
+    pub(crate) fn intake(&self) -> &Arc<BodyIntake> {
+        &self.intake
+    }
+
     /// Settings of callers' connections.
     pub(crate) fn settings(&self) -> &ProxyHandlerSettings {
         &self.settings
--- a/crates/porthoist-proxy/src/server.rs
+++ b/crates/porthoist-proxy/src/server.rs
@@ -32,6 +32,9 @@
 /// that reads slowly would seem to read nothing for longer than the unread time.
 const SEND_BUFFER_BYTES: usize = 32 * 1024;
 
+/// Pause until connections may have closed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
 /// Dependencies and settings of the listener.
 #[derive(Debug, Clone)]
 pub struct ProxyServer {
@@ -59,6 +62,7 @@
     let now = || clock.now();
     let connections = CallerConnections::new(
         server.max_connections,
+        Arc::clone(server.handler.intake()),
         Arc::clone(&clock),
         Arc::clone(&server.metrics),
         server.logger.clone(),
@@ -66,14 +70,16 @@
     let mut grace_end = None;
     loop {
         let until_close = close_at.map(|deadline| deadline.remaining(now()));
+        let can_decide = connections.can_decide();
         tokio::select! {
-            accepted = listener.accept() => match accepted {
+            () = tokio::time::sleep(ACCEPT_PAUSE), if !can_decide => {}
+            accepted = listener.accept(), if can_decide => match accepted {
                 Ok((stream, _address)) => accept(stream, &server, &connections),
                 Err(error) => {
                     connections.record(ConnectionEvent::Failed, &error.to_string());
                     // The process may be out of file descriptors: leave time for connections to close.
-                    connections.evict_idle();
-                    tokio::time::sleep(Duration::from_millis(10)).await;
+                    connections.evict();
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             },
             _ = stopping.wait_for(|stopping| *stopping), if close_at.is_none() => {
@@ -133,6 +139,13 @@
             ended = connection.as_mut() => ended,
             () = caller.closed() => {
                 connection.as_mut().graceful_shutdown();
+                // Hyper would wait for the rest of a head.
+                if caller.is_evicted() && !caller.has_begun() {
+                    let ended = tokio::time::timeout(Duration::ZERO, connection.as_mut()).await;
+                    if ended.is_ok() || !caller.has_begun() {
+                        return;
+                    }
+                }
                 connection.await
             }
         };
