Bound what callers make an entry hold, and for how long

Clients that stopped before the last byte of a body made an entry grow without a bound, were still waiting 16 s later, and kept it from ending after SIGTERM; anyone could, without a key.

Cause: the entry role's own interface read a body before it looked at the team and its token, without a deadline and without a budget. The accept loop of all listeners but the proxy's had no bound on connections, and at a stop it waited for the rest of each head and body.

Change: the token is checked before the body is read; BodyIntake reads it until the request's deadline, within half of the memory (--memory-mb), and stalled bodies give way as at a proxy.

--- a/crates/porthoist-caller/src/request.rs
+++ b/crates/porthoist-caller/src/request.rs
@@ -224,7 +224,8 @@
     Ok(if idempotent { RepeatPolicy::Safe } else { RepeatPolicy::Never })
 }
 
-fn request_deadline(
+/// Returns when the answer to a request is due.
+pub fn request_deadline(
     headers: &HeaderMap,
     now: UnixMillis,
     defaults: RequestDefaults,
--- a/crates/porthoist-caller/src/server.rs
+++ b/crates/porthoist-caller/src/server.rs
@@ -4,7 +4,7 @@
 use crate::handler::RequestHandler;
 use crate::ports::{CallerPorts, CallerRefusal, RouteRequest};
 use crate::problem::{REQUEST_HEADER, problem_response};
-use crate::request::{RequestDefaults, authorized_team, read_request};
+use crate::request::{RequestDefaults, authorized_team, read_request, request_deadline};
 use bytes::Bytes;
 use futures::StreamExt as _;
 use http_body_util::{BodyExt as _, StreamBody};
@@ -14,7 +14,7 @@
 use porthoist_core::{
     AnswerHead, AttemptId, IncarnationId, RefusalReason, RequestId, ServiceName, TicketText, UnixDeadline,
 };
-use porthoist_http::{BodyError, HttpResponse, full_body, json_response, read_body, text_response};
+use porthoist_http::{BodyIntake, HttpResponse, IntakeError, full_body, json_response, text_response};
 use serde::{Deserialize, Serialize};
 use std::io;
 use std::sync::Arc;
@@ -26,6 +26,8 @@
 pub struct CallerSettings {
     /// Identifies this run of the entry process.
     pub entry: IncarnationId,
+    /// Reads the bodies of requests.
+    pub intake: Arc<BodyIntake>,
     /// Default deadline, in milliseconds from the arrival of the request.
     #[builder(default = 30_000)]
     pub deadline_millis: u64,
@@ -65,6 +67,8 @@
     1
 }
 
+/// Retry delay in milliseconds of callers whose bodies were refused for lack of room.
+const MEMORY_RETRY_MILLIS: u64 = 500;
 /// Lifetime of tickets that are requested without a deadline, in milliseconds.
 const TICKET_MILLIS: u64 = 60 * 60 * 1000;
 
@@ -85,6 +89,11 @@
         self.shared.in_flight.load(Ordering::Relaxed)
     }
 
+    /// Reads the bodies of requests.
+    pub fn intake(&self) -> &Arc<BodyIntake> {
+        &self.shared.settings.intake
+    }
+
     /// Handles one HTTP request.
     pub async fn handle(self, request: Request<Incoming>) -> HttpResponse {
         match (request.method(), request.uri().path()) {
@@ -131,11 +140,14 @@
         }
         let (head, body) = request.into_parts();
         self.check_headers(&head.headers)?;
-        let body = self.read_body(body).await?;
+        // Callers without a key must not make the process hold their bodies.
+        authorized_team(&head.headers, ports.config.as_ref())?;
+        let defaults = RequestDefaults { deadline_millis: self.shared.settings.deadline_millis };
+        let deadline = request_deadline(&head.headers, ports.clock.now(), defaults)?;
+        let body = self.read_body(body, deadline).await?;
         if head.uri.path() == "/porthoist/v1/tickets" {
             return self.mint_tickets(id, &head.headers, &body).await;
         }
-        let defaults = RequestDefaults { deadline_millis: self.shared.settings.deadline_millis };
         let parsed = read_request(&head, body, ports.clock.now(), ports.config.as_ref(), defaults)?;
         let (sender, start) = oneshot::channel();
         let entry = self.shared.settings.entry;
@@ -171,15 +183,25 @@
         Err(CallerRefusal::not_run(RefusalReason::HeaderTooLong, detail))
     }
 
-    async fn read_body(&self, body: Incoming) -> Result<Bytes, CallerRefusal> {
-        let limit = self.shared.settings.body_bytes;
-        read_body(body, limit).await.map_err(|error| match error {
-            BodyError::TooLong(_limit) => {
-                CallerRefusal::not_run(RefusalReason::BodyTooLong, error.to_string())
-            }
-            BodyError::Broken(error) => {
-                CallerRefusal::not_run(RefusalReason::Malformed, format!("the body broke off: {error}"))
-            }
+    async fn read_body(&self, body: Incoming, deadline: UnixDeadline) -> Result<Bytes, CallerRefusal> {
+        let Self { shared } = self;
+        let read = shared.settings.intake.read_whole(body, shared.settings.body_bytes, deadline).await;
+        read.map_err(|error| {
+            let reason = match error {
+                IntakeError::TooLong(_limit) => RefusalReason::BodyTooLong,
+                IntakeError::Late => RefusalReason::DeadlinePassed,
+                IntakeError::NoRoom => RefusalReason::MemoryLimit,
+                IntakeError::Stalled => RefusalReason::BodyStalled,
+                IntakeError::Closed => RefusalReason::ShuttingDown,
+                IntakeError::Broken(_) => RefusalReason::Malformed,
+            };
+            let refusal = CallerRefusal::not_run(reason, error.to_string());
+            let is_retryable = matches!(
+                reason,
+                RefusalReason::MemoryLimit | RefusalReason::BodyStalled | RefusalReason::ShuttingDown
+            );
+            let retry_at = is_retryable.then(|| shared.ports.clock.now().plus(MEMORY_RETRY_MILLIS));
+            CallerRefusal { retry_at, ..refusal }
         })
     }
 
--- a/crates/porthoist-http/src/lib.rs
+++ b/crates/porthoist-http/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod server;
 pub mod socket;
 
-pub use body::{BodyError, HttpBody, HttpResponse, full_body, json_response, read_body, text_response};
+pub use body::{HttpBody, HttpResponse, full_body, json_response, text_response};
 pub use body_intake::{BodyIntake, IntakeError, ScarceRoom};
 pub use bounded_io::{BoundedIo, MAX_HEAD_BYTES, ReadAllowance};
 pub use byte_budget::{BudgetExceeded, ByteBudget, HeldBytes};
--- a/porthoistd/src/component/callers.rs
+++ b/porthoistd/src/component/callers.rs
@@ -3,10 +3,16 @@
 use porthoist_caller::CallerServer;
 use porthoist_http::{ServerSettings, serve_until};
 use slog::{Logger, info};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+/// Size in bytes of the read buffer of a connection. Twice the permitted size of headers: a caller with somewhat longer
+/// ones is told the limit.
+const HEADER_BYTES: usize = 32 * 1024;
+/// Time left to the bodies that are arriving once the listener closes.
+const BODY_GRACE: Duration = Duration::from_secs(3);
 /// Interval at which shutdown checks whether requests are still in flight.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -15,22 +21,30 @@
 pub async fn serve_callers(
     listener: TcpListener,
     server: CallerServer,
+    max_connections: usize,
     mut stopping: watch::Receiver<bool>,
     stop_lag: Duration,
     logger: Logger,
 ) {
     let (close, closed) = watch::channel(false);
     let handler = server.clone();
-    let serving = serve_until(listener, ServerSettings::default(), closed, move |request| {
-        handler.clone().handle(request)
-    });
+    let intake = Some(Arc::clone(server.intake()));
+    let settings =
+        ServerSettings { header_bytes: HEADER_BYTES, max_connections, intake, ..ServerSettings::default() };
+    let serving = serve_until(listener, settings, closed, move |request| handler.clone().handle(request));
     let closing = async {
         if stopping.wait_for(|stop| *stop).await.is_ok() {
             tokio::time::sleep(stop_lag).await;
         }
         close.send_replace(true);
+        tokio::time::sleep(BODY_GRACE).await;
+        server.intake().close();
+        std::future::pending::<()>().await;
     };
-    tokio::join!(serving, closing);
+    tokio::select! {
+        () = serving => {}
+        () = closing => {}
+    }
     while server.in_flight() > 0 {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
--- a/porthoistd/src/component/operator.rs
+++ b/porthoistd/src/component/operator.rs
@@ -68,6 +68,8 @@
 /// Serves the operator endpoint forever.
 pub async fn serve_operators(listener: TcpListener, server: OperatorServer) {
     let (_keep, never) = watch::channel(false);
-    serve_until(listener, ServerSettings::default(), never, move |request| server.clone().handle(request))
-        .await;
+    serve_until(listener, ServerSettings::for_operators(), never, move |request| {
+        server.clone().handle(request)
+    })
+    .await;
 }
--- a/porthoistd/src/component/status.rs
+++ b/porthoistd/src/component/status.rs
@@ -46,7 +46,7 @@
         let checks = Arc::clone(&self);
         let ready = serve_until(
             TcpListener::from_std(ready).expect("the listener is bound and non-blocking"),
-            ServerSettings::default(),
+            ServerSettings::for_operators(),
             never.subscribe(),
             move |request| {
                 let answer = checks.ready(&request);
@@ -95,7 +95,7 @@
 pub async fn serve_metrics(listener: StdListener, metrics: Arc<MetricsHub>) {
     let never = watch::Sender::new(false);
     let listener = TcpListener::from_std(listener).expect("the listener is bound and non-blocking");
-    serve_until(listener, ServerSettings::default(), never.subscribe(), move |request| {
+    serve_until(listener, ServerSettings::for_operators(), never.subscribe(), move |request| {
         let answer = if request.uri().path() == METRICS_PATH {
             text_response(StatusCode::OK, metrics.to_prometheus_text())
         } else {
--- a/porthoistd/src/role/entry.rs
+++ b/porthoistd/src/role/entry.rs
@@ -1,6 +1,6 @@
 //! The entry role: takes callers' requests and offers them to targets.
 
-use super::{bind, host_entry, random_incarnation, start_operators};
+use super::{bind, file_bounds, host_entry, random_incarnation, start_operators};
 use crate::component::callers::serve_callers;
 use crate::component::claims::{ClaimCalls, claim_ring, serve_claims};
 use crate::component::entry_fleet::view::FleetView;
@@ -16,6 +16,7 @@
 use porthoist_caller::{CallerPorts, CallerServer, CallerSettings};
 use porthoist_core::{AnchoredClock, ClockSource, IncarnationId, RingReceiver};
 use porthoist_fleet::serve_fleet;
+use porthoist_http::{BodyIntake, ByteBudget};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::decision_log::DecisionLog;
 use porthoist_policy::router::RouterSettings;
@@ -177,8 +178,11 @@
     }
 
     fn caller_server(&self, ports: CallerPorts) -> CallerServer {
+        let budget = ByteBudget::new(self.settings.memory.held_bytes);
+        let intake = BodyIntake::new(budget, Arc::clone(&self.clock));
         let settings = CallerSettings::builder()
             .entry(self.incarnation)
+            .intake(intake)
             .deadline_millis(self.settings.deadline_millis)
             .build();
         CallerServer::new(settings, ports, self.stopping.subscribe())
@@ -203,12 +207,13 @@
         let Self { settings, logger, stopping, .. } = self;
         let stop_lag = Duration::from_millis(settings.stop_lag_millis);
         let stop_signal = stopping.subscribe();
+        let max_connections = file_bounds()?.callers.min(settings.memory.connections);
         spawn_thread("callers", move || async move {
             let counted = server.clone();
             tokio::task::spawn_local(watch_signals(stopping, logger.clone(), move || counted.in_flight()));
             let listener = TcpListener::from_std(listener).expect("the listener is bound and non-blocking");
             info!(logger, "accepting callers"; "address" => listener.local_addr().ok().map(|address| address.to_string()));
-            serve_callers(listener, server, stop_signal, stop_lag, logger).await;
+            serve_callers(listener, server, max_connections, stop_signal, stop_lag, logger).await;
         })
     }
 }
