Limit the log lines on refused bodies

A crowd of clients whose bodies are refused wrote one line each, up to the 500 lines a second of the process, and operators lost the lines on ordinary requests (log_lines_dropped).

Cause: each refusal is logged. Change: refusals that leave a body unread have at most 20 lines a second; the next line says how many were skipped (skipped_lines) and how many bytes are held (held_bytes). The counters count all of them. A refused body that pauses for 500 ms is no longer waited for: its caller reads the answer, and 64 silent callers would otherwise keep the places of those whose rest is being discarded.

--- a/crates/porthoist-http/src/body_intake.rs
+++ b/crates/porthoist-http/src/body_intake.rs
@@ -27,6 +27,8 @@
 const MAX_DISCARDED_BYTES: usize = 64 * 1024 * 1024;
 /// Time in milliseconds for which a refused body is read.
 const DISCARD_MILLIS: u64 = 5_000;
+/// Time in milliseconds for which a refused body may pause. A caller that has stopped sending reads the answer.
+const DISCARD_PAUSE_MILLIS: u64 = 500;
 /// Number of refused bodies that are read at the same time. The connections of others close after their answers.
 const MAX_DISCARDED_BODIES: usize = 64;
 
@@ -309,7 +311,8 @@
         tokio::spawn(async move {
             let reading = async {
                 let mut discarded = 0;
-                while let Some(Ok(frame)) = body.frame().await {
+                let pause = Duration::from_millis(DISCARD_PAUSE_MILLIS);
+                while let Ok(Some(Ok(frame))) = tokio::time::timeout(pause, body.frame()).await {
                     discarded += frame.data_ref().map_or(0, Bytes::len);
                     if discarded > MAX_DISCARDED_BYTES {
                         break;
--- a/crates/porthoist-proxy/src/handler.rs
+++ b/crates/porthoist-proxy/src/handler.rs
@@ -40,6 +40,7 @@
 mod backpressure;
 mod grant_fields;
 mod moving;
+mod refusal_log;
 mod relay;
 mod request_body;
 mod request_guard;
@@ -51,6 +52,7 @@
 
 use backpressure::NotePublisher;
 use grant_fields::GrantFields;
+use refusal_log::RefusalLog;
 use relay::EventRelay;
 use request_guard::RequestGuard;
 use types::{AdmittedRequest, CompleteAnswer, ProxyRefusal, SendHistory, TargetAnswer};
@@ -104,6 +106,7 @@
     /// Bytes held for all callers.
     budget: Arc<ByteBudget>,
     intake: Arc<BodyIntake>,
+    refusal_log: RefusalLog,
     retry_shares: RefCell<HashMap<ServiceName, RetryShare>>,
     retry_detector: RefCell<CallerRetryDetector>,
     /// Notes for the other entries of the zone.
@@ -164,6 +167,7 @@
             pool,
             intake: BodyIntake::new(Arc::clone(&budget), Arc::clone(&clock)),
             budget,
+            refusal_log: RefusalLog::default(),
             retry_shares: RefCell::default(),
             retry_detector: RefCell::default(),
             note_publisher: RefCell::new(NotePublisher::new(notes)),
@@ -344,9 +348,13 @@
 
     fn refuse(&self, refusal: ProxyRefusal, attempt: &str, arrival: UnixMillis) -> CallerReply {
         let ProxyRefusal { reason, status, verdict, retry_millis, grant } = refusal;
-        info!(self.logger, "request refused"; "event" => "refused", "request" => attempt, "reason" => reason.as_str(),
-            "status" => status.as_u16(), "verdict" => verdict.as_str(), "retry_ms" => retry_millis,
-            "held_ms" => self.clock.now().since(arrival), GrantFields(grant));
+        let now = self.clock.now();
+        if let Some(skipped) = self.refusal_log.permit(&refusal, now) {
+            info!(self.logger, "request refused"; "event" => "refused", "request" => attempt,
+                "reason" => reason.as_str(), "status" => status.as_u16(), "verdict" => verdict.as_str(),
+                "retry_ms" => retry_millis, "held_ms" => now.since(arrival), "skipped_lines" => skipped,
+                "held_bytes" => refusal.leaves_body_unread().then(|| self.budget.held()), GrantFields(grant));
+        }
         self.metrics.record_refusal(reason, verdict);
         let mut reply = refusal_reply(status, reason, retry_millis);
         self.codec.write_attempt(attempt, reply.headers_mut());
