--- a/crates/porthoist-http/src/body_intake.rs
+++ b/crates/porthoist-http/src/body_intake.rs
@@ -13,7 +13,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::sync::Notify;
 
@@ -64,14 +64,16 @@
     Connections,
 }
 
-/// Reads bodies within a budget. All listeners of a process share one.
+/// Reads bodies within a budget.
 pub struct BodyIntake {
     budget: Arc<ByteBudget>,
     clock: Arc<dyn ClockSource>,
     /// Bodies that are being read, in the order of their arrival.
     arriving: Mutex<BTreeMap<u64, Arc<ArrivingBody>>>,
-    next_id: AtomicUsize,
+    next_id: AtomicU64,
+    /// Number of refused bodies whose rests are being read.
     discarding: AtomicUsize,
+    /// Whether the process no longer reads bodies.
     closed: AtomicBool,
 }
 
@@ -88,6 +90,7 @@
 #[derive(Debug)]
 struct ArrivingBody {
     state: Mutex<ArrivalState>,
+    /// Notified when another task ends the body.
     ended: Notify,
 }
 
@@ -95,8 +98,9 @@
 struct ArrivalState {
     /// `None` once the body has been ended.
     collector: Option<PieceCollector>,
+    /// When the body last made progress.
     progress_at: UnixMillis,
-    /// Bytes since then.
+    /// Bytes that have arrived since then.
     bytes_since: usize,
 }
 
@@ -137,17 +141,12 @@
             budget,
             clock,
             arriving: Mutex::default(),
-            next_id: AtomicUsize::new(0),
+            next_id: AtomicU64::new(0),
             discarding: AtomicUsize::new(0),
             closed: AtomicBool::new(false),
         })
     }
 
-    /// The bytes held for callers.
-    pub fn budget(&self) -> &Arc<ByteBudget> {
-        &self.budget
-    }
-
     /// Reads a body of up to `limit` bytes until the deadline. If it is refused, the rest is discarded within bounds.
     pub async fn read(
         self: &Arc<Self>,
@@ -266,7 +265,7 @@
             bytes_since: 0,
         };
         let arriving = Arc::new(ArrivingBody { state: Mutex::new(state), ended: Notify::new() });
-        let id = self.next_id.fetch_add(1, Ordering::Relaxed) as u64;
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         self.arriving.lock().insert(id, Arc::clone(&arriving));
         ArrivalGuard { intake: self, id, arriving }
     }
--- a/porthoistd/src/component/callers.rs
+++ b/porthoistd/src/component/callers.rs
@@ -32,6 +32,7 @@
     let settings =
         ServerSettings { header_bytes: HEADER_BYTES, max_connections, intake, ..ServerSettings::default() };
     let serving = serve_until(listener, settings, closed, move |request| handler.clone().handle(request));
+    // Ends only with `serving`.
     let closing = async {
         if stopping.wait_for(|stop| *stop).await.is_ok() {
             tokio::time::sleep(stop_lag).await;
