Write the last lines of the log before the exit, and log panics

After a stop, operators often had no line that says how the process ended: the log is asynchronous, and the exit did not wait for it. A panic that ends only the task of one connection left no line in the log at all. So the hypotheses on requests cut at a stop could not be told apart.

The daemon now keeps the guard of the asynchronous drain and drops it last, for 150 ms at most: whoever reads the log may have stopped reading. A panic hook logs the text, the thread and the place.

--- a/porthoistd/src/lib.rs
+++ b/porthoistd/src/lib.rs
@@ -68,6 +68,7 @@
         println!("the settings are valid");
         return Ok(());
     }
-    let logger = logging::logger(LogFormat::Json, level);
+    let (logger, _flush) = logging::logger(LogFormat::Json, level);
+    logging::log_panics(logger.clone());
     role(&logger).into_diagnostic()
 }
--- a/porthoistd/src/logging.rs
+++ b/porthoistd/src/logging.rs
@@ -1,10 +1,14 @@
 //! Structured logs: JSON lines on standard output, or text for a terminal on standard error.
 //!
-//! Logging never blocks the calling thread, and the number of lines per second is bounded.
+//! Logging never blocks the calling thread, and the number of lines per second is bounded. The lines of a process that exits
+//! are written before it does, and so is what panicked in it.
 
 use crate::settings::LogFormat;
-use slog::{Drain, Level, LevelFilter, Logger, Never, OwnedKVList, Record, o};
-use std::sync::{Mutex, PoisonError};
+use slog::{Drain, Level, LevelFilter, Logger, Never, OwnedKVList, Record, error, o};
+use slog_async::AsyncGuard;
+use std::fmt;
+use std::panic::PanicHookInfo;
+use std::sync::{Mutex, PoisonError, mpsc};
 use std::time::{Duration, Instant};
 
 /// Records buffered for a slow log reader; more are dropped and counted by slog.
@@ -12,8 +16,50 @@
 /// Maximum number of log lines per second. An entry under production load writes about 60.
 const MAX_LINES_PER_SECOND: u32 = 500;
 
-/// Creates a logger that never blocks the calling thread.
-pub fn logger(format: LogFormat, level: Level) -> Logger {
+/// Maximum time to write the lines that are left at the exit. Their reader may have stopped reading.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Writes the lines that are left when dropped, which ends the log.
+#[must_use = "lines that are not written when the process exits are lost"]
+pub struct LogFlush(Option<AsyncGuard>);
+
+impl fmt::Debug for LogFlush {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("LogFlush").finish_non_exhaustive()
+    }
+}
+
+impl Drop for LogFlush {
+    fn drop(&mut self) {
+        let Some(guard) = self.0.take() else { return };
+        let (sender, written) = mpsc::channel();
+        let flushing = std::thread::Builder::new().name("log-flush".to_owned()).spawn(move || {
+            drop(guard);
+            let _given_up = sender.send(());
+        });
+        if flushing.is_ok() {
+            // Without an answer in time, the rest of the lines is lost.
+            let _timed_out = written.recv_timeout(FLUSH_TIMEOUT);
+        }
+    }
+}
+
+/// Logs each panic of the process, including those that only end a task.
+pub fn log_panics(logger: Logger) {
+    let usual = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        error!(logger, "panicked"; "event" => "panic", "detail" => panic_text(panic),
+            "thread" => std::thread::current().name(), "location" => panic.location().map(ToString::to_string));
+        usual(panic);
+    }));
+}
+
+fn panic_text<'a>(panic: &'a PanicHookInfo<'_>) -> &'a str {
+    panic.payload_as_str().unwrap_or("not a text")
+}
+
+/// Creates a logger that never blocks the calling thread. Dropping the second value writes what is left.
+pub fn logger(format: LogFormat, level: Level) -> (Logger, LogFlush) {
     let drain: Box<dyn Drain<Ok = (), Err = Never> + Send> = match format {
         LogFormat::Json => Box::new(slog_json::Json::default(std::io::stdout()).ignore_res()),
         LogFormat::Terminal => {
@@ -21,9 +67,17 @@
             Box::new(slog_term::FullFormat::new(decorator).build().ignore_res())
         }
     };
-    let drain = slog_async::Async::new(drain).chan_size(LOG_BACKLOG).build().ignore_res();
-    let drain = BoundedDrain::new(drain, MAX_LINES_PER_SECOND);
-    Logger::root(LevelFilter::new(drain, level).ignore_res(), o!())
+    flushed_logger(drain, level)
+}
+
+/// Creates a logger whose lines another thread writes to `drain`.
+pub fn flushed_logger<D>(drain: D, level: Level) -> (Logger, LogFlush)
+where
+    D: Drain<Ok = (), Err = Never> + Send + 'static,
+{
+    let (drain, guard) = slog_async::Async::new(drain).chan_size(LOG_BACKLOG).build_with_guard();
+    let drain = BoundedDrain::new(drain.ignore_res(), MAX_LINES_PER_SECOND);
+    (Logger::root(LevelFilter::new(drain, level).ignore_res(), o!()), LogFlush(Some(guard)))
 }
 
 /// Limits the lines per second, and logs how many were dropped.
--- a/porthoistd/src/main.rs
+++ b/porthoistd/src/main.rs
@@ -18,6 +18,7 @@
         println!("the settings are valid");
         return Ok(());
     }
-    let logger = logging::logger(settings.log_format, settings.log_level);
+    let (logger, _flush) = logging::logger(settings.log_format, settings.log_level);
+    logging::log_panics(logger.clone());
     Daemon::load(settings, logger)?.run()
 }
