Let no signal but SIGKILL end a process before its requests

Callers saw connections that ended without an answer when the platform repeated a stop signal within the grace period, as it does for a process that is restarted and whose host is removed meanwhile: all requests in flight were cut, also those that may run once.

Cause: `watch_signals` ended the process 50 ms after the second SIGTERM or SIGINT. That suits a terminal, but a platform's stop signal is a state, not a count. The same class, an exit that doesn't go through the drain, held for signals without a handler: SIGQUIT, SIGUSR1 and SIGUSR2 in every role, SIGHUP in the roles entry, target and local, and each signal that came after the listeners were bound and before a task of the callers' thread had installed its handlers.

Now the handlers are installed for every role before it binds anything, on a thread of their own, and the first of SIGTERM, SIGINT and SIGQUIT starts the drain; whatever follows is logged with its number and changes nothing. So no path but the drain leads to an exit.

--- a/porthoistd/src/component/callers.rs
+++ b/porthoistd/src/component/callers.rs
@@ -35,6 +35,7 @@
     // Ends only with `serving`.
     let closing = async {
         if stopping.wait_for(|stop| *stop).await.is_ok() {
+            info!(logger, "stopping"; "event" => "stop", "in_flight" => server.in_flight());
             tokio::time::sleep(stop_lag).await;
         }
         close.send_replace(true);
--- a/porthoistd/src/role.rs
+++ b/porthoistd/src/role.rs
@@ -7,6 +7,7 @@
 pub mod target;
 
 use crate::component::operator::{ProcessView, serve_operators};
+use crate::component::signals::SignalWatch;
 use crate::component::spawn_thread;
 use crate::settings::DaemonSettings;
 use nix::sys::resource::{Resource, getrlimit};
@@ -15,10 +16,25 @@
 use porthoist_operator::{OperatorServer, TableEditor};
 use porthoist_policy::proxy::file_bounds::{FileBounds, FileLimit};
 use porthoist_table::{HostEntry, HostRole, HostState, HttpPlatform};
+use slog::Logger;
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::sync::Arc;
+use std::thread::JoinHandle;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// Starts a role and waits until its last thread has ended. Signals are handled from before the role starts.
+pub(crate) fn run_until_stopped<S>(logger: &Logger, start: S) -> io::Result<()>
+where
+    S: FnOnce(watch::Sender<bool>) -> io::Result<JoinHandle<()>>,
+{
+    let stopping = watch::Sender::new(false);
+    let _signals = SignalWatch::start(stopping.clone(), logger.clone())?;
+    let last_thread = start(stopping)?;
+    let name = last_thread.thread().name().unwrap_or_default().to_owned();
+    last_thread.join().map_err(|_panic| io::Error::other(format!("the {name} thread panicked")))
+}
 
 /// Binds a non-blocking listener that can be moved to another thread.
 pub(crate) fn bind(address: SocketAddr) -> io::Result<(StdListener, SocketAddr)> {
--- a/porthoistd/src/role/entry.rs
+++ b/porthoistd/src/role/entry.rs
@@ -1,6 +1,6 @@
 //! The entry role: takes callers' requests and offers them to targets.
 
-use super::{bind, file_bounds, host_entry, random_incarnation, start_operators};
+use super::{bind, file_bounds, host_entry, random_incarnation, run_until_stopped, start_operators};
 use crate::component::callers::serve_callers;
 use crate::component::claims::{ClaimCalls, claim_ring, serve_claims};
 use crate::component::entry_fleet::view::FleetView;
@@ -8,7 +8,6 @@
 use crate::component::operator::ProcessView;
 use crate::component::platform::PlatformWatch;
 use crate::component::routing::{RoutingActor, RoutingHandle};
-use crate::component::signals::watch_signals;
 use crate::component::spawn_thread;
 use crate::config::ConfigHub;
 use crate::settings::DaemonSettings;
@@ -45,10 +44,11 @@
 
 /// Runs an entry until it is stopped and no request is in flight.
 pub fn run(settings: DaemonSettings, logger: &Logger) -> io::Result<()> {
-    let stopping = watch::Sender::new(false);
-    let (addresses, callers) = start(settings, logger, stopping)?;
-    println!("callers {}\noperator {}\nfleet {}", addresses.callers, addresses.operator, addresses.fleet);
-    callers.join().map_err(|_panic| io::Error::other("the callers' thread panicked"))
+    run_until_stopped(logger, |stopping| {
+        let (addresses, callers) = start(settings, logger, stopping)?;
+        println!("callers {}\noperator {}\nfleet {}", addresses.callers, addresses.operator, addresses.fleet);
+        Ok(callers)
+    })
 }
 
 /// Starts an entry's threads; the returned one ends when the entry has shut down gracefully.
@@ -209,8 +209,6 @@
         let stop_signal = stopping.subscribe();
         let max_connections = file_bounds()?.callers.min(settings.memory.connections);
         spawn_thread("callers", move || async move {
-            let counted = server.clone();
-            tokio::task::spawn_local(watch_signals(stopping, logger.clone(), move || counted.in_flight()));
             let listener = TcpListener::from_std(listener).expect("the listener is bound and non-blocking");
             info!(logger, "accepting callers"; "address" => listener.local_addr().ok().map(|address| address.to_string()));
             serve_callers(listener, server, max_connections, stop_signal, stop_lag, logger).await;
--- a/porthoistd/src/role/local.rs
+++ b/porthoistd/src/role/local.rs
@@ -1,6 +1,6 @@
 //! The local role: entry, targets and stand-ins as threads of one process, to try porthoist out.
 
-use super::{entry, target};
+use super::{entry, run_until_stopped, target};
 use crate::component::spawn_thread;
 use crate::settings::DaemonSettings;
 use porthoist_http::{ServerSettings, serve_until};
@@ -11,6 +11,7 @@
 use slog::Logger;
 use std::io;
 use std::net::SocketAddr;
+use std::thread::JoinHandle;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -33,6 +34,15 @@
 
 /// Runs all processes until it is stopped.
 pub fn run(settings: DaemonSettings, logger: &Logger) -> io::Result<()> {
+    run_until_stopped(logger, |stopping| start(settings, logger, stopping))
+}
+
+/// Starts all processes; the returned thread ends when the entry has shut down gracefully.
+fn start(
+    settings: DaemonSettings,
+    logger: &Logger,
+    stopping: watch::Sender<bool>,
+) -> io::Result<JoinHandle<()>> {
     let platform = PlatformStandin::with_items(default_rows());
     let engine = EngineStandin::new(true);
     engine.set_faults(EngineFaults { step_ms: STEP_MILLIS, ..EngineFaults::default() });
@@ -44,7 +54,6 @@
 
     let mut settings = settings;
     settings.platform = format!("http://{platform_address}");
-    let stopping = watch::Sender::new(false);
     for (name, services, backend) in
         [("demo-engine", "demo-model", engine_address), ("demo-echo", "echo", service_address)]
     {
@@ -69,7 +78,7 @@
         "  curl http://{}/v1/table -H 'Authorization: Bearer {token}' -d '{{\"edit\":\"1\",\"rows\":[{{\"cells\":{{\"kind\":\"team\",\"name\":\"desk\",\"rate\":\"5/s\"}},\"if_version\":null}}]}}'",
         addresses.operator
     );
-    callers.join().map_err(|_panic| io::Error::other("the callers' thread panicked"))
+    Ok(callers)
 }
 
 fn start_standin<F, R>(name: &str, handler: F) -> io::Result<SocketAddr>
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -1,8 +1,7 @@
 //! The proxy role: forwards requests unchanged, by the routes and targets of the platform's table service.
 
-use super::{bind, file_bounds};
+use super::{bind, file_bounds, run_until_stopped};
 use crate::component::loads::LoadsWatch;
-use crate::component::signals::{watch_reloads, watch_signals};
 use crate::component::spawn_thread;
 use crate::component::status::StatusServer;
 use crate::component::zone_peers::{ZonePeers, entry_id};
@@ -65,9 +64,10 @@
 
 /// Runs a proxy until it is stopped and no request is in flight.
 pub fn run(settings: ProxySettings, logger: &Logger) -> io::Result<()> {
-    let stopping = watch::Sender::new(false);
-    let (_addresses, callers) = start(settings, logger, stopping)?;
-    callers.join().map_err(|_panic| io::Error::other("the callers' thread panicked"))
+    run_until_stopped(logger, |stopping| {
+        let (_addresses, callers) = start(settings, logger, stopping)?;
+        Ok(callers)
+    })
 }
 
 /// Starts a proxy's threads; the returned one ends when the proxy has shut down gracefully.
@@ -225,7 +225,6 @@
     ) -> io::Result<JoinHandle<()>> {
         spawn_thread("callers", move || async move {
             let handler = self.proxy_handler(crash_changes);
-            let counted = Rc::clone(&handler);
             let server = ProxyServer {
                 handler: Rc::clone(&handler),
                 stopping: self.stopping.subscribe(),
@@ -235,10 +234,6 @@
                 metrics: Arc::clone(&self.metrics),
                 logger: self.logger.clone(),
             };
-            tokio::task::spawn_local(watch_reloads(self.logger.clone()));
-            tokio::task::spawn_local(watch_signals(self.stopping.clone(), self.logger.clone(), move || {
-                counted.in_flight()
-            }));
             tokio::task::spawn_local(follow_targets(Rc::clone(&handler), self.state.subscribe()));
             tokio::task::spawn_local(follow_crashes(Rc::clone(&handler), self.crashes.subscribe()));
             tokio::task::spawn_local(follow_position(Rc::clone(&handler), self.position.subscribe()));
--- a/porthoistd/src/role/rank.rs
+++ b/porthoistd/src/role/rank.rs
@@ -1,9 +1,8 @@
 //! The rank role: runs next to one rank of a group, and plans the group's expert maps if that is its first
 //! rank.
 
-use super::bind;
+use super::{bind, run_until_stopped};
 use crate::component::rank::{OwnRank, PlanningLoop};
-use crate::component::signals::{watch_reloads, watch_signals};
 use crate::component::spawn_thread;
 use crate::component::status::serve_metrics;
 use crate::settings::rank::RankSettings;
@@ -17,12 +16,22 @@
 use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 /// Runs the role until it is stopped.
 pub fn run(settings: RankSettings, logger: &Logger) -> io::Result<()> {
+    run_until_stopped(logger, |stopping| start(settings, logger, &stopping))
+}
+
+/// Starts the role's threads; the returned one ends when the role has stopped.
+fn start(
+    settings: RankSettings,
+    logger: &Logger,
+    stopping: &watch::Sender<bool>,
+) -> io::Result<JoinHandle<()>> {
     let (rank_listener, rank_address) = bind(settings.rank_listen)?;
     let (metrics_listener, _metrics_address) = bind(settings.metrics_listen)?;
     let logger = logger.new(o!("role" => "rank", "host" => settings.host.to_string()));
@@ -34,9 +43,8 @@
     let state = watch::Sender::new(ControlState::default());
     let served = Arc::clone(&metrics);
     spawn_thread("metrics", move || serve_metrics(metrics_listener, served))?;
-    let stopping = watch::Sender::new(false);
     let stop = stopping.subscribe();
-    let thread = spawn_thread("rank", move || async move {
+    spawn_thread("rank", move || async move {
         let entry_demands = EntryDemands::default();
         let engine = Rc::new(TuristEngine::new(settings.engine));
         let own = Rc::new(OwnRank::with_demands(engine, entry_demands.clone()));
@@ -60,8 +68,6 @@
             .build();
         tokio::task::spawn_local(serve_ranks(listener, Rc::new(serving)));
         tokio::task::spawn_local(record_traffic(traffic, Arc::clone(&metrics)));
-        tokio::task::spawn_local(watch_reloads(logger.clone()));
-        tokio::task::spawn_local(watch_signals(stopping, logger.clone(), || 0));
         let control = ControlWatch::builder()
             .source(Rc::new(TuristSource::new(
                 ProvenRowSource::new(store),
@@ -85,8 +91,7 @@
             .build();
         planning.run(stop).await;
         info!(logger, "stopped"; "event" => "stopped");
-    })?;
-    thread.join().map_err(|_panic| io::Error::other("the rank thread panicked"))
+    })
 }
 
 /// Interval in milliseconds at which the traffic counter is updated.
--- a/porthoistd/src/role/target.rs
+++ b/porthoistd/src/role/target.rs
@@ -1,11 +1,10 @@
 //! The target role: runs next to a back end and decides on entries' offers.
 
-use super::{bind, host_entry, random_incarnation, start_operators};
+use super::{bind, host_entry, random_incarnation, run_until_stopped, start_operators};
 use crate::component::group::{GroupLeader, PlatformMaps, rank_of};
 use crate::component::offers::{follow_drain, run_backend, run_offers, team_weights};
 use crate::component::operator::ProcessView;
 use crate::component::platform::PlatformWatch;
-use crate::component::signals::watch_signals;
 use crate::component::spawn_thread;
 use crate::component::target_fleet::TargetHandler;
 use crate::config::ConfigHub;
@@ -49,10 +48,11 @@
 
 /// Runs a target until it is stopped and no request is in flight.
 pub fn run(settings: DaemonSettings, logger: &Logger) -> io::Result<()> {
-    let stopping = watch::Sender::new(false);
-    let (addresses, fleet) = start(settings, logger, stopping)?;
-    println!("fleet {}\noperator {}", addresses.fleet, addresses.operator);
-    fleet.join().map_err(|_panic| io::Error::other("the fleet thread panicked"))
+    run_until_stopped(logger, |stopping| {
+        let (addresses, fleet) = start(settings, logger, stopping)?;
+        println!("fleet {}\noperator {}", addresses.fleet, addresses.operator);
+        Ok(fleet)
+    })
 }
 
 /// Starts a target's threads; the returned one ends when the target has shut down gracefully.
@@ -195,10 +195,8 @@
             tokio::task::spawn_local(serve_fleet(listener, settings.fleet_key, Rc::new(handler)));
             tokio::task::spawn_local(follow_drain(actor, settings.name, config, stopping.subscribe()));
             let mut stop_signal = stopping.subscribe();
-            let counted = Arc::clone(&open_offers);
-            let in_flight = move || counted.load(Ordering::Relaxed);
-            tokio::task::spawn_local(watch_signals(stopping, logger.clone(), in_flight));
             if stop_signal.wait_for(|stop| *stop).await.is_ok() {
+                info!(logger, "stopping"; "event" => "stop", "in_flight" => open_offers.load(Ordering::Relaxed));
                 wait_until_drained(&open_offers, &load).await;
             }
             info!(logger, "all in-flight requests finished");
--- a/porthoistd/tests/process/shutdown.rs
+++ b/porthoistd/tests/process/shutdown.rs
@@ -3,8 +3,23 @@
 use crate::harness::{Call, Fleet, completion, eventually, expected_words, stream_words};
 use nix::sys::signal::Signal;
 use std::time::Duration;
+use test_case::test_case;
 use tokio::task::JoinHandle;
 
+/// Signals that don't end a process before its requests are answered.
+const MANY_SIGNALS: [Signal; 8] = [
+    Signal::SIGHUP,
+    Signal::SIGUSR1,
+    Signal::SIGUSR2,
+    Signal::SIGTERM,
+    Signal::SIGHUP,
+    Signal::SIGTERM,
+    Signal::SIGINT,
+    Signal::SIGQUIT,
+];
+/// Pause between two signals. Streams that end before the last one make the test less sharp, not wrong.
+const SIGNAL_PAUSE: Duration = Duration::from_millis(50);
+
 /// Starts streams through an entry; each task checks its answer.
 fn open_streams(fleet: &Fleet, entry: usize, count: usize) -> Vec<JoinHandle<()>> {
     let base = fleet.entries[entry].address("callers").to_owned();
@@ -34,6 +49,25 @@
     runs
 }
 
+/// Guards against signals that end a process with streams in flight.
+#[test_case(true; "an entry")]
+#[test_case(false; "a target")]
+#[tokio::test]
+async fn streams_finish_when_their_process_gets_many_signals(is_entry: bool) {
+    let mut fleet = Fleet::start_with(1, 2, 0, "20").await;
+    let streams = open_streams(&fleet, 0, 20);
+    eventually("all streams run", || async { count_runs(&fleet).await == 20 }).await;
+    let process = if is_entry { &mut fleet.entries[0] } else { &mut fleet.targets[0].daemon };
+    for signal in MANY_SIGNALS {
+        process.signal(signal);
+        tokio::time::sleep(SIGNAL_PAUSE).await;
+    }
+    for stream in streams {
+        stream.await.unwrap();
+    }
+    assert!(process.wait_for_exit().await.success());
+}
+
 #[tokio::test]
 async fn streams_finish_when_their_entry_stops() {
     let mut fleet = Fleet::start_with(1, 2, 0, "20").await;
