Stop a process gracefully when one of its components panics

A panic of the thread that follows the tables, answers readiness checks or hears load reports left a process that went on without it: it followed no changes, or took callers with old targets, until somebody noticed. A panic of a task (following targets, crashes or positions) was caught by the runtime without a trace. Nothing suggests that this is what operators saw; it was found in the search for exits that don't go through the drain.

Threads and tasks of components now set the stop switch when they panic: requests in flight are answered, and the process ends with status 1 and is restarted. A panic in the task of one caller's connection still ends only that connection, and is logged. One that ends the callers' own thread still cuts what is in flight.

--- a/porthoistd/src/role.rs
+++ b/porthoistd/src/role.rs
@@ -30,10 +30,15 @@
     S: FnOnce(watch::Sender<bool>) -> io::Result<JoinHandle<()>>,
 {
     let stopping = watch::Sender::new(false);
-    let _signals = SignalWatch::start(stopping.clone(), logger.clone())?;
+    let signals = SignalWatch::start(stopping.clone(), logger.clone())?;
     let last_thread = start(stopping)?;
     let name = last_thread.thread().name().unwrap_or_default().to_owned();
-    last_thread.join().map_err(|_panic| io::Error::other(format!("the {name} thread panicked")))
+    last_thread.join().map_err(|_panic| io::Error::other(format!("the {name} thread panicked")))?;
+    if signals.stop_received() {
+        Ok(())
+    } else {
+        Err(io::Error::other("stopped because a component panicked"))
+    }
 }
 
 /// Binds a non-blocking listener that can be moved to another thread.
@@ -56,11 +61,12 @@
     settings: &DaemonSettings,
     listener: StdListener,
     process: ProcessView,
+    stopping: &watch::Sender<bool>,
     metrics: Arc<MetricsHub>,
 ) -> io::Result<()> {
     let token = settings.operator_token.clone();
     let url = settings.platform.clone();
-    spawn_thread("operator", move || async move {
+    spawn_thread("operator", stopping, move || async move {
         let editor = TableEditor::new(Arc::new(HttpPlatform::new(url)));
         let operators = OperatorServer::new(token, Arc::new(process), editor, metrics);
         let listener = TcpListener::from_std(listener).expect("the listener is bound and non-blocking");
--- a/porthoistd/src/role/entry.rs
+++ b/porthoistd/src/role/entry.rs
@@ -8,7 +8,7 @@
 use crate::component::operator::ProcessView;
 use crate::component::platform::PlatformWatch;
 use crate::component::routing::{RoutingActor, RoutingHandle};
-use crate::component::spawn_thread;
+use crate::component::{spawn_task, spawn_thread};
 use crate::config::ConfigHub;
 use crate::settings::DaemonSettings;
 use kameo::actor::ActorRef;
@@ -125,9 +125,10 @@
         let platform_heard = Arc::clone(&self.platform_heard);
         let logger = self.logger.clone();
         let url = self.settings.platform.clone();
-        spawn_thread("platform", move || async move {
+        let task_stopping = self.stopping.clone();
+        spawn_thread("platform", &self.stopping, move || async move {
             let client: Arc<HttpPlatform> = Arc::new(HttpPlatform::new(url));
-            tokio::task::spawn_local(serve_claims(claim_calls, Arc::<HttpPlatform>::clone(&client)));
+            spawn_task(&task_stopping, serve_claims(claim_calls, Arc::<HttpPlatform>::clone(&client)));
             let hosts_revision = AtomicU64::new(0);
             PlatformWatch { client, config, hosts, platform_heard, own, hosts_revision, logger }.run().await;
         })?;
@@ -139,7 +140,7 @@
         let hedging = self.settings.hedge;
         let (handover, actor) = oneshot::channel();
         let (config, clock) = (Arc::clone(&self.config), Arc::clone(&self.clock));
-        spawn_thread("routing", move || async move {
+        spawn_thread("routing", &self.stopping, move || async move {
             let actor = RoutingActor::start(router, hedging, config, clock);
             // The receiver waits below. The actor lives as long as its thread.
             drop(handover.send(actor.clone()));
@@ -168,10 +169,11 @@
             hosts,
             logger: self.logger.clone(),
         });
-        spawn_thread("fleet", move || async move {
+        let task_stopping = self.stopping.clone();
+        spawn_thread("fleet", &self.stopping, move || async move {
             let entry_fleet = EntryFleet::new(shared);
             let listener = TcpListener::from_std(listener).expect("the listener is bound and non-blocking");
-            tokio::task::spawn_local(serve_fleet(listener, key, Rc::new(entry_fleet.clone())));
+            spawn_task(&task_stopping, serve_fleet(listener, key, Rc::new(entry_fleet.clone())));
             entry_fleet.run(commands).await;
         })?;
         Ok(())
@@ -200,7 +202,7 @@
             in_flight: Box::new(move || callers.in_flight()),
             stopping: self.stopping.subscribe(),
         };
-        start_operators(&self.settings, listener, process, Arc::clone(&self.metrics))
+        start_operators(&self.settings, listener, process, &self.stopping, Arc::clone(&self.metrics))
     }
 
     fn start_callers(self, listener: StdListener, server: CallerServer) -> io::Result<JoinHandle<()>> {
@@ -208,7 +210,7 @@
         let stop_lag = Duration::from_millis(settings.stop_lag_millis);
         let stop_signal = stopping.subscribe();
         let max_connections = file_bounds()?.callers.min(settings.memory.connections);
-        spawn_thread("callers", move || async move {
+        spawn_thread("callers", &stopping, move || async move {
             let listener = TcpListener::from_std(listener).expect("the listener is bound and non-blocking");
             info!(logger, "accepting callers"; "address" => listener.local_addr().ok().map(|address| address.to_string()));
             serve_callers(listener, server, max_connections, stop_signal, stop_lag, logger).await;
--- a/porthoistd/src/role/local.rs
+++ b/porthoistd/src/role/local.rs
@@ -48,9 +48,11 @@
     engine.set_faults(EngineFaults { step_ms: STEP_MILLIS, ..EngineFaults::default() });
     let service = ServiceStandin::default();
     let platform_address =
-        start_standin("platform-standin", move |request| platform.clone().handle(request))?;
-    let engine_address = start_standin("engine-standin", move |request| engine.clone().handle(request))?;
-    let service_address = start_standin("service-standin", move |request| service.clone().handle(request))?;
+        start_standin("platform-standin", &stopping, move |request| platform.clone().handle(request))?;
+    let engine_address =
+        start_standin("engine-standin", &stopping, move |request| engine.clone().handle(request))?;
+    let service_address =
+        start_standin("service-standin", &stopping, move |request| service.clone().handle(request))?;
 
     let mut settings = settings;
     settings.platform = format!("http://{platform_address}");
@@ -81,13 +83,13 @@
     Ok(callers)
 }
 
-fn start_standin<F, R>(name: &str, handler: F) -> io::Result<SocketAddr>
+fn start_standin<F, R>(name: &str, stopping: &watch::Sender<bool>, handler: F) -> io::Result<SocketAddr>
 where
     F: Fn(hyper::Request<hyper::body::Incoming>) -> R + Clone + Send + 'static,
     R: Future<Output = porthoist_http::HttpResponse> + Send + 'static,
 {
     let (listener, address) = super::bind(ANY_PORT)?;
-    spawn_thread(name, move || async move {
+    spawn_thread(name, stopping, move || async move {
         let (_keep, never) = watch::channel(false);
         if let Ok(listener) = TcpListener::from_std(listener) {
             serve_until(listener, ServerSettings::default(), never, handler).await;
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -2,9 +2,9 @@
 
 use super::{bind, file_bounds, run_until_stopped};
 use crate::component::loads::LoadsWatch;
-use crate::component::spawn_thread;
 use crate::component::status::StatusServer;
 use crate::component::zone_peers::{ZonePeers, entry_id};
+use crate::component::{spawn_task, spawn_thread};
 use crate::settings::proxy::{PROOF_MARGIN_MILLIS, ProxySettings};
 use porthoist_core::{AnchoredClock, ClockSource};
 use porthoist_fleet::{AgedLoads, ControlTraffic, PeerPool};
@@ -147,7 +147,7 @@
             (self.crashes.clone(), self.position.clone(), self.settings.host.clone());
         let (own_notes, zone_notes) = (self.own_notes.subscribe(), self.zone_notes.clone());
         let (changes, crash_changes) = mpsc::channel(CRASHES_CAPACITY);
-        spawn_thread("control", move || async move {
+        spawn_thread("control", &self.stopping, move || async move {
             let store = Rc::new(StoreClient::new(table, Arc::clone(&metrics), logger.clone()));
             let crash_writer =
                 CrashWriter::builder().writer(Rc::<StoreClient>::clone(&store)).changes(crash_changes);
@@ -197,7 +197,7 @@
             own_demand: self.own_demand.subscribe(),
             logger: self.logger.clone(),
         };
-        spawn_thread("loads", move || loads_watch.run())?;
+        spawn_thread("loads", &self.stopping, move || loads_watch.run())?;
         Ok(reports)
     }
 
@@ -213,7 +213,7 @@
             logger: self.logger.clone(),
             last_ready: AtomicBool::new(false),
         };
-        spawn_thread("status", move || Arc::new(status_server).run(ready, metrics))?;
+        spawn_thread("status", &self.stopping, move || Arc::new(status_server).run(ready, metrics))?;
         Ok(())
     }
 
@@ -223,7 +223,8 @@
         loads: mpsc::Receiver<AgedLoads>,
         crash_changes: mpsc::Sender<CrashChange>,
     ) -> io::Result<JoinHandle<()>> {
-        spawn_thread("callers", move || async move {
+        let stopping = self.stopping.clone();
+        spawn_thread("callers", &stopping, move || async move {
             let handler = self.proxy_handler(crash_changes);
             let server = ProxyServer {
                 handler: Rc::clone(&handler),
@@ -234,11 +235,11 @@
                 metrics: Arc::clone(&self.metrics),
                 logger: self.logger.clone(),
             };
-            tokio::task::spawn_local(follow_targets(Rc::clone(&handler), self.state.subscribe()));
-            tokio::task::spawn_local(follow_crashes(Rc::clone(&handler), self.crashes.subscribe()));
-            tokio::task::spawn_local(follow_position(Rc::clone(&handler), self.position.subscribe()));
-            tokio::task::spawn_local(follow_notes(Rc::clone(&handler), self.zone_notes.subscribe()));
-            tokio::task::spawn_local(follow_loads(handler, loads));
+            spawn_task(&self.stopping, follow_targets(Rc::clone(&handler), self.state.subscribe()));
+            spawn_task(&self.stopping, follow_crashes(Rc::clone(&handler), self.crashes.subscribe()));
+            spawn_task(&self.stopping, follow_position(Rc::clone(&handler), self.position.subscribe()));
+            spawn_task(&self.stopping, follow_notes(Rc::clone(&handler), self.zone_notes.subscribe()));
+            spawn_task(&self.stopping, follow_loads(handler, loads));
             let listener = TcpListener::from_std(listener).expect("the listener is bound and non-blocking");
             serve_proxy(listener, server).await;
         })
--- a/porthoistd/src/role/rank.rs
+++ b/porthoistd/src/role/rank.rs
@@ -3,8 +3,8 @@
 
 use super::{bind, run_until_stopped};
 use crate::component::rank::{OwnRank, PlanningLoop};
-use crate::component::spawn_thread;
 use crate::component::status::serve_metrics;
+use crate::component::{spawn_task, spawn_thread};
 use crate::settings::rank::RankSettings;
 use porthoist_core::{AnchoredClock, ClockSource};
 use porthoist_fleet::{ControlTraffic, EntryDemands, LoadsPublisher, PeerPool, RankService, serve_ranks};
@@ -42,9 +42,10 @@
     let clock: Arc<dyn ClockSource> = Arc::new(AnchoredClock::new());
     let state = watch::Sender::new(ControlState::default());
     let served = Arc::clone(&metrics);
-    spawn_thread("metrics", move || serve_metrics(metrics_listener, served))?;
+    spawn_thread("metrics", stopping, move || serve_metrics(metrics_listener, served))?;
     let stop = stopping.subscribe();
-    spawn_thread("rank", move || async move {
+    let task_stopping = stopping.clone();
+    spawn_thread("rank", stopping, move || async move {
         let entry_demands = EntryDemands::default();
         let engine = Rc::new(TuristEngine::new(settings.engine));
         let own = Rc::new(OwnRank::with_demands(engine, entry_demands.clone()));
@@ -66,8 +67,8 @@
             .clock(Arc::clone(&clock))
             .entry_demands(entry_demands)
             .build();
-        tokio::task::spawn_local(serve_ranks(listener, Rc::new(serving)));
-        tokio::task::spawn_local(record_traffic(traffic, Arc::clone(&metrics)));
+        spawn_task(&task_stopping, serve_ranks(listener, Rc::new(serving)));
+        spawn_task(&task_stopping, record_traffic(traffic, Arc::clone(&metrics)));
         let control = ControlWatch::builder()
             .source(Rc::new(TuristSource::new(
                 ProvenRowSource::new(store),
--- a/porthoistd/src/role/target.rs
+++ b/porthoistd/src/role/target.rs
@@ -5,8 +5,8 @@
 use crate::component::offers::{follow_drain, run_backend, run_offers, team_weights};
 use crate::component::operator::ProcessView;
 use crate::component::platform::PlatformWatch;
-use crate::component::spawn_thread;
 use crate::component::target_fleet::TargetHandler;
+use crate::component::{spawn_task, spawn_thread};
 use crate::config::ConfigHub;
 use crate::settings::DaemonSettings;
 use kameo::actor::ActorRef;
@@ -104,7 +104,7 @@
         let platform_heard = Arc::clone(&self.platform_heard);
         let logger = self.logger.clone();
         let url = self.settings.platform.clone();
-        spawn_thread("platform", move || async move {
+        spawn_thread("platform", &self.stopping, move || async move {
             let client = Arc::new(HttpPlatform::new(url));
             let hosts = watch::Sender::new(Vec::new());
             let hosts_revision = AtomicU64::new(0);
@@ -129,11 +129,13 @@
             .load(load)
             .build();
         let (handover, actor) = oneshot::channel();
-        spawn_thread("offers", move || run_offers(offers, handover))?;
+        spawn_thread("offers", &self.stopping, move || run_offers(offers, handover))?;
         let actor: ActorRef<OffersActor> = actor.blocking_recv().map_err(io::Error::other)?;
         let runner = Arc::new(HttpRunner::new(settings.backend.clone()));
         let (job_actor, metrics) = (actor.clone(), Arc::clone(&self.metrics));
-        spawn_thread("engine", move || run_backend(job_receiver, runner, job_actor, metrics))?;
+        spawn_thread("engine", &self.stopping, move || {
+            run_backend(job_receiver, runner, job_actor, metrics)
+        })?;
         Ok((actor, load_receiver))
     }
 
@@ -150,7 +152,7 @@
             in_flight: Box::new(move || counted.load(Ordering::Relaxed)),
             stopping: self.stopping.subscribe(),
         };
-        start_operators(&self.settings, listener, process, Arc::clone(&self.metrics))
+        start_operators(&self.settings, listener, process, &self.stopping, Arc::clone(&self.metrics))
     }
 
     fn start_fleet(
@@ -160,7 +162,8 @@
         load: watch::Receiver<LoadReport>,
     ) -> io::Result<JoinHandle<()>> {
         let Self { settings, incarnation, metrics, config, open_offers, stopping, logger, .. } = self;
-        spawn_thread("fleet", move || async move {
+        let task_stopping = stopping.clone();
+        spawn_thread("fleet", &stopping, move || async move {
             let handler = TargetHandler {
                 target: settings.name.clone(),
                 zone: settings.zone.clone(),
@@ -190,11 +193,11 @@
                     own: settings.name.clone(),
                     logger: logger.clone(),
                 };
-                tokio::task::spawn_local(leader.run());
+                spawn_task(&task_stopping, leader.run());
             }
-            tokio::task::spawn_local(serve_fleet(listener, settings.fleet_key, Rc::new(handler)));
-            tokio::task::spawn_local(follow_drain(actor, settings.name, config, stopping.subscribe()));
-            let mut stop_signal = stopping.subscribe();
+            spawn_task(&task_stopping, serve_fleet(listener, settings.fleet_key, Rc::new(handler)));
+            spawn_task(&task_stopping, follow_drain(actor, settings.name, config, task_stopping.subscribe()));
+            let mut stop_signal = task_stopping.subscribe();
             if stop_signal.wait_for(|stop| *stop).await.is_ok() {
                 info!(logger, "stopping"; "event" => "stop", "in_flight" => open_offers.load(Ordering::Relaxed));
                 wait_until_drained(&open_offers, &load).await;
