Answer truthfully what the end of a planned stop cuts, and start nothing for it

Callers saw connections closed without an answer at the end of the grace period of a planned stop: requests that came late were taken and passed on, and at the grace period less 0.3 s everything unfinished was dropped with its runtime. Among them were requests that may run only once. No log line named them. With `--grace-s 4`, 10 of 10 requests of 3 s that were sent 2.0 to 2.5 s after SIGTERM ran and got nothing. A grace period shorter than the lag of 2.6 s was over before the process looked at it.

Cause: nothing but the listener knew of the end. Requests were admitted, queued, retried and resumed as at any other time, and the end was the drop of their futures.

Now the handler has the course of the drain (`DrainSchedule`):

- Before each send (on arrival, once the body is complete, with a slot, before a retry or a resumption), and while a request waits for a slot, it is refused if it can't be finished: 503 `shutting_down`, not run, back in 0.1 s.
The decision is by what the process knows: the time left, the deadline of the request, and how long 95 in 100 of the last 64 requests of the route took.
Where nothing is known of a route, only what comes in the last 0.2 s is refused: most requests are short, and a caller that is served is better off than one that is sent elsewhere on a guess.
A request whose deadline is before the cut is always taken: it gets its answer or its 504 in time.
- 0.3 s before the end, as before, what is unfinished is cut: bodies that are still arriving get a 503 (not run), requests that were sent a 504 (may have run), streams end without their last chunk.
Each has a line `cut_at_stop` and is counted; 0.2 s are for writing the answers.
- The lag is half of a grace period that is shorter than twice the lag.

A move of a request from a slow target, or a retry of a failed answer, is not made where the cut would end it: the running attempt or the answer of the target is kept.

Not changed: a stream that is much longer than usual for its route can still be cut; its line names it now. A connection that is being made to a target at the cut counts as sent.

--- a/crates/porthoist-metrics/src/lib.rs
+++ b/crates/porthoist-metrics/src/lib.rs
@@ -60,6 +60,7 @@
     connections: Counter<u64>,
     broken_streams: Counter<u64>,
     cut_responses: Counter<u64>,
+    cut_at_stop: Counter<u64>,
     held_bytes: Arc<OnceLock<ValueReader>>,
     crash_events: Counter<u64>,
     connection_events: Counter<u64>,
@@ -122,6 +123,7 @@
             connections: meter.u64_counter("porthoist_target_connections").build(),
             broken_streams: meter.u64_counter("porthoist_broken_streams").build(),
             cut_responses: meter.u64_counter("porthoist_responses_cut").build(),
+            cut_at_stop: meter.u64_counter("porthoist_cut_at_stop").build(),
             held_bytes,
             crash_events: meter.u64_counter("porthoist_crash_events").build(),
             connection_events: meter.u64_counter("porthoist_caller_connections").build(),
@@ -165,6 +167,9 @@
         self.connections.add(0, &[]);
         self.broken_streams.add(0, &[]);
         self.cut_responses.add(0, &[]);
+        for verdict in [RunVerdict::NotRun, RunVerdict::MayHaveRun] {
+            self.cut_at_stop.add(0, &[KeyValue::new("verdict", verdict.as_str())]);
+        }
         self.table_calls.add(0, &[]);
         for event in CRASH_EVENTS {
             self.crash_events.add(0, &[KeyValue::new("event", event)]);
@@ -208,6 +213,11 @@
         self.broken_streams.add(1, &[]);
     }
 
+    /// Counts a request that the end of a graceful shutdown cut.
+    pub fn record_cut_at_stop(&self, verdict: RunVerdict) {
+        self.cut_at_stop.add(1, &[KeyValue::new("verdict", verdict.as_str())]);
+    }
+
     /// Counts a response that was cut because its caller read nothing.
     pub fn record_cut_response(&self) {
         self.cut_responses.add(1, &[]);
--- a/crates/porthoist-policy/src/proxy.rs
+++ b/crates/porthoist-policy/src/proxy.rs
@@ -8,6 +8,7 @@
 pub mod change_bound;
 pub mod cold_start;
 pub mod demand;
+pub mod drain;
 pub mod entry_positions;
 pub mod episodes;
 pub mod file_bounds;
--- a/crates/porthoist-policy/tests/policy.rs
+++ b/crates/porthoist-policy/tests/policy.rs
@@ -26,6 +26,8 @@
 mod decision_replay;
 #[path = "policy/demand.rs"]
 mod demand;
+#[path = "policy/drain.rs"]
+mod drain;
 #[path = "policy/equal_shares.rs"]
 mod equal_shares;
 #[path = "policy/file_bounds.rs"]
--- a/crates/porthoist-proxy/src/handler.rs
+++ b/crates/porthoist-proxy/src/handler.rs
@@ -38,6 +38,7 @@
 
 mod admission;
 mod backpressure;
+mod draining;
 mod grant_fields;
 mod moving;
 mod refusal_log;
@@ -51,11 +52,12 @@
 mod types;
 
 use backpressure::NotePublisher;
+use draining::{RequestDrain, cut_refusal};
 use grant_fields::GrantFields;
 use refusal_log::RefusalLog;
 use relay::EventRelay;
-use request_guard::RequestGuard;
-use types::{AdmittedRequest, CompleteAnswer, ProxyRefusal, SendHistory, TargetAnswer};
+use request_guard::{RequestGuard, RequestProgress};
+use types::{AdmittedRequest, CompleteAnswer, ProxyRefusal, SendHistory, SentRequest, TargetAnswer};
 
 /// Event after which a stream resumes; callers send it too.
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
@@ -116,7 +118,7 @@
     in_flight: Cell<u64>,
     /// Whether listed targets have been applied.
     targets_applied: Cell<bool>,
-    stopping: Cell<bool>,
+    drain: RequestDrain,
     /// Number of cold targets at the last check.
     cold_targets: Cell<usize>,
     /// Version of the configuration whose capacity rules are applied.
@@ -174,7 +176,7 @@
             own_demand,
             in_flight: Cell::new(0),
             targets_applied: Cell::new(false),
-            stopping: Cell::new(false),
+            drain: RequestDrain::new(Arc::clone(&clock)),
             cold_targets: Cell::new(0),
             capacity_version: Cell::new(None),
             capacity_rules: RefCell::default(),
@@ -192,11 +194,6 @@
         self.in_flight.get()
     }
 
-    /// Makes every further response ask the caller to close the connection.
-    pub fn stop(&self) {
-        self.stopping.set(true);
-    }
-
     /// Limits on callers in the configuration in force.
     pub fn limits(&self) -> Option<porthoist_policy::proxy::routes::CallerLimits> {
         self.state.borrow().routes.as_ref().map(|routes| routes.limits)
@@ -207,6 +204,11 @@
         &self.intake
     }
 
+    /// The clock of all deadlines.
+    pub(crate) fn clock(&self) -> &Arc<dyn ClockSource> {
+        &self.clock
+    }
+
     /// Settings of callers' connections.
     pub(crate) fn settings(&self) -> &ProxyHandlerSettings {
         &self.settings
@@ -310,14 +312,16 @@
         let attempt =
             metadata.as_ref().map_or_else(|_error| Arc::from("-"), |metadata| Arc::clone(&metadata.attempt));
         connection.begin_request(&attempt);
+        let progress = RequestProgress::new(arrival);
         let guard = RequestGuard {
             handler: Rc::clone(&self),
             attempt: Arc::clone(&attempt),
             connection,
+            progress: Rc::clone(&progress),
             completed: Cell::new(false),
         };
         let admitted = match metadata {
-            Ok(metadata) => self.admit(metadata, head, body, arrival).await,
+            Ok(metadata) => self.admit(metadata, head, body, progress).await,
             Err(error) => {
                 info!(self.logger, "unreadable headers"; "event" => "malformed", "error" => error.to_string());
                 Err(ProxyRefusal::denied(RefusalReason::Malformed))
@@ -331,11 +335,14 @@
             }
             Err(refusal) => Err((refusal, guard)),
         };
-        let mut close = self.stopping.get();
+        let mut close = self.drain.has_begun();
         let mut reply = match outcome {
             Ok(reply) => reply,
             Err((refusal, guard)) => {
                 guard.completed.set(true);
+                if refusal.reason == RefusalReason::ShuttingDown {
+                    guard.cut();
+                }
                 close |= refusal.leaves_body_unread();
                 self.refuse(refusal, &attempt, arrival)
             }
@@ -361,30 +368,36 @@
         reply
     }
 
-    /// Sends a request until it is answered or no further attempt is allowed.
+    /// Sends a request until it is answered, and begins the response, unless the end of a drain cuts it before.
     async fn run(
         self: &Rc<Self>,
         admitted: Rc<AdmittedRequest>,
         guard: RequestGuard,
     ) -> Result<CallerReply, (ProxyRefusal, RequestGuard)> {
+        let sent = tokio::select! {
+            biased;
+            sent = self.send_until_answered(&admitted) => sent,
+            () = self.drain.until_cut() => Err(cut_refusal(&admitted)),
+        };
+        match sent {
+            Ok(SentRequest { slot, answer: TargetAnswer::Stream(answer), history }) => {
+                Ok(self.relay_stream(admitted, slot, answer, history, guard))
+            }
+            Ok(SentRequest { slot, answer: TargetAnswer::Complete(answer), .. }) => {
+                guard.completed.set(true);
+                Ok(self.relay_complete(&admitted, &slot, answer))
+            }
+            Err(refusal) => Err((refusal, guard)),
+        }
+    }
+
+    /// Sends a request until it is answered or no further attempt is allowed.
+    async fn send_until_answered(&self, admitted: &AdmittedRequest) -> Result<SentRequest, ProxyRefusal> {
         let mut history = SendHistory::default();
         loop {
-            let slot = match self.acquire_permitted_slot(&admitted, &mut history).await {
-                Ok(slot) => slot,
-                Err(refusal) => return Err((refusal, guard)),
-            };
-            let outcome = self.send(&admitted, &slot, None, &mut history).await;
-            let failure = match outcome {
-                Ok(TargetAnswer::Stream(answer)) => {
-                    return Ok(self.relay_stream(admitted, slot, answer, history, guard));
-                }
-                Ok(TargetAnswer::Complete(answer)) => {
-                    let server_error = answer.status.is_server_error();
-                    let retry = server_error && !admitted.runs_once() && self.take_retry(&admitted, &history);
-                    if !retry {
-                        guard.completed.set(true);
-                        return Ok(self.relay_complete(&admitted, &slot, answer));
-                    }
+            let slot = self.acquire_permitted_slot(admitted, &mut history).await?;
+            let failure = match self.send(admitted, &slot, None, &mut history).await {
+                Ok(TargetAnswer::Complete(answer)) if self.repeats(admitted, &answer, &history) => {
                     let detail = format!("status {}", answer.status.as_u16());
                     SendFailure {
                         verdict: RunVerdict::Ran,
@@ -393,22 +406,26 @@
                         closed: false,
                     }
                 }
+                Ok(answer) => return Ok(SentRequest { slot, answer, history }),
                 Err(failure) => failure,
             };
             let target = Arc::clone(&slot.target);
             drop(slot);
-            self.check_lost_target(&admitted, &target, &failure, &mut history).await;
+            self.check_lost_target(admitted, &target, &failure, &mut history).await;
             history.record_failure(&failure);
             if failure.reason == RetryReason::BackendFailed {
-                self.record_retry(&admitted, &failure);
+                self.record_retry(admitted, &failure);
                 continue;
             }
-            if let Err(refusal) = self.allow_retry(&admitted, &history, &failure) {
-                return Err((refusal, guard));
-            }
+            self.allow_retry(admitted, &history, &failure)?;
         }
     }
 
+    /// Whether a request is sent again in place of this response. Takes the retry from the budget.
+    fn repeats(&self, admitted: &AdmittedRequest, answer: &CompleteAnswer, history: &SendHistory) -> bool {
+        answer.status.is_server_error() && !admitted.runs_once() && self.take_retry(admitted, history)
+    }
+
     fn relay_complete(
         &self,
         admitted: &AdmittedRequest,
@@ -417,6 +434,9 @@
     ) -> CallerReply {
         let millis = self.clock.now().since(admitted.arrival);
         self.metrics.record_answer(millis as f64);
+        if !answer.status.is_server_error() {
+            self.drain.record_duration(admitted, slot.assigned);
+        }
         info!(self.logger, "answered"; "event" => "answered", "request" => &*admitted.metadata.attempt,
             "target" => slot.target.id.to_string(), "status" => answer.status.as_u16(), "took_ms" => millis);
         complete_reply(answer.status, relayed_headers(answer.headers), answer.body)
--- a/crates/porthoist-proxy/src/handler/admission.rs
+++ b/crates/porthoist-proxy/src/handler/admission.rs
@@ -1,5 +1,6 @@
 //! Admission of requests: route, key, freshness proof and body size.
 
+use super::request_guard::RequestProgress;
 use super::types::{AdmittedRequest, ProxyRefusal, priority_rank};
 use super::{ProxyHandler, UNREADY_RETRY_MILLIS, host_of, route_refusal_reason};
 use crate::headers::RequestMetadata;
@@ -10,6 +11,7 @@
 use porthoist_policy::proxy::routes::{RouteRule, RouteTable, TeamGrant};
 use slog::info;
 use std::cell::OnceCell;
+use std::rc::Rc;
 use std::sync::Arc;
 
 /// Result of matching a request against the routes in force.
@@ -27,8 +29,9 @@
         metadata: RequestMetadata,
         head: Parts,
         body: Incoming,
-        arrival: UnixMillis,
+        progress: Rc<RequestProgress>,
     ) -> Result<AdmittedRequest, ProxyRefusal> {
+        let arrival = progress.arrival;
         let routed = self.route(&metadata, &head, arrival).inspect_err(|refusal| {
             if let Some(millis) = refusal.retry_millis {
                 self.retry_detector.borrow_mut().record_unrouted_refusal(millis, arrival);
@@ -55,6 +58,7 @@
             service,
             ranked,
             arrival,
+            progress,
             deadline,
             is_caller_retry,
             level,
--- /dev/null
+++ b/crates/porthoist-proxy/src/handler/draining.rs
@@ -0,0 +1,143 @@
+//! The drain of a process that was told to stop: requests that can't be finished are not started, and those that its
+//! end cuts are answered truthfully.
+
+use super::ProxyHandler;
+use super::request_guard::RequestProgress;
+use super::types::{AdmittedRequest, ProxyRefusal, SendHistory};
+use hyper::StatusCode;
+use porthoist_core::{ClockSource, RefusalReason, RunVerdict, UnixDeadline, UnixMillis};
+use porthoist_policy::proxy::drain::{DrainSchedule, RouteDurations};
+use slog::info;
+use std::cell::{Cell, RefCell};
+use std::future;
+use std::sync::Arc;
+use tokio::sync::watch;
+
+/// Retry delay for callers of a process that is shutting down, in milliseconds: another process serves them at once.
+pub(super) const SHUTDOWN_RETRY_MILLIS: u64 = 100;
+
+/// The course of the drain, and what is known of the requests that it has to wait for.
+#[derive(Debug)]
+pub(super) struct RequestDrain {
+    /// Present once the process was told to stop.
+    schedule: watch::Sender<Option<DrainSchedule>>,
+    /// Whether unfinished requests are cut.
+    cut: watch::Sender<bool>,
+    cut_requests: Cell<u64>,
+    durations: RefCell<RouteDurations>,
+    clock: Arc<dyn ClockSource>,
+}
+
+impl RequestDrain {
+    pub(super) fn new(clock: Arc<dyn ClockSource>) -> Self {
+        Self {
+            schedule: watch::Sender::default(),
+            cut: watch::Sender::default(),
+            cut_requests: Cell::new(0),
+            durations: RefCell::default(),
+            clock,
+        }
+    }
+
+    pub(super) fn has_begun(&self) -> bool {
+        self.schedule.borrow().is_some()
+    }
+
+    pub(super) fn is_cut(&self) -> bool {
+        *self.cut.borrow()
+    }
+
+    /// Whether the end of the drain cuts a request that arrived at this time. Later ones are only refused.
+    fn cuts(&self, arrival: UnixMillis) -> bool {
+        let before_cut = |schedule: &DrainSchedule| !schedule.cut_at.passed(arrival);
+        self.is_cut() && self.schedule.borrow().as_ref().is_some_and(before_cut)
+    }
+
+    /// Waits until unfinished requests are cut.
+    pub(super) async fn until_cut(&self) {
+        let mut cut = self.cut.subscribe();
+        // `self` holds the sender, so an error is impossible.
+        drop(cut.wait_for(|cut| *cut).await);
+    }
+
+    /// Records how long an answered request took.
+    pub(super) fn record_duration(&self, admitted: &AdmittedRequest, since: UnixMillis) {
+        let millis = self.clock.now().since(since);
+        self.durations.borrow_mut().record(&admitted.rule.name, millis);
+    }
+
+    /// Until when the request may be started, once the process was told to stop.
+    fn latest_start(&self, admitted: &AdmittedRequest) -> Option<UnixDeadline> {
+        let schedule = (*self.schedule.borrow())?;
+        let usual = self.durations.borrow().usual_millis(&admitted.rule.name);
+        Some(schedule.latest_start(admitted.deadline, usual))
+    }
+
+    /// Whether the request can still be finished if it is started now.
+    pub(super) fn may_start(&self, admitted: &AdmittedRequest) -> bool {
+        self.latest_start(admitted).is_none_or(|latest| !latest.passed(self.clock.now()))
+    }
+
+    /// Waits until the request can't be finished any more.
+    pub(super) async fn until_too_late(&self, admitted: &AdmittedRequest) {
+        let mut schedule = self.schedule.subscribe();
+        drop(schedule.wait_for(Option::is_some).await);
+        let Some(latest) = self.latest_start(admitted) else { return future::pending().await };
+        tokio::time::sleep(latest.remaining(self.clock.now())).await;
+    }
+}
+
+impl ProxyHandler {
+    /// Begins the drain: requests that can't be finished by its end are refused, and every further response asks
+    /// the caller to close the connection.
+    pub fn stop(&self, schedule: DrainSchedule) {
+        self.drain.schedule.send_replace(Some(schedule));
+    }
+
+    /// Ends the drain: refuses the requests that have not run, and ends those that may have.
+    pub fn cut(&self) {
+        self.intake.close();
+        self.drain.cut.send_replace(true);
+    }
+
+    /// Requests that the end of the drain has cut, and those whose response is not complete.
+    pub fn cut_off(&self) -> u64 {
+        self.drain.cut_requests.get() + self.in_flight()
+    }
+
+    /// Refuses a request that can't be finished by the end of the drain.
+    pub(super) fn check_drain(
+        &self,
+        admitted: &AdmittedRequest,
+        history: &SendHistory,
+    ) -> Result<(), ProxyRefusal> {
+        if self.drain.may_start(admitted) { Ok(()) } else { Err(shutdown_refusal(history.may_have_run)) }
+    }
+
+    /// Logs and counts a request that the end of the drain cuts; does nothing before.
+    pub(super) fn record_cut(&self, attempt: &str, progress: &RequestProgress) {
+        if !self.drain.cuts(progress.arrival) {
+            return;
+        }
+        let verdict = progress.verdict();
+        self.drain.cut_requests.set(self.drain.cut_requests.get() + 1);
+        self.metrics.record_cut_at_stop(verdict);
+        info!(self.logger, "request cut at the end of the grace period"; "event" => "cut_at_stop",
+            "request" => attempt, "age_ms" => self.clock.now().since(progress.arrival),
+            "target" => progress.target().map(|target| target.to_string()), "verdict" => verdict.as_str(),
+            "events" => progress.events());
+    }
+}
+
+/// Returns how a request ends that the end of the drain cuts before its response has begun.
+pub(super) fn cut_refusal(admitted: &AdmittedRequest) -> ProxyRefusal {
+    shutdown_refusal(admitted.progress.verdict() != RunVerdict::NotRun)
+}
+
+/// Ends a request that can't be finished because the process shuts down.
+pub(super) fn shutdown_refusal(may_have_run: bool) -> ProxyRefusal {
+    if may_have_run {
+        return ProxyRefusal::unknown(RefusalReason::ShuttingDown, StatusCode::GATEWAY_TIMEOUT);
+    }
+    ProxyRefusal::retryable(RefusalReason::ShuttingDown, SHUTDOWN_RETRY_MILLIS)
+}
--- a/crates/porthoist-proxy/src/handler/moving.rs
+++ b/crates/porthoist-proxy/src/handler/moving.rs
@@ -42,6 +42,9 @@
         loop {
             tokio::time::sleep(CHECK_INTERVAL).await;
             let Some(cause) = self.dispatcher.move_cause(slot, &send) else { continue };
+            if !self.drain.may_start(admitted) {
+                continue;
+            }
             let now = self.clock.now();
             let allowed = self.with_retry_share(&admitted.service, |share| match cause {
                 // A stalled host would run the requests that it holds after their callers have left.
--- a/crates/porthoist-proxy/src/handler/relay.rs
+++ b/crates/porthoist-proxy/src/handler/relay.rs
@@ -23,6 +23,8 @@
 pub(super) struct EventRelay {
     handler: Rc<ProxyHandler>,
     admitted: Rc<AdmittedRequest>,
+    /// When its first target got the request.
+    began: UnixMillis,
     source: Option<StreamSource>,
     splitter: EventSplitter,
     /// Counts the splitter's bytes.
@@ -71,9 +73,11 @@
         let last_id = after.and_then(|text| text.trim().parse().ok());
         let last_at = handler.clock.now();
         let held = handler.budget.guard();
+        admitted.progress.set_events(0);
         Self {
             handler,
             admitted,
+            began: slot.assigned,
             source: Some(StreamSource::new(slot, answer)),
             splitter: EventSplitter::default(),
             held,
@@ -91,7 +95,7 @@
     pub(super) fn into_body(self) -> BodyStream {
         futures::stream::unfold(Some(self), |relay| async move {
             let mut relay = relay?;
-            match relay.next_chunk().await {
+            match relay.next_uncut_chunk().await {
                 Some(Ok(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
                 Some(Err(error)) => Some((Err(error), None)),
                 None => None,
@@ -100,6 +104,18 @@
         .boxed_local()
     }
 
+    /// Returns the next chunk unless the end of a drain cuts the stream before.
+    async fn next_uncut_chunk(&mut self) -> Option<io::Result<Bytes>> {
+        let handler = Rc::clone(&self.handler);
+        tokio::select! {
+            biased;
+            chunk = self.next_chunk() => return chunk,
+            () = handler.drain.until_cut() => {}
+        }
+        self.guard.cut();
+        Some(Err(self.end_incomplete("the process shuts down")))
+    }
+
     /// Returns the next event's bytes, nothing at the regular end, or an error if the stream must end
     /// incomplete.
     async fn next_chunk(&mut self) -> Option<io::Result<Bytes>> {
@@ -216,6 +232,7 @@
         }
         self.last_at = now;
         self.forwarded += 1;
+        self.admitted.progress.set_events(self.forwarded);
         self.last_id = event.id.or(self.last_id);
         self.held.split(event.bytes.len()).attach(event.bytes)
     }
@@ -229,6 +246,7 @@
         self.handler.dispatcher.stream_ended(&self.admitted.service, self.forwarded);
         let Some(StreamSource { slot, answer, .. }) = self.source.take() else { return };
         let first = self.first_at.map(|first| first.since(self.admitted.arrival));
+        self.handler.drain.record_duration(&self.admitted, self.began);
         info!(self.handler.logger, "streamed"; "event" => "answered",
             "request" => &*self.admitted.metadata.attempt, "target" => slot.target.id.to_string(),
             "events" => self.forwarded, "first_ms" => first, "longest_pause_ms" => self.longest_pause,
--- a/crates/porthoist-proxy/src/handler/request_body.rs
+++ b/crates/porthoist-proxy/src/handler/request_body.rs
@@ -1,6 +1,7 @@
 //! Reads request bodies, whose bytes are held until the request ends.
 
 use super::ProxyHandler;
+use super::draining::shutdown_refusal;
 use super::types::ProxyRefusal;
 use hyper::StatusCode;
 use hyper::body::Incoming;
@@ -31,7 +32,7 @@
             IntakeError::Stalled => {
                 timed_out(ProxyRefusal::retryable(RefusalReason::BodyStalled, MEMORY_RETRY_MILLIS))
             }
-            IntakeError::Closed => ProxyRefusal::retryable(RefusalReason::ShuttingDown, MEMORY_RETRY_MILLIS),
+            IntakeError::Closed => shutdown_refusal(false),
             IntakeError::Broken(error) => {
                 info!(self.logger, "unreadable body"; "event" => "malformed", "error" => error.to_string());
                 ProxyRefusal::denied(RefusalReason::Malformed)
--- a/crates/porthoist-proxy/src/handler/request_guard.rs
+++ b/crates/porthoist-proxy/src/handler/request_guard.rs
@@ -2,26 +2,95 @@
 
 use super::ProxyHandler;
 use crate::caller_stream::CallerConnection;
+use porthoist_core::{RunVerdict, TargetName, UnixMillis};
 use slog::info;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// Logs that the caller left unless the request completed or its response was cut.
+/// How far a request has come, for the moment at which it is cut.
+#[derive(Debug)]
+pub(super) struct RequestProgress {
+    pub(super) arrival: UnixMillis,
+    /// The target that it was sent to last.
+    target: RefCell<Option<TargetName>>,
+    /// Whether it was sent to this target, and the target has not stated that it did not run.
+    sent: Cell<bool>,
+    /// Whether it may have run at an earlier target.
+    ran_before: Cell<bool>,
+    /// Events that were forwarded, if the response is a stream.
+    events: Cell<Option<u64>>,
+}
+
+impl RequestProgress {
+    pub(super) fn new(arrival: UnixMillis) -> Rc<Self> {
+        Rc::new(Self {
+            arrival,
+            target: RefCell::default(),
+            sent: Cell::default(),
+            ran_before: Cell::default(),
+            events: Cell::default(),
+        })
+    }
+
+    /// Notes that the request is being sent to a target.
+    pub(super) fn begin_send(&self, target: &TargetName) {
+        self.ran_before.set(self.verdict() != RunVerdict::NotRun);
+        self.sent.set(true);
+        *self.target.borrow_mut() = Some(target.clone());
+    }
+
+    /// Notes that it did not run at this target.
+    pub(super) fn record_not_run(&self) {
+        self.sent.set(false);
+    }
+
+    pub(super) fn set_events(&self, events: u64) {
+        self.events.set(Some(events));
+    }
+
+    pub(super) fn target(&self) -> Option<TargetName> {
+        self.target.borrow().clone()
+    }
+
+    pub(super) fn events(&self) -> Option<u64> {
+        self.events.get()
+    }
+
+    pub(super) fn verdict(&self) -> RunVerdict {
+        if self.sent.get() || self.ran_before.get() { RunVerdict::MayHaveRun } else { RunVerdict::NotRun }
+    }
+}
+
+/// Logs that the caller left, or that the end of a drain cut the request, unless it completed or its response was cut.
 pub(super) struct RequestGuard {
     pub(super) handler: Rc<ProxyHandler>,
     pub(super) attempt: Arc<str>,
     pub(super) connection: Rc<CallerConnection>,
+    pub(super) progress: Rc<RequestProgress>,
     pub(super) completed: Cell<bool>,
 }
 
+impl RequestGuard {
+    /// Ends a request that the end of a drain cuts.
+    pub(super) fn cut(&self) {
+        self.completed.set(true);
+        self.handler.record_cut(&self.attempt, &self.progress);
+    }
+}
+
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         let handler = &self.handler;
         self.connection.set_idle(handler.clock.now());
         handler.in_flight.set(handler.in_flight.get().saturating_sub(1));
-        if !self.completed.get() && !self.connection.is_cut() {
-            info!(handler.logger, "caller left"; "event" => "caller_left", "request" => &*self.attempt);
+        if self.completed.get() || self.connection.is_cut() {
+            return;
+        }
+        if handler.drain.is_cut() {
+            // Its caller takes nothing of a stream, so the stream could not be ended before.
+            return self.cut();
         }
+        info!(handler.logger, "caller left"; "event" => "caller_left", "request" => &*self.attempt);
     }
 }
--- a/crates/porthoist-proxy/src/handler/retries.rs
+++ b/crates/porthoist-proxy/src/handler/retries.rs
@@ -1,6 +1,7 @@
 //! Retries: the route's attempt limit, the deadline and this process's retry budget.
 
 use super::ProxyHandler;
+use super::draining::shutdown_refusal;
 use super::types::{AdmittedRequest, ProxyRefusal, SendHistory};
 use crate::connection_pool::SendFailure;
 use hyper::StatusCode;
@@ -13,7 +14,7 @@
     /// from the budget.
     pub(super) fn take_retry(&self, admitted: &AdmittedRequest, history: &SendHistory) -> bool {
         let attempts = history.attempts();
-        let in_time = !admitted.deadline.passed(self.clock.now());
+        let in_time = !admitted.deadline.passed(self.clock.now()) && self.drain.may_start(admitted);
         let now = self.clock.now();
         attempts < admitted.rule.max_attempts
             && in_time
@@ -44,6 +45,7 @@
         Err(match (history.may_have_run, timed_out) {
             (true, true) => ProxyRefusal::unknown(RefusalReason::DeadlinePassed, StatusCode::GATEWAY_TIMEOUT),
             (true, false) => ProxyRefusal::unknown(RefusalReason::ConnectionLost, StatusCode::BAD_GATEWAY),
+            (false, _) if !self.drain.may_start(admitted) => shutdown_refusal(false),
             (false, _) => {
                 let reason = match failure.reason {
                     RetryReason::Unreachable => RefusalReason::Unreachable,
--- a/crates/porthoist-proxy/src/handler/send_checks.rs
+++ b/crates/porthoist-proxy/src/handler/send_checks.rs
@@ -16,11 +16,13 @@
         admitted: &AdmittedRequest,
         history: &mut SendHistory,
     ) -> Result<TargetSlot, ProxyRefusal> {
+        self.check_drain(admitted, history)?;
         self.check_quarantine(admitted, history)?;
         let slot = loop {
             let slot = self.request_slot(admitted, history).await?;
             self.check_quarantine(admitted, history)?;
             self.check_deadline(admitted, history)?;
+            self.check_drain(admitted, history)?;
             // The target may have sent backpressure signals since the slot was assigned.
             if self.dispatcher.is_still_valid(&slot) {
                 break slot;
--- a/crates/porthoist-proxy/src/handler/sending.rs
+++ b/crates/porthoist-proxy/src/handler/sending.rs
@@ -38,6 +38,7 @@
             self.with_retry_share(&admitted.service, |share| share.record_first_send(sent_at));
         }
         history.tried.push(slot.target.id.clone());
+        admitted.progress.begin_send(&slot.target.id);
         let sent = async {
             let open = self.pool.send(&slot.target, request, admitted.runs_once(), admitted.deadline).await?;
             self.read_answer(admitted, slot, open, sent_at).await
@@ -62,6 +63,9 @@
             }
             Ok(TargetAnswer::Stream(_answer)) => slot.set_outcome(SendOutcome::Answered(millis)),
             Err(failure) => {
+                if failure.verdict == RunVerdict::NotRun {
+                    admitted.progress.record_not_run();
+                }
                 // A service whose targets back off is not down.
                 if !matches!(failure.reason, RetryReason::Misdirected | RetryReason::Resting) {
                     self.dispatcher.refused(&admitted.service);
--- a/crates/porthoist-proxy/src/handler/slots.rs
+++ b/crates/porthoist-proxy/src/handler/slots.rs
@@ -1,6 +1,7 @@
 //! Requests a slot from the dispatcher and turns a refusal into a response.
 
 use super::ProxyHandler;
+use super::draining::shutdown_refusal;
 use super::grant_fields::GrantFields;
 use super::types::{AdmittedRequest, ProxyRefusal, SendHistory};
 use crate::dispatcher::{SlotError, SlotRequest, TargetSlot};
@@ -29,7 +30,11 @@
             deadline: admitted.deadline,
             class,
         };
-        let assigned = self.dispatcher.acquire_slot(slot_request).await;
+        let assigned = tokio::select! {
+            biased;
+            assigned = self.dispatcher.acquire_slot(slot_request) => assigned,
+            () = self.drain.until_too_late(admitted) => return Err(shutdown_refusal(history.may_have_run)),
+        };
         let waited = self.clock.now().since(now);
         self.metrics.record_queue_wait(waited as f64);
         let level = PriorityLevel(admitted.priority());
--- a/crates/porthoist-proxy/src/handler/types.rs
+++ b/crates/porthoist-proxy/src/handler/types.rs
@@ -1,7 +1,9 @@
 //! Types shared by the stages of request handling.
 
 use super::host_of;
+use super::request_guard::RequestProgress;
 use crate::connection_pool::{OpenAnswer, SendFailure};
+use crate::dispatcher::TargetSlot;
 use crate::headers::RequestMetadata;
 use crate::quarantine::{MarkedRequest, SuspectRun};
 use hyper::StatusCode;
@@ -20,6 +22,7 @@
 use porthoist_policy::proxy::routes::{RouteRule, TeamGrant};
 use porthoist_policy::proxy::wait_queue::QueueClass;
 use std::cell::OnceCell;
+use std::rc::Rc;
 use std::sync::Arc;
 
 /// Maximum number of attempts per request that don't count against the route's limit because a target asked
@@ -36,6 +39,7 @@
     pub(super) service: ServiceName,
     pub(super) ranked: bool,
     pub(super) arrival: UnixMillis,
+    pub(super) progress: Rc<RequestProgress>,
     pub(super) deadline: UnixDeadline,
     /// Whether the caller was refused before and is retrying.
     pub(super) is_caller_retry: bool,
@@ -195,6 +199,13 @@
     Stream(OpenAnswer),
 }
 
+/// A request that a target answered.
+pub(super) struct SentRequest {
+    pub(super) slot: TargetSlot,
+    pub(super) answer: TargetAnswer,
+    pub(super) history: SendHistory,
+}
+
 /// Attempts of one request so far.
 #[derive(Debug, Default)]
 pub(super) struct SendHistory {
--- a/crates/porthoist-proxy/src/server.rs
+++ b/crates/porthoist-proxy/src/server.rs
@@ -9,9 +9,10 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use porthoist_core::{AnchoredClock, ClockSource, RefusalReason, RunVerdict, UnixDeadline};
+use porthoist_core::{RefusalReason, RunVerdict};
 use porthoist_http::{SocketPeer, bound_send_buffer, configure_socket};
 use porthoist_metrics::MetricsHub;
+use porthoist_policy::proxy::drain::DrainSchedule;
 use slog::{Logger, info};
 use std::convert::Infallible;
 use std::pin::pin;
@@ -42,9 +43,7 @@
     pub handler: Rc<ProxyHandler>,
     /// Becomes `true` when the process should stop.
     pub stopping: watch::Receiver<bool>,
-    /// Time in milliseconds after the stop signal in which the balancer still sends new connections.
-    pub stop_lag_millis: u64,
-    /// Time in milliseconds after the stop signal within which the process must end.
+    /// Grace period: time in milliseconds after the stop signal within which the process must end.
     pub grace_millis: u64,
     /// Maximum number of open connections.
     pub max_connections: usize,
@@ -57,8 +56,8 @@
 /// Serves callers until the process should stop and no request is in flight.
 pub async fn serve_proxy(listener: TcpListener, server: ProxyServer) {
     let mut stopping = server.stopping.clone();
-    let mut close_at: Option<UnixDeadline> = None;
-    let clock: Arc<dyn ClockSource> = Arc::new(AnchoredClock::new());
+    let mut begun: Option<DrainSchedule> = None;
+    let clock = Arc::clone(server.handler.clock());
     let now = || clock.now();
     let connections = CallerConnections::new(
         server.max_connections,
@@ -67,9 +66,8 @@
         Arc::clone(&server.metrics),
         server.logger.clone(),
     );
-    let mut grace_end = None;
-    loop {
-        let until_close = close_at.map(|deadline| deadline.remaining(now()));
+    let schedule = loop {
+        let until_close = begun.map(|schedule| schedule.close_at.remaining(now()));
         let can_decide = connections.can_decide();
         tokio::select! {
             () = tokio::time::sleep(ACCEPT_PAUSE), if !can_decide => {}
@@ -82,20 +80,28 @@
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             },
-            _ = stopping.wait_for(|stopping| *stopping), if close_at.is_none() => {
-                server.handler.stop();
-                close_at = Some(UnixDeadline::after(now(), server.stop_lag_millis));
-                grace_end = Some(UnixDeadline::after(now(), server.grace_millis));
+            _ = stopping.wait_for(|stopping| *stopping), if begun.is_none() => {
+                let schedule = DrainSchedule::new(now(), server.grace_millis);
+                server.handler.stop(schedule);
+                begun = Some(schedule);
                 info!(server.logger, "stopping"; "event" => "stop", "in_flight" => server.handler.in_flight());
             }
-            () = sleep_or_never(until_close) => break,
+            () = sleep_or_never(until_close) => {}
         }
-    }
+        if let Some(schedule) = begun.filter(|schedule| schedule.close_at.passed(now())) {
+            break schedule;
+        }
+    };
     drop(listener);
-    let time_left = grace_end.map(|deadline| deadline.remaining(now())).unwrap_or_default();
-    let ended = tokio::time::timeout(time_left, connections.shut_down()).await;
-    info!(server.logger, "stopped"; "event" => "stopped", "cut_off" => server.handler.in_flight(),
-        "in_time" => ended.is_ok());
+    let mut ended = pin!(connections.shut_down());
+    let in_time = tokio::time::timeout(schedule.cut_at.remaining(now()), ended.as_mut()).await.is_ok();
+    if !in_time {
+        server.handler.cut();
+        // What callers have not taken by then is dropped with their connections.
+        drop(tokio::time::timeout(schedule.end_at.remaining(now()), ended).await);
+    }
+    info!(server.logger, "stopped"; "event" => "stopped", "cut_off" => server.handler.cut_off(),
+        "in_time" => in_time);
 }
 
 async fn sleep_or_never(pause: Option<Duration>) {
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -32,11 +32,6 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
-/// Milliseconds after the stop signal during which the load balancer still sends new connections: it removes
-/// a process after two failed checks, one second apart.
-const STOP_LAG_MILLIS: u64 = 2_600;
-/// Margin in milliseconds subtracted from the shutdown grace period, so that the last log lines are written.
-const GRACE_MARGIN_MILLIS: u64 = 300;
 /// Share of the retry ratio that one process uses; the rest covers restarting processes.
 const PROCESS_RATIO_SHARE: f64 = 0.8;
 /// Number of processes that share the retry slack: twice the largest current deployment.
@@ -229,8 +224,7 @@
             let server = ProxyServer {
                 handler: Rc::clone(&handler),
                 stopping: self.stopping.subscribe(),
-                stop_lag_millis: STOP_LAG_MILLIS,
-                grace_millis: self.settings.grace_millis.saturating_sub(GRACE_MARGIN_MILLIS),
+                grace_millis: self.settings.grace_millis,
                 max_connections: self.max_connections,
                 metrics: Arc::clone(&self.metrics),
                 logger: self.logger.clone(),
