Reject a grace period in which nothing can end

`--grace-s 0`, negative numbers and NaN were accepted as a grace period of nothing, `inf` as one that never ends: a stop then cut every request, or none.

--- a/porthoistd/src/settings/proxy.rs
+++ b/porthoistd/src/settings/proxy.rs
@@ -6,6 +6,7 @@
 use argh::FromArgs;
 use porthoist_core::{HostName, ZoneName};
 use porthoist_policy::proxy::change_bound::ChangeBound;
+use porthoist_policy::proxy::drain::MIN_GRACE_MILLIS;
 use porthoist_policy::proxy::memory_bounds::MemoryBounds;
 use porthoist_policy::proxy::outages::StalenessBound;
 use porthoist_proxy::MIN_PROOF_AGE_MILLIS;
@@ -52,7 +53,7 @@
     /// true: refuse requests with a key while the configuration may be out of date; false: keep using it
     #[argh(option)]
     pub refuse_unproven: Option<String>,
-    /// maximum number of seconds between the stop signal and the exit of the process
+    /// maximum number of seconds between the stop signal and the exit of the process, 1 to 3600
     #[argh(option)]
     pub grace_s: Option<String>,
     /// retries that all processes together may send per request
@@ -167,6 +168,12 @@
 const MIN_APPLY_MILLIS: u64 = 1_000;
 const APPLY_RANGE: &str = "milliseconds from 1000 to 3600000";
 
+/// Maximum grace period in milliseconds.
+const MAX_GRACE_MILLIS: u64 = 3_600_000;
+const GRACE_FLAG: &str = "grace-s";
+const GRACE_RANGE: &str = "a number of seconds from 1 to 3600";
+const _: () = assert!(MIN_GRACE_MILLIS == 1_000, "GRACE_RANGE names the minimum");
+
 fn millis(seconds: f64) -> u64 {
     (seconds.max(0.0) * 1_000.0) as u64
 }
@@ -198,6 +205,19 @@
     Ok(ChangeBound::tightest(limits))
 }
 
+/// Reads the grace period.
+fn grace_millis<E>(reader: &SettingReader<E>, given: Option<String>) -> Result<u64, SettingError>
+where
+    E: Fn(&str) -> Option<String>,
+{
+    let seconds: f64 = reader.value(GRACE_FLAG, given, Some("8"), GRACE_RANGE)?;
+    let grace_millis = millis(seconds);
+    if !(MIN_GRACE_MILLIS..=MAX_GRACE_MILLIS).contains(&grace_millis) {
+        return Err(SettingReader::<E>::error(GRACE_FLAG, format!("\"{seconds}\" given"), GRACE_RANGE));
+    }
+    Ok(grace_millis)
+}
+
 impl ProxySettings {
     /// Reads and validates all settings; `environment` looks up a variable.
     pub fn load<E>(args: ProxyArgs, environment: E) -> Result<Self, SettingError>
@@ -236,7 +256,7 @@
                 Some("true"),
                 "true or false",
             )?,
-            grace_millis: millis(reader.value("grace-s", args.grace_s, Some("8"), SECONDS)?),
+            grace_millis: grace_millis(&reader, args.grace_s)?,
             retry_ratio: reader.value("retry-ratio", args.retry_ratio, Some("0.2"), number)?,
             retry_window_millis: millis(reader.value(
                 "retry-window-s",
--- a/porthoistd/tests/settings.rs
+++ b/porthoistd/tests/settings.rs
@@ -104,6 +104,11 @@
 #[test_case("leaving-ms", ProxyArgs { leaving_ms: Some((u64::MAX - 1).to_string()), ..proxy_args() }; "leaving")]
 #[test_case("revoke-ms", ProxyArgs { revoke_ms: Some("3600001".to_owned()), ..proxy_args() }; "revoke")]
 #[test_case("notice-ms", ProxyArgs { notice_ms: Some("-1".to_owned()), ..proxy_args() }; "negative")]
+#[test_case("grace-s", ProxyArgs { grace_s: Some("0".to_owned()), ..proxy_args() }; "no grace period")]
+#[test_case("grace-s", ProxyArgs { grace_s: Some("0.999".to_owned()), ..proxy_args() }; "grace period in which nothing ends")]
+#[test_case("grace-s", ProxyArgs { grace_s: Some("-8".to_owned()), ..proxy_args() }; "negative grace period")]
+#[test_case("grace-s", ProxyArgs { grace_s: Some("NaN".to_owned()), ..proxy_args() }; "grace period that is no number")]
+#[test_case("grace-s", ProxyArgs { grace_s: Some("inf".to_owned()), ..proxy_args() }; "endless grace period")]
 #[test_case("revoke-ms", ProxyArgs { revoke_ms: Some("999".to_owned()), ..proxy_args() }; "revoke shorter than polls allow")]
 fn a_time_out_of_range_is_rejected(flag: &str, args: ProxyArgs) {
     let error = ProxySettings::load(args, |_name| None).unwrap_err().to_string();
@@ -118,6 +123,14 @@
     assert_eq!(ProxySettings::load(args, |_name| None).unwrap().revoke_millis, millis);
 }
 
+#[test_case("1", 1_000; "the shortest")]
+#[test_case("2.5", 2_500; "less than the lag of the balancer")]
+#[test_case("3600", 3_600_000; "the longest")]
+fn a_grace_period_in_range_is_accepted(seconds: &str, millis: u64) {
+    let args = ProxyArgs { grace_s: Some(seconds.to_owned()), ..proxy_args() };
+    assert_eq!(ProxySettings::load(args, |_name| None).unwrap().grace_millis, millis);
+}
+
 #[test]
 fn a_time_of_one_hour_is_accepted() {
     let hour = Some("3600000".to_owned());
