--- a/porthoistd/src/logging.rs
+++ b/porthoistd/src/logging.rs
@@ -17,7 +17,7 @@
 const MAX_LINES_PER_SECOND: u32 = 500;
 
 /// Maximum time to write the lines that are left at the exit. Their reader may have stopped reading.
-const FLUSH_TIMEOUT: Duration = Duration::from_millis(150);
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(80);
 
 /// Writes the lines that are left when dropped, which ends the log.
 #[must_use = "lines that are not written when the process exits are lost"]
