Name the deadline, not the stop, in the refusal of a request past its deadline

A request whose deadline lies before the end of the drain is always started. Once its deadline had passed, it was refused as `shutting_down` with a retry after 0.1 s instead of `deadline_passed`: the decision returned the deadline as the latest start. It returns no latest start now.

--- a/crates/porthoist-policy/src/proxy/drain.rs
+++ b/crates/porthoist-policy/src/proxy/drain.rs
@@ -57,13 +57,13 @@
     }
 
     /// Returns until when a request with this deadline may be started, if requests of its route usually take
-    /// `usual_millis`. A request whose deadline lies before the end of the drain is always answered in time.
-    pub fn latest_start(&self, deadline: UnixDeadline, usual_millis: Option<u64>) -> UnixDeadline {
+    /// `usual_millis`. Returns `None` if its deadline lies before the end of the drain: it is always answered in time.
+    pub fn latest_start(&self, deadline: UnixDeadline, usual_millis: Option<u64>) -> Option<UnixDeadline> {
         if deadline <= self.cut_at {
-            return deadline;
+            return None;
         }
         let needed_millis = usual_millis.unwrap_or(MIN_USEFUL_MILLIS);
-        UnixDeadline(UnixMillis(self.cut_at.0.0.saturating_sub(needed_millis)))
+        Some(UnixDeadline(UnixMillis(self.cut_at.0.0.saturating_sub(needed_millis))))
     }
 }
 
--- a/crates/porthoist-policy/tests/policy/drain.rs
+++ b/crates/porthoist-policy/tests/policy/drain.rs
@@ -23,7 +23,7 @@
 fn may_start(after: u64, wait: u64, usual: Option<u64>) -> bool {
     let now = STOP.plus(after);
     let schedule = DrainSchedule::new(STOP, GRACE_MILLIS);
-    !schedule.latest_start(UnixDeadline::after(now, wait), usual).passed(now)
+    schedule.latest_start(UnixDeadline::after(now, wait), usual).is_none_or(|latest| !latest.passed(now))
 }
 
 /// Guards against refusing what would have been served.
@@ -57,6 +57,12 @@
     assert!(!may_start(after, wait + 1, Some(60_000)));
 }
 
+/// Guards against a refusal that names the stop in place of the deadline.
+#[test]
+fn stop_is_no_reason_once_the_deadline_has_passed() {
+    assert!(may_start(6_000, 0, Some(60_000)));
+}
+
 #[test]
 fn usual_duration_leaves_out_outliers() {
     assert_eq!(durations([]).usual_millis(ROUTE), None);
--- a/crates/porthoist-proxy/src/handler/draining.rs
+++ b/crates/porthoist-proxy/src/handler/draining.rs
@@ -66,11 +66,11 @@
         self.durations.borrow_mut().record(&admitted.rule.name, millis);
     }
 
-    /// Until when the request may be started, once the process was told to stop.
+    /// Until when the request may be started, if the process was told to stop and the request may outlast the drain.
     fn latest_start(&self, admitted: &AdmittedRequest) -> Option<UnixDeadline> {
         let schedule = (*self.schedule.borrow())?;
         let usual = self.durations.borrow().usual_millis(&admitted.rule.name);
-        Some(schedule.latest_start(admitted.deadline, usual))
+        schedule.latest_start(admitted.deadline, usual)
     }
 
     /// Whether the request can still be finished if it is started now.
