Keep warnings in the log when other lines exceed its rate

Warnings and errors now have a limit of their own, and a process that stops with unfinished requests says so as a warning.

many_lines_drop_no_warning failed before.

--- a/crates/porthoist-proxy/src/server.rs
+++ b/crates/porthoist-proxy/src/server.rs
@@ -13,7 +13,7 @@
 use porthoist_http::{SocketPeer, bound_send_buffer, configure_socket};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::drain::DrainSchedule;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
@@ -100,8 +100,13 @@
         // What callers have not taken by then is dropped with their connections.
         drop(tokio::time::timeout(schedule.end_at.remaining(now()), ended).await);
     }
-    info!(server.logger, "stopped"; "event" => "stopped", "cut_off" => server.handler.cut_off(),
-        "in_time" => in_time);
+    let cut_off = server.handler.cut_off();
+    if in_time {
+        info!(server.logger, "stopped"; "event" => "stopped", "cut_off" => cut_off, "in_time" => in_time);
+    } else {
+        warn!(server.logger, "stopped with unfinished requests"; "event" => "stopped", "cut_off" => cut_off,
+            "in_time" => in_time);
+    }
 }
 
 async fn sleep_or_never(pause: Option<Duration>) {
--- a/porthoistd/src/logging.rs
+++ b/porthoistd/src/logging.rs
@@ -91,28 +91,37 @@
 #[derive(Debug)]
 struct LogSecond {
     end: Instant,
+    /// Lines below the level of warnings.
     lines: u32,
+    /// Lines of warnings and errors.
+    warnings: u32,
     dropped: u32,
 }
 
+impl LogSecond {
+    fn starting_at(now: Instant) -> Self {
+        Self { end: now + Duration::from_secs(1), lines: 0, warnings: 0, dropped: 0 }
+    }
+}
+
 impl<D> BoundedDrain<D> {
-    /// Limits `drain` to `limit` lines per second.
+    /// Limits `drain` to `limit` lines per second, and to as many warnings and errors.
     pub fn new(drain: D, limit: u32) -> Self {
-        let second = LogSecond { end: Instant::now(), lines: 0, dropped: 0 };
-        Self { drain, limit, second: Mutex::new(second) }
+        Self { drain, limit, second: Mutex::new(LogSecond::starting_at(Instant::now())) }
     }
 
     /// Whether one more line may pass, and how many were dropped in the previous second.
-    fn admit(&self) -> (bool, u32) {
+    fn admit(&self, level: Level) -> (bool, u32) {
         let now = Instant::now();
         let mut second = self.second.lock().unwrap_or_else(PoisonError::into_inner);
         let mut dropped = 0;
         if now >= second.end {
             dropped = second.dropped;
-            *second = LogSecond { end: now + Duration::from_secs(1), lines: 0, dropped: 0 };
+            *second = LogSecond::starting_at(now);
         }
-        second.lines += 1;
-        let admitted = second.lines <= self.limit;
+        let lines = if level.is_at_least(Level::Warning) { &mut second.warnings } else { &mut second.lines };
+        *lines += 1;
+        let admitted = *lines <= self.limit;
         if !admitted {
             second.dropped += 1;
         }
@@ -125,7 +134,7 @@
     type Err = Never;
 
     fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
-        let (admitted, dropped) = self.admit();
+        let (admitted, dropped) = self.admit(record.level());
         if dropped > 0 {
             let location = record.location();
             let warning = slog::RecordStatic { location, tag: "", level: Level::Warning };
--- a/porthoistd/tests/logging.rs
+++ b/porthoistd/tests/logging.rs
@@ -1,7 +1,7 @@
 //! The log is bounded, never blocks the caller, and is complete when a process exits.
 
 use porthoistd::logging::{BoundedDrain, flushed_logger, log_panics};
-use slog::{Drain, Level, Logger, Never, OwnedKVList, Record, info, o};
+use slog::{Drain, Level, Logger, Never, OwnedKVList, Record, info, o, warn};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -32,6 +32,18 @@
     assert_eq!(collected.0.lock().unwrap()[3..], ["log lines dropped", "line 10"]);
 }
 
+/// Guards against dropping the line that says how a process ended among those that name its requests.
+#[test]
+fn many_lines_drop_no_warning() {
+    let collected = MessageCollector::default();
+    let logger = Logger::root(BoundedDrain::new(collected.clone(), 3).fuse(), o!());
+    for line in 0..10 {
+        info!(logger, "line {}", line);
+    }
+    warn!(logger, "stopped");
+    assert_eq!(*collected.0.lock().unwrap(), ["line 0", "line 1", "line 2", "stopped"]);
+}
+
 /// A drain whose writer takes a while, or is blocked.
 struct SlowDrain<'a> {
     collector: MessageCollector,
