Read each row of the platform's tables by itself

Callers saw new targets and configurations come into force no more, and 503 for every request after a restart, once another writer left one odd row in a table: a bare number 1e999, 20,000 nested brackets or a string with a lone surrogate as its value, or a key, part or version of another type.

Cause: an answer of the table service was parsed whole, so one row that serde_json rejects failed the listing and each poll after it, in entries and in the processes beside ranks that read the tables for a zone.

Each is counted once per change in porthoist_table_rows_unreadable_total and logged once per change, also configurations and names of zones, which were logged at each poll.

--- a/crates/porthoist-metrics/src/lib.rs
+++ b/crates/porthoist-metrics/src/lib.rs
@@ -30,6 +30,10 @@
 ];
 /// Changes of the backpressure that a target reports.
 const BACKPRESSURE_CHANGES: [&str; 6] = ["limited", "lifted", "resting", "rested", "leaving", "unreadable"];
+/// Tables of the table service, as labels.
+const TABLES: [&str; 3] = ["routes", "targets", "crashes"];
+/// What of a row can't be read.
+const ROW_PROBLEMS: [&str; 3] = ["key", "version", "content"];
 /// What happens to connections of callers that exceed the limit.
 const CONNECTION_EVENTS: [&str; 3] = ["evicted", "refused", "failed"];
 /// Bucket bounds of the latency histograms, in milliseconds.
@@ -73,6 +77,7 @@
     table_calls: Counter<u64>,
     table_fallbacks: Counter<u64>,
     avoided_peers: Counter<u64>,
+    unreadable_rows: Counter<u64>,
     table_ages: Gauge<u64>,
     table_era: Gauge<u64>,
 }
@@ -135,6 +140,7 @@
             table_calls: meter.u64_counter("porthoist_table_calls").build(),
             table_fallbacks: meter.u64_counter("porthoist_table_asked").build(),
             avoided_peers: meter.u64_counter("porthoist_table_peers_avoided").build(),
+            unreadable_rows: meter.u64_counter("porthoist_table_rows_unreadable").build(),
             table_ages: meter.u64_gauge("porthoist_belief_age_milliseconds").build(),
             table_era: meter.u64_gauge("porthoist_table_era").build(),
             registry,
@@ -175,6 +181,12 @@
         for change in BACKPRESSURE_CHANGES {
             self.backpressure_changes.add(0, &[KeyValue::new("change", change)]);
         }
+        for table in TABLES {
+            for problem in ROW_PROBLEMS {
+                let labels = [KeyValue::new("table", table), KeyValue::new("problem", problem)];
+                self.unreadable_rows.add(0, &labels);
+            }
+        }
         self.suspected_requests.record(0, &[]);
         self.cold_targets.record(0, &[]);
     }
@@ -254,6 +266,11 @@
         self.avoided_peers.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a change of a row after which it can't be read, with what of it.
+    pub fn record_unreadable_row(&self, table: &'static str, problem: &'static str) {
+        self.unreadable_rows.add(1, &[KeyValue::new("table", table), KeyValue::new("problem", problem)]);
+    }
+
     /// Sets the age of the known state of a table, in milliseconds: the time since it was last confirmed to be the newest.
     pub fn set_table_age(&self, table: &'static str, millis: u64) {
         self.table_ages.record(millis, &[KeyValue::new("table", table)]);
--- a/crates/porthoist-proxy/src/crashes.rs
+++ b/crates/porthoist-proxy/src/crashes.rs
@@ -7,12 +7,13 @@
 use crate::revision::{TableEra, TableRevision};
 use crate::rows::{ControlTable, RowChange, RowSource, RowValue, RowWriter, TableRow, answer_within};
 use crate::source::{SourceAnswer, SourceError};
+use crate::unreadable_rows::{RowProblem, UnreadableRows};
 use porthoist_core::ClockSource;
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::quarantine::{CrashKey, CrashReport, CrashRows};
 use serde::{Deserialize, Serialize};
 use slog::{Logger, info, warn};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -46,8 +47,6 @@
 const MAX_WRITE_ROWS: usize = 100;
 /// Maximum number of pending changes, of some 200 bytes each. Enough for crashes in ten zones at once.
 const MAX_PENDING: usize = 2_000;
-/// Maximum number of unreadable rows that are remembered in order to log each only once.
-const MAX_UNREADABLE: usize = 1_000;
 
 /// State of the crash table.
 #[derive(Debug, Clone, Default)]
@@ -92,6 +91,8 @@
     poll_timeout: Duration,
     /// Routes and targets, used to detect that the service has recovered.
     state: watch::Receiver<ControlState>,
+    /// Counts rows that can't be read.
+    unreadable: UnreadableRows,
     clock: Arc<dyn ClockSource>,
     logger: Logger,
 }
@@ -101,7 +102,6 @@
     pub async fn run(&self) {
         let mut revision = None;
         let mut failing = false;
-        let mut unreadable = HashSet::new();
         loop {
             let answer = self.poll(revision).await;
             match answer {
@@ -109,7 +109,7 @@
                     failing = false;
                     let is_listing = revision.replace(answer.revision).is_none();
                     if !answer.value.is_empty() || is_listing {
-                        self.apply(&answer, is_listing, &mut unreadable);
+                        self.apply(&answer, is_listing);
                         tokio::time::sleep(CHANGE_PAUSE).await;
                     }
                 }
@@ -152,19 +152,14 @@
         }
     }
 
-    fn apply(
-        &self,
-        answer: &SourceAnswer<Vec<TableRow>>,
-        is_listing: bool,
-        unreadable: &mut HashSet<(String, TableRevision)>,
-    ) {
+    fn apply(&self, answer: &SourceAnswer<Vec<TableRow>>, is_listing: bool) {
         self.crashes.send_modify(|snapshot| {
             let known = if is_listing { CrashRows::new() } else { (*snapshot.rows).clone() };
             let known = answer.value.iter().fold(known, |mut known, row| {
                 match parse_crash_row(row) {
                     Ok((key, Some(report))) => drop(known.insert(key, report)),
                     Ok((key, None)) => drop(known.remove(&key)),
-                    Err(problem) => self.log_unreadable(row, &problem, unreadable),
+                    Err(problem) => self.log_unreadable(row, &problem),
                 }
                 known
             });
@@ -175,8 +170,8 @@
     }
 
     /// An unreadable row is skipped; the other rows still apply.
-    fn log_unreadable(&self, row: &TableRow, problem: &str, logged: &mut HashSet<(String, TableRevision)>) {
-        if logged.len() < MAX_UNREADABLE && logged.insert((row.key.clone(), row.version)) {
+    fn log_unreadable(&self, row: &TableRow, problem: &str) {
+        if self.unreadable.record(ControlTable::Crashes, &row.key, &row.value, RowProblem::Content) {
             warn!(self.logger, "unreadable crash row"; "event" => "crash_unreadable", "key" => &row.key,
                 "error" => problem);
         }
--- a/crates/porthoist-proxy/src/lib.rs
+++ b/crates/porthoist-proxy/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod sse;
 mod table_copy;
 pub mod table_reader;
+pub mod unreadable_rows;
 
 pub use control::{ControlState, ControlWatch, MIN_PROOF_AGE_MILLIS};
 pub use crashes::{CRASH_POLL_TIMEOUT, CrashChange, CrashSnapshot, CrashWatch, CrashWriter};
@@ -40,3 +41,4 @@
 pub use server::{ProxyServer, serve_proxy};
 pub use source::{AnswerOrigin, ControlSource, OperatorUpdate, SourceAnswer, SourceError, SourceFuture};
 pub use table_reader::{GapAges, RowUpdate, TableQuery, TableReader, TableUpdate, ValueUpdate};
+pub use unreadable_rows::{RowProblem, UnreadableRows};
--- a/crates/porthoist-proxy/src/rows.rs
+++ b/crates/porthoist-proxy/src/rows.rs
@@ -34,7 +34,7 @@
 }
 
 /// Value of a row.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum RowValue {
     /// The bytes.
     Bytes(Vec<u8>),
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -19,7 +19,7 @@
 use porthoist_proxy::{
     CRASH_POLL_TIMEOUT, ControlState, ControlWatch, CrashChange, CrashSnapshot, CrashWatch, CrashWriter,
     PeerRowSource, ProvenRowSource, ProxyHandler, ProxyHandlerSettings, ProxyServer, RequestDispatcher,
-    RequestQuarantine, RowSource, serve_proxy,
+    RequestQuarantine, RowSource, UnreadableRows, serve_proxy,
 };
 use porthoist_turist::{READY_PATH, StoreClient, TuristCodec, TuristSource};
 use slog::{Logger, info, o};
@@ -171,10 +171,12 @@
                 change_bound.own_wait(CRASH_POLL_TIMEOUT)
             };
             let crash_watch = CrashWatch::builder().source(Rc::clone(&rows)).crashes(crashes);
-            let crash_watch = crash_watch.poll_timeout(crash_wait);
+            let unreadable = UnreadableRows::new(Arc::clone(&metrics));
+            let crash_watch = crash_watch.poll_timeout(crash_wait).unreadable(unreadable.clone());
             let crash_watch =
                 crash_watch.state(state.subscribe()).clock(Arc::clone(&clock)).logger(logger.clone()).build();
-            let source = TuristSource::new(rows, Arc::clone(&clock), logger.clone());
+            let source = TuristSource::builder().rows(rows).unreadable(unreadable);
+            let source = source.clock(Arc::clone(&clock)).logger(logger.clone()).build();
             let watch = ControlWatch::builder().staleness_bound(bound).source(Rc::new(source)).state(state);
             let watch = watch.max_proof_age_millis(max_proof_age).change_bound(change_bound);
             let watch = watch.clock(clock).metrics(metrics).logger(logger).build();
--- a/porthoistd/src/role/rank.rs
+++ b/porthoistd/src/role/rank.rs
@@ -11,7 +11,7 @@
 use porthoist_fleet::{ControlTraffic, EntryDemands, LoadsPublisher, PeerPool, RankService, serve_ranks};
 use porthoist_group::RankControl;
 use porthoist_metrics::MetricsHub;
-use porthoist_proxy::{ControlState, ControlWatch, ProvenRowSource, RowSource, TableReader};
+use porthoist_proxy::{ControlState, ControlWatch, ProvenRowSource, RowSource, TableReader, UnreadableRows};
 use porthoist_turist::{StoreClient, TuristEngine, TuristSource};
 use slog::{Logger, info, o};
 use std::io;
@@ -62,12 +62,14 @@
         tokio::task::spawn_local(record_traffic(traffic, Arc::clone(&metrics)));
         tokio::task::spawn_local(watch_reloads(logger.clone()));
         tokio::task::spawn_local(watch_signals(stopping, logger.clone(), || 0));
+        let source = TuristSource::builder()
+            .rows(ProvenRowSource::new(store))
+            .unreadable(UnreadableRows::new(Arc::clone(&metrics)))
+            .clock(Arc::clone(&clock))
+            .logger(logger.clone())
+            .build();
         let control = ControlWatch::builder()
-            .source(Rc::new(TuristSource::new(
-                ProvenRowSource::new(store),
-                Arc::clone(&clock),
-                logger.clone(),
-            )))
+            .source(Rc::new(source))
             .state(state.clone())
             .clock(Arc::clone(&clock))
             .metrics(metrics)
