Plan no map from lists with experts that the model lacks

The process that plans a group's maps ended when a rank's list of experts named one beyond those of the model: the planner counts the holders of each expert by its number. The group then kept its map, and the process ended again at each start.

Lists with such an expert are now read again in the next round, like lists of different versions, and no switch begins until then.

Evidence: expert_out_of_range_delays_only_switches panicked before in both cases (index out of bounds: the len is 12 but the index is 12, 65535).

--- a/crates/porthoist-group/src/controller.rs
+++ b/crates/porthoist-group/src/controller.rs
@@ -390,7 +390,8 @@
         let version = views[0].map;
         let consistent =
             lists.iter().all(|list| list.version == version && list.experts.len() == self.shape.sets);
-        if !consistent {
+        let mut experts = lists.iter().flat_map(|list| list.experts.iter().flatten());
+        if !consistent || experts.any(|expert| usize::from(expert.0) >= self.shape.experts) {
             return false;
         }
         let of_set = |set: usize| lists.iter().map(|list| list.experts[set].clone()).collect();
--- a/crates/porthoist-group/tests/controller.rs
+++ b/crates/porthoist-group/tests/controller.rs
@@ -6,7 +6,7 @@
     RankObservation, RoundOutcome,
 };
 use porthoist_http::CallError;
-use porthoist_policy::placement::equal_shares::{EqualShareBounds, EqualShareMap, skew};
+use porthoist_policy::placement::equal_shares::{EqualShareBounds, EqualShareMap, ListChange, skew};
 use porthoist_policy::placement::map::ExpertId;
 use porthoist_policy::roll_forward::{
     ArmedMap, EngineOrder, GroupEpoch, OrderSequence, RankPace, RankState, RankView,
@@ -436,6 +436,31 @@
     assert_eq!(group.borrow().engines[0].view.map, MapVersion(1), "the switch went on");
 }
 
+/// Guards against a planner that ends because a rank lists an expert that its model does not have.
+#[test_case(EXPERTS as u16; "the first beyond the model")]
+#[test_case(u16::MAX; "the last number")]
+#[tokio::test]
+async fn expert_out_of_range_delays_only_switches(expert: u16) {
+    let group = Rc::new(RefCell::new(SimulatedGroup::new(1, 0.0)));
+    let ranks = direct_group(&group);
+    let mut controller = new_controller();
+    let change = ListChange { set: 0, rank: 1, experts: vec![ExpertId(expert)] };
+    let odd_map = EqualShareMap::with_changes(Some(initial_map()), vec![change]);
+    for engine in &mut group.borrow_mut().engines {
+        engine.maps.insert(MapVersion(0), odd_map.clone());
+    }
+    for _round in 0..FIRST_ROUNDS {
+        controller.run_load_round(&ranks, MapVersion(1)).await;
+        group.borrow_mut().run_pass();
+    }
+    assert_ne!(controller.run_round(&ranks, MapVersion(1)).await, RoundOutcome::Copying);
+    assert_eq!(controller.requests(), [1, 2, 3, 4], "loads are still read");
+    for engine in &mut group.borrow_mut().engines {
+        engine.maps.insert(MapVersion(0), initial_map());
+    }
+    assert_eq!(controller.run_round(&ranks, MapVersion(1)).await, RoundOutcome::Copying);
+}
+
 /// A single unreachable rank, of 129 for example, must not stop the whole round from counting, reporting and planning.
 #[tokio::test]
 async fn an_unreachable_rank_delays_only_switches() {
