Read each item of the older platform's feeds by itself

Entries and targets of the older roles followed no configuration or host list any more after one odd item was in it: a number too large, deep nesting, a lone surrogate, a key or version of another type. The answer was parsed whole, like those of the other platform's store.

Items are now parsed one by one. One whose value can't be read keeps its row in force, as one that is no valid row already did, and is logged by its key; an entry of the host list that can't be read is left out and logged.

--- a/crates/porthoist-http/src/json_slices.rs
+++ b/crates/porthoist-http/src/json_slices.rs
@@ -3,6 +3,7 @@
 //! Each part can then be parsed by itself, so that one that is invalid or nested too deep fails alone. The
 //! scan needs no recursion and checks only what it takes to find the parts' ends.
 
+use serde::de::DeserializeOwned;
 use std::borrow::Cow;
 
 /// Error returned when a text can't be split.
@@ -16,6 +17,48 @@
     Unexpected(usize),
 }
 
+/// Error returned when a member of an object can't be read.
+#[derive(Debug, thiserror::Error)]
+pub enum FieldError {
+    /// There are several members of that name.
+    #[error("{0} is there more than once")]
+    Repeated(String),
+    /// Its value is not of the expected form.
+    #[error("{name} can't be read: {error}")]
+    Invalid {
+        /// Name of the member.
+        name: String,
+        /// What is wrong with its value.
+        error: serde_json::Error,
+    },
+}
+
+/// An object whose members are parsed one by one.
+#[derive(Debug, Clone)]
+pub struct JsonObject<'a> {
+    members: Vec<JsonMember<'a>>,
+}
+
+impl<'a> JsonObject<'a> {
+    /// Splits an object into its members.
+    pub fn parse(text: &'a [u8]) -> Result<Self, SplitError> {
+        Ok(Self { members: split_object(text)? })
+    }
+
+    /// Returns the text of a member, `None` if there is none.
+    pub fn member(&self, name: &str) -> Result<Option<&'a [u8]>, FieldError> {
+        let mut named = self.members.iter().filter(|member| member.name == name);
+        let first = named.next().map(|member| member.value);
+        if named.next().is_some() { Err(FieldError::Repeated(name.to_owned())) } else { Ok(first) }
+    }
+
+    /// Parses a member, `None` if there is none.
+    pub fn field<T: DeserializeOwned>(&self, name: &str) -> Result<Option<T>, FieldError> {
+        let read = self.member(name)?.map(serde_json::from_slice).transpose();
+        read.map_err(|error| FieldError::Invalid { name: name.to_owned(), error })
+    }
+}
+
 /// A member of an object.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct JsonMember<'a> {
--- a/crates/porthoist-scenario/src/platform.rs
+++ b/crates/porthoist-scenario/src/platform.rs
@@ -121,7 +121,7 @@
     }
 
     fn hosts(&self, known: u64) -> PlatformFuture<'_, HostFeed> {
-        ready(self.call_table(|_state| HostFeed { revision: known, hosts: None }))
+        ready(self.call_table(|_state| HostFeed { revision: known, hosts: None, unreadable: 0 }))
     }
 
     fn register(&self, _host: HostEntry) -> PlatformFuture<'_, ()> {
--- a/crates/porthoist-standin/src/platform.rs
+++ b/crates/porthoist-standin/src/platform.rs
@@ -108,7 +108,7 @@
 
     fn host_feed(&self, known: u64) -> HostFeed {
         let revision = self.hosts_revision;
-        HostFeed { revision, hosts: (known != revision).then(|| self.host_list()) }
+        HostFeed { revision, hosts: (known != revision).then(|| self.host_list()), unreadable: 0 }
     }
 
     fn host_list(&self) -> Vec<HostEntry> {
--- a/crates/porthoist-table/src/client.rs
+++ b/crates/porthoist-table/src/client.rs
@@ -1,5 +1,6 @@
 //! Client of the platform, over HTTP.
 
+use crate::feeds::{FeedError, parse_change_feed, parse_host_feed};
 use crate::wire::{ChangeFeed, HostEntry, HostFeed, ItemRead, TableWrite, TransactAnswer, TransactRequest};
 use bytes::Bytes;
 use futures::future::BoxFuture;
@@ -76,6 +77,25 @@
         serde_json::from_value(value).map_err(|error| CallError::unknown(error.to_string()))
     }
 
+    /// Reads a feed, whose items are parsed one by one.
+    async fn feed<A>(
+        &self,
+        path: &str,
+        parse: impl FnOnce(&[u8]) -> Result<A, FeedError>,
+    ) -> Result<A, CallError> {
+        let request = Request::builder()
+            .method(Method::GET)
+            .uri(format!("{}{path}", self.base))
+            .body(Full::default())
+            .map_err(|error| CallError::not_sent(error.to_string()))?;
+        let answer = self.with_timeout(self.client.fetch(request)).await?;
+        let status = answer.status();
+        if !status.is_success() {
+            return Err(CallError::unknown(format!("status {status} from {path}")));
+        }
+        parse(answer.body()).map_err(|error| CallError::unknown(format!("{path}: {error}")))
+    }
+
     async fn object_call(
         &self,
         method: Method,
@@ -116,12 +136,12 @@
     fn changes(&self, prefix: &'static str, since: u64) -> PlatformFuture<'_, ChangeFeed> {
         Box::pin(async move {
             let path = format!("/v1/table/changes?prefix={prefix}&since={since}");
-            self.call(Method::GET, &path, NO_BODY).await
+            self.feed(&path, parse_change_feed).await
         })
     }
 
     fn hosts(&self, known: u64) -> PlatformFuture<'_, HostFeed> {
-        Box::pin(async move { self.call(Method::GET, &format!("/v1/hosts?known={known}"), NO_BODY).await })
+        Box::pin(async move { self.feed(&format!("/v1/hosts?known={known}"), parse_host_feed).await })
     }
 
     fn register(&self, host: HostEntry) -> PlatformFuture<'_, ()> {
--- a/crates/porthoist-table/src/lib.rs
+++ b/crates/porthoist-table/src/lib.rs
@@ -5,6 +5,7 @@
 //! affects only this package.
 
 pub mod client;
+pub mod feeds;
 pub mod wire;
 
 pub use client::{HttpPlatform, PlatformClient, PlatformFuture};
--- a/crates/porthoist-table/src/wire.rs
+++ b/crates/porthoist-table/src/wire.rs
@@ -107,6 +107,9 @@
     pub revision: u64,
     /// The complete list; absent if it has not changed.
     pub hosts: Option<Vec<HostEntry>>,
+    /// Number of further entries that can't be read.
+    #[serde(default, skip_serializing)]
+    pub unreadable: usize,
 }
 
 /// One entry of the host list.
--- a/porthoistd/src/component/platform.rs
+++ b/porthoistd/src/component/platform.rs
@@ -103,6 +103,9 @@
         let known = self.hosts_revision.load(Ordering::Relaxed);
         let Ok(feed) = self.client.hosts(known).await else { return };
         self.hosts_revision.store(feed.revision, Ordering::Relaxed);
+        if feed.unreadable > 0 {
+            warn!(self.logger, "unreadable entries of the host list"; "entries" => feed.unreadable);
+        }
         if let Some(hosts) = feed.hosts
             && !hosts.is_empty()
         {
