Plan no maps for models with more experts than a plan can hold

The process beside a rank ended, at each start again, when the engine model in the configuration named enormous numbers of sets or experts: the planner allocates for each expert of each set.

Models with more than 65,536 experts in all sets get no plan; this is logged once until a usable model is in force.

--- a/porthoistd/src/component/rank.rs
+++ b/porthoistd/src/component/rank.rs
@@ -53,6 +53,9 @@
 /// Minimum interval in milliseconds between load reports of the group. With much rarer reports, all entries
 /// send to the same ranks at once because those look idle.
 const LOADS_INTERVAL_MILLIS: u64 = 80;
+/// Maximum number of experts in all sets of a model for which maps are planned. A plan takes some hundred
+/// bytes for each.
+const MAX_EXPERTS: usize = 65_536;
 /// Epoch of map versions in Unix milliseconds: the beginning of 2026.
 const VERSION_EPOCH_MILLIS: u64 = 1_767_225_600_000;
 /// Milliseconds per map version. Restarting the process takes longer, so its versions never repeat.
@@ -110,6 +113,9 @@
     /// Whether the last reading of the own engine succeeded.
     #[builder(skip = true)]
     engine_readable: bool,
+    /// Whether maps can be planned for the model in the configuration.
+    #[builder(skip = true)]
+    model_usable: bool,
     /// Number of requests whose cost equals the fixed cost of a step, by the engine model in the
     /// configuration.
     #[builder(skip)]
@@ -307,6 +313,15 @@
         let state = self.state.borrow();
         let service = self.own_service(&state)?;
         let engine = state.routes.as_ref()?.services.get(&service)?.engine.as_ref()?;
+        let experts = engine.sets.checked_mul(engine.experts);
+        if experts.is_none_or(|experts| experts > MAX_EXPERTS) {
+            if std::mem::replace(&mut self.model_usable, false) {
+                warn!(self.logger, "too many experts to plan maps for"; "event" => "model_unusable",
+                    "sets" => engine.sets, "experts" => engine.experts);
+            }
+            return None;
+        }
+        self.model_usable = true;
         let bounds = EqualShareBounds {
             max_experts: engine.max_experts,
             max_new_experts: engine.max_new_experts,
