--- a/porthoistd/src/role/rank.rs
+++ b/porthoistd/src/role/rank.rs
@@ -10,7 +10,7 @@
 use porthoist_fleet::{ControlTraffic, EntryDemands, LoadsPublisher, PeerPool, RankService, serve_ranks};
 use porthoist_group::RankControl;
 use porthoist_metrics::MetricsHub;
-use porthoist_proxy::{ControlState, ControlWatch, ProvenRowSource, RowSource, TableReader};
+use porthoist_proxy::{ControlState, ControlWatch, ProvenRowSource, RowSource, TableReader, UnreadableRows};
 use porthoist_turist::{StoreClient, TuristEngine, TuristSource};
 use slog::{Logger, info, o};
 use std::io;
@@ -69,12 +69,14 @@
             .build();
         spawn_task(&task_stopping, serve_ranks(listener, Rc::new(serving)));
         spawn_task(&task_stopping, record_traffic(traffic, Arc::clone(&metrics)));
+        let source = TuristSource::builder()
+            .rows(ProvenRowSource::new(store))
+            .unreadable(UnreadableRows::new(Arc::clone(&metrics)))
+            .clock(Arc::clone(&clock))
+            .logger(logger.clone())
+            .build();
         let control = ControlWatch::builder()
-            .source(Rc::new(TuristSource::new(
-                ProvenRowSource::new(store),
-                Arc::clone(&clock),
-                logger.clone(),
-            )))
+            .source(Rc::new(source))
             .state(state.clone())
             .clock(Arc::clone(&clock))
             .metrics(metrics)
