Log one line for each request that a stop cuts, and count it in reports

A request that was cut before its answer began had two lines, `cut_at_stop` and `refused`. `porthoist report` counts it as refused (`shutting_down`), and with `events` as broken off, also for a stream whose caller reads nothing, which was in no column.

`request_cut_at_a_stop_counts_once` guards the report; it was not run on the report as it was.

--- a/crates/porthoist-proxy/src/handler.rs
+++ b/crates/porthoist-proxy/src/handler.rs
@@ -340,11 +340,12 @@
             Ok(reply) => reply,
             Err((refusal, guard)) => {
                 guard.completed.set(true);
-                if refusal.reason == RefusalReason::ShuttingDown {
-                    guard.cut();
+                let is_cut = refusal.reason == RefusalReason::ShuttingDown && guard.cut();
+                if !is_cut {
+                    self.log_refusal(&refusal, &attempt, arrival);
                 }
                 close |= refusal.leaves_body_unread();
-                self.refuse(refusal, &attempt, arrival)
+                self.refuse(refusal, &attempt)
             }
         };
         if close {
@@ -353,15 +354,19 @@
         reply
     }
 
-    fn refuse(&self, refusal: ProxyRefusal, attempt: &str, arrival: UnixMillis) -> CallerReply {
-        let ProxyRefusal { reason, status, verdict, retry_millis, grant } = refusal;
+    fn log_refusal(&self, refusal: &ProxyRefusal, attempt: &str, arrival: UnixMillis) {
+        let ProxyRefusal { reason, status, verdict, retry_millis, grant } = *refusal;
         let now = self.clock.now();
-        if let Some(skipped) = self.refusal_log.permit(&refusal, now) {
+        if let Some(skipped) = self.refusal_log.permit(refusal, now) {
             info!(self.logger, "request refused"; "event" => "refused", "request" => attempt,
                 "reason" => reason.as_str(), "status" => status.as_u16(), "verdict" => verdict.as_str(),
                 "retry_ms" => retry_millis, "held_ms" => now.since(arrival), "skipped_lines" => skipped,
                 "held_bytes" => refusal.leaves_body_unread().then(|| self.budget.held()), GrantFields(grant));
         }
+    }
+
+    fn refuse(&self, refusal: ProxyRefusal, attempt: &str) -> CallerReply {
+        let ProxyRefusal { reason, status, verdict, retry_millis, .. } = refusal;
         self.metrics.record_refusal(reason, verdict);
         let mut reply = refusal_reply(status, reason, retry_millis);
         self.codec.write_attempt(attempt, reply.headers_mut());
--- a/crates/porthoist-proxy/src/handler/draining.rs
+++ b/crates/porthoist-proxy/src/handler/draining.rs
@@ -114,10 +114,10 @@
         if self.drain.may_start(admitted) { Ok(()) } else { Err(shutdown_refusal(history.may_have_run)) }
     }
 
-    /// Logs and counts a request that the end of the drain cuts; does nothing before.
-    pub(super) fn record_cut(&self, attempt: &str, progress: &RequestProgress) {
+    /// Logs and counts a request if the end of the drain cuts it. Returns whether it does.
+    pub(super) fn record_cut(&self, attempt: &str, progress: &RequestProgress) -> bool {
         if !self.drain.cuts(progress.arrival) {
-            return;
+            return false;
         }
         let verdict = progress.verdict();
         self.drain.cut_requests.set(self.drain.cut_requests.get() + 1);
@@ -126,6 +126,7 @@
             "request" => attempt, "age_ms" => self.clock.now().since(progress.arrival),
             "target" => progress.target().map(|target| target.to_string()), "verdict" => verdict.as_str(),
             "events" => progress.events());
+        true
     }
 }
 
--- a/crates/porthoist-proxy/src/handler/request_guard.rs
+++ b/crates/porthoist-proxy/src/handler/request_guard.rs
@@ -72,10 +72,10 @@
 }
 
 impl RequestGuard {
-    /// Ends a request that the end of a drain cuts.
-    pub(super) fn cut(&self) {
+    /// Ends a request that the end of a drain cuts. Returns whether it does.
+    pub(super) fn cut(&self) -> bool {
         self.completed.set(true);
-        self.handler.record_cut(&self.attempt, &self.progress);
+        self.handler.record_cut(&self.attempt, &self.progress)
     }
 }
 
@@ -89,7 +89,8 @@
         }
         if handler.drain.is_cut() {
             // Its caller takes nothing of a stream, so the stream could not be ended before.
-            return self.cut();
+            self.cut();
+            return;
         }
         info!(handler.logger, "caller left"; "event" => "caller_left", "request" => &*self.attempt);
     }
--- a/porthoist-cli/src/report/requests.rs
+++ b/porthoist-cli/src/report/requests.rs
@@ -2,6 +2,7 @@
 
 use super::second_of;
 use crate::log_lines::LogLine;
+use porthoist_core::RefusalReason;
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap};
 
@@ -106,7 +107,14 @@
                 *second.refused.entry(line.text("reason").to_owned()).or_default() += 1;
                 second.refused_again += u32::from(facts.returned);
             }
-            "stream_unfinished" | "response_cut" => {
+            "cut_at_stop" if line.unsigned("events").is_none() => {
+                if let Some(facts) = open.remove(&key) {
+                    let second = second_entry(&mut seconds, &facts.service, facts.second);
+                    *second.refused.entry(RefusalReason::ShuttingDown.to_string()).or_default() += 1;
+                    second.refused_again += u32::from(facts.returned);
+                }
+            }
+            "stream_unfinished" | "response_cut" | "cut_at_stop" => {
                 if let Some(facts) = open.remove(&key) {
                     second_entry(&mut seconds, &facts.service, facts.second).broken_off += 1;
                 }
--- a/porthoist-cli/tests/report.rs
+++ b/porthoist-cli/tests/report.rs
@@ -72,6 +72,21 @@
     );
 }
 
+/// Guards against requests that a stop cuts and that appear in no column, or in two.
+#[test]
+fn request_cut_at_a_stop_counts_once() {
+    let log = r#"
+{"event":"admitted","ts":"2026-03-01T00:00:00.100Z","host":"e1","request":"a","service":"llm","aim_ms":500,"pause_aim_ms":120,"returned":false}
+{"event":"admitted","ts":"2026-03-01T00:00:00.200Z","host":"e1","request":"b","service":"llm","aim_ms":500,"pause_aim_ms":120,"returned":true}
+{"event":"cut_at_stop","ts":"2026-03-01T00:00:06.100Z","host":"e1","request":"a","age_ms":6000,"target":"t","verdict":"may-have-run","events":7}
+{"event":"stream_unfinished","ts":"2026-03-01T00:00:06.101Z","host":"e1","request":"a"}
+{"event":"cut_at_stop","ts":"2026-03-01T00:00:06.100Z","host":"e1","request":"b","age_ms":5900,"target":null,"verdict":"not-run","events":null}
+"#;
+    let text = log_report_text(&read_report(read_log(log).0).unwrap());
+    let counts = "2 admitted (1 returned), 0 in time, 0 late, 1 refused (1 again), 1 broken off, 0 left";
+    assert!(text.contains(counts) && text.contains("refused: shutting_down"), "{text}");
+}
+
 #[test]
 fn logs_without_readable_lines_give_no_report() {
     assert!(read_report(read_log("nothing of ours\n").0).is_none());
