Name each request that a stop cuts, up to the connections of a host

Lines that name a cut request are warnings now, and warnings have a limit of 3,000 a second, more than the connections of any host of ours.

--- a/crates/porthoist-proxy/src/handler/draining.rs
+++ b/crates/porthoist-proxy/src/handler/draining.rs
@@ -7,7 +7,7 @@
 use hyper::StatusCode;
 use porthoist_core::{ClockSource, RefusalReason, RunVerdict, UnixDeadline, UnixMillis};
 use porthoist_policy::proxy::drain::{DrainSchedule, RouteDurations};
-use slog::info;
+use slog::warn;
 use std::cell::{Cell, RefCell};
 use std::future;
 use std::sync::Arc;
@@ -122,7 +122,7 @@
         let verdict = progress.verdict();
         self.drain.cut_requests.set(self.drain.cut_requests.get() + 1);
         self.metrics.record_cut_at_stop(verdict);
-        info!(self.logger, "request cut at the end of the grace period"; "event" => "cut_at_stop",
+        warn!(self.logger, "request cut at the end of the grace period"; "event" => "cut_at_stop",
             "request" => attempt, "age_ms" => self.clock.now().since(progress.arrival),
             "target" => progress.target().map(|target| target.to_string()), "verdict" => verdict.as_str(),
             "events" => progress.events());
--- a/porthoistd/src/logging.rs
+++ b/porthoistd/src/logging.rs
@@ -15,6 +15,9 @@
 const LOG_BACKLOG: usize = 4096;
 /// Maximum number of log lines per second. An entry under production load writes about 60.
 const MAX_LINES_PER_SECOND: u32 = 500;
+/// Maximum number of warnings and errors per second. A process with as many connections as its host permits names each
+/// request that the end of its grace period cuts.
+const MAX_WARNINGS_PER_SECOND: u32 = 3_000;
 
 /// Maximum time to write the lines that are left at the exit. Their reader may have stopped reading.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(80);
@@ -76,15 +79,26 @@
     D: Drain<Ok = (), Err = Never> + Send + 'static,
 {
     let (drain, guard) = slog_async::Async::new(drain).chan_size(LOG_BACKLOG).build_with_guard();
-    let drain = BoundedDrain::new(drain.ignore_res(), MAX_LINES_PER_SECOND);
+    let drain = BoundedDrain::new(drain.ignore_res(), LOG_LIMITS);
     (Logger::root(LevelFilter::new(drain, level).ignore_res(), o!()), LogFlush(Some(guard)))
 }
 
+/// Maximum number of lines per second.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LogLimits {
+    /// Of lines below the level of warnings.
+    pub lines: u32,
+    /// Of warnings and errors.
+    pub warnings: u32,
+}
+
+const LOG_LIMITS: LogLimits = LogLimits { lines: MAX_LINES_PER_SECOND, warnings: MAX_WARNINGS_PER_SECOND };
+
 /// Limits the lines per second, and logs how many were dropped.
 #[derive(Debug)]
 pub struct BoundedDrain<D> {
     drain: D,
-    limit: u32,
+    limits: LogLimits,
     second: Mutex<LogSecond>,
 }
 
@@ -105,9 +119,9 @@
 }
 
 impl<D> BoundedDrain<D> {
-    /// Limits `drain` to `limit` lines per second, and to as many warnings and errors.
-    pub fn new(drain: D, limit: u32) -> Self {
-        Self { drain, limit, second: Mutex::new(LogSecond::starting_at(Instant::now())) }
+    /// Limits the lines that reach `drain`.
+    pub fn new(drain: D, limits: LogLimits) -> Self {
+        Self { drain, limits, second: Mutex::new(LogSecond::starting_at(Instant::now())) }
     }
 
     /// Whether one more line may pass, and how many were dropped in the previous second.
@@ -119,9 +133,13 @@
             dropped = second.dropped;
             *second = LogSecond::starting_at(now);
         }
-        let lines = if level.is_at_least(Level::Warning) { &mut second.warnings } else { &mut second.lines };
+        let (lines, limit) = if level.is_at_least(Level::Warning) {
+            (&mut second.warnings, self.limits.warnings)
+        } else {
+            (&mut second.lines, self.limits.lines)
+        };
         *lines += 1;
-        let admitted = *lines <= self.limit;
+        let admitted = *lines <= limit;
         if !admitted {
             second.dropped += 1;
         }
--- a/porthoistd/tests/logging.rs
+++ b/porthoistd/tests/logging.rs
@@ -1,10 +1,12 @@
 //! The log is bounded, never blocks the caller, and is complete when a process exits.
 
-use porthoistd::logging::{BoundedDrain, flushed_logger, log_panics};
+use porthoistd::logging::{BoundedDrain, LogLimits, flushed_logger, log_panics};
 use slog::{Drain, Level, Logger, Never, OwnedKVList, Record, info, o, warn};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+const LIMITS: LogLimits = LogLimits { lines: 3, warnings: 3 };
+
 /// Collects the messages that reach it.
 #[derive(Debug, Clone, Default)]
 struct MessageCollector(Arc<Mutex<Vec<String>>>);
@@ -22,7 +24,7 @@
 #[test]
 fn lines_above_the_limit_are_dropped_and_reported() {
     let collected = MessageCollector::default();
-    let logger = Logger::root(BoundedDrain::new(collected.clone(), 3).fuse(), o!());
+    let logger = Logger::root(BoundedDrain::new(collected.clone(), LIMITS).fuse(), o!());
     for line in 0..10 {
         info!(logger, "line {}", line);
     }
@@ -36,7 +38,7 @@
 #[test]
 fn many_lines_drop_no_warning() {
     let collected = MessageCollector::default();
-    let logger = Logger::root(BoundedDrain::new(collected.clone(), 3).fuse(), o!());
+    let logger = Logger::root(BoundedDrain::new(collected.clone(), LIMITS).fuse(), o!());
     for line in 0..10 {
         info!(logger, "line {}", line);
     }
