Watch nested tasks of components for panics, too

A panic in one of them still left a process that went on without it. They are started like the others now; the stop switch is known to each component's thread, so no caller has to pass it on. Left: the task that follows a table for other processes (`table_reader`, another package).

tests/components.rs covers tasks and threads; the nested ones were read, not run.

--- a/porthoistd/src/component.rs
+++ b/porthoistd/src/component.rs
@@ -16,11 +16,17 @@
 pub mod target_fleet;
 pub mod zone_peers;
 
+use std::cell::OnceCell;
 use std::io;
 use std::thread::JoinHandle;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
+thread_local! {
+    /// Stop switch of the process to which a component's thread belongs.
+    static STOPPING: OnceCell<watch::Sender<bool>> = const { OnceCell::new() };
+}
+
 /// Starts a graceful shutdown if dropped by a panic. A process that went on without one of its components would, for
 /// example, follow no changes until somebody noticed.
 struct PanicGuard(watch::Sender<bool>);
@@ -41,21 +47,22 @@
     F: Future<Output = ()> + 'static,
 {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let guard = PanicGuard(stopping.clone());
+    let stopping = stopping.clone();
     std::thread::Builder::new().name(name.to_owned()).spawn(move || {
-        let _guard = guard;
+        let _guard = PanicGuard(stopping.clone());
+        STOPPING.with(|switch| switch.set(stopping)).expect("the thread is new");
         let local = LocalSet::new();
         local.block_on(&runtime, make());
     })
 }
 
-/// Runs a future as a task of the current thread. If it panics, `stopping` is set; the runtime alone would only
-/// end the task.
-pub fn spawn_task<F>(stopping: &watch::Sender<bool>, future: F)
+/// Runs a future as a task of a thread of [`spawn_thread`]. If it panics, the thread's process stops; the runtime
+/// alone would only end the task.
+pub fn spawn_task<F>(future: F)
 where
     F: Future<Output = ()> + 'static,
 {
-    let guard = PanicGuard(stopping.clone());
+    let guard = STOPPING.with(|switch| switch.get().cloned().map(PanicGuard));
     tokio::task::spawn_local(async move {
         let _guard = guard;
         future.await;
--- a/porthoistd/src/component/entry_fleet.rs
+++ b/porthoistd/src/component/entry_fleet.rs
@@ -6,6 +6,7 @@
 pub mod view;
 
 use crate::component::routing::{EntriesMessage, LoadMessage, RoutingActor};
+use crate::component::spawn_task;
 use crate::config::ConfigHub;
 use futures::future::BoxFuture;
 use kameo::actor::ActorRef;
@@ -170,9 +171,9 @@
 
     /// Serves commands until the sending end is dropped.
     pub async fn run(self, mut commands: RingReceiver<FleetCommand>) {
-        tokio::task::spawn_local(self.clone().follow_hosts());
-        tokio::task::spawn_local(self.clone().count_entries());
-        tokio::task::spawn_local(self.clone().settle_limits());
+        spawn_task(self.clone().follow_hosts());
+        spawn_task(self.clone().count_entries());
+        spawn_task(self.clone().settle_limits());
         while let Some(command) = commands.receive().await {
             match command {
                 FleetCommand::Offer { target, offer, frames, reply } => {
@@ -239,7 +240,7 @@
             self.shared.view.add_hosts(&list);
             for host in self.followed_hosts(list) {
                 if self.followed.borrow_mut().insert(host.name.clone()) {
-                    tokio::task::spawn_local(self.clone().follow_host(host));
+                    spawn_task(self.clone().follow_host(host));
                 }
             }
             if hosts.changed().await.is_err() {
--- a/porthoistd/src/component/loads.rs
+++ b/porthoistd/src/component/loads.rs
@@ -6,6 +6,7 @@
 //! needed twice its 6 Mbit/s link. A service may have several groups; targets that no followed process
 //! reports on are queried until all are covered.
 
+use crate::component::spawn_task;
 use porthoist_core::{ServiceName, ZoneName};
 use porthoist_fleet::{AgedLoads, DemandReport, LoadsAnswer, RankPeer};
 use porthoist_http::CallError;
@@ -78,7 +79,7 @@
             }
             reported.borrow_mut().insert(planner, HashSet::new());
             let (watch, reported) = (self.clone(), Rc::clone(&reported));
-            tokio::task::spawn_local(async move {
+            spawn_task(async move {
                 watch.follow_process(planner, &reported).await;
                 reported.borrow_mut().remove(&planner);
             });
--- a/porthoistd/src/component/rank.rs
+++ b/porthoistd/src/component/rank.rs
@@ -1,6 +1,7 @@
 //! Serves the engine next to this process to the processes of the other ranks, and plans for the group if the
 //! engine is its first rank.
 
+use crate::component::spawn_task;
 use crate::settings::rank::RankSettings;
 use porthoist_core::{ClockSource, ServiceName, UnixDeadline, ZoneName};
 use porthoist_fleet::{AgedLoads, BranchedGroup, PeerPool, RankBranches};
@@ -151,7 +152,7 @@
             return if own.state.rank == 0 { BLOCKED_DELAY_MILLIS } else { IDLE_DELAY_MILLIS };
         }
         if let Some(control) = self.control.take() {
-            tokio::task::spawn_local(async move { control.run().await });
+            spawn_task(async move { control.run().await });
         }
         self.measure_pass(&own.state);
         self.find_group(&own.state).await;
--- a/porthoistd/src/role/entry.rs
+++ b/porthoistd/src/role/entry.rs
@@ -125,10 +125,9 @@
         let platform_heard = Arc::clone(&self.platform_heard);
         let logger = self.logger.clone();
         let url = self.settings.platform.clone();
-        let task_stopping = self.stopping.clone();
         spawn_thread("platform", &self.stopping, move || async move {
             let client: Arc<HttpPlatform> = Arc::new(HttpPlatform::new(url));
-            spawn_task(&task_stopping, serve_claims(claim_calls, Arc::<HttpPlatform>::clone(&client)));
+            spawn_task(serve_claims(claim_calls, Arc::<HttpPlatform>::clone(&client)));
             let hosts_revision = AtomicU64::new(0);
             PlatformWatch { client, config, hosts, platform_heard, own, hosts_revision, logger }.run().await;
         })?;
@@ -169,11 +168,10 @@
             hosts,
             logger: self.logger.clone(),
         });
-        let task_stopping = self.stopping.clone();
         spawn_thread("fleet", &self.stopping, move || async move {
             let entry_fleet = EntryFleet::new(shared);
             let listener = TcpListener::from_std(listener).expect("the listener is bound and non-blocking");
-            spawn_task(&task_stopping, serve_fleet(listener, key, Rc::new(entry_fleet.clone())));
+            spawn_task(serve_fleet(listener, key, Rc::new(entry_fleet.clone())));
             entry_fleet.run(commands).await;
         })?;
         Ok(())
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -231,11 +231,11 @@
                 metrics: Arc::clone(&self.metrics),
                 logger: self.logger.clone(),
             };
-            spawn_task(&self.stopping, follow_targets(Rc::clone(&handler), self.state.subscribe()));
-            spawn_task(&self.stopping, follow_crashes(Rc::clone(&handler), self.crashes.subscribe()));
-            spawn_task(&self.stopping, follow_position(Rc::clone(&handler), self.position.subscribe()));
-            spawn_task(&self.stopping, follow_notes(Rc::clone(&handler), self.zone_notes.subscribe()));
-            spawn_task(&self.stopping, follow_loads(handler, loads));
+            spawn_task(follow_targets(Rc::clone(&handler), self.state.subscribe()));
+            spawn_task(follow_crashes(Rc::clone(&handler), self.crashes.subscribe()));
+            spawn_task(follow_position(Rc::clone(&handler), self.position.subscribe()));
+            spawn_task(follow_notes(Rc::clone(&handler), self.zone_notes.subscribe()));
+            spawn_task(follow_loads(handler, loads));
             let listener = TcpListener::from_std(listener).expect("the listener is bound and non-blocking");
             serve_proxy(listener, server).await;
         })
--- a/porthoistd/src/role/rank.rs
+++ b/porthoistd/src/role/rank.rs
@@ -44,7 +44,6 @@
     let served = Arc::clone(&metrics);
     spawn_thread("metrics", stopping, move || serve_metrics(metrics_listener, served))?;
     let stop = stopping.subscribe();
-    let task_stopping = stopping.clone();
     spawn_thread("rank", stopping, move || async move {
         let entry_demands = EntryDemands::default();
         let engine = Rc::new(TuristEngine::new(settings.engine));
@@ -67,8 +66,8 @@
             .clock(Arc::clone(&clock))
             .entry_demands(entry_demands)
             .build();
-        spawn_task(&task_stopping, serve_ranks(listener, Rc::new(serving)));
-        spawn_task(&task_stopping, record_traffic(traffic, Arc::clone(&metrics)));
+        spawn_task(serve_ranks(listener, Rc::new(serving)));
+        spawn_task(record_traffic(traffic, Arc::clone(&metrics)));
         let source = TuristSource::builder()
             .rows(ProvenRowSource::new(store))
             .unreadable(UnreadableRows::new(Arc::clone(&metrics)))
--- a/porthoistd/src/role/target.rs
+++ b/porthoistd/src/role/target.rs
@@ -193,10 +193,10 @@
                     own: settings.name.clone(),
                     logger: logger.clone(),
                 };
-                spawn_task(&task_stopping, leader.run());
+                spawn_task(leader.run());
             }
-            spawn_task(&task_stopping, serve_fleet(listener, settings.fleet_key, Rc::new(handler)));
-            spawn_task(&task_stopping, follow_drain(actor, settings.name, config, task_stopping.subscribe()));
+            spawn_task(serve_fleet(listener, settings.fleet_key, Rc::new(handler)));
+            spawn_task(follow_drain(actor, settings.name, config, task_stopping.subscribe()));
             let mut stop_signal = task_stopping.subscribe();
             if stop_signal.wait_for(|stop| *stop).await.is_ok() {
                 info!(logger, "stopping"; "event" => "stop", "in_flight" => open_offers.load(Ordering::Relaxed));
--- a/porthoistd/tests/components.rs
+++ b/porthoistd/tests/components.rs
@@ -13,10 +13,9 @@
 #[tokio::test]
 async fn panic_of_a_component_starts_a_graceful_shutdown(in_task: bool) {
     let stopping = watch::Sender::new(false);
-    let task_stopping = stopping.clone();
     spawn_thread("component", &stopping, move || async move {
         if in_task {
-            spawn_task(&task_stopping, async { panic!("expected by the test") });
+            spawn_task(async { panic!("expected by the test") });
             std::future::pending::<()>().await;
         }
         panic!("expected by the test")
@@ -30,9 +29,8 @@
 #[tokio::test]
 async fn end_of_a_component_does_not_stop_its_process() {
     let stopping = watch::Sender::new(false);
-    let task_stopping = stopping.clone();
     let thread = spawn_thread("component", &stopping, move || async move {
-        spawn_task(&task_stopping, async {});
+        spawn_task(async {});
         tokio::task::yield_now().await;
     });
     thread.unwrap().join().unwrap();
