Bound what is read of a target between two frames of a body

An ordinary request got 504 (a deadline of 8 s) beside 63 answers whose chunk size had zeros without end. Hyper reads any number of leading zeros, and the bound on an answer's bytes was lifted once its head was complete: all connections together kept the thread of the callers busy, although nothing was kept.

Now 64 KiB may be read for each frame of data. Hyper reads a body only while its reader takes frames, and the bound is renewed in the same step. A body that is too large is told from a connection that broke, as with heads: the target runs.

The test failed before (chunk size: GET 504 deadline_passed, expected 200).

--- a/crates/porthoist-proxy/src/connection_pool.rs
+++ b/crates/porthoist-proxy/src/connection_pool.rs
@@ -3,7 +3,9 @@
 //! Every failure states whether the request may have run. A connection whose exchange did not complete is
 //! closed at once, which also cancels the work at its target, and is never reused.
 
-use hyper::body::{Body as _, Incoming};
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use hyper::body::{Body as _, Frame, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
@@ -38,6 +40,9 @@
 /// Maximum idle time in milliseconds of a connection for a request that may run only once. If the target
 /// closes an idle connection, it is unknown whether the request ran.
 const ONCE_IDLE_MILLIS: u64 = 1_500;
+/// Maximum number of bytes read for a frame of a body: twice the extensions and trailers that hyper accepts. The last read
+/// may exceed it.
+const MAX_FRAMING_BYTES: usize = 64 * 1024;
 /// Maximum number of idle connections per target.
 const MAX_IDLE: usize = 16;
 
@@ -131,7 +136,7 @@
 pub struct ConnectionLease {
     sender: Option<SendRequest<PiecedBody>>,
     task: AbortHandle,
-    /// Bytes that may be read until the head of the response is complete.
+    /// Bytes that may be read until the head of the response or another frame of its body is complete.
     allowance: ReadAllowance,
     target: TargetLife,
     pool: ConnectionPool,
@@ -208,13 +213,36 @@
     }
 }
 
+/// The body of a response, of which only a bounded number of bytes is read for each frame of data.
+///
+/// Hyper reads any number of zeros before the size of a chunk, for which nobody can wait in the meantime.
+#[derive(Debug)]
+pub struct TargetBody {
+    body: Incoming,
+    allowance: ReadAllowance,
+}
+
+impl TargetBody {
+    /// Announced size in bytes.
+    pub fn size(&self) -> Option<u64> {
+        self.body.size_hint().exact()
+    }
+
+    /// Returns the next frame, or nothing at the end.
+    pub async fn frame(&mut self) -> Option<Result<Frame<Bytes>, SendFailure>> {
+        let frame = self.body.frame().await?;
+        self.allowance.reset(MAX_FRAMING_BYTES);
+        Some(frame.map_err(|error| classify_error(&error)))
+    }
+}
+
 /// A response whose body has not been read.
 #[derive(Debug)]
 pub struct OpenAnswer {
     /// Status and headers.
     pub head: Parts,
     /// Body.
-    pub body: Incoming,
+    pub body: TargetBody,
     /// The connection.
     pub lease: ConnectionLease,
 }
@@ -222,7 +250,7 @@
 impl OpenAnswer {
     /// Whether only the end of the connection shows where the body ends.
     pub fn ends_with_connection(&self) -> bool {
-        self.body.size_hint().exact().is_none() && !self.head.headers.contains_key(TRANSFER_ENCODING)
+        self.body.size().is_none() && !self.head.headers.contains_key(TRANSFER_ENCODING)
     }
 }
 
@@ -388,7 +416,7 @@
         let timeout_after = deadline.remaining(self.clock.now());
         lease.allowance.reset(MAX_HEAD_BYTES);
         let answered = tokio::time::timeout(timeout_after, sender.try_send_request(request)).await;
-        lease.allowance.lift();
+        lease.allowance.reset(MAX_FRAMING_BYTES);
         match answered {
             Ok(Ok(answer)) => Ok(answer),
             Ok(Err(mut failure)) => match failure.take_message() {
@@ -414,5 +442,6 @@
 
 fn open_answer(answer: Response<Incoming>, lease: ConnectionLease) -> OpenAnswer {
     let (head, body) = answer.into_parts();
+    let body = TargetBody { body, allowance: lease.allowance.clone() };
     OpenAnswer { head, body, lease }
 }
--- a/crates/porthoist-proxy/src/handler/relay.rs
+++ b/crates/porthoist-proxy/src/handler/relay.rs
@@ -10,7 +10,6 @@
 use crate::sse::{CompleteEvent, EventSplitter};
 use bytes::Bytes;
 use futures::StreamExt as _;
-use http_body_util::BodyExt as _;
 use hyper::body::Frame;
 use porthoist_core::{RetryReason, UnixMillis};
 use porthoist_http::HeldBytes;
@@ -160,7 +159,7 @@
                     }
                     self.splitter.push(&bytes);
                 }
-                Ok(Some(Err(error))) => return RelayStep::Broken(SendFailure::closed(error)),
+                Ok(Some(Err(failure))) => return RelayStep::Broken(failure),
                 Ok(None) if self.splitter.has_partial_event() => {
                     return RelayStep::Broken(SendFailure::closed("connection ended within an event"));
                 }
--- a/crates/porthoist-proxy/src/handler/sending.rs
+++ b/crates/porthoist-proxy/src/handler/sending.rs
@@ -2,12 +2,11 @@
 
 use super::types::{AdmittedRequest, AnswerEnd, CompleteAnswer, SendHistory, TargetAnswer};
 use super::{LAST_EVENT_ID, MAX_BUFFERED_ANSWER_BYTES, ProxyHandler};
-use crate::connection_pool::{OpenAnswer, SendFailure};
+use crate::connection_pool::{OpenAnswer, SendFailure, TargetBody};
 use crate::dispatcher::TargetSlot;
 use crate::headers::SendMetadata;
 use crate::reply::strip_hop_headers;
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
-use hyper::body::{Body as _, Incoming};
+use bytes::Bytes;
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::{Request, StatusCode};
 use porthoist_core::{RetryReason, RunVerdict, UnixMillis};
@@ -15,7 +14,6 @@
 use porthoist_policy::proxy::backpressure::SignalValue;
 use porthoist_policy::proxy::balancer::SendOutcome;
 use slog::info;
-use std::error::Error;
 use std::time::Duration;
 
 /// Maximum size of the body of a rejection whose connection is used again, in bytes.
@@ -171,29 +169,45 @@
     }
 
     /// Collects a body, whose bytes are held until the caller's connection has taken them.
-    async fn collect(&self, body: Incoming) -> Result<PiecedBody, SendFailure> {
-        let mut collector = PieceCollector::new(self.budget.guard(), body.size_hint().exact());
-        let mut limited = Limited::new(body, MAX_BUFFERED_ANSWER_BYTES);
-        while let Some(frame) = limited.frame().await {
-            let Ok(data) = frame.map_err(body_failure)?.into_data() else { continue };
+    async fn collect(&self, body: TargetBody) -> Result<PiecedBody, SendFailure> {
+        let mut body = body;
+        let announced = body.size();
+        if announced.is_some_and(|announced| announced > MAX_BUFFERED_ANSWER_BYTES as u64) {
+            return Err(too_long());
+        }
+        let mut collector = PieceCollector::new(self.budget.guard(), announced);
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame?.into_data() else { continue };
+            if collector.len() + data.len() > MAX_BUFFERED_ANSWER_BYTES {
+                return Err(too_long());
+            }
             collector.push_when_free(&data).await.map_err(SendFailure::lost)?;
         }
         Ok(collector.finish())
     }
 }
 
-/// A target whose answer is too large is running.
-fn body_failure(error: Box<dyn Error + Send + Sync>) -> SendFailure {
-    if error.is::<LengthLimitError>() { SendFailure::lost(error) } else { SendFailure::closed(error) }
+/// A target whose answer is too long is running.
+fn too_long() -> SendFailure {
+    SendFailure::lost(format!("the body is longer than {MAX_BUFFERED_ANSWER_BYTES} bytes"))
 }
 
 /// Reads the body of a rejection, so that its connection can be used again; its head says everything. Returns a
 /// description.
 async fn read_rejection(answer: OpenAnswer) -> String {
-    let OpenAnswer { head, body, lease } = answer;
-    let body = Limited::new(body, MAX_REJECTION_BYTES).collect();
-    let read = tokio::time::timeout(Duration::from_millis(REJECTION_MILLIS), body).await;
-    if matches!(read, Ok(Ok(_body))) {
+    let OpenAnswer { head, mut body, lease } = answer;
+    let reading = async {
+        let mut bytes = 0;
+        while let Some(frame) = body.frame().await {
+            bytes += frame.ok()?.data_ref().map_or(0, Bytes::len);
+            if bytes > MAX_REJECTION_BYTES {
+                return None;
+            }
+        }
+        Some(())
+    };
+    let read = tokio::time::timeout(Duration::from_millis(REJECTION_MILLIS), reading).await;
+    if matches!(read, Ok(Some(()))) {
         lease.release(&head.headers);
     }
     format!("status {}", head.status)
