--- a/crates/porthoist-http/tests/byte_budget.rs
+++ b/crates/porthoist-http/tests/byte_budget.rs
@@ -4,6 +4,7 @@
 use porthoist_http::byte_budget::{BudgetExceeded, ByteBudget, SMALL_BODY_BYTES};
 use std::time::Duration;
 use test_case::test_case;
+use tokio::task::JoinSet;
 
 /// Guards against bytes that stay counted after their holder has ended.
 #[test]
@@ -109,3 +110,42 @@
     let attached = held.split(9).attach(buffer.clone());
     assert_eq!((attached.as_ptr(), budget.held()), (buffer.as_ptr(), 0));
 }
+
+/// Guards against responses without an end that hold all room and wait for each other.
+#[tokio::test(start_paused = true)]
+async fn endless_responses_do_not_wait_for_each_other() {
+    const STEP_BYTES: usize = SMALL_BODY_BYTES as usize + 1;
+    const MAX_BYTES: u64 = 8 * STEP_BYTES as u64;
+    let budget = ByteBudget::new(2 * MAX_BYTES);
+    let mut reads = JoinSet::new();
+    for _response in 0..16 {
+        let mut response = budget.guard();
+        reads.spawn(async move {
+            while response.bytes() < MAX_BYTES {
+                response.grow(STEP_BYTES).await.unwrap();
+                tokio::task::yield_now().await;
+            }
+        });
+    }
+    let read = tokio::time::timeout(Duration::from_secs(5), reads.join_all()).await;
+    assert!(read.is_ok(), "responses wait for each other");
+    assert_eq!(budget.held(), 0);
+}
+
+/// Guards against large responses that keep small ones and requests out.
+#[tokio::test(start_paused = true)]
+async fn large_responses_leave_room_to_small_ones_and_requests() {
+    const STEP_BYTES: usize = SMALL_BODY_BYTES as usize + 1;
+    let budget = ByteBudget::new(32 * STEP_BYTES as u64);
+    let mut responses = (0..20).map(|_response| budget.guard()).collect::<Vec<_>>();
+    let leading = responses[0].grow(16 * STEP_BYTES).await;
+    assert_eq!(leading, Ok(()));
+    // The second one takes the lead, and all others wait.
+    for response in &mut responses[1..] {
+        let _waited = tokio::time::timeout(Duration::from_secs(1), response.grow(STEP_BYTES)).await;
+    }
+    assert_eq!(budget.held(), 17 * STEP_BYTES as u64);
+    assert!(budget.fits_request(SMALL_BODY_BYTES));
+    let mut small = budget.guard();
+    small.grow(SMALL_BODY_BYTES as usize).await.unwrap();
+}
