Bound the memory of all answers of a target's back end together

A target process next to a back end that answers 64 requests without end kept each answer up to 64 MiB, and the events of streams without any bound in common: 174 MB at the peak with chunks, 297 MB with a body with a length, 270 MB with small events, still growing, on a host of 160 MB. It would have ended, and with it all its other requests.

An answer may now have 10 MiB, an event 256 KiB, and all answers in progress and retained ones share a budget of 80 MiB, which counts what an event takes beside its data. Answers wait for room; one at a time may take the rest, so that it ends. Clients without a bound of their own read bodies of 8 MiB, the largest object of a platform, instead of 64, and the read buffer of a client's connection has 64 KiB instead of 400 kB. The pace is read by a client of its own, up to 64 KiB.

--- a/crates/porthoist-http/src/client.rs
+++ b/crates/porthoist-http/src/client.rs
@@ -16,8 +16,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Largest answer body that a client reads unless it has a bound of its own, in bytes.
-pub const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+/// Largest answer body that a client reads unless it has a bound of its own, in bytes: the largest object of a platform.
+pub const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+/// Maximum size in bytes of a connection's read buffer, which the heads of an answer must fit.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -86,6 +88,7 @@
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
         .retry_canceled_requests(false)
+        .http1_max_buf_size(READ_BUFFER_BYTES)
         .build(BoundedConnector { connector, answer_bytes: MAX_HEAD_BYTES + answer_bytes })
 }
 
--- a/crates/porthoist-target/src/answer_log.rs
+++ b/crates/porthoist-target/src/answer_log.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use porthoist_core::{AnswerHead, RefusalReason, RunVerdict, UnixMillis};
+use porthoist_http::HeldBytes;
 use std::sync::{Arc, Mutex, MutexGuard};
 use tokio::sync::watch;
 
@@ -38,6 +39,8 @@
     /// Total size of `events`.
     bytes: usize,
     end: Option<LogEnd>,
+    /// Counts the events until the log is dropped.
+    held: Option<HeldBytes>,
 }
 
 impl LogState {
@@ -64,7 +67,7 @@
 impl AnswerLog {
     /// Creates an empty log of an answer whose events up to `base` were delivered before.
     pub fn new(base: u64) -> Arc<Self> {
-        let state = Mutex::new(LogState { base, events: Vec::new(), bytes: 0, end: None });
+        let state = Mutex::new(LogState { base, events: Vec::new(), bytes: 0, end: None, held: None });
         Arc::new(Self { state, changed: watch::Sender::new(0) })
     }
 
@@ -83,6 +86,11 @@
         Ok(())
     }
 
+    /// Keeps what counts the events once the run has ended.
+    pub(crate) fn hold(&self, held: HeldBytes) {
+        self.state().held = Some(held);
+    }
+
     /// Ends the log; later calls have no effect.
     pub fn finish(&self, end: LogEnd) {
         self.state().end.get_or_insert(end);
--- a/crates/porthoist-target/src/runner.rs
+++ b/crates/porthoist-target/src/runner.rs
@@ -3,19 +3,20 @@
 //! A run's answer is written to its log. A failure says whether the request may have run.
 
 use crate::answer_log::{AnswerLog, LogEnd};
-use crate::offers::{FirstEvent, OffersActor, RunEnded};
+use crate::offers::{FirstEvent, MAX_RETAINED_BYTES, OffersActor, RunEnded};
 use bytes::Bytes;
 use eventsource_stream::Eventsource as _;
-use futures::StreamExt as _;
 use futures::future::BoxFuture;
-use http_body_util::{BodyExt as _, BodyStream, Full};
-use hyper::body::Incoming;
+use futures::{Stream, StreamExt as _};
+use http_body_util::{BodyExt as _, BodyStream, Full, Limited};
+use hyper::body::{Body as _, Incoming};
 use hyper::{Request, Response};
 use kameo::actor::ActorRef;
 use porthoist_core::{AnswerHead, RefusalReason, RepeatPolicy, RequestOffer, RunVerdict};
-use porthoist_http::{CallError, HttpClient};
+use porthoist_http::{ByteBudget, CallError, HeldBytes, HttpClient, PieceCollector};
 use std::fmt;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// A request to run, with the log for its answer.
 #[derive(Debug, Clone)]
@@ -44,11 +45,29 @@
     fn pace(&self) -> BoxFuture<'static, Result<EnginePace, CallError>>;
 }
 
+/// Maximum size of an answer in bytes.
+const MAX_ANSWER_BYTES: usize = 10 * 1024 * 1024;
+/// Maximum number of bytes read of a connection for an answer: small pieces take as many again for their framing.
+const MAX_READ_BYTES: usize = 2 * MAX_ANSWER_BYTES;
+/// Bytes of all answers in progress. An eighth of it and of what is retained is left to a single one.
+const MAX_RUNNING_BYTES: usize = 48 * 1024 * 1024;
+/// Maximum size of an event in bytes.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// Memory of an event in bytes, in addition to its data.
+const EVENT_OVERHEAD_BYTES: usize = 96;
+
+/// Maximum size of a reading of the pace in bytes: two numbers.
+const MAX_PACE_BYTES: usize = 64 * 1024;
+
 /// Runs requests on a back end over HTTP.
 #[derive(Debug, Clone)]
 pub struct HttpRunner {
     base: String,
     client: HttpClient,
+    /// Reads the pace, in a pool of its own: its failures drop no connection of a request.
+    pace_client: HttpClient,
+    /// Bytes of all answers, retained ones included.
+    budget: Arc<ByteBudget>,
 }
 
 /// Headers of the answer that concern only its connection and are not passed on.
@@ -57,7 +76,12 @@
 impl HttpRunner {
     /// Creates a runner for the back end at `base`, for example `http://127.0.0.1:9000`.
     pub fn new(base: impl Into<String>) -> Self {
-        Self { base: base.into().trim_end_matches('/').to_owned(), client: HttpClient::new() }
+        Self {
+            base: base.into().trim_end_matches('/').to_owned(),
+            client: HttpClient::with_answer_bytes(MAX_READ_BYTES),
+            pace_client: HttpClient::with_answer_bytes(MAX_PACE_BYTES),
+            budget: ByteBudget::new((MAX_RUNNING_BYTES + MAX_RETAINED_BYTES) as u64),
+        }
     }
 
     fn build_request(&self, offer: &RequestOffer) -> Result<Request<Full<Bytes>>, CallError> {
@@ -81,14 +105,50 @@
         let response = self.client.send(self.build_request(&job.offer)?).await?;
         let streamed = job.offer.stream && response.status().is_success();
         if streamed {
-            return stream_events(response, &job.log, first_event).await;
+            let mut held = self.budget.guard();
+            let end = stream_events(response, &job.log, &mut held, first_event).await;
+            job.log.hold(held.split(usize::MAX));
+            return end;
         }
         let head = answer_head(&response);
-        let body =
-            response.into_body().collect().await.map_err(|error| CallError::unknown(error.to_string()))?;
+        let body = collect_body(response.into_body(), self.budget.guard()).await?;
         first_event();
-        Ok(LogEnd::Whole { head, body: body.to_bytes() })
+        Ok(LogEnd::Whole { head, body })
+    }
+}
+
+/// Reads a complete body, which is held until it is dropped.
+async fn collect_body(body: Incoming, held: HeldBytes) -> Result<Bytes, CallError> {
+    let announced = body.size_hint().exact();
+    if announced.is_some_and(|announced| announced > MAX_ANSWER_BYTES as u64) {
+        return Err(CallError::unknown("the answer is too large"));
+    }
+    let mut collector = PieceCollector::new(held, announced);
+    let mut body = Limited::new(body, MAX_ANSWER_BYTES);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| CallError::unknown(error.to_string()))?;
+        let Ok(data) = frame.into_data() else { continue };
+        collector.push_when_free(&data).await.map_err(|error| CallError::unknown(error.to_string()))?;
     }
+    Ok(collector.finish_whole())
+}
+
+/// Reads the data of a body, and fails if more bytes come than an event may have. `unfinished` are those since the last event.
+fn limited_events(
+    body: Incoming,
+    unfinished: Arc<AtomicUsize>,
+) -> impl Stream<Item = Result<Bytes, CallError>> {
+    BodyStream::new(body).filter_map(move |piece| {
+        let piece = match piece {
+            Ok(frame) => frame.into_data().ok().map(Ok),
+            Err(error) => Some(Err(CallError::unknown(error.to_string()))),
+        };
+        let bytes = piece.as_ref().map_or(0, |piece| piece.as_ref().map_or(0, Bytes::len));
+        let before = unfinished.fetch_add(bytes, Ordering::Relaxed);
+        let is_too_large = before > MAX_EVENT_BYTES;
+        let piece = if is_too_large { Some(Err(CallError::unknown("an event is too large"))) } else { piece };
+        std::future::ready(piece)
+    })
 }
 
 fn answer_head(response: &Response<Incoming>) -> AnswerHead {
@@ -107,24 +167,26 @@
 async fn stream_events(
     response: Response<Incoming>,
     log: &AnswerLog,
+    held: &mut HeldBytes,
     first_event: Box<dyn FnOnce() + Send>,
 ) -> Result<LogEnd, CallError> {
     let mut first_event = Some(first_event);
-    let pieces = BodyStream::new(response.into_body()).filter_map(|piece| async {
-        match piece {
-            Ok(frame) => frame.into_data().ok().map(Ok),
-            Err(error) => Some(Err(error)),
-        }
-    });
-    let mut events = Box::pin(pieces.eventsource());
+    let unfinished = Arc::new(AtomicUsize::new(0));
+    let mut events = Box::pin(limited_events(response.into_body(), Arc::clone(&unfinished)).eventsource());
     while let Some(event) = events.next().await {
         let event = event.map_err(|error| CallError::unknown(error.to_string()))?;
+        unfinished.store(0, Ordering::Relaxed);
         if let Some(call) = first_event.take() {
             call();
         }
         let id = event.id.parse().map_err(|_parse| CallError::unknown("an event without a number"))?;
         let done = event.data == DONE_MARKER;
-        log.push(id, Bytes::from(event.data))
+        let bytes = event.data.len() + EVENT_OVERHEAD_BYTES;
+        if held.bytes() as usize + bytes > MAX_ANSWER_BYTES {
+            return Err(CallError::unknown("the answer is too large"));
+        }
+        held.grow(bytes).await.map_err(|error| CallError::unknown(error.to_string()))?;
+        log.push(id, Bytes::copy_from_slice(event.data.as_bytes()))
             .map_err(|gap| CallError::unknown(format!("event {} came for {}", gap.given, gap.expected)))?;
         if done {
             return Ok(LogEnd::StreamDone);
@@ -158,7 +220,7 @@
     }
 
     fn pace(&self) -> BoxFuture<'static, Result<EnginePace, CallError>> {
-        let Self { base, client } = self.clone();
+        let (base, client) = (self.base.clone(), self.pace_client.clone());
         Box::pin(async move {
             let url = format!("{base}/load");
             let (_status, pace) = client.json(hyper::Method::GET, &url, None::<&()>).await?;
