Refuse messages of peers that are too large at their head

A peer that announces a message of 48 MiB had all of it read into memory (50,331,648 bytes in the test), up to 64 MiB for each connection. A message between processes next to ranks may now have 4 MiB, one with an offer or an answer 32 MiB; a larger one is refused before memory is taken for it. message_without_end_is_refused_at_its_head failed before for both kinds of peer.

The command-line tool reads at most 1 MiB of the metrics of an entry, as it asks all at once (no test of its own).

--- a/crates/porthoist-fleet/src/client.rs
+++ b/crates/porthoist-fleet/src/client.rs
@@ -6,7 +6,7 @@
 use crate::digest::FleetDigest;
 use crate::fleet_capnp::{frame_sink, login, node};
 use crate::rank::ControlTraffic;
-use crate::server::{failed, vat_network};
+use crate::server::{MessageLimit, failed, vat_network};
 use capnp::Error;
 use capnp::capability::Rc as CapabilityRc;
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -98,8 +98,9 @@
 
     async fn connect_without_timeout(address: &str, key: &SharedSecret) -> Result<Self, FleetError> {
         let stream = TcpStream::connect(address).await.map_err(FleetError::unreachable)?;
-        let mut system =
-            RpcSystem::new(Box::new(vat_network(stream, &ControlTraffic::default(), Side::Client)), None);
+        let traffic = ControlTraffic::default();
+        let network = vat_network(stream, &traffic, Side::Client, MessageLimit::OFFERS);
+        let mut system = RpcSystem::new(Box::new(network), None);
         let login: login::Client = system.bootstrap(Side::Server);
         let alive = Rc::new(Cell::new(true));
         let ended = Rc::clone(&alive);
--- a/crates/porthoist-fleet/src/rank/peer.rs
+++ b/crates/porthoist-fleet/src/rank/peer.rs
@@ -15,7 +15,7 @@
 };
 use super::traffic::ControlTraffic;
 use crate::rank_capnp::rank_process;
-use crate::server::vat_network;
+use crate::server::{MessageLimit, vat_network};
 use capnp::Error;
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -57,7 +57,8 @@
 
 impl PeerConnection {
     fn open(stream: TcpStream, traffic: &ControlTraffic) -> Self {
-        let mut system = RpcSystem::new(Box::new(vat_network(stream, traffic, Side::Client)), None);
+        let network = vat_network(stream, traffic, Side::Client, MessageLimit::RANKS);
+        let mut system = RpcSystem::new(Box::new(network), None);
         let client: rank_process::Client = system.bootstrap(Side::Server);
         let (open, dropped) = oneshot::channel();
         tokio::task::spawn_local(async move {
--- a/crates/porthoist-fleet/src/rank/server.rs
+++ b/crates/porthoist-fleet/src/rank/server.rs
@@ -15,7 +15,7 @@
 };
 use super::traffic::ControlTraffic;
 use crate::rank_capnp::rank_process;
-use crate::server::{failed, vat_network};
+use crate::server::{MessageLimit, failed, vat_network};
 use capnp::Error;
 use capnp::capability::Rc as CapabilityRc;
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -375,7 +375,7 @@
         };
         let server = RankServer { service: Rc::clone(&service), caller: address.ip() };
         let process: rank_process::Client = new_client(server);
-        let network = vat_network(stream, &service.traffic, Side::Server);
+        let network = vat_network(stream, &service.traffic, Side::Server, MessageLimit::RANKS);
         let system = RpcSystem::new(Box::new(network), Some(process.client));
         tokio::task::spawn_local(async move {
             // Connections end for ordinary reasons; each call on them fails with its own error.
--- a/crates/porthoist-fleet/src/server.rs
+++ b/crates/porthoist-fleet/src/server.rs
@@ -180,7 +180,7 @@
         };
         let server = LoginServer { key: key.clone(), handler: Rc::clone(&handler) };
         let login: login::Client = new_client(server);
-        let network = vat_network(stream, &ControlTraffic::default(), Side::Server);
+        let network = vat_network(stream, &ControlTraffic::default(), Side::Server, MessageLimit::OFFERS);
         let system = RpcSystem::new(Box::new(network), Some(login.client));
         tokio::task::spawn_local(async move {
             // Connections end for ordinary reasons; each call on them fails with its own error.
@@ -189,15 +189,29 @@
     }
 }
 
+/// Maximum size in bytes of a message of a peer. A larger one is refused at its head, before it takes memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct MessageLimit(usize);
+
+impl MessageLimit {
+    /// Offers and their answers, with the largest answer of a back end twice, as reading counts too.
+    pub(crate) const OFFERS: Self = Self(32 * 1024 * 1024);
+    /// Maps, loads and pieces of tables.
+    pub(crate) const RANKS: Self = Self(4 * 1024 * 1024);
+}
+
 pub(crate) fn vat_network(
     stream: TcpStream,
     traffic: &ControlTraffic,
     side: Side,
+    limit: MessageLimit,
 ) -> VatNetwork<impl futures::AsyncRead + Unpin + use<>> {
     // Without these options, latency is higher and a dead peer is noticed later.
     drop(configure_socket(&stream, SocketPeer::Control));
     let (reader, writer) = stream.into_split();
     let reader = futures::io::BufReader::new(traffic.count_stream(reader).compat());
     let writer = futures::io::BufWriter::new(traffic.count_stream(writer).compat_write());
-    VatNetwork::new(reader, writer, side, capnp::message::ReaderOptions::default())
+    let mut options = capnp::message::ReaderOptions::new();
+    options.traversal_limit_in_words(Some(limit.0 / size_of::<capnp::Word>()));
+    VatNetwork::new(reader, writer, side, options)
 }
--- a/porthoist-cli/src/cmd/entries.rs
+++ b/porthoist-cli/src/cmd/entries.rs
@@ -60,10 +60,13 @@
     Ok(entries_text(join_all(queries).await, AnchoredClock::new().now()))
 }
 
+/// Maximum size of an entry's metrics in bytes. All entries are asked at once.
+const MAX_METRICS_BYTES: usize = 1024 * 1024;
+
 async fn query_entry(address: SocketAddr) -> Result<EntryState, String> {
     let request = Request::get(format!("http://{address}/metrics")).body(Full::default());
     let request = request.map_err(|error| error.to_string())?;
-    let client = HttpClient::new();
+    let client = HttpClient::with_answer_bytes(MAX_METRICS_BYTES);
     let answer = tokio::time::timeout(QUERY_TIMEOUT, client.fetch(request)).await;
     let answer = answer.map_err(|_elapsed| "no answer in time".to_owned())?;
     let answer = answer.map_err(|error| error.to_string())?;
