--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -1,11 +1,10 @@
 //! The proxy role: forwards requests unchanged, by the routes and targets of the platform's table service.
 
-use super::{bind, file_bounds};
+use super::{bind, file_bounds, run_until_stopped};
 use crate::component::loads::LoadsWatch;
-use crate::component::signals::{watch_reloads, watch_signals};
-use crate::component::spawn_thread;
 use crate::component::status::StatusServer;
 use crate::component::zone_peers::{ZonePeers, entry_id};
+use crate::component::{spawn_task, spawn_thread};
 use crate::settings::proxy::{PROOF_MARGIN_MILLIS, ProxySettings};
 use porthoist_core::{AnchoredClock, ClockSource};
 use porthoist_fleet::{AgedLoads, ControlTraffic, PeerPool};
@@ -19,7 +18,7 @@
 use porthoist_proxy::{
     CRASH_POLL_TIMEOUT, ControlState, ControlWatch, CrashChange, CrashSnapshot, CrashWatch, CrashWriter,
     PeerRowSource, ProvenRowSource, ProxyHandler, ProxyHandlerSettings, ProxyServer, RequestDispatcher,
-    RequestQuarantine, RowSource, serve_proxy,
+    RequestQuarantine, RowSource, UnreadableRows, serve_proxy,
 };
 use porthoist_turist::{READY_PATH, StoreClient, TuristCodec, TuristSource};
 use slog::{Logger, info, o};
@@ -33,11 +32,6 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
-/// Milliseconds after the stop signal during which the load balancer still sends new connections: it removes
-/// a process after two failed checks, one second apart.
-const STOP_LAG_MILLIS: u64 = 2_600;
-/// Margin in milliseconds subtracted from the shutdown grace period, so that the last log lines are written.
-const GRACE_MARGIN_MILLIS: u64 = 300;
 /// Share of the retry ratio that one process uses; the rest covers restarting processes.
 const PROCESS_RATIO_SHARE: f64 = 0.8;
 /// Number of processes that share the retry slack: twice the largest current deployment.
@@ -65,9 +59,10 @@
 
 /// Runs a proxy until it is stopped and no request is in flight.
 pub fn run(settings: ProxySettings, logger: &Logger) -> io::Result<()> {
-    let stopping = watch::Sender::new(false);
-    let (_addresses, callers) = start(settings, logger, stopping)?;
-    callers.join().map_err(|_panic| io::Error::other("the callers' thread panicked"))
+    run_until_stopped(logger, |stopping| {
+        let (_addresses, callers) = start(settings, logger, stopping)?;
+        Ok(callers)
+    })
 }
 
 /// Starts a proxy's threads; the returned one ends when the proxy has shut down gracefully.
@@ -147,7 +142,7 @@
             (self.crashes.clone(), self.position.clone(), self.settings.host.clone());
         let (own_notes, zone_notes) = (self.own_notes.subscribe(), self.zone_notes.clone());
         let (changes, crash_changes) = mpsc::channel(CRASHES_CAPACITY);
-        spawn_thread("control", move || async move {
+        spawn_thread("control", &self.stopping, move || async move {
             let store = Rc::new(StoreClient::new(table, Arc::clone(&metrics), logger.clone()));
             let crash_writer =
                 CrashWriter::builder().writer(Rc::<StoreClient>::clone(&store)).changes(crash_changes);
@@ -171,10 +166,12 @@
                 change_bound.own_wait(CRASH_POLL_TIMEOUT)
             };
             let crash_watch = CrashWatch::builder().source(Rc::clone(&rows)).crashes(crashes);
-            let crash_watch = crash_watch.poll_timeout(crash_wait);
+            let unreadable = UnreadableRows::new(Arc::clone(&metrics));
+            let crash_watch = crash_watch.poll_timeout(crash_wait).unreadable(unreadable.clone());
             let crash_watch =
                 crash_watch.state(state.subscribe()).clock(Arc::clone(&clock)).logger(logger.clone()).build();
-            let source = TuristSource::new(rows, Arc::clone(&clock), logger.clone());
+            let source = TuristSource::builder().rows(rows).unreadable(unreadable);
+            let source = source.clock(Arc::clone(&clock)).logger(logger.clone()).build();
             let watch = ControlWatch::builder().staleness_bound(bound).source(Rc::new(source)).state(state);
             let watch = watch.max_proof_age_millis(max_proof_age).change_bound(change_bound);
             let watch = watch.clock(clock).metrics(metrics).logger(logger).build();
@@ -197,7 +194,7 @@
             own_demand: self.own_demand.subscribe(),
             logger: self.logger.clone(),
         };
-        spawn_thread("loads", move || loads_watch.run())?;
+        spawn_thread("loads", &self.stopping, move || loads_watch.run())?;
         Ok(reports)
     }
 
@@ -213,7 +210,7 @@
             logger: self.logger.clone(),
             last_ready: AtomicBool::new(false),
         };
-        spawn_thread("status", move || Arc::new(status_server).run(ready, metrics))?;
+        spawn_thread("status", &self.stopping, move || Arc::new(status_server).run(ready, metrics))?;
         Ok(())
     }
 
@@ -223,27 +220,22 @@
         loads: mpsc::Receiver<AgedLoads>,
         crash_changes: mpsc::Sender<CrashChange>,
     ) -> io::Result<JoinHandle<()>> {
-        spawn_thread("callers", move || async move {
+        let stopping = self.stopping.clone();
+        spawn_thread("callers", &stopping, move || async move {
             let handler = self.proxy_handler(crash_changes);
-            let counted = Rc::clone(&handler);
             let server = ProxyServer {
                 handler: Rc::clone(&handler),
                 stopping: self.stopping.subscribe(),
-                stop_lag_millis: STOP_LAG_MILLIS,
-                grace_millis: self.settings.grace_millis.saturating_sub(GRACE_MARGIN_MILLIS),
+                grace_millis: self.settings.grace_millis,
                 max_connections: self.max_connections,
                 metrics: Arc::clone(&self.metrics),
                 logger: self.logger.clone(),
             };
-            tokio::task::spawn_local(watch_reloads(self.logger.clone()));
-            tokio::task::spawn_local(watch_signals(self.stopping.clone(), self.logger.clone(), move || {
-                counted.in_flight()
-            }));
-            tokio::task::spawn_local(follow_targets(Rc::clone(&handler), self.state.subscribe()));
-            tokio::task::spawn_local(follow_crashes(Rc::clone(&handler), self.crashes.subscribe()));
-            tokio::task::spawn_local(follow_position(Rc::clone(&handler), self.position.subscribe()));
-            tokio::task::spawn_local(follow_notes(Rc::clone(&handler), self.zone_notes.subscribe()));
-            tokio::task::spawn_local(follow_loads(handler, loads));
+            spawn_task(&self.stopping, follow_targets(Rc::clone(&handler), self.state.subscribe()));
+            spawn_task(&self.stopping, follow_crashes(Rc::clone(&handler), self.crashes.subscribe()));
+            spawn_task(&self.stopping, follow_position(Rc::clone(&handler), self.position.subscribe()));
+            spawn_task(&self.stopping, follow_notes(Rc::clone(&handler), self.zone_notes.subscribe()));
+            spawn_task(&self.stopping, follow_loads(handler, loads));
             let listener = TcpListener::from_std(listener).expect("the listener is bound and non-blocking");
             serve_proxy(listener, server).await;
         })
--- a/porthoistd/src/role/rank.rs
+++ b/porthoistd/src/role/rank.rs
@@ -1,28 +1,37 @@
 //! The rank role: runs next to one rank of a group, and plans the group's expert maps if that is its first
 //! rank.
 
-use super::bind;
+use super::{bind, run_until_stopped};
 use crate::component::rank::{OwnRank, PlanningLoop};
-use crate::component::signals::{watch_reloads, watch_signals};
-use crate::component::spawn_thread;
 use crate::component::status::serve_metrics;
+use crate::component::{spawn_task, spawn_thread};
 use crate::settings::rank::RankSettings;
 use porthoist_core::{AnchoredClock, ClockSource};
 use porthoist_fleet::{ControlTraffic, EntryDemands, LoadsPublisher, PeerPool, RankService, serve_ranks};
 use porthoist_group::RankControl;
 use porthoist_metrics::MetricsHub;
-use porthoist_proxy::{ControlState, ControlWatch, ProvenRowSource, RowSource, TableReader};
+use porthoist_proxy::{ControlState, ControlWatch, ProvenRowSource, RowSource, TableReader, UnreadableRows};
 use porthoist_turist::{StoreClient, TuristEngine, TuristSource};
 use slog::{Logger, info, o};
 use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 /// Runs the role until it is stopped.
 pub fn run(settings: RankSettings, logger: &Logger) -> io::Result<()> {
+    run_until_stopped(logger, |stopping| start(settings, logger, &stopping))
+}
+
+/// Starts the role's threads; the returned one ends when the role has stopped.
+fn start(
+    settings: RankSettings,
+    logger: &Logger,
+    stopping: &watch::Sender<bool>,
+) -> io::Result<JoinHandle<()>> {
     let (rank_listener, rank_address) = bind(settings.rank_listen)?;
     let (metrics_listener, _metrics_address) = bind(settings.metrics_listen)?;
     let logger = logger.new(o!("role" => "rank", "host" => settings.host.to_string()));
@@ -33,10 +42,10 @@
     let clock: Arc<dyn ClockSource> = Arc::new(AnchoredClock::new());
     let state = watch::Sender::new(ControlState::default());
     let served = Arc::clone(&metrics);
-    spawn_thread("metrics", move || serve_metrics(metrics_listener, served))?;
-    let stopping = watch::Sender::new(false);
+    spawn_thread("metrics", stopping, move || serve_metrics(metrics_listener, served))?;
     let stop = stopping.subscribe();
-    let thread = spawn_thread("rank", move || async move {
+    let task_stopping = stopping.clone();
+    spawn_thread("rank", stopping, move || async move {
         let entry_demands = EntryDemands::default();
         let engine = Rc::new(TuristEngine::new(settings.engine));
         let own = Rc::new(OwnRank::with_demands(engine, entry_demands.clone()));
@@ -58,16 +67,16 @@
             .clock(Arc::clone(&clock))
             .entry_demands(entry_demands)
             .build();
-        tokio::task::spawn_local(serve_ranks(listener, Rc::new(serving)));
-        tokio::task::spawn_local(record_traffic(traffic, Arc::clone(&metrics)));
-        tokio::task::spawn_local(watch_reloads(logger.clone()));
-        tokio::task::spawn_local(watch_signals(stopping, logger.clone(), || 0));
+        spawn_task(&task_stopping, serve_ranks(listener, Rc::new(serving)));
+        spawn_task(&task_stopping, record_traffic(traffic, Arc::clone(&metrics)));
+        let source = TuristSource::builder()
+            .rows(ProvenRowSource::new(store))
+            .unreadable(UnreadableRows::new(Arc::clone(&metrics)))
+            .clock(Arc::clone(&clock))
+            .logger(logger.clone())
+            .build();
         let control = ControlWatch::builder()
-            .source(Rc::new(TuristSource::new(
-                ProvenRowSource::new(store),
-                Arc::clone(&clock),
-                logger.clone(),
-            )))
+            .source(Rc::new(source))
             .state(state.clone())
             .clock(Arc::clone(&clock))
             .metrics(metrics)
@@ -85,8 +94,7 @@
             .build();
         planning.run(stop).await;
         info!(logger, "stopped"; "event" => "stopped");
-    })?;
-    thread.join().map_err(|_panic| io::Error::other("the rank thread panicked"))
+    })
 }
 
 /// Interval in milliseconds at which the traffic counter is updated.
