--- a/crates/porthoist-metrics/src/lib.rs
+++ b/crates/porthoist-metrics/src/lib.rs
@@ -30,6 +30,10 @@
 ];
 /// Changes of the backpressure that a target reports.
 const BACKPRESSURE_CHANGES: [&str; 6] = ["limited", "lifted", "resting", "rested", "leaving", "unreadable"];
+/// Tables of the table service, as labels.
+const TABLES: [&str; 3] = ["routes", "targets", "crashes"];
+/// What of a row can't be read.
+const ROW_PROBLEMS: [&str; 3] = ["key", "version", "content"];
 /// What happens to connections of callers that exceed the limit.
 const CONNECTION_EVENTS: [&str; 3] = ["evicted", "refused", "failed"];
 /// Bucket bounds of the latency histograms, in milliseconds.
@@ -60,6 +64,7 @@
     connections: Counter<u64>,
     broken_streams: Counter<u64>,
     cut_responses: Counter<u64>,
+    cut_at_stop: Counter<u64>,
     held_bytes: Arc<OnceLock<ValueReader>>,
     crash_events: Counter<u64>,
     connection_events: Counter<u64>,
@@ -73,6 +78,7 @@
     table_calls: Counter<u64>,
     table_fallbacks: Counter<u64>,
     avoided_peers: Counter<u64>,
+    unreadable_rows: Counter<u64>,
     table_ages: Gauge<u64>,
     table_era: Gauge<u64>,
 }
@@ -122,6 +128,7 @@
             connections: meter.u64_counter("porthoist_target_connections").build(),
             broken_streams: meter.u64_counter("porthoist_broken_streams").build(),
             cut_responses: meter.u64_counter("porthoist_responses_cut").build(),
+            cut_at_stop: meter.u64_counter("porthoist_cut_at_stop").build(),
             held_bytes,
             crash_events: meter.u64_counter("porthoist_crash_events").build(),
             connection_events: meter.u64_counter("porthoist_caller_connections").build(),
@@ -135,6 +142,7 @@
             table_calls: meter.u64_counter("porthoist_table_calls").build(),
             table_fallbacks: meter.u64_counter("porthoist_table_asked").build(),
             avoided_peers: meter.u64_counter("porthoist_table_peers_avoided").build(),
+            unreadable_rows: meter.u64_counter("porthoist_table_rows_unreadable").build(),
             table_ages: meter.u64_gauge("porthoist_belief_age_milliseconds").build(),
             table_era: meter.u64_gauge("porthoist_table_era").build(),
             registry,
@@ -165,6 +173,9 @@
         self.connections.add(0, &[]);
         self.broken_streams.add(0, &[]);
         self.cut_responses.add(0, &[]);
+        for verdict in [RunVerdict::NotRun, RunVerdict::MayHaveRun] {
+            self.cut_at_stop.add(0, &[KeyValue::new("verdict", verdict.as_str())]);
+        }
         self.table_calls.add(0, &[]);
         for event in CRASH_EVENTS {
             self.crash_events.add(0, &[KeyValue::new("event", event)]);
@@ -175,6 +186,12 @@
         for change in BACKPRESSURE_CHANGES {
             self.backpressure_changes.add(0, &[KeyValue::new("change", change)]);
         }
+        for table in TABLES {
+            for problem in ROW_PROBLEMS {
+                let labels = [KeyValue::new("table", table), KeyValue::new("problem", problem)];
+                self.unreadable_rows.add(0, &labels);
+            }
+        }
         self.suspected_requests.record(0, &[]);
         self.cold_targets.record(0, &[]);
     }
@@ -208,6 +225,11 @@
         self.broken_streams.add(1, &[]);
     }
 
+    /// Counts a request that the end of a graceful shutdown cut.
+    pub fn record_cut_at_stop(&self, verdict: RunVerdict) {
+        self.cut_at_stop.add(1, &[KeyValue::new("verdict", verdict.as_str())]);
+    }
+
     /// Counts a response that was cut because its caller read nothing.
     pub fn record_cut_response(&self) {
         self.cut_responses.add(1, &[]);
@@ -254,6 +276,11 @@
         self.avoided_peers.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a change of a row after which it can't be read, with what of it.
+    pub fn record_unreadable_row(&self, table: &'static str, problem: &'static str) {
+        self.unreadable_rows.add(1, &[KeyValue::new("table", table), KeyValue::new("problem", problem)]);
+    }
+
     /// Sets the age of the known state of a table, in milliseconds: the time since it was last confirmed to be the newest.
     pub fn set_table_age(&self, table: &'static str, millis: u64) {
         self.table_ages.record(millis, &[KeyValue::new("table", table)]);
