Leave one slow request out of a route's usual duration

Callers of a route with fewer than 20 recent requests were refused with 503 for the whole drain if one of these requests was slow: below 20 samples, the rank that covers 95 in 100 is that of the longest one.

The longest duration of all is now left out if it took more than twice as long as the next. The median would be lower still, but half of the requests at the end of the drain would be cut on routes with few requests. One request alone still counts: it is all that is known of its route.

Two slow requests among fewer than 20 still count.

--- a/crates/porthoist-policy/src/proxy/drain.rs
+++ b/crates/porthoist-policy/src/proxy/drain.rs
@@ -28,6 +28,8 @@
 const RECENT_DURATIONS: usize = 64;
 /// Share of a route's recent requests that took no longer than its usual duration. Some of the rest met a fault.
 const USUAL_PERCENT: usize = 95;
+/// Ratio to the next shorter duration above which the longest one counts as a fault of one request.
+const OUTLIER_RATIO: u32 = 2;
 /// Maximum number of routes with durations. The largest configurations have some 1,000 routes; more belong to removed
 /// ones.
 const MAX_ROUTES: usize = 4_096;
@@ -84,12 +86,18 @@
     }
 
     /// Returns the time in milliseconds within which nearly all recent requests of a route were answered, unless there
-    /// were none.
+    /// were none. With few requests this is the longest time, unless no other request took nearly as long.
     pub fn usual_millis(&self, route: &str) -> Option<u64> {
         let mut durations: Vec<u32> = self.routes.get(route)?.iter().copied().collect();
         durations.sort_unstable();
         let rank = (durations.len() * USUAL_PERCENT).div_ceil(100);
-        durations.get(rank.checked_sub(1)?).copied().map(u64::from)
+        let (&longest, shorter) = durations.get(..rank)?.split_last()?;
+        let is_longest_of_all = rank == durations.len();
+        let usual = match shorter.last() {
+            Some(&next) if is_longest_of_all && longest > next.saturating_mul(OUTLIER_RATIO) => next,
+            _ => longest,
+        };
+        Some(u64::from(usual))
     }
 
     fn route(&mut self, name: &str) -> &mut VecDeque<u32> {
