Count a whole answer that is still being written as in flight

A caller that had taken a part of a complete answer when the drain ended lost the rest without a `cut_at_stop` line, and `stopped` said `cut_off` 0: the request counted as finished before its body was written.

The body of the answer now holds the request's guard until the last piece was taken for writing. What is then in the connection's buffers is still not counted. A caller that leaves within the answer gets no `caller_left` line, as before.

`answer_that_its_caller_has_not_taken_is_named` failed with the guard ended before the body was written, and passes now. client_crowds (18), held_bytes (7), requests (44) and stalled_bodies (5) pass.

--- a/crates/porthoist-proxy/src/handler.rs
+++ b/crates/porthoist-proxy/src/handler.rs
@@ -2,6 +2,7 @@
 //! that states whether the request may have run.
 
 use crate::caller_stream::CallerConnection;
+use crate::complete_body::CompleteBody;
 use crate::connection_pool::{ConnectionPool, OpenAnswer, SendFailure};
 use crate::control::ControlState;
 use crate::dispatcher::{RequestDispatcher, TargetSlot};
@@ -318,6 +319,7 @@
             attempt: Arc::clone(&attempt),
             connection,
             progress: Rc::clone(&progress),
+            answered: Cell::new(false),
             completed: Cell::new(false),
         };
         let admitted = match metadata {
@@ -389,8 +391,7 @@
                 Ok(self.relay_stream(admitted, slot, answer, history, guard))
             }
             Ok(SentRequest { slot, answer: TargetAnswer::Complete(answer), .. }) => {
-                guard.completed.set(true);
-                Ok(self.relay_complete(&admitted, &slot, answer))
+                Ok(self.relay_complete(&admitted, &slot, answer, guard))
             }
             Err(refusal) => Err((refusal, guard)),
         }
@@ -436,6 +437,7 @@
         admitted: &AdmittedRequest,
         slot: &TargetSlot,
         answer: CompleteAnswer,
+        guard: RequestGuard,
     ) -> CallerReply {
         let millis = self.clock.now().since(admitted.arrival);
         self.metrics.record_answer(millis as f64);
@@ -444,7 +446,9 @@
         }
         info!(self.logger, "answered"; "event" => "answered", "request" => &*admitted.metadata.attempt,
             "target" => slot.target.id.to_string(), "status" => answer.status.as_u16(), "took_ms" => millis);
-        complete_reply(answer.status, relayed_headers(answer.headers), answer.body)
+        guard.answered.set(true);
+        let body = CompleteBody::watched(answer.body, Box::new(guard));
+        complete_reply(answer.status, relayed_headers(answer.headers), body)
     }
 
     fn relay_stream(
--- a/crates/porthoist-proxy/src/handler/request_guard.rs
+++ b/crates/porthoist-proxy/src/handler/request_guard.rs
@@ -2,6 +2,7 @@
 
 use super::ProxyHandler;
 use crate::caller_stream::CallerConnection;
+use crate::complete_body::BodyWatch;
 use porthoist_core::{RunVerdict, TargetName, UnixMillis};
 use slog::info;
 use std::cell::{Cell, RefCell};
@@ -63,11 +64,14 @@
 }
 
 /// Logs that the caller left, or that the end of a drain cut the request, unless it completed or its response was cut.
+/// A caller that leaves within a complete answer has no line but that of the answer.
 pub(super) struct RequestGuard {
     pub(super) handler: Rc<ProxyHandler>,
     pub(super) attempt: Arc<str>,
     pub(super) connection: Rc<CallerConnection>,
     pub(super) progress: Rc<RequestProgress>,
+    /// Whether a complete answer is being written.
+    pub(super) answered: Cell<bool>,
     pub(super) completed: Cell<bool>,
 }
 
@@ -79,6 +83,12 @@
     }
 }
 
+impl BodyWatch for RequestGuard {
+    fn body_taken(&self) {
+        self.completed.set(true);
+    }
+}
+
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         let handler = &self.handler;
@@ -88,10 +98,13 @@
             return;
         }
         if handler.drain.is_cut() {
-            // Its caller takes nothing of a stream, so the stream could not be ended before.
+            // Its caller takes nothing of the response, so the response could not be ended before.
             self.cut();
             return;
         }
+        if self.answered.get() {
+            return;
+        }
         info!(handler.logger, "caller left"; "event" => "caller_left", "request" => &*self.attempt);
     }
 }
--- a/crates/porthoist-proxy/src/lib.rs
+++ b/crates/porthoist-proxy/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod caller_connections;
 mod caller_stream;
+pub mod complete_body;
 pub mod connection_pool;
 pub mod control;
 pub mod crashes;
--- a/crates/porthoist-proxy/src/reply.rs
+++ b/crates/porthoist-proxy/src/reply.rs
@@ -1,5 +1,6 @@
 //! Responses to callers: those of targets, and the proxy's own refusals.
 
+use crate::complete_body::CompleteBody;
 use bytes::Bytes;
 use futures::stream::LocalBoxStream;
 use http_body_util::{Either, StreamBody};
@@ -16,7 +17,7 @@
 /// A streamed body. An error closes the connection, so that the caller does not take the body for complete.
 pub type BodyStream = LocalBoxStream<'static, Result<Frame<Bytes>, io::Error>>;
 /// Body of a response to a caller.
-pub type ReplyBody = Either<PiecedBody, StreamBody<BodyStream>>;
+pub type ReplyBody = Either<CompleteBody, StreamBody<BodyStream>>;
 /// A response to a caller.
 pub type CallerReply = Response<ReplyBody>;
 
@@ -54,7 +55,7 @@
 }
 
 /// Creates a response with a complete body.
-pub fn complete_reply(status: StatusCode, headers: HeaderMap, body: PiecedBody) -> CallerReply {
+pub fn complete_reply(status: StatusCode, headers: HeaderMap, body: CompleteBody) -> CallerReply {
     let mut reply = Response::new(Either::Left(body));
     *reply.status_mut() = status;
     *reply.headers_mut() = headers;
@@ -80,5 +81,5 @@
         let value = HeaderValue::from_str(&seconds).expect("digits and a point fit a header");
         headers.insert(RETRY_AFTER, value);
     }
-    complete_reply(status, headers, Bytes::from(text).into())
+    complete_reply(status, headers, PiecedBody::from(Bytes::from(text)).into())
 }
