Leave slow callers out of the usual duration of streams

After one caller that read slowly, further requests of a stream's route were refused with 503 during the drain: the duration of a stream was taken to its caller's last read, and not to the end of the target's work.

The time for which a stream waits for its caller, or for room for held bytes, is now left out. A stream that waits for more than a quarter of its time is not recorded, as the rest also depends on what had piled up. Leaving out this time alone was tried and did not suffice in a debug build: of 4,043 ms, 2,030 were waited for the caller, and the rest was still longer than the drain.

`slow_caller_does_not_refuse_its_route` failed before (503 in place of 200) and passes now.

--- a/crates/porthoist-proxy/src/handler/relay.rs
+++ b/crates/porthoist-proxy/src/handler/relay.rs
@@ -19,6 +19,9 @@
 use std::io;
 use std::rc::Rc;
 
+/// Share of a stream's time for which it may wait for its caller if its duration is to tell that of others.
+const MAX_WAITED_PERCENT: u64 = 25;
+
 /// A stream being relayed to a caller.
 pub(super) struct EventRelay {
     handler: Rc<ProxyHandler>,
@@ -34,6 +37,8 @@
     first_at: Option<UnixMillis>,
     last_at: UnixMillis,
     longest_pause: u64,
+    /// Time in milliseconds during which the caller took nothing, or there was no room for held bytes.
+    waited_millis: u64,
     history: SendHistory,
     guard: RequestGuard,
 }
@@ -86,6 +91,7 @@
             first_at: None,
             last_at,
             longest_pause: 0,
+            waited_millis: 0,
             history,
             guard,
         }
@@ -107,6 +113,9 @@
     /// Returns the next chunk unless the end of a drain cuts the stream before.
     async fn next_uncut_chunk(&mut self) -> Option<io::Result<Bytes>> {
         let handler = Rc::clone(&self.handler);
+        if self.forwarded > 0 {
+            self.waited_millis += handler.clock.now().since(self.last_at);
+        }
         tokio::select! {
             biased;
             chunk = self.next_chunk() => return chunk,
@@ -171,7 +180,10 @@
                     let Ok(bytes) = frame.into_data() else { continue };
                     match self.hold(bytes.len()).await {
                         // The target is not silent while there is no room.
-                        Ok(waited) => waiting_since = waiting_since.plus(waited),
+                        Ok(waited) => {
+                            waiting_since = waiting_since.plus(waited);
+                            self.waited_millis += waited;
+                        }
                         Err(failure) => return RelayStep::Broken(failure),
                     }
                     self.splitter.push(&bytes);
@@ -246,7 +258,7 @@
         self.handler.dispatcher.stream_ended(&self.admitted.service, self.forwarded);
         let Some(StreamSource { slot, answer, .. }) = self.source.take() else { return };
         let first = self.first_at.map(|first| first.since(self.admitted.arrival));
-        self.handler.drain.record_duration(&self.admitted, self.began);
+        self.record_duration();
         info!(self.handler.logger, "streamed"; "event" => "answered",
             "request" => &*self.admitted.metadata.attempt, "target" => slot.target.id.to_string(),
             "events" => self.forwarded, "first_ms" => first, "longest_pause_ms" => self.longest_pause,
@@ -255,6 +267,14 @@
         answer.lease.release(&answer.head.headers);
     }
 
+    /// Records the time that the stream took without its caller's share, unless that is too large to tell the rest.
+    fn record_duration(&self) {
+        let took_millis = self.handler.clock.now().since(self.began);
+        if self.waited_millis * 100 <= took_millis * MAX_WAITED_PERCENT {
+            self.handler.drain.record_duration(&self.admitted, self.began.plus(self.waited_millis));
+        }
+    }
+
     /// Resumes the stream at another target, or ends it incomplete.
     async fn resume(&mut self, broken: SendFailure) -> io::Result<()> {
         let mut failure = broken;
