Log no departure of a caller whose request panicked

A panic in a connection's task drops the guards of its request, which logged `caller_left` although the caller had stayed. The line is left out while the thread unwinds. No test shows it: no request is known that panics.

--- a/crates/porthoist-proxy/src/handler/request_guard.rs
+++ b/crates/porthoist-proxy/src/handler/request_guard.rs
@@ -8,6 +8,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::thread;
 
 /// How far a request has come, for the moment at which it is cut.
 #[derive(Debug)]
@@ -102,7 +103,7 @@
             self.cut();
             return;
         }
-        if self.answered.get() {
+        if self.answered.get() || thread::panicking() {
             return;
         }
         info!(handler.logger, "caller left"; "event" => "caller_left", "request" => &*self.attempt);
