--- a/porthoistd/src/logging.rs
+++ b/porthoistd/src/logging.rs
@@ -1,7 +1,7 @@
 //! Structured logs: JSON lines on standard output, or text for a terminal on standard error.
 //!
-//! Logging never blocks the calling thread, and the number of lines per second is bounded. The lines of a process that exits
-//! are written before it does, and so is what panicked in it.
+//! Logging never blocks the calling thread, and the number of lines per second is bounded. Panics are logged, and the last lines
+//! are written before the process exits.
 
 use crate::settings::LogFormat;
 use slog::{Drain, Level, LevelFilter, Logger, Never, OwnedKVList, Record, error, o};
