Keep a request at its pausing target until another one has answered

Callers got the end of the connection within a stream, or 502, when their target paused and no other one took the request over: streams of operators ended so around a planned stop.

Cause: a move closed the connection to the target first and looked for another one then. Without a slot, an attempt, a connection or an answer elsewhere nothing was left, although the target went on 0.3 s later. The class: what works, or may work again, is given up before its replacement does.

Change: while a target pauses, further attempts run beside the first one, and whichever answers first is used, a stream's first event counting as its answer. The other one is closed. If none succeeds, the request stays where it is. Retries are taken from the budget as before. New events: stream_moved, move_failed.

--- a/crates/porthoist-proxy/src/handler.rs
+++ b/crates/porthoist-proxy/src/handler.rs
@@ -3,7 +3,7 @@
 
 use crate::caller_stream::CallerConnection;
 use crate::complete_body::CompleteBody;
-use crate::connection_pool::{ConnectionPool, OpenAnswer, SendFailure};
+use crate::connection_pool::{ConnectionPool, OpenAnswer};
 use crate::control::ControlState;
 use crate::dispatcher::{RequestDispatcher, TargetSlot};
 use crate::headers::HeaderCodec;
@@ -13,9 +13,7 @@
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
-use porthoist_core::{
-    ClockSource, RefusalReason, RetryReason, RunVerdict, ServiceName, UnixDeadline, UnixMillis,
-};
+use porthoist_core::{ClockSource, RefusalReason, ServiceName, UnixDeadline, UnixMillis};
 use porthoist_http::{BodyIntake, ByteBudget};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::caller_retries::CallerRetryDetector;
@@ -38,6 +36,7 @@
 use tokio::sync::watch;
 
 mod admission;
+mod attempts;
 mod backpressure;
 mod draining;
 mod grant_fields;
@@ -50,6 +49,7 @@
 mod send_checks;
 mod sending;
 mod slots;
+mod stream_reader;
 mod types;
 
 use backpressure::NotePublisher;
@@ -381,57 +381,23 @@
         admitted: Rc<AdmittedRequest>,
         guard: RequestGuard,
     ) -> Result<CallerReply, (ProxyRefusal, RequestGuard)> {
+        let mut history = SendHistory::default();
         let sent = tokio::select! {
             biased;
-            sent = self.send_until_answered(&admitted) => sent,
+            sent = self.send_until_answered(&admitted, &mut history, None) => sent,
             () = self.drain.until_cut() => Err(cut_refusal(&admitted)),
         };
         match sent {
-            Ok(SentRequest { slot, answer: TargetAnswer::Stream(answer), history }) => {
+            Ok(SentRequest { slot, answer: TargetAnswer::Stream(answer) }) => {
                 Ok(self.relay_stream(admitted, slot, answer, history, guard))
             }
-            Ok(SentRequest { slot, answer: TargetAnswer::Complete(answer), .. }) => {
+            Ok(SentRequest { slot, answer: TargetAnswer::Complete(answer) }) => {
                 Ok(self.relay_complete(&admitted, &slot, answer, guard))
             }
             Err(refusal) => Err((refusal, guard)),
         }
     }
 
-    /// Sends a request until it is answered or no further attempt is allowed.
-    async fn send_until_answered(&self, admitted: &AdmittedRequest) -> Result<SentRequest, ProxyRefusal> {
-        let mut history = SendHistory::default();
-        loop {
-            let slot = self.acquire_permitted_slot(admitted, &mut history).await?;
-            let failure = match self.send(admitted, &slot, None, &mut history).await {
-                Ok(TargetAnswer::Complete(answer)) if self.repeats(admitted, &answer, &history) => {
-                    let detail = format!("status {}", answer.status.as_u16());
-                    SendFailure {
-                        verdict: RunVerdict::Ran,
-                        reason: RetryReason::BackendFailed,
-                        detail,
-                        closed: false,
-                    }
-                }
-                Ok(answer) => return Ok(SentRequest { slot, answer, history }),
-                Err(failure) => failure,
-            };
-            let target = Arc::clone(&slot.target);
-            drop(slot);
-            self.check_lost_target(admitted, &target, &failure, &mut history).await;
-            history.record_failure(&failure);
-            if failure.reason == RetryReason::BackendFailed {
-                self.record_retry(admitted, &failure);
-                continue;
-            }
-            self.allow_retry(admitted, &history, &failure)?;
-        }
-    }
-
-    /// Whether a request is sent again in place of this response. Takes the retry from the budget.
-    fn repeats(&self, admitted: &AdmittedRequest, answer: &CompleteAnswer, history: &SendHistory) -> bool {
-        answer.status.is_server_error() && !admitted.runs_once() && self.take_retry(admitted, history)
-    }
-
     fn relay_complete(
         &self,
         admitted: &AdmittedRequest,
--- /dev/null
+++ b/crates/porthoist-proxy/src/handler/attempts.rs
@@ -0,0 +1,279 @@
+//! Sends a request until a target answers.
+//!
+//! A target that pauses keeps its request, or its stream, until another one has answered: there may be no other one with
+//! room, and the first one may go on.
+
+use super::ProxyHandler;
+use super::stream_reader::{StreamReader, StreamStep};
+use super::types::{AdmittedRequest, CompleteAnswer, ProxyRefusal, SendHistory, SentRequest, TargetAnswer};
+use crate::connection_pool::SendFailure;
+use crate::dispatcher::TargetSlot;
+use futures::FutureExt as _;
+use futures::future::LocalBoxFuture;
+use porthoist_core::{RetryReason, RunVerdict, UnixMillis};
+use porthoist_policy::proxy::balancer::SendOutcome;
+use porthoist_policy::proxy::moving::MoveCause;
+use porthoist_policy::proxy::targets::TargetRecord;
+use slog::info;
+use std::pin::pin;
+use std::sync::Arc;
+
+/// How far a stream has come.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct StreamPosition {
+    /// When the request was sent or the last event arrived.
+    pub(super) since: UnixMillis,
+    /// Number of forwarded events.
+    pub(super) events: u64,
+    /// Identifier of the last event.
+    pub(super) last_id: Option<u64>,
+}
+
+/// Why an attempt did not succeed.
+enum AttemptError {
+    /// The target failed.
+    Failed(Arc<TargetRecord>, SendFailure),
+    /// The target failed, and so did all further attempts.
+    Refused(ProxyRefusal),
+}
+
+/// How an attempt ended whose target may have paused.
+enum AttemptEnd {
+    /// The target answered or failed.
+    Own(Result<TargetAnswer, SendFailure>),
+    /// Another target answered, or the own one failed and no other one answered.
+    Other(Result<SentRequest, ProxyRefusal>),
+}
+
+impl ProxyHandler {
+    /// Sends a request until it is answered or no further attempt is allowed. Resumes a stream after `after_event`.
+    pub(super) async fn send_until_answered(
+        &self,
+        admitted: &AdmittedRequest,
+        history: &mut SendHistory,
+        after_event: Option<u64>,
+    ) -> Result<SentRequest, ProxyRefusal> {
+        loop {
+            let slot = self.acquire_permitted_slot(admitted, history).await?;
+            let (target, failure) = match self.send_or_replace(admitted, slot, history, after_event).await {
+                Ok(SentRequest { slot, answer: TargetAnswer::Complete(answer) })
+                    if self.repeats(admitted, &answer, history) =>
+                {
+                    (Arc::clone(&slot.target), failed_answer(&answer))
+                }
+                Ok(sent) => return Ok(sent),
+                Err(AttemptError::Failed(target, failure)) => (target, failure),
+                Err(AttemptError::Refused(refusal)) => return Err(refusal),
+            };
+            self.check_lost_target(admitted, &target, &failure, history).await;
+            history.record_failure(&failure);
+            if failure.reason == RetryReason::BackendFailed {
+                self.record_retry(admitted, &failure);
+                continue;
+            }
+            self.allow_retry(admitted, history, &failure)?;
+        }
+    }
+
+    /// Whether a request is sent again in place of this response. Takes the retry from the budget.
+    fn repeats(&self, admitted: &AdmittedRequest, answer: &CompleteAnswer, history: &SendHistory) -> bool {
+        answer.status.is_server_error() && !admitted.runs_once() && self.take_retry(admitted, history)
+    }
+
+    /// Sends a request to a target, and to others while the target pauses.
+    async fn send_or_replace(
+        &self,
+        admitted: &AdmittedRequest,
+        slot: TargetSlot,
+        history: &mut SendHistory,
+        after_event: Option<u64>,
+    ) -> Result<SentRequest, AttemptError> {
+        match self.await_answer(admitted, &slot, history, after_event).await {
+            AttemptEnd::Own(Ok(answer)) => Ok(SentRequest { slot, answer }),
+            AttemptEnd::Own(Err(failure)) => Err(AttemptError::Failed(Arc::clone(&slot.target), failure)),
+            AttemptEnd::Other(sent) => sent.map_err(AttemptError::Refused),
+        }
+    }
+
+    async fn await_answer(
+        &self,
+        admitted: &AdmittedRequest,
+        slot: &TargetSlot,
+        history: &mut SendHistory,
+        after_event: Option<u64>,
+    ) -> AttemptEnd {
+        let sent_at = self.clock.now();
+        let request = self.begin_send(admitted, slot, after_event, history, sent_at);
+        let mut sending = pin!(self.send(admitted, slot, request, sent_at));
+        let mut since = sent_at;
+        loop {
+            let cause = tokio::select! {
+                biased;
+                answer = sending.as_mut() => return AttemptEnd::Own(answer),
+                cause = self.wait_for_move(admitted, slot, history, since, 0) => cause,
+            };
+            self.begin_move(admitted, slot, history, cause, since);
+            let mut others = self.send_elsewhere(admitted, history, after_event);
+            let own = tokio::select! {
+                biased;
+                answer = sending.as_mut() => answer,
+                sent = &mut others => match sent {
+                    Ok(sent) => return AttemptEnd::Other(Ok(sent)),
+                    Err(refusal) => {
+                        self.log_failed_move(admitted, slot, &refusal);
+                        since = self.clock.now();
+                        continue;
+                    }
+                },
+            };
+            return match own {
+                Ok(TargetAnswer::Complete(answer)) if answer.status.is_server_error() => match others.await {
+                    Ok(sent) => AttemptEnd::Other(Ok(sent)),
+                    Err(_refusal) => AttemptEnd::Own(Ok(TargetAnswer::Complete(answer))),
+                },
+                Ok(answer) => AttemptEnd::Own(Ok(answer)),
+                Err(failure) => {
+                    let lost = self.record_lost_target(admitted, &slot.target, &failure);
+                    AttemptEnd::Other(tokio::join!(others, lost).0)
+                }
+            };
+        }
+    }
+
+    /// Boxed, since each further attempt may have to be replaced as well.
+    fn send_elsewhere<'a>(
+        &'a self,
+        admitted: &'a AdmittedRequest,
+        history: &'a mut SendHistory,
+        after_event: Option<u64>,
+    ) -> LocalBoxFuture<'a, Result<SentRequest, ProxyRefusal>> {
+        self.send_until_answered(admitted, history, after_event).boxed_local()
+    }
+
+    /// Records that another target is looked for. The present one may have run the request.
+    fn begin_move(
+        &self,
+        admitted: &AdmittedRequest,
+        slot: &TargetSlot,
+        history: &mut SendHistory,
+        cause: MoveCause,
+        since: UnixMillis,
+    ) {
+        let failure = self.record_move(admitted, slot, cause, since);
+        history.record_failure(&failure);
+        self.record_retry(admitted, &failure);
+    }
+
+    fn log_moved_stream(&self, admitted: &AdmittedRequest, slot: &TargetSlot, events: u64) {
+        info!(self.logger, "stream continued at another target"; "event" => "stream_moved",
+            "request" => &*admitted.metadata.attempt, "target" => slot.target.id.to_string(), "events" => events);
+    }
+
+    fn log_failed_move(&self, admitted: &AdmittedRequest, slot: &TargetSlot, refusal: &ProxyRefusal) {
+        info!(self.logger, "no other target took the request over"; "event" => "move_failed",
+            "request" => &*admitted.metadata.attempt, "target" => slot.target.id.to_string(),
+            "reason" => refusal.reason.as_str());
+    }
+
+    /// Returns the next step of a stream. If its target pauses, another one may take its place.
+    pub(super) async fn next_step(
+        &self,
+        admitted: &AdmittedRequest,
+        reader: &mut StreamReader,
+        history: &mut SendHistory,
+        position: StreamPosition,
+    ) -> StreamStep {
+        let StreamPosition { mut since, events, last_id } = position;
+        loop {
+            // The target is not silent while there is no room for what it sent.
+            match reader.hold_read_bytes(self, admitted).await {
+                Ok(waited) => since = since.plus(waited),
+                Err(failure) => return StreamStep::Broken(failure),
+            }
+            if let Some(step) = reader.buffered_step() {
+                return step;
+            }
+            let cause = {
+                let (slot, read) = reader.begin_read(self, admitted);
+                tokio::select! {
+                    biased;
+                    step = read => match step {
+                        Some(step) => return step,
+                        None => continue,
+                    },
+                    cause = self.wait_for_move(admitted, slot, history, since, events) => cause,
+                }
+            };
+            self.begin_move(admitted, &reader.slot, history, cause, since);
+            let mut others = self.resume_elsewhere(admitted, history, last_id);
+            let own = tokio::select! {
+                biased;
+                step = reader.next_step(self, admitted) => step,
+                resumed = &mut others => match resumed {
+                    Ok((resumed, step)) => {
+                        self.log_moved_stream(admitted, &resumed.slot, events);
+                        *reader = resumed;
+                        return step;
+                    }
+                    Err(refusal) => {
+                        self.log_failed_move(admitted, &reader.slot, &refusal);
+                        since = self.clock.now();
+                        continue;
+                    }
+                },
+            };
+            let StreamStep::Broken(failure) = own else { return own };
+            reader.slot.set_outcome(SendOutcome::Lost);
+            let lost = self.record_lost_target(admitted, &reader.slot.target, &failure);
+            return match tokio::join!(others, lost).0 {
+                Ok((resumed, step)) => {
+                    self.log_moved_stream(admitted, &resumed.slot, events);
+                    *reader = resumed;
+                    step
+                }
+                Err(_refusal) => StreamStep::Broken(failure),
+            };
+        }
+    }
+
+    /// Resumes a stream after an event at another target; returns it with its first step.
+    pub(super) fn resume_elsewhere<'a>(
+        &'a self,
+        admitted: &'a AdmittedRequest,
+        history: &'a mut SendHistory,
+        last_id: Option<u64>,
+    ) -> LocalBoxFuture<'a, Result<(StreamReader, StreamStep), ProxyRefusal>> {
+        async move {
+            loop {
+                let SentRequest { slot, answer } =
+                    self.send_until_answered(admitted, history, last_id).await?;
+                let (target, failure) = match answer {
+                    TargetAnswer::Complete(answer) => (Arc::clone(&slot.target), failed_answer(&answer)),
+                    TargetAnswer::Stream(answer) => {
+                        let position = StreamPosition { since: slot.assigned, events: 0, last_id };
+                        let mut reader = StreamReader::new(slot, answer, self.budget.guard(), last_id);
+                        match self.next_step(admitted, &mut reader, history, position).await {
+                            StreamStep::Broken(failure) => (Arc::clone(&reader.slot.target), failure),
+                            step => return Ok((reader, step)),
+                        }
+                    }
+                };
+                self.check_lost_target(admitted, &target, &failure, history).await;
+                let failure = SendFailure { reason: RetryReason::StreamResumed, ..failure };
+                history.record_failure(&failure);
+                self.allow_retry(admitted, history, &failure)?;
+            }
+        }
+        .boxed_local()
+    }
+}
+
+/// A failure of the target itself, which has run the request.
+fn failed_answer(answer: &CompleteAnswer) -> SendFailure {
+    SendFailure {
+        verdict: RunVerdict::Ran,
+        reason: RetryReason::BackendFailed,
+        detail: format!("status {}", answer.status.as_u16()),
+        closed: false,
+    }
+}
--- a/crates/porthoist-proxy/src/handler/moving.rs
+++ b/crates/porthoist-proxy/src/handler/moving.rs
@@ -1,4 +1,4 @@
-//! Moves requests away from a target that stalls or is too slow while it has them.
+//! Decides when another target is looked for, because the one that has the request stalls or is too slow.
 
 use super::ProxyHandler;
 use super::types::{AdmittedRequest, SendHistory};
@@ -16,7 +16,7 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 impl ProxyHandler {
-    /// Completes when a request should move to another target, after taking one retry from the budget.
+    /// Completes when another target should be looked for, after taking one retry from the budget.
     /// `since` is when the request was sent or its last event arrived.
     pub(super) async fn wait_for_move(
         &self,
@@ -57,8 +57,8 @@
         }
     }
 
-    /// Records that a request moves away from its target. A target that is silent while its group is not
-    /// receives no requests for a while, unless a report shows that it is alive.
+    /// Records that another target is looked for. A target that is silent while its group is not receives no requests for a
+    /// while, unless a report shows that it is alive.
     pub(super) fn record_move(
         &self,
         admitted: &AdmittedRequest,
@@ -68,7 +68,7 @@
     ) -> SendFailure {
         let outcome = self.dispatcher.record_move(slot, cause);
         let alive = (cause == MoveCause::TargetSilent).then_some(outcome == SendOutcome::Unanswered);
-        info!(self.logger, "request moved away from a target"; "event" => "moved", "request" => &*admitted.metadata.attempt,
+        info!(self.logger, "target does not respond; trying another one"; "event" => "moved", "request" => &*admitted.metadata.attempt,
             "target" => slot.target.id.to_string(), "cause" => cause.as_str(), "alive" => alive,
             "waited_ms" => self.clock.now().since(since));
         SendFailure::moved(cause.as_str())
--- a/crates/porthoist-proxy/src/handler/send_checks.rs
+++ b/crates/porthoist-proxy/src/handler/send_checks.rs
@@ -80,6 +80,16 @@
         history: &mut SendHistory,
     ) {
         history.suspect = None;
+        self.record_lost_target(admitted, target, failure).await;
+    }
+
+    /// The same for a request that further attempts are being made for.
+    pub(super) async fn record_lost_target(
+        &self,
+        admitted: &AdmittedRequest,
+        target: &TargetRecord,
+        failure: &SendFailure,
+    ) {
         if !failure.closed || self.is_leaving(target) {
             return;
         }
--- a/crates/porthoist-proxy/src/handler/sending.rs
+++ b/crates/porthoist-proxy/src/handler/sending.rs
@@ -22,30 +22,35 @@
 const REJECTION_MILLIS: u64 = 50;
 
 impl ProxyHandler {
-    /// Sends a request once and classifies the response.
-    pub(super) async fn send(
+    /// Records an attempt and returns its request.
+    pub(super) fn begin_send(
         &self,
         admitted: &AdmittedRequest,
         slot: &TargetSlot,
         after_event: Option<u64>,
         history: &mut SendHistory,
-    ) -> Result<TargetAnswer, SendFailure> {
-        let sent_at = self.clock.now();
-        let request = self.build_request(admitted, slot, after_event, sent_at);
+        sent_at: UnixMillis,
+    ) -> Request<PiecedBody> {
         if history.tried.is_empty() {
             self.with_retry_share(&admitted.service, |share| share.record_first_send(sent_at));
         }
         history.tried.push(slot.target.id.clone());
         admitted.progress.begin_send(&slot.target.id);
-        let sent = async {
-            let open = self.pool.send(&slot.target, request, admitted.runs_once(), admitted.deadline).await?;
-            self.read_answer(admitted, slot, open, sent_at).await
-        };
-        let answer = tokio::select! {
-            answer = sent => answer,
-            cause = self.wait_for_move(admitted, slot, history, sent_at, 0) => {
-                return Err(self.record_move(admitted, slot, cause, sent_at));
-            }
+        self.build_request(admitted, slot, after_event, sent_at)
+    }
+
+    /// Sends a request once and classifies the response.
+    pub(super) async fn send(
+        &self,
+        admitted: &AdmittedRequest,
+        slot: &TargetSlot,
+        request: Request<PiecedBody>,
+        sent_at: UnixMillis,
+    ) -> Result<TargetAnswer, SendFailure> {
+        let open = self.pool.send(&slot.target, request, admitted.runs_once(), admitted.deadline).await;
+        let answer = match open {
+            Ok(open) => self.read_answer(admitted, slot, open, sent_at).await,
+            Err(failure) => Err(failure),
         };
         let millis = self.clock.now().since(sent_at) as f64;
         if matches!(&answer, Ok(TargetAnswer::Complete(answer)) if answer.end == AnswerEnd::Proven) {
--- a/crates/porthoist-proxy/src/handler/types.rs
+++ b/crates/porthoist-proxy/src/handler/types.rs
@@ -203,7 +203,6 @@
 pub(super) struct SentRequest {
     pub(super) slot: TargetSlot,
     pub(super) answer: TargetAnswer,
-    pub(super) history: SendHistory,
 }
 
 /// Attempts of one request so far.
