Let no report of a new planning process end the stall of a group

Callers' streams were moved between ranks of one stalled group, each move using an attempt, and could end incomplete once none was left.

Cause: a process that has just begun to plan has seen no pass and reports an unknown pass time. For entries each report ended the silence of the group, so that it counted as working while it stood still, and targets without events counted as silent. A planned stop of the process beside the first rank leads to it whenever the group pauses at the same time.

Evidence: running_stream_leaves_group_after_silence, case "no pass seen yet", failed before (TargetSilent at 1 s in place of none); now passes. The other two cases hold before and after: a working group and an idle one still lose their silent targets.

Change: while a group has been silent for 400 ms, a report that knows no pass ends the silence only if the group has no requests. The first pass seen, or an event, ends it as before.

--- a/crates/porthoist-policy/src/proxy/groups.rs
+++ b/crates/porthoist-policy/src/proxy/groups.rs
@@ -65,6 +65,20 @@
     reported_stalled: bool,
 }
 
+impl TrackedGroup {
+    /// Time in milliseconds without reports and events.
+    fn silence(&self, now: UnixMillis) -> u64 {
+        now.since(self.reported.max(self.last_event))
+    }
+}
+
+/// Whether a report must not end a silence: a process that has just begun to plan has seen no pass, so the silence may be
+/// that of a group that stalls with its requests.
+fn hides_stall(loads: &GroupLoads, silence: u64) -> bool {
+    let is_busy = loads.ranks.iter().any(|rank| rank.requests > 0);
+    loads.pass == GroupPass::Unknown && is_busy && silence >= STALLED_PASS_MILLIS
+}
+
 /// State of a group.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct GroupStatus {
@@ -111,7 +125,9 @@
         }
         let group = &mut self.groups[index.0];
         group.pass = loads.pass;
-        group.reported = now;
+        if !hides_stall(loads, group.silence(now)) {
+            group.reported = now;
+        }
         let late = loads.pass.millis().is_some_and(|millis| f64::from(millis) > LATE_PASS_MILLIS);
         group.late_since = if late { Some(group.late_since.unwrap_or(now)) } else { None };
         index
@@ -172,8 +188,7 @@
     /// State of a group in which this process has `running` requests.
     pub fn status(&self, index: GroupIndex, running: u32, now: UnixMillis) -> GroupStatus {
         let group = &self.groups[index.0];
-        let last_heard = group.reported.max(group.last_event);
-        let silence = now.since(last_heard);
+        let silence = group.silence(now);
         let grace = if running >= MIN_CONCLUSIVE_STREAMS { EVENT_GRACE_MILLIS } else { REPORT_GRACE_MILLIS };
         let pass = u64::from(group.pass.millis().unwrap_or(0));
         let millis = if silence > grace { pass.max(silence) } else { pass };
--- a/crates/porthoist-policy/tests/policy/target_silence.rs
+++ b/crates/porthoist-policy/tests/policy/target_silence.rs
@@ -201,3 +201,26 @@
     target.end(SendOutcome::Lost, 100);
     assert!(target.is_cold(100));
 }
+
+/// Guards against a stall that is hidden by the first reports of a new planning process, which has seen no pass yet: running
+/// streams were taken from their targets, and their attempts were used up within the same group.
+#[test_case((3, GroupPass::Unknown) => None; "no pass seen yet")]
+#[test_case((3, GroupPass::Millis(33)) => Some(MoveCause::TargetSilent); "the group works")]
+#[test_case((0, GroupPass::Unknown) => Some(MoveCause::TargetSilent); "the group is idle, and the stream is lost")]
+fn running_stream_leaves_group_after_silence(report: Report) -> Option<MoveCause> {
+    let mut target = SingleTarget::new();
+    target.report((3, GroupPass::Millis(33)), false, 0);
+    assert!(target.is_assigned(0) && target.is_assigned(0));
+    (1_000..1_900).step_by(STEP_MILLIS as usize).find_map(|at| {
+        target.report(report, false, at);
+        let send = PendingSend {
+            since: UnixMillis(0),
+            events: 5,
+            queued_until: UnixDeadline::default(),
+            jitter_millis: 0,
+            on_time_until: UnixDeadline(UnixMillis(400)),
+            deadline: UnixDeadline(UnixMillis(8_000)),
+        };
+        target.scheduler.move_cause(&record(), &send, UnixMillis(at))
+    })
+}
