Pass on a target's failed answer if no further attempt succeeds

Callers got 502 connection_lost, without the target's signature, in place of the complete 500 that a target had sent: the answer was dropped when the retry was decided, and the retry found a full, resetting or failing target.

Change: the failed answer is kept, without its slot, until the retries end, and passed on if none of them gets an answer.

--- a/crates/porthoist-proxy/src/handler.rs
+++ b/crates/porthoist-proxy/src/handler.rs
@@ -58,7 +58,7 @@
 use refusal_log::RefusalLog;
 use relay::EventRelay;
 use request_guard::{RequestGuard, RequestProgress};
-use types::{AdmittedRequest, CompleteAnswer, ProxyRefusal, SendHistory, SentRequest, TargetAnswer};
+use types::{AdmittedRequest, CompleteAnswer, ProxyRefusal, SendHistory, SentRequest};
 
 /// Event after which a stream resumes; callers send it too.
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
@@ -388,12 +388,10 @@
             () = self.drain.until_cut() => Err(cut_refusal(&admitted)),
         };
         match sent {
-            Ok(SentRequest { slot, answer: TargetAnswer::Stream(answer) }) => {
-                Ok(self.relay_stream(admitted, slot, answer, history, guard))
-            }
-            Ok(SentRequest { slot, answer: TargetAnswer::Complete(answer) }) => {
-                Ok(self.relay_complete(&admitted, &slot, answer, guard))
+            Ok(SentRequest::Stream(slot, answer)) => {
+                Ok(self.relay_stream(admitted, slot, *answer, history, guard))
             }
+            Ok(SentRequest::Complete(answer)) => Ok(self.relay_complete(&admitted, answer, guard)),
             Err(refusal) => Err((refusal, guard)),
         }
     }
@@ -401,17 +399,16 @@
     fn relay_complete(
         &self,
         admitted: &AdmittedRequest,
-        slot: &TargetSlot,
         answer: CompleteAnswer,
         guard: RequestGuard,
     ) -> CallerReply {
         let millis = self.clock.now().since(admitted.arrival);
         self.metrics.record_answer(millis as f64);
         if !answer.status.is_server_error() {
-            self.drain.record_duration(admitted, slot.assigned);
+            self.drain.record_duration(admitted, answer.assigned);
         }
         info!(self.logger, "answered"; "event" => "answered", "request" => &*admitted.metadata.attempt,
-            "target" => slot.target.id.to_string(), "status" => answer.status.as_u16(), "took_ms" => millis);
+            "target" => answer.target.id.to_string(), "status" => answer.status.as_u16(), "took_ms" => millis);
         guard.answered.set(true);
         let body = CompleteBody::watched(answer.body, Box::new(guard));
         complete_reply(answer.status, relayed_headers(answer.headers), body)
--- a/crates/porthoist-proxy/src/handler/attempts.rs
+++ b/crates/porthoist-proxy/src/handler/attempts.rs
@@ -53,26 +53,31 @@
         history: &mut SendHistory,
         after_event: Option<u64>,
     ) -> Result<SentRequest, ProxyRefusal> {
-        loop {
-            let slot = self.acquire_permitted_slot(admitted, history).await?;
-            let (target, failure) = match self.send_or_replace(admitted, slot, history, after_event).await {
-                Ok(SentRequest { slot, answer: TargetAnswer::Complete(answer) })
-                    if self.repeats(admitted, &answer, history) =>
-                {
-                    (Arc::clone(&slot.target), failed_answer(&answer))
+        let mut failed_answer = None;
+        let refusal = loop {
+            let sent = match self.acquire_permitted_slot(admitted, history).await {
+                Ok(slot) => self.send_or_replace(admitted, slot, history, after_event).await,
+                Err(refusal) => break refusal,
+            };
+            let (target, failure) = match sent {
+                Ok(SentRequest::Complete(answer)) if self.repeats(admitted, &answer, history) => {
+                    let failure = answer_failure(&answer);
+                    self.record_retry(admitted, &failure);
+                    history.record_failure(&failure);
+                    failed_answer = Some(answer);
+                    continue;
                 }
                 Ok(sent) => return Ok(sent),
                 Err(AttemptError::Failed(target, failure)) => (target, failure),
-                Err(AttemptError::Refused(refusal)) => return Err(refusal),
+                Err(AttemptError::Refused(refusal)) => break refusal,
             };
             self.check_lost_target(admitted, &target, &failure, history).await;
             history.record_failure(&failure);
-            if failure.reason == RetryReason::BackendFailed {
-                self.record_retry(admitted, &failure);
-                continue;
+            if let Err(refusal) = self.allow_retry(admitted, history, &failure) {
+                break refusal;
             }
-            self.allow_retry(admitted, history, &failure)?;
-        }
+        };
+        failed_answer.map(SentRequest::Complete).ok_or(refusal)
     }
 
     /// Whether a request is sent again in place of this response. Takes the retry from the budget.
@@ -89,7 +94,10 @@
         after_event: Option<u64>,
     ) -> Result<SentRequest, AttemptError> {
         match self.await_answer(admitted, &slot, history, after_event).await {
-            AttemptEnd::Own(Ok(answer)) => Ok(SentRequest { slot, answer }),
+            AttemptEnd::Own(Ok(TargetAnswer::Complete(answer))) => Ok(SentRequest::Complete(answer)),
+            AttemptEnd::Own(Ok(TargetAnswer::Stream(answer))) => {
+                Ok(SentRequest::Stream(slot, Box::new(answer)))
+            }
             AttemptEnd::Own(Err(failure)) => Err(AttemptError::Failed(Arc::clone(&slot.target), failure)),
             AttemptEnd::Other(sent) => sent.map_err(AttemptError::Refused),
         }
@@ -245,13 +253,11 @@
     ) -> LocalBoxFuture<'a, Result<(StreamReader, StreamStep), ProxyRefusal>> {
         async move {
             loop {
-                let SentRequest { slot, answer } =
-                    self.send_until_answered(admitted, history, last_id).await?;
-                let (target, failure) = match answer {
-                    TargetAnswer::Complete(answer) => (Arc::clone(&slot.target), failed_answer(&answer)),
-                    TargetAnswer::Stream(answer) => {
+                let (target, failure) = match self.send_until_answered(admitted, history, last_id).await? {
+                    SentRequest::Complete(answer) => (Arc::clone(&answer.target), answer_failure(&answer)),
+                    SentRequest::Stream(slot, answer) => {
                         let position = StreamPosition { since: slot.assigned, events: 0, last_id };
-                        let mut reader = StreamReader::new(slot, answer, self.budget.guard(), last_id);
+                        let mut reader = StreamReader::new(slot, *answer, self.budget.guard(), last_id);
                         match self.next_step(admitted, &mut reader, history, position).await {
                             StreamStep::Broken(failure) => (Arc::clone(&reader.slot.target), failure),
                             step => return Ok((reader, step)),
@@ -269,7 +275,7 @@
 }
 
 /// A failure of the target itself, which has run the request.
-fn failed_answer(answer: &CompleteAnswer) -> SendFailure {
+fn answer_failure(answer: &CompleteAnswer) -> SendFailure {
     SendFailure {
         verdict: RunVerdict::Ran,
         reason: RetryReason::BackendFailed,
--- a/crates/porthoist-proxy/src/handler/sending.rs
+++ b/crates/porthoist-proxy/src/handler/sending.rs
@@ -14,6 +14,7 @@
 use porthoist_policy::proxy::backpressure::SignalValue;
 use porthoist_policy::proxy::balancer::SendOutcome;
 use slog::info;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Maximum size of the body of a rejection whose connection is used again, in bytes.
@@ -157,7 +158,7 @@
             return Err(SendFailure::lost(format!("status {} without proof", status.as_u16())));
         }
         let unframed = answer.ends_with_connection();
-        let mut answer = self.read_complete(admitted, answer).await?;
+        let mut answer = self.read_complete(admitted, slot, answer).await?;
         if unframed {
             answer.end = self.check_unframed_end(&slot.target).await?;
         }
@@ -167,6 +168,7 @@
     async fn read_complete(
         &self,
         admitted: &AdmittedRequest,
+        slot: &TargetSlot,
         answer: OpenAnswer,
     ) -> Result<CompleteAnswer, SendFailure> {
         let OpenAnswer { head, body, lease } = answer;
@@ -174,7 +176,14 @@
         let collected = tokio::time::timeout(remaining, self.collect(body)).await;
         let body = collected.map_err(|_elapsed| SendFailure::lost("response not complete in time"))??;
         lease.release(&head.headers);
-        Ok(CompleteAnswer { status: head.status, headers: head.headers, body, end: AnswerEnd::Proven })
+        Ok(CompleteAnswer {
+            target: Arc::clone(&slot.target),
+            assigned: slot.assigned,
+            status: head.status,
+            headers: head.headers,
+            body,
+            end: AnswerEnd::Proven,
+        })
     }
 
     /// Collects a body, whose bytes are held until the caller's connection has taken them.
--- a/crates/porthoist-proxy/src/handler/types.rs
+++ b/crates/porthoist-proxy/src/handler/types.rs
@@ -20,6 +20,7 @@
 use porthoist_policy::proxy::demand::PriorityLevel;
 use porthoist_policy::proxy::returns::RefusedCaller;
 use porthoist_policy::proxy::routes::{RouteRule, TeamGrant};
+use porthoist_policy::proxy::targets::TargetRecord;
 use porthoist_policy::proxy::wait_queue::QueueClass;
 use std::cell::OnceCell;
 use std::rc::Rc;
@@ -177,6 +178,9 @@
 
 /// A complete response of a target.
 pub(super) struct CompleteAnswer {
+    pub(super) target: Arc<TargetRecord>,
+    /// When the target got its slot.
+    pub(super) assigned: UnixMillis,
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
     pub(super) body: PiecedBody,
@@ -200,9 +204,10 @@
 }
 
 /// A request that a target answered.
-pub(super) struct SentRequest {
-    pub(super) slot: TargetSlot,
-    pub(super) answer: TargetAnswer,
+pub(super) enum SentRequest {
+    Complete(CompleteAnswer),
+    /// The head of an event stream, whose target stays occupied.
+    Stream(TargetSlot, Box<OpenAnswer>),
 }
 
 /// Attempts of one request so far.
