Check the target where an encoding without chunks ends with its connection

Callers got 200, the worker's signature and the bytes so far, framed as whole, when a target crashed within a body with `Transfer-Encoding: identity` or any other coding that isn't `chunked`.

Cause: only the end of the connection shows the end of such a body, as for one without a length, but any `Transfer-Encoding` header counted as framing, so that the target was not checked.

Ruled out: a head or body that is cut off.

Change: a body ends with its connection unless it has a length or its last coding is `chunked`, as hyper decides it.

--- /dev/null
+++ b/crates/porthoist-http/src/framing.rs
@@ -0,0 +1,19 @@
+//! Where the body of an answer ends.
+
+use hyper::body::Body;
+use hyper::header::{HeaderMap, HeaderValue, TRANSFER_ENCODING};
+
+const CHUNKED: &str = "chunked";
+
+/// Whether only the end of the connection shows where the body of an answer ends.
+pub fn ends_with_connection(headers: &HeaderMap, body: &impl Body) -> bool {
+    body.size_hint().exact().is_none() && !is_chunked(headers)
+}
+
+/// Whether a body comes in chunks, which only the last coding states.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let text = last.map(HeaderValue::to_str).and_then(Result::ok);
+    let coding = text.and_then(|text| text.rsplit(',').next());
+    coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case(CHUNKED))
+}
--- a/crates/porthoist-proxy/src/connection_pool.rs
+++ b/crates/porthoist-proxy/src/connection_pool.rs
@@ -7,12 +7,14 @@
 use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Frame, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{CONNECTION, HeaderMap, HeaderName, TRANSFER_ENCODING};
+use hyper::header::{CONNECTION, HeaderMap, HeaderName};
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use porthoist_core::{ClockSource, RetryReason, RunVerdict, UnixDeadline, UnixMillis};
-use porthoist_http::{BoundedIo, MAX_HEAD_BYTES, PiecedBody, ReadAllowance, SocketPeer, configure_socket};
+use porthoist_http::{
+    BoundedIo, MAX_HEAD_BYTES, PiecedBody, ReadAllowance, SocketPeer, configure_socket, ends_with_connection,
+};
 use porthoist_metrics::MetricsHub;
 use porthoist_policy::proxy::targets::{TargetLife, TargetRecord};
 use std::cell::RefCell;
@@ -250,7 +252,7 @@
 impl OpenAnswer {
     /// Whether only the end of the connection shows where the body ends.
     pub fn ends_with_connection(&self) -> bool {
-        self.body.size().is_none() && !self.head.headers.contains_key(TRANSFER_ENCODING)
+        ends_with_connection(&self.head.headers, &self.body.body)
     }
 }
 
