Reset the connection of an HTTP/1.0 caller whose stream breaks off

Callers that speak HTTP/1.0 got 200, the worker's signature and a part of the events, and then the regular end of the connection, which is for them that of the body: a stream that broke off looked whole.

Cause: HTTP/1.0 has no chunks, so hyper ends a streamed body with the connection. A failure of the body drops the connection, and the system closes it like after the last byte. So it did when the process was killed or ended after its grace period.

Answers that are not streamed have a length for these callers too.

Change: from the first byte of such a response on, closing the connection resets it, whoever closes it; the option ends with the shutdown, which hyper does only once the whole body is written. The system applies the option also for a killed process. Callers of HTTP/1.1 see the missing last chunk, and are closed as before.

--- a/crates/porthoist-http/src/lib.rs
+++ b/crates/porthoist-http/src/lib.rs
@@ -23,4 +23,4 @@
 pub use json_slices::{FieldError, JsonMember, JsonObject, SplitError, split_array, split_object};
 pub use pieced_body::{PieceCollector, PiecedBody};
 pub use server::{ServerSettings, serve_until};
-pub use socket::{SocketPeer, bound_send_buffer, configure_socket};
+pub use socket::{SocketPeer, bound_send_buffer, configure_socket, set_reset_on_close};
--- a/crates/porthoist-http/src/socket.rs
+++ b/crates/porthoist-http/src/socket.rs
@@ -65,3 +65,12 @@
 pub fn bound_send_buffer(stream: &TcpStream, bytes: usize) -> io::Result<()> {
     SockRef::from(stream).set_send_buffer_size(bytes)
 }
+
+/// Sets whether closing a connection resets it, also when its process is killed. What is not yet sent is then dropped.
+///
+/// # Errors
+///
+/// Fails if the system rejects the option.
+pub fn set_reset_on_close(stream: &TcpStream, resets: bool) -> io::Result<()> {
+    SockRef::from(stream).set_linger(resets.then_some(Duration::ZERO))
+}
--- a/crates/porthoist-proxy/src/caller_stream.rs
+++ b/crates/porthoist-proxy/src/caller_stream.rs
@@ -1,6 +1,7 @@
 //! A caller's connection, which ends if its caller reads nothing of a response for too long.
 
 use porthoist_core::UnixMillis;
+use porthoist_http::set_reset_on_close;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
@@ -27,6 +28,8 @@
     closing: Cell<bool>,
     /// Whether it gives way to a new connection.
     evicted: Cell<bool>,
+    /// Whether only its end shows where the body of its response ends.
+    delimits_body: Cell<bool>,
     close_signal: Notify,
 }
 
@@ -70,6 +73,11 @@
         self.evicted.get()
     }
 
+    /// Notes that the next response, which is its last one, has a body that ends with the connection.
+    pub(crate) fn delimit_body(&self) {
+        self.delimits_body.set(true);
+    }
+
     /// Waits until the connection is told to close.
     pub(crate) async fn closed(&self) {
         self.close_signal.notified().await;
@@ -95,11 +103,22 @@
     unread_limit: Duration,
     /// Runs while the peer takes nothing.
     unread_timer: Option<Pin<Box<Sleep>>>,
+    /// Whether every end but a shutdown resets the connection.
+    resets: bool,
 }
 
 impl CallerStream {
     pub(crate) fn new(stream: TcpStream, connection: Rc<CallerConnection>, unread_limit: Duration) -> Self {
-        Self { stream, connection, unread_limit, unread_timer: None }
+        Self { stream, connection, unread_limit, unread_timer: None, resets: false }
+    }
+
+    /// Makes a reset of each end that the caller must not take for that of a body.
+    fn guard_body(&mut self) -> io::Result<()> {
+        if self.connection.delimits_body.get() && !self.resets {
+            set_reset_on_close(&self.stream, true)?;
+            self.resets = true;
+        }
+        Ok(())
     }
 
     fn check_written(
@@ -133,6 +152,7 @@
 
 impl AsyncWrite for CallerStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.guard_body()?;
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.check_written(cx, written)
     }
@@ -142,6 +162,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.guard_body()?;
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.check_written(cx, written)
     }
@@ -155,6 +176,12 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // Hyper shuts a connection down only after the end of a body, and once everything is written.
+        if self.resets {
+            set_reset_on_close(&self.stream, false)?;
+            self.resets = false;
+            self.connection.delimits_body.set(false);
+        }
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/crates/porthoist-proxy/src/handler.rs
+++ b/crates/porthoist-proxy/src/handler.rs
@@ -9,10 +9,10 @@
 use crate::headers::HeaderCodec;
 use crate::quarantine::RequestQuarantine;
 use crate::reply::{CallerReply, complete_reply, refusal_reply, relayed_headers, streamed_reply};
-use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
+use hyper::{Request, Version};
 use porthoist_core::{ClockSource, RefusalReason, ServiceName, UnixDeadline, UnixMillis};
 use porthoist_http::{BodyIntake, ByteBudget};
 use porthoist_metrics::MetricsHub;
@@ -427,6 +427,10 @@
     ) -> CallerReply {
         let status = answer.head.status;
         let headers = relayed_headers(answer.head.headers.clone());
+        // HTTP/1.0 has no chunks.
+        if admitted.head.version <= Version::HTTP_10 {
+            guard.connection.delimit_body();
+        }
         let relay = EventRelay::new(Rc::clone(self), admitted, slot, answer, history, guard);
         streamed_reply(status, headers, relay.into_body())
     }
