Fail responses whose head announces no content of their own

Callers got 101 as the answer to a request that asked for no other protocol, and 200 with the worker's signature and compressed or chunked bytes as the body, if a worker answered with a transfer coding besides chunks. The header that tells of the coding concerns one connection and was removed, as it must be.

Cause: hyper returns 101 as a response without a body, and takes a body with any last coding but `chunked` as it comes until the connection ends. Neither was checked.

Two lengths, a length that is no number, chunks of HTTP/1.0 and unusable status lines failed the attempt already.

Change: such a response fails its attempt, after which the request may have run. `identity` changes no byte and stays allowed.

--- a/crates/porthoist-proxy/src/handler/sending.rs
+++ b/crates/porthoist-proxy/src/handler/sending.rs
@@ -10,7 +10,7 @@
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::{Request, StatusCode};
 use porthoist_core::{RetryReason, RunVerdict, UnixMillis};
-use porthoist_http::{PieceCollector, PiecedBody};
+use porthoist_http::{PieceCollector, PiecedBody, has_foreign_coding};
 use porthoist_policy::proxy::backpressure::SignalValue;
 use porthoist_policy::proxy::balancer::SendOutcome;
 use slog::info;
@@ -141,6 +141,7 @@
             };
             return Err(SendFailure { verdict: RunVerdict::NotRun, reason, detail, closed: false });
         }
+        check_head(&answer)?;
         if status.is_success() && !(metadata.signed && metadata.matches_attempt == Some(true)) {
             return Err(SendFailure::lost("success without a signature or the request's identifier"));
         }
@@ -196,6 +197,18 @@
     }
 }
 
+/// Checks that a head announces the content of a response.
+fn check_head(answer: &OpenAnswer) -> Result<(), SendFailure> {
+    // No request asks for another protocol.
+    if answer.head.status.is_informational() {
+        return Err(SendFailure::lost("a response that is not final"));
+    }
+    if has_foreign_coding(&answer.head.headers) {
+        return Err(SendFailure::lost("a transfer coding that was not asked for"));
+    }
+    Ok(())
+}
+
 /// A target whose answer is too long is running.
 fn too_long() -> SendFailure {
     SendFailure::lost(format!("the body is longer than {MAX_BUFFERED_ANSWER_BYTES} bytes"))
