Refuse a back end's answer whose end proves nothing

Callers of the older roles got 200 with an empty or short body, framed as whole, when the plain service beside a target process closed its connection right after the head or within the body of an answer without a length.

Cause: the runner takes the end of the connection for that of the body. A service that dies looks the same, and the entry then sends what there is with a length. The command-line tool read the metrics of an entry in the same way.

Change: the runner, and `fetch_framed` for the metrics, fail unless the answer has a length or chunks. Answers in JSON are read as before: a part of an object is none. A service that sends no lengths at all can't be served by the target role any more.

--- a/crates/porthoist-http/src/client.rs
+++ b/crates/porthoist-http/src/client.rs
@@ -1,6 +1,7 @@
 //! HTTP client whose errors say whether the request may have run.
 
 use crate::bounded_io::{BoundedConnector, MAX_HEAD_BYTES};
+use crate::framing::is_framed;
 use crate::socket::{KEEPALIVE_IDLE, KEEPALIVE_INTERVAL, KEEPALIVE_PROBES, SocketPeer};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -20,6 +21,8 @@
 pub const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 /// Maximum size in bytes of a connection's read buffer, which the heads of an answer must fit.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Message of the error after an answer whose end proves nothing.
+pub const UNFRAMED_ANSWER: &str = "the answer has no length and no chunks";
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -117,13 +120,31 @@
         })
     }
 
-    /// Sends a request and reads the complete answer.
+    /// Sends a request and reads the answer. Its content must show whether it is complete, as JSON does; [`Self::fetch_framed`]
+    /// is for others.
     ///
     /// A call that fails or is cancelled drops the idle connections: they may have stopped working for the same reason, and
     /// each of them could make another call time out.
     pub async fn fetch(&self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, CallError> {
+        self.fetch_checked(request, |_answer| true).await
+    }
+
+    /// Like [`Self::fetch`], but fails if the end of the body does not show that it is complete.
+    pub async fn fetch_framed(&self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, CallError> {
+        self.fetch_checked(request, |answer| is_framed(answer.headers(), answer.body())).await
+    }
+
+    async fn fetch_checked(
+        &self,
+        request: Request<Full<Bytes>>,
+        is_usable: impl FnOnce(&Response<Incoming>) -> bool,
+    ) -> Result<Response<Bytes>, CallError> {
         let mut guard = CallGuard { client: self, answered: false };
-        let (head, body) = self.send(request).await?.into_parts();
+        let answer = self.send(request).await?;
+        if !is_usable(&answer) {
+            return Err(CallError::unknown(UNFRAMED_ANSWER));
+        }
+        let (head, body) = answer.into_parts();
         let collected = Limited::new(body, self.answer_bytes).collect().await;
         let bytes = collected.map_err(|error| CallError::unknown(error.to_string()))?.to_bytes();
         guard.answered = true;
--- a/crates/porthoist-http/src/framing.rs
+++ b/crates/porthoist-http/src/framing.rs
@@ -6,6 +6,12 @@
 const CHUNKED: &str = "chunked";
 const IDENTITY: &str = "identity";
 
+/// Whether the end of a body shows that it is complete, and its bytes are the content. If only the end of the connection shows
+/// it, a peer that was killed looks the same.
+pub fn is_framed(headers: &HeaderMap, body: &impl Body) -> bool {
+    !ends_with_connection(headers, body) && !has_foreign_coding(headers)
+}
+
 /// Whether only the end of the connection shows where the body of an answer ends.
 pub fn ends_with_connection(headers: &HeaderMap, body: &impl Body) -> bool {
     body.size_hint().exact().is_none() && !is_chunked(headers)
--- a/crates/porthoist-http/src/lib.rs
+++ b/crates/porthoist-http/src/lib.rs
@@ -19,7 +19,7 @@
 pub use bounded_io::{BoundedIo, MAX_HEAD_BYTES, ReadAllowance};
 pub use byte_budget::{BudgetExceeded, ByteBudget, HeldBytes};
 pub use client::{CallError, HttpClient};
-pub use framing::{ends_with_connection, has_foreign_coding};
+pub use framing::{ends_with_connection, has_foreign_coding, is_framed};
 pub use json_slices::{FieldError, JsonMember, JsonObject, SplitError, split_array, split_object};
 pub use pieced_body::{PieceCollector, PiecedBody};
 pub use server::{ServerSettings, serve_until};
--- a/crates/porthoist-target/src/runner.rs
+++ b/crates/porthoist-target/src/runner.rs
@@ -13,7 +13,8 @@
 use hyper::{Request, Response};
 use kameo::actor::ActorRef;
 use porthoist_core::{AnswerHead, RefusalReason, RepeatPolicy, RequestOffer, RunVerdict};
-use porthoist_http::{ByteBudget, CallError, HeldBytes, HttpClient, PieceCollector};
+use porthoist_http::client::UNFRAMED_ANSWER;
+use porthoist_http::{ByteBudget, CallError, HeldBytes, HttpClient, PieceCollector, is_framed};
 use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -110,6 +111,10 @@
             job.log.hold(held.split(usize::MAX));
             return end;
         }
+        // Nobody could tell the answer of a back end that died from a whole one.
+        if !is_framed(response.headers(), response.body()) {
+            return Err(CallError::unknown(UNFRAMED_ANSWER));
+        }
         let head = answer_head(&response);
         let body = collect_body(response.into_body(), self.budget.guard()).await?;
         first_event();
--- a/porthoist-cli/src/cmd/entries.rs
+++ b/porthoist-cli/src/cmd/entries.rs
@@ -67,7 +67,7 @@
     let request = Request::get(format!("http://{address}/metrics")).body(Full::default());
     let request = request.map_err(|error| error.to_string())?;
     let client = HttpClient::with_answer_bytes(MAX_METRICS_BYTES);
-    let answer = tokio::time::timeout(QUERY_TIMEOUT, client.fetch(request)).await;
+    let answer = tokio::time::timeout(QUERY_TIMEOUT, client.fetch_framed(request)).await;
     let answer = answer.map_err(|_elapsed| "no answer in time".to_owned())?;
     let answer = answer.map_err(|error| error.to_string())?;
     Ok(read_metrics(&String::from_utf8_lossy(answer.body())))
