Log and count who ended a caller's connection within a request

Operators saw callers with a status and then the end of the connection, and no line told whether the caller, something in between or the entry had ended it: server.rs logged two kinds of error of a connection and dropped the others, caller_left had no phase, and stopped counted only what the end of the grace period cut.

The end of a connection on which a request is not complete now has a line connection_ended with the request, how far it was, who ended it and the error, 20 a second at most, and a counter by who ended it. A request counts as complete once nothing of its answer is left in the buffers of the process. stopped also has the streams that ended incomplete during the drain, callers that left and connections that failed; start has the build (PORTHOIST_BUILD at compile time, or the version) and the settings that decide a stop. The roles entry and target had no start line and now have one.

--- a/crates/porthoist-metrics/src/lib.rs
+++ b/crates/porthoist-metrics/src/lib.rs
@@ -36,6 +36,8 @@
 const ROW_PROBLEMS: [&str; 3] = ["key", "version", "content"];
 /// What happens to connections of callers that exceed the limit.
 const CONNECTION_EVENTS: [&str; 3] = ["evicted", "refused", "failed"];
+/// Who ends connections of callers on which a request is not complete.
+const CONNECTION_ENDS: [&str; 4] = ["caller_closed", "caller_reset", "write_failed", "process"];
 /// Bucket bounds of the latency histograms, in milliseconds.
 const LATENCY_BOUNDS: [f64; 12] = [0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 250.0, 500.0, 1400.0, 5000.0];
 
@@ -65,6 +67,7 @@
     broken_streams: Counter<u64>,
     cut_responses: Counter<u64>,
     cut_at_stop: Counter<u64>,
+    connection_ends: Counter<u64>,
     held_bytes: Arc<OnceLock<ValueReader>>,
     crash_events: Counter<u64>,
     connection_events: Counter<u64>,
@@ -129,6 +132,7 @@
             broken_streams: meter.u64_counter("porthoist_broken_streams").build(),
             cut_responses: meter.u64_counter("porthoist_responses_cut").build(),
             cut_at_stop: meter.u64_counter("porthoist_cut_at_stop").build(),
+            connection_ends: meter.u64_counter("porthoist_caller_connections_ended").build(),
             held_bytes,
             crash_events: meter.u64_counter("porthoist_crash_events").build(),
             connection_events: meter.u64_counter("porthoist_caller_connections").build(),
@@ -176,6 +180,9 @@
         for verdict in [RunVerdict::NotRun, RunVerdict::MayHaveRun] {
             self.cut_at_stop.add(0, &[KeyValue::new("verdict", verdict.as_str())]);
         }
+        for ended_by in CONNECTION_ENDS {
+            self.connection_ends.add(0, &[KeyValue::new("by", ended_by)]);
+        }
         self.table_calls.add(0, &[]);
         for event in CRASH_EVENTS {
             self.crash_events.add(0, &[KeyValue::new("event", event)]);
@@ -230,6 +237,11 @@
         self.cut_at_stop.add(1, &[KeyValue::new("verdict", verdict.as_str())]);
     }
 
+    /// Counts a connection that ended while a request on it was not complete, by who ended it.
+    pub fn record_connection_end(&self, ended_by: &'static str) {
+        self.connection_ends.add(1, &[KeyValue::new("by", ended_by)]);
+    }
+
     /// Counts a response that was cut because its caller read nothing.
     pub fn record_cut_response(&self) {
         self.cut_responses.add(1, &[]);
--- a/crates/porthoist-proxy/src/caller_stream.rs
+++ b/crates/porthoist-proxy/src/caller_stream.rs
@@ -1,5 +1,6 @@
 //! A caller's connection, which ends if its caller reads nothing of a response for too long.
 
+use crate::connection_end::RequestPhase;
 use porthoist_core::UnixMillis;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -19,6 +20,9 @@
     /// Attempt identifier of the connection's last request.
     attempt: RefCell<Option<Arc<str>>>,
     cut: Cell<bool>,
+    /// How far the last request has come, if its response has not been written and it is no longer served.
+    unfinished: Cell<Option<RequestPhase>>,
+    failed_write: Cell<bool>,
     /// Since when no request is being served; `None` while one is.
     idle_since: Cell<Option<UnixMillis>>,
     /// Whether there has been a request.
@@ -38,6 +42,29 @@
         self.began.set(true);
     }
 
+    /// Notes how far the request had come that is no longer served. Its response may still have to be written.
+    pub(crate) fn end_request(&self, phase: RequestPhase, now: UnixMillis) {
+        self.unfinished.set(Some(phase));
+        self.set_idle(now);
+    }
+
+    /// How far the last request had come, unless all of its response was written.
+    pub(crate) fn unfinished(&self) -> Option<RequestPhase> {
+        self.unfinished.get()
+    }
+
+    /// Whether writing has failed.
+    pub(crate) fn has_failed_write(&self) -> bool {
+        self.failed_write.get()
+    }
+
+    /// Notes that nothing is left to be written at present.
+    fn set_written(&self) {
+        if self.unfinished.get() == Some(RequestPhase::Answering) {
+            self.unfinished.set(None);
+        }
+    }
+
     /// Whether there has been a request. Without one, the connection has sent at most a part of a head.
     pub(crate) fn has_begun(&self) -> bool {
         self.began.get()
@@ -107,6 +134,9 @@
         cx: &mut Context<'_>,
         written: Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
+        if matches!(written, Poll::Ready(Err(_))) {
+            self.connection.failed_write.set(true);
+        }
         if written.is_ready() || self.unread_limit.is_zero() {
             self.unread_timer = None;
             return written;
@@ -151,6 +181,8 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // Nothing is left in the buffers above.
+        self.connection.set_written();
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
--- a/crates/porthoist-proxy/src/handler.rs
+++ b/crates/porthoist-proxy/src/handler.rs
@@ -321,6 +321,7 @@
             progress: Rc::clone(&progress),
             answered: Cell::new(false),
             completed: Cell::new(false),
+            unfinished: Cell::new(false),
         };
         let admitted = match metadata {
             Ok(metadata) => self.admit(metadata, head, body, progress).await,
@@ -331,6 +332,7 @@
         };
         let outcome = match admitted {
             Ok(admitted) => {
+                admitted.progress.set_admitted();
                 let admitted = Rc::new(admitted);
                 let outcome = self.run(Rc::clone(&admitted), guard).await;
                 outcome.inspect_err(|(refusal, _guard)| self.record_refusal(&admitted, refusal))
--- a/crates/porthoist-proxy/src/handler/draining.rs
+++ b/crates/porthoist-proxy/src/handler/draining.rs
@@ -24,6 +24,8 @@
     /// Whether unfinished requests are cut.
     cut: watch::Sender<bool>,
     cut_requests: Cell<u64>,
+    /// Streams that ended incomplete since the process was told to stop.
+    unfinished_streams: Cell<u64>,
     durations: RefCell<RouteDurations>,
     clock: Arc<dyn ClockSource>,
 }
@@ -34,6 +36,7 @@
             schedule: watch::Sender::default(),
             cut: watch::Sender::default(),
             cut_requests: Cell::new(0),
+            unfinished_streams: Cell::new(0),
             durations: RefCell::default(),
             clock,
         }
@@ -105,6 +108,19 @@
         self.drain.cut_requests.get() + self.in_flight()
     }
 
+    /// Streams that ended incomplete since the process was told to stop.
+    pub fn unfinished_streams(&self) -> u64 {
+        self.drain.unfinished_streams.get()
+    }
+
+    /// Counts a stream that ends incomplete.
+    pub(super) fn record_unfinished_stream(&self) {
+        self.metrics.record_broken_stream();
+        if self.drain.has_begun() {
+            self.drain.unfinished_streams.set(self.drain.unfinished_streams.get() + 1);
+        }
+    }
+
     /// Refuses a request that can't be finished by the end of the drain.
     pub(super) fn check_drain(
         &self,
--- a/crates/porthoist-proxy/src/handler/relay.rs
+++ b/crates/porthoist-proxy/src/handler/relay.rs
@@ -219,7 +219,8 @@
 
     fn end_incomplete(&self, detail: &str) -> io::Error {
         self.guard.completed.set(true);
-        self.handler.metrics.record_broken_stream();
+        self.guard.unfinished.set(true);
+        self.handler.record_unfinished_stream();
         info!(self.handler.logger, "stream ended incomplete"; "event" => "stream_unfinished",
             "request" => &*self.admitted.metadata.attempt, "events" => self.forwarded, "last_id" => self.last_id,
             "detail" => detail, "took_ms" => self.handler.clock.now().since(self.admitted.arrival));
--- a/crates/porthoist-proxy/src/handler/request_guard.rs
+++ b/crates/porthoist-proxy/src/handler/request_guard.rs
@@ -3,6 +3,7 @@
 use super::ProxyHandler;
 use crate::caller_stream::CallerConnection;
 use crate::complete_body::BodyWatch;
+use crate::connection_end::RequestPhase;
 use porthoist_core::{RunVerdict, TargetName, UnixMillis};
 use slog::info;
 use std::cell::{Cell, RefCell};
@@ -20,6 +21,8 @@
     sent: Cell<bool>,
     /// Whether it may have run at an earlier target.
     ran_before: Cell<bool>,
+    /// Whether all of it has arrived.
+    admitted: Cell<bool>,
     /// Events that were forwarded, if the response is a stream.
     events: Cell<Option<u64>>,
 }
@@ -31,10 +34,16 @@
             target: RefCell::default(),
             sent: Cell::default(),
             ran_before: Cell::default(),
+            admitted: Cell::default(),
             events: Cell::default(),
         })
     }
 
+    /// Notes that all of the request has arrived.
+    pub(super) fn set_admitted(&self) {
+        self.admitted.set(true);
+    }
+
     /// Notes that the request is being sent to a target.
     pub(super) fn begin_send(&self, target: &TargetName) {
         self.ran_before.set(self.verdict() != RunVerdict::NotRun);
@@ -59,6 +68,19 @@
         self.events.get()
     }
 
+    /// How far the request has come, unless its whole answer is known.
+    fn phase(&self) -> RequestPhase {
+        if self.events.get().is_some() {
+            RequestPhase::Streaming
+        } else if self.sent.get() {
+            RequestPhase::Sent
+        } else if self.admitted.get() {
+            RequestPhase::Waiting
+        } else {
+            RequestPhase::HeadRead
+        }
+    }
+
     pub(super) fn verdict(&self) -> RunVerdict {
         if self.sent.get() || self.ran_before.get() { RunVerdict::MayHaveRun } else { RunVerdict::NotRun }
     }
@@ -74,9 +96,16 @@
     /// Whether a complete answer is being written.
     pub(super) answered: Cell<bool>,
     pub(super) completed: Cell<bool>,
+    /// Whether its stream ends incomplete.
+    pub(super) unfinished: Cell<bool>,
 }
 
 impl RequestGuard {
+    fn phase(&self) -> RequestPhase {
+        let is_whole = self.answered.get() || self.completed.get() && !self.unfinished.get();
+        if is_whole { RequestPhase::Answering } else { self.progress.phase() }
+    }
+
     /// Ends a request that the end of a drain cuts. Returns whether it does.
     pub(super) fn cut(&self) -> bool {
         self.completed.set(true);
@@ -93,7 +122,8 @@
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         let handler = &self.handler;
-        self.connection.set_idle(handler.clock.now());
+        let phase = self.phase();
+        self.connection.end_request(phase, handler.clock.now());
         handler.in_flight.set(handler.in_flight.get().saturating_sub(1));
         if self.completed.get() || self.connection.is_cut() {
             return;
@@ -106,6 +136,7 @@
         if self.answered.get() || thread::panicking() {
             return;
         }
-        info!(handler.logger, "caller left"; "event" => "caller_left", "request" => &*self.attempt);
+        info!(handler.logger, "caller left"; "event" => "caller_left", "request" => &*self.attempt,
+            "phase" => phase.as_str());
     }
 }
--- a/crates/porthoist-proxy/src/lib.rs
+++ b/crates/porthoist-proxy/src/lib.rs
@@ -7,6 +7,7 @@
 mod caller_connections;
 mod caller_stream;
 pub mod complete_body;
+mod connection_end;
 pub mod connection_pool;
 pub mod control;
 pub mod crashes;
@@ -14,6 +15,7 @@
 mod earlier_values;
 pub mod handler;
 pub mod headers;
+mod line_limit;
 pub mod patch;
 pub mod peer_rows;
 mod pending_call;
--- a/crates/porthoist-proxy/src/server.rs
+++ b/crates/porthoist-proxy/src/server.rs
@@ -2,6 +2,7 @@
 
 use crate::caller_connections::{CallerConnections, ConnectionEvent, ConnectionSlot};
 use crate::caller_stream::{CallerConnection, CallerStream};
+use crate::connection_end::ConnectionEnds;
 use crate::handler::ProxyHandler;
 use crate::reply::CallerReply;
 use hyper::Request;
@@ -66,13 +67,15 @@
         Arc::clone(&server.metrics),
         server.logger.clone(),
     );
+    let ends =
+        Rc::new(ConnectionEnds::new(Arc::clone(&clock), Arc::clone(&server.metrics), server.logger.clone()));
     let schedule = loop {
         let until_close = begun.map(|schedule| schedule.close_at.remaining(now()));
         let can_decide = connections.can_decide();
         tokio::select! {
             () = tokio::time::sleep(ACCEPT_PAUSE), if !can_decide => {}
             accepted = listener.accept(), if can_decide => match accepted {
-                Ok((stream, _address)) => accept(stream, &server, &connections),
+                Ok((stream, _address)) => accept(stream, &server, &connections, &ends),
                 Err(error) => {
                     connections.record(ConnectionEvent::Failed, &error.to_string());
                     // The process may be out of file descriptors: leave time for connections to close.
@@ -83,6 +86,7 @@
             _ = stopping.wait_for(|stopping| *stopping), if begun.is_none() => {
                 let schedule = DrainSchedule::new(now(), server.grace_millis);
                 server.handler.stop(schedule);
+                ends.begin_drain();
                 begun = Some(schedule);
                 info!(server.logger, "stopping"; "event" => "stop", "in_flight" => server.handler.in_flight());
             }
@@ -100,12 +104,21 @@
         // What callers have not taken by then is dropped with their connections.
         drop(tokio::time::timeout(schedule.end_at.remaining(now()), ended).await);
     }
-    let cut_off = server.handler.cut_off();
+    log_stopped(&server, &ends, in_time);
+}
+
+fn log_stopped(server: &ProxyServer, ends: &ConnectionEnds, in_time: bool) {
+    let handler = &server.handler;
+    let (cut_off, streams_unfinished) = (handler.cut_off(), handler.unfinished_streams());
+    let (callers_left, connections_failed) = (ends.left(), ends.failed());
     if in_time {
-        info!(server.logger, "stopped"; "event" => "stopped", "cut_off" => cut_off, "in_time" => in_time);
+        info!(server.logger, "stopped"; "event" => "stopped", "cut_off" => cut_off, "in_time" => in_time,
+            "streams_unfinished" => streams_unfinished, "callers_left" => callers_left,
+            "connections_failed" => connections_failed);
     } else {
         warn!(server.logger, "stopped with unfinished requests"; "event" => "stopped", "cut_off" => cut_off,
-            "in_time" => in_time);
+            "in_time" => in_time, "streams_unfinished" => streams_unfinished, "callers_left" => callers_left,
+            "connections_failed" => connections_failed);
     }
 }
 
@@ -116,7 +129,12 @@
     }
 }
 
-fn accept(stream: TcpStream, server: &ProxyServer, connections: &Rc<CallerConnections>) {
+fn accept(
+    stream: TcpStream,
+    server: &ProxyServer,
+    connections: &Rc<CallerConnections>,
+    ends: &Rc<ConnectionEnds>,
+) {
     let caller = Rc::new(CallerConnection::default());
     let Some(slot) = connections.add(&caller) else { return };
     // Detects callers that disappeared, whose work ends with the connection. Best effort.
@@ -142,25 +160,28 @@
         .header_read_timeout(Duration::from_millis(idle_millis))
         .max_buf_size(header_bytes)
         .serve_connection(TokioIo::new(stream), service);
-    let (metrics, logger) = (Arc::clone(&server.metrics), server.logger.clone());
+    let (metrics, logger, ends) = (Arc::clone(&server.metrics), server.logger.clone(), Rc::clone(ends));
     tokio::task::spawn_local(async move {
         let _slot: ConnectionSlot = slot;
-        let mut connection = pin!(connection);
+        let mut connection = connection;
         let ended = tokio::select! {
-            ended = connection.as_mut() => ended,
+            ended = &mut connection => ended,
             () = caller.closed() => {
-                connection.as_mut().graceful_shutdown();
+                Pin::new(&mut connection).graceful_shutdown();
                 // Hyper would wait for the rest of a head.
                 if caller.is_evicted() && !caller.has_begun() {
-                    let ended = tokio::time::timeout(Duration::ZERO, connection.as_mut()).await;
+                    let ended = tokio::time::timeout(Duration::ZERO, &mut connection).await;
                     if ended.is_ok() || !caller.has_begun() {
                         return;
                     }
                 }
-                connection.await
+                (&mut connection).await
             }
         };
+        // Ends the request that is being served.
+        drop(connection);
         let Err(error) = ended else { return };
+        ends.record(&error, &caller);
         if caller.is_cut() {
             metrics.record_cut_response();
             info!(logger, "response cut because its caller reads nothing"; "event" => "response_cut",
--- a/porthoistd/src/role.rs
+++ b/porthoistd/src/role.rs
@@ -24,6 +24,12 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+/// The build, if it was named when the program was compiled, or else the version.
+pub(crate) const BUILD: &str = match option_env!("PORTHOIST_BUILD") {
+    Some(build) => build,
+    None => env!("CARGO_PKG_VERSION"),
+};
+
 /// Starts a role and waits until its last thread has ended. Signals are handled from before the role starts.
 pub(crate) fn run_until_stopped<S>(logger: &Logger, start: S) -> io::Result<()>
 where
--- a/porthoistd/src/role/entry.rs
+++ b/porthoistd/src/role/entry.rs
@@ -1,6 +1,6 @@
 //! The entry role: takes callers' requests and offers them to targets.
 
-use super::{bind, file_bounds, host_entry, random_incarnation, run_until_stopped, start_operators};
+use super::{BUILD, bind, file_bounds, host_entry, random_incarnation, run_until_stopped, start_operators};
 use crate::component::callers::serve_callers;
 use crate::component::claims::{ClaimCalls, claim_ring, serve_claims};
 use crate::component::entry_fleet::view::FleetView;
@@ -61,6 +61,11 @@
     let (operator_listener, operator) = bind(settings.operator_listen)?;
     let (fleet_listener, fleet) = bind(settings.fleet_listen)?;
     let addresses = EntryAddresses { callers, operator, fleet };
+    info!(logger, "started"; "event" => "start", "callers" => callers.to_string(), "operator" => operator.to_string(),
+        "fleet" => fleet.to_string(), "zone" => settings.zone.to_string(),
+        "version" => env!("CARGO_PKG_VERSION"), "build" => BUILD,
+        "stop_lag_ms" => settings.stop_lag_millis, "held_bytes" => settings.memory.held_bytes,
+        "max_connections" => settings.memory.connections);
     let own = host_entry(&settings, HostRole::Entry, fleet);
     let process = EntryProcess::new(settings, logger, stopping)?;
     let (claims, claim_calls) = claim_ring();
--- a/porthoistd/src/role/proxy.rs
+++ b/porthoistd/src/role/proxy.rs
@@ -1,6 +1,6 @@
 //! The proxy role: forwards requests unchanged, by the routes and targets of the platform's table service.
 
-use super::{bind, file_bounds, run_until_stopped};
+use super::{BUILD, bind, file_bounds, run_until_stopped};
 use crate::component::loads::LoadsWatch;
 use crate::component::status::StatusServer;
 use crate::component::zone_peers::{ZonePeers, entry_id};
@@ -80,8 +80,11 @@
     let logger = logger.new(o!("role" => "proxy", "host" => settings.host.to_string()));
     info!(logger, "started"; "event" => "start", "callers" => callers.to_string(),
         "zone" => settings.zone.to_string(), "table" => settings.table.to_string(),
-        "version" => env!("CARGO_PKG_VERSION"), "max_connections" => max_connections,
-        "held_bytes" => settings.memory.held_bytes);
+        "version" => env!("CARGO_PKG_VERSION"), "build" => BUILD, "max_connections" => max_connections,
+        "held_bytes" => settings.memory.held_bytes, "grace_s" => settings.grace_millis as f64 / 1_000.0,
+        "unread_ms" => settings.unread_millis, "share_capacity" => settings.share_capacity,
+        "retry_ratio" => settings.retry_ratio, "retry_window_ms" => settings.retry_window_millis,
+        "retry_slack" => settings.retry_slack);
     let process = ProxyProcess {
         metrics: Arc::new(MetricsHub::new().map_err(io::Error::other)?),
         clock: Arc::new(AnchoredClock::new()),
--- a/porthoistd/src/role/rank.rs
+++ b/porthoistd/src/role/rank.rs
@@ -1,7 +1,7 @@
 //! The rank role: runs next to one rank of a group, and plans the group's expert maps if that is its first
 //! rank.
 
-use super::{bind, run_until_stopped};
+use super::{BUILD, bind, run_until_stopped};
 use crate::component::rank::{OwnRank, PlanningLoop};
 use crate::component::status::serve_metrics;
 use crate::component::{spawn_task, spawn_thread};
@@ -37,7 +37,7 @@
     let logger = logger.new(o!("role" => "rank", "host" => settings.host.to_string()));
     info!(logger, "started"; "event" => "start", "engine" => settings.engine.to_string(),
         "rank_listen" => rank_address.to_string(), "table" => settings.table.to_string(),
-        "version" => env!("CARGO_PKG_VERSION"));
+        "version" => env!("CARGO_PKG_VERSION"), "build" => BUILD);
     let metrics = Arc::new(MetricsHub::new().map_err(io::Error::other)?);
     let clock: Arc<dyn ClockSource> = Arc::new(AnchoredClock::new());
     let state = watch::Sender::new(ControlState::default());
--- a/porthoistd/src/role/target.rs
+++ b/porthoistd/src/role/target.rs
@@ -1,6 +1,6 @@
 //! The target role: runs next to a back end and decides on entries' offers.
 
-use super::{bind, host_entry, random_incarnation, run_until_stopped, start_operators};
+use super::{BUILD, bind, host_entry, random_incarnation, run_until_stopped, start_operators};
 use crate::component::group::{GroupLeader, PlatformMaps, rank_of};
 use crate::component::offers::{follow_drain, run_backend, run_offers, team_weights};
 use crate::component::operator::ProcessView;
@@ -63,6 +63,11 @@
 ) -> io::Result<(TargetAddresses, JoinHandle<()>)> {
     let (operator_listener, operator) = bind(settings.operator_listen)?;
     let (fleet_listener, fleet) = bind(settings.fleet_listen)?;
+    info!(logger, "started"; "event" => "start", "operator" => operator.to_string(),
+        "fleet" => fleet.to_string(), "zone" => settings.zone.to_string(),
+        "version" => env!("CARGO_PKG_VERSION"), "build" => BUILD,
+        "stop_lag_ms" => settings.stop_lag_millis, "held_bytes" => settings.memory.held_bytes,
+        "max_connections" => settings.memory.connections);
     let own = host_entry(&settings, HostRole::Target, fleet);
     let process = TargetProcess::new(settings, logger, stopping)?;
     process.start_platform(own)?;
