Go on with an answer whose caller has closed its sending side

A caller that closed its sending side after the head of an answer lost the rest of it: a status, a part of the body, and the end of the connection. Each answer of a drain says Connection: close, after which a caller has a reason to do so, and a relay that forwards a FIN does it for its caller.

Cause: hyper takes the end of what a caller sends for the end of the connection. With half_close(true) it would not look at all until the answer ends, and the work for callers that left would go on.

Change: the stream of a connection does not report the end while an answer is being written. A closed socket answers the next write with a reset, so the work ends with the second event; without any, after 0.2 s, as what tells nothing must not hold a target for half a second.

Before the head of an answer nothing changes: nothing can be written there that would tell a half-close from a close.

--- a/crates/porthoist-proxy/src/caller_stream.rs
+++ b/crates/porthoist-proxy/src/caller_stream.rs
@@ -1,6 +1,7 @@
-//! A caller's connection, which ends if its caller reads nothing of a response for too long.
+//! A caller's connection, which ends if its caller reads nothing of a response for too long, or has left.
 
 use crate::connection_end::RequestPhase;
+use crate::half_close::HalfClose;
 use porthoist_core::UnixMillis;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -23,6 +24,10 @@
     /// How far the last request has come, if its response has not been written and it is no longer served.
     unfinished: Cell<Option<RequestPhase>>,
     failed_write: Cell<bool>,
+    /// Whether a response is being written.
+    responding: Cell<bool>,
+    /// Whether the caller closed its sending side while a response was being written.
+    half_closed: Cell<bool>,
     /// Since when no request is being served; `None` while one is.
     idle_since: Cell<Option<UnixMillis>>,
     /// Whether there has been a request.
@@ -39,12 +44,19 @@
     pub(crate) fn begin_request(&self, attempt: &Arc<str>) {
         *self.attempt.borrow_mut() = Some(Arc::clone(attempt));
         self.idle_since.set(None);
+        self.responding.set(false);
         self.began.set(true);
     }
 
+    /// Notes that the response to the request begins.
+    pub(crate) fn begin_response(&self) {
+        self.responding.set(true);
+    }
+
     /// Notes how far the request had come that is no longer served. Its response may still have to be written.
     pub(crate) fn end_request(&self, phase: RequestPhase, now: UnixMillis) {
         self.unfinished.set(Some(phase));
+        self.responding.set(phase == RequestPhase::Answering);
         self.set_idle(now);
     }
 
@@ -58,10 +70,16 @@
         self.failed_write.get()
     }
 
+    /// Whether the caller closed its sending side while a response was being written.
+    pub(crate) fn is_half_closed(&self) -> bool {
+        self.half_closed.get()
+    }
+
     /// Notes that nothing is left to be written at present.
     fn set_written(&self) {
         if self.unfinished.get() == Some(RequestPhase::Answering) {
             self.unfinished.set(None);
+            self.responding.set(false);
         }
     }
 
@@ -122,11 +140,15 @@
     unread_limit: Duration,
     /// Runs while the peer takes nothing.
     unread_timer: Option<Pin<Box<Sleep>>>,
+    /// Whether the last write had to wait.
+    blocked: bool,
+    /// Present once the caller has closed its sending side within a response.
+    half_close: Option<HalfClose>,
 }
 
 impl CallerStream {
     pub(crate) fn new(stream: TcpStream, connection: Rc<CallerConnection>, unread_limit: Duration) -> Self {
-        Self { stream, connection, unread_limit, unread_timer: None }
+        Self { stream, connection, unread_limit, unread_timer: None, blocked: false, half_close: None }
     }
 
     fn check_written(
@@ -134,6 +156,10 @@
         cx: &mut Context<'_>,
         written: Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
+        self.blocked = written.is_pending();
+        if let Some(half_close) = &mut self.half_close {
+            half_close.record_write(self.blocked);
+        }
         if matches!(written, Poll::Ready(Err(_))) {
             self.connection.failed_write.set(true);
         }
@@ -149,6 +175,18 @@
         drop(self.stream.set_zero_linger());
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
+
+    /// Reports the end of what the caller sends, which ends its request. Within a response this is put off: the caller may
+    /// still read.
+    fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if !self.connection.responding.get() {
+            return Poll::Ready(Ok(()));
+        }
+        self.connection.half_closed.set(true);
+        let blocked = self.blocked;
+        let half_close = self.half_close.get_or_insert_with(|| HalfClose::new(blocked));
+        half_close.poll_silent(cx).map(Ok)
+    }
 }
 
 impl AsyncRead for CallerStream {
@@ -157,7 +195,13 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        if self.half_close.is_some() {
+            return self.poll_end(cx);
+        }
+        let filled = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let at_end = buf.filled().len() == filled && buf.remaining() > 0;
+        if at_end { self.poll_end(cx) } else { Poll::Ready(Ok(())) }
     }
 }
 
@@ -183,6 +227,10 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         // Nothing is left in the buffers above.
         self.connection.set_written();
+        if self.half_close.is_some() && !self.connection.responding.get() {
+            // The end of what the caller sends can now be reported.
+            cx.waker().wake_by_ref();
+        }
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
--- a/crates/porthoist-proxy/src/connection_end.rs
+++ b/crates/porthoist-proxy/src/connection_end.rs
@@ -67,7 +67,7 @@
             Self::Process
         } else if is_reset {
             Self::CallerReset
-        } else if error.is_incomplete_message() {
+        } else if error.is_incomplete_message() || caller.is_half_closed() && caller.has_failed_write() {
             Self::CallerClosed
         } else if caller.has_failed_write() {
             Self::WriteFailed
--- a/crates/porthoist-proxy/src/handler.rs
+++ b/crates/porthoist-proxy/src/handler.rs
@@ -415,6 +415,7 @@
         info!(self.logger, "answered"; "event" => "answered", "request" => &*admitted.metadata.attempt,
             "target" => slot.target.id.to_string(), "status" => answer.status.as_u16(), "took_ms" => millis);
         guard.answered.set(true);
+        guard.connection.begin_response();
         let body = CompleteBody::watched(answer.body, Box::new(guard));
         complete_reply(answer.status, relayed_headers(answer.headers), body)
     }
@@ -429,6 +430,7 @@
     ) -> CallerReply {
         let status = answer.head.status;
         let headers = relayed_headers(answer.head.headers.clone());
+        guard.connection.begin_response();
         let relay = EventRelay::new(Rc::clone(self), admitted, slot, answer, history, guard);
         streamed_reply(status, headers, relay.into_body())
     }
--- a/crates/porthoist-proxy/src/lib.rs
+++ b/crates/porthoist-proxy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod crashes;
 pub mod dispatcher;
 mod earlier_values;
+mod half_close;
 pub mod handler;
 pub mod headers;
 mod line_limit;
