Linger when a caller's connection is closed

Callers that read slowly, or through a relay, lost the end of an answer, of a stream or of the last answer before a stop: a connection that is closed with bytes of its caller unread is reset, and so is one to which bytes come after the close. The reset drops what is still to be sent, and a relay drops what it holds. A request that crosses the close of a drain is such bytes.

--- a/crates/porthoist-proxy/src/caller_connections.rs
+++ b/crates/porthoist-proxy/src/caller_connections.rs
@@ -125,8 +125,8 @@
         Some(ConnectionSlot { connections: Rc::clone(self), id })
     }
 
-    /// Closes the connection that has been idle for the longest, or else the one whose body has made no progress for
-    /// longest. Returns whether there was one.
+    /// Closes the connection that has been idle for the longest, those first that have sent their last answer, or else
+    /// the one whose body has made no progress for longest. Returns whether there was one.
     pub(crate) fn evict(&self) -> bool {
         self.evict_idle() || self.evict_stalled()
     }
@@ -144,7 +144,10 @@
             let open = self.open.borrow();
             let idle =
                 open.values().filter_map(|connection| Some((connection.evictable_since()?, connection)));
-            idle.min_by_key(|(since, _connection)| *since).map(|(_since, connection)| Rc::clone(connection))
+            let order = |(since, connection): &(UnixMillis, &Rc<CallerConnection>)| {
+                (!connection.is_lingering(), *since)
+            };
+            idle.min_by_key(order).map(|(_since, connection)| Rc::clone(connection))
         };
         let Some(connection) = idlest else { return false };
         connection.evict();
@@ -166,6 +169,11 @@
         }
     }
 
+    /// Whether each open connection has sent its last answer.
+    pub(crate) fn all_linger(&self) -> bool {
+        self.open.borrow().values().all(|connection| connection.is_lingering())
+    }
+
     /// Counts an event, and logs the events of the last second together.
     pub(crate) fn record(&self, event: ConnectionEvent, detail: &str) {
         self.metrics.record_connection_event(event.as_str());
--- a/crates/porthoist-proxy/src/caller_stream.rs
+++ b/crates/porthoist-proxy/src/caller_stream.rs
@@ -3,6 +3,7 @@
 use crate::connection_end::RequestPhase;
 use crate::half_close::HalfClose;
 use porthoist_core::UnixMillis;
+use porthoist_http::linger;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
@@ -36,6 +37,8 @@
     closing: Cell<bool>,
     /// Whether it gives way to a new connection.
     evicted: Cell<bool>,
+    /// Whether its last answer was sent, and only its caller's close is awaited.
+    lingering: Cell<bool>,
     close_signal: Notify,
 }
 
@@ -93,9 +96,10 @@
         self.idle_since.set(Some(now));
     }
 
-    /// Since when the connection has been idle, unless it is in use or closing already.
+    /// Since when the connection has been idle, unless it is in use, or closes soon in any case.
     pub(crate) fn evictable_since(&self) -> Option<UnixMillis> {
-        if self.closing.get() { None } else { self.idle_since.get() }
+        let closes_soon = self.evicted.get() || self.closing.get() && !self.lingering.get();
+        if closes_soon { None } else { self.idle_since.get() }
     }
 
     /// Tells the connection to close once it serves no request.
@@ -115,6 +119,18 @@
         self.evicted.get()
     }
 
+    /// Whether only the caller's close is awaited.
+    pub(crate) fn is_lingering(&self) -> bool {
+        self.lingering.get()
+    }
+
+    /// Waits until the connection gives way to a new one.
+    async fn until_evicted(&self) {
+        while !self.is_evicted() {
+            self.closed().await;
+        }
+    }
+
     /// Waits until the connection is told to close.
     pub(crate) async fn closed(&self) {
         self.close_signal.notified().await;
@@ -144,11 +160,33 @@
     blocked: bool,
     /// Present once the caller has closed its sending side within a response.
     half_close: Option<HalfClose>,
+    /// Whether nothing more is sent.
+    shut_down: bool,
 }
 
 impl CallerStream {
     pub(crate) fn new(stream: TcpStream, connection: Rc<CallerConnection>, unread_limit: Duration) -> Self {
-        Self { stream, connection, unread_limit, unread_timer: None, blocked: false, half_close: None }
+        Self {
+            stream,
+            connection,
+            unread_limit,
+            unread_timer: None,
+            blocked: false,
+            half_close: None,
+            shut_down: false,
+        }
+    }
+
+    /// Waits until the caller closes the connection after its last answer, within bounds, unless it gives way to a new one.
+    pub(crate) async fn linger(self) {
+        if !self.shut_down || !self.connection.has_begun() {
+            return;
+        }
+        self.connection.lingering.set(true);
+        tokio::select! {
+            () = linger(&self.stream) => {}
+            () = self.connection.until_evicted() => {}
+        }
     }
 
     fn check_written(
@@ -235,6 +273,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.shut_down = true;
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/crates/porthoist-proxy/src/server.rs
+++ b/crates/porthoist-proxy/src/server.rs
@@ -98,9 +98,12 @@
     };
     drop(listener);
     let mut ended = pin!(connections.shut_down());
-    let in_time = tokio::time::timeout(schedule.cut_at.remaining(now()), ended.as_mut()).await.is_ok();
+    let all_ended = tokio::time::timeout(schedule.cut_at.remaining(now()), ended.as_mut()).await.is_ok();
+    let in_time = all_ended || connections.all_linger();
     if !in_time {
         server.handler.cut();
+    }
+    if !all_ended {
         // What callers have not taken by then is dropped with their connections.
         drop(tokio::time::timeout(schedule.end_at.remaining(now()), ended).await);
     }
@@ -160,7 +163,7 @@
         .header_read_timeout(Duration::from_millis(idle_millis))
         .max_buf_size(header_bytes)
         .serve_connection(TokioIo::new(stream), service);
-    let (metrics, logger, ends) = (Arc::clone(&server.metrics), server.logger.clone(), Rc::clone(ends));
+    let (server, ends) = (server.clone(), Rc::clone(ends));
     tokio::task::spawn_local(async move {
         let _slot: ConnectionSlot = slot;
         let mut connection = connection;
@@ -179,19 +182,26 @@
             }
         };
         // Ends the request that is being served.
-        drop(connection);
-        let Err(error) = ended else { return };
-        ends.record(&error, &caller);
-        if caller.is_cut() {
-            metrics.record_cut_response();
-            info!(logger, "response cut because its caller reads nothing"; "event" => "response_cut",
-                "request" => caller.attempt().as_deref(), "unread_ms" => unread_millis);
-        }
-        // hyper has already answered these.
-        if error.is_parse_too_large() {
-            metrics.record_refusal(RefusalReason::HeaderTooLong, RunVerdict::NotRun);
-        } else if error.is_parse() {
-            metrics.record_refusal(RefusalReason::Malformed, RunVerdict::NotRun);
+        let stream = connection.into_parts().io.into_inner();
+        if let Err(error) = ended {
+            ends.record(&error, &caller);
+            record_error(&error, &caller, &server);
         }
+        stream.linger().await;
     });
 }
+
+/// Records an error that ended a connection.
+fn record_error(error: &hyper::Error, caller: &CallerConnection, server: &ProxyServer) {
+    if caller.is_cut() {
+        server.metrics.record_cut_response();
+        info!(server.logger, "response cut because its caller reads nothing"; "event" => "response_cut",
+            "request" => caller.attempt().as_deref(), "unread_ms" => server.handler.settings().unread_millis);
+    }
+    // hyper has already answered these.
+    if error.is_parse_too_large() {
+        server.metrics.record_refusal(RefusalReason::HeaderTooLong, RunVerdict::NotRun);
+    } else if error.is_parse() {
+        server.metrics.record_refusal(RefusalReason::Malformed, RunVerdict::NotRun);
+    }
+}
