--- a/crates/porthoist-proxy/src/handler.rs
+++ b/crates/porthoist-proxy/src/handler.rs
@@ -321,6 +321,7 @@
             progress: Rc::clone(&progress),
             answered: Cell::new(false),
             completed: Cell::new(false),
+            unfinished: Cell::new(false),
         };
         let admitted = match metadata {
             Ok(metadata) => self.admit(metadata, head, body, progress).await,
@@ -331,6 +332,7 @@
         };
         let outcome = match admitted {
             Ok(admitted) => {
+                admitted.progress.set_admitted();
                 let admitted = Rc::new(admitted);
                 let outcome = self.run(Rc::clone(&admitted), guard).await;
                 outcome.inspect_err(|(refusal, _guard)| self.record_refusal(&admitted, refusal))
@@ -410,6 +412,7 @@
         info!(self.logger, "answered"; "event" => "answered", "request" => &*admitted.metadata.attempt,
             "target" => answer.target.id.to_string(), "status" => answer.status.as_u16(), "took_ms" => millis);
         guard.answered.set(true);
+        guard.connection.begin_response();
         let body = CompleteBody::watched(answer.body, Box::new(guard));
         complete_reply(answer.status, relayed_headers(answer.headers), body)
     }
@@ -428,6 +431,7 @@
         if admitted.head.version <= Version::HTTP_10 {
             guard.connection.delimit_body();
         }
+        guard.connection.begin_response();
         let relay = EventRelay::new(Rc::clone(self), admitted, slot, answer, history, guard);
         streamed_reply(status, headers, relay.into_body())
     }
--- a/crates/porthoist-proxy/src/lib.rs
+++ b/crates/porthoist-proxy/src/lib.rs
@@ -7,13 +7,16 @@
 mod caller_connections;
 mod caller_stream;
 pub mod complete_body;
+mod connection_end;
 pub mod connection_pool;
 pub mod control;
 pub mod crashes;
 pub mod dispatcher;
 mod earlier_values;
+mod half_close;
 pub mod handler;
 pub mod headers;
+mod line_limit;
 pub mod patch;
 pub mod peer_rows;
 mod pending_call;
