Finish a map switch before the process next to a rank stops

Callers saw their streams pause for 0.43 to 0.44 s, all at once, and first events wait as long, while processes next to ranks were restarted as planned. Where a restart takes longer, so does the pause.

Cause: a process next to a rank that does not plan ended at once when it was told to stop, also in the middle of a switch. The engines had prepared the map, the planning process held the group and waited until all ranks were armed; the process that would pass the order on came back 0.5 s later. Nobody but the planning process noticed: `switch_waits`. A planning process did wait for the end of a hold, but ran a turn after the signal that could begin another switch; on a group without work it waited until it was killed.

Three of the new tests of processes failed before (process_that_stops_in_a_switch_stays_until_its_rank_has_switched, process_that_stops_takes_part_in_no_new_switch, idle_process_stops_at_once); that of the controller fails without the new condition.

Change: a stopping process passes on no prepare, so that no switch reaches a hold with it, and stays until its rank is neither armed nor prepared by a recent order, for 1 s at most. A stopping planning process finishes its switch and begins no other one. It leaves copies that take longer than 1 s, which hold nothing, and a switch that is armed and released, which needs no further order. A stop is noticed at once, and not after the pause between two turns.

Why it works: a group is held only after all ranks have prepared the map. A process whose rank has not will never be waited for in a hold, and one whose rank has is there until the switch is over. The protocol between ranks is unchanged.

--- a/crates/porthoist-group/src/controller.rs
+++ b/crates/porthoist-group/src/controller.rs
@@ -65,6 +65,15 @@
     Switching { since: Instant },
 }
 
+/// Whether new switches begin.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ControllerPhase {
+    /// A switch begins whenever a plan is worth one.
+    Planning,
+    /// The process is stopping: only a switch in progress goes on.
+    Ending,
+}
+
 /// Plans the expert map of one group and switches the group to it.
 #[derive(Debug)]
 pub struct ExpertMapController {
@@ -98,6 +107,7 @@
     all_reachable: bool,
     /// Whether it was logged that a switch waits for a rank.
     wait_logged: bool,
+    phase: ControllerPhase,
     logger: Logger,
 }
 
@@ -122,6 +132,7 @@
             unreachable: Vec::new(),
             all_reachable: true,
             wait_logged: false,
+            phase: ControllerPhase::Planning,
             shape,
             logger,
         }
@@ -203,7 +214,10 @@
         }
         let views = self.views.clone();
         self.update_maps(&views);
-        if self.driver.can_begin(&views) && self.read_current_map(group, &views).await {
+        if self.phase == ControllerPhase::Planning
+            && self.driver.can_begin(&views)
+            && self.read_current_map(group, &views).await
+        {
             self.plan(&views, new_version);
         }
         true
@@ -305,6 +319,21 @@
         self.unreachable.get(rank).is_none_or(Option::is_none)
     }
 
+    /// Begins no new switch from now on; one in progress goes on.
+    pub fn begin_no_switch(&mut self) {
+        self.phase = ControllerPhase::Ending;
+    }
+
+    /// Whether a switch of this controller is in progress.
+    pub fn switching(&self) -> bool {
+        self.driver.target().is_some()
+    }
+
+    /// Whether the group is held, or may be, until this controller goes on.
+    pub fn holds_group(&self) -> bool {
+        self.driver.holding() && !self.driver.released(&self.views)
+    }
+
     /// Whether a switch of this controller holds the group, or is about to.
     pub fn holding(&self) -> bool {
         self.driver.holding()
--- a/crates/porthoist-group/tests/controller.rs
+++ b/crates/porthoist-group/tests/controller.rs
@@ -493,3 +493,65 @@
     assert_eq!(group.borrow().engines[0].view.map, MapVersion(90), "the switch went on");
     assert!(group.borrow().skew() < 1.5, "skew {}", group.borrow().skew());
 }
+
+/// Runs rounds, each with a pass if the group has work, until a controller has no switch in progress.
+async fn finish_switch(
+    controller: &mut ExpertMapController,
+    group: &Rc<RefCell<SimulatedGroup>>,
+    ranks: &DirectGroup,
+) {
+    for round in 0..ROUNDS {
+        if !controller.switching() {
+            return;
+        }
+        controller.run_round(ranks, MapVersion(round)).await;
+        group.borrow_mut().run_pass();
+    }
+    panic!("the switch does not end");
+}
+
+/// Guards against a planning process that begins another switch after it was told to stop.
+#[tokio::test]
+async fn controller_that_is_to_end_finishes_its_switch_and_begins_no_other() {
+    let group = Rc::new(RefCell::new(SimulatedGroup::new(1, 0.0)));
+    let ranks = direct_group(&group);
+    let mut controller = new_controller();
+    while controller.run_round(&ranks, MapVersion(1)).await != RoundOutcome::Copying {
+        group.borrow_mut().run_pass();
+    }
+    controller.begin_no_switch();
+    finish_switch(&mut controller, &group, &ranks).await;
+    assert_eq!(group.borrow().engines[0].view.map, MapVersion(1), "the switch went on");
+    group.borrow_mut().shift(6, 0.0);
+    for round in 0..LEARNING_ROUNDS {
+        controller.run_round(&ranks, MapVersion(100 + round)).await;
+        assert!(!controller.switching());
+        group.borrow_mut().run_pass();
+    }
+    assert_eq!(group.borrow().engines[0].maps.len(), 2, "no other map was prepared");
+}
+
+/// Guards against a stop that waits for a group without work, and against one that leaves a group held.
+#[tokio::test]
+async fn group_is_held_until_its_switch_needs_no_more_orders() {
+    let group = Rc::new(RefCell::new(SimulatedGroup::new(1, 0.0)));
+    let ranks = direct_group(&group);
+    let mut controller = new_controller();
+    while !controller.holding() {
+        assert!(!controller.holds_group());
+        controller.run_round(&ranks, MapVersion(1)).await;
+        group.borrow_mut().run_pass();
+    }
+    let mut rounds = 0;
+    while controller.holds_group() {
+        rounds += 1;
+        assert!(rounds < ROUNDS, "the group is released without a pass");
+        controller.run_round(&ranks, MapVersion(1)).await;
+    }
+    assert!(controller.holding(), "no pass has shown the switch");
+    assert_eq!(group.borrow().engines[0].view.held, None);
+    let armed = |engine: &SimulatedEngine| engine.view.armed.map(|armed| armed.version);
+    assert!(group.borrow().engines.iter().all(|engine| armed(engine) == Some(MapVersion(1))));
+    finish_switch(&mut controller, &group, &ranks).await;
+    assert!(!group.borrow().mixed_maps);
+}
--- a/crates/porthoist-policy/src/roll_forward.rs
+++ b/crates/porthoist-policy/src/roll_forward.rs
@@ -212,6 +212,13 @@
         matches!(self.phase, SwitchPhase::Holding { .. })
     }
 
+    /// Returns whether all ranks are armed and the group is not held: the switch takes effect without further orders.
+    pub fn released(&self, views: &[RankView]) -> bool {
+        let SwitchPhase::Holding { armed } = &self.phase else { return false };
+        let fixed = |view: &RankView| view.armed == Some(*armed) || view.map == armed.version;
+        views.iter().all(fixed) && views.first().is_some_and(|view| view.held.is_none())
+    }
+
     /// Returns whether a rank already uses the new map; the views of all ranks should then be read.
     pub fn any_rank_switched(&self, views: &[RankView]) -> bool {
         self.target().is_some_and(|version| views.iter().any(|view| view.map == version))
--- a/porthoistd/src/component/rank.rs
+++ b/porthoistd/src/component/rank.rs
@@ -26,6 +26,7 @@
 mod own_rank;
 mod reporting;
 
+use own_rank::MAX_SWITCH_MILLIS;
 pub use own_rank::OwnRank;
 
 /// Interval in milliseconds between readings of expert counts while the group is idle; demand shifts every
@@ -124,14 +125,34 @@
 }
 
 impl PlanningLoop {
-    /// Runs until `stop` is set and no switch of this process holds the group.
-    pub async fn run(mut self, stop: watch::Receiver<bool>) {
-        loop {
+    /// Runs until `stop` is set and the switch in progress has ended.
+    pub async fn run(mut self, mut stop: watch::Receiver<bool>) {
+        while !*stop.borrow() {
             let delay = self.run_turn().await;
-            let holding = self.planner.as_ref().is_some_and(ExpertMapController::holding);
-            if *stop.borrow() && !holding {
+            tokio::select! {
+                () = tokio::time::sleep(Duration::from_millis(delay)) => {}
+                Ok(_stop) = stop.wait_for(|stop| *stop) => {}
+            }
+        }
+        if self.planner.is_some() {
+            self.finish_switch().await;
+        } else {
+            self.own.leave_switches().await;
+        }
+    }
+
+    /// Finishes the switch in progress and begins no other one. A group that is held stays so until its planning process
+    /// goes on, so only a switch that holds none is left to the next one.
+    async fn finish_switch(&mut self) {
+        let until = UnixDeadline::after(self.clock.now(), MAX_SWITCH_MILLIS);
+        loop {
+            let Some(planner) = &mut self.planner else { return };
+            planner.begin_no_switch();
+            let left = !planner.holds_group() && until.passed(self.clock.now());
+            if !planner.switching() || left {
                 return;
             }
+            let delay = self.run_turn().await;
             tokio::time::sleep(Duration::from_millis(delay)).await;
         }
     }
--- a/porthoistd/src/component/rank/own_rank.rs
+++ b/porthoistd/src/component/rank/own_rank.rs
@@ -6,10 +6,11 @@
 };
 use porthoist_http::CallError;
 use porthoist_policy::placement::equal_shares::EqualShareMap;
-use porthoist_policy::roll_forward::EngineOrder;
-use std::cell::RefCell;
+use porthoist_policy::roll_forward::{EngineOrder, RankView};
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Timeout in milliseconds of orders to the own engine, which answers in a few milliseconds. An order that
 /// timed out may still have been carried out, and is sent again.
@@ -19,6 +20,12 @@
 /// how long a dead connection blocks planning; the next reading opens a new connection.
 const READ_TIMEOUT_MILLIS: u64 = 120;
 
+/// Time in milliseconds after an order within which a switch goes on, and for which a stopping process waits for the end of
+/// one. Copying experts takes the most of it.
+pub(super) const MAX_SWITCH_MILLIS: u64 = 1_000;
+/// Delay in milliseconds between two readings of an engine whose switch is waited for.
+const SWITCH_DELAY_MILLIS: u64 = 10;
+
 /// The engine next to this process, with the expert counts reported so far.
 #[derive(Debug)]
 pub struct OwnRank {
@@ -26,6 +33,10 @@
     reported: RefCell<ExpertCounts>,
     /// The demand of the entries that ask this process.
     demands: EntryDemands,
+    /// When the engine got its last order from this process.
+    last_order: Cell<Option<Instant>>,
+    /// Whether the process is stopping and its rank takes part in no new switch.
+    leaving: Cell<bool>,
 }
 
 impl OwnRank {
@@ -36,7 +47,33 @@
 
     /// The same, with the demand that entries report to this process.
     pub fn with_demands(engine: Rc<dyn LocalEngine>, demands: EntryDemands) -> Self {
-        Self { engine, reported: RefCell::default(), demands }
+        Self {
+            engine,
+            reported: RefCell::default(),
+            demands,
+            last_order: Cell::default(),
+            leaving: Cell::default(),
+        }
+    }
+
+    /// Passes on no order that begins a switch from now on, and waits for the end of one that the rank takes part in. The
+    /// group may be held until all its ranks are armed, and would wait for the next process here.
+    pub async fn leave_switches(&self) {
+        self.leaving.set(true);
+        let waiting = async {
+            while self.is_switching().await {
+                tokio::time::sleep(Duration::from_millis(SWITCH_DELAY_MILLIS)).await;
+            }
+        };
+        // A switch that takes longer waits for another rank, or for a group without work to run a pass.
+        drop(tokio::time::timeout(Duration::from_millis(MAX_SWITCH_MILLIS), waiting).await);
+    }
+
+    async fn is_switching(&self) -> bool {
+        let Ok(state) = read_with_timeout(self.engine.state()).await else { return false };
+        let RankView { prepared, armed, held, busy, .. } = state.view;
+        let ordered = self.last_order.get().is_some_and(is_recent);
+        armed.is_some() || held.is_some() || (busy || prepared.is_some()) && ordered
     }
 
     /// Expert counts since the last call; zero at the first call, since counts from before this process
@@ -76,6 +113,10 @@
         map: Option<&'a EqualShareMap>,
     ) -> RankFuture<'a, OrderAnswer> {
         Box::pin(async move {
+            if self.leaving.get() && matches!(order, EngineOrder::Prepare { .. }) {
+                return Err(CallError::not_sent("the process next to this rank is stopping"));
+            }
+            self.last_order.set(Some(Instant::now()));
             let answer = self.engine.order(order, map);
             let answered = tokio::time::timeout(Duration::from_millis(ORDER_TIMEOUT_MILLIS), answer).await;
             let timed_out = || CallError::unknown("the engine did not answer the order");
@@ -86,6 +127,10 @@
     }
 }
 
+fn is_recent(order: Instant) -> bool {
+    order.elapsed() < Duration::from_millis(MAX_SWITCH_MILLIS)
+}
+
 async fn read_with_timeout<T>(reading: impl Future<Output = Result<T, CallError>>) -> Result<T, CallError> {
     let read = tokio::time::timeout(Duration::from_millis(READ_TIMEOUT_MILLIS), reading).await;
     read.unwrap_or_else(|_elapsed| Err(CallError::not_sent("the engine did not tell its state in time")))
--- a/porthoistd/tests/rank.rs
+++ b/porthoistd/tests/rank.rs
@@ -16,18 +16,21 @@
 use porthoist_policy::proxy::group_loads::LoadRevision;
 use porthoist_policy::proxy::routes::{CallerLimits, ConfigVersion, EngineModel, RouteTable, ServiceSpec};
 use porthoist_policy::proxy::targets::{TargetChange, TargetRecord, TargetState};
-use porthoist_policy::roll_forward::{EngineOrder, GroupEpoch, OrderSequence, RankPace, RankState, RankView};
+use porthoist_policy::roll_forward::{
+    ArmedMap, EngineOrder, GroupEpoch, OrderSequence, RankPace, RankState, RankView,
+};
 use porthoist_policy::switch::{MapVersion, StepNumber};
 use porthoist_proxy::{ControlSource, OperatorUpdate, SourceFuture, TableRevision};
 use porthoist_proxy::{ControlState, ControlWatch};
 use porthoistd::component::rank::{OwnRank, PlanningLoop};
 use porthoistd::settings::rank::{RankArgs, RankSettings};
 use slog::{Discard, Logger, o};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use test_case::test_case;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
@@ -271,6 +274,11 @@
 
 /// The planning process of the group, which calls the others on `port`, and its reports.
 fn planning_loop(port: u16) -> (PlanningLoop, watch::Receiver<Option<AgedLoads>>) {
+    planning_loop_of(Rc::new(OwnRank::new(LimitedEngine::new(0, u32::MAX))), port)
+}
+
+/// The process next to a rank, and its reports if it plans.
+fn planning_loop_of(own: Rc<OwnRank>, port: u16) -> (PlanningLoop, watch::Receiver<Option<AgedLoads>>) {
     let args = RankArgs {
         zone: Some("a".to_owned()),
         engine: Some(engine_address(0).to_string()),
@@ -289,7 +297,6 @@
         .metrics(Arc::new(MetricsHub::new().expect("metrics")))
         .logger(logger.clone())
         .build();
-    let own = Rc::new(OwnRank::new(LimitedEngine::new(0, u32::MAX)));
     let (loads, reported) = watch::channel(None);
     let planning = PlanningLoop::builder()
         .settings(settings)
@@ -416,3 +423,144 @@
     let timed = tokio::time::timeout(Duration::from_secs(20), scenario);
     LocalSet::new().run_until(timed).await.expect("the demand of both is reported");
 }
+
+/// An engine in memory in the middle of a switch, with a view that the test sets.
+#[derive(Debug)]
+struct SwitchingEngine {
+    rank: usize,
+    view: Cell<RankView>,
+    orders: RefCell<Vec<EngineOrder>>,
+}
+
+/// The map that ranks are being switched to.
+const NEXT_MAP: MapVersion = MapVersion(7);
+/// The view of a rank before a switch.
+const IDLE_VIEW: RankView = RankView {
+    epoch: GroupEpoch(1),
+    sequence: OrderSequence(0),
+    step: StepNumber(9),
+    map: MapVersion(0),
+    prepared: None,
+    armed: None,
+    held: None,
+    busy: false,
+};
+
+impl SwitchingEngine {
+    fn new(rank: usize) -> Rc<Self> {
+        Rc::new(Self { rank, view: Cell::new(IDLE_VIEW), orders: RefCell::default() })
+    }
+}
+
+impl LocalEngine for SwitchingEngine {
+    fn state(&self) -> RankFuture<'_, RankState> {
+        let state = RankState {
+            view: self.view.get(),
+            group: "g".to_owned(),
+            rank: self.rank,
+            size: RANKS,
+            open: true,
+            requests: 0,
+            pace: RankPace::USUAL,
+        };
+        async move { Ok(state) }.boxed_local()
+    }
+
+    fn counts(&self) -> RankFuture<'_, ExpertCounts> {
+        no_answer()
+    }
+
+    fn expert_lists(&self) -> RankFuture<'_, ExpertLists> {
+        no_answer()
+    }
+
+    fn order<'a>(&'a self, order: EngineOrder, _map: Option<&'a EqualShareMap>) -> RankFuture<'a, bool> {
+        self.orders.borrow_mut().push(order);
+        if matches!(order, EngineOrder::Prepare { .. }) {
+            self.view.set(RankView { prepared: Some(NEXT_MAP), ..self.view.get() });
+        }
+        async { Ok(true) }.boxed_local()
+    }
+}
+
+const PREPARE: EngineOrder =
+    EngineOrder::Prepare { epoch: GroupEpoch(1), version: NEXT_MAP, sequence: OrderSequence(0) };
+const ARM: EngineOrder =
+    EngineOrder::Arm { epoch: GroupEpoch(1), armed: ArmedMap { version: NEXT_MAP, step: StepNumber(11) } };
+
+/// Guards against a held group that waits for a process that was stopped in the middle of a switch to start again.
+#[tokio::test(start_paused = true)]
+async fn process_that_stops_in_a_switch_stays_until_its_rank_has_switched() {
+    let scenario = async {
+        let engine = SwitchingEngine::new(1);
+        let own = Rc::new(OwnRank::new(Rc::<SwitchingEngine>::clone(&engine)));
+        let stop = watch::Sender::new(false);
+        let (planning, _loads) = planning_loop_of(Rc::clone(&own), 9);
+        let running = tokio::task::spawn_local(planning.run(stop.subscribe()));
+        own.order(PREPARE, None).await.expect("the engine takes it");
+        stop.send_replace(true);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert!(!running.is_finished(), "the group may be held for this rank");
+        own.order(ARM, None).await.expect("orders of this switch are passed on");
+        engine.view.set(RankView { map: NEXT_MAP, step: StepNumber(11), ..IDLE_VIEW });
+        let ended = tokio::time::timeout(Duration::from_millis(100), running).await;
+        ended.expect("it ends once its rank has switched").expect("no panic");
+        assert_eq!(*engine.orders.borrow(), [PREPARE, ARM]);
+    };
+    LocalSet::new().run_until(scenario).await;
+}
+
+/// Guards against a switch that begins with a rank whose process is about to end.
+#[tokio::test(start_paused = true)]
+async fn process_that_stops_takes_part_in_no_new_switch() {
+    let scenario = async {
+        let engine = SwitchingEngine::new(1);
+        engine.view.set(RankView { busy: true, ..IDLE_VIEW });
+        let own = Rc::new(OwnRank::new(Rc::<SwitchingEngine>::clone(&engine)));
+        own.order(ARM, None).await.expect("the engine takes it");
+        let (planning, _loads) = planning_loop_of(Rc::clone(&own), 9);
+        let running = tokio::task::spawn_local(planning.run(watch::Sender::new(true).subscribe()));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        assert!(!running.is_finished(), "its engine carries out an order");
+        own.order(PREPARE, None).await.expect_err("it would begin a switch");
+        assert_eq!(*engine.orders.borrow(), [ARM]);
+        engine.view.set(IDLE_VIEW);
+        let ended = tokio::time::timeout(Duration::from_millis(100), running).await;
+        ended.expect("nothing is in progress").expect("no panic");
+    };
+    LocalSet::new().run_until(scenario).await;
+}
+
+/// Guards against a stop that waits for a switch that was given up, or for an engine that does not answer.
+#[test_case(true; "a switch that was given up")]
+#[test_case(false; "an engine that does not answer")]
+#[tokio::test(start_paused = true)]
+async fn stop_does_not_wait_for_ever(answers: bool) {
+    const MAX_STOP: Duration = Duration::from_secs(2);
+    let scenario = async {
+        let engine: Rc<dyn LocalEngine> =
+            if answers { SwitchingEngine::new(1) } else { Rc::new(SilentEngine) };
+        let own = Rc::new(OwnRank::new(engine));
+        drop(own.order(PREPARE, None).await);
+        let (planning, _loads) = planning_loop_of(own, 9);
+        let running = planning.run(watch::Sender::new(true).subscribe());
+        tokio::time::timeout(MAX_STOP, running).await.expect("the process ends");
+    };
+    LocalSet::new().run_until(scenario).await;
+}
+
+/// Guards against a process that notices a stop only after its pause between two turns.
+#[tokio::test(start_paused = true)]
+async fn idle_process_stops_at_once() {
+    let scenario = async {
+        let own = Rc::new(OwnRank::new(SwitchingEngine::new(1)));
+        let stop = watch::Sender::new(false);
+        let (planning, _loads) = planning_loop_of(own, 9);
+        let running = tokio::task::spawn_local(planning.run(stop.subscribe()));
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        stop.send_replace(true);
+        let ended = tokio::time::timeout(Duration::from_millis(20), running).await;
+        ended.expect("nothing is in progress").expect("no panic");
+    };
+    LocalSet::new().run_until(scenario).await;
+}
