--- a/crates/porthoist-policy/src/proxy/groups.rs
+++ b/crates/porthoist-policy/src/proxy/groups.rs
@@ -8,6 +8,7 @@
 
 use super::group_loads::GroupLoads;
 use super::pass_time::GroupPass;
+use super::steady_pass::{RecentPasses, SteadyPass};
 use porthoist_core::{UnixDeadline, UnixMillis};
 use std::collections::{BTreeMap, HashMap};
 use std::net::Ipv4Addr;
@@ -55,6 +56,7 @@
 #[derive(Debug, Clone)]
 struct TrackedGroup {
     pass: GroupPass,
+    recent_passes: RecentPasses,
     reported: UnixMillis,
     /// When an event from any of its targets arrived at this process.
     last_event: UnixMillis,
@@ -113,6 +115,7 @@
         if index.0 == self.groups.len() {
             self.groups.push(TrackedGroup {
                 pass: GroupPass::Unknown,
+                recent_passes: RecentPasses::default(),
                 reported: now,
                 last_event: now,
                 next_probe: UnixDeadline::default(),
@@ -125,6 +128,7 @@
         }
         let group = &mut self.groups[index.0];
         group.pass = loads.pass;
+        group.recent_passes.record(loads.pass, now);
         if !hides_stall(loads, group.silence(now)) {
             group.reported = now;
         }
@@ -175,6 +179,11 @@
         self.groups[index.0].pass == GroupPass::Broken
     }
 
+    /// The pass time of a group without the peaks of single passes, as far as recent reports show it.
+    pub fn steady_pass(&self, index: GroupIndex, now: UnixMillis) -> Option<SteadyPass> {
+        self.groups[index.0].recent_passes.steady(now)
+    }
+
     /// Number of known groups.
     pub fn len(&self) -> usize {
         self.groups.len()
