Do not take the end of a killed draining target for that of its answers

Cause: such an end is checked at the target, but a target that is known to drain, or whose row is gone, was allowed to be dead: its last answer was taken for complete.

Evidence: tests/cut_heads.rs, unframed_answer_of_a_killed_draining_target: all three cases (an answer, a stream, a stream that may be resumed) failed before; all 65 tests of the file pass now (one run each). The tests streams, requests, crash_quarantine, crashing_parts, planned_stop, stop_losses and kept_streams pass (one run).

Change: a dead target ends the answer as broken, whatever its row said. The stream goes on elsewhere where it may, and ends incomplete otherwise. The end of a draining target is still no crash. A target that exits right after the last byte of such an answer looks the same: the caller gets a failure then instead of a guess.

--- a/crates/porthoist-proxy/src/handler/send_checks.rs
+++ b/crates/porthoist-proxy/src/handler/send_checks.rs
@@ -100,12 +100,12 @@
         self.quarantine.record_lost_connection(admitted, target, liveness);
     }
 
-    /// Checks the end of a response that only the end of its connection shows: a crash of the target looks the same.
+    /// Checks the end of a response that only the end of its connection shows: a crash of the target looks the same. So does
+    /// that of a target that was draining, which may be killed before its last response is complete.
     pub(super) async fn check_unframed_end(&self, target: &TargetRecord) -> Result<AnswerEnd, SendFailure> {
         match self.pool.probe(target).await {
             TargetLiveness::Alive => Ok(AnswerEnd::Proven),
             TargetLiveness::Unknown => Ok(AnswerEnd::Assumed),
-            TargetLiveness::Dead if self.is_leaving(target) => Ok(AnswerEnd::Assumed),
             TargetLiveness::Dead => Err(SendFailure::closed("the target ended with the connection")),
         }
     }
