Linger when other HTTP listeners close a connection

Callers of the roles entry and local, and whoever reads metrics or states, lost the end of an answer like callers of a proxy: a close with their bytes unread resets the connection.

Change: the task of a connection that answered reads on until its caller closes, within the bounds of the proxy's listener. It gives way like an idle one.

--- a/crates/porthoist-http/src/server.rs
+++ b/crates/porthoist-http/src/server.rs
@@ -4,6 +4,7 @@
 
 use crate::body::HttpResponse;
 use crate::body_intake::{BodyIntake, ScarceRoom};
+use crate::lingering_close::linger;
 use crate::socket::{SocketPeer, configure_socket};
 use hyper::Request;
 use hyper::body::Incoming;
@@ -13,7 +14,6 @@
 use parking_lot::Mutex;
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -190,21 +190,40 @@
         .header_read_timeout(settings.header_timeout)
         .max_buf_size(settings.header_bytes)
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
-    // A broken connection needs no handling: its request was answered or is abandoned.
+    let mut connection = connection;
     tokio::select! {
-        _ended = connection.as_mut() => return,
-        () = guard.connection.close.notified() => connection.as_mut().graceful_shutdown(),
+        ended = &mut connection => return linger_after(ended, connection.into_parts().io, &guard).await,
+        () = guard.connection.close.notified() => Pin::new(&mut connection).graceful_shutdown(),
     }
     if !guard.connection.began.load(Ordering::Relaxed) {
         // Hyper would wait for the rest of the head.
         let grace =
             if guard.connection.evicted.load(Ordering::Relaxed) { Duration::ZERO } else { HEAD_GRACE };
-        let ended = tokio::time::timeout(grace, connection.as_mut()).await;
+        let ended = tokio::time::timeout(grace, &mut connection).await;
         if ended.is_ok() || !guard.connection.began.load(Ordering::Relaxed) {
             return;
         }
     }
-    // What was begun is answered; an error needs no handling, as above.
-    drop(connection.await);
+    // What was begun is answered.
+    let ended = (&mut connection).await;
+    linger_after(ended, connection.into_parts().io, &guard).await;
+}
+
+/// Waits until the caller closes the connection after its last answer, unless it gives way to a new one.
+async fn linger_after(ended: hyper::Result<()>, stream: TokioIo<TcpStream>, guard: &ConnectionGuard) {
+    // A broken connection needs no handling: its request was answered or is abandoned.
+    let answers = ended.map_or_else(|error| error.is_parse(), |()| true);
+    if !answers || !guard.connection.began.load(Ordering::Relaxed) {
+        return;
+    }
+    let evicted = async {
+        while !guard.connection.evicted.load(Ordering::Relaxed) {
+            guard.connection.close.notified().await;
+        }
+    };
+    let stream = stream.into_inner();
+    tokio::select! {
+        () = linger(&stream) => {}
+        () = evicted => {}
+    }
 }
