Keep a stream at its pausing target until another one has sent an event

Callers got 200 and the end of the connection without any event, although their target answered 0.3 s later.

Cause: while a target paused before its answer, the head of another one's stream was enough to drop it. If that other one then broke before its first event, no attempt was left. Moves within a stream already waited for the first event.

Change: beside a pausing target, a stream counts as an answer once its first step is known, which the relay then begins with.

--- a/crates/porthoist-proxy/src/handler.rs
+++ b/crates/porthoist-proxy/src/handler.rs
@@ -3,9 +3,9 @@
 
 use crate::caller_stream::CallerConnection;
 use crate::complete_body::CompleteBody;
-use crate::connection_pool::{ConnectionPool, OpenAnswer};
+use crate::connection_pool::ConnectionPool;
 use crate::control::ControlState;
-use crate::dispatcher::{RequestDispatcher, TargetSlot};
+use crate::dispatcher::RequestDispatcher;
 use crate::headers::HeaderCodec;
 use crate::quarantine::RequestQuarantine;
 use crate::reply::{CallerReply, complete_reply, refusal_reply, relayed_headers, streamed_reply};
@@ -58,6 +58,7 @@
 use refusal_log::RefusalLog;
 use relay::EventRelay;
 use request_guard::{RequestGuard, RequestProgress};
+use stream_reader::{StreamReader, StreamStep};
 use types::{AdmittedRequest, CompleteAnswer, ProxyRefusal, SendHistory, SentRequest};
 
 /// Event after which a stream resumes; callers send it too.
@@ -391,8 +392,8 @@
             () = self.drain.until_cut() => Err(cut_refusal(&admitted)),
         };
         match sent {
-            Ok(SentRequest::Stream(slot, answer)) => {
-                Ok(self.relay_stream(admitted, slot, *answer, history, guard))
+            Ok(SentRequest::Stream(reader, step)) => {
+                Ok(self.relay_stream(admitted, *reader, step, history, guard))
             }
             Ok(SentRequest::Complete(answer)) => Ok(self.relay_complete(&admitted, answer, guard)),
             Err(refusal) => Err((refusal, guard)),
@@ -421,19 +422,19 @@
     fn relay_stream(
         self: &Rc<Self>,
         admitted: Rc<AdmittedRequest>,
-        slot: TargetSlot,
-        answer: OpenAnswer,
+        reader: StreamReader,
+        first_step: Option<StreamStep>,
         history: SendHistory,
         guard: RequestGuard,
     ) -> CallerReply {
-        let status = answer.head.status;
-        let headers = relayed_headers(answer.head.headers.clone());
+        let status = reader.head().status;
+        let headers = relayed_headers(reader.head().headers.clone());
         // HTTP/1.0 has no chunks.
         if admitted.head.version <= Version::HTTP_10 {
             guard.connection.delimit_body();
         }
         guard.connection.begin_response();
-        let relay = EventRelay::new(Rc::clone(self), admitted, slot, answer, history, guard);
+        let relay = EventRelay::new(Rc::clone(self), admitted, reader, first_step, history, guard);
         streamed_reply(status, headers, relay.into_body())
     }
 
--- a/crates/porthoist-proxy/src/handler/attempts.rs
+++ b/crates/porthoist-proxy/src/handler/attempts.rs
@@ -42,7 +42,14 @@
     /// The target answered or failed.
     Own(Result<TargetAnswer, SendFailure>),
     /// Another target answered, or the own one failed and no other one answered.
-    Other(Result<SentRequest, ProxyRefusal>),
+    Other(Result<OtherAnswer, ProxyRefusal>),
+}
+
+/// An answer from another target than the one that paused.
+enum OtherAnswer {
+    Complete(CompleteAnswer),
+    /// A stream with its first step: its head alone does not show that its target works.
+    Stream(Box<StreamReader>, StreamStep),
 }
 
 impl ProxyHandler {
@@ -96,10 +103,16 @@
         match self.await_answer(admitted, &slot, history, after_event).await {
             AttemptEnd::Own(Ok(TargetAnswer::Complete(answer))) => Ok(SentRequest::Complete(answer)),
             AttemptEnd::Own(Ok(TargetAnswer::Stream(answer))) => {
-                Ok(SentRequest::Stream(slot, Box::new(answer)))
+                let last_id = after_event.or_else(|| admitted.last_event_id());
+                let reader = StreamReader::new(slot, answer, self.budget.guard(), last_id);
+                Ok(SentRequest::Stream(Box::new(reader), None))
             }
             AttemptEnd::Own(Err(failure)) => Err(AttemptError::Failed(Arc::clone(&slot.target), failure)),
-            AttemptEnd::Other(sent) => sent.map_err(AttemptError::Refused),
+            AttemptEnd::Other(Ok(OtherAnswer::Complete(answer))) => Ok(SentRequest::Complete(answer)),
+            AttemptEnd::Other(Ok(OtherAnswer::Stream(reader, step))) => {
+                Ok(SentRequest::Stream(reader, Some(step)))
+            }
+            AttemptEnd::Other(Err(refusal)) => Err(AttemptError::Refused(refusal)),
         }
     }
 
@@ -148,14 +161,49 @@
         }
     }
 
-    /// Boxed, since each further attempt may have to be replaced as well.
+    /// Sends a request to further targets until one has answered, in a stream with its first step. Boxed, since each further
+    /// attempt may have to be replaced as well.
     fn send_elsewhere<'a>(
         &'a self,
         admitted: &'a AdmittedRequest,
         history: &'a mut SendHistory,
         after_event: Option<u64>,
-    ) -> LocalBoxFuture<'a, Result<SentRequest, ProxyRefusal>> {
-        self.send_until_answered(admitted, history, after_event).boxed_local()
+    ) -> LocalBoxFuture<'a, Result<OtherAnswer, ProxyRefusal>> {
+        async move {
+            loop {
+                let mut reader = match self.send_until_answered(admitted, history, after_event).await? {
+                    SentRequest::Complete(answer) => return Ok(OtherAnswer::Complete(answer)),
+                    SentRequest::Stream(reader, Some(step)) => return Ok(OtherAnswer::Stream(reader, step)),
+                    SentRequest::Stream(reader, None) => reader,
+                };
+                let position =
+                    StreamPosition { since: reader.slot.assigned, events: 0, last_id: after_event };
+                match self.next_step(admitted, &mut reader, history, position).await {
+                    StreamStep::Broken(failure) => {
+                        reader.slot.set_outcome(SendOutcome::Lost);
+                        let target = Arc::clone(&reader.slot.target);
+                        drop(reader);
+                        self.check_resumption(admitted, &target, failure, history).await?;
+                    }
+                    step => return Ok(OtherAnswer::Stream(reader, step)),
+                }
+            }
+        }
+        .boxed_local()
+    }
+
+    /// Allows another attempt to resume a stream after a failed one, or returns the refusal that ends it.
+    async fn check_resumption(
+        &self,
+        admitted: &AdmittedRequest,
+        target: &TargetRecord,
+        failure: SendFailure,
+        history: &mut SendHistory,
+    ) -> Result<(), ProxyRefusal> {
+        self.check_lost_target(admitted, target, &failure, history).await;
+        let failure = SendFailure { reason: RetryReason::StreamResumed, ..failure };
+        history.record_failure(&failure);
+        self.allow_retry(admitted, history, &failure)
     }
 
     /// Records that another target is looked for. The present one may have run the request.
@@ -213,7 +261,7 @@
                 }
             };
             self.begin_move(admitted, &reader.slot, history, cause, since);
-            let mut others = self.resume_elsewhere(admitted, history, last_id);
+            let mut others = pin!(self.resume_elsewhere(admitted, history, last_id));
             let own = tokio::select! {
                 biased;
                 step = reader.next_step(self, admitted) => step,
@@ -245,32 +293,21 @@
     }
 
     /// Resumes a stream after an event at another target; returns it with its first step.
-    pub(super) fn resume_elsewhere<'a>(
-        &'a self,
-        admitted: &'a AdmittedRequest,
-        history: &'a mut SendHistory,
+    pub(super) async fn resume_elsewhere(
+        &self,
+        admitted: &AdmittedRequest,
+        history: &mut SendHistory,
         last_id: Option<u64>,
-    ) -> LocalBoxFuture<'a, Result<(StreamReader, StreamStep), ProxyRefusal>> {
-        async move {
-            loop {
-                let (target, failure) = match self.send_until_answered(admitted, history, last_id).await? {
-                    SentRequest::Complete(answer) => (Arc::clone(&answer.target), answer_failure(&answer)),
-                    SentRequest::Stream(slot, answer) => {
-                        let position = StreamPosition { since: slot.assigned, events: 0, last_id };
-                        let mut reader = StreamReader::new(slot, *answer, self.budget.guard(), last_id);
-                        match self.next_step(admitted, &mut reader, history, position).await {
-                            StreamStep::Broken(failure) => (Arc::clone(&reader.slot.target), failure),
-                            step => return Ok((reader, step)),
-                        }
-                    }
-                };
-                self.check_lost_target(admitted, &target, &failure, history).await;
-                let failure = SendFailure { reason: RetryReason::StreamResumed, ..failure };
-                history.record_failure(&failure);
-                self.allow_retry(admitted, history, &failure)?;
+    ) -> Result<(StreamReader, StreamStep), ProxyRefusal> {
+        loop {
+            match self.send_elsewhere(admitted, history, last_id).await? {
+                OtherAnswer::Stream(reader, step) => return Ok((*reader, step)),
+                OtherAnswer::Complete(answer) => {
+                    let failure = answer_failure(&answer);
+                    self.check_resumption(admitted, &answer.target, failure, history).await?;
+                }
             }
         }
-        .boxed_local()
     }
 }
 
--- a/crates/porthoist-proxy/src/handler/relay.rs
+++ b/crates/porthoist-proxy/src/handler/relay.rs
@@ -6,8 +6,7 @@
 use super::request_guard::RequestGuard;
 use super::stream_reader::{StreamReader, StreamStep};
 use super::types::{AdmittedRequest, AnswerEnd, SendHistory};
-use crate::connection_pool::{OpenAnswer, SendFailure};
-use crate::dispatcher::TargetSlot;
+use crate::connection_pool::SendFailure;
 use crate::reply::BodyStream;
 use crate::sse::CompleteEvent;
 use bytes::Bytes;
@@ -30,6 +29,8 @@
     /// When its first target got the request.
     began: UnixMillis,
     reader: Option<StreamReader>,
+    /// The next step if it is known.
+    first_step: Option<StreamStep>,
     last_id: Option<u64>,
     forwarded: u64,
     first_at: Option<UnixMillis>,
@@ -45,22 +46,21 @@
     pub(super) fn new(
         handler: Rc<ProxyHandler>,
         admitted: Rc<AdmittedRequest>,
-        slot: TargetSlot,
-        answer: OpenAnswer,
+        reader: StreamReader,
+        first_step: Option<StreamStep>,
         history: SendHistory,
         guard: RequestGuard,
     ) -> Self {
-        let after = super::header_text(&admitted.head.headers, super::LAST_EVENT_ID);
-        let last_id = after.and_then(|text| text.trim().parse().ok());
+        let last_id = admitted.last_event_id();
         let last_at = handler.clock.now();
         admitted.progress.set_events(0);
-        let began = slot.assigned;
-        let reader = StreamReader::new(slot, answer, handler.budget.guard(), last_id);
+        let began = reader.slot.assigned;
         Self {
             handler,
             admitted,
             began,
             reader: Some(reader),
+            first_step,
             last_id,
             forwarded: 0,
             first_at: None,
@@ -121,6 +121,9 @@
     }
 
     async fn next_step(&mut self) -> StreamStep {
+        if let Some(step) = self.first_step.take() {
+            return step;
+        }
         let Some(reader) = &mut self.reader else {
             return StreamStep::Broken(SendFailure::lost("no target"));
         };
--- a/crates/porthoist-proxy/src/handler/stream_reader.rs
+++ b/crates/porthoist-proxy/src/handler/stream_reader.rs
@@ -6,6 +6,7 @@
 use crate::dispatcher::TargetSlot;
 use crate::sse::{CompleteEvent, EventSplitter};
 use bytes::Bytes;
+use hyper::http::response::Parts;
 use porthoist_http::HeldBytes;
 
 /// The next step of a stream.
@@ -48,6 +49,11 @@
         }
     }
 
+    /// The head of the response.
+    pub(super) fn head(&self) -> &Parts {
+        &self.answer.head
+    }
+
     /// Returns the next step. Cancel safe.
     pub(super) async fn next_step(
         &mut self,
--- a/crates/porthoist-proxy/src/handler/types.rs
+++ b/crates/porthoist-proxy/src/handler/types.rs
@@ -1,9 +1,9 @@
 //! Types shared by the stages of request handling.
 
-use super::host_of;
 use super::request_guard::RequestProgress;
+use super::stream_reader::{StreamReader, StreamStep};
+use super::{LAST_EVENT_ID, header_text, host_of};
 use crate::connection_pool::{OpenAnswer, SendFailure};
-use crate::dispatcher::TargetSlot;
 use crate::headers::RequestMetadata;
 use crate::quarantine::{MarkedRequest, SuspectRun};
 use hyper::StatusCode;
@@ -101,6 +101,11 @@
         }
     }
 
+    /// Identifier of the last event that its caller has.
+    pub(super) fn last_event_id(&self) -> Option<u64> {
+        header_text(&self.head.headers, LAST_EVENT_ID)?.trim().parse().ok()
+    }
+
     pub(super) fn runs_once(&self) -> bool {
         !self.rule.kind.repeatable()
     }
@@ -217,8 +222,8 @@
 /// A request that a target answered.
 pub(super) enum SentRequest {
     Complete(CompleteAnswer),
-    /// The head of an event stream, whose target stays occupied.
-    Stream(TargetSlot, Box<OpenAnswer>),
+    /// An event stream, whose target stays occupied, and its first step if that is known.
+    Stream(Box<StreamReader>, Option<StreamStep>),
 }
 
 /// Attempts of one request so far.
