Free the slot of a broken stream while another target is waited for

A target that had lost a request got no other one for as long as the request waited for its replacement: up to the request's deadline.

Cause: since a pausing target keeps its request until another one has answered, the slot, the connection and the held bytes of a stream that broke meanwhile were kept until the end of the further attempts, and so was its outcome. A target that counts as restarted or ejected gets one request at a time, so a slot that is never freed closes it. Streams that wait for slots could also wait for those that they held themselves. A replacement that broke before its first event counted as an answer of its target. No line named the break, and the target was probed twice if no further attempt succeeded.

Change: a broken stream, and a target's failed answer, free what they occupy before the further attempts are waited for; stream_broken is logged at once.

--- a/crates/porthoist-proxy/src/connection_pool.rs
+++ b/crates/porthoist-proxy/src/connection_pool.rs
@@ -159,6 +159,11 @@
 }
 
 impl ConnectionLease {
+    /// Closes the connection before the lease is dropped.
+    pub fn close(&self) {
+        self.task.abort();
+    }
+
     /// Returns the connection to the pool after a complete response.
     pub fn release(mut self, headers: &HeaderMap) {
         let Some(idle_millis) = reusable_millis(headers) else { return };
--- a/crates/porthoist-proxy/src/dispatcher.rs
+++ b/crates/porthoist-proxy/src/dispatcher.rs
@@ -65,6 +65,7 @@
     queued_until: Cell<UnixDeadline>,
     work: RequestWork,
     outcome: Cell<SendOutcome>,
+    is_released: Cell<bool>,
     dispatcher: RequestDispatcher,
 }
 
@@ -79,11 +80,23 @@
     pub fn set_outcome(&self, outcome: SendOutcome) {
         self.outcome.set(outcome);
     }
+
+    /// Whether the slot has been freed.
+    pub fn is_released(&self) -> bool {
+        self.is_released.get()
+    }
+
+    /// Frees the slot before it is dropped.
+    pub fn release(&self) {
+        if !self.is_released.replace(true) {
+            self.dispatcher.release(self);
+        }
+    }
 }
 
 impl Drop for TargetSlot {
     fn drop(&mut self) {
-        self.dispatcher.release(self);
+        self.release();
     }
 }
 
@@ -328,6 +341,7 @@
             queued_until: Cell::default(),
             work,
             outcome: Cell::new(SendOutcome::Abandoned),
+            is_released: Cell::new(false),
             dispatcher: self.clone(),
         }
     }
--- a/crates/porthoist-proxy/src/handler/attempts.rs
+++ b/crates/porthoist-proxy/src/handler/attempts.rs
@@ -11,7 +11,6 @@
 use futures::FutureExt as _;
 use futures::future::LocalBoxFuture;
 use porthoist_core::{RetryReason, RunVerdict, UnixMillis};
-use porthoist_policy::proxy::balancer::SendOutcome;
 use porthoist_policy::proxy::moving::MoveCause;
 use porthoist_policy::proxy::targets::TargetRecord;
 use slog::info;
@@ -101,14 +100,14 @@
         after_event: Option<u64>,
     ) -> Result<SentRequest, AttemptError> {
         match self.await_answer(admitted, &slot, history, after_event).await {
-            AttemptEnd::Own(Ok(TargetAnswer::Complete(answer))) => Ok(SentRequest::Complete(answer)),
+            AttemptEnd::Own(Ok(TargetAnswer::Complete(answer)))
+            | AttemptEnd::Other(Ok(OtherAnswer::Complete(answer))) => Ok(SentRequest::Complete(answer)),
             AttemptEnd::Own(Ok(TargetAnswer::Stream(answer))) => {
                 let last_id = after_event.or_else(|| admitted.last_event_id());
                 let reader = StreamReader::new(slot, answer, self.budget.guard(), last_id);
                 Ok(SentRequest::Stream(Box::new(reader), None))
             }
             AttemptEnd::Own(Err(failure)) => Err(AttemptError::Failed(Arc::clone(&slot.target), failure)),
-            AttemptEnd::Other(Ok(OtherAnswer::Complete(answer))) => Ok(SentRequest::Complete(answer)),
             AttemptEnd::Other(Ok(OtherAnswer::Stream(reader, step))) => {
                 Ok(SentRequest::Stream(reader, Some(step)))
             }
@@ -148,12 +147,16 @@
                 },
             };
             return match own {
-                Ok(TargetAnswer::Complete(answer)) if answer.status.is_server_error() => match others.await {
-                    Ok(sent) => AttemptEnd::Other(Ok(sent)),
-                    Err(_refusal) => AttemptEnd::Own(Ok(TargetAnswer::Complete(answer))),
-                },
+                Ok(TargetAnswer::Complete(answer)) if answer.status.is_server_error() => {
+                    slot.release();
+                    match others.await {
+                        Ok(sent) => AttemptEnd::Other(Ok(sent)),
+                        Err(_refusal) => AttemptEnd::Own(Ok(TargetAnswer::Complete(answer))),
+                    }
+                }
                 Ok(answer) => AttemptEnd::Own(Ok(answer)),
                 Err(failure) => {
+                    slot.release();
                     let lost = self.record_lost_target(admitted, &slot.target, &failure);
                     AttemptEnd::Other(tokio::join!(others, lost).0)
                 }
@@ -180,7 +183,7 @@
                     StreamPosition { since: reader.slot.assigned, events: 0, last_id: after_event };
                 match self.next_step(admitted, &mut reader, history, position).await {
                     StreamStep::Broken(failure) => {
-                        reader.slot.set_outcome(SendOutcome::Lost);
+                        reader.close();
                         let target = Arc::clone(&reader.slot.target);
                         drop(reader);
                         self.check_resumption(admitted, &target, failure, history).await?;
@@ -220,6 +223,18 @@
         self.record_retry(admitted, &failure);
     }
 
+    pub(super) fn log_broken_stream(
+        &self,
+        admitted: &AdmittedRequest,
+        slot: &TargetSlot,
+        position: StreamPosition,
+        failure: &SendFailure,
+    ) {
+        info!(self.logger, "stream broken"; "event" => "stream_broken",
+            "request" => &*admitted.metadata.attempt, "target" => slot.target.id.to_string(),
+            "events" => position.events, "last_id" => position.last_id, "detail" => &failure.detail);
+    }
+
     fn log_moved_stream(&self, admitted: &AdmittedRequest, slot: &TargetSlot, events: u64) {
         info!(self.logger, "stream continued at another target"; "event" => "stream_moved",
             "request" => &*admitted.metadata.attempt, "target" => slot.target.id.to_string(), "events" => events);
@@ -279,7 +294,8 @@
                 },
             };
             let StreamStep::Broken(failure) = own else { return own };
-            reader.slot.set_outcome(SendOutcome::Lost);
+            self.log_broken_stream(admitted, &reader.slot, position, &failure);
+            reader.close();
             let lost = self.record_lost_target(admitted, &reader.slot.target, &failure);
             return match tokio::join!(others, lost).0 {
                 Ok((resumed, step)) => {
--- a/crates/porthoist-proxy/src/handler/relay.rs
+++ b/crates/porthoist-proxy/src/handler/relay.rs
@@ -198,13 +198,7 @@
     async fn resume(&mut self, broken: SendFailure) -> io::Result<StreamStep> {
         let handler = Rc::clone(&self.handler);
         if let Some(reader) = self.reader.take() {
-            let target = Arc::clone(&reader.slot.target);
-            reader.slot.set_outcome(SendOutcome::Lost);
-            drop(reader);
-            info!(handler.logger, "stream broken"; "event" => "stream_broken",
-                "request" => &*self.admitted.metadata.attempt, "target" => target.id.to_string(),
-                "events" => self.forwarded, "last_id" => self.last_id, "detail" => &broken.detail);
-            handler.check_lost_target(&self.admitted, &target, &broken, &mut self.history).await;
+            self.end_broken(reader, &broken).await;
         }
         let failure = SendFailure { reason: RetryReason::StreamResumed, ..broken };
         self.history.record_failure(&failure);
@@ -220,6 +214,20 @@
         }
     }
 
+    /// Records that a stream broke, unless that was done while another target was looked for.
+    async fn end_broken(&mut self, mut reader: StreamReader, broken: &SendFailure) {
+        if reader.slot.is_released() {
+            return;
+        }
+        let handler = Rc::clone(&self.handler);
+        let position = StreamPosition { since: self.last_at, events: self.forwarded, last_id: self.last_id };
+        handler.log_broken_stream(&self.admitted, &reader.slot, position, broken);
+        reader.close();
+        let target = Arc::clone(&reader.slot.target);
+        drop(reader);
+        handler.check_lost_target(&self.admitted, &target, broken, &mut self.history).await;
+    }
+
     fn end_incomplete(&self, detail: &str) -> io::Error {
         self.guard.completed.set(true);
         self.guard.unfinished.set(true);
--- a/crates/porthoist-proxy/src/handler/stream_reader.rs
+++ b/crates/porthoist-proxy/src/handler/stream_reader.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use hyper::http::response::Parts;
 use porthoist_http::HeldBytes;
+use porthoist_policy::proxy::balancer::SendOutcome;
 
 /// The next step of a stream.
 pub(super) enum StreamStep {
@@ -160,6 +161,14 @@
         self.held.split(event.bytes.len()).attach(event.bytes)
     }
 
+    /// Frees what a broken stream occupies.
+    pub(super) fn close(&mut self) {
+        self.slot.set_outcome(SendOutcome::Lost);
+        self.slot.release();
+        self.answer.lease.close();
+        self.held.clear();
+    }
+
     /// Returns the connection to the pool after the end of the stream, and the target's slot.
     pub(super) fn release(self) -> TargetSlot {
         let OpenAnswer { head, lease, .. } = self.answer;
