Keep the replacement of a pausing target until that one has sent an event

Callers got no event until their deadline although another target was about to answer: a target that had paused sent the head of its stream and nothing after it, and the head cancelled the further attempt, which had used up the route's last one.

Cause: of two targets, a head alone counted as the answer of the first one.

Evidence: head_of_the_paused_target_does_not_cancel_its_replacement failed before (no end of the response within 40 s); passes now, with the other 13 cases of kept_streams.rs (one run).

Change: once another target is looked for, the first one's stream counts as an answer from its first step on, as that of the other one does.

--- a/crates/porthoist-proxy/src/handler/attempts.rs
+++ b/crates/porthoist-proxy/src/handler/attempts.rs
@@ -6,7 +6,7 @@
 use super::ProxyHandler;
 use super::stream_reader::{StreamReader, StreamStep};
 use super::types::{AdmittedRequest, CompleteAnswer, ProxyRefusal, SendHistory, SentRequest, TargetAnswer};
-use crate::connection_pool::SendFailure;
+use crate::connection_pool::{OpenAnswer, SendFailure};
 use crate::dispatcher::TargetSlot;
 use futures::FutureExt as _;
 use futures::future::LocalBoxFuture;
@@ -38,8 +38,10 @@
 
 /// How an attempt ended whose target may have paused.
 enum AttemptEnd {
-    /// The target answered or failed.
-    Own(Result<TargetAnswer, SendFailure>),
+    Complete(CompleteAnswer),
+    /// The target's stream, and its first step if that is known.
+    Stream(Box<StreamReader>, Option<StreamStep>),
+    Failed(Arc<TargetRecord>, SendFailure),
     /// Another target answered, or the own one failed and no other one answered.
     Other(Result<OtherAnswer, ProxyRefusal>),
 }
@@ -99,15 +101,12 @@
         history: &mut SendHistory,
         after_event: Option<u64>,
     ) -> Result<SentRequest, AttemptError> {
-        match self.await_answer(admitted, &slot, history, after_event).await {
-            AttemptEnd::Own(Ok(TargetAnswer::Complete(answer)))
-            | AttemptEnd::Other(Ok(OtherAnswer::Complete(answer))) => Ok(SentRequest::Complete(answer)),
-            AttemptEnd::Own(Ok(TargetAnswer::Stream(answer))) => {
-                let last_id = after_event.or_else(|| admitted.last_event_id());
-                let reader = StreamReader::new(slot, answer, self.budget.guard(), last_id);
-                Ok(SentRequest::Stream(Box::new(reader), None))
+        match self.await_answer(admitted, slot, history, after_event).await {
+            AttemptEnd::Failed(target, failure) => Err(AttemptError::Failed(target, failure)),
+            AttemptEnd::Complete(answer) | AttemptEnd::Other(Ok(OtherAnswer::Complete(answer))) => {
+                Ok(SentRequest::Complete(answer))
             }
-            AttemptEnd::Own(Err(failure)) => Err(AttemptError::Failed(Arc::clone(&slot.target), failure)),
+            AttemptEnd::Stream(reader, step) => Ok(SentRequest::Stream(reader, step)),
             AttemptEnd::Other(Ok(OtherAnswer::Stream(reader, step))) => {
                 Ok(SentRequest::Stream(reader, Some(step)))
             }
@@ -118,43 +117,51 @@
     async fn await_answer(
         &self,
         admitted: &AdmittedRequest,
-        slot: &TargetSlot,
+        slot: TargetSlot,
         history: &mut SendHistory,
         after_event: Option<u64>,
     ) -> AttemptEnd {
         let sent_at = self.clock.now();
-        let request = self.begin_send(admitted, slot, after_event, history, sent_at);
-        let mut sending = pin!(self.send(admitted, slot, request, sent_at));
+        let request = self.begin_send(admitted, &slot, after_event, history, sent_at);
+        let mut sending = self.send(admitted, &slot, request, sent_at).boxed_local();
         let mut since = sent_at;
         loop {
             let cause = tokio::select! {
                 biased;
-                answer = sending.as_mut() => return AttemptEnd::Own(answer),
-                cause = self.wait_for_move(admitted, slot, history, since, 0) => cause,
+                answer = &mut sending => {
+                    drop(sending);
+                    return self.end_attempt(admitted, slot, answer, after_event);
+                }
+                cause = self.wait_for_move(admitted, &slot, history, since, 0) => cause,
             };
-            self.begin_move(admitted, slot, history, cause, since);
+            self.begin_move(admitted, &slot, history, cause, since);
             let mut others = self.send_elsewhere(admitted, history, after_event);
             let own = tokio::select! {
                 biased;
-                answer = sending.as_mut() => answer,
+                answer = &mut sending => answer,
                 sent = &mut others => match sent {
                     Ok(sent) => return AttemptEnd::Other(Ok(sent)),
                     Err(refusal) => {
-                        self.log_failed_move(admitted, slot, &refusal);
+                        self.log_failed_move(admitted, &slot, &refusal);
                         since = self.clock.now();
                         continue;
                     }
                 },
             };
+            drop(sending);
             return match own {
                 Ok(TargetAnswer::Complete(answer)) if answer.status.is_server_error() => {
                     slot.release();
                     match others.await {
                         Ok(sent) => AttemptEnd::Other(Ok(sent)),
-                        Err(_refusal) => AttemptEnd::Own(Ok(TargetAnswer::Complete(answer))),
+                        Err(_refusal) => AttemptEnd::Complete(answer),
                     }
                 }
-                Ok(answer) => AttemptEnd::Own(Ok(answer)),
+                Ok(TargetAnswer::Complete(answer)) => AttemptEnd::Complete(answer),
+                Ok(TargetAnswer::Stream(answer)) => {
+                    let reader = self.read_stream(admitted, slot, answer, after_event);
+                    self.await_first_step(admitted, reader, others).await
+                }
                 Err(failure) => {
                     slot.release();
                     let lost = self.record_lost_target(admitted, &slot.target, &failure);
@@ -164,6 +171,55 @@
         }
     }
 
+    fn end_attempt(
+        &self,
+        admitted: &AdmittedRequest,
+        slot: TargetSlot,
+        answer: Result<TargetAnswer, SendFailure>,
+        after_event: Option<u64>,
+    ) -> AttemptEnd {
+        match answer {
+            Ok(TargetAnswer::Complete(answer)) => AttemptEnd::Complete(answer),
+            Ok(TargetAnswer::Stream(answer)) => {
+                AttemptEnd::Stream(self.read_stream(admitted, slot, answer, after_event), None)
+            }
+            Err(failure) => AttemptEnd::Failed(Arc::clone(&slot.target), failure),
+        }
+    }
+
+    fn read_stream(
+        &self,
+        admitted: &AdmittedRequest,
+        slot: TargetSlot,
+        answer: OpenAnswer,
+        after_event: Option<u64>,
+    ) -> Box<StreamReader> {
+        let last_id = after_event.or_else(|| admitted.last_event_id());
+        Box::new(StreamReader::new(slot, answer, self.budget.guard(), last_id))
+    }
+
+    /// Waits for the first step of a stream whose target had paused, or for the answer of another one.
+    async fn await_first_step(
+        &self,
+        admitted: &AdmittedRequest,
+        mut reader: Box<StreamReader>,
+        mut others: LocalBoxFuture<'_, Result<OtherAnswer, ProxyRefusal>>,
+    ) -> AttemptEnd {
+        let step = tokio::select! {
+            biased;
+            step = reader.next_step(self, admitted) => step,
+            sent = &mut others => {
+                let Err(refusal) = sent else { return AttemptEnd::Other(sent) };
+                self.log_failed_move(admitted, &reader.slot, &refusal);
+                return AttemptEnd::Stream(reader, None);
+            }
+        };
+        let StreamStep::Broken(failure) = step else { return AttemptEnd::Stream(reader, Some(step)) };
+        reader.close();
+        let lost = self.record_lost_target(admitted, &reader.slot.target, &failure);
+        AttemptEnd::Other(tokio::join!(others, lost).0)
+    }
+
     /// Sends a request to further targets until one has answered, in a stream with its first step. Boxed, since each further
     /// attempt may have to be replaced as well.
     fn send_elsewhere<'a>(
