Count the retry of a move when its request is sent

Callers whose requests really failed could get no retry: a request whose target paused took one from the budget each time another target was looked for, also where none had room, so that nothing was sent. Three were taken in 6 s for one stream, and logged as sent again.

Change: a retry that was taken for a move is kept until the next send, which counts and logs it; a later move of the same request uses it.

--- a/crates/porthoist-proxy/src/handler/attempts.rs
+++ b/crates/porthoist-proxy/src/handler/attempts.rs
@@ -276,7 +276,7 @@
     ) {
         let failure = self.record_move(admitted, slot, cause, since);
         history.record_failure(&failure);
-        self.record_retry(admitted, &failure);
+        history.unsent_move = Some(failure);
     }
 
     pub(super) fn log_broken_stream(
--- a/crates/porthoist-proxy/src/handler/moving.rs
+++ b/crates/porthoist-proxy/src/handler/moving.rs
@@ -16,7 +16,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 impl ProxyHandler {
-    /// Completes when another target should be looked for, after taking one retry from the budget.
+    /// Completes when another target should be looked for, after taking one retry from the budget unless one is left of an
+    /// earlier move.
     /// `since` is when the request was sent or its last event arrived.
     pub(super) async fn wait_for_move(
         &self,
@@ -45,6 +46,9 @@
             if !self.drain.may_start(admitted) {
                 continue;
             }
+            if history.unsent_move.is_some() {
+                return cause;
+            }
             let now = self.clock.now();
             let allowed = self.with_retry_share(&admitted.service, |share| match cause {
                 // A stalled host would run the requests that it holds after their callers have left.
--- a/crates/porthoist-proxy/src/handler/sending.rs
+++ b/crates/porthoist-proxy/src/handler/sending.rs
@@ -35,6 +35,9 @@
         if history.tried.is_empty() {
             self.with_retry_share(&admitted.service, |share| share.record_first_send(sent_at));
         }
+        if let Some(failure) = history.unsent_move.take() {
+            self.record_retry(admitted, &failure);
+        }
         history.tried.push(slot.target.id.clone());
         admitted.progress.begin_send(&slot.target.id);
         self.build_request(admitted, slot, after_event, sent_at)
--- a/crates/porthoist-proxy/src/handler/types.rs
+++ b/crates/porthoist-proxy/src/handler/types.rs
@@ -236,6 +236,8 @@
     pub(super) last_reason: Option<RetryReason>,
     /// The exclusive run of a suspected request.
     pub(super) suspect: Option<SuspectRun>,
+    /// A move whose retry was taken from the budget, and for which nothing has been sent.
+    pub(super) unsent_move: Option<SendFailure>,
 }
 
 impl SendHistory {
