Let a target that was silent take requests again once it goes on

Entries sent nothing to a target that had paused and gone on until the stream that they kept there had ended, up to seconds later, and ejected it for twice as long at each further move of the same request.

Cause: a move ejects a silent target, and an ejected one is tried again only when nothing is in flight there. Since a request stays with its target, something is.

Evidence: target_that_goes_on_after_silence_gets_requests_again shows the ejection that lasts while a request is in flight; the call that ends it is new. That the relay makes the call with an event has no test of its own.

Change: an event of the silent target ends its ejection, and one request ejects its target once.

--- a/crates/porthoist-policy/src/proxy/balancer.rs
+++ b/crates/porthoist-policy/src/proxy/balancer.rs
@@ -268,6 +268,13 @@
         load.died(now);
     }
 
+    /// Ends the ejection of a target that was silent and goes on.
+    pub fn readmit(&mut self, life: &TargetLife) {
+        if let Some(load) = self.loads.get_mut(life) {
+            load.readmit();
+        }
+    }
+
     /// Whether any target of the service can take requests now or once it has room.
     pub fn serves(&self, service: &ServiceName, now: UnixMillis) -> bool {
         let mut loads = self.loads.values();
--- a/crates/porthoist-policy/src/proxy/scheduler.rs
+++ b/crates/porthoist-policy/src/proxy/scheduler.rs
@@ -234,6 +234,11 @@
         self.balancer.died(life, now);
     }
 
+    /// Ends the ejection of a target that was silent and goes on.
+    pub fn readmit(&mut self, life: &TargetLife) {
+        self.balancer.readmit(life);
+    }
+
     /// Applies the backpressure signals in an answer to a request that was sent at `sent`.
     pub fn apply_signals(
         &mut self,
--- a/crates/porthoist-policy/src/proxy/target_load.rs
+++ b/crates/porthoist-policy/src/proxy/target_load.rs
@@ -325,6 +325,11 @@
     fn answered(&mut self, millis: f64) {
         let mean = self.mean_millis.map_or(millis, |mean| mean + ANSWER_WEIGHT * (millis - mean));
         self.mean_millis = Some(mean);
+        self.readmit();
+    }
+
+    /// Ends an ejection, and forgets the failures that led to it.
+    pub(super) fn readmit(&mut self) {
         self.failures = 0;
         self.ejections = 0;
         self.ejected_until = None;
--- a/crates/porthoist-policy/tests/policy/target_silence.rs
+++ b/crates/porthoist-policy/tests/policy/target_silence.rs
@@ -202,6 +202,22 @@
     assert!(target.is_cold(100));
 }
 
+/// Guards against a target that gets nothing for the rest of a stream that has paused and goes on.
+#[test]
+fn target_that_goes_on_after_silence_gets_requests_again() {
+    let mut target = SingleTarget::new();
+    assert!(target.is_assigned(0));
+    let life = record().life();
+    target.scheduler.record_move(&life, MoveCause::TargetSilent, UnixMillis(1_000));
+    target.scheduler.event_received(&record(), UnixMillis(3_000));
+    // The target counts as cold, so it gets requests at a limited rate.
+    let mut gets_requests = || (3_000..3_500).step_by(STEP_MILLIS as usize).any(|at| target.is_assigned(at));
+    assert!(!gets_requests(), "a request in flight keeps an ejected target closed");
+    target.scheduler.readmit(&life);
+    let mut gets_requests = || (3_500..4_000).step_by(STEP_MILLIS as usize).any(|at| target.is_assigned(at));
+    assert!(gets_requests());
+}
+
 /// Guards against a stall that is hidden by the first reports of a new planning process, which has seen no pass yet: running
 /// streams were taken from their targets, and their attempts were used up within the same group.
 #[test_case((3, GroupPass::Unknown) => None; "no pass seen yet")]
--- a/crates/porthoist-proxy/src/dispatcher.rs
+++ b/crates/porthoist-proxy/src/dispatcher.rs
@@ -65,6 +65,8 @@
     queued_until: Cell<UnixDeadline>,
     work: RequestWork,
     outcome: Cell<SendOutcome>,
+    /// Whether the target was ejected because it is silent.
+    is_ejected: Cell<bool>,
     is_released: Cell<bool>,
     dispatcher: RequestDispatcher,
 }
@@ -81,6 +83,13 @@
         self.outcome.set(outcome);
     }
 
+    /// Records that the target goes on. If it was ejected because it was silent, it can take requests again.
+    pub fn record_response(&self) {
+        if self.is_ejected.take() {
+            self.dispatcher.readmit(&self.target.life());
+        }
+    }
+
     /// Whether the slot has been freed.
     pub fn is_released(&self) -> bool {
         self.is_released.get()
@@ -303,11 +312,20 @@
 
     /// Records that a request leaves the target of its slot; returns the outcome of the send.
     pub fn record_move(&self, slot: &TargetSlot, cause: MoveCause) -> SendOutcome {
+        if slot.is_ejected.get() {
+            // A further ejection would only last longer.
+            return SendOutcome::Lost;
+        }
         let outcome = self.scheduler.borrow_mut().record_move(&slot.target.life(), cause, self.clock.now());
         slot.set_outcome(outcome);
+        slot.is_ejected.set(outcome == SendOutcome::Lost);
         outcome
     }
 
+    fn readmit(&self, life: &TargetLife) {
+        self.scheduler.borrow_mut().readmit(life);
+    }
+
     /// Records that a target's process has ended.
     pub fn died(&self, life: &TargetLife) {
         self.scheduler.borrow_mut().died(life, self.clock.now());
@@ -341,6 +359,7 @@
             queued_until: Cell::default(),
             work,
             outcome: Cell::new(SendOutcome::Abandoned),
+            is_ejected: Cell::default(),
             is_released: Cell::new(false),
             dispatcher: self.clone(),
         }
--- a/crates/porthoist-proxy/src/handler/relay.rs
+++ b/crates/porthoist-proxy/src/handler/relay.rs
@@ -159,6 +159,9 @@
                 self.handler.dispatcher.event_received(&slot.target);
             }
         }
+        if let Some(reader) = &self.reader {
+            reader.slot.record_response();
+        }
         self.last_at = now;
         self.forwarded += 1;
         self.admitted.progress.set_events(self.forwarded);
