Serve requests that wait behind one without a target

Callers waited, up to their deadline, while a target was free: a request that is sent again comes first, and if the targets that it has not tried were full, nobody behind it got the one that it had left.

Change: requests that were sent before and can't be placed are passed over, up to 16 of them. One that was never sent and can't be placed still ends the search, since nobody behind it could be placed either.

--- a/crates/porthoist-policy/src/proxy/scheduler.rs
+++ b/crates/porthoist-policy/src/proxy/scheduler.rs
@@ -31,6 +31,8 @@
 
 /// Maximum number of waiting requests of one service; further ones are refused at once.
 const MAX_WAITING: usize = 512;
+/// Maximum number of waiting requests that are passed over because no target is left for them.
+const MAX_PASSED_OVER: usize = 16;
 
 #[derive(Debug)]
 struct WaitingRequest<W> {
@@ -168,17 +170,26 @@
             return None;
         }
         self.demote_late(service, now);
+        let mut passed_over = Vec::new();
         loop {
-            let (key, first) = self.next_waiting(service, now)?;
+            let (key, first) = self.next_waiting(service, &passed_over, now)?;
             if !waits(&first.waiter) {
                 self.waiting.get_mut(service)?.remove(key);
                 continue;
             }
             let request = first.request.clone();
             let chosen = if self.has_shared_capacity(&request, now) {
-                self.choose_waiting(&request, now)?
+                self.choose_waiting(&request, now)
             } else {
-                self.choose(&request, now)?
+                self.choose(&request, now)
+            };
+            let Some(chosen) = chosen else {
+                // The targets that it was sent to may have room for others.
+                if request.tried.is_empty() || passed_over.len() >= MAX_PASSED_OVER {
+                    return None;
+                }
+                passed_over.push(key);
+                continue;
             };
             if key.class == QueueClass::CallerRetry {
                 self.record_late_send(service);
--- a/crates/porthoist-policy/src/proxy/scheduler/outages.rs
+++ b/crates/porthoist-policy/src/proxy/scheduler/outages.rs
@@ -129,11 +129,15 @@
     pub(super) fn next_waiting(
         &self,
         service: &ServiceName,
+        passed_over: &[QueueKey],
         now: UnixMillis,
     ) -> Option<(QueueKey, &WaitingRequest<W>)> {
         let skips_late = self.late_share_used(service, now);
         let mut entries = self.waiting.get(service)?.entries();
-        entries.find(|(key, _waiting)| !skips_late || key.class != QueueClass::CallerRetry)
+        entries.find(|(key, _waiting)| {
+            let is_skipped = skips_late && key.class == QueueClass::CallerRetry;
+            !is_skipped && !passed_over.contains(key)
+        })
     }
 
     /// Moves first attempts that have waited until they are late behind those that can be on time.
--- a/crates/porthoist-policy/tests/policy/target_silence.rs
+++ b/crates/porthoist-policy/tests/policy/target_silence.rs
@@ -240,3 +240,45 @@
         target.scheduler.move_cause(&record(), &send, UnixMillis(at))
     })
 }
+
+/// Guards against requests that wait behind a resent one, although a target that this one has left has free slots.
+#[test]
+fn request_behind_a_resent_one_gets_the_target_that_it_left() {
+    let target = |id: &str, host: u8| TargetRecord {
+        id: id.parse().unwrap(),
+        address: (Ipv4Addr::new(10, 0, 0, host), 80).into(),
+        ..record()
+    };
+    let settings = BalancerSettings::builder()
+        .zone("a".parse().unwrap())
+        .per_rank(3)
+        .rank_limit(40)
+        .entries(1)
+        .seed(1)
+        .build();
+    let mut registry = TargetRegistry::default();
+    registry.apply_listing([target("t0", 1), target("t1", 2)], None);
+    let mut scheduler = RequestScheduler::<&str>::new(settings);
+    scheduler.sync(&registry);
+    let request = |tried: &[&str], class| SlotRequest {
+        service: service(),
+        ranked: true,
+        work: RequestWork::default(),
+        priority: 0,
+        tried: tried.iter().map(|id| id.parse().unwrap()).collect(),
+        arrival: UnixMillis(0),
+        latency_millis: 4_000,
+        deadline: UnixDeadline(UnixMillis(8_000)),
+        class,
+    };
+    while let SlotDecision::Assign(_chosen) =
+        scheduler.decide(&request(&["t0"], QueueClass::First), UnixMillis(0))
+    {}
+    scheduler.enqueue(request(&["t0"], QueueClass::Resent), "resent");
+    scheduler.enqueue(request(&[], QueueClass::First), "first");
+    let ready = scheduler.next_ready(&service(), |_waiter| true, UnixMillis(10));
+    assert_eq!(
+        ready.map(|(waiter, chosen, _work)| (waiter, chosen.record.id.to_string())),
+        Some(("first", "t0".to_owned()))
+    );
+}
